Workspace, style checks and the interfaces between processes

Cause: empty repository; the lanes need one agreed contract and one toolchain before they can go on side by side. Ruled out: the Apache thrift package (needs a generator that pip does not serve); a lock file (records hosts). Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+# `make demo` and `make test` set up .venv themselves; see README.md.
+PY := .venv/bin/python
+PACKAGES := fennelfork fennelfork-daemon fennelfork-cli fennelfork-bench
+WORKERS ?= 6
+
+.PHONY: demo test lint format unit clean
+
+demo: .venv/.installed
+	$(PY) -m fennelfork_bench demo
+
+test: lint unit
+
+lint: .venv/.installed
+	$(PY) -m ruff format --check packages
+	$(PY) -m ruff check packages
+	$(PY) -m flake8 packages
+	$(PY) -m mypy packages/fennelfork/src
+	.venv/bin/lint-imports
+
+unit: .venv/.installed
+	$(PY) -m pytest -q -n $(WORKERS)
+
+format: .venv/.installed
+	$(PY) -m ruff format packages
+	$(PY) -m ruff check --fix packages
+
+.venv/.installed: constraints.txt dev-requirements.txt packages/fennelfork/pyproject.toml packages/fennelfork-daemon/pyproject.toml packages/fennelfork-cli/pyproject.toml packages/fennelfork-bench/pyproject.toml
+	python3 -m venv .venv
+	.venv/bin/python -m pip install --quiet --disable-pip-version-check -c constraints.txt -r dev-requirements.txt $(foreach name,$(PACKAGES),-e packages/$(name))
+	touch .venv/.installed
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, rig and experiments of the fennelfork query tier."""
--- /dev/null
+++ b/packages/fennelfork-cli/src/fennelfork_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The fennelfork operator command."""
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The fennelforkd daemon: caller, operator and peer faces."""
--- /dev/null
+++ b/packages/fennelfork/tests/test_range.py
@@ -0,0 +1,40 @@
+"""Ranges of keys."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fennelfork import KeyRange, key_range, missing_ranges
+
+_RANGES = st.builds(
+    lambda lo, width: key_range(lo, lo + width),
+    st.integers(0, 40),
+    st.integers(1, 20),
+)
+
+
+class TestKeyRange:
+    """The checked factory."""
+
+    @pytest.mark.parametrize(('lo', 'hi'), [(3, 3), (4, 2), (-1, 2)])
+    def test_refuses_empty_or_negative(self, lo: int, hi: int) -> None:
+        """A range without a key, or below zero, is refused."""
+        with pytest.raises(ValueError, match='not a range'):
+            key_range(lo, hi)
+
+
+class TestMissingRanges:
+    """Coverage of a whole by parts."""
+
+    @given(st.lists(_RANGES, max_size=6))
+    def test_agrees_with_a_count_of_keys(self, held: list[KeyRange]) -> None:
+        """The gaps are just the keys of the whole that no part holds."""
+        whole = key_range(5, 50)
+        gaps = missing_ranges(whole, held)
+        expected = {
+            key
+            for key in range(whole.lo, whole.hi)
+            if not any(part.holds(key) for part in held)
+        }
+        found = [key for gap in gaps for key in range(gap.lo, gap.hi)]
+        assert sorted(expected) == found
