Configuration document: typed classes, full check, canonical JSON

Ruled out: cattrs' own hooks for numbers, enums and mapping keys; they convert "5" and true to numbers, call the enum past a registered hook and leave annotated keys unchecked, so table, list and rule hooks are ours. Change: rules stand in the annotations; parse_document names all faults at once with path and what is allowed; render_document is canonical; digest.

--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -5,6 +5,23 @@
 from fennelfork._clock import manual_clock as manual_clock
 from fennelfork._clock import system_clock as system_clock
 from fennelfork._clock import wall_clock as wall_clock
+from fennelfork._document import Document as Document
+from fennelfork._document import Front as Front
+from fennelfork._document import HedgePolicyName as HedgePolicyName
+from fennelfork._document import HedgeSettings as HedgeSettings
+from fennelfork._document import PatchRecord as PatchRecord
+from fennelfork._document import Server as Server
+from fennelfork._document import Shard as Shard
+from fennelfork._document import Tenant as Tenant
+from fennelfork._document import TrafficClass as TrafficClass
+from fennelfork._document_parse import digest as digest
+from fennelfork._document_parse import parse_document as parse_document
+from fennelfork._document_parse import render_document as render_document
+from fennelfork._document_parse import structure_document as structure_document
+from fennelfork._document_parse import (
+    unstructure_document as unstructure_document,
+)
+from fennelfork._document_problem import Problem as Problem
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
 from fennelfork._range import missing_ranges as missing_ranges
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_document_parse.py
@@ -0,0 +1,77 @@
+"""Reading and writing the configuration document as JSON."""
+
+import json
+from typing import Any, Final
+
+import cattrs
+import xxhash
+from returns.result import Failure, Result, Success
+
+from fennelfork._document import Document
+from fennelfork._document_converter import document_converter
+from fennelfork._document_problem import Problem, RuleBroken, problems_of
+
+_CONVERTER: Final = document_converter()
+
+
+def parse_document(raw: str) -> Result[Document, tuple[Problem, ...]]:
+    """Read a document and check all of it.
+
+    Args:
+        raw: the document as JSON.
+
+    Returns:
+        The document, or every fault of it at once.
+    """
+    try:
+        tree = json.loads(raw)
+    except (ValueError, RecursionError) as error:
+        problem = Problem(
+            path='',
+            detail=f'not JSON: {error}',
+            allowed='a JSON object',
+        )
+        return Failure((problem,))
+    return structure_document(tree)
+
+
+def structure_document(tree: Any) -> Result[Document, tuple[Problem, ...]]:
+    """Check a document that was already read from JSON.
+
+    Args:
+        tree: what the JSON held.
+
+    Returns:
+        The document, or every fault of it at once.
+    """
+    try:
+        return Success(_CONVERTER.structure(tree, Document))
+    except (cattrs.BaseValidationError, RuleBroken) as error:
+        return Failure(tuple(problems_of(error)))
+
+
+def unstructure_document(document: Document) -> dict[str, Any]:
+    """Give the JSON tree of a document."""
+    tree: dict[str, Any] = _CONVERTER.unstructure(document)
+    return tree
+
+
+def render_document(document: Document) -> str:
+    """Write a document as canonical JSON: sorted keys, no spaces."""
+    return json.dumps(
+        unstructure_document(document),
+        sort_keys=True,
+        separators=(',', ':'),
+    )
+
+
+def digest(raw: str) -> str:
+    """Give a short hash by which daemons compare documents.
+
+    Args:
+        raw: the document as stored, canonical JSON.
+
+    Returns:
+        16 hexadecimal digits; not proof against forgery.
+    """
+    return xxhash.xxh3_64_hexdigest(raw.encode())
--- /dev/null
+++ b/packages/fennelfork/tests/test_document_parse.py
@@ -0,0 +1,112 @@
+"""Reading and writing the configuration document."""
+
+import json
+from typing import Any
+
+import pytest
+from core_builders_config import document_tree, server_tree, servers_of
+from returns.result import Success
+
+from fennelfork import (
+    HedgePolicyName,
+    Problem,
+    digest,
+    parse_document,
+    render_document,
+)
+
+
+def _problems(tree: Any) -> dict[str, Problem]:
+    faults = parse_document(json.dumps(tree)).failure()
+    return {fault.path: fault for fault in faults}
+
+
+class TestParse:
+    """Documents that are read."""
+
+    def test_reads_each_part(self) -> None:
+        """A valid document comes back typed, with defaults filled in."""
+        document = parse_document(json.dumps(document_tree(7))).unwrap()
+        front = document.fronts['raft-search']
+        assert document.version == 7
+        assert front.hedge.policy is HedgePolicyName.QUANTILE
+        servers = front.shards['s0'].servers
+        assert servers['raft-a'].address == '127.0.0.1:9001'
+        assert document.classes['counter'].weight == 4
+
+    def test_render_and_parse_agree(self) -> None:
+        """What is rendered reads back equal, and renders the same again."""
+        document = parse_document(json.dumps(document_tree())).unwrap()
+        raw = render_document(document)
+        assert parse_document(raw) == Success(document)
+        assert digest(render_document(parse_document(raw).unwrap())) == (
+            digest(raw)
+        )
+
+
+class TestProblems:
+    """Documents that are refused."""
+
+    def test_names_all_faults_at_once(self) -> None:
+        """Unknown, missing, mistyped and out-of-range values are all named."""
+        tree = document_tree()
+        front = tree['fronts']['raft-search']
+        front['keys'] = '1000'
+        front['hedge'] = {'policy': 'maybe', 'budget': 2, 'quantil': 0.9}
+        servers_of(tree)['raft-a'].pop('slots')
+        tree['classes']['counter']['weight'] = True
+        tree['tenants']['no spaces'] = {'weight': 0}
+        found = _problems(tree)
+        assert sorted(found) == [
+            'classes.counter.weight',
+            'fronts.raft-search.hedge.budget',
+            'fronts.raft-search.hedge.policy',
+            'fronts.raft-search.hedge.quantil',
+            'fronts.raft-search.keys',
+            'fronts.raft-search.shards.s0.servers.raft-a.slots',
+            'tenants.no spaces',
+            'tenants.no spaces.weight',
+        ]
+        assert found['fronts.raft-search.hedge.policy'].allowed == (
+            'one of "none", "fixed", "quantile"'
+        )
+        assert found['fronts.raft-search.hedge.quantil'].allowed == (
+            'one of policy, quantile, delay_ms, budget'
+        )
+        assert 'from 1 to 10000' in (
+            found['fronts.raft-search.shards.s0.servers.raft-a.slots'].allowed
+        )
+
+    @pytest.mark.parametrize(
+        'address',
+        ['', '127.0.0.1', '127.0.0.1:0', '127.0.0.1:70000', 'host:80', 9001],
+    )
+    def test_refuses_addresses_that_are_no_ip_and_port(
+        self,
+        address: Any,
+    ) -> None:
+        """Only an IP number with a port is an address."""
+        tree = document_tree()
+        servers_of(tree)['b'] = {**server_tree(), 'address': address}
+        path = 'fronts.raft-search.shards.s0.servers.b.address'
+        assert list(_problems(tree)) == [path]
+
+    @pytest.mark.parametrize(
+        ('tree', 'path'),
+        [
+            ([], ''),
+            ({'fronts': []}, 'fronts'),
+            ({'patches': {}}, 'patches'),
+            ({'version': -1}, 'version'),
+            ({'fronts': {'f': {'keys': 1, 'shards': {}}}}, 'fronts.f.shards'),
+        ],
+    )
+    def test_refuses_wrong_shapes(self, tree: Any, path: str) -> None:
+        """A list for a table, or an empty front, is one named fault."""
+        assert list(_problems(tree)) == [path]
+
+    @pytest.mark.parametrize('raw', ['', '{', '[' * 100_000, 'NaN'])
+    def test_refuses_what_is_no_json_object(self, raw: str) -> None:
+        """Text that is no JSON object is a fault, never an exception."""
+        faults = parse_document(raw).failure()
+        assert [fault.path for fault in faults] == ['']
