Configuration patches: merge, decide, write under compare-and-swap, hold

Cause: operators race, replies get lost, the platform may show old values. Ruled out: trusting a read back that shows the base again: the first write may still land, so the same write is sent again (both name one revision); proof of "not run" is another patch under the version after the base. Change: merge patch, history, decision, writer as a state machine, backoff and call budget, the state of a daemon whose version only rises.

--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -5,6 +5,15 @@
 from fennelfork._clock import manual_clock as manual_clock
 from fennelfork._clock import system_clock as system_clock
 from fennelfork._clock import wall_clock as wall_clock
+from fennelfork._config_backoff import Backoff as Backoff
+from fennelfork._config_backoff import CallBudget as CallBudget
+from fennelfork._config_backoff import call_budget as call_budget
+from fennelfork._config_state import ConfigAnomaly as ConfigAnomaly
+from fennelfork._config_state import ConfigSource as ConfigSource
+from fennelfork._config_state import ConfigState as ConfigState
+from fennelfork._config_state import HeldDocument as HeldDocument
+from fennelfork._config_state import OfferOutcome as OfferOutcome
+from fennelfork._config_state import config_state as config_state
 from fennelfork._document import Document as Document
 from fennelfork._document import Front as Front
 from fennelfork._document import HedgePolicyName as HedgePolicyName
@@ -22,6 +31,30 @@
     unstructure_document as unstructure_document,
 )
 from fennelfork._document_problem import Problem as Problem
+from fennelfork._merge_patch import Change as Change
+from fennelfork._merge_patch import merge_patch as merge_patch
+from fennelfork._merge_patch import tree_changes as tree_changes
+from fennelfork._patch import PatchAccepted as PatchAccepted
+from fennelfork._patch import PatchOutcome as PatchOutcome
+from fennelfork._patch import PatchRefused as PatchRefused
+from fennelfork._patch import PatchRequest as PatchRequest
+from fennelfork._patch import PreparedWrite as PreparedWrite
+from fennelfork._patch import StoredDocument as StoredDocument
+from fennelfork._patch_decision import PatchContext as PatchContext
+from fennelfork._patch_decision import decide_patch as decide_patch
+from fennelfork._patch_event import DocumentRead as DocumentRead
+from fennelfork._patch_event import PatchDone as PatchDone
+from fennelfork._patch_event import PatchStep as PatchStep
+from fennelfork._patch_event import ReadDocument as ReadDocument
+from fennelfork._patch_event import ReadFailed as ReadFailed
+from fennelfork._patch_event import WriteApplied as WriteApplied
+from fennelfork._patch_event import WriteDocument as WriteDocument
+from fennelfork._patch_event import WriteLost as WriteLost
+from fennelfork._patch_event import WriteNotSent as WriteNotSent
+from fennelfork._patch_event import WriteRefused as WriteRefused
+from fennelfork._patch_request import structure_request as structure_request
+from fennelfork._patch_writer import PatchWriter as PatchWriter
+from fennelfork._patch_writer import advance_patch as advance_patch
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
 from fennelfork._range import missing_ranges as missing_ranges
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_config_state.py
@@ -0,0 +1,183 @@
+"""The configuration that one daemon has in force."""
+
+import enum
+
+import attrs
+from returns.result import Success
+
+from fennelfork._clock import Clock
+from fennelfork._document import Document
+from fennelfork._document_parse import digest, parse_document
+from fennelfork._document_problem import Problem
+
+
+@enum.unique
+class ConfigSource(enum.StrEnum):
+    """Where a document came from."""
+
+    PLATFORM = 'platform'
+    PEER = 'peer'
+
+
+@enum.unique
+class OfferOutcome(enum.StrEnum):
+    """What became of a document that was offered to a daemon."""
+
+    TAKEN = 'taken'
+    SAME = 'same'
+    OLDER = 'older'
+    CONFLICT = 'conflict'
+    INVALID = 'invalid'
+    EMPTY = 'empty'
+
+
+@attrs.frozen(kw_only=True)
+class HeldDocument:
+    """A document in force, with what it was read from.
+
+    Attributes:
+        document: the document.
+        raw: its text, handed to peers as it came.
+        digest: the hash of `raw`.
+        source: where it came from.
+        taken_ms: when this daemon took it.
+    """
+
+    document: Document
+    raw: str
+    digest: str
+    source: ConfigSource
+    taken_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class ConfigAnomaly:
+    """An offer that a daemon refused, kept to be shown to operators.
+
+    Attributes:
+        outcome: why it was refused.
+        source: where it came from.
+        version: the version offered; zero if it had none.
+        digest: the hash offered; empty if nothing was.
+        at_ms: when.
+        problems: what is wrong with it, for an invalid one.
+    """
+
+    outcome: OfferOutcome
+    source: ConfigSource
+    version: int
+    digest: str
+    at_ms: float
+    problems: tuple[Problem, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class ConfigState:
+    """What a daemon holds; its version only rises.
+
+    Attributes:
+        held: the document in force; none before the first.
+        confirmed_ms: when the platform last showed the held document.
+        anomalies: the last refused offer of each source.
+    """
+
+    _clock: Clock
+    held: HeldDocument | None = None
+    confirmed_ms: float | None = None
+    anomalies: dict[ConfigSource, ConfigAnomaly] = attrs.field(factory=dict)
+
+    @property
+    def version(self) -> int:
+        """The version in force; zero before the first document."""
+        return 0 if self.held is None else self.held.document.version
+
+    @property
+    def digest(self) -> str:
+        """The hash of the document in force; empty before the first."""
+        return '' if self.held is None else self.held.digest
+
+    def offer(self, raw: str | None, source: ConfigSource) -> OfferOutcome:
+        """Take a document if it is newer than the one in force.
+
+        Args:
+            raw: the document; none if the source holds none.
+            source: who offers it.
+
+        Returns:
+            What became of it. Everything but a newer valid document leaves
+            the one in force, and what should not be is kept in `anomalies`.
+        """
+        if raw is None:
+            return self._offer_nothing(source)
+        offered = digest(raw)
+        if offered == self.digest:
+            self._confirm(source)
+            return OfferOutcome.SAME
+        parsed = parse_document(raw)
+        if not isinstance(parsed, Success):
+            return self._refuse(
+                OfferOutcome.INVALID,
+                source,
+                offered,
+                problems=parsed.failure(),
+            )
+        return self._compare(
+            HeldDocument(
+                document=parsed.unwrap(),
+                raw=raw,
+                digest=offered,
+                source=source,
+                taken_ms=self._clock.now_ms(),
+            ),
+        )
+
+    def _offer_nothing(self, source: ConfigSource) -> OfferOutcome:
+        if self.held is None:
+            return OfferOutcome.EMPTY
+        return self._refuse(OfferOutcome.EMPTY, source, '')
+
+    def _compare(self, offered: HeldDocument) -> OfferOutcome:
+        version = offered.document.version
+        if self.held is None or version > self.version:
+            self.held = offered
+            self._confirm(offered.source)
+            return OfferOutcome.TAKEN
+        outcome = OfferOutcome.OLDER
+        if version == self.version:
+            outcome = OfferOutcome.CONFLICT
+        elif offered.source is ConfigSource.PEER:
+            return outcome
+        return self._refuse(
+            outcome,
+            offered.source,
+            offered.digest,
+            version=version,
+        )
+
+    def _confirm(self, source: ConfigSource) -> None:
+        self.anomalies.pop(source, None)
+        if source is ConfigSource.PLATFORM:
+            self.confirmed_ms = self._clock.now_ms()
+
+    def _refuse(
+        self,
+        outcome: OfferOutcome,
+        source: ConfigSource,
+        offered: str,
+        version: int = 0,
+        problems: tuple[Problem, ...] = (),
+    ) -> OfferOutcome:
+        self.anomalies[source] = ConfigAnomaly(
+            outcome=outcome,
+            source=source,
+            version=version,
+            digest=offered,
+            at_ms=self._clock.now_ms(),
+            problems=problems,
+        )
+        return outcome
+
+
+def config_state(clock: Clock) -> ConfigState:
+    """Build the state of a daemon that holds no document yet."""
+    return ConfigState(clock=clock)
--- a/packages/fennelfork/src/fennelfork/_document.py
+++ b/packages/fennelfork/src/fennelfork/_document.py
@@ -19,7 +19,7 @@
     pattern='[A-Za-z0-9][A-Za-z0-9_-]{0,62}',
     words='1 to 63 letters, digits, "-" or "_", the first a letter or digit',
 )
-_PATCH_ID: Final = Text(
+_ID: Final = Text(
     pattern='[A-Za-z0-9._:-]{1,64}',
     words='1 to 64 letters, digits, ".", "_", ":" or "-"',
 )
@@ -33,10 +33,13 @@
 _MAX_DELAY_MS: Final = 60_000
 _MAX_QUANTILE: Final = 0.9999
 
-_VERSION: Final = WholeNumber(least=0, most=_MAX_EXACT)
+_EXACT: Final = WholeNumber(least=0, most=_MAX_EXACT)
 _DELAY_MS: Final = WholeNumber(least=0, most=_MAX_DELAY_MS)
 
 Name = Annotated[str, _NAME]
+Version = Annotated[int, _EXACT]
+PatchId = Annotated[str, _ID]
+Line = Annotated[str, _LINE]
 Weight = Annotated[int, WholeNumber(least=1, most=1000)]
 
 
@@ -135,11 +138,11 @@
         paths: what it changed.
     """
 
-    id: Annotated[str, _PATCH_ID]
-    version: Annotated[int, _VERSION]
-    author: Annotated[str, _LINE]
-    at_ms: Annotated[int, _VERSION]
-    paths: tuple[Annotated[str, _LINE], ...]
+    id: PatchId
+    version: Version
+    author: Line
+    at_ms: Annotated[int, _EXACT]
+    paths: tuple[Line, ...]
 
 
 @attrs.frozen(kw_only=True)
@@ -154,7 +157,7 @@
         classes: traffic classes by name.
     """
 
-    version: Annotated[int, _VERSION] = 0
+    version: Version = 0
     patches: tuple[PatchRecord, ...] = ()
     fronts: Mapping[Name, Front] = attrs.field(factory=dict)
     tenants: Mapping[Name, Tenant] = attrs.field(factory=dict)
--- a/packages/fennelfork/src/fennelfork/_document_converter.py
+++ b/packages/fennelfork/src/fennelfork/_document_converter.py
@@ -7,16 +7,23 @@
 import json
 from collections.abc import Callable, Mapping
 from functools import partial
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import attrs
 import cattrs
+from returns.result import Failure, Result, Success
 
 from fennelfork._document_check import accepts
-from fennelfork._document_problem import RuleBroken, allowed_by
+from fennelfork._document_problem import (
+    Problem,
+    RuleBroken,
+    allowed_by,
+    problems_of,
+)
 
 _SHOWN_CHARACTERS: Final = 80
 
+_Wanted = TypeVar('_Wanted')
 _Hook = Callable[[Any, Any], Any]
 _OneHook = Callable[[Any], Any]
 
@@ -35,6 +42,28 @@
     return converter
 
 
+def checked_structure(
+    converter: cattrs.Converter,
+    tree: Any,
+    wanted: type[_Wanted],
+) -> Result[_Wanted, tuple[Problem, ...]]:
+    """Check a JSON tree against an attrs class.
+
+    Args:
+        converter: one from `document_converter`.
+        tree: what the JSON held.
+        wanted: the class.
+
+    Returns:
+        An instance, or every fault of the tree at once.
+    """
+    try:
+        structured = converter.structure(tree, wanted)
+    except (cattrs.BaseValidationError, RuleBroken) as error:
+        return Failure(tuple(problems_of(error)))
+    return Success(structured)
+
+
 def _is_annotated(wanted: Any) -> bool:
     return bool(getattr(wanted, '__metadata__', ()))
 
--- a/packages/fennelfork/src/fennelfork/_document_parse.py
+++ b/packages/fennelfork/src/fennelfork/_document_parse.py
@@ -3,13 +3,12 @@
 import json
 from typing import Any, Final
 
-import cattrs
 import xxhash
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from fennelfork._document import Document
-from fennelfork._document_converter import document_converter
-from fennelfork._document_problem import Problem, RuleBroken, problems_of
+from fennelfork._document_converter import checked_structure, document_converter
+from fennelfork._document_problem import Problem
 
 _CONVERTER: Final = document_converter()
 
@@ -44,10 +43,7 @@
     Returns:
         The document, or every fault of it at once.
     """
-    try:
-        return Success(_CONVERTER.structure(tree, Document))
-    except (cattrs.BaseValidationError, RuleBroken) as error:
-        return Failure(tuple(problems_of(error)))
+    return checked_structure(_CONVERTER, tree, Document)
 
 
 def unstructure_document(document: Document) -> dict[str, Any]:
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_patch_decision.py
@@ -0,0 +1,197 @@
+"""Whether a patch may be written, and what exactly is written.
+
+Nothing here writes: the result is either the outcome, known without a write,
+or the document to write under compare-and-swap.
+"""
+
+from typing import Any, Final
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from fennelfork._document import Document, PatchRecord
+from fennelfork._document_parse import (
+    parse_document,
+    render_document,
+    structure_document,
+    unstructure_document,
+)
+from fennelfork._document_problem import Problem
+from fennelfork._merge_patch import Change, merge_patch, tree_changes
+from fennelfork._patch import (
+    PatchAccepted,
+    PatchRefused,
+    PatchRequest,
+    PreparedWrite,
+    StoredDocument,
+)
+from fennelfork._patch_history import (
+    history_paths,
+    record_of_patch,
+    with_record,
+)
+from fennelfork._patch_refusal import (
+    conflicting,
+    duplicate,
+    faulty,
+    idle,
+    stale,
+    unreadable,
+)
+
+_MAX_DOCUMENT_BYTES: Final = 1_000_000
+_SHOWN_CHANGES: Final = 64
+_OWN_KEYS: Final = ('patches', 'version')
+
+Decision = Result[PreparedWrite | PatchAccepted, PatchRefused]
+
+
+@attrs.frozen(kw_only=True)
+class PatchContext:
+    """What a daemon knows when it decides on a patch.
+
+    Attributes:
+        stored: what the platform shows.
+        known_version: the highest version that this daemon holds or heard of.
+        now_ms: civil time, for the history.
+    """
+
+    stored: StoredDocument
+    known_version: int
+    now_ms: int
+
+
+def decide_patch(request: PatchRequest, context: PatchContext) -> Decision:
+    """Decide on a patch from what the platform shows.
+
+    Args:
+        request: the patch.
+        context: what the daemon knows.
+
+    Returns:
+        The document to write, the acceptance of an earlier try, or a refusal.
+    """
+    parsed = read_stored(context.stored)
+    if not isinstance(parsed, Success):
+        return Failure(unreadable(parsed.failure()))
+    document = parsed.unwrap()
+    earlier = record_of_patch(document, request.patch_id)
+    if earlier is not None:
+        return earlier_outcome(request, earlier)
+    known = max(context.known_version, request.base)
+    if document.version < known:
+        return Failure(stale(document, known))
+    if document.version > request.base:
+        return Failure(lost_race(request, document))
+    return _prepare(request, document, context)
+
+
+def read_stored(
+    stored: StoredDocument,
+) -> Result[Document, tuple[Problem, ...]]:
+    """Read what the platform shows; an absent key is the empty document."""
+    if stored.raw is None:
+        return Success(Document())
+    return parse_document(stored.raw)
+
+
+def earlier_outcome(request: PatchRequest, earlier: PatchRecord) -> Decision:
+    """Answer a patch whose id is in the history already.
+
+    Args:
+        request: the patch.
+        earlier: the record under its id.
+
+    Returns:
+        The acceptance if it is the same patch sent again; a refusal if the id
+        belongs to a patch of another author or base.
+    """
+    same_author = earlier.author == request.author
+    if same_author and earlier.version == request.base + 1:
+        return Success(PatchAccepted(record=earlier))
+    return Failure(duplicate(request.patch_id, earlier))
+
+
+def lost_race(request: PatchRequest, document: Document) -> PatchRefused:
+    """Refuse a patch whose base is no longer in force, with the changes."""
+    before = unstructure_document(document)
+    after = _normalised(merge_patch(before, request.patch))
+    changes = tree_changes(before, after)[:_SHOWN_CHANGES]
+    return conflicting(request, document, changes)
+
+
+def _normalised(tree: Any) -> Any:
+    """Fill in defaults where the tree is valid, so that they are no change."""
+    structured = structure_document(tree)
+    return structured.map(unstructure_document).value_or(tree)
+
+
+def _prepare(
+    request: PatchRequest,
+    document: Document,
+    context: PatchContext,
+) -> Decision:
+    own = sorted(request.patch.keys() & set(_OWN_KEYS))
+    if own:
+        return Failure(faulty(map(_set_by_daemon, own), document))
+    before = unstructure_document(document)
+    checked = structure_document(merge_patch(before, request.patch))
+    if not isinstance(checked, Success):
+        return Failure(faulty(checked.failure(), document))
+    made = checked.unwrap()
+    changes = tree_changes(before, unstructure_document(made))
+    if not changes:
+        return Failure(idle(document))
+    record = _record(request, changes, context)
+    return _write(made, record, context)
+
+
+def _set_by_daemon(key: str) -> Problem:
+    return Problem(
+        path=key,
+        detail='set by the daemon, not by patches',
+        allowed='fronts, tenants and classes',
+    )
+
+
+def _record(
+    request: PatchRequest,
+    changes: tuple[Change, ...],
+    context: PatchContext,
+) -> PatchRecord:
+    return PatchRecord(
+        id=request.patch_id,
+        version=request.base + 1,
+        author=request.author,
+        at_ms=context.now_ms,
+        paths=history_paths(changes),
+    )
+
+
+def _write(
+    made: Document,
+    record: PatchRecord,
+    context: PatchContext,
+) -> Decision:
+    document = attrs.evolve(
+        made,
+        version=record.version,
+        patches=with_record(made.patches, record),
+    )
+    raw = render_document(document)
+    if len(raw) > _MAX_DOCUMENT_BYTES:
+        return Failure(faulty([_too_large(len(raw))], made))
+    write = PreparedWrite(
+        raw=raw,
+        revision=context.stored.revision,
+        record=record,
+    )
+    return Success(write)
+
+
+def _too_large(size: int) -> Problem:
+    return Problem(
+        path='',
+        detail=f'the document would have {size} bytes',
+        allowed=f'at most {_MAX_DOCUMENT_BYTES} bytes',
+    )
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_patch_history.py
@@ -0,0 +1,63 @@
+"""The bounded history of patches inside the configuration document."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from fennelfork._document import Document, PatchRecord
+from fennelfork._merge_patch import Change
+
+_MAX_RECORDS: Final = 256
+_MAX_PATHS: Final = 16
+_PATH_CHARACTERS: Final = 512
+
+
+def with_record(
+    records: tuple[PatchRecord, ...],
+    record: PatchRecord,
+) -> tuple[PatchRecord, ...]:
+    """Add a record to a history, and drop the oldest above the bound."""
+    return (*records, record)[-_MAX_RECORDS:]
+
+
+def record_of_patch(document: Document, patch_id: str) -> PatchRecord | None:
+    """Find the record of a patch, if the history still holds it."""
+    for record in document.patches:
+        if record.id == patch_id:
+            return record
+    return None
+
+
+def record_of_version(document: Document, version: int) -> PatchRecord | None:
+    """Find which patch made a version, if the history still holds it."""
+    for record in document.patches:
+        if record.version == version:
+            return record
+    return None
+
+
+def records_since(document: Document, base: int) -> tuple[PatchRecord, ...]:
+    """List the records of versions above `base`, oldest first."""
+    return tuple(record for record in document.patches if record.version > base)
+
+
+def history_paths(changes: Iterable[Change]) -> tuple[str, ...]:
+    """Name what a patch changed, in a bounded number of paths.
+
+    Args:
+        changes: the leaves that differ.
+
+    Returns:
+        Their paths; where these are too many, the shortened paths of the
+        tables that hold them.
+    """
+    paths = {change.path for change in changes}
+    depth = max(path.count('.') for path in paths) if paths else 0
+    while len(paths) > _MAX_PATHS and depth:
+        paths = {_shortened(path, depth) for path in paths}
+        depth -= 1
+    shown = (path[:_PATH_CHARACTERS] for path in sorted(paths))
+    return tuple(shown)[:_MAX_PATHS]
+
+
+def _shortened(path: str, depth: int) -> str:
+    return '.'.join(path.split('.')[:depth])
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_patch_writer.py
@@ -0,0 +1,196 @@
+"""The writer of one patch, under compare-and-swap with lost replies.
+
+The writer reads, decides, writes, and after anything but a clear answer reads
+back. What it finds under the version after its base settles the matter, since
+compare-and-swap lets only one patch make that version. Until the history
+shows it, the writer sends the very same write again: that is idempotent, as
+the first of the two to take effect moves the revision that both name.
+"""
+
+import functools
+import random
+from typing import Any, Final
+
+import attrs
+from returns.result import Failure, Success
+
+from fennelfork._config_backoff import Backoff
+from fennelfork._document import Document, PatchRecord
+from fennelfork._patch import (
+    PatchAccepted,
+    PatchOutcome,
+    PatchRequest,
+    PreparedWrite,
+    StoredDocument,
+)
+from fennelfork._patch_decision import (
+    PatchContext,
+    decide_patch,
+    earlier_outcome,
+    lost_race,
+    read_stored,
+)
+from fennelfork._patch_event import (
+    DocumentRead,
+    PatchDone,
+    PatchEvent,
+    PatchStep,
+    ReadDocument,
+    ReadFailed,
+    WriteApplied,
+    WriteDocument,
+    WriteLost,
+    WriteNotSent,
+    WriteRefused,
+)
+from fennelfork._patch_history import record_of_version
+from fennelfork._patch_refusal import unavailable, uncertain
+
+_BACKOFF: Final = Backoff(base_ms=10, cap_ms=1000)
+_RETRY_AFTER_MS: Final = 5000
+
+
+@attrs.define(kw_only=True)
+class PatchWriter:
+    """State of one patch on its way to the platform.
+
+    Attributes:
+        request: the patch.
+        known_version: the highest version known when the patch came.
+        now_ms: civil time, for the history.
+        tries_left: failed calls that are still allowed.
+        jitter: spreads the retries of racing writers.
+        step: what to do next.
+        failures: failed calls so far.
+        write: the prepared document, once decided.
+        lost: whether a write was sent whose answer is missing.
+    """
+
+    request: PatchRequest
+    known_version: int
+    now_ms: int
+    tries_left: int
+    jitter: random.Random
+    step: PatchStep = ReadDocument()
+    failures: int = 0
+    write: PreparedWrite | None = None
+    lost: bool = False
+
+    def finish(self, outcome: PatchOutcome) -> None:
+        """Settle the patch."""
+        self.step = PatchDone(outcome=outcome)
+
+    def give_up(self, detail: str) -> None:
+        """Settle the patch with what is certain without the platform.
+
+        Args:
+            detail: why the platform could not be asked.
+        """
+        refused = uncertain(self.request.patch_id)
+        if not self.lost:
+            refused = unavailable(detail, _RETRY_AFTER_MS)
+        self.finish(Failure(refused))
+
+    def retry(self, detail: str) -> None:
+        """Read again after a wait, or give up when the tries are spent."""
+        self.failures += 1
+        self.tries_left -= 1
+        if self.tries_left <= 0:
+            self.give_up(detail)
+            return
+        delay_ms = _BACKOFF.delay_ms(self.failures, self.jitter)
+        self.step = ReadDocument(delay_ms=delay_ms)
+
+
+@functools.singledispatch
+def advance_patch(event: PatchEvent, writer: PatchWriter) -> None:
+    """Take one event into account; `writer.step` then says what to do.
+
+    Args:
+        event: what came of the last step.
+        writer: the writer that asked for it.
+
+    Raises:
+        TypeError: if `event` is no event of a writer.
+    """
+    raise TypeError(f'not an event: {event!r}')
+
+
+@advance_patch.register
+def _(event: ReadFailed, writer: PatchWriter) -> None:
+    writer.retry(event.detail)
+
+
+@advance_patch.register
+def _(event: WriteNotSent, writer: PatchWriter) -> None:
+    writer.retry(event.detail)
+
+
+@advance_patch.register
+def _(event: WriteLost, writer: PatchWriter) -> None:
+    writer.lost = True
+    writer.retry(event.detail)
+
+
+@advance_patch.register
+def _(event: WriteRefused, writer: PatchWriter) -> None:
+    writer.retry('the platform keeps refusing the write')
+
+
+@advance_patch.register
+def _(event: WriteApplied, writer: PatchWriter) -> None:
+    write = writer.write
+    if write is None:
+        raise TypeError('a write was applied that was never asked for')
+    accepted = PatchAccepted(record=write.record, raw=write.raw)
+    writer.finish(Success(accepted))
+
+
+@advance_patch.register
+def _(event: DocumentRead, writer: PatchWriter) -> None:
+    if writer.write is None:
+        _decide(writer, event.stored)
+    else:
+        _settle(writer, writer.write, event.stored)
+
+
+def _decide(writer: PatchWriter, stored: StoredDocument) -> None:
+    context = PatchContext(
+        stored=stored,
+        known_version=writer.known_version,
+        now_ms=writer.now_ms,
+    )
+    decided: Any = decide_patch(writer.request, context)
+    decision = decided.value_or(None)
+    if isinstance(decision, PreparedWrite):
+        writer.write = decision
+        writer.step = WriteDocument(write=decision)
+    else:
+        writer.finish(decided)
+
+
+def _settle(
+    writer: PatchWriter,
+    write: PreparedWrite,
+    stored: StoredDocument,
+) -> None:
+    document = read_stored(stored).value_or(Document())
+    winner = record_of_version(document, write.record.version)
+    if winner:
+        writer.finish(_of_winner(writer.request, winner, document))
+    elif stored.revision == write.revision:
+        writer.step = WriteDocument(write=write)
+    elif writer.lost:
+        writer.retry('the platform shows neither the base nor its successor')
+    else:
+        _decide(writer, stored)
+
+
+def _of_winner(
+    request: PatchRequest,
+    winner: PatchRecord,
+    document: Document,
+) -> Any:
+    if winner.id == request.patch_id:
+        return earlier_outcome(request, winner)
+    return Failure(lost_race(request, document))
--- a/packages/fennelfork/tests/core_builders_config.py
+++ b/packages/fennelfork/tests/core_builders_config.py
@@ -1,7 +1,18 @@
 """Builders of configuration documents for the tests."""
 
+import json
+import random
 from typing import Any
 
+import attrs
+
+from fennelfork import (
+    PatchRequest,
+    PatchWriter,
+    PreparedWrite,
+    StoredDocument,
+)
+
 
 def server_tree(port: int = 9001) -> dict[str, Any]:
     """Give the JSON tree of one backend server."""
@@ -31,3 +42,66 @@
         'tenants': {'salvare': {'weight': 2}},
         'classes': {'counter': {'weight': 4}},
     }
+
+
+@attrs.define(kw_only=True)
+class FakeStore:
+    """A key under compare-and-swap that remembers each value it held.
+
+    Attributes:
+        past: what the key held, oldest first; the last is current.
+        on_their_way: writes sent whose replies are lost, that may yet land.
+    """
+
+    past: list[StoredDocument] = attrs.field(
+        factory=lambda: [StoredDocument(raw=None, revision=0)],
+    )
+    on_their_way: list[PreparedWrite] = attrs.field(factory=list)
+
+    @property
+    def current(self) -> StoredDocument:
+        """What the key holds now."""
+        return self.past[-1]
+
+    def swap(self, write: PreparedWrite) -> bool:
+        """Write if the revision still fits, and tell whether it did."""
+        if write.revision != self.current.revision:
+            return False
+        revision = self.current.revision + 7
+        self.past.append(StoredDocument(raw=write.raw, revision=revision))
+        return True
+
+
+def weight_patch(tenant: str, weight: int) -> dict[str, Any]:
+    """Give a patch that sets the weight of one tenant."""
+    return {'tenants': {tenant: {'weight': weight}}}
+
+
+def patch_request(
+    base: int = 0,
+    patch_id: str = 'p-1',
+    weight: int = 3,
+) -> PatchRequest:
+    """Build a request that changes one tenant."""
+    return PatchRequest(
+        base=base,
+        patch_id=patch_id,
+        author='ana',
+        patch=weight_patch('salvare', weight),
+    )
+
+
+def patch_writer(request: PatchRequest, known_version: int = 0) -> PatchWriter:
+    """Build a writer with a few tries."""
+    return PatchWriter(
+        request=request,
+        known_version=known_version,
+        now_ms=1000,
+        tries_left=4,
+        jitter=random.Random(7),
+    )
+
+
+def stored_document(tree: dict[str, Any], revision: int = 5) -> StoredDocument:
+    """Give a tree as the platform shows it."""
+    return StoredDocument(raw=json.dumps(tree), revision=revision)
--- /dev/null
+++ b/packages/fennelfork/tests/test_patch_decision.py
@@ -0,0 +1,196 @@
+"""Decisions on patches before any write."""
+
+import json
+from typing import Any
+
+import attrs
+import pytest
+from core_builders_config import (
+    document_tree,
+    patch_request,
+    server_tree,
+    stored_document,
+)
+
+from fennelfork import (
+    FailureCode,
+    PatchContext,
+    PatchRefused,
+    PatchRequest,
+    PreparedWrite,
+    StoredDocument,
+    Verdict,
+    decide_patch,
+    parse_document,
+    structure_request,
+)
+
+
+def _context(stored: StoredDocument, known_version: int = 0) -> PatchContext:
+    return PatchContext(
+        stored=stored,
+        known_version=known_version,
+        now_ms=77,
+    )
+
+
+def _prepare(request: PatchRequest, stored: StoredDocument) -> PreparedWrite:
+    decision = decide_patch(request, _context(stored)).unwrap()
+    assert isinstance(decision, PreparedWrite)
+    return decision
+
+
+def _refuse(
+    request: PatchRequest,
+    tree: dict[str, Any],
+    known_version: int = 0,
+) -> PatchRefused:
+    context = _context(stored_document(tree), known_version)
+    return decide_patch(request, context).failure()
+
+
+class TestAcceptance:
+    """Patches that may be written."""
+
+    def test_makes_the_next_version_with_its_record(self) -> None:
+        """The write holds the merged document, one version up."""
+        write = _prepare(patch_request(1), stored_document(document_tree(1)))
+        document = parse_document(write.raw).unwrap()
+        assert write.revision == 5
+        assert document.version == 2
+        assert document.tenants['salvare'].weight == 3
+        assert document.patches == (write.record,)
+        assert write.record.paths == ('tenants.salvare.weight',)
+        assert write.record.at_ms == 77
+
+    def test_makes_the_first_version_of_an_absent_key(self) -> None:
+        """Base zero on an absent key makes version one."""
+        absent = StoredDocument(raw=None, revision=0)
+        write = _prepare(patch_request(), absent)
+        assert write.record.version == 1
+
+    def test_history_stays_bounded(self) -> None:
+        """Many patches of many paths leave a bounded, consecutive history."""
+        stored = StoredDocument(raw=None, revision=0)
+        tenants = {f't{number}': {'weight': 1} for number in range(40)}
+        for version in range(300):
+            request = patch_request(version, f'p-{version}', version + 1)
+            wide = attrs.evolve(request, patch={'tenants': tenants})
+            request = request if version else wide
+            write = _prepare(request, stored)
+            stored = StoredDocument(raw=write.raw, revision=version + 1)
+            assert len(write.record.paths) <= 16
+        document = parse_document(str(stored.raw)).unwrap()
+        versions = [record.version for record in document.patches]
+        assert versions == list(range(45, 301))
+
+
+class TestRepetition:
+    """A patch id that is in the history already."""
+
+    def test_same_patch_brings_the_earlier_outcome(self) -> None:
+        """Sent again, also under a newer version, a patch is accepted once."""
+        request = patch_request(1)
+        write = _prepare(request, stored_document(document_tree(1)))
+        tree = {**json.loads(write.raw), 'version': 3}
+        context = _context(stored_document(tree), known_version=3)
+        accepted = decide_patch(request, context).unwrap()
+        assert accepted.record == write.record
+
+    def test_id_of_another_patch_is_refused(self) -> None:
+        """The id of an accepted patch does not acknowledge another one."""
+        write = _prepare(patch_request(1), stored_document(document_tree(1)))
+        refused = _refuse(patch_request(2), json.loads(write.raw))
+        assert refused.failure.code is FailureCode.DUPLICATE
+        assert refused.failure.verdict is Verdict.RAN
+
+
+class TestRefusal:
+    """Patches that are not written."""
+
+    def test_loser_of_a_race_gets_version_and_changes(self) -> None:
+        """The loser learns what is in force, who made it, what differs."""
+        write = _prepare(patch_request(1), stored_document(document_tree(1)))
+        late = patch_request(1, patch_id='p-2', weight=9)
+        refused = _refuse(late, json.loads(write.raw))
+        assert refused.failure.code is FailureCode.CONFLICT
+        assert refused.failure.verdict is Verdict.NOT_RUN
+        assert refused.in_force == 2
+        assert refused.newer == (write.record,)
+        paths = [(found.path, found.before) for found in refused.changes]
+        assert paths == [('tenants.salvare.weight', 3)]
+
+    @pytest.mark.parametrize(
+        ('patch', 'path'),
+        [
+            ({'version': 9}, 'version'),
+            ({'patches': None}, 'patches'),
+            ({'tenants': {'salvare': {'weight': 0}}}, 'tenants.salvare.weight'),
+            ({'front': {}}, 'front'),
+            ({'fronts': {'raft-search': {'keys': None}}}, None),
+        ],
+    )
+    def test_faults_are_named_before_any_write(
+        self,
+        patch: dict[str, Any],
+        path: str | None,
+    ) -> None:
+        """A patch that would break the document is refused with paths."""
+        request = attrs.evolve(patch_request(1), patch=patch)
+        refused = _refuse(request, document_tree(1))
+        assert refused.failure.code is FailureCode.BAD_REQUEST
+        assert refused.failure.verdict is Verdict.NOT_RUN
+        found = [problem.path for problem in refused.problems]
+        assert found == [path or 'fronts.raft-search.keys']
+
+    def test_document_above_the_platforms_bound_is_refused(self) -> None:
+        """A document larger than the platform holds is not sent there."""
+        servers = {f's{number}': server_tree() for number in range(10_500)}
+        front = {'keys': 1, 'shards': {'s0': {'servers': servers}}}
+        request = attrs.evolve(
+            patch_request(1),
+            patch={'fronts': {'huge': front}},
+        )
+        refused = _refuse(request, document_tree(1))
+        assert refused.problems[0].allowed == 'at most 1000000 bytes'
+
+    def test_patch_without_effect_is_refused(self) -> None:
+        """Defaults written out, and values that stand already, are no patch."""
+        hedge = {'delay_ms': 30}
+        patch = {'fronts': {'raft-search': {'hedge': hedge}}}
+        request = attrs.evolve(patch_request(1), patch=patch)
+        refused = _refuse(request, document_tree(1))
+        assert 'already says' in refused.failure.detail
+
+    @pytest.mark.parametrize(('base', 'known'), [(1, 4), (4, 0), (4, 4)])
+    def test_platform_behind_what_is_known_gets_no_write(
+        self,
+        base: int,
+        known: int,
+    ) -> None:
+        """Nothing is built on an older value than was accepted before."""
+        refused = _refuse(patch_request(base), document_tree(1), known)
+        assert refused.failure.code is FailureCode.PLATFORM
+        assert refused.failure.verdict is Verdict.NOT_RUN
+
+    def test_unreadable_document_gets_no_write(self) -> None:
+        """What this daemon cannot read it does not overwrite."""
+        refused = _refuse(patch_request(1), {'version': 1, 'newer': {}})
+        assert refused.failure.code is FailureCode.PLATFORM
+        assert refused.problems[0].path == 'newer'
+
+
+class TestRequest:
+    """What operators send."""
+
+    def test_faults_of_a_request_are_named(self) -> None:
+        """Each field of a request is checked."""
+        faults = structure_request(
+            {'base': -1, 'patch_id': '', 'author': 'a\nb', 'patch': []},
+        ).failure()
+        assert sorted(fault.path for fault in faults) == [
+            'author',
+            'base',
+            'patch',
+            'patch_id',
+        ]
