--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_server.py
@@ -0,0 +1,66 @@
+"""The peer face: calls from other daemons over thrift."""
+
+import contextlib
+import socket
+from typing import Final
+
+import attrs
+import eventlet
+from thriftpy2.protocol.cybin import TCyBinaryProtocol
+from thriftpy2.thrift import TException, TProcessor
+from thriftpy2.transport.framed import TCyFramedTransport
+from thriftpy2.transport.socket import TSocket
+
+from fennelfork_daemon._peer_idl import peer
+from fennelfork_daemon._sockets import no_delay
+
+_MAX_CONNECTIONS: Final = 2048
+
+
+@attrs.define(kw_only=True)
+class PeerServer:
+    """Serves peer calls on one listening socket, one green thread each."""
+
+    _listener: socket.socket
+    _processor: TProcessor
+    _pool: eventlet.GreenPool
+
+    def serve(self) -> None:
+        """Accept connections until the listener is closed."""
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            no_delay(sock)
+            self._pool.spawn_n(self._serve_connection, sock)
+
+    def close(self) -> None:
+        """Take no more connections; those open go on."""
+        self._listener.close()
+
+    def _serve_connection(self, sock: socket.socket) -> None:
+        transport = TCyFramedTransport(TSocket(sock=sock))
+        protocol = TCyBinaryProtocol(transport)
+        with contextlib.closing(transport):
+            # A peer that went away, or sent what is no call, is dropped.
+            with contextlib.suppress(TException, OSError):
+                self._serve_calls(protocol)
+
+    def _serve_calls(self, protocol: TCyBinaryProtocol) -> None:
+        while True:
+            self._processor.process(protocol, protocol)
+
+
+def peer_server(listener: socket.socket, handler: object) -> PeerServer:
+    """Build the peer face over an open listener.
+
+    Args:
+        listener: the listening socket.
+        handler: has a method for each call of `peer.thrift`.
+    """
+    return PeerServer(
+        listener=listener,
+        processor=TProcessor(peer.Peer, handler),
+        pool=eventlet.GreenPool(_MAX_CONNECTIONS),
+    )
