--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_merge.py
@@ -0,0 +1,188 @@
+"""One answer out of the parts of one query."""
+
+import functools
+
+import attrs
+from returns.pipeline import is_successful
+from returns.result import Failure as Err
+from returns.result import Result
+
+from fennelfork._coverage import Coverage, MissingRange, coverage_of
+from fennelfork._partition import Assignment, PartitionMap
+from fennelfork._range import KeyRange
+from fennelfork._reply import Expected, Record, Reply, check_reply
+from fennelfork._verdict import Failure, FailureCode, Verdict
+
+
+@attrs.frozen(kw_only=True)
+class Planned:
+    """A sub-query of a query: which shard, and what its reply must echo."""
+
+    shard: str
+    expected: Expected
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """The merged answer of a query, at one snapshot."""
+
+    snapshot: int
+    records: tuple[Record, ...]
+    coverage: Coverage
+
+
+@attrs.define(kw_only=True)
+class Merge:
+    """Takes the parts of one query at one snapshot, each at most once.
+
+    Attributes:
+        whole: all keys of the front.
+        snapshot: the one snapshot of all parts.
+        plan: the sub-queries, by name.
+    """
+
+    whole: KeyRange
+    snapshot: int
+    plan: dict[str, Planned]
+    _parts: dict[str, Reply] = attrs.field(factory=dict)
+    _failures: dict[str, Failure] = attrs.field(factory=dict)
+
+    @property
+    def pending(self) -> tuple[Planned, ...]:
+        """The sub-queries that are neither in nor failed."""
+        settled = self._parts.keys() | self._failures.keys()
+        return tuple(
+            planned
+            for name, planned in self.plan.items()
+            if name not in settled
+        )
+
+    @property
+    def failures(self) -> tuple[Failure, ...]:
+        """The failures of sub-queries that have no part."""
+        return tuple(self._failures.values())
+
+    @property
+    def snapshot_gone(self) -> bool:
+        """Whether a server lost the snapshot, so that a rerun may help."""
+        return any(
+            failure.code is FailureCode.SNAPSHOT_GONE
+            for failure in self.failures
+        )
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether any part of the query ran."""
+        verdicts = [failure.verdict for failure in self.failures]
+        if self._parts:
+            verdicts.append(Verdict.RAN)
+        if self.pending:
+            verdicts.append(Verdict.MAY_HAVE_RUN)
+        return functools.reduce(
+            Verdict.join,
+            verdicts,
+            verdicts[0] if verdicts else Verdict.NOT_RUN,
+        )
+
+    def accept(self, reply: Reply) -> Result[Reply, Failure]:
+        """Take one part, if it is whole, expected and not yet in.
+
+        Returns:
+            The reply, or `BAD_REPLY` that leaves the merge as it was.
+        """
+        planned = self.plan.get(reply.sub_query)
+        if planned is None or reply.sub_query in self._parts:
+            return Err(
+                Failure(
+                    code=FailureCode.BAD_REPLY,
+                    verdict=Verdict.RAN,
+                    detail=f'not awaited: sub-query {reply.sub_query}',
+                ),
+            )
+        checked = check_reply(planned.expected, reply)
+        if is_successful(checked):
+            self._parts[reply.sub_query] = reply
+            self._failures.pop(reply.sub_query, None)
+        return checked
+
+    def fail(self, sub_query: str, failure: Failure) -> None:
+        """Note that a sub-query got no part; a part that is in stays in."""
+        if sub_query in self.plan and sub_query not in self._parts:
+            self._failures[sub_query] = failure
+
+    def answer(self) -> Answer:
+        """Merge what is in now, lowest key first."""
+        parts = sorted(self._parts.values(), key=_part_start)
+        return Answer(
+            snapshot=self.snapshot,
+            records=tuple(record for part in parts for record in part.records),
+            coverage=coverage_of(
+                self.whole,
+                [part.span for part in parts],
+                self._missing(),
+            ),
+        )
+
+    def _missing(self) -> list[MissingRange]:
+        """Say why each sub-query without a part has none.
+
+        One that is still pending when the answer leaves is out of time.
+        """
+        missing = [
+            MissingRange(
+                span=self.plan[name].expected.span,
+                reason=failure.code,
+            )
+            for name, failure in self._failures.items()
+        ]
+        missing.extend(
+            MissingRange(
+                span=planned.expected.span,
+                reason=FailureCode.DEADLINE,
+            )
+            for planned in self.pending
+        )
+        return missing
+
+
+def merge_of(
+    request_id: str,
+    partition: PartitionMap,
+    whole: KeyRange,
+) -> Merge:
+    """Plan the sub-queries of a query and await their parts.
+
+    Args:
+        request_id: of the caller's request.
+        partition: the pinned map.
+        whole: all keys of the front.
+    """
+    planned = [
+        _planned(request_id, partition.snapshot, asked)
+        for asked in partition.assignments
+    ]
+    return Merge(
+        whole=whole,
+        snapshot=partition.snapshot,
+        plan={part.expected.sub_query: part for part in planned},
+    )
+
+
+def _planned(
+    request_id: str,
+    snapshot: int,
+    asked: Assignment,
+) -> Planned:
+    """Name a sub-query so that a rerun at another snapshot differs."""
+    span = asked.span
+    expected = Expected(
+        request_id=request_id,
+        sub_query=f'{asked.shard}@{snapshot}:{span.lo}-{span.hi}',
+        snapshot=snapshot,
+        span=span,
+    )
+    return Planned(shard=asked.shard, expected=expected)
+
+
+def _part_start(part: Reply) -> int:
+    return part.span.lo
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_partition.py
@@ -0,0 +1,128 @@
+"""Which shard answers which keys at one snapshot of the index."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from fennelfork._range import KeyRange
+from fennelfork._verdict import Failure, FailureCode, not_run
+
+_NONE_EXCLUDED: Final[frozenset[int]] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotView:
+    """The ranges that one shard holds at one snapshot."""
+
+    version: int
+    ranges: tuple[KeyRange, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ShardView:
+    """What the servers of one shard say that they hold."""
+
+    shard: str
+    snapshots: tuple[SnapshotView, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Assignment:
+    """Keys that one shard is asked for."""
+
+    shard: str
+    span: KeyRange
+
+
+@attrs.frozen(kw_only=True)
+class PartitionMap:
+    """Disjoint assignments at one snapshot, lowest key first."""
+
+    snapshot: int
+    assignments: tuple[Assignment, ...]
+
+    @property
+    def width(self) -> int:
+        """How many keys the assignments cover."""
+        return sum(asked.span.width for asked in self.assignments)
+
+
+def pin(
+    views: Iterable[ShardView],
+    whole: KeyRange,
+    exclude: frozenset[int] = _NONE_EXCLUDED,
+) -> Result[PartitionMap, Failure]:
+    """Choose the snapshot that a query reads, and who is asked for what.
+
+    While records move, shards hold ranges of an old and of a new snapshot.
+    Only one of them is read, and overlapping ranges are cut, so that no key
+    is asked for twice.
+
+    Args:
+        views: what each shard holds.
+        whole: the keys to cover.
+        exclude: snapshots found to be gone since `views` was read.
+
+    Returns:
+        The map of the newest snapshot that covers `whole`, or else of the
+        one that covers most of it, the newest of equals; a failure when no
+        snapshot covers any key.
+    """
+    held = _held_by_version(views)
+    maps = [
+        _cut(version, held[version], whole)
+        for version in sorted(held)
+        if version not in exclude
+    ]
+    best = max(maps, key=_preference, default=None)
+    if best is not None and best.assignments:
+        return Success(best)
+    if exclude:
+        return Err(
+            not_run(FailureCode.SNAPSHOT_GONE, 'no newer snapshot is held'),
+        )
+    return Err(
+        not_run(FailureCode.NO_SERVER, 'no shard holds a key of the front'),
+    )
+
+
+def _preference(candidate: PartitionMap) -> tuple[int, int]:
+    return (candidate.width, candidate.snapshot)
+
+
+def _held_by_version(
+    views: Iterable[ShardView],
+) -> dict[int, list[Assignment]]:
+    held: dict[int, list[Assignment]] = {}
+    for view in views:
+        for snapshot in view.snapshots:
+            held.setdefault(snapshot.version, []).extend(
+                Assignment(shard=view.shard, span=span)
+                for span in snapshot.ranges
+            )
+    return held
+
+
+def _cut(
+    version: int,
+    held: list[Assignment],
+    whole: KeyRange,
+) -> PartitionMap:
+    """Cut what is held to disjoint parts of `whole`, few and wide."""
+    assignments: list[Assignment] = []
+    reached = whole.lo
+    for offer in sorted(held, key=_by_start):
+        lo = max(offer.span.lo, reached)
+        hi = min(offer.span.hi, whole.hi)
+        if lo < hi:
+            span = KeyRange(lo=lo, hi=hi)
+            assignments.append(Assignment(shard=offer.shard, span=span))
+            reached = hi
+    return PartitionMap(snapshot=version, assignments=tuple(assignments))
+
+
+def _by_start(offer: Assignment) -> tuple[int, int, str]:
+    return (offer.span.lo, -offer.span.hi, offer.shard)
--- /dev/null
+++ b/packages/fennelfork/tests/core_builders_answers.py
@@ -0,0 +1,43 @@
+"""Builders of queries, replies and shards for the tests of answers."""
+
+from collections.abc import Iterable
+
+from fennelfork import (
+    Expected,
+    Record,
+    Reply,
+    ShardView,
+    SnapshotView,
+    key_range,
+)
+
+
+def snapshot(version: int, *bounds: tuple[int, int]) -> SnapshotView:
+    """Build the ranges of a shard at one snapshot."""
+    return SnapshotView(
+        version=version,
+        ranges=tuple(key_range(lo, hi) for lo, hi in bounds),
+    )
+
+
+def shard(name: str, *snapshots: SnapshotView) -> ShardView:
+    """Build what one shard holds."""
+    return ShardView(shard=name, snapshots=snapshots)
+
+
+def records(keys: Iterable[int]) -> tuple[Record, ...]:
+    """Build a record a key."""
+    return tuple(Record(key=key, content={'key': key}) for key in keys)
+
+
+def reply_to(expected: Expected, keys: Iterable[int]) -> Reply:
+    """Build the true reply to a sub-query."""
+    found = records(keys)
+    return Reply(
+        request_id=expected.request_id,
+        sub_query=expected.sub_query,
+        snapshot=expected.snapshot,
+        span=expected.span,
+        count=len(found),
+        records=found,
+    )
--- /dev/null
+++ b/packages/fennelfork/tests/test_merge.py
@@ -0,0 +1,137 @@
+"""Merging of parts, coverage, and what callers demand of it."""
+
+import attrs
+import pytest
+from core_builders_answers import reply_to, shard, snapshot
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from fennelfork import (
+    FailureCode,
+    Merge,
+    PartialCoverage,
+    Verdict,
+    WholeCoverage,
+    allows,
+    key_range,
+    merge_of,
+    not_run,
+    pin,
+)
+
+_WHOLE = key_range(0, 30)
+_SHED = not_run(FailureCode.SHED, 'all slots busy')
+
+
+def _merge(reach: int = 30) -> Merge:
+    views = [
+        shard('s0', snapshot(7, (0, 10))),
+        shard('s1', snapshot(7, (10, 20))),
+        shard('s2', snapshot(7, (20, reach))),
+    ]
+    return merge_of('r1', pin(views, _WHOLE).unwrap(), _WHOLE)
+
+
+class TestMerge:
+    """Parts in, one answer out."""
+
+    @given(st.permutations(range(3)), st.integers(0, 3))
+    def test_complete_only_with_every_range(
+        self,
+        order: list[int],
+        arrived: int,
+    ) -> None:
+        """In any order, completeness and fraction count the ranges in."""
+        merge = _merge()
+        planned = merge.pending
+        for index in order[:arrived]:
+            expected = planned[index].expected
+            assert is_successful(
+                merge.accept(reply_to(expected, [expected.span.lo])),
+            )
+        answer = merge.answer()
+        keys = [record.key for record in answer.records]
+        assert keys == sorted(10 * index for index in order[:arrived])
+        assert answer.coverage.complete == (arrived == 3)
+        assert answer.coverage.fraction == pytest.approx(arrived / 3)
+        assert len(answer.coverage.missing) == 3 - arrived
+
+    def test_takes_a_part_once(self) -> None:
+        """The loser of a hedge that answers too is not merged again."""
+        merge = _merge()
+        part = reply_to(merge.pending[0].expected, [3])
+        assert is_successful(merge.accept(part))
+        assert merge.accept(part).failure().code is FailureCode.BAD_REPLY
+        assert len(merge.answer().records) == 1
+
+    def test_leaves_out_a_false_part(self) -> None:
+        """A crossed part changes neither records nor coverage."""
+        merge = _merge()
+        part = reply_to(merge.pending[0].expected, [3])
+        crossed = attrs.evolve(part, request_id='r2')
+        assert not is_successful(merge.accept(crossed))
+        unknown = attrs.evolve(part, sub_query='s9@7:0-10')
+        assert not is_successful(merge.accept(unknown))
+        assert merge.answer().coverage.fraction == 0
+
+    def test_says_why_ranges_are_missing(self) -> None:
+        """Failed, late and unheld ranges each have their own reason."""
+        merge = _merge(reach=25)
+        planned = merge.pending
+        merge.fail(planned[0].expected.sub_query, _SHED)
+        missing = merge.answer().coverage.missing
+        assert [(gap.span.lo, gap.reason) for gap in missing] == [
+            (0, FailureCode.SHED),
+            (10, FailureCode.DEADLINE),
+            (20, FailureCode.DEADLINE),
+            (25, FailureCode.NOT_HELD),
+        ]
+
+    def test_a_part_goes_before_a_failure(self) -> None:
+        """A failure does not undo a part, and a late part undoes it."""
+        merge = _merge()
+        expected = merge.pending[0].expected
+        merge.fail(expected.sub_query, _SHED)
+        assert is_successful(merge.accept(reply_to(expected, [])))
+        merge.fail(expected.sub_query, _SHED)
+        assert not merge.failures
+
+    def test_verdict_of_the_parts(self) -> None:
+        """Nothing ran only if every sub-query says so."""
+        merge = _merge()
+        planned = merge.pending
+        for part in planned:
+            merge.fail(part.expected.sub_query, _SHED)
+        assert merge.verdict is Verdict.NOT_RUN
+        merge.accept(reply_to(planned[1].expected, []))
+        assert merge.verdict is Verdict.RAN
+
+    def test_notes_a_lost_snapshot(self) -> None:
+        """A lost snapshot calls for a rerun of the whole query."""
+        merge = _merge()
+        assert not merge.snapshot_gone
+        gone = not_run(FailureCode.SNAPSHOT_GONE, 'snapshot 7 is gone')
+        merge.fail(merge.pending[0].expected.sub_query, gone)
+        assert merge.snapshot_gone
+
+
+class TestAllows:
+    """What a caller demands of coverage."""
+
+    def test_whole_or_refused(self) -> None:
+        """A caller that wants the whole takes nothing less."""
+        merge = _merge()
+        assert not allows(WholeCoverage(), merge.answer().coverage)
+        for part in merge.pending:
+            merge.accept(reply_to(part.expected, []))
+        assert allows(WholeCoverage(), merge.answer().coverage)
+
+    def test_partial_from_its_floor(self) -> None:
+        """A caller that takes a part gets it from its floor upward."""
+        merge = _merge()
+        for part in merge.pending[:2]:
+            merge.accept(reply_to(part.expected, []))
+        coverage = merge.answer().coverage
+        assert allows(PartialCoverage(floor=0.6), coverage)
+        assert not allows(PartialCoverage(floor=0.7), coverage)
