--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_entries.py
@@ -0,0 +1,84 @@
+"""Which daemons a caller is told to use."""
+
+import random
+from collections.abc import Iterable
+from itertools import groupby
+
+from fennelfork._member import Member, MemberStatus
+from fennelfork._rendezvous import weight
+
+_SAME_DATA_CENTRE = 0
+_SAME_REGION = 1
+_FAR = 2
+_FEWEST_WITH_SPARE = 2
+
+
+def choose_entries(
+    caller_region: str,
+    caller_data_centre: str,
+    members: Iterable[Member],
+    count: int,
+    salt: str,
+    rng: random.Random,
+) -> tuple[Member, ...]:
+    """Choose the daemons a caller should use, best first.
+
+    The last place goes to another data centre where there is one, so that
+    the answer outlives the loss of the nearest.
+
+    Args:
+        caller_region: where the caller is, empty if unknown.
+        caller_data_centre: where the caller is, empty if unknown.
+        members: what is known of the fleet.
+        count: how many to choose at most.
+        salt: names the caller; the same salt gives the same order while the
+            members stay, so that a caller keeps its connections. If empty,
+            the order within a distance is random.
+        rng: source of that order.
+
+    Returns:
+        Alive members, nearest first; suspect ones only if no member is
+        alive; never a leaving or dead one.
+    """
+    usable = _usable(members)
+    usable.sort(key=lambda member: member.name)
+    rng.shuffle(usable)
+    if salt:
+        usable.sort(key=lambda member: weight(salt, member.name))
+    usable.sort(
+        key=lambda member: _distance(
+            member,
+            caller_region,
+            caller_data_centre,
+        ),
+    )
+    return _with_spare(usable, count)
+
+
+def _usable(members: Iterable[Member]) -> list[Member]:
+    by_state = sorted(members, key=lambda member: member.state.value)
+    groups = {
+        state: list(group)
+        for state, group in groupby(by_state, lambda member: member.state)
+    }
+    alive = groups.get(MemberStatus.ALIVE, [])
+    return alive or groups.get(MemberStatus.SUSPECT, [])
+
+
+def _distance(member: Member, region: str, data_centre: str) -> int:
+    if member.region != region:
+        return _FAR
+    if member.data_centre != data_centre:
+        return _SAME_REGION
+    return _SAME_DATA_CENTRE
+
+
+def _with_spare(ordered: list[Member], count: int) -> tuple[Member, ...]:
+    chosen = ordered[:count]
+    centres = {member.data_centre for member in chosen}
+    if count < _FEWEST_WITH_SPARE or len(centres) > 1:
+        return tuple(chosen)
+    spares = [member for member in ordered if member.data_centre not in centres]
+    if spares:
+        chosen[-1] = spares[0]
+    return tuple(chosen)
--- /dev/null
+++ b/packages/fennelfork/tests/core_builders_fleet.py
@@ -0,0 +1,50 @@
+"""Builders of members for the tests of the fleet."""
+
+from hypothesis import strategies as st
+
+from fennelfork import Member, MemberStatus
+
+DATA_CENTRES = ('dc-1', 'dc-2', 'dc-3')
+
+
+def a_member(
+    name: str,
+    data_centre: str = 'dc-1',
+    state: MemberStatus = MemberStatus.ALIVE,
+    region: str = 'region-1',
+    incarnation: int = 1,
+) -> Member:
+    """Build a member whose addresses follow from its name."""
+    return Member(
+        name=name,
+        incarnation=incarnation,
+        state=state,
+        region=region,
+        data_centre=data_centre,
+        caller=f'{name}:1',
+        operator=f'{name}:2',
+        peer=f'{name}:3',
+    )
+
+
+def a_data_centre(data_centre: str, size: int) -> list[Member]:
+    """Build `size` alive members of one data centre."""
+    return [
+        a_member(f'{data_centre}-{number}', data_centre)
+        for number in range(size)
+    ]
+
+
+def fleets(max_size: int = 12) -> st.SearchStrategy[list[Member]]:
+    """Give fleets with distinct names and any states."""
+    return st.lists(
+        st.builds(
+            a_member,
+            st.integers(0, 40).map('vm-{0}'.format),
+            st.sampled_from(DATA_CENTRES),
+            st.sampled_from(MemberStatus),
+            st.sampled_from(('region-1', 'region-2')),
+        ),
+        max_size=max_size,
+        unique_by=lambda member: member.name,
+    )
--- /dev/null
+++ b/packages/fennelfork/tests/test_entries.py
@@ -0,0 +1,97 @@
+"""Entry addresses for callers."""
+
+import random
+from collections import Counter
+
+import pytest
+from core_builders_fleet import DATA_CENTRES, a_data_centre, a_member, fleets
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fennelfork import Member, MemberStatus, choose_entries
+
+
+def _choose(
+    members: list[Member],
+    count: int = 3,
+    salt: str = '',
+    seed: int = 0,
+) -> tuple[Member, ...]:
+    return choose_entries(
+        'region-1',
+        'dc-1',
+        members,
+        count,
+        salt,
+        random.Random(seed),
+    )
+
+
+class TestChooseEntries:
+    """The few daemons a caller is told to use."""
+
+    @given(fleets(), st.integers(1, 5), st.text(max_size=3))
+    def test_never_names_leaving_or_dead(self, fleet, count, salt) -> None:
+        """A leaving or dead member is in no answer, whatever is left."""
+        chosen = _choose(fleet, count, salt)
+        allowed = {MemberStatus.ALIVE, MemberStatus.SUSPECT}
+        assert {member.state for member in chosen} <= allowed
+
+    @given(fleets(), st.integers(1, 5), st.text(max_size=3))
+    def test_names_alive_ones_only_if_any(self, fleet, count, salt) -> None:
+        """Suspects are named just when no member is alive."""
+        alive = [
+            member for member in fleet if member.state is MemberStatus.ALIVE
+        ]
+        chosen = _choose(fleet, count, salt)
+        if alive:
+            assert set(chosen) <= set(alive)
+            assert len(set(chosen)) == min(count, len(alive))
+
+    def test_nearest_data_centre_first(self) -> None:
+        """The order is own data centre, own region, elsewhere."""
+        far = a_member('vm-1', 'dc-3', region='region-2')
+        near = a_member('vm-2', 'dc-2')
+        own = a_member('vm-3', 'dc-1')
+        assert _choose([far, near, own]) == (own, near, far)
+
+    def test_last_place_goes_to_another_data_centre(self) -> None:
+        """An answer outlives the loss of the nearest data centre."""
+        members = a_data_centre('dc-1', 5) + a_data_centre('dc-2', 5)
+        centres = [member.data_centre for member in _choose(members)]
+        assert centres == ['dc-1', 'dc-1', 'dc-2']
+
+    @pytest.mark.parametrize('count', [1, 2, 3])
+    def test_one_data_centre_fills_all_places(self, count: int) -> None:
+        """With nowhere else to go all places are local."""
+        assert len(_choose(a_data_centre('dc-1', 3), count)) == count
+
+    def test_same_salt_keeps_the_order(self) -> None:
+        """One caller gets the same daemons again, so connections last."""
+        members = a_data_centre('dc-1', 9)
+        first = _choose(members, salt='a', seed=1)
+        members.reverse()
+        assert _choose(members, salt='a', seed=2) == first
+
+    @pytest.mark.parametrize('salted', [True, False])
+    def test_spreads_first_places_evenly(self, *, salted: bool) -> None:
+        """Over 9,000 callers no member is 15% off its share."""
+        members = [
+            member
+            for data_centre in DATA_CENTRES
+            for member in a_data_centre(data_centre, 9)
+        ]
+        rng = random.Random(7)
+        firsts = Counter(
+            choose_entries(
+                'region-1',
+                'dc-1',
+                members,
+                3,
+                f'caller-{number}' if salted else '',
+                rng,
+            )[0].name
+            for number in range(9000)
+        )
+        assert len(firsts) == 9
+        assert all(abs(count - 1000) < 150 for count in firsts.values())
