--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -11,6 +11,9 @@
 from fennelfork._coverage import WholeCoverage as WholeCoverage
 from fennelfork._coverage import allows as allows
 from fennelfork._coverage import coverage_of as coverage_of
+from fennelfork._entries import choose_entries as choose_entries
+from fennelfork._member import Member as Member
+from fennelfork._member import MemberStatus as MemberStatus
 from fennelfork._merge import Answer as Answer
 from fennelfork._merge import Merge as Merge
 from fennelfork._merge import Planned as Planned
@@ -23,6 +26,8 @@
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
 from fennelfork._range import missing_ranges as missing_ranges
+from fennelfork._rendezvous import home_of as home_of
+from fennelfork._rendezvous import watchers as watchers
 from fennelfork._reply import Expected as Expected
 from fennelfork._reply import Record as Record
 from fennelfork._reply import Reply as Reply
