--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -11,18 +11,6 @@
 from fennelfork._coverage import WholeCoverage as WholeCoverage
 from fennelfork._coverage import allows as allows
 from fennelfork._coverage import coverage_of as coverage_of
-from fennelfork._entries import choose_entries as choose_entries
-from fennelfork._member import Member as Member
-from fennelfork._member import MemberStatus as MemberStatus
-from fennelfork._merge import Answer as Answer
-from fennelfork._merge import Merge as Merge
-from fennelfork._merge import Planned as Planned
-from fennelfork._merge import merge_of as merge_of
-from fennelfork._partition import Assignment as Assignment
-from fennelfork._partition import PartitionMap as PartitionMap
-from fennelfork._partition import ShardView as ShardView
-from fennelfork._partition import SnapshotView as SnapshotView
-from fennelfork._partition import pin as pin
 from fennelfork._document import Document as Document
 from fennelfork._document import Front as Front
 from fennelfork._document import HedgePolicyName as HedgePolicyName
@@ -40,6 +28,18 @@
     unstructure_document as unstructure_document,
 )
 from fennelfork._document_problem import Problem as Problem
+from fennelfork._entries import choose_entries as choose_entries
+from fennelfork._member import Member as Member
+from fennelfork._member import MemberStatus as MemberStatus
+from fennelfork._merge import Answer as Answer
+from fennelfork._merge import Merge as Merge
+from fennelfork._merge import Planned as Planned
+from fennelfork._merge import merge_of as merge_of
+from fennelfork._partition import Assignment as Assignment
+from fennelfork._partition import PartitionMap as PartitionMap
+from fennelfork._partition import ShardView as ShardView
+from fennelfork._partition import SnapshotView as SnapshotView
+from fennelfork._partition import pin as pin
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
 from fennelfork._range import missing_ranges as missing_ranges
