--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_address.py
@@ -0,0 +1,46 @@
+"""Addresses of daemons, backend servers and the platform."""
+
+import ipaddress
+from typing import Final
+
+import attrs
+
+HIGHEST_PORT: Final = 65_535
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """An IP number and a port.
+
+    Attributes:
+        host: the IP number, without brackets.
+        port: the port; 0 lets the system choose where listening.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Give `ip:port`, with brackets round an IPv6 number."""
+        host = f'[{self.host}]' if ':' in self.host else self.host
+        return f'{host}:{self.port}'
+
+
+def address(text: str) -> Address:
+    """Read `ip:port` or `[ip]:port`.
+
+    Raises:
+        ValueError: if `text` is not an IP number and a port.
+    """
+    host, _, port = text.rpartition(':')
+    try:
+        number = ipaddress.ip_address(host.strip('[]'))
+    except ValueError as err:
+        raise ValueError(f'{text!r} has no IP number') from err
+    if not _is_number(port) or int(port) > HIGHEST_PORT:
+        raise ValueError(f'{text!r} has no port')
+    return Address(host=str(number), port=int(port))
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
