--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv.py
@@ -0,0 +1,32 @@
+"""Key-value stand-in: `python -m fennelfork_bench.kv --listen IP:PORT`."""
+
+from fennelfork_bench import _rig_eventlet  # noqa: F401, I001  (patches first)
+
+import cyclopts
+import eventlet
+
+from fennelfork import system_clock
+from fennelfork_bench._kv_app import application
+from fennelfork_bench._rig_serving import serve
+
+
+def main(
+    *,
+    listen: str = '127.0.0.1:0',
+    reads_per_s: float = 0,
+    writes_per_s: float = 0,
+) -> None:
+    """Serve the subset of etcd's v3 JSON gateway that the product uses.
+
+    Args:
+        listen: address to listen on; port 0 lets the system choose.
+        reads_per_s: refuse reads above this rate; 0 means no limit.
+        writes_per_s: refuse writes above this rate; 0 means no limit.
+    """
+    built = application(system_clock(), reads_per_s, writes_per_s)
+    eventlet.spawn(built.expire_forever)
+    serve(listen, built)
+
+
+if __name__ == '__main__':
+    cyclopts.run(main)
