--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -11,6 +11,23 @@
 from fennelfork._coverage import WholeCoverage as WholeCoverage
 from fennelfork._coverage import allows as allows
 from fennelfork._coverage import coverage_of as coverage_of
+from fennelfork._document import Document as Document
+from fennelfork._document import Front as Front
+from fennelfork._document import HedgePolicyName as HedgePolicyName
+from fennelfork._document import HedgeSettings as HedgeSettings
+from fennelfork._document import PatchRecord as PatchRecord
+from fennelfork._document import Server as Server
+from fennelfork._document import Shard as Shard
+from fennelfork._document import Tenant as Tenant
+from fennelfork._document import TrafficClass as TrafficClass
+from fennelfork._document_parse import digest as digest
+from fennelfork._document_parse import parse_document as parse_document
+from fennelfork._document_parse import render_document as render_document
+from fennelfork._document_parse import structure_document as structure_document
+from fennelfork._document_parse import (
+    unstructure_document as unstructure_document,
+)
+from fennelfork._document_problem import Problem as Problem
 from fennelfork._entries import choose_entries as choose_entries
 from fennelfork._member import Member as Member
 from fennelfork._member import MemberStatus as MemberStatus
