Wire: root, home and codecs of the thin path (not started by a process yet)

Cause: a query needs a root that pins, scatters and merges, and a home that hands out slots. Ruled out: polling every shard from every root (messages grow with daemons times shards); views ride on the answers instead.

--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_calls.py
@@ -0,0 +1,81 @@
+"""Calls of a root to the homes, its own process among them."""
+
+from typing import Protocol
+
+import attrs
+from returns.result import Result, Success
+
+from fennelfork import (
+    Failure,
+    Member,
+    PeerHealth,
+    ScatterOrder,
+    ScatterOutcome,
+    ShardView,
+)
+from fennelfork_daemon._peer_client import PeerClient
+from fennelfork_daemon._peer_codec import order_to_peer, outcome_from_peer
+from fennelfork_daemon._peer_codec_view import views_from_peer
+from fennelfork_daemon._peer_idl import peer
+
+
+class Home(Protocol):
+    """What the home of some shards does for a root."""
+
+    def scatter(self, order: ScatterOrder) -> ScatterOutcome:
+        """Run the sub-queries of `order`, within its deadline."""
+
+    def describe(
+        self,
+        front: str,
+        shards: tuple[str, ...],
+    ) -> tuple[ShardView, ...]:
+        """Tell which snapshots and ranges the shards hold."""
+
+
+@attrs.define(kw_only=True)
+class HomeCalls:
+    """Reaches a home: in this process by a call, elsewhere by thrift."""
+
+    _local_name: str
+    _local: Home
+    _peers: PeerClient
+    _health: PeerHealth
+
+    def scatter(
+        self,
+        home: Member,
+        order: ScatterOrder,
+        timeout_ms: float,
+    ) -> Result[ScatterOutcome, Failure]:
+        """Have a home run sub-queries."""
+        if home.name == self._local_name:
+            return Success(self._local.scatter(order))
+        reply = self._peers.call(
+            home.peer,
+            'scatter',
+            order_to_peer(order),
+            timeout_ms,
+        )
+        self._note(home, reply)
+        return reply.map(lambda message: outcome_from_peer(message, order))
+
+    def describe(
+        self,
+        home: Member,
+        front: str,
+        shards: frozenset[str],
+        timeout_ms: float,
+    ) -> Result[tuple[ShardView, ...], Failure]:
+        """Have a home tell what shards hold."""
+        asked = tuple(sorted(shards))
+        if home.name == self._local_name:
+            return Success(self._local.describe(front, asked))
+        request = peer.DescribeRequest(front=front, shards=list(asked))
+        reply = self._peers.call(home.peer, 'describe', request, timeout_ms)
+        self._note(home, reply)
+        return reply.map(lambda message: views_from_peer(message.shards))
+
+    def _note(self, home: Member, reply: Result[object, Failure]) -> None:
+        reply.map(lambda _: self._health.note_reply(home.name))
+        reply.alt(lambda _: self._health.note_silence(home.name))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_client.py
@@ -12,8 +12,9 @@
 from thriftpy2.transport.socket import TSocket
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
+from fennelfork_daemon._address import address as read_address
 from fennelfork_daemon._peer_idl import peer
-from fennelfork_daemon._sockets import no_delay, parse_address
+from fennelfork_daemon._sockets import no_delay
 
 _MS: Final = 1000
 _MAX_IDLE: Final = 16
@@ -103,7 +104,7 @@
 
 
 def _connect(address: str, timeout_ms: float) -> _Connection:
-    target = parse_address(address)
+    target = read_address(address)
     sock = socket.create_connection(
         (target.host, target.port),
         timeout=timeout_ms / _MS,
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_codec.py
@@ -0,0 +1,144 @@
+"""Between the typed messages of the decisions and those of the peer face."""
+
+import json
+from typing import Any
+
+from fennelfork import (
+    Expected,
+    KeyRange,
+    Part,
+    Planned,
+    Record,
+    Reply,
+    ScatterOrder,
+    ScatterOutcome,
+)
+from fennelfork_daemon._peer_codec_fault import fault_from_peer, fault_to_peer
+from fennelfork_daemon._peer_codec_view import views_from_peer, views_to_peer
+from fennelfork_daemon._peer_idl import peer
+
+
+def order_to_peer(order: ScatterOrder) -> Any:
+    """Write a scatter order as its thrift message."""
+    return peer.ScatterRequest(
+        request_id=order.request_id,
+        front=order.front,
+        snapshot=order.snapshot,
+        sub_queries=[_sub_query(planned) for planned in order.planned],
+        query=order.query,
+        deadline_ms=int(order.deadline_ms),
+        tenant=order.tenant,
+        traffic_class=order.traffic_class,
+        config_version=order.config_version,
+    )
+
+
+def order_from_peer(message: Any) -> ScatterOrder:
+    """Read a scatter order from its thrift message."""
+    planned = tuple(
+        Planned(
+            shard=part.shard,
+            expected=Expected(
+                request_id=message.request_id,
+                sub_query=part.sub_query,
+                snapshot=message.snapshot,
+                span=KeyRange(lo=part.lo, hi=part.hi),
+            ),
+        )
+        for part in message.sub_queries
+    )
+    return ScatterOrder(
+        request_id=message.request_id,
+        front=message.front,
+        snapshot=message.snapshot,
+        planned=planned,
+        query=message.query,
+        deadline_ms=message.deadline_ms,
+        tenant=message.tenant,
+        traffic_class=message.traffic_class,
+        config_version=message.config_version,
+    )
+
+
+def outcome_to_peer(outcome: ScatterOutcome) -> Any:
+    """Write what came of an order as its thrift message."""
+    return peer.ScatterReply(
+        parts=[_part_to_peer(part) for part in outcome.parts],
+        shards=views_to_peer(outcome.shards),
+        config_version=outcome.config_version,
+    )
+
+
+def outcome_from_peer(message: Any, order: ScatterOrder) -> ScatterOutcome:
+    """Read what came of `order`; parts that it did not ask for are left out."""
+    asked = {planned.expected.sub_query: planned for planned in order.planned}
+    return ScatterOutcome(
+        parts=tuple(
+            _part_from_peer(part, asked[part.sub_query], order.request_id)
+            for part in message.parts
+            if part.sub_query in asked
+        ),
+        shards=views_from_peer(message.shards),
+        config_version=message.config_version,
+    )
+
+
+def _sub_query(planned: Planned) -> Any:
+    return peer.SubQuery(
+        sub_query=planned.expected.sub_query,
+        shard=planned.shard,
+        lo=planned.expected.span.lo,
+        hi=planned.expected.span.hi,
+    )
+
+
+def _part_to_peer(part: Part) -> Any:
+    reply = part.reply
+    expected = part.planned.expected
+    span = reply.span if reply else expected.span
+    return peer.Part(
+        sub_query=expected.sub_query,
+        shard=part.planned.shard,
+        lo=span.lo,
+        hi=span.hi,
+        snapshot=reply.snapshot if reply else expected.snapshot,
+        count=reply.count if reply else 0,
+        records=_records_text(reply) if reply else '',
+        fault=fault_to_peer(part.failure) if part.failure else None,
+        hedges=part.hedges,
+        retries=part.retries,
+        queue_ms=part.queue_ms,
+        server_ms=part.server_ms,
+        server=part.server,
+    )
+
+
+def _part_from_peer(message: Any, planned: Planned, request_id: str) -> Part:
+    return Part(
+        planned=planned,
+        reply=None if message.fault else _reply_from_peer(message, request_id),
+        failure=fault_from_peer(message.fault) if message.fault else None,
+        hedges=message.hedges,
+        retries=message.retries,
+        queue_ms=message.queue_ms,
+        server_ms=message.server_ms,
+        server=message.server,
+    )
+
+
+def _reply_from_peer(message: Any, request_id: str) -> Reply:
+    return Reply(
+        request_id=request_id,
+        sub_query=message.sub_query,
+        snapshot=message.snapshot,
+        span=KeyRange(lo=message.lo, hi=message.hi),
+        count=message.count,
+        records=tuple(
+            Record(key=content['key'], content=content)
+            for content in json.loads(message.records)
+        ),
+    )
+
+
+def _records_text(reply: Reply) -> str:
+    return json.dumps([record.content for record in reply.records])
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_codec_fault.py
@@ -0,0 +1,26 @@
+"""Failures, to and from the messages of the peer face."""
+
+from typing import Any
+
+from fennelfork import Failure, FailureCode, Verdict
+from fennelfork_daemon._peer_idl import peer
+
+
+def fault_to_peer(failure: Failure) -> Any:
+    """Write a failure."""
+    return peer.Fault(
+        code=failure.code.value,
+        verdict=failure.verdict.value,
+        detail=failure.detail,
+        retry_after_ms=failure.retry_after_ms,
+    )
+
+
+def fault_from_peer(message: Any) -> Failure:
+    """Read a failure."""
+    return Failure(
+        code=FailureCode(message.code),
+        verdict=Verdict(message.verdict),
+        detail=message.detail,
+        retry_after_ms=message.retry_after_ms,
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_server.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_server.py
@@ -48,7 +48,7 @@
                 self._serve_calls(protocol)
 
     def _serve_calls(self, protocol: TCyBinaryProtocol) -> None:
-        while True:
+        while True:  # noqa: WPS457  # ends when the peer closes: an exception
             self._processor.process(protocol, protocol)
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
@@ -3,32 +3,11 @@
 import socket
 from typing import Final
 
-import attrs
 import eventlet
 
-_BACKLOG: Final = 512
-
-
-@attrs.frozen(kw_only=True)
-class Address:
-    """An IP number and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Give the address as `ip:port`."""
-        return f'{self.host}:{self.port}'
+from fennelfork_daemon._address import Address
 
-
-def parse_address(text: str) -> Address:
-    """Read `ip:port`.
-
-    Raises:
-        ValueError: if there is no port.
-    """
-    host, _, port = text.rpartition(':')
-    return Address(host=host, port=int(port))
+_BACKLOG: Final = 512
 
 
 def listen(address: Address) -> socket.socket:
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -1,5 +1,7 @@
 """Decisions of the fennelfork query tier, without input or output."""
 
+from fennelfork._blackboard import Blackboard as Blackboard
+from fennelfork._blackboard import blackboard as blackboard
 from fennelfork._clock import Clock as Clock
 from fennelfork._clock import ManualTime as ManualTime
 from fennelfork._clock import manual_clock as manual_clock
@@ -29,6 +31,9 @@
 )
 from fennelfork._document_problem import Problem as Problem
 from fennelfork._entries import choose_entries as choose_entries
+from fennelfork._home_route import HomeGroup as HomeGroup
+from fennelfork._home_route import data_centres_of as data_centres_of
+from fennelfork._home_route import route_homes as route_homes
 from fennelfork._member import Member as Member
 from fennelfork._member import MemberStatus as MemberStatus
 from fennelfork._merge import Answer as Answer
@@ -40,6 +45,12 @@
 from fennelfork._partition import ShardView as ShardView
 from fennelfork._partition import SnapshotView as SnapshotView
 from fennelfork._partition import pin as pin
+from fennelfork._peer_health import PeerHealth as PeerHealth
+from fennelfork._peer_health import peer_health as peer_health
+from fennelfork._query import CoverageDemand as CoverageDemand
+from fennelfork._query import QueryAnswer as QueryAnswer
+from fennelfork._query import QueryRequest as QueryRequest
+from fennelfork._query import Work as Work
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
 from fennelfork._range import missing_ranges as missing_ranges
@@ -49,6 +60,9 @@
 from fennelfork._reply import Record as Record
 from fennelfork._reply import Reply as Reply
 from fennelfork._reply import check_reply as check_reply
+from fennelfork._scatter import Part as Part
+from fennelfork._scatter import ScatterOrder as ScatterOrder
+from fennelfork._scatter import ScatterOutcome as ScatterOutcome
 from fennelfork._verdict import Failure as Failure
 from fennelfork._verdict import FailureCode as FailureCode
 from fennelfork._verdict import Verdict as Verdict
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_blackboard.py
@@ -0,0 +1,41 @@
+"""The facts that the controllers of one daemon read and write."""
+
+import attrs
+
+from fennelfork._document import Document, Front
+from fennelfork._member import Member
+
+
+@attrs.define(kw_only=True)
+class Blackboard:
+    """Facts shared by the controllers of one daemon.
+
+    Attributes:
+        local: this daemon, as it announces itself.
+        members: what is known of the fleet, this daemon included, by name.
+        document: the configuration in force here.
+        config_hash: digest of that configuration.
+    """
+
+    local: Member
+    members: dict[str, Member]
+    document: Document
+    config_hash: str = ''
+
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force here."""
+        return self.document.version
+
+    def front(self, name: str) -> Front | None:
+        """Give the settings of a front, none if there is no such front."""
+        return self.document.fronts.get(name)
+
+
+def blackboard(local: Member) -> Blackboard:
+    """Build the blackboard of a daemon that knows only itself."""
+    return Blackboard(
+        local=local,
+        members={local.name: local},
+        document=Document(),
+    )
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_home_route.py
@@ -0,0 +1,64 @@
+"""Which home each shard of a query is asked through."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from fennelfork._blackboard import Blackboard
+from fennelfork._document import Shard
+from fennelfork._member import Member
+from fennelfork._rendezvous import home_of
+
+
+@attrs.frozen(kw_only=True)
+class HomeGroup:
+    """Shards that are asked through one home."""
+
+    home: Member
+    shards: frozenset[str]
+
+
+def route_homes(
+    board: Blackboard,
+    front: str,
+    shards: Iterable[str],
+    avoid: frozenset[str],
+) -> tuple[HomeGroup, ...]:
+    """Group shards by their home.
+
+    Args:
+        board: configuration and members.
+        front: name of the front, which must be configured.
+        shards: names of the shards to ask.
+        avoid: members that lately gave no reply; used only where no other
+            member is left.
+
+    Returns:
+        The groups; shards that are not configured are left out.
+    """
+    groups: dict[str, set[str]] = {}
+    known = board.document.fronts[front].shards
+    members = list(board.members.values())
+    usable = [member for member in members if member.name not in avoid]
+    for name in known.keys() & set(shards):
+        centres = data_centres_of(known[name])
+        home = home_of(front, name, centres, usable or members)
+        if home is not None:
+            groups.setdefault(home.name, set()).add(name)
+    return tuple(
+        HomeGroup(home=board.members[home_name], shards=frozenset(group))
+        for home_name, group in groups.items()
+    )
+
+
+def data_centres_of(shard: Shard) -> tuple[str, ...]:
+    """List the data centres of a shard's servers, most servers first."""
+    counts = Counter(server.data_centre for server in shard.servers.values())
+    by_name = sorted(counts.items())
+    by_name.sort(key=_server_count, reverse=True)
+    return tuple(name for name, _ in by_name)
+
+
+def _server_count(counted: tuple[str, int]) -> int:
+    return counted[1]
--- a/packages/fennelfork/src/fennelfork/_query.py
+++ b/packages/fennelfork/src/fennelfork/_query.py
@@ -1,35 +1,14 @@
 """What a caller asks of a front, and the answer it gets."""
 
-import functools
 from collections.abc import Mapping
-from typing import Any, Final
+from typing import Any
 
 import attrs
 
-from fennelfork._verdict import Failure, FailureCode, Verdict
+from fennelfork._coverage import PartialCoverage, WholeCoverage
+from fennelfork._merge import Answer
 
-Record = Mapping[str, Any]
-
-_RETRY_PARTIAL_MS: Final = 1000
-
-
-@attrs.frozen(kw_only=True)
-class WholeOrRefused:
-    """The caller takes a complete answer or none."""
-
-
-@attrs.frozen(kw_only=True)
-class PartialAllowed:
-    """The caller takes a partial answer, flagged as such.
-
-    Attributes:
-        floor: the least share of the keys, 0 to 1, that is of use to it.
-    """
-
-    floor: float
-
-
-CoverageDemand = WholeOrRefused | PartialAllowed
+CoverageDemand = WholeCoverage | PartialCoverage
 
 
 @attrs.frozen(kw_only=True)
@@ -65,56 +44,17 @@
     retries: int = 0
     reruns: int = 0
 
-    def plus(self, other: 'Work') -> 'Work':
-        """Add the counts of another share of the work."""
-        return Work(
-            sub_queries=self.sub_queries + other.sub_queries,
-            hedges=self.hedges + other.hedges,
-            retries=self.retries + other.retries,
-            reruns=self.reruns + other.reruns,
-        )
-
 
-@functools.singledispatch
-def refusal_of_coverage(
-    demand: CoverageDemand,
-    fraction: float,
-) -> Failure | None:
-    """Tell whether a partial answer must be refused instead.
-
-    Args:
-        demand: what the caller asked for.
-        fraction: the share of the keys that the answer covers, below 1.
+@attrs.frozen(kw_only=True)
+class QueryAnswer:
+    """What the root gives back for one query.
 
-    Returns:
-        The failure to answer with, or none if the partial answer may go out.
-        The verdict is `RAN`: parts of the query did run.
+    Attributes:
+        answer: records and coverage at one snapshot.
+        config_version: the configuration that it was made under.
+        work: what was done for it.
     """
-    raise TypeError(f'no demand of coverage: {demand!r}')
-
-
-@refusal_of_coverage.register
-def _refuse_partial(demand: WholeOrRefused, fraction: float) -> Failure:
-    return _partial(f'only {fraction:.4f} of the keys answered in time')
-
-
-@refusal_of_coverage.register
-def _refuse_below_floor(
-    demand: PartialAllowed,
-    fraction: float,
-) -> Failure | None:
-    if fraction >= demand.floor:
-        return None
-    return _partial(
-        f'only {fraction:.4f} of the keys answered in time, '
-        f'the floor is {demand.floor}',
-    )
-
 
-def _partial(detail: str) -> Failure:
-    return Failure(
-        code=FailureCode.PARTIAL,
-        verdict=Verdict.RAN,
-        detail=detail,
-        retry_after_ms=_RETRY_PARTIAL_MS,
-    )
+    answer: Answer
+    config_version: int
+    work: Work
--- a/packages/fennelfork/src/fennelfork/_scatter.py
+++ b/packages/fennelfork/src/fennelfork/_scatter.py
@@ -1,23 +1,13 @@
 """What goes between the root of a query and the homes of its shards."""
 
-from collections.abc import Sequence
-
 import attrs
 
+from fennelfork._merge import Planned
 from fennelfork._partition import ShardView
-from fennelfork._range import KeyRange
+from fennelfork._reply import Reply
 from fennelfork._verdict import Failure
 
 
-@attrs.frozen(kw_only=True)
-class SubQuery:
-    """The part of a query that goes to one shard."""
-
-    sub_query: str
-    shard: str
-    span: KeyRange
-
-
 @attrs.frozen(kw_only=True)
 class ScatterOrder:
     """The sub-queries of one query that go to one home.
@@ -32,7 +22,7 @@
     request_id: str
     front: str
     snapshot: int
-    sub_queries: tuple[SubQuery, ...]
+    planned: tuple[Planned, ...]
     query: str
     deadline_ms: float
     tenant: str
@@ -45,19 +35,19 @@
     """What came of one sub-query.
 
     Attributes:
-        records: the records as a JSON list, empty text if there is a fault.
-        count: how many records `records` holds.
-        fault: why there are none.
+        planned: the sub-query.
+        reply: the reply, if there is one.
+        failure: why there is none.
+        hedges: second copies that were started.
+        retries: copies that were started after a failure.
         queue_ms: how long it waited at the home for a slot.
         server_ms: how long the server that answered took.
-        server: the backend server that answered.
+        server: name of the backend server that answered.
     """
 
-    sub_query: SubQuery
-    snapshot: int
-    records: str = ''
-    count: int = 0
-    fault: Failure | None = None
+    planned: Planned
+    reply: Reply | None = None
+    failure: Failure | None = None
     hedges: int = 0
     retries: int = 0
     queue_ms: float = 0
@@ -70,9 +60,11 @@
     """The merged message that a home gives back.
 
     Attributes:
+        parts: one for each sub-query of the order.
         shards: what the home knows of the snapshots of the shards asked.
+        config_version: the configuration that the home works under.
     """
 
     parts: tuple[Part, ...]
-    shards: Sequence[ShardView]
+    shards: tuple[ShardView, ...]
     config_version: int
