HTTP faces bounded in bytes and time of each connection

Cause: eventlet.wsgi answers large headers with a bare 400, lets a client trickle headers without end and reads away the body of a refused request. Ruled out: its own socket_timeout alone, which starts anew with each byte. Figures: 9 tests over real sockets, headers and bodies of 30 ms a piece cut off at 100 ms in all.

--- a/packages/fennelfork-daemon/tests/daemon_builders_product.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_product.py
@@ -2,8 +2,15 @@
 
 import copy
 import io
+import json
 from typing import Any
 
+from returns.pipeline import is_successful
+
+from fennelfork_daemon._problem import problem_reply
+from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
+
 _DOCUMENT = {
     'daemon': {
         'name': 'vm-1',
@@ -45,3 +52,30 @@
         'wsgi.input': io.BytesIO(body),
     }
     return environ | changes
+
+
+def echo_application(environ: dict[str, Any], start_response: Any) -> Any:
+    """Answer a POST with its JSON object, or with why it is refused."""
+    limits = BodyLimits(body_bytes=2048, read_ms=100)
+    return json_answer(
+        read_json_object(environ, limits),
+        environ,
+        start_response,
+    )
+
+
+def json_answer(
+    found: Any,
+    environ: dict[str, Any],
+    start_response: Any,
+) -> list[bytes]:
+    """Send what was read, or its refusal."""
+    if is_successful(found):
+        start_response('200 OK', [('Content-Type', 'application/json')])
+        return [json.dumps(found.unwrap()).encode()]
+    refusal = found.failure()
+    if refusal.close:
+        environ[CLOSE_KEY]()
+    reply = problem_reply(refusal.failure, None, status=refusal.status)
+    start_response(reply.status_line, list(reply.headers))
+    return [reply.body]
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_wsgi_server.py
@@ -0,0 +1,134 @@
+"""The HTTP faces under clients that send too much or too slowly."""
+
+import json
+from collections.abc import Iterator
+
+import eventlet
+import pytest
+from daemon_builders_product import echo_application, settings_document
+from eventlet.green import socket
+
+from fennelfork_daemon._address import address
+from fennelfork_daemon._settings import read_settings
+from fennelfork_daemon._wsgi_server import (
+    listening_address,
+    open_listener,
+    serve_http,
+)
+
+_PATIENCE_S = 20
+_HEAD = b'POST / HTTP/1.1\r\nHost: x\r\n'
+
+
+@pytest.fixture
+def port() -> Iterator[int]:
+    """Serve the echo application with small limits."""
+    settings = read_settings(
+        settings_document(
+            limits={'header_bytes': 1024},
+            timeouts={'request_read_ms': 100, 'idle_ms': 300},
+        ),
+    ).unwrap()
+    listener = open_listener(address('127.0.0.1:0'))
+    server = eventlet.spawn(serve_http, listener, echo_application, settings)
+    eventlet.sleep(0)
+    yield listening_address(listener).port
+    server.kill()
+
+
+def _talk(port: int, *pieces: bytes, gap_s: float = 0) -> bytes:
+    """Send pieces with pauses and give all that comes back."""
+    with eventlet.Timeout(_PATIENCE_S):
+        with socket.create_connection(('127.0.0.1', port)) as connection:
+            for piece in pieces:
+                try:
+                    connection.sendall(piece)
+                except OSError:
+                    break
+                eventlet.sleep(gap_s)
+            return _until_end(connection)
+
+
+def _until_end(connection: socket.socket) -> bytes:
+    parts = []
+    while True:
+        part = connection.recv(65_536)
+        if not part:
+            return b''.join(parts)
+        parts.append(part)
+
+
+def _posted(body: bytes, *headers: bytes) -> bytes:
+    length = b'Content-Length: %d' % len(body)
+    return _request(body, length, *headers)
+
+
+def _request(body: bytes, *headers: bytes) -> bytes:
+    lines = b'\r\n'.join(headers)
+    return b'%s%s\r\n\r\n%s' % (_HEAD, lines, body)
+
+
+def _problem(answer: bytes) -> tuple[int, str]:
+    head, _, body = answer.partition(b'\r\n\r\n')
+    assert b'application/problem+json' in head
+    assert b'connection: close' in head.lower()
+    document = json.loads(body)
+    assert document['verdict'] == 'not_run'
+    return int(head.split()[1]), document['detail']
+
+
+class TestServeHttp:
+    """Requests that are served."""
+
+    def test_keeps_a_connection(self, port: int) -> None:
+        """Two requests on one connection are both answered."""
+        answer = _talk(port, _posted(b'{"a": 1}'), _posted(b'{"b": 2}'))
+        assert answer.count(b'HTTP/1.1 200 OK') == 2
+        assert b'{"b": 2}' in answer
+
+    def test_keeps_a_connection_after_bad_json(self, port: int) -> None:
+        """A whole body that is not JSON does not cost the connection."""
+        answer = _talk(port, _posted(b'{'), _posted(b'{"b": 2}'))
+        assert b'400 Bad Request' in answer
+        assert b'{"b": 2}' in answer
+
+
+class TestRefusals:
+    """Requests that cost too much are answered and end the connection."""
+
+    def test_oversize_headers(self, port: int) -> None:
+        """More header bytes than allowed are answered with 431."""
+        answer = _talk(port, _posted(b'{}', b'X-Long: %s' % (b'x' * 2000)))
+        assert _problem(answer) == (431, 'the headers exceed 1024 bytes')
+
+    def test_oversize_body(self, port: int) -> None:
+        """A body above the limit is answered with 413, unread."""
+        answer = _talk(port, _posted(b'x' * 300_000))
+        assert _problem(answer)[0] == 413
+
+    def test_slow_headers(self, port: int) -> None:
+        """Headers that trickle in are cut off as a whole with 408."""
+        pieces = [b'X-%d: 1\r\n' % at for at in range(40)]
+        answer = _talk(port, _HEAD, *pieces, gap_s=0.03)
+        assert _problem(answer)[0] == 408
+
+    def test_slow_body(self, port: int) -> None:
+        """A body that trickles in is cut off as a whole with 408."""
+        pieces = [b' ' for _ in range(40)]
+        head = _request(b'', b'Content-Length: 40')
+        answer = _talk(port, head, *pieces, gap_s=0.03)
+        assert _problem(answer)[0] == 408
+
+    def test_no_request(self, port: int) -> None:
+        """A connection that asks nothing is closed without an answer."""
+        assert _talk(port) == b''
+
+    def test_chunked_body(self, port: int) -> None:
+        """A body of unknown length is refused with 411."""
+        chunked = b'Transfer-Encoding: chunked'
+        answer = _talk(port, _request(b'2\r\n{}\r\n0\r\n\r\n', chunked))
+        assert _problem(answer)[0] == 411
+
+    def test_not_http(self, port: int) -> None:
+        """Bytes that are no HTTP request get a problem document."""
+        assert _problem(_talk(port, b'what is this\r\n\r\n'))[0] == 400
