--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -0,0 +1,40 @@
+"""Experiments and the demo: `python -m fennelfork_bench NAME`."""
+
+from fennelfork_bench import _rig_eventlet  # noqa: F401, I001  (patches first)
+
+import signal
+import sys
+from importlib import import_module
+from typing import Final
+
+import cyclopts
+
+# One line an experiment: a module whose `run(seed)` gives a `Report`.
+_EXPERIMENTS: Final[dict[str, str]] = {}
+_USAGE: Final = 2
+
+
+def main(name: str, *, seed: int = 1, json: bool = False) -> int:
+    """Run one experiment on real processes over loopback.
+
+    Args:
+        name: the experiment, or `demo`.
+        seed: of every random choice of the load and the stand-ins.
+        json: print one JSON object in place of a table.
+
+    Returns:
+        0, 1 if the run saw a promise broken, 2 for an unknown name.
+    """
+    if name not in _EXPERIMENTS:
+        known = ', '.join(sorted(_EXPERIMENTS))
+        sys.stderr.write(f'unknown experiment {name}; known: {known}\n')
+        return _USAGE
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    report = import_module(_EXPERIMENTS[name]).run(seed)
+    text = report.to_json() if json else report.to_text()
+    sys.stdout.write(f'{text}\n')
+    return 1 if report.failures else 0
+
+
+if __name__ == '__main__':
+    sys.exit(cyclopts.run(main))
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_fleet.py
@@ -0,0 +1,120 @@
+"""A whole fleet as real processes: platform, backend servers, daemons."""
+
+from collections.abc import Iterable
+from typing import Final, Self
+
+import attrs
+
+from fennelfork_bench._rig_platform import Platform, start_platform
+from fennelfork_bench._rig_process import Process, Rig
+from fennelfork_bench._rig_settings import settings_toml
+from fennelfork_bench._rig_specs import BackendSpec, DaemonSpec, FleetSpec
+
+_START_CAP_S: Final = 60
+
+
+@attrs.define(kw_only=True, eq=False)
+class Fleet:
+    """The running processes of a `FleetSpec`, by name."""
+
+    spec: FleetSpec
+    rig: Rig
+    platform: Platform
+    backends: dict[str, Process] = attrs.field(factory=dict)
+    daemons: dict[str, Process] = attrs.field(factory=dict)
+    _leaving: set[str] = attrs.field(factory=set)
+
+    @property
+    def living(self) -> list[Process]:
+        """The daemons that have not ended."""
+        return [each for each in self.daemons.values() if each.alive]
+
+    @property
+    def callers(self) -> list[str]:
+        """Caller addresses of the living daemons."""
+        return [each.ready['caller'] for each in self.living]
+
+    @property
+    def operators(self) -> list[str]:
+        """Operator addresses of the living daemons."""
+        return [each.ready['operator'] for each in self.living]
+
+    def start_backends(self) -> Self:
+        """Start every backend server and wait until all serve."""
+        shards = [shard for front in self.spec.fronts for shard in front.shards]
+        started = [
+            self._launch_backend(server)
+            for shard in shards
+            for server in shard.servers
+        ]
+        for process in started:
+            self.backends[process.name] = process.await_ready(_START_CAP_S)
+        return self
+
+    def start_daemons(self, specs: Iterable[DaemonSpec] = ()) -> Self:
+        """Start daemons, wait until they serve, and list them.
+
+        Args:
+            specs: which; all of the fleet if none are named.
+        """
+        chosen = tuple(specs) or self.spec.daemons
+        started = [self._launch_daemon(spec) for spec in chosen]
+        for process in started:
+            self.daemons[process.name] = process.await_ready(_START_CAP_S)
+            self._leaving.discard(process.name)
+        self.list_vms()
+        return self
+
+    def daemon_spec(self, name: str) -> DaemonSpec:
+        """Give the spec of a daemon by its name."""
+        return next(each for each in self.spec.daemons if each.name == name)
+
+    def mark_leaving(self, name: str) -> None:
+        """Show a daemon's VM as leaving in the platform's list."""
+        self._leaving.add(name)
+        self.list_vms()
+
+    def list_vms(self) -> None:
+        """Write the truth of the VM list from the living processes."""
+        specs = [self.daemon_spec(each.name) for each in self.living]
+        self.platform.list_vms([self._vm(spec) for spec in specs])
+
+    def _launch_backend(self, spec: BackendSpec) -> Process:
+        options = attrs.asdict(spec)
+        options.pop('data_centre')
+        arguments = ['--listen=127.0.0.1:0']
+        for name, setting in options.items():
+            option = name.replace('_', '-')
+            arguments.append(f'--{option}={setting}')
+        module = 'fennelfork_bench.backend'
+        return self.rig.start_module(spec.name, module, arguments)
+
+    def _launch_daemon(self, spec: DaemonSpec) -> Process:
+        settings = settings_toml(
+            spec,
+            self.platform.key_value_address,
+            self.platform.vm_list_address,
+        )
+        path = self.rig.directory / f'{spec.name}.toml'
+        path.write_text(settings)
+        arguments = ('--config', str(path))
+        return self.rig.start_module(spec.name, 'fennelfork_daemon', arguments)
+
+    def _vm(self, spec: DaemonSpec) -> dict[str, str]:
+        return {
+            'name': spec.name,
+            'region': spec.region,
+            'data_centre': spec.data_centre,
+            **self.daemons[spec.name].ready,
+            'state': 'leaving' if spec.name in self._leaving else 'live',
+        }
+
+
+def empty_fleet(rig: Rig, spec: FleetSpec) -> Fleet:
+    """Start the platform's stand-ins of a fleet and nothing else yet.
+
+    Args:
+        rig: takes the processes.
+        spec: the whole fleet.
+    """
+    return Fleet(spec=spec, rig=rig, platform=start_platform(rig, spec))
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_platform.py
@@ -0,0 +1,84 @@
+"""The platform's stand-ins as processes of the rig."""
+
+import base64
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any, Final
+
+import attrs
+
+from fennelfork_bench import _rig_http as http
+from fennelfork_bench._rig_process import Process, Rig, RigError
+from fennelfork_bench._rig_specs import FleetSpec
+
+_ADDRESS: Final = 'address'
+_CONFIG_KEY: Final = '/fennelfork/config'
+
+
+@attrs.frozen(kw_only=True)
+class Platform:
+    """The key-value service and the VM list."""
+
+    key_value: Process
+    vm_list: Process
+
+    @property
+    def key_value_address(self) -> str:
+        """Where the key-value service listens."""
+        return self.key_value.ready[_ADDRESS]
+
+    @property
+    def vm_list_address(self) -> str:
+        """Where the VM list listens."""
+        return self.vm_list.ready[_ADDRESS]
+
+    def switch(self, **faults: Any) -> None:
+        """Switch faults of the key-value service.
+
+        Raises:
+            RigError: if it refused.
+        """
+        reply = http.post(self.key_value_address, '/control/faults', faults)
+        if not reply.fine:
+            raise RigError(f'faults refused: {reply.body}')
+
+    def log(self, since_ms: float = 0) -> dict[str, Any]:
+        """Read counts and recent calls of the key-value service."""
+        path = f'/control/log?since_ms={since_ms}'
+        return http.get(self.key_value_address, path).body
+
+    def list_vms(self, vms: Sequence[Mapping[str, str]]) -> None:
+        """Set the truth of the VM list."""
+        http.put(self.vm_list_address, '/control/vms', {'vms': vms})
+
+    def write_document(self, document: Mapping[str, Any]) -> None:
+        """Write the configuration document past every check."""
+        body = {
+            'key': _base64(_CONFIG_KEY),
+            'value': _base64(json.dumps(document)),
+        }
+        http.post(self.key_value_address, '/v3/kv/put', body)
+
+
+def start_platform(rig: Rig, spec: FleetSpec) -> Platform:
+    """Start both stand-ins and wait until they serve.
+
+    Args:
+        rig: takes the processes.
+        spec: gives the lag of the list and the rates of the service.
+    """
+    rates = (
+        f'--reads-per-s={spec.reads_per_s}',
+        f'--writes-per-s={spec.writes_per_s}',
+    )
+    lag = (f'--lag-ms={spec.lag_ms}',)
+    key_value = rig.start_module('key-value', 'fennelfork_bench.kv', rates)
+    vm_list = rig.start_module('vm-list', 'fennelfork_bench.vms', lag)
+    return Platform(
+        key_value=key_value.await_ready(),
+        vm_list=vm_list.await_ready(),
+    )
+
+
+def _base64(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
