--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_messages.py
@@ -0,0 +1,111 @@
+"""Requests and replies of the backend protocol, as typed messages."""
+
+import attrs
+
+from fennelfork_bench._backend_records import Query, Record
+
+
+@attrs.frozen(kw_only=True)
+class SearchRequest:
+    """The part of a query that goes to one server."""
+
+    request_id: str
+    sub_query: str
+    snapshot: int
+    lo: int
+    hi: int
+    query: Query
+    deadline_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class SearchReply:
+    """The records of a range at a snapshot."""
+
+    request_id: str
+    sub_query: str
+    snapshot: int
+    lo: int
+    hi: int
+    count: int
+    records: tuple[Record, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ExecuteRequest:
+    """A request that must run at most once."""
+
+    request_id: str
+    sub_query: str
+    key: int
+    action: str
+    deadline_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class ExecuteReply:
+    """What a non-idempotent request did."""
+
+    request_id: str
+    sub_query: str
+    key: int
+    outcome: str
+
+
+@attrs.frozen(kw_only=True)
+class CancelRequest:
+    """Names the request that nobody waits for any more."""
+
+    request_id: str
+    sub_query: str
+
+
+@attrs.frozen(kw_only=True)
+class CancelReply:
+    """Whether a running request was ended."""
+
+    request_id: str
+    sub_query: str
+    cancelled: bool
+
+
+@attrs.frozen(kw_only=True)
+class HeldSnapshot:
+    """The ranges that a server holds at one snapshot."""
+
+    version: int
+    ranges: tuple[tuple[int, int], ...]
+
+
+@attrs.frozen(kw_only=True)
+class Health:
+    """What a server says of itself."""
+
+    state: str
+    snapshots: tuple[HeldSnapshot, ...]
+    slots: int
+    busy: int
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """How busy a server says it is."""
+
+    slots: int
+    busy: int
+    connections: int
+
+
+@attrs.frozen(kw_only=True)
+class Problem:
+    """An error body after RFC 9457, with what is known of the run."""
+
+    title: str
+    status: int
+    detail: str
+    code: str
+    verdict: str
+    request_id: str = ''
+    sub_query: str = ''
+    retry_after_ms: int | None = None
+    snapshots: tuple[HeldSnapshot, ...] = ()
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_records.py
@@ -0,0 +1,69 @@
+"""Records of the stand-in, computed from front seed, key and snapshot."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+import xxhash
+
+from fennelfork import KeyRange
+
+_KINDS: Final = ('raft', 'flare', 'release', 'voucher', 'payout')
+_STATES: Final = ('due', 'valid', 'expired')
+
+
+@attrs.frozen(kw_only=True)
+class Record:
+    """One record of the index."""
+
+    key: int
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class Query:
+    """Which records of a range are asked for.
+
+    Attributes:
+        text: only records whose text contains it.
+        keys: only records of these keys.
+    """
+
+    text: str | None = None
+    keys: tuple[int, ...] | None = None
+
+
+def record_at(front_seed: int, key: int, snapshot: int) -> Record:
+    """Compute the record of a key as it was at a snapshot.
+
+    Its text names key and snapshot, so that an answer mixed from two
+    snapshots shows.
+    """
+    digest = xxhash.xxh32_intdigest(f'{front_seed}:{key}:{snapshot}'.encode())
+    kind = _KINDS[digest % len(_KINDS)]
+    state = _STATES[digest // len(_KINDS) % len(_STATES)]
+    return Record(key=key, text=f'{kind} {key:06d} {state} v{snapshot}')
+
+
+def select_records(
+    front_seed: int,
+    snapshot: int,
+    held: KeyRange,
+    query: Query,
+) -> tuple[Record, ...]:
+    """Compute the records of a range that a query matches, by key."""
+    records = [
+        record_at(front_seed, key, snapshot)
+        for key in _wanted_keys(held, query)
+    ]
+    return tuple(
+        record
+        for record in records
+        if query.text is None or query.text in record.text
+    )
+
+
+def _wanted_keys(held: KeyRange, query: Query) -> Iterable[int]:
+    if query.keys is None:
+        return range(held.lo, held.hi)
+    return sorted({key for key in query.keys if held.holds(key)})
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_backend.py
@@ -0,0 +1,145 @@
+"""The calls of the stand-in backend server, over real connections."""
+
+import pytest
+from bench_builders_backend import (
+    backend,
+    execute_body,
+    in_thread,
+    search_body,
+)
+
+from fennelfork_bench._backend_records import record_at
+
+pytestmark = pytest.mark.process
+
+
+class TestSearch:
+    """Searches of a range at a snapshot."""
+
+    def test_answers_with_the_records_of_seed_key_and_snapshot(self) -> None:
+        """Anyone can compute the right answer."""
+        with backend(front_seed=7) as server:
+            found = server.post('/v1/search', **search_body(lo=3, hi=6))
+        records = [record_at(7, key, 1) for key in (3, 4, 5)]
+        assert found.body == {
+            'request_id': 'r1',
+            'sub_query': 's0',
+            'snapshot': 1,
+            'lo': 3,
+            'hi': 6,
+            'count': 3,
+            'records': [
+                {'key': record.key, 'text': record.text} for record in records
+            ],
+        }
+
+    @pytest.mark.parametrize(
+        ('query', 'expected'),
+        [
+            ({'keys': [9, 2, 5000]}, [2, 9]),
+            ({'text': '000012'}, [12]),
+            ({'keys': [1], 'text': 'no such text'}, []),
+        ],
+    )
+    def test_selects_by_keys_and_text(
+        self, query: dict[str, object], expected: list[int]
+    ) -> None:
+        """Only matching records of the range are sent, sorted by key."""
+        with backend() as server:
+            found = server.post('/v1/search', **search_body(query=query))
+        assert [item['key'] for item in found.body['records']] == expected
+
+    def test_logs_what_ran(self) -> None:
+        """The log tells each step of a request."""
+        with backend() as server:
+            server.post('/v1/search', **search_body('r9'))
+            steps = server.kinds('r9')
+        assert steps == ['received', 'started', 'ran', 'replied']
+
+    @pytest.mark.parametrize(
+        ('fields', 'status', 'code'),
+        [
+            ({'snapshot': 4}, 409, 'snapshot_gone'),
+            ({'lo': 900, 'hi': 1001}, 409, 'not_held'),
+            ({'deadline_ms': 0}, 504, 'deadline'),
+        ],
+    )
+    def test_refusal_before_the_run(
+        self, fields: dict[str, int], status: int, code: str
+    ) -> None:
+        """What is refused as not run left no start in the log."""
+        with backend() as server:
+            refused = server.post('/v1/search', **search_body(**fields))
+            steps = server.kinds('r1')
+        assert refused.status == status
+        assert refused.body['code'] == code
+        assert refused.body['verdict'] == 'not_run'
+        assert refused.body['sub_query'] == 's0'
+        assert steps == ['received', 'refused']
+
+    def test_unreadable_body(self) -> None:
+        """A body that lacks a field is a bad request."""
+        with backend() as server:
+            refused = server.post('/v1/search', request_id='r1')
+        assert (refused.status, refused.body['code']) == (400, 'bad_request')
+
+
+class TestExecute:
+    """Requests that must run at most once."""
+
+    def test_outcome_tells_a_second_run(self) -> None:
+        """Running the same request twice shows in the outcome."""
+        with backend() as server:
+            outcomes = [
+                server.post('/v1/execute', **execute_body()).body['outcome']
+                for _ in range(2)
+            ]
+        assert outcomes == ['issue-3-1', 'issue-3-2']
+
+
+class TestSlots:
+    """Slots, shedding, cancellation and deadlines."""
+
+    def test_sheds_when_all_slots_are_busy(self) -> None:
+        """A full server refuses with proof that it did not run."""
+        with backend(slots=1, mean_ms=60_000) as server:
+            body = search_body('long')
+            with in_thread(lambda: server.post('/v1/search', **body)):
+                server.wait_for('long', 'started')
+                shed = server.post('/v1/search', **search_body('next'))
+                server.post('/v1/cancel', request_id='long', sub_query='s0')
+            steps = server.kinds('next')
+        assert (shed.status, shed.body['code']) == (503, 'shed')
+        assert shed.body['verdict'] == 'not_run'
+        assert steps == ['received', 'refused']
+
+    def test_cancel_frees_the_slot(self) -> None:
+        """A cancelled request ends at once and its slot is free."""
+        with backend(slots=1, mean_ms=60_000) as server:
+            body = execute_body('long')
+            with in_thread(lambda: server.post('/v1/execute', **body)) as ended:
+                server.wait_for('long', 'started')
+                done = server.post(
+                    '/v1/cancel', request_id='long', sub_query='s0'
+                )
+            load = server.get('/v1/load')
+        assert done.body['cancelled']
+        assert (ended[0].status, ended[0].body['code']) == (499, 'cancelled')
+        assert ended[0].body['verdict'] == 'may_have_run'
+        assert load.body['busy'] == 0
+
+    def test_cancel_of_an_unknown_request(self) -> None:
+        """A cancel that comes too late says so."""
+        with backend() as server:
+            done = server.post('/v1/cancel', request_id='r1', sub_query='s0')
+        assert not done.body['cancelled']
+
+    def test_deadline_while_it_runs(self) -> None:
+        """A request that runs into its deadline may have run."""
+        with backend(mean_ms=60_000, shape=100) as server:
+            late = server.post('/v1/execute', **execute_body(deadline_ms=20))
+            steps = server.kinds('r1')
+        assert (late.status, late.body['code']) == (504, 'deadline')
+        assert late.body['verdict'] == 'may_have_run'
+        assert 'started' in steps
+        assert 'ran' not in steps
