Histories of runs and one checker for each promise

Typed events of callers, operators, backend servers and daemons, JSON Lines by cattrs, and one checker for each of the eight points (the eighth has two modules). Ruled out: a general linearizability search and asserts inside the load; see docs/design/0009. No run of real daemons is checked yet.

--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_check_patches.py
@@ -0,0 +1,80 @@
+"""Accepted patches are kept, refused ones change nothing."""
+
+from collections.abc import Iterator
+
+from fennelfork_bench._check_base import Promise, Violation
+from fennelfork_bench._history import History
+from fennelfork_bench._history_event import Event
+from fennelfork_bench._history_operator import (
+    DocumentRead,
+    PatchAccepted,
+    PatchRefused,
+    PatchSeen,
+)
+
+
+def check_patches(history: History) -> tuple[Violation, ...]:
+    """Find lost, doubled and wrongly refused patches."""
+    return (
+        *_shared_versions(history),
+        *_repeated(history),
+        *(
+            violation
+            for read in history.of(DocumentRead)
+            for violation in _document_faults(history, read)
+        ),
+    )
+
+
+def _shared_versions(history: History) -> Iterator[Violation]:
+    first: dict[int, PatchAccepted] = {}
+    for accepted in history.of(PatchAccepted):
+        other = first.setdefault(accepted.version, accepted)
+        if other.patch_id != accepted.patch_id:
+            detail = f'two patches became version {accepted.version}'
+            yield _violation(detail, (other, accepted))
+
+
+def _repeated(history: History) -> Iterator[Violation]:
+    first: dict[str, PatchAccepted] = {}
+    for accepted in history.of(PatchAccepted):
+        other = first.setdefault(accepted.patch_id, accepted)
+        if other.version != accepted.version:
+            detail = f'patch {accepted.patch_id} has two versions'
+            yield _violation(detail, (other, accepted))
+
+
+def _document_faults(
+    history: History,
+    read: DocumentRead,
+) -> Iterator[Violation]:
+    for accepted in history.of(PatchAccepted):
+        if accepted.at_ms <= read.at_ms and _is_lost(accepted, read):
+            yield _violation('an accepted patch is lost', (accepted, read))
+    kept = {patch.patch_id for patch in read.patches}
+    for refused in history.of(PatchRefused):
+        if refused.patch_id in kept:
+            yield _violation('a refused patch is in force', (refused, read))
+    if len(kept) != len(read.patches):
+        yield _violation('a patch was applied twice', (read,))
+
+
+def _is_lost(accepted: PatchAccepted, read: DocumentRead) -> bool:
+    if accepted.version > read.version:
+        return True
+    oldest = min((patch.version for patch in read.patches), default=0)
+    if accepted.version < oldest:
+        return False
+    expected = PatchSeen(
+        patch_id=accepted.patch_id,
+        version=accepted.version,
+    )
+    return expected not in read.patches
+
+
+def _violation(detail: str, events: tuple[Event, ...]) -> Violation:
+    return Violation(
+        promise=Promise.CONFIGURATION,
+        detail=detail,
+        events=events,
+    )
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_check_snapshot.py
@@ -0,0 +1,43 @@
+"""Every answer reflects one snapshot of the index."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from fennelfork_bench._check_base import (
+    Promise,
+    QueryReply,
+    Truth,
+    Violation,
+    replies_of,
+)
+from fennelfork_bench._history import History
+
+_EVERY_RECORD: Final = '{}'
+
+
+def check_snapshot(history: History, truth: Truth) -> tuple[Violation, ...]:
+    """Find answers that hold a record of another snapshot than they name."""
+    return tuple(
+        Violation(
+            promise=Promise.ONE_SNAPSHOT,
+            detail=detail,
+            events=(reply.asked, reply.answer),
+        )
+        for reply in replies_of(history)
+        for detail in _faults(reply, truth)
+    )
+
+
+def _faults(reply: QueryReply, truth: Truth) -> Iterator[str]:
+    answer = reply.answer
+    if answer.snapshot not in truth.snapshots:
+        yield f'snapshot {answer.snapshot} never existed'
+        return
+    stamps = truth.stamps(answer.snapshot, _EVERY_RECORD)
+    foreign = [
+        record.key
+        for record in answer.records
+        if stamps.get(record.key) != record.stamp
+    ]
+    if foreign:
+        yield f'records not of snapshot {answer.snapshot}: {foreign}'
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_history_server.py
@@ -0,0 +1,60 @@
+"""Events of backend servers: what reached them and what they ran."""
+
+import attrs
+
+from fennelfork_bench._history_event import Event
+
+
+@attrs.frozen(kw_only=True)
+class ServerEvent(Event):
+    """Something that happened on one backend server."""
+
+    server: str
+
+
+@attrs.frozen(kw_only=True)
+class DrainAsked(ServerEvent):
+    """The server was told to leave."""
+
+
+@attrs.frozen(kw_only=True)
+class Work(ServerEvent):
+    """Something about one request that reached the server."""
+
+    request_id: str
+    sub_query: str
+
+
+@attrs.frozen(kw_only=True)
+class QueryRan(Work):
+    """The server began to run its part of a query."""
+
+    snapshot: int
+    lo: int
+    hi: int
+
+
+@attrs.frozen(kw_only=True)
+class ExecuteRan(Work):
+    """The server ran a request that is not idempotent."""
+
+    key: int
+    action: str
+
+
+@attrs.frozen(kw_only=True)
+class WorkRefused(Work):
+    """The server refused a request before it ran."""
+
+    code: str
+
+
+@attrs.frozen(kw_only=True)
+class WorkCancelled(Work):
+    """The server was asked to cancel a request it knew."""
+
+
+# The concrete classes of this module, for reading and writing.
+AnyServerEvent = (
+    DrainAsked | QueryRan | ExecuteRan | WorkRefused | WorkCancelled
+)
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_check_all.py
@@ -0,0 +1,59 @@
+"""All checkers are asked."""
+
+import pytest
+from bench_builders_proof import (
+    execute_ran,
+    history,
+    partial_answer,
+    query_answered,
+    query_asked,
+    query_ran,
+    refused,
+    truth,
+)
+
+from fennelfork_bench._check_all import check_history
+from fennelfork_bench._check_base import Limits, Promise
+from fennelfork_bench._history_daemon import StopAsked, VersionSeen
+from fennelfork_bench._history_operator import DocumentRead, PatchSeen
+from fennelfork_bench._history_server import DrainAsked
+
+_PATCH = PatchSeen(patch_id='a', version=2)
+_BROKEN = (
+    (Promise.ONE_SNAPSHOT, (query_asked(), query_answered(snapshot=3))),
+    (Promise.TRUE_COVERAGE, (query_asked(), query_answered(fraction=0.5))),
+    (Promise.OWN_ANSWER, (query_asked(), partial_answer())),
+    (Promise.TRUE_REFUSAL, (query_asked(), query_ran(), refused())),
+    (Promise.AT_MOST_ONCE, (execute_ran(), execute_ran())),
+    (
+        Promise.DRAIN,
+        (DrainAsked(at_ms=1, server='raft-a'), query_ran(at_ms=9000)),
+    ),
+    (Promise.GRACEFUL_STOP, (StopAsked(at_ms=1, daemon='vm-1'),)),
+    (
+        Promise.CONFIGURATION,
+        (
+            VersionSeen(at_ms=1, daemon='vm-1', version=2, digest='d'),
+            VersionSeen(at_ms=2, daemon='vm-1', version=1, digest='c'),
+        ),
+    ),
+    (
+        Promise.CONFIGURATION,
+        (DocumentRead(at_ms=1, version=2, patches=(_PATCH, _PATCH)),),
+    ),
+)
+
+
+class TestCheckHistory:
+    """One call asks every checker."""
+
+    @pytest.mark.parametrize(('promise', 'events'), _BROKEN)
+    def test_each_promise(self, promise, events) -> None:
+        """A history that breaks one promise is named by that promise."""
+        found = check_history(history(*events), truth(), Limits())
+        assert {broken.promise for broken in found} == {promise}
+
+    def test_good(self) -> None:
+        """A history that breaks none gives nothing."""
+        whole = history(query_asked(), query_ran(), query_answered())
+        assert not check_history(whole, truth(), Limits())
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_check_once.py
@@ -0,0 +1,27 @@
+"""The checker of the promise of at most one run."""
+
+from bench_builders_proof import execute_ran, history, query_ran
+
+from fennelfork_bench._check_once import check_at_most_once
+
+
+class TestCheckAtMostOnce:
+    """Requests that ran twice are found."""
+
+    def test_bad(self) -> None:
+        """Two runs of one request on two servers are caught."""
+        again = execute_ran(at_ms=130, server='raft-b')
+        found = check_at_most_once(history(execute_ran(), again))
+        assert [broken.events for broken in found] == [
+            (execute_ran(), again),
+        ]
+
+    def test_near_miss(self) -> None:
+        """Two requests for one key, and hedged queries, are good."""
+        whole = history(
+            execute_ran(),
+            execute_ran(request_id='req-2'),
+            query_ran(),
+            query_ran(server='raft-b'),
+        )
+        assert not check_at_most_once(whole)
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_history.py
@@ -0,0 +1,67 @@
+"""Histories are written, read and merged without loss."""
+
+from pathlib import Path
+
+import pytest
+from bench_builders_proof import (
+    execute_asked,
+    execute_ran,
+    partial_answer,
+    query_asked,
+    refused,
+)
+from cattrs import BaseValidationError
+
+from fennelfork_bench._history import gather, read_history, write_history
+from fennelfork_bench._history_caller import Asked
+from fennelfork_bench._history_daemon import FaultChanged, VersionSeen
+from fennelfork_bench._history_operator import DocumentRead, PatchSeen
+
+
+class TestFile:
+    """JSON Lines hold every field of every event."""
+
+    def test_round_trip(self, tmp_path: Path) -> None:
+        """What is written is read back equal."""
+        whole = gather(
+            (
+                query_asked(),
+                partial_answer(),
+                refused(),
+                execute_ran(),
+                VersionSeen(at_ms=1, daemon='vm-1', version=2, digest='d'),
+                FaultChanged(at_ms=2, fault='kill', target='vm-1', active=True),
+                DocumentRead(
+                    at_ms=3,
+                    version=2,
+                    patches=(PatchSeen(patch_id='p', version=2),),
+                ),
+            )
+        )
+        path = tmp_path / 'history.jsonl'
+        write_history(path, whole)
+        assert read_history(path) == whole
+
+    def test_unknown_field(self, tmp_path: Path) -> None:
+        """A line with a field of no event is refused, not ignored."""
+        path = tmp_path / 'history.jsonl'
+        path.write_text('{"event": "Started", "at_ms": 1, "extra": 2}\n')
+        with pytest.raises(BaseValidationError):
+            read_history(path)
+
+
+class TestGather:
+    """Events of several processes become one history."""
+
+    def test_order(self) -> None:
+        """Events stand by their time, equal ones as given."""
+        first = query_asked(at_ms=1)
+        second = query_asked(at_ms=2, attempt='a')
+        third = query_asked(at_ms=2, attempt='b')
+        merged = gather((second,), (third, first))
+        assert merged.events == (first, second, third)
+
+    def test_of_subclasses(self) -> None:
+        """A class selects the events of its subclasses too."""
+        merged = gather((query_asked(), execute_asked(), refused()))
+        assert merged.of(Asked) == (query_asked(), execute_asked())
