Thin path: a query over separate processes, caller to backend servers and back

Cause: the product needs one whole path before anything else. Conclusion: decisions now replace the thin parts (polls, home choice).

--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
@@ -0,0 +1,113 @@
+"""The caller face: queries over HTTP."""
+
+from typing import Any
+
+import attrs
+from returns.pipeline import is_successful
+
+from fennelfork import Clock, MissingRange, QueryAnswer, QueryRequest
+from fennelfork_daemon._caller_request import read_query
+from fennelfork_daemon._http_router import (
+    HttpReply,
+    HttpRequest,
+    Route,
+    failure_reply,
+    json_reply,
+)
+from fennelfork_daemon._root_service import RootService
+from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon._wsgi_request import (
+    BodyLimits,
+    Refusal,
+    read_json_object,
+)
+
+
+@attrs.frozen(kw_only=True)
+class CallerFace:
+    """Answers callers."""
+
+    _root: RootService
+    _clock: Clock
+    _settings: Settings
+
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """The routes of this face."""
+        return (
+            Route(
+                method='POST',
+                path='/v1/fronts/{front}/query',
+                handler=self.query,
+            ),
+        )
+
+    def query(self, request: HttpRequest) -> HttpReply:
+        """Answer one query."""
+        limits = BodyLimits(
+            body_bytes=self._settings.limits.body_bytes,
+            read_ms=self._settings.timeouts.request_read_ms,
+        )
+        body = read_json_object(request.environ, limits)
+        if not is_successful(body):
+            return _refused(request, body.failure())
+        tree = body.unwrap()
+        read = read_query(
+            request.names['front'],
+            tree,
+            self._clock,
+            self._settings.timeouts.longest_deadline_ms,
+        )
+        if not is_successful(read):
+            return failure_reply(read.failure(), _request_id(tree))
+        return self._answer(read.unwrap())
+
+    def _answer(self, query: QueryRequest) -> HttpReply:
+        started_ms = self._clock.now_ms()
+        answered = self._root.answer(query)
+        took_ms = self._clock.now_ms() - started_ms
+        if not is_successful(answered):
+            return failure_reply(answered.failure(), query.request_id)
+        return json_reply(answer_tree(query, answered.unwrap(), took_ms))
+
+
+def answer_tree(
+    query: QueryRequest,
+    answered: QueryAnswer,
+    took_ms: float,
+) -> dict[str, Any]:
+    """Build the JSON document of an answer."""
+    answer = answered.answer
+    return {
+        'request_id': query.request_id,
+        'records': [record.content for record in answer.records],
+        'snapshot': answer.snapshot,
+        'coverage': {
+            'complete': answer.coverage.complete,
+            'fraction': answer.coverage.fraction,
+            'missing': [_gap(missing) for missing in answer.coverage.missing],
+        },
+        'config_version': answered.config_version,
+        'work': attrs.asdict(answered.work),
+        'took_ms': round(took_ms, 3),
+    }
+
+
+def _gap(missing: MissingRange) -> dict[str, Any]:
+    return {
+        'lo': missing.span.lo,
+        'hi': missing.span.hi,
+        'reason': missing.reason.value,
+    }
+
+
+def _request_id(tree: dict[str, Any]) -> str | None:
+    given = tree.get('request_id')
+    return given if isinstance(given, str) else None
+
+
+def _refused(request: HttpRequest, refusal: Refusal) -> HttpReply:
+    if refusal.close:
+        request.environ[CLOSE_KEY]()
+    return failure_reply(refusal.failure, status=refusal.status)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_describer.py
@@ -0,0 +1,72 @@
+"""Has the homes describe shards that a root knows nothing of."""
+
+from typing import Final
+
+import attrs
+import eventlet
+
+from fennelfork import (
+    Blackboard,
+    Clock,
+    Front,
+    HomeGroup,
+    PeerHealth,
+    QueryRequest,
+    homes_of,
+    route_homes,
+)
+from fennelfork_daemon._home_calls import HomeCalls
+from fennelfork_daemon._view_cache import ViewCache
+
+_SHARE: Final = 0.5
+_LONGEST_MS: Final = 1000
+_MOST_ROUNDS: Final = 2
+
+
+@attrs.define(kw_only=True)
+class Describer:
+    """Fills the view cache before a query needs it."""
+
+    _board: Blackboard
+    _calls: HomeCalls
+    _health: PeerHealth
+    _views: ViewCache
+    _clock: Clock
+
+    def learn(self, request: QueryRequest, front: Front) -> None:
+        """Ask the homes of unknown shards, then the next homes."""
+        self._views.keep_only(request.front, front.shards)
+        silent = self._health.avoided
+        for _ in range(_MOST_ROUNDS):
+            unknown = self._views.unknown(request.front, front.shards)
+            groups = route_homes(self._board, request.front, unknown, silent)
+            if not groups:
+                return
+            self._ask(request, groups)
+            silent |= homes_of(groups)
+
+    def _ask(
+        self,
+        request: QueryRequest,
+        groups: tuple[HomeGroup, ...],
+    ) -> None:
+        left_ms = request.deadline_at_ms - self._clock.now_ms()
+        timeout_ms = min(left_ms * _SHARE, _LONGEST_MS)
+        pool = eventlet.GreenPool(len(groups))
+        for group in groups:
+            pool.spawn_n(self._ask_home, request.front, group, timeout_ms)
+        pool.waitall()
+
+    def _ask_home(
+        self,
+        front: str,
+        group: HomeGroup,
+        timeout_ms: float,
+    ) -> None:
+        views = self._calls.describe(
+            group.home,
+            front,
+            group.shards,
+            timeout_ms,
+        )
+        views.map(lambda described: self._views.learn(front, described))
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_entries_face.py
@@ -0,0 +1,57 @@
+"""Entry answers: which daemons a caller should use."""
+
+import random
+from typing import Any, Final
+
+import attrs
+
+from fennelfork import Blackboard, Member, choose_entries
+from fennelfork_daemon._http_router import (
+    HttpReply,
+    HttpRequest,
+    Route,
+    json_reply,
+)
+
+_COUNT: Final = 3
+
+
+@attrs.frozen(kw_only=True)
+class EntriesFace:
+    """Answers callers that ask where to connect."""
+
+    _board: Blackboard
+    _rng: random.Random
+    _ttl_ms: int
+
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """The routes of this face."""
+        return (Route(method='GET', path='/v1/entries', handler=self.entries),)
+
+    def entries(self, request: HttpRequest) -> HttpReply:
+        """Name a few daemons, the nearest first."""
+        chosen = choose_entries(
+            request.options.get('region', ''),
+            request.options.get('data_centre', ''),
+            self._board.members.values(),
+            _COUNT,
+            '',
+            self._rng,
+        )
+        return json_reply(
+            {
+                'entries': [_entry(member) for member in chosen],
+                'ttl_ms': self._ttl_ms,
+                'ticket': None,
+                'config_version': self._board.config_version,
+            },
+        )
+
+
+def _entry(member: Member) -> dict[str, Any]:
+    return {
+        'address': member.caller,
+        'daemon': member.name,
+        'data_centre': member.data_centre,
+    }
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
@@ -1,16 +1,17 @@
 """One round of a query: all sub-queries at one snapshot, to their homes."""
 
+import functools
 from typing import Final
 
 import attrs
 import eventlet
-from returns.result import Result
 
 from fennelfork import (
     Blackboard,
     Clock,
     Failure,
     HomeGroup,
+    Member,
     Merge,
     Part,
     PeerHealth,
@@ -19,6 +20,7 @@
     ScatterOrder,
     ScatterOutcome,
     Work,
+    homes_of,
     route_homes,
 )
 from fennelfork_daemon._home_calls import HomeCalls
@@ -85,12 +87,13 @@
         )
         for group in groups:
             self._waiting += 1
-            eventlet.spawn_n(self._ask, group, self._order(merge, group))
+            order = self._order(merge, group)
+            eventlet.spawn_n(self._ask, group.home, order)
         self.work = attrs.evolve(
             self.work,
             sub_queries=self.work.sub_queries + len(pending),
         )
-        return frozenset(group.home.name for group in groups)
+        return homes_of(groups)
 
     def _order(self, merge: Merge, group: HomeGroup) -> ScatterOrder:
         return ScatterOrder(
@@ -105,9 +108,9 @@
             config_version=self._board.config_version,
         )
 
-    def _ask(self, group: HomeGroup, order: ScatterOrder) -> None:
-        outcome = self._calls.scatter(group.home, order, self.left_ms)
-        self._arrivals.put((order, outcome))
+    def _ask(self, home: Member, order: ScatterOrder) -> None:
+        outcome = self._calls.scatter(home, order, self.left_ms)
+        self._arrivals.put(outcome)
 
     def _collect(self, merge: Merge, wait_ms: float) -> None:
         """Take what arrives until nothing is pending or the wait is over."""
@@ -117,21 +120,13 @@
             if wait_s <= 0:
                 return
             try:
-                order, outcome = self._arrivals.get(timeout=wait_s)
+                outcome = self._arrivals.get(timeout=wait_s)
             except eventlet.queue.Empty:
                 return
             self._waiting -= 1
-            self._take(merge, order, outcome)
-
-    def _take(
-        self,
-        merge: Merge,
-        order: ScatterOrder,
-        outcome: Result[ScatterOutcome, Failure],
-    ) -> None:
-        outcome.map(lambda arrived: self._take_outcome(merge, arrived))
-        # A home that gave no reply leaves its sub-queries pending: the next
-        # wave asks another one.
+            # A home that gave no reply leaves its sub-queries pending: the
+            # next wave asks another one.
+            outcome.map(functools.partial(self._take_outcome, merge))
 
     def _take_outcome(self, merge: Merge, outcome: ScatterOutcome) -> None:
         self._views.learn(self._request.front, outcome.shards)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 import attrs
-import eventlet
+from returns.pipeline import is_successful
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
@@ -14,8 +14,6 @@
     Clock,
     Failure,
     FailureCode,
-    Front,
-    HomeGroup,
     KeyRange,
     Merge,
     PeerHealth,
@@ -25,18 +23,17 @@
     allows,
     merge_of,
     not_run,
+    peer_health,
     pin,
-    route_homes,
 )
-from fennelfork_daemon._home_calls import HomeCalls
+from fennelfork_daemon._describer import Describer
+from fennelfork_daemon._home_calls import Home, HomeCalls
+from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._root_scatter import RootScatter
 from fennelfork_daemon._view_cache import ViewCache
 
 _RETRY_PARTIAL_MS: Final = 1000
 _RETRY_SHED_MS: Final = 200
-_DESCRIBE_SHARE: Final = 0.5
-_LONGEST_DESCRIBE_MS: Final = 1000
-_MOST_RERUNS: Final = 1
 
 
 @attrs.define(kw_only=True)
@@ -47,6 +44,7 @@
     _calls: HomeCalls
     _health: PeerHealth
     _views: ViewCache
+    _describer: Describer
     _clock: Clock
 
     def answer(self, request: QueryRequest) -> Result[QueryAnswer, Failure]:
@@ -60,8 +58,16 @@
         if front is None:
             detail = f'there is no front {request.front!r}'
             return Bad(not_run(FailureCode.UNKNOWN_FRONT, detail))
-        self._learn_views(request, front)
-        scatter = RootScatter(
+        config_version = self._board.config_version
+        self._describer.learn(request, front)
+        scatter = self._scatter(request)
+        merged = self._rounds(scatter, request, KeyRange(lo=0, hi=front.keys))
+        return merged.bind(
+            lambda merge: _finish(request, merge, config_version, scatter),
+        )
+
+    def _scatter(self, request: QueryRequest) -> RootScatter:
+        return RootScatter(
             request=request,
             query_text=json.dumps(request.query),
             board=self._board,
@@ -70,96 +76,97 @@
             views=self._views,
             clock=self._clock,
         )
-        return self._rounds(request, front, scatter)
 
     def _rounds(
         self,
-        request: QueryRequest,
-        front: Front,
         scatter: RootScatter,
-    ) -> Result[QueryAnswer, Failure]:
-        config_version = self._board.config_version
-        whole = KeyRange(lo=0, hi=front.keys)
-        gone: frozenset[int] = frozenset()
-        best: Merge | None = None
-        for reruns in range(_MOST_RERUNS + 1):
-            pinned = pin(self._views.known(request.front), whole, gone)
-            if best is None and not _is_success(pinned):
-                return Bad(pinned.failure())
-            if not _is_success(pinned):
-                break
-            merge = merge_of(request.request_id, pinned.unwrap(), whole)
-            scatter.run(merge)
-            scatter.work = attrs.evolve(scatter.work, reruns=reruns)
-            best = _better(best, merge)
-            if not merge.snapshot_gone or scatter.left_ms <= 0:
-                break
-            gone |= {merge.snapshot}
-        return self._finish(request, best, config_version, scatter)
-
-    def _finish(
-        self,
         request: QueryRequest,
-        merge: Merge,
-        config_version: int,
-        scatter: RootScatter,
-    ) -> Result[QueryAnswer, Failure]:
-        answer = merge.answer()
-        if allows(request.demand, answer.coverage):
-            return Success(
-                QueryAnswer(
-                    answer=answer,
-                    config_version=config_version,
-                    work=scatter.work,
-                ),
-            )
-        return Bad(_refusal(merge, answer))
+        whole: KeyRange,
+    ) -> Result[Merge, Failure]:
+        """Run the query, and once more on another snapshot if one is gone."""
+        nothing_gone: frozenset[int] = frozenset()
+        first = self._round(scatter, request, whole, nothing_gone)
+        merge = first.value_or(None)
+        if merge is None or not merge.snapshot_gone or scatter.left_ms <= 0:
+            return first
+        scatter.work = attrs.evolve(scatter.work, reruns=1)
+        gone = frozenset((merge.snapshot,))
+        again = self._round(scatter, request, whole, gone)
+        return again.map(lambda rerun: _better(merge, rerun)).lash(
+            lambda _: first,
+        )
 
-    def _learn_views(self, request: QueryRequest, front: Front) -> None:
-        """Have unknown shards described by their homes, or the next ones."""
-        self._views.keep_only(request.front, front.shards)
-        silent = self._health.avoided
-        for _ in range(2):
-            unknown = self._views.unknown(request.front, front.shards)
-            groups = route_homes(self._board, request.front, unknown, silent)
-            if not groups:
-                return
-            self._describe(request, groups)
-            silent |= {group.home.name for group in groups}
-
-    def _describe(
+    def _round(
         self,
+        scatter: RootScatter,
         request: QueryRequest,
-        groups: tuple[HomeGroup, ...],
-    ) -> None:
-        left_ms = request.deadline_at_ms - self._clock.now_ms()
-        timeout_ms = min(left_ms * _DESCRIBE_SHARE, _LONGEST_DESCRIBE_MS)
-        pool = eventlet.GreenPool(len(groups))
-        threads = [
-            pool.spawn(
-                self._calls.describe,
-                group.home,
-                request.front,
-                group.shards,
-                timeout_ms,
-            )
-            for group in groups
-        ]
-        for thread in threads:
-            thread.wait().map(
-                lambda views: self._views.learn(request.front, views),
-            )
-
-
-def _is_success(result: Result[object, Failure]) -> bool:
-    return isinstance(result, Success)
-
-
-def _better(best: Merge | None, merge: Merge) -> Merge:
-    if best is None:
-        return merge
-    covered = merge.answer().coverage.fraction
-    return merge if covered >= best.answer().coverage.fraction else best
+        whole: KeyRange,
+        gone: frozenset[int],
+    ) -> Result[Merge, Failure]:
+        pinned = pin(self._views.known(request.front), whole, gone)
+        planned = pinned.map(
+            lambda partition: merge_of(request.request_id, partition, whole),
+        )
+        if is_successful(planned):
+            scatter.run(planned.unwrap())
+        return planned
+
+
+def root_service(board: Blackboard, clock: Clock, home: Home) -> RootService:
+    """Build the root side of a daemon.
+
+    Args:
+        board: the facts of the daemon.
+        clock: its clock.
+        home: the home side of the same daemon.
+    """
+    health = peer_health(clock)
+    calls = HomeCalls(
+        local_name=board.local.name,
+        local=home,
+        peers=PeerClient(),
+        health=health,
+    )
+    views = ViewCache()
+    describer = Describer(
+        board=board,
+        calls=calls,
+        health=health,
+        views=views,
+        clock=clock,
+    )
+    return RootService(
+        board=board,
+        calls=calls,
+        health=health,
+        views=views,
+        describer=describer,
+        clock=clock,
+    )
+
+
+def _finish(
+    request: QueryRequest,
+    merge: Merge,
+    config_version: int,
+    scatter: RootScatter,
+) -> Result[QueryAnswer, Failure]:
+    answer = merge.answer()
+    if not allows(request.demand, answer.coverage):
+        return Bad(_refusal(merge, answer))
+    return Success(
+        QueryAnswer(
+            answer=answer,
+            config_version=config_version,
+            work=scatter.work,
+        ),
+    )
+
+
+def _better(first: Merge, rerun: Merge) -> Merge:
+    before = first.answer().coverage.fraction
+    after = rerun.answer().coverage.fraction
+    return rerun if after >= before else first
 
 
 def _refusal(merge: Merge, answer: Answer) -> Failure:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
@@ -1,33 +1,6 @@
-"""TCP sockets as every face and client of the daemon uses them."""
+"""Socket options that every connection of the daemon has."""
 
 import socket
-from typing import Final
-
-import eventlet
-
-from fennelfork_daemon._address import Address
-
-_BACKLOG: Final = 512
-
-
-def listen(address: Address) -> socket.socket:
-    """Open a listening socket.
-
-    Raises:
-        OSError: if the address cannot be bound.
-    """
-    listener = eventlet.listen(
-        (address.host, address.port),
-        backlog=_BACKLOG,
-    )
-    no_delay(listener)
-    return listener
-
-
-def bound_address(listener: socket.socket) -> Address:
-    """Give the address that a listening socket got."""
-    host, port = listener.getsockname()[:2]
-    return Address(host=host, port=port)
 
 
 def no_delay(sock: socket.socket) -> None:
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -33,6 +33,7 @@
 from fennelfork._entries import choose_entries as choose_entries
 from fennelfork._home_route import HomeGroup as HomeGroup
 from fennelfork._home_route import data_centres_of as data_centres_of
+from fennelfork._home_route import homes_of as homes_of
 from fennelfork._home_route import route_homes as route_homes
 from fennelfork._member import Member as Member
 from fennelfork._member import MemberStatus as MemberStatus
--- a/packages/fennelfork/src/fennelfork/_home_route.py
+++ b/packages/fennelfork/src/fennelfork/_home_route.py
@@ -52,6 +52,11 @@
     )
 
 
+def homes_of(groups: Iterable[HomeGroup]) -> frozenset[str]:
+    """Give the names of the homes of some groups."""
+    return frozenset(group.home.name for group in groups)
+
+
 def data_centres_of(shard: Shard) -> tuple[str, ...]:
     """List the data centres of a shard's servers, most servers first."""
     counts = Counter(server.data_centre for server in shard.servers.values())
