Operators' command: all subcommands against the faces of the contract

Cause: operators have no way to see or change a fleet. Ruled out: exit 3 for a later refusal after a lost reply, which a test showed would call an applied patch not run; verdicts of all tries are joined instead.

--- /dev/null
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_explain.py
@@ -0,0 +1,62 @@
+"""`fennelfork explain`: what a daemon did for one request."""
+
+import json
+from typing import Final
+from urllib.parse import quote
+
+from fennelfork_cli._call import Tree
+from fennelfork_cli._options import OperatorOptions
+from fennelfork_cli._page import show_page
+from fennelfork_cli._report import Report
+from fennelfork_cli._text_table import text_table
+
+_HERE: Final = OperatorOptions()
+_EVENTS: Final = ('at_ms', 'event', 'details')
+_COLUMNS_SHOWN: Final = frozenset(('at_ms', 'event'))
+
+
+def explain(
+    request_id: str,
+    /,
+    *,
+    options: OperatorOptions = _HERE,
+) -> int:
+    """Show what was done for a request; ask the daemon that answered it.
+
+    Example: fennelfork explain 6f1c2a --operator 127.0.0.1:8081
+
+    Args:
+        request_id: as in the answer or the refusal.
+    """
+    quoted = quote(request_id, safe='')
+    return show_page(f'/v1/explain/{quoted}', options, _explain_report)
+
+
+def _explain_report(tree: Tree) -> Report:
+    rows = [_event_row(event) for event in tree.get('events', ())]
+    facts = [
+        f'{name}: {_plain(found)}'
+        for name, found in tree.items()
+        if name != 'events'
+    ]
+    return Report(
+        tree=tree,
+        text='\n'.join((*facts, text_table(_EVENTS, rows))),
+    )
+
+
+def _event_row(event: Tree) -> Tree:
+    details = [
+        f'{name}={_plain(found)}'
+        for name, found in event.items()
+        if name not in _COLUMNS_SHOWN
+    ]
+    return {
+        'at_ms': event.get('at_ms'),
+        'event': event.get('event'),
+        'details': ' '.join(details),
+    }
+
+
+def _plain(found: object) -> str:
+    return found if isinstance(found, str) else json.dumps(found)
--- /dev/null
+++ b/packages/fennelfork-cli/tests/cli_builders.py
@@ -0,0 +1,156 @@
+"""A scripted daemon, and pages as daemons give them."""
+
+import contextlib
+import json
+import threading
+from collections.abc import Iterator
+from http import server as http_server
+from typing import Any
+
+import attrs
+
+LOST = 'lost'
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """One scripted answer."""
+
+    tree: Any
+    status: int = 200
+
+
+@attrs.define(kw_only=True)
+class ScriptedDaemon:
+    """Answers each path with its script, the last answer for ever.
+
+    Attributes:
+        script: answers by path; `LOST` closes the connection unanswered.
+        posted: path and body of each POST.
+        address: where it listens.
+    """
+
+    script: dict[str, list[Any]]
+    posted: list[tuple[str, Any]] = attrs.field(factory=list)
+    address: str = ''
+
+    def next_answer(self, path: str) -> Any:
+        """Give the answer to a request of `path`."""
+        answers = self.script.get(path, [problem(404, code='unknown_front')])
+        return answers.pop(0) if len(answers) > 1 else answers[0]
+
+
+@contextlib.contextmanager
+def scripted_daemon(script: dict[str, list[Any]]) -> Iterator[ScriptedDaemon]:
+    """Serve a script on loopback."""
+    daemon = ScriptedDaemon(script=script)
+    scripted = type('_Handler', (_ScriptHandler,), {'daemon': daemon})
+    server = http_server.ThreadingHTTPServer(('127.0.0.1', 0), scripted)
+    daemon.address = f'127.0.0.1:{server.server_port}'
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+    thread.start()
+    try:
+        yield daemon
+    finally:
+        _stop(server, thread)
+
+
+def _stop(
+    server: http_server.ThreadingHTTPServer,
+    thread: threading.Thread,
+) -> None:
+    server.shutdown()
+    thread.join()
+    server.server_close()
+
+
+def problem(status: int, **members: Any) -> Answer:
+    """Build a problem document."""
+    tree = {'detail': 'no', 'verdict': 'not_run', 'status': status} | members
+    return Answer(tree=tree, status=status)
+
+
+def document(version: int, delay_ms: int) -> Answer:
+    """Build a small configuration page."""
+    return Answer(
+        tree={
+            'version': version,
+            'patches': [patch_record(version)],
+            'fronts': {'raft-search': {'hedge': {'delay_ms': delay_ms}}},
+        },
+    )
+
+
+def patch_record(version: int) -> dict[str, Any]:
+    """Build one line of the history."""
+    return {
+        'id': f'p{version}',
+        'version': version,
+        'author': 'anna',
+        'at_ms': 0,
+        'paths': ['fronts.raft-search.hedge.delay_ms'],
+    }
+
+
+def query_answer(*, complete: bool) -> Answer:
+    """Build an answer to a query, whole or half."""
+    missing = [] if complete else [{'lo': 5, 'hi': 10, 'reason': 'no_server'}]
+    return Answer(
+        tree={
+            'request_id': 'r1',
+            'records': [{'key': 1}],
+            'snapshot': 7,
+            'coverage': {
+                'complete': complete,
+                'fraction': 1.0 if complete else 0.5,
+                'missing': missing,
+            },
+            'config_version': 4,
+            'work': {'sub_queries': 2, 'hedges': 0, 'retries': 1, 'reruns': 0},
+            'took_ms': 12,
+        },
+    )
+
+
+def entries_answer(*addresses: str) -> Answer:
+    """Build an answer on entries."""
+    return Answer(
+        tree={
+            'entries': [
+                {'address': address, 'daemon': 'vm-1', 'data_centre': 'dc-1'}
+                for address in addresses
+            ],
+            'ttl_ms': 5000,
+            'ticket': 't1',
+            'config_version': 4,
+        },
+    )
+
+
+class _ScriptHandler(http_server.BaseHTTPRequestHandler):
+    daemon: ScriptedDaemon
+
+    def do_GET(self) -> None:
+        """Answer from the script."""
+        self._answer()
+
+    def do_POST(self) -> None:
+        """Note the body and answer from the script."""
+        length = int(self.headers['Content-Length'])
+        body = json.loads(self.rfile.read(length))
+        self.daemon.posted.append((self.path, body))
+        self._answer()
+
+    def log_message(self, *args: Any) -> None:
+        """Keep the tests' output clean."""
+
+    def _answer(self) -> None:
+        answer = self.daemon.next_answer(self.path)
+        if answer == LOST:
+            self.close_connection = True
+            return
+        body = json.dumps(answer.tree).encode()
+        self.send_response(answer.status)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
--- /dev/null
+++ b/packages/fennelfork-cli/tests/test_app.py
@@ -0,0 +1,420 @@
+"""The whole command line against a scripted daemon."""
+
+import json
+import pathlib
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from cli_builders import (
+    LOST,
+    Answer,
+    document,
+    entries_answer,
+    patch_record,
+    problem,
+    query_answer,
+    scripted_daemon,
+)
+
+from fennelfork_cli import _patch
+from fennelfork_cli.__main__ import run
+
+_NOWHERE = '127.0.0.1:1'
+_COMMANDS = (
+    'front list',
+    'front show',
+    'config show',
+    'config patch',
+    'config history',
+    'config status',
+    'config diff',
+    'members',
+    'entries',
+    'explain',
+    'query',
+    'execute',
+    'drain',
+    'completion',
+)
+_FRONTS = Answer(
+    tree={
+        'config_version': 4,
+        'fronts': [
+            {
+                'name': 'raft-search',
+                'snapshot': 7,
+                'shards': [
+                    {
+                        'name': 's0',
+                        'home': 'vm-2',
+                        'servers': [
+                            {
+                                'name': 'raft-a',
+                                'state': 'serving',
+                                'slots': 5,
+                                'busy': 1,
+                            },
+                        ],
+                    },
+                ],
+            },
+        ],
+    },
+)
+
+
+@pytest.fixture(autouse=True)
+def _no_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(_patch, '_PAUSE_S', 0)
+
+
+@pytest.fixture
+def patch_file(tmp_path: pathlib.Path) -> str:
+    """Write a patch of one value."""
+    path = tmp_path / 'hedge.toml'
+    path.write_text('[fronts.raft-search.hedge]\ndelay_ms = 20\n')
+    return str(path)
+
+
+@pytest.fixture
+def command(capsys: pytest.CaptureFixture[str]) -> Callable[..., Any]:
+    """Run a command; give its exit code and both outputs."""
+    return lambda *tokens: (run(tokens), *capsys.readouterr())
+
+
+class TestHelp:
+    """Help and usage."""
+
+    @pytest.mark.parametrize('name', _COMMANDS)
+    def test_shows_an_example(self, name: str, command: Any) -> None:
+        """The help of each command shows how it is typed."""
+        code, out, _ = command(*name.split(), '--help')
+        assert code == 0
+        assert f'Example: fennelfork {name}' in out
+
+    @pytest.mark.parametrize(
+        'line',
+        ['bogus', 'config patch', 'query f --deadline-ms x', 'explain'],
+    )
+    def test_bad_usage(self, line: str, command: Any) -> None:
+        """What the command line does not understand exits 2."""
+        assert command(*line.split())[0] == 2
+
+    def test_a_file_that_is_not_toml(
+        self,
+        tmp_path: pathlib.Path,
+        command: Any,
+    ) -> None:
+        """A patch that cannot be read exits 2 and names the place."""
+        path = tmp_path / 'bad.toml'
+        path.write_text('a = = 1')
+        code, _, err = command('config', 'patch', '--base', '1', str(path))
+        assert code == 2
+        assert 'line 1' in err
+
+    def test_completion(self, command: Any) -> None:
+        """A completion script names the commands."""
+        code, out, _ = command('completion', 'bash')
+        assert code == 0
+        assert 'explain' in out
+
+
+class TestPages:
+    """Commands that read one page."""
+
+    @pytest.mark.parametrize(
+        ('line', 'path', 'tree', 'shown'),
+        [
+            ('front list', '/v1/fronts', _FRONTS.tree, 'raft-search'),
+            ('config show', '/v1/config', {'version': 4}, '"version": 4'),
+            (
+                'config history',
+                '/v1/config/history',
+                {'version': 4, 'patches': [patch_record(4)]},
+                '1970-01-01 00:00:00',
+            ),
+            (
+                'members',
+                '/v1/members',
+                {'members': [{'name': 'vm-3', 'state': 'alive'}]},
+                'vm-3',
+            ),
+            (
+                'explain r/1',
+                '/v1/explain/r%2F1',
+                {
+                    'request_id': 'r/1',
+                    'events': [{'at_ms': 3, 'event': 'hedge', 'shard': 's0'}],
+                },
+                'shard=s0',
+            ),
+        ],
+    )
+    def test_prints_tables_and_json(
+        self,
+        line: str,
+        path: str,
+        tree: Any,
+        shown: str,
+        command: Any,
+    ) -> None:
+        """People get a table, `--json` gives the page as it came."""
+        with scripted_daemon({path: [Answer(tree=tree)]}) as daemon:
+            words = (*line.split(), '--operator', daemon.address)
+            code, out, _ = command(*words)
+            assert code == 0
+            assert shown in out
+            _, out, _ = command(*words, '--json')
+        assert json.loads(out) == tree
+
+    def test_one_front(self, command: Any) -> None:
+        """One front is shown with homes and servers, and alone as JSON."""
+        words = ('front', 'show', 'raft-search', '--operator')
+        with scripted_daemon({'/v1/fronts': [_FRONTS]}) as daemon:
+            _, out, _ = command(*words, daemon.address)
+            assert out.splitlines()[-1].split()[:3] == ['s0', 'vm-2', 'raft-a']
+            _, out, _ = command(*words, daemon.address, '--json')
+        assert json.loads(out) == _FRONTS.tree['fronts'][0]
+
+    def test_unknown_front(self, command: Any) -> None:
+        """A front that is not there exits 3 and names those that are."""
+        with scripted_daemon({'/v1/fronts': [_FRONTS]}) as daemon:
+            code, _, err = command(
+                'front', 'show', 'x', '--operator', daemon.address
+            )
+        assert code == 3
+        assert 'raft-search' in err
+
+    def test_status_with_a_daemon_behind(self, command: Any) -> None:
+        """A daemon on an older version exits 5 and is named."""
+        daemons = [
+            {'name': 'vm-1', 'config_version': 4},
+            {'name': 'vm-2', 'config_version': 3},
+        ]
+        page = Answer(tree={'version': 4, 'daemons': daemons})
+        with scripted_daemon({'/v1/config/status': [page]}) as daemon:
+            code, out, _ = command(
+                'config', 'status', '--operator', daemon.address
+            )
+        assert code == 5
+        assert out.endswith('not known to be in force on: vm-2\n')
+
+    def test_unreachable(self, command: Any) -> None:
+        """A daemon that is not there exits 3: nothing ran."""
+        code, _, err = command('members', '--operator', _NOWHERE)
+        assert code == 3
+        assert 'cannot connect' in err
+
+    def test_diff(self, patch_file: str, command: Any) -> None:
+        """A diff shows path, value in force and value asked for."""
+        with scripted_daemon({'/v1/config': [document(4, 30)]}) as daemon:
+            code, out, _ = command(
+                'config', 'diff', patch_file, '--operator', daemon.address
+            )
+            assert daemon.posted == []
+        assert code == 0
+        assert out.splitlines()[-1].split() == [
+            'fronts.raft-search.hedge.delay_ms',
+            '30',
+            '20',
+        ]
+
+
+class TestDrain:
+    """Letting a daemon leave."""
+
+    def test_asks_once(self, command: Any) -> None:
+        """The daemon is asked once, and its word is passed on."""
+        script = {'/v1/drain': [Answer(tree={'draining': True}, status=202)]}
+        with scripted_daemon(script) as daemon:
+            assert command('drain', '--operator', daemon.address)[0] == 0
+            assert daemon.posted == [('/v1/drain', {})]
+
+
+def _patch_with(
+    command: Any,
+    script: dict[str, list[Any]],
+    *more: str,
+) -> Any:
+    with scripted_daemon(script) as daemon:
+        outcome = command(
+            'config',
+            'patch',
+            '--base=4',
+            '--patch-id=p9',
+            f'--operator={daemon.address}',
+            *more,
+        )
+        return outcome, [body for _, body in daemon.posted]
+
+
+class TestPatch:
+    """Changing the configuration."""
+
+    def test_accepted(self, patch_file: str, command: Any) -> None:
+        """The new version is printed; removals go as null."""
+        outcome, posted = _patch_with(
+            command,
+            {'/v1/config/patch': [Answer(tree={'version': 5})]},
+            patch_file,
+            '--remove=fronts.old',
+        )
+        assert outcome[0] == 0
+        assert 'version 5 accepted, patch p9' in outcome[1]
+        assert posted[0]['base'] == 4
+        assert posted[0]['patch']['fronts'] == {
+            'raft-search': {'hedge': {'delay_ms': 20}},
+            'old': None,
+        }
+
+    def test_lost_reply(self, patch_file: str, command: Any) -> None:
+        """A lost reply is asked for again under the same patch id."""
+        outcome, posted = _patch_with(
+            command,
+            {'/v1/config/patch': [LOST, LOST, Answer(tree={'version': 5})]},
+            patch_file,
+        )
+        assert outcome[0] == 0
+        assert [body['patch_id'] for body in posted] == ['p9', 'p9', 'p9']
+        assert posted[0] == posted[2]
+
+    def test_lost_race(self, patch_file: str, command: Any) -> None:
+        """The loser sees the version in force, who won, and a diff."""
+        outcome, posted = _patch_with(
+            command,
+            {
+                '/v1/config/patch': [problem(409, code='conflict', version=6)],
+                '/v1/config': [document(6, 25)],
+                '/v1/config/history': [
+                    Answer(
+                        tree={
+                            'version': 6,
+                            'patches': [patch_record(4), patch_record(6)],
+                        },
+                    ),
+                ],
+            },
+            patch_file,
+        )
+        assert outcome[0] == 3
+        assert len(posted) == 1
+        lines = outcome[2].splitlines()
+        assert 'version 6 is in force; nothing was changed' in lines[0]
+        assert lines[3].split()[:2] == ['6', 'anna']
+        assert lines[-1].split()[1:] == ['25', '20']
+
+    def test_outcome_unknown(self, patch_file: str, command: Any) -> None:
+        """Replies lost each time exit 4 and tell how to ask again."""
+        outcome, _ = _patch_with(
+            command,
+            {'/v1/config/patch': [LOST]},
+            patch_file,
+        )
+        assert outcome[0] == 4
+        assert '--base 4 --patch-id p9' in outcome[2]
+
+    def test_refusal_after_a_lost_reply(
+        self,
+        patch_file: str,
+        command: Any,
+    ) -> None:
+        """A later "not run" does not speak for the try that was lost."""
+        refusal = problem(503, code='platform')
+        outcome, _ = _patch_with(
+            command,
+            {'/v1/config/patch': [LOST, refusal]},
+            patch_file,
+        )
+        assert outcome[0] == 4
+
+    def test_refused(self, patch_file: str, command: Any) -> None:
+        """A bad patch exits 3 with each path and what is allowed."""
+        wrong = [{'path': 'fronts.a', 'detail': 'unknown', 'allowed': 'b'}]
+        outcome, posted = _patch_with(
+            command,
+            {
+                '/v1/config/patch': [
+                    problem(400, code='bad_request', problems=wrong),
+                ],
+            },
+            patch_file,
+        )
+        assert outcome[0] == 3
+        assert 'fronts.a: unknown; allowed: b' in outcome[2]
+        assert len(posted) == 1
+
+
+class TestCaller:
+    """Acting as a caller."""
+
+    @pytest.mark.parametrize(('complete', 'code'), [(True, 0), (False, 5)])
+    def test_query(self, complete: bool, code: int, command: Any) -> None:
+        """A partial answer is said to be partial and exits 5."""
+        path = '/v1/fronts/f/query'
+        script: dict[str, list[Any]] = {
+            path: [query_answer(complete=complete)],
+        }
+        with scripted_daemon(script) as daemon:
+            script['/v1/entries'] = [entries_answer(daemon.address)]
+            found, out, _ = command(
+                'query',
+                'f',
+                '--key=1',
+                '--floor=0.4',
+                '--caller',
+                daemon.address,
+            )
+            body = daemon.posted[0][1]
+        assert found == code
+        assert ('PARTIAL: 50.00%' in out) is not complete
+        assert body['query'] == {'keys': [1]}
+        assert body['coverage'] == {'mode': 'partial', 'floor': 0.4}
+
+    def test_next_entry(self, command: Any) -> None:
+        """An entry that cannot be reached is passed over."""
+        path = '/v1/fronts/f/query'
+        script: dict[str, list[Any]] = {path: [query_answer(complete=True)]}
+        with scripted_daemon(script) as daemon:
+            script['/v1/entries'] = [entries_answer(_NOWHERE, daemon.address)]
+            code, _, _ = command('query', 'f', '--caller', daemon.address)
+        assert code == 0
+
+    def test_execute_with_a_lost_reply(self, command: Any) -> None:
+        """It is sent once, and exit 4 tells how to ask again safely."""
+        path = '/v1/fronts/f/execute'
+        script: dict[str, list[Any]] = {path: [LOST]}
+        with scripted_daemon(script) as daemon:
+            script['/v1/entries'] = [
+                entries_answer(daemon.address) for _ in range(2)
+            ]
+            code, _, err = command(
+                'execute',
+                'f',
+                '--key=1',
+                '--action=issue',
+                '--request-id=r9',
+                '--caller',
+                daemon.address,
+            )
+            assert len(daemon.posted) == 1
+        assert code == 4
+        assert '--request-id r9 --ticket t1' in err
+
+    def test_execute_refused(self, command: Any) -> None:
+        """A refusal that says "not run" exits 3 with its words."""
+        path = '/v1/fronts/f/execute'
+        refusal = problem(503, code='shed', retry_after_ms=70)
+        script: dict[str, list[Any]] = {path: [refusal]}
+        with scripted_daemon(script) as daemon:
+            script['/v1/entries'] = [entries_answer(daemon.address)]
+            code, _, err = command(
+                'execute',
+                'f',
+                '--key=1',
+                '--action=a',
+                '--caller',
+                daemon.address,
+            )
+        assert code == 3
+        assert 'ask again after 70 ms' in err
