Metrics with bounded labels and logs of state changes

Cause: the daemon needs what operators scrape and read. Conclusion: not wired yet; the daemon calls it when it lands.

--- a/packages/fennelfork-daemon/tests/daemon_builders_product.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_product.py
@@ -7,6 +7,7 @@
 
 from returns.pipeline import is_successful
 
+from fennelfork import Document, Front, Tenant, TrafficClass
 from fennelfork_daemon._problem import problem_reply
 from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
 from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
@@ -79,3 +80,17 @@
     reply = problem_reply(refusal.failure, None, status=refusal.status)
     start_response(reply.status_line, list(reply.headers))
     return [reply.body]
+
+
+def labelled_document(
+    fronts: tuple[str, ...],
+    tenants: tuple[str, ...],
+) -> Document:
+    """Build a configuration of which only the names matter."""
+    front = Front(keys=10, shards={})
+    return Document(
+        version=3,
+        fronts=dict.fromkeys(fronts, front),
+        tenants=dict.fromkeys(tenants, Tenant(weight=1)),
+        classes={'counter': TrafficClass(weight=1)},
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_logs.py
@@ -0,0 +1,80 @@
+"""Log lines."""
+
+import io
+import json
+import subprocess
+import sys
+
+import pytest
+import structlog
+
+from fennelfork_daemon._logs import configure_logs, state_log
+from fennelfork_daemon._settings_tables import (
+    LogFormat,
+    LogLevel,
+    LogSettings,
+)
+
+
+@pytest.fixture(autouse=True)
+def _restore() -> None:
+    structlog.reset_defaults()
+
+
+def _lines(settings: LogSettings, states: str) -> list[str]:
+    stream = io.StringIO()
+    configure_logs(settings, stream)
+    log = state_log(daemon='vm-1')
+    for state in states.split():
+        log.change('platform', state, config_version=4)
+    return stream.getvalue().splitlines()
+
+
+class TestStateLog:
+    """Lines only for changes."""
+
+    def test_repeats_write_nothing(self) -> None:
+        """A state that lasts is one line, with what it belongs to."""
+        lines = _lines(LogSettings(), 'up up down down up')
+        assert len(lines) == 3
+        found = json.loads(lines[1])
+        assert found.pop('timestamp').endswith('Z')
+        assert found == {
+            'event': 'state changed',
+            'level': 'info',
+            'daemon': 'vm-1',
+            'subject': 'platform',
+            'state': 'down',
+            'config_version': 4,
+        }
+
+    def test_forgets_the_oldest_subject(self) -> None:
+        """Subjects are bounded; a forgotten one may be told again."""
+        configure_logs(LogSettings(), io.StringIO())
+        log = state_log()
+        for at in range(1025):
+            assert log.change(f'server {at}', 'up')
+        assert log.change('server 0', 'up')
+        assert not log.change('server 1024', 'up')
+
+
+class TestConfigureLogs:
+    """Format and level."""
+
+    def test_console(self) -> None:
+        """The console format is plain text without escape codes."""
+        lines = _lines(LogSettings(format=LogFormat.CONSOLE), 'up')
+        assert 'state=up' in lines[0]
+        assert '\x1b' not in lines[0]
+
+    def test_level(self) -> None:
+        """Lines below the level are left out."""
+        assert not _lines(LogSettings(level=LogLevel.ERROR), 'up down')
+
+    def test_brings_no_rich(self) -> None:
+        """The daemon's log does not load rich, which costs memory."""
+        code = (
+            'import fennelfork_daemon._logs, sys; '
+            'sys.exit("rich" in sys.modules)'
+        )
+        assert subprocess.run([sys.executable, '-c', code]).returncode == 0
