--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -1,5 +1,7 @@
 """Decisions of the fennelfork query tier, without input or output."""
 
+from fennelfork._blackboard import Blackboard as Blackboard
+from fennelfork._blackboard import blackboard as blackboard
 from fennelfork._clock import Clock as Clock
 from fennelfork._clock import ManualTime as ManualTime
 from fennelfork._clock import manual_clock as manual_clock
@@ -14,6 +16,12 @@
 from fennelfork._config_state import HeldDocument as HeldDocument
 from fennelfork._config_state import OfferOutcome as OfferOutcome
 from fennelfork._config_state import config_state as config_state
+from fennelfork._coverage import Coverage as Coverage
+from fennelfork._coverage import MissingRange as MissingRange
+from fennelfork._coverage import PartialCoverage as PartialCoverage
+from fennelfork._coverage import WholeCoverage as WholeCoverage
+from fennelfork._coverage import allows as allows
+from fennelfork._coverage import coverage_of as coverage_of
 from fennelfork._document import Document as Document
 from fennelfork._document import Front as Front
 from fennelfork._document import HedgePolicyName as HedgePolicyName
@@ -31,9 +39,25 @@
     unstructure_document as unstructure_document,
 )
 from fennelfork._document_problem import Problem as Problem
+from fennelfork._entries import choose_entries as choose_entries
+from fennelfork._home_route import HomeGroup as HomeGroup
+from fennelfork._home_route import data_centres_of as data_centres_of
+from fennelfork._home_route import homes_of as homes_of
+from fennelfork._home_route import route_homes as route_homes
+from fennelfork._member import Member as Member
+from fennelfork._member import MemberStatus as MemberStatus
+from fennelfork._merge import Answer as Answer
+from fennelfork._merge import Merge as Merge
+from fennelfork._merge import Planned as Planned
+from fennelfork._merge import merge_of as merge_of
 from fennelfork._merge_patch import Change as Change
 from fennelfork._merge_patch import merge_patch as merge_patch
 from fennelfork._merge_patch import tree_changes as tree_changes
+from fennelfork._partition import Assignment as Assignment
+from fennelfork._partition import PartitionMap as PartitionMap
+from fennelfork._partition import ShardView as ShardView
+from fennelfork._partition import SnapshotView as SnapshotView
+from fennelfork._partition import pin as pin
 from fennelfork._patch import PatchAccepted as PatchAccepted
 from fennelfork._patch import PatchOutcome as PatchOutcome
 from fennelfork._patch import PatchRefused as PatchRefused
@@ -55,9 +79,24 @@
 from fennelfork._patch_request import structure_request as structure_request
 from fennelfork._patch_writer import PatchWriter as PatchWriter
 from fennelfork._patch_writer import advance_patch as advance_patch
+from fennelfork._peer_health import PeerHealth as PeerHealth
+from fennelfork._peer_health import peer_health as peer_health
+from fennelfork._query import CoverageDemand as CoverageDemand
+from fennelfork._query import QueryAnswer as QueryAnswer
+from fennelfork._query import QueryRequest as QueryRequest
+from fennelfork._query import Work as Work
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
 from fennelfork._range import missing_ranges as missing_ranges
+from fennelfork._rendezvous import home_of as home_of
+from fennelfork._rendezvous import watchers as watchers
+from fennelfork._reply import Expected as Expected
+from fennelfork._reply import Record as Record
+from fennelfork._reply import Reply as Reply
+from fennelfork._reply import check_reply as check_reply
+from fennelfork._scatter import Part as Part
+from fennelfork._scatter import ScatterOrder as ScatterOrder
+from fennelfork._scatter import ScatterOutcome as ScatterOutcome
 from fennelfork._verdict import Failure as Failure
 from fennelfork._verdict import FailureCode as FailureCode
 from fennelfork._verdict import Verdict as Verdict
