Configuration in the daemon: follow, exchange, patch, show

Cause: the thin path polled the platform from every daemon and took no patch. Ruled out: a poll by every daemon (calls grow with the fleet); a watch alone (it may stall silently, so watchers also read every 3 s, jittered). Change: two watchers a data centre read and watch; a daemon that took a version tells four peers and each asks a peer every 2 s; fetch_config carries sender, hash and ages; patches run the writer over etcd's gateway with a budget of calls; operator endpoints with verdicts; status asks each daemon.

--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_face.py
@@ -0,0 +1,151 @@
+"""The operator face's handlers for the configuration."""
+
+import json
+from typing import Any
+
+import attrs
+from returns.pipeline import is_successful
+
+from fennelfork import (
+    Blackboard,
+    FailureCode,
+    PatchAccepted,
+    PatchRefused,
+    Problem,
+    not_run,
+    structure_request,
+    unstructure_document,
+)
+from fennelfork_daemon._config_service import ConfigService
+from fennelfork_daemon._http_router import (
+    HttpReply,
+    HttpRequest,
+    Route,
+    failure_reply,
+    json_reply,
+)
+from fennelfork_daemon._problem import problem_reply
+from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon._wsgi_request import (
+    BodyLimits,
+    Refusal,
+    read_json_object,
+)
+
+
+@attrs.frozen(kw_only=True)
+class ConfigFace:
+    """Shows the configuration and takes patches of it."""
+
+    _board: Blackboard
+    _service: ConfigService
+    _limits: BodyLimits
+
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """The routes of the configuration."""
+        return (
+            Route(method='GET', path='/v1/config', handler=self.show),
+            Route(
+                method='GET',
+                path='/v1/config/history',
+                handler=self.history,
+            ),
+            Route(method='GET', path='/v1/config/status', handler=self.status),
+            Route(method='POST', path='/v1/config/patch', handler=self.patch),
+        )
+
+    def show(self, request: HttpRequest) -> HttpReply:
+        """Give the document in force here."""
+        return json_reply(unstructure_document(self._board.document))
+
+    def history(self, request: HttpRequest) -> HttpReply:
+        """Give who changed what, oldest first."""
+        tree = unstructure_document(self._board.document)
+        return json_reply(
+            {'version': tree['version'], 'patches': tree['patches']},
+        )
+
+    def status(self, request: HttpRequest) -> HttpReply:
+        """Give which daemon runs which version, and what is out of reach."""
+        service = self._service
+        daemons = service.survey.ask_all()
+        versions = [daemon.config_version or 0 for daemon in daemons]
+        anomalies = service.holder.state.anomalies.values()
+        unreached = [daemon.name for daemon in daemons if daemon.failure]
+        tree = {
+            'version': max(versions, default=0),
+            'daemons': [attrs.asdict(daemon) for daemon in daemons],
+            'unreached': unreached,
+            'anomalies': [attrs.asdict(seen) for seen in anomalies],
+            'platform_failure': service.reader.failure or None,
+        }
+        return json_reply(tree)
+
+    def patch(self, request: HttpRequest) -> HttpReply:
+        """Bring a patch into force, or say why it is not."""
+        body = read_json_object(request.environ, self._limits)
+        if not is_successful(body):
+            return _unread(request, body.failure())
+        checked = structure_request(body.unwrap())
+        if not is_successful(checked):
+            return _refused(_malformed(checked.failure()))
+        outcome = self._service.patcher.patch(checked.unwrap())
+        if is_successful(outcome):
+            return _accepted(outcome.unwrap())
+        return _refused(outcome.failure())
+
+
+def config_face(
+    board: Blackboard,
+    service: ConfigService,
+    settings: Settings,
+) -> ConfigFace:
+    """Build the handlers of a daemon."""
+    limits = BodyLimits(
+        body_bytes=settings.limits.body_bytes,
+        read_ms=settings.timeouts.request_read_ms,
+    )
+    return ConfigFace(board=board, service=service, limits=limits)
+
+
+def _accepted(accepted: PatchAccepted) -> HttpReply:
+    record = accepted.record
+    return json_reply(
+        {
+            'version': record.version,
+            'patch_id': record.id,
+            'author': record.author,
+            'at_ms': record.at_ms,
+            'paths': record.paths,
+            'repeated': accepted.raw is None,
+        },
+    )
+
+
+def _malformed(problems: tuple[Problem, ...]) -> PatchRefused:
+    failure = not_run(FailureCode.BAD_REQUEST, 'the request is not a patch')
+    return PatchRefused(failure=failure, problems=problems)
+
+
+def _refused(refused: PatchRefused) -> HttpReply:
+    reply = problem_reply(refused.failure, None)
+    document: dict[str, Any] = json.loads(reply.body)
+    document |= {
+        'version': refused.in_force,
+        'problems': [attrs.asdict(problem) for problem in refused.problems],
+        'since': [attrs.asdict(record) for record in refused.newer],
+        'changes': [attrs.asdict(change) for change in refused.changes],
+    }
+    return HttpReply(
+        status=reply.status,
+        headers=reply.headers,
+        body=json.dumps(document).encode(),
+    )
+
+
+def _unread(request: HttpRequest, refusal: Refusal) -> HttpReply:
+    if refusal.close:
+        request.environ[CLOSE_KEY]()
+    return failure_reply(refusal.failure, status=refusal.status)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
@@ -0,0 +1,102 @@
+"""Carries operators' patches to the platform."""
+
+import random
+from typing import Final
+
+import attrs
+from eventlet import sleep
+from eventlet.semaphore import Semaphore
+from returns.pipeline import is_successful
+from returns.result import Failure as Bad
+
+from fennelfork import (
+    Blackboard,
+    Clock,
+    ConfigSource,
+    FailureCode,
+    PatchDone,
+    PatchOutcome,
+    PatchRefused,
+    PatchRequest,
+    PatchWriter,
+    ReadDocument,
+    WriteDocument,
+    advance_patch,
+    not_run,
+)
+from fennelfork_daemon._config_holder import ConfigHolder
+from fennelfork_daemon._kv_client import ConfigKey
+from fennelfork_daemon._kv_event import read_event, write_event
+
+_MS: Final = 1000
+_TRIES: Final = 6
+_PATCHES_AT_ONCE: Final = 16
+_RETRY_AFTER_MS: Final = 1000
+
+
+@attrs.define(kw_only=True)
+class ConfigPatcher:
+    """Runs one `PatchWriter` for each patch, a bounded number at once."""
+
+    _board: Blackboard
+    _holder: ConfigHolder
+    _key: ConfigKey
+    _clock: Clock
+    _jitter: random.Random
+    _slots: Semaphore = attrs.field(
+        factory=lambda: Semaphore(_PATCHES_AT_ONCE),
+    )
+
+    def patch(self, request: PatchRequest) -> PatchOutcome:
+        """Bring a patch into force, or say why it is not.
+
+        Args:
+            request: a checked request.
+
+        Returns:
+            The outcome, with what is certain of it.
+        """
+        if self._slots.locked():
+            return Bad(_too_many())
+        with self._slots:
+            return self._run(self._writer(request))
+
+    def _writer(self, request: PatchRequest) -> PatchWriter:
+        members = self._board.members.values()
+        heard = max((member.config_version for member in members), default=0)
+        return PatchWriter(
+            request=request,
+            known_version=max(self._holder.state.version, heard),
+            now_ms=int(self._clock.now_ms()),
+            tries_left=_TRIES,
+            jitter=self._jitter,
+        )
+
+    def _run(self, writer: PatchWriter) -> PatchOutcome:
+        while not isinstance(writer.step, PatchDone):
+            self._take_step(writer, writer.step)
+        outcome = writer.step.outcome
+        if is_successful(outcome) and outcome.unwrap().raw is not None:
+            self._holder.offer(outcome.unwrap().raw, ConfigSource.PLATFORM)
+        return outcome
+
+    def _take_step(
+        self,
+        writer: PatchWriter,
+        step: ReadDocument | WriteDocument,
+    ) -> None:
+        sleep(step.delay_ms / _MS)
+        if isinstance(step, ReadDocument):
+            advance_patch(read_event(self._key), writer)
+        else:
+            advance_patch(write_event(self._key, step.write), writer)
+
+
+def _too_many() -> PatchRefused:
+    return PatchRefused(
+        failure=not_run(
+            FailureCode.SHED,
+            f'{_PATCHES_AT_ONCE} patches are being written by this daemon',
+            _RETRY_AFTER_MS,
+        ),
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
@@ -0,0 +1,92 @@
+"""Everything of a daemon that has to do with its configuration."""
+
+import random
+
+import attrs
+import eventlet
+
+from fennelfork import Blackboard, Clock, config_follower, wall_clock
+from fennelfork_daemon._config_exchange import ConfigExchange
+from fennelfork_daemon._config_holder import ConfigHolder, config_holder
+from fennelfork_daemon._config_patcher import ConfigPatcher
+from fennelfork_daemon._config_reader import ConfigReader
+from fennelfork_daemon._config_status import ConfigSurvey
+from fennelfork_daemon._kv_client import config_key
+from fennelfork_daemon._logs import state_log
+from fennelfork_daemon._peer_client import PeerClient
+from fennelfork_daemon._settings_tables import Settings
+
+
+@attrs.frozen(kw_only=True)
+class ConfigService:
+    """The parts that follow, give and change the configuration.
+
+    Attributes:
+        holder: puts newer documents in force.
+        reader: reads and watches the platform.
+        exchange: asks, tells and answers peers.
+        patcher: writes patches.
+        survey: asks all daemons for their version.
+    """
+
+    holder: ConfigHolder
+    reader: ConfigReader
+    exchange: ConfigExchange
+    patcher: ConfigPatcher
+    survey: ConfigSurvey
+
+    def start(self) -> None:
+        """Follow the configuration from now on, in green threads."""
+        self.holder.on_taken.append(self.exchange.tell_peers)
+        eventlet.spawn_n(self.reader.read_forever)
+        eventlet.spawn_n(self.reader.watch_forever)
+        eventlet.spawn_n(self.exchange.ask_forever)
+
+
+def config_service(
+    board: Blackboard,
+    clock: Clock,
+    settings: Settings,
+) -> ConfigService:
+    """Build the service of a daemon.
+
+    Args:
+        board: the facts of this daemon.
+        clock: monotonic time.
+        settings: endpoints, timeouts and bounds.
+    """
+    jitter = random.Random()
+    holder = config_holder(board, clock)
+    follower = config_follower(clock, jitter)
+    key = config_key(settings, clock)
+    peers = PeerClient()
+    return ConfigService(
+        holder=holder,
+        reader=ConfigReader(
+            board=board,
+            holder=holder,
+            key=key,
+            follower=follower,
+            log=state_log(daemon=board.local.name),
+        ),
+        exchange=ConfigExchange(
+            board=board,
+            holder=holder,
+            follower=follower,
+            peers=peers,
+            clock=clock,
+            timeout_ms=settings.timeouts.peer_ms,
+        ),
+        patcher=ConfigPatcher(
+            board=board,
+            holder=holder,
+            key=key,
+            clock=wall_clock(),
+            jitter=jitter,
+        ),
+        survey=ConfigSurvey(
+            board=board,
+            peers=peers,
+            timeout_ms=settings.timeouts.peer_ms,
+        ),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -17,11 +17,12 @@
     system_clock,
 )
 from fennelfork_daemon._caller_face import CallerFace
+from fennelfork_daemon._config_service import ConfigService, config_service
 from fennelfork_daemon._entries_face import EntriesFace
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners, open_listeners
-from fennelfork_daemon._operator_face import OperatorFace
+from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
 from fennelfork_daemon._peer_server import peer_server
 from fennelfork_daemon._platform_poll import platform_poll
@@ -41,14 +42,20 @@
     _board: Blackboard
     _listeners: Listeners
     _home: HomeService
+    _config: ConfigService
 
     def serve(self) -> None:
         """Serve until the process is told to stop."""
-        handler = PeerHandler(board=self._board, home=self._home)
+        handler = PeerHandler(
+            board=self._board,
+            home=self._home,
+            config=self._config.exchange,
+        )
         eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
         eventlet.spawn_n(self._home.poll_forever)
         eventlet.spawn_n(platform_poll(self._board, self._settings).run)
-        operator = router(OperatorFace(board=self._board).routes)
+        self._config.start()
+        operator = operator_router(self._board, self._config, self._settings)
         eventlet.spawn_n(
             serve_http,
             self._listeners.operator,
@@ -88,6 +95,7 @@
         board=board,
         listeners=listeners,
         home=home_service(board, clock),
+        config=config_service(board, clock, settings),
     )
 
 
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_event.py
@@ -0,0 +1,37 @@
+"""Steps of a patch writer, carried out on the platform."""
+
+from returns.pipeline import is_successful
+
+from fennelfork import (
+    DocumentRead,
+    PreparedWrite,
+    ReadFailed,
+    Verdict,
+    WriteApplied,
+    WriteLost,
+    WriteNotSent,
+    WriteRefused,
+)
+from fennelfork_daemon._kv_client import ConfigKey
+
+ReadEvent = DocumentRead | ReadFailed
+WriteEvent = WriteApplied | WriteRefused | WriteNotSent | WriteLost
+
+
+def read_event(key: ConfigKey) -> ReadEvent:
+    """Read the key for a patch writer."""
+    reply = key.read()
+    if is_successful(reply):
+        return DocumentRead(stored=reply.unwrap())
+    return ReadFailed(detail=reply.failure().detail)
+
+
+def write_event(key: ConfigKey, write: PreparedWrite) -> WriteEvent:
+    """Write the key for a patch writer."""
+    reply = key.swap(write)
+    if is_successful(reply):
+        return WriteApplied() if reply.unwrap() else WriteRefused()
+    failure = reply.failure()
+    if failure.verdict is Verdict.NOT_RUN:
+        return WriteNotSent(detail=failure.detail)
+    return WriteLost(detail=failure.detail)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -1,34 +1,46 @@
-"""The operator face: health, configuration and members over HTTP."""
+"""The operator face: health over HTTP."""
 
 import attrs
 
-from fennelfork import Blackboard, unstructure_document
+from fennelfork import Blackboard
+from fennelfork_daemon._config_face import config_face
+from fennelfork_daemon._config_service import ConfigService
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
     Route,
+    Router,
     json_reply,
+    router,
 )
+from fennelfork_daemon._settings_tables import Settings
 
 
 @attrs.frozen(kw_only=True)
 class OperatorFace:
     """Answers operators."""
 
-    _board: Blackboard
-
     @property
     def routes(self) -> tuple[Route, ...]:
         """The routes of this face."""
-        return (
-            Route(method='GET', path='/healthz', handler=self.health),
-            Route(method='GET', path='/v1/config', handler=self.config),
-        )
+        return (Route(method='GET', path='/healthz', handler=self.health),)
 
     def health(self, request: HttpRequest) -> HttpReply:
         """Tell that the process serves."""
         return json_reply({'status': 'ok'})
 
-    def config(self, request: HttpRequest) -> HttpReply:
-        """Give the configuration in force here."""
-        return json_reply(unstructure_document(self._board.document))
+
+def operator_router(
+    board: Blackboard,
+    config: ConfigService,
+    settings: Settings,
+) -> Router:
+    """Build the application of the operator face.
+
+    Args:
+        board: the facts of this daemon.
+        config: follows and changes the configuration.
+        settings: what bounds requests.
+    """
+    config_routes = config_face(board, config, settings).routes
+    return router((*OperatorFace().routes, *config_routes))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_platform_poll.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_platform_poll.py
@@ -1,10 +1,8 @@
-"""Reads the configuration and the VM list from the platform, again and again.
+"""Reads the VM list from the platform, again and again.
 
-The thin path's reader: one call of each a period. Watches and membership
-take its place.
+The thin path's reader: one call a period. Membership takes its place.
 """
 
-import base64
 import json
 from typing import Any, Final
 
@@ -14,11 +12,8 @@
 
 from fennelfork import (
     Blackboard,
-    Document,
     Member,
     MemberStatus,
-    digest,
-    parse_document,
 )
 from fennelfork_daemon._settings_tables import Settings
 
@@ -38,24 +33,9 @@
     def run(self) -> None:
         """Poll as long as the daemon runs."""
         while True:  # noqa: WPS457  # as long as the daemon runs
-            self._read_config()
             self._read_vms()
             eventlet.sleep(_PERIOD_S)
 
-    def _read_config(self) -> None:
-        key = f'{self._settings.platform.key_prefix}config'
-        body = {'key': base64.b64encode(key.encode()).decode()}
-        endpoint = self._settings.platform.key_value[0]
-        tree = self._call('POST', f'http://{endpoint}/v3/kv/range', body)
-        for found in (tree or {}).get('kvs', []):
-            self._take(base64.b64decode(found['value']).decode())
-
-    def _take(self, raw: str) -> None:
-        document = parse_document(raw).value_or(Document())
-        if document.version > self._board.config_version:
-            self._board.document = document
-            self._board.config_hash = digest(raw)
-
     def _read_vms(self) -> None:
         endpoint = self._settings.platform.vm_list
         tree = self._call('GET', f'http://{endpoint}/v1/vms', None)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
@@ -114,13 +114,21 @@
   3: required bool reached
 }
 
+// `sender` is the peer address of a daemon that tells of its own version: one
+// that has an older version asks it in turn. `document` is there only if
+// `version` is above `have_version`.
 struct ConfigRequest {
   1: required i64 have_version
+  2: optional string sender
 }
 
 struct ConfigReply {
   1: required i64 version
   2: optional string document
+  3: optional string config_hash
+  4: optional i64 age_ms
+  5: optional i64 confirmed_age_ms
+  6: optional string anomaly
 }
 
 service Peer {
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -10,6 +10,9 @@
 from fennelfork._config_backoff import Backoff as Backoff
 from fennelfork._config_backoff import CallBudget as CallBudget
 from fennelfork._config_backoff import call_budget as call_budget
+from fennelfork._config_follow import ConfigFollower as ConfigFollower
+from fennelfork._config_follow import FollowPolicy as FollowPolicy
+from fennelfork._config_follow import config_follower as config_follower
 from fennelfork._config_state import ConfigAnomaly as ConfigAnomaly
 from fennelfork._config_state import ConfigSource as ConfigSource
 from fennelfork._config_state import ConfigState as ConfigState
--- a/packages/fennelfork/src/fennelfork/_config_state.py
+++ b/packages/fennelfork/src/fennelfork/_config_state.py
@@ -131,6 +131,31 @@
             ),
         )
 
+    def compare(self, version: int, claimed: str) -> OfferOutcome:
+        """Compare what a peer says it runs, without its document.
+
+        Args:
+            version: the version that the peer runs.
+            claimed: the hash of the peer's document.
+
+        Returns:
+            `CONFLICT`, kept in `anomalies`, if it runs another document under
+            this daemon's version.
+        """
+        if version < self.version:
+            return OfferOutcome.OLDER
+        if version > self.version or not claimed:
+            return OfferOutcome.EMPTY
+        if claimed == self.digest:
+            self._confirm(ConfigSource.PEER)
+            return OfferOutcome.SAME
+        return self._refuse(
+            OfferOutcome.CONFLICT,
+            ConfigSource.PEER,
+            claimed,
+            version=version,
+        )
+
     def _offer_nothing(self, source: ConfigSource) -> OfferOutcome:
         if self.held is None:
             return OfferOutcome.EMPTY
