--- a/packages/fennelfork/src/fennelfork/_config_state.py
+++ b/packages/fennelfork/src/fennelfork/_config_state.py
@@ -7,7 +7,7 @@
 
 from fennelfork._clock import Clock
 from fennelfork._document import Document
-from fennelfork._document_parse import digest, parse_document
+from fennelfork._document_parse import digest, parse_document, render_document
 from fennelfork._document_problem import Problem
 
 
@@ -33,11 +33,11 @@
 
 @attrs.frozen(kw_only=True)
 class HeldDocument:
-    """A document in force, with what it was read from.
+    """A document in force.
 
     Attributes:
         document: the document.
-        raw: its text, handed to peers as it came.
+        raw: its canonical text, so that all daemons hash the same.
         digest: the hash of `raw`.
         source: where it came from.
         taken_ms: when this daemon took it.
@@ -121,11 +121,12 @@
                 offered,
                 problems=parsed.failure(),
             )
+        canonical = render_document(parsed.unwrap())
         return self._compare(
             HeldDocument(
                 document=parsed.unwrap(),
-                raw=raw,
-                digest=offered,
+                raw=canonical,
+                digest=digest(canonical),
                 source=source,
                 taken_ms=self._clock.now_ms(),
             ),
@@ -167,6 +168,9 @@
             self.held = offered
             self._confirm(offered.source)
             return OfferOutcome.TAKEN
+        if offered.digest == self.digest:
+            self._confirm(offered.source)
+            return OfferOutcome.SAME
         outcome = OfferOutcome.OLDER
         if version == self.version:
             outcome = OfferOutcome.CONFLICT
--- a/packages/fennelfork/tests/test_config_follow.py
+++ b/packages/fennelfork/tests/test_config_follow.py
@@ -32,6 +32,19 @@
     return attrs.evolve(member, config_version=version)
 
 
+def _first_read_after(
+    follower: ConfigFollower,
+    manual: ManualTime,
+    back_ms: float,
+) -> float:
+    """Fail each read until the platform is back; give when it is read then."""
+    manual.at_ms = follower.read_at_ms
+    while manual.at_ms < back_ms:
+        follower.note_read(answered=False)
+        manual.at_ms = follower.read_at_ms
+    return manual.at_ms - back_ms
+
+
 class TestPlatform:
     """Who reads the platform, and when."""
 
@@ -75,6 +88,20 @@
         assert follower.read_is_due()
 
 
+class TestStampede:
+    """The platform comes back after a long outage."""
+
+    def test_even_lonely_daemons_come_back_spread_out(self) -> None:
+        """Were all 460 to read, no half second sees a quarter of them."""
+        manual = ManualTime()
+        followers = [_follower(manual, seed) for seed in range(460)]
+        returns = Counter(
+            int(_first_read_after(follower, manual, 60_000) / 500)
+            for follower in followers
+        )
+        assert max(returns.values()) < 460 / 4
+
+
 class TestPeers:
     """Which peer is asked or told."""
 
--- a/packages/fennelfork/tests/test_config_state.py
+++ b/packages/fennelfork/tests/test_config_state.py
@@ -60,6 +60,13 @@
         refused = outcome not in {OfferOutcome.TAKEN, OfferOutcome.SAME}
         assert (_PLATFORM in state.anomalies) == refused
 
+    def test_layout_of_the_text_makes_no_conflict(self) -> None:
+        """The same document, indented by hand, is the same document."""
+        state = _state()
+        raw = json.dumps(document_tree(3), indent=2)
+        assert state.offer(raw, _PLATFORM) is OfferOutcome.SAME
+        assert state.digest == _state().digest
+
     def test_first_document_is_taken_whatever_its_version(self) -> None:
         """A daemon that holds nothing takes what there is."""
         assert _state(0).held is not None
