--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_app.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_app.py
@@ -65,7 +65,7 @@
         if link.silent:
             link.hold()
         if response is None or link.silent:
-            return wsgi.ALREADY_HANDLED
+            return _send_nothing()
         return send_response(response, start_response)
 
     def deliver(
@@ -106,6 +106,12 @@
             sleep(self.state.settings.link_ms / _MS_PER_SECOND)
 
 
+def _send_nothing() -> Iterable[bytes]:
+    """Tell the WSGI server to write nothing and close the connection."""
+    wsgi.WSGI_LOCAL.already_handled = True
+    return []
+
+
 def _search(app: BackendApp, link: Link, body: bytes) -> Response | None:
     request = parse_message(body, SearchRequest)
     subject = search_subject(request)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_connection.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_connection.py
@@ -79,12 +79,11 @@
         """Take connections off the listening socket until it is closed."""
         for connection, address in self._accepted():
             wait_until_thawed(self._state)
-            if self._state.connections >= self._state.settings.connections:
+            if self._count_in():
+                self._links[address] = Link(socket=connection)
+                spawn(self._hand_on, connection, address)
+            else:
                 connection.close()
-                continue
-            self._state.connections += 1
-            self._links[address] = Link(socket=connection)
-            spawn(self._hand_on, connection, address)
 
     def link(self, address: Any) -> Link:
         """Give the link of an open connection."""
@@ -100,6 +99,15 @@
         for link in self._links.values():
             link.silent = True
 
+    def _count_in(self) -> bool:
+        state = self._state
+        if state.connections >= state.settings.connections:
+            state.connections_refused += 1
+            return False
+        state.connections += 1
+        state.connections_peak = max(state.connections_peak, state.connections)
+        return True
+
     def _accepted(self) -> Iterator[tuple[Any, Any]]:
         with contextlib.suppress(OSError):
             yield from iter(self._socket.accept, None)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_control.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_control.py
@@ -8,7 +8,7 @@
 from fennelfork_bench._backend_codec import parse_message
 from fennelfork_bench._backend_connection import Listener
 from fennelfork_bench._backend_faults import FaultOrder
-from fennelfork_bench._backend_log import log_page
+from fennelfork_bench._backend_log_page import log_page
 from fennelfork_bench._backend_orders import DrainOrder, SnapshotOrder
 from fennelfork_bench._backend_response import (
     Response,
@@ -72,7 +72,7 @@
 
 
 def _show_log(app: ControlApp, body: bytes) -> Response:
-    return json_response(log_page(app.state.settings.name, app.state.log))
+    return json_response(log_page(app.state))
 
 
 _ROUTES: Final[dict[str, _Route]] = {
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_engine.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_engine.py
@@ -33,6 +33,7 @@
 
 _MS_PER_SECOND: Final = 1000
 _SHED_RETRY_MS: Final = 5
+_THAW_STEP_MS: Final = 10
 
 
 @attrs.frozen(kw_only=True)
@@ -121,12 +122,9 @@
 
 
 def wait_until_thawed(state: ServerState) -> None:
-    """Stand still while the server is frozen."""
-    while True:
-        left_ms = state.frozen_until_ms - state.clock.now_ms()
-        if left_ms <= 0:
-            return
-        eventlet.sleep(left_ms / _MS_PER_SECOND)
+    """Stand still while the server is frozen; an order may thaw it early."""
+    while state.frozen_until_ms > state.clock.now_ms():
+        eventlet.sleep(_THAW_STEP_MS / _MS_PER_SECOND)
 
 
 def search_subject(request: SearchRequest) -> Subject:
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
@@ -0,0 +1,59 @@
+"""The log of a stand-in as its control face sends it."""
+
+import attrs
+
+from fennelfork_bench._backend_log import Event, EventKind
+from fennelfork_bench._backend_state import ServerState
+
+
+@attrs.frozen(kw_only=True)
+class LogLine:
+    """An event as the control face sends it."""
+
+    at_ms: float
+    kind: str
+    call: str
+    request_id: str
+    sub_query: str
+    key: int | None
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class LogPage:
+    """The log as the control face sends it."""
+
+    name: str
+    connections: int
+    connections_peak: int
+    connections_refused: int
+    dropped: int
+    counts: dict[str, int]
+    events: tuple[LogLine, ...]
+
+
+def log_page(state: ServerState) -> LogPage:
+    """Give the log of a server as a message."""
+    log = state.log
+    return LogPage(
+        name=state.settings.name,
+        connections=state.connections,
+        connections_peak=state.connections_peak,
+        connections_refused=state.connections_refused,
+        dropped=log.dropped,
+        counts={kind.value: log.count(kind) for kind in EventKind},
+        events=tuple(_log_line(event) for event in log.events),
+    )
+
+
+def _log_line(event: Event) -> LogLine:
+    subject = event.subject
+    return LogLine(
+        at_ms=event.at_ms,
+        kind=event.kind.value,
+        call=subject.call.value,
+        request_id=subject.request_id,
+        sub_query=subject.sub_query,
+        key=subject.key,
+        detail=event.detail,
+    )
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_state.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_state.py
@@ -29,6 +29,8 @@
         draining: whether it refuses new work.
         frozen_until_ms: when it stops standing still.
         connections: how many connections are open.
+        connections_peak: how many were open at once at most.
+        connections_refused: how many were closed for the limit.
         executed: how often each action of a key ran.
     """
 
@@ -43,6 +45,8 @@
     draining: bool = False
     frozen_until_ms: float = 0
     connections: int = 0
+    connections_peak: int = 0
+    connections_refused: int = 0
     executed: dict[tuple[int, str], int] = attrs.field(factory=dict)
 
 
--- a/packages/fennelfork-bench/tests/bench_builders_backend.py
+++ b/packages/fennelfork-bench/tests/bench_builders_backend.py
@@ -53,10 +53,14 @@
         answer = self.order('faults', rules=rules, **others)
         assert answer.status == 200, answer
 
+    def page(self) -> dict[str, Any]:
+        """Read the log with its counts."""
+        path = '/control/log'
+        return self._ask('GET', self.control, path, None, _WAIT_S).body
+
     def log(self) -> list[dict[str, Any]]:
         """Read the events of the log."""
-        answer = self._ask('GET', self.control, '/control/log', None, _WAIT_S)
-        return answer.body['events']
+        return self.page()['events']
 
     def kinds(self, request_id: str) -> list[str]:
         """Read which events a request met, in their order."""
