--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_engine.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_engine.py
@@ -133,6 +133,9 @@
         call=Call.SEARCH,
         request_id=request.request_id,
         sub_query=request.sub_query,
+        snapshot=request.snapshot,
+        lo=request.lo,
+        hi=request.hi,
     )
 
 
@@ -143,6 +146,7 @@
         request_id=request.request_id,
         sub_query=request.sub_query,
         key=request.key,
+        action=request.action,
     )
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_log.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log.py
@@ -33,12 +33,24 @@
 
 @attrs.frozen(kw_only=True)
 class Subject:
-    """The request that an event is about."""
+    """The request that an event is about.
+
+    Attributes:
+        snapshot: the index version that a search reads.
+        lo: lowest key of a search.
+        hi: one above the highest key of a search.
+        key: the key of an execution.
+        action: what an execution does.
+    """
 
     call: Call
     request_id: str
     sub_query: str
+    snapshot: int | None = None
+    lo: int | None = None
+    hi: int | None = None
     key: int | None = None
+    action: str | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -46,7 +58,7 @@
     """One event of the log.
 
     Attributes:
-        at_ms: monotonic time, comparable between processes of one machine.
+        at_ms: civil time, comparable between processes of one machine.
         kind: what happened.
         subject: to which request.
         detail: the code of a refusal or the kind of a fault.
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
@@ -15,7 +15,11 @@
     call: str
     request_id: str
     sub_query: str
+    snapshot: int | None
+    lo: int | None
+    hi: int | None
     key: int | None
+    action: str | None
     detail: str
 
 
@@ -54,6 +58,10 @@
         call=subject.call.value,
         request_id=subject.request_id,
         sub_query=subject.sub_query,
+        snapshot=subject.snapshot,
+        lo=subject.lo,
+        hi=subject.hi,
         key=subject.key,
+        action=subject.action,
         detail=event.detail,
     )
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_state.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork import Clock
+from fennelfork import Clock, wall_clock
 from fennelfork_bench._backend_faults import FaultPlan, HealthFault, fault_plan
 from fennelfork_bench._backend_log import EventLog, event_log
 from fennelfork_bench._backend_service_time import ServiceTimes, service_times
@@ -61,7 +61,7 @@
         clock=clock,
         holdings=first_holdings(settings.snapshot, first_range(settings)),
         slots=Slots(size=settings.slots),
-        log=event_log(clock, settings.log_limit),
+        log=event_log(wall_clock(), settings.log_limit),
         faults=fault_plan(random.Random(f'faults {settings.seed}')),
         times=service_times(settings, clock.now_ms()),
         health_fault=HealthFault(lag_ms=settings.health_lag_ms),
--- a/packages/fennelfork-bench/tests/test_backend.py
+++ b/packages/fennelfork-bench/tests/test_backend.py
@@ -54,7 +54,10 @@
         with backend() as server:
             server.post('/v1/search', **search_body('r9'))
             steps = server.kinds('r9')
+            started = server.log()[1]
         assert steps == ['received', 'started', 'ran', 'replied']
+        part = [started[name] for name in ('snapshot', 'lo', 'hi')]
+        assert part == [1, 0, 1000]
 
     @pytest.mark.parametrize(
         ('fields', 'status', 'code'),
