Caller stand-in: open load with checked answers and histories

Cause: experiments need load that does not slow down with the answers, and each answer compared with the records that the front holds. Ruled out: timing from when a request was sent (hides queues of the caller itself); latency counts from when it was due. Conclusion: ready for the experiments once the daemon answers queries.

--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_caller_load.py
@@ -0,0 +1,111 @@
+"""The open load: starts each request when it is due."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+from eventlet import GreenPool, sleep
+
+from fennelfork import Clock, Verdict, system_clock, wall_clock
+from fennelfork_bench._caller_client import caller_client
+from fennelfork_bench._caller_reply import QueryEnd
+from fennelfork_bench._caller_spec import LoadSpec
+from fennelfork_bench._caller_tally import Tally, add_latency
+from fennelfork_bench._caller_truth import front_truth
+from fennelfork_bench._check_answer import check_own_answer
+from fennelfork_bench._check_base import Violation
+from fennelfork_bench._check_coverage import check_coverage
+from fennelfork_bench._check_snapshot import check_snapshot
+from fennelfork_bench._history import (
+    History,
+    Recorder,
+    gather,
+    write_history,
+)
+from fennelfork_bench._history_caller import QueryAnswered, Refused
+
+_MS_PER_SECOND: Final = 1000
+_SHOWN: Final = 20
+
+
+@attrs.define(kw_only=True)
+class OpenLoad:
+    """Starts requests at random gaps and tallies how they end."""
+
+    _spec: LoadSpec
+    _clock: Clock
+    _ask: Callable[[int], QueryEnd]
+    tally: Tally = attrs.field(factory=Tally)
+
+    def run(self) -> None:
+        """Start every request when it is due and wait for all ends."""
+        pool = GreenPool(self._spec.open_requests)
+        gaps = random.Random(f'gaps {self._spec.seed}')
+        first_ms = self._clock.now_ms()
+        due_ms = first_ms
+        for number in range(self._spec.count):
+            due_ms += gaps.expovariate(self._spec.rate_per_s) * _MS_PER_SECOND
+            self._wait_until(due_ms)
+            self.tally.counts['offered'] += 1
+            if pool.free() > 0:
+                pool.spawn_n(self._one, number, due_ms)
+            else:
+                self.tally.counts['given_up'] += 1
+        pool.waitall()
+        self.tally.span_ms = self._clock.now_ms() - first_ms
+
+    def _wait_until(self, due_ms: float) -> None:
+        left_ms = due_ms - self._clock.now_ms()
+        sleep(max(0, left_ms) / _MS_PER_SECOND)
+
+    def _one(self, number: int, due_ms: float) -> None:
+        end = self._ask(number)
+        count_end(self.tally, end, self._clock.now_ms() - due_ms)
+
+
+def count_end(tally: Tally, end: QueryEnd, took_ms: float) -> None:
+    """Add the end of one request to a tally."""
+    event = end.event
+    if isinstance(event, QueryAnswered):
+        _count_answer(tally, event)
+        add_latency(tally.answers, took_ms)
+        for name, amount in attrs.asdict(end.work).items():
+            tally.counts[name] += amount
+    elif isinstance(event, Refused):
+        tally.counts['refused'] += 1
+        tally.counts[f'code_{event.code}'] += 1
+        if event.verdict is Verdict.NOT_RUN:
+            tally.counts['not_run'] += 1
+        add_latency(tally.refusals, took_ms)
+    else:
+        tally.counts['lost'] += 1
+
+
+def run_load(spec: LoadSpec) -> Tally:
+    """Run a load to its end, check its answers and write its history."""
+    recorder = Recorder(clock=wall_clock())
+    client = caller_client(spec, recorder)
+    load = OpenLoad(spec=spec, clock=system_clock(), ask=client.ask)
+    load.run()
+    history = gather(recorder.events)
+    for found in _violations(spec, history)[:_SHOWN]:
+        load.tally.violations.append(f'{found.promise.value}: {found.detail}')
+    if spec.history:
+        write_history(spec.history, history)
+    return load.tally
+
+
+def _count_answer(tally: Tally, event: QueryAnswered) -> None:
+    tally.counts['answered'] += 1
+    tally.counts['complete'] += event.complete
+    tally.fractions += event.fraction
+
+
+def _violations(spec: LoadSpec, history: History) -> list[Violation]:
+    truth = front_truth(spec.keys, spec.front_seed, spec.newest)
+    return [
+        *check_snapshot(history, truth),
+        *check_coverage(history, truth),
+        *check_own_answer(history, truth),
+    ]
--- a/packages/fennelfork-bench/src/fennelfork_bench/_caller_spec.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_caller_spec.py
@@ -15,6 +15,7 @@
         front: the front that is asked.
         keys: size of its key space.
         front_seed: seed of its records.
+        newest: the snapshots from 1 to this one exist.
         wanted: how many keys, evenly spread, each query asks for.
         rate_per_s: mean of requests a second.
         count: how many requests in all.
@@ -34,6 +35,7 @@
     front: str = 'raft-search'
     keys: int = 1000
     front_seed: int = 1
+    newest: int = 1
     wanted: int = 20
     rate_per_s: float = 50
     count: int = 100
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/caller.py
@@ -0,0 +1,25 @@
+"""The caller stand-in: `python -m fennelfork_bench.caller`."""
+
+from fennelfork_bench import _rig_eventlet  # noqa: F401, I001  (patches first)
+
+import sys
+from typing import Annotated
+
+from cyclopts import Parameter, run
+
+from fennelfork_bench._caller_load import run_load
+from fennelfork_bench._caller_spec import LoadSpec
+
+
+def load(spec: Annotated[LoadSpec, Parameter(name='*')]) -> None:
+    """Run one open load and print its tally as one line of JSON."""
+    sys.stdout.write(f'{run_load(spec).to_json()}\n')
+
+
+def main() -> None:
+    """Read the command line and run the load."""
+    run(load)
+
+
+if __name__ == '__main__':
+    main()
