--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_control.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_control.py
@@ -8,7 +8,7 @@
 from fennelfork_bench._backend_codec import parse_message
 from fennelfork_bench._backend_connection import Listener
 from fennelfork_bench._backend_faults import FaultOrder
-from fennelfork_bench._backend_log_page import log_page
+from fennelfork_bench._backend_log_page import log_counts, log_page
 from fennelfork_bench._backend_orders import DrainOrder, SnapshotOrder
 from fennelfork_bench._backend_response import (
     Response,
@@ -71,6 +71,10 @@
     return json_response(true_health(app.state))
 
 
+def _show_counts(app: ControlApp, body: bytes) -> Response:
+    return json_response(log_counts(app.state))
+
+
 def _show_log(app: ControlApp, body: bytes) -> Response:
     return json_response(log_page(app.state))
 
@@ -80,4 +84,5 @@
     'POST /control/snapshot': _order_snapshot,
     'POST /control/drain': _order_drain,
     'GET /control/log': _show_log,
+    'GET /control/counts': _show_counts,
 }
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_log.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log.py
@@ -1,7 +1,7 @@
 """The bounded log of what a stand-in received, ran and answered."""
 
 import enum
-from collections import deque
+from collections import Counter, deque
 
 import attrs
 
@@ -70,13 +70,14 @@
     detail: str = ''
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class EventLog:
     """The latest events, oldest first; older ones are only counted."""
 
     _clock: Clock
     _events: deque[Event]
-    _counts: dict[EventKind, int] = attrs.field(factory=dict)
+    _counts: Counter[str] = attrs.field(factory=Counter)
+    _total: int = 0
 
     @property
     def events(self) -> tuple[Event, ...]:
@@ -84,17 +85,21 @@
         return tuple(self._events)
 
     @property
-    def dropped(self) -> int:
-        """How many events no longer are held."""
-        return sum(self._counts.values()) - len(self._events)
+    def counts(self) -> Counter[str]:
+        """How many events of each kind, and of each kind and detail, were."""
+        return self._counts
 
-    def count(self, kind: EventKind) -> int:
-        """Give how many events of a kind there were, dropped ones too."""
-        return self._counts.get(kind, 0)
+    @property
+    def dropped(self) -> int:
+        """How many events are no longer held."""
+        return self._total - len(self._events)
 
     def add(self, kind: EventKind, subject: Subject, detail: str = '') -> None:
         """Append an event that happens now."""
-        self._counts[kind] = self.count(kind) + 1
+        self._total += 1
+        self._counts[kind.value] += 1
+        if detail:
+            self._counts[f'{kind.value}_{detail}'] += 1
         self._events.append(
             Event(
                 at_ms=self._clock.now_ms(),
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork_bench._backend_log import Event, EventKind
+from fennelfork_bench._backend_log import Event
 from fennelfork_bench._backend_state import ServerState
 
 
@@ -23,6 +23,14 @@
     detail: str
 
 
+@attrs.frozen(kw_only=True)
+class LogCounts:
+    """The counts of a log without its events."""
+
+    name: str
+    counts: dict[str, int]
+
+
 @attrs.frozen(kw_only=True)
 class LogPage:
     """The log as the control face sends it."""
@@ -36,6 +44,11 @@
     events: tuple[LogLine, ...]
 
 
+def log_counts(state: ServerState) -> LogCounts:
+    """Give the counts of a server's log as a message."""
+    return LogCounts(name=state.settings.name, counts=dict(state.log.counts))
+
+
 def log_page(state: ServerState) -> LogPage:
     """Give the log of a server as a message."""
     log = state.log
@@ -45,7 +58,7 @@
         connections_peak=state.connections_peak,
         connections_refused=state.connections_refused,
         dropped=log.dropped,
-        counts={kind.value: log.count(kind) for kind in EventKind},
+        counts=dict(log.counts),
         events=tuple(_log_line(event) for event in log.events),
     )
 
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_processor.py
@@ -0,0 +1,25 @@
+"""Processor time that processes of the rig used."""
+
+import os
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Final
+
+from fennelfork_bench._rig_process import Process
+
+# Fields of /proc/PID/stat after the name in parentheses: user and system.
+_USER: Final = 11
+_SYSTEM: Final = 12
+_US_PER_SECOND: Final = 1_000_000
+
+
+def processor_us(processes: Iterable[Process]) -> float:
+    """Give the processor time that living processes used so far."""
+    ticks = sum(_ticks(process.pid) for process in processes)
+    return ticks * _US_PER_SECOND / os.sysconf('SC_CLK_TCK')
+
+
+def _ticks(pid: int) -> int:
+    text = Path(f'/proc/{pid}/stat').read_text()
+    fields = text.rpartition(')')[2].split()
+    return int(fields[_USER]) + int(fields[_SYSTEM])
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_backend_history.py
@@ -0,0 +1,31 @@
+"""Reading the log of a stand-in as events of a history."""
+
+import pytest
+from bench_builders_backend import backend, execute_body, search_body
+
+from fennelfork_bench._backend_history import server_events
+from fennelfork_bench._history_server import (
+    ExecuteRan,
+    QueryRan,
+    WorkRefused,
+)
+
+
+@pytest.mark.process
+class TestServerEvents:
+    """Events of the real log."""
+
+    def test_reads_runs_and_refusals(self) -> None:
+        """Each run and each refusal becomes one event, the rest none."""
+        with backend(name='raft-a') as server:
+            server.post('/v1/search', **search_body('r1', lo=5, hi=9))
+            server.post('/v1/execute', **execute_body('r2'))
+            server.post('/v1/search', **search_body('r3', snapshot=8))
+            ran, executed, refused = server_events(server.page())
+        assert isinstance(ran, QueryRan)
+        assert (ran.server, ran.request_id) == ('raft-a', 'r1')
+        assert (ran.snapshot, ran.lo, ran.hi) == (1, 5, 9)
+        assert isinstance(executed, ExecuteRan)
+        assert (executed.key, executed.action) == (3, 'issue')
+        assert isinstance(refused, WorkRefused)
+        assert refused.code == 'snapshot_gone'
