--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -82,6 +82,7 @@
     listeners = open_listeners(settings.listen)
     clock = system_clock()
     board = blackboard(_local_member(settings, listeners))
+    board.routing = settings.routing.mode
     return Daemon(
         settings=settings,
         clock=clock,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_server_book.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_server_book.py
@@ -14,6 +14,7 @@
     Server,
     ShardView,
     SnapshotView,
+    slot_share,
 )
 from fennelfork_daemon._backend_client import BackendClient, backend_client
 
@@ -96,7 +97,7 @@
         if settings is None or shard not in settings.shards:
             return ()
         return tuple(
-            self._state(front, shard, name, server)
+            self._state(front, shard, name, self._usable(server))
             for name, server in settings.shards[shard].servers.items()
         )
 
@@ -111,6 +112,10 @@
             snapshots=tuple(held[version] for version in sorted(held)),
         )
 
+    def _usable(self, server: Server) -> Server:
+        board = self._board
+        return slot_share(server, board.routing, len(board.members))
+
     def _state(
         self,
         front: str,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_settings_tables.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_settings_tables.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fennelfork import RoutingMode
 from fennelfork_daemon._address import Address
 from fennelfork_daemon._settings_rules import (
     AddressRule,
@@ -37,14 +38,6 @@
 ]
 
 
-@enum.unique
-class RoutingMode(enum.Enum):
-    """Who hands out the slots of a shard's backend servers."""
-
-    HOME = 'home'
-    DIRECT = 'direct'
-
-
 @enum.unique
 class LogFormat(enum.Enum):
     """How a line of the log is written."""
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -61,6 +61,8 @@
 from fennelfork._reply import Record as Record
 from fennelfork._reply import Reply as Reply
 from fennelfork._reply import check_reply as check_reply
+from fennelfork._routing_mode import RoutingMode as RoutingMode
+from fennelfork._routing_mode import slot_share as slot_share
 from fennelfork._scatter import Part as Part
 from fennelfork._scatter import ScatterOrder as ScatterOrder
 from fennelfork._scatter import ScatterOutcome as ScatterOutcome
--- a/packages/fennelfork/src/fennelfork/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/_blackboard.py
@@ -4,6 +4,7 @@
 
 from fennelfork._document import Document, Front
 from fennelfork._member import Member
+from fennelfork._routing_mode import RoutingMode
 
 
 @attrs.define(kw_only=True)
@@ -15,12 +16,14 @@
         members: what is known of the fleet, this daemon included, by name.
         document: the configuration in force here.
         config_hash: digest of that configuration.
+        routing: how sub-queries reach the backend servers.
     """
 
     local: Member
     members: dict[str, Member]
     document: Document
     config_hash: str = ''
+    routing: RoutingMode = RoutingMode.HOME
 
     @property
     def config_version(self) -> int:
--- a/packages/fennelfork/src/fennelfork/_home_route.py
+++ b/packages/fennelfork/src/fennelfork/_home_route.py
@@ -9,6 +9,7 @@
 from fennelfork._document import Shard
 from fennelfork._member import Member
 from fennelfork._rendezvous import home_of
+from fennelfork._routing_mode import RoutingMode
 
 
 @attrs.frozen(kw_only=True)
@@ -35,8 +36,11 @@
             member is left.
 
     Returns:
-        The groups; shards that are not configured are left out.
+        The groups; shards that are not configured are left out. Unless the
+        daemon routes by home, it is itself the home of all.
     """
+    if board.routing is not RoutingMode.HOME:
+        return _own_group(board, front, shards, avoid)
     groups: dict[str, set[str]] = {}
     known = board.document.fronts[front].shards
     members = list(board.members.values())
@@ -65,5 +69,19 @@
     return tuple(name for name, _ in by_name)
 
 
+def _own_group(
+    board: Blackboard,
+    front: str,
+    shards: Iterable[str],
+    avoid: frozenset[str],
+) -> tuple[HomeGroup, ...]:
+    known = board.document.fronts[front].shards
+    own = known.keys() & set(shards)
+    # There is no other home to ask when this one took too long.
+    if not own or board.local.name in avoid:
+        return ()
+    return (HomeGroup(home=board.local, shards=frozenset(own)),)
+
+
 def _server_count(counted: tuple[str, int]) -> int:
     return counted[1]
--- /dev/null
+++ b/packages/fennelfork/tests/test_routing_mode.py
@@ -0,0 +1,76 @@
+"""Ways to the backend servers other than by home."""
+
+import pytest
+from core_builders_fleet import a_member
+
+from fennelfork import (
+    Document,
+    Front,
+    RoutingMode,
+    Server,
+    Shard,
+    blackboard,
+    route_homes,
+    slot_share,
+)
+from fennelfork._blackboard import Blackboard
+
+_SERVER = Server(
+    address='127.0.0.1:9',
+    data_centre='dc-1',
+    slots=5,
+    connections=40,
+    connect_ms=6,
+)
+_NOBODY: frozenset[str] = frozenset()
+
+
+def _board(mode: RoutingMode) -> Blackboard:
+    board = blackboard(a_member('vm-1', data_centre='dc-2'))
+    board.members['vm-2'] = a_member('vm-2', data_centre='dc-1')
+    shards = {name: Shard(servers={'raft-a': _SERVER}) for name in ('s0', 's1')}
+    board.document = Document(fronts={'front': Front(keys=9, shards=shards)})
+    board.routing = mode
+    return board
+
+
+class TestSlotShare:
+    """How many slots of a server one daemon uses."""
+
+    @pytest.mark.parametrize(
+        ('mode', 'daemons', 'slots'),
+        [
+            (RoutingMode.HOME, 9, 5),
+            (RoutingMode.DIRECT, 9, 5),
+            (RoutingMode.STATIC, 9, 1),
+            (RoutingMode.STATIC, 2, 3),
+            (RoutingMode.STATIC, 0, 5),
+        ],
+    )
+    def test_only_static_shares(
+        self, mode: RoutingMode, daemons: int, slots: int
+    ) -> None:
+        """A static share is rounded up, so that no daemon has none."""
+        assert slot_share(_SERVER, mode, daemons).slots == slots
+
+
+class TestRouteHomes:
+    """Which daemon a shard is asked through."""
+
+    def test_home_is_near_the_servers(self) -> None:
+        """By home, the daemon in the data centre of the servers is asked."""
+        groups = route_homes(
+            _board(RoutingMode.HOME), 'front', ('s0', 's1'), _NOBODY
+        )
+        assert [group.home.name for group in groups] == ['vm-2']
+
+    @pytest.mark.parametrize('mode', [RoutingMode.DIRECT, RoutingMode.STATIC])
+    def test_otherwise_every_root_serves_itself(
+        self, mode: RoutingMode
+    ) -> None:
+        """Without homes the root asks the servers of all shards."""
+        board = _board(mode)
+        groups = route_homes(board, 'front', ('s0', 'gone'), _NOBODY)
+        assert [group.home for group in groups] == [board.local]
+        assert groups[0].shards == {'s0'}
+        assert not route_homes(board, 'front', ('s0',), frozenset(('vm-1',)))
