Configuration at 3,100 servers: check what changed, read revisions, compress

Ruled out: comparing fronts as values (true equals 1 there, so a daemon that knows the old version would accept what a fresh one refuses); a second key for the version (two keys to keep in step).

--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_messages.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_kv_messages.py
@@ -67,10 +67,11 @@
 
 @attrs.frozen(kw_only=True)
 class Range:
-    """Read a span; `limit` 0 means no limit."""
+    """Read a span; `limit` 0 means no limit, `keys_only` leaves out values."""
 
     span: KeySpan
     limit: int = 0
+    keys_only: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_read.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_kv_read.py
@@ -84,7 +84,11 @@
 
 def read_range(body: Body) -> Range:
     """Read a range request."""
-    return Range(span=read_span(body), limit=number(body, 'limit'))
+    return Range(
+        span=read_span(body),
+        limit=number(body, 'limit'),
+        keys_only=bool(member(body, 'keys_only')),
+    )
 
 
 def read_put(body: Body) -> Put:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_store.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_kv_store.py
@@ -180,6 +180,8 @@
 ) -> Reply:
     found = store.find(operation.span)
     shown = found[: operation.limit] if operation.limit else found
+    if operation.keys_only:
+        shown = [attrs.evolve(entry, value=b'') for entry in shown]
     return RangeReply(found=tuple(shown), count=len(found))
 
 
--- a/packages/fennelfork-bench/tests/test_config_fleet.py
+++ b/packages/fennelfork-bench/tests/test_config_fleet.py
@@ -26,9 +26,17 @@
     started = empty_fleet(rig, spec).start_daemons()
     assert _patch(started, 0).status == 200
     await_version(started, 1)
+    _await(lambda: _knows_all(started), 'all to know all')
     return started
 
 
+def _knows_all(fleet: Fleet) -> bool:
+    pages = [
+        _page(fleet, '/v1/config/status', which) for which in range(_DAEMONS)
+    ]
+    return all(len(page['daemons']) == _DAEMONS for page in pages)
+
+
 def _patch(
     fleet: Fleet,
     base: int,
--- a/packages/fennelfork-bench/tests/test_kv.py
+++ b/packages/fennelfork-bench/tests/test_kv.py
@@ -33,6 +33,17 @@
             key_value.put(key, key)
         assert key_value.values('/a', '/c') == ['/a', '/b']
 
+    def test_keys_only_leaves_out_values(
+        self,
+        key_value: KeyValueClient,
+    ) -> None:
+        """A read of keys gives the revision and no value."""
+        key_value.put('/a', 'long')
+        body = {'key': text('/a'), 'keys_only': True}
+        entry = key_value.call('/v3/kv/range', body).body['kvs'][0]
+        assert 'value' not in entry
+        assert entry['mod_revision'] == '2'
+
     def test_absent_key_has_no_members(self, key_value: KeyValueClient) -> None:
         """Zero members are left out, as protobuf's JSON does."""
         reply = key_value.call('/v3/kv/range', {'key': text('/none')})
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
@@ -13,6 +13,7 @@
     ConfigSource,
     Member,
 )
+from fennelfork_daemon._config_codec import pack_document, unpack_document
 from fennelfork_daemon._config_holder import ConfigHolder
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._peer_idl import peer
@@ -36,6 +37,8 @@
         factory=lambda: eventlet.GreenPool(_CALLS_AT_ONCE),
     )
     _fetching: int = 0
+    _packed_hash: str = ''
+    _packed_document: bytes = b''
 
     def ask_forever(self) -> None:
         """Ask a peer whenever it is due."""
@@ -61,7 +64,7 @@
         anomalies = state.anomalies.values()
         return peer.ConfigReply(
             version=state.version,
-            document=state.held.raw if newer and state.held else None,
+            document=self._packed() if newer else None,
             config_hash=state.digest,
             age_ms=self._age_ms(state.held.taken_ms if state.held else None),
             confirmed_age_ms=self._age_ms(state.confirmed_ms),
@@ -91,12 +94,23 @@
         self._fetching = 0
         if not is_successful(reply):
             return False
-        told = reply.unwrap()
+        self._take(reply.unwrap())
+        return True
+
+    def _take(self, told: Any) -> None:
         if told.document is None:
             self._holder.hear(told.version, told.config_hash or '')
-        else:
-            self._holder.offer(told.document, ConfigSource.PEER)
-        return True
+            return
+        unpacked = unpack_document(told.document)
+        if is_successful(unpacked):
+            self._holder.offer(unpacked.unwrap(), ConfigSource.PEER)
+
+    def _packed(self) -> bytes:
+        held = self._holder.state.held
+        if held is not None and self._packed_hash != held.digest:
+            self._packed_hash = held.digest
+            self._packed_document = pack_document(held.raw)
+        return self._packed_document
 
     def _age_ms(self, since_ms: float | None) -> int | None:
         if since_ms is None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
@@ -67,6 +67,7 @@
         return PatchWriter(
             request=request,
             known_version=max(self._holder.state.version, heard),
+            known=self._holder.state.known,
             now_ms=int(self._clock.now_ms()),
             tries_left=_TRIES,
             jitter=self._jitter,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
@@ -10,6 +10,7 @@
     Blackboard,
     ConfigFollower,
     ConfigSource,
+    Failure,
     StoredDocument,
 )
 from fennelfork_daemon._config_holder import ConfigHolder
@@ -24,6 +25,9 @@
 class ConfigReader:
     """Offers what the platform shows to the holder.
 
+    Between changes it reads the key's revision alone: the document may be
+    hundreds of kilobytes.
+
     Attributes:
         failure: why the last read failed; empty if it did not.
     """
@@ -34,7 +38,8 @@
     _key: ConfigKey
     _follower: ConfigFollower
     _log: StateLog
-    _revision: int | None = None
+    _seen: int | None = None
+    _watched: int | None = None
 
     def read_forever(self) -> None:
         """Read the key whenever it is due here."""
@@ -46,8 +51,8 @@
     def watch_forever(self) -> None:
         """Watch the key while this daemon reads it; a read comes first."""
         while True:  # noqa: WPS457  # as long as the daemon runs
-            if self._revision is not None and self._is_reader():
-                self._watch(self._revision)
+            if self._watched is not None and self._is_reader():
+                self._watch(self._watched)
             eventlet.sleep(_TICK_S)
 
     def _is_reader(self) -> bool:
@@ -55,18 +60,29 @@
         return self._follower.reads_platform(board.local, board.members)
 
     def _read(self) -> None:
-        reply = self._key.read()
-        answered = is_successful(reply)
-        self._follower.note_read(answered=answered)
-        if answered:
-            self.failure = ''
-            self._take(reply.unwrap())
-        else:
-            self.failure = reply.failure().detail
-            self._revision = None
-        state = 'answers' if answered else 'fails'
+        failure = self._refresh()
+        self._follower.note_read(answered=failure is None)
+        self.failure = '' if failure is None else failure.detail
+        if failure is not None:
+            self._watched = None
+        state = 'answers' if failure is None else 'fails'
         self._log.change(_PLATFORM, state, detail=self.failure)
 
+    def _refresh(self) -> Failure | None:
+        """Read the document only if the key changed since it was read."""
+        revision = self._key.revision()
+        if not is_successful(revision):
+            return revision.failure()
+        if revision.unwrap() == self._seen:
+            self._holder.state.confirm()
+            self._watched = self._seen
+            return None
+        reply = self._key.read()
+        if not is_successful(reply):
+            return reply.failure()
+        self._take(reply.unwrap())
+        return None
+
     def _watch(self, revision: int) -> None:
         try:
             for stored in self._key.changes(revision):
@@ -75,9 +91,10 @@
                     break
         except (OSError, ValueError) as error:
             self._log.change('watch', 'broken', detail=str(error))
-        # The next watch starts from a fresh read, which backs off.
-        self._revision = None
+        # The next watch starts after a fresh read, which backs off.
+        self._watched = None
 
     def _take(self, stored: StoredDocument) -> None:
-        self._revision = max(self._revision or 0, stored.revision)
+        self._seen = stored.revision
+        self._watched = stored.revision
         self._holder.offer(stored.raw, ConfigSource.PLATFORM)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_client.py
@@ -19,8 +19,10 @@
 from fennelfork_daemon._kv_codec import (
     range_body,
     read_range,
+    read_revision,
     read_swap,
     read_watch_line,
+    revision_body,
     swap_body,
     watch_body,
 )
@@ -46,6 +48,11 @@
         reply = self._http.call('/v3/kv/range', range_body(self._key))
         return reply.bind(lambda tree: _read(read_range, tree))
 
+    def revision(self) -> Result[int, Failure]:
+        """Read which change of the key was the last; zero if it is absent."""
+        reply = self._http.call('/v3/kv/range', revision_body(self._key))
+        return reply.bind(lambda tree: _read(read_revision, tree))
+
     def swap(self, write: PreparedWrite) -> Result[bool, Failure]:
         """Write the key if its last change is still the one named.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_codec.py
@@ -15,6 +15,11 @@
     return {'key': _encoded(key)}
 
 
+def revision_body(key: str) -> dict[str, Any]:
+    """Ask for the last change of one key, without its value."""
+    return {'key': _encoded(key), 'keys_only': True}
+
+
 def swap_body(key: str, write: PreparedWrite) -> dict[str, Any]:
     """Ask for a write if the key's last change is still the one named."""
     encoded = _encoded(key)
@@ -44,6 +49,16 @@
     return _stored(found[0]) if found else _ABSENT
 
 
+def read_revision(reply: Any) -> int:
+    """Read the answer to `revision_body`; zero for an absent key.
+
+    Raises:
+        ValueError: if it is none.
+    """
+    found = _member(reply, 'kvs', [])
+    return int(_member(found[0], 'mod_revision', None)) if found else 0
+
+
 def read_swap(reply: Any) -> bool:
     """Read whether a swap took place.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
@@ -116,7 +116,7 @@
 
 // `sender` is the peer address of a daemon that tells of its own version: one
 // that has an older version asks it in turn. `document` is there only if
-// `version` is above `have_version`.
+// `version` is above `have_version`: canonical JSON, compressed by zlib.
 struct ConfigRequest {
   1: required i64 have_version
   2: optional string sender
@@ -124,7 +124,7 @@
 
 struct ConfigReply {
   1: required i64 version
-  2: optional string document
+  2: optional binary document
   3: optional string config_hash
   4: optional i64 age_ms
   5: optional i64 confirmed_age_ms
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -34,6 +34,9 @@
 from fennelfork._document import Shard as Shard
 from fennelfork._document import Tenant as Tenant
 from fennelfork._document import TrafficClass as TrafficClass
+from fennelfork._document_known import KnownDocument as KnownDocument
+from fennelfork._document_known import known_document as known_document
+from fennelfork._document_known import parse_again as parse_again
 from fennelfork._document_parse import digest as digest
 from fennelfork._document_parse import parse_document as parse_document
 from fennelfork._document_parse import render_document as render_document
--- a/packages/fennelfork/src/fennelfork/_config_state.py
+++ b/packages/fennelfork/src/fennelfork/_config_state.py
@@ -1,15 +1,23 @@
 """The configuration that one daemon has in force."""
 
 import enum
+from typing import Final
 
 import attrs
 from returns.result import Success
 
 from fennelfork._clock import Clock
 from fennelfork._document import Document
-from fennelfork._document_parse import digest, parse_document, render_document
+from fennelfork._document_known import (
+    KnownDocument,
+    known_document,
+    parse_again,
+)
+from fennelfork._document_parse import digest
 from fennelfork._document_problem import Problem
 
+_EMPTY: Final = known_document(Document())
+
 
 @enum.unique
 class ConfigSource(enum.StrEnum):
@@ -36,19 +44,24 @@
     """A document in force.
 
     Attributes:
-        document: the document.
+        known: the document with its JSON tree.
         raw: its canonical text, so that all daemons hash the same.
         digest: the hash of `raw`.
         source: where it came from.
         taken_ms: when this daemon took it.
     """
 
-    document: Document
+    known: KnownDocument
     raw: str
     digest: str
     source: ConfigSource
     taken_ms: float
 
+    @property
+    def document(self) -> Document:
+        """The document."""
+        return self.known.document
+
 
 @attrs.frozen(kw_only=True)
 class ConfigAnomaly:
@@ -86,6 +99,11 @@
     confirmed_ms: float | None = None
     anomalies: dict[ConfigSource, ConfigAnomaly] = attrs.field(factory=dict)
 
+    @property
+    def known(self) -> KnownDocument:
+        """The document in force, or the empty one before the first."""
+        return _EMPTY if self.held is None else self.held.known
+
     @property
     def version(self) -> int:
         """The version in force; zero before the first document."""
@@ -113,7 +131,7 @@
         if offered == self.digest:
             self._confirm(source)
             return OfferOutcome.SAME
-        parsed = parse_document(raw)
+        parsed = parse_again(raw, self.known)
         if not isinstance(parsed, Success):
             return self._refuse(
                 OfferOutcome.INVALID,
@@ -121,10 +139,11 @@
                 offered,
                 problems=parsed.failure(),
             )
-        canonical = render_document(parsed.unwrap())
+        known = parsed.unwrap()
+        canonical = known.text
         return self._compare(
             HeldDocument(
-                document=parsed.unwrap(),
+                known=known,
                 raw=canonical,
                 digest=digest(canonical),
                 source=source,
@@ -157,6 +176,11 @@
             version=version,
         )
 
+    def confirm(self) -> None:
+        """Note that the platform still shows what it showed last."""
+        if ConfigSource.PLATFORM not in self.anomalies:
+            self._confirm(ConfigSource.PLATFORM)
+
     def _offer_nothing(self, source: ConfigSource) -> OfferOutcome:
         if self.held is None:
             return OfferOutcome.EMPTY
--- a/packages/fennelfork/src/fennelfork/_document_converter.py
+++ b/packages/fennelfork/src/fennelfork/_document_converter.py
@@ -18,6 +18,7 @@
     Problem,
     RuleBroken,
     allowed_by,
+    has_rule,
     problems_of,
 )
 
@@ -38,7 +39,7 @@
     factory(attrs.has, _table_of_fields)
     factory(partial(_is_container, Mapping), _table)
     factory(partial(_is_container, tuple), _list)
-    factory(_is_annotated, _ruled)
+    factory(has_rule, _ruled)
     return converter
 
 
@@ -64,10 +65,6 @@
     return Success(structured)
 
 
-def _is_annotated(wanted: Any) -> bool:
-    return bool(getattr(wanted, '__metadata__', ()))
-
-
 def _is_container(kind: type, wanted: Any) -> bool:
     origin = getattr(wanted, '__origin__', None)
     return isinstance(origin, type) and issubclass(origin, kind)
@@ -75,7 +72,7 @@
 
 def _table_of_fields(wanted: Any, converter: cattrs.Converter) -> _Hook:
     hook = cattrs.gen.make_dict_structure_fn(wanted, converter)
-    return partial(_shaped, dict, hook)
+    return partial(_structured, wanted, partial(_shaped, dict, hook))
 
 
 def _list(wanted: Any, converter: cattrs.Converter) -> _Hook:
@@ -98,6 +95,11 @@
     return partial(_checked, wanted, hook)
 
 
+def _structured(kind: type, hook: _Hook, candidate: Any, wanted: Any) -> Any:
+    """Let pass what was checked before."""
+    return candidate if isinstance(candidate, kind) else hook(candidate, wanted)
+
+
 def _shaped(shape: type, hook: Any, candidate: Any, wanted: Any) -> Any:
     if not isinstance(candidate, shape):
         raise _broken(candidate, wanted)
--- a/packages/fennelfork/src/fennelfork/_document_parse.py
+++ b/packages/fennelfork/src/fennelfork/_document_parse.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 import xxhash
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from fennelfork._document import Document
 from fennelfork._document_converter import checked_structure, document_converter
@@ -22,8 +22,13 @@
     Returns:
         The document, or every fault of it at once.
     """
+    return read_json(raw).bind(structure_document)
+
+
+def read_json(raw: str) -> Result[Any, tuple[Problem, ...]]:
+    """Read JSON, whatever it holds."""
     try:
-        tree = json.loads(raw)
+        return Success(json.loads(raw))
     except (ValueError, RecursionError) as error:
         problem = Problem(
             path='',
@@ -31,7 +36,6 @@
             allowed='a JSON object',
         )
         return Failure((problem,))
-    return structure_document(tree)
 
 
 def structure_document(tree: Any) -> Result[Document, tuple[Problem, ...]]:
--- a/packages/fennelfork/src/fennelfork/_document_problem.py
+++ b/packages/fennelfork/src/fennelfork/_document_problem.py
@@ -55,6 +55,11 @@
         yield from problems_of(inner, _inner_path(inner, path))
 
 
+def has_rule(wanted: Any) -> bool:
+    """Tell whether a field's type carries a rule in its annotation."""
+    return bool(getattr(wanted, '__metadata__', ()))
+
+
 def allowed_by(wanted: Any) -> str:
     """Say in words what a field of a document may hold.
 
@@ -64,9 +69,8 @@
     Returns:
         A phrase that completes "must be ...".
     """
-    rules = getattr(wanted, '__metadata__', ())
-    if rules:
-        return str(rules[0].words)
+    if has_rule(wanted):
+        return str(wanted.__metadata__[0].words)
     if getattr(wanted, '__origin__', None) is tuple:
         return 'a list'
     return 'a table'
--- a/packages/fennelfork/src/fennelfork/_patch_decision.py
+++ b/packages/fennelfork/src/fennelfork/_patch_decision.py
@@ -4,18 +4,19 @@
 or the document to write under compare-and-swap.
 """
 
-from typing import Any, Final
+from typing import Final
 
 import attrs
 from returns.result import Failure, Result, Success
 
 from fennelfork._document import Document, PatchRecord
-from fennelfork._document_parse import (
-    parse_document,
-    render_document,
-    structure_document,
-    unstructure_document,
+from fennelfork._document_known import (
+    KnownDocument,
+    known_document,
+    parse_again,
+    structure_again,
 )
+from fennelfork._document_parse import unstructure_document
 from fennelfork._document_problem import Problem
 from fennelfork._merge_patch import Change, merge_patch, tree_changes
 from fennelfork._patch import (
@@ -53,11 +54,13 @@
     Attributes:
         stored: what the platform shows.
         known_version: the highest version that this daemon holds or heard of.
+        known: a document read before, which saves checking it again.
         now_ms: civil time, for the history.
     """
 
     stored: StoredDocument
     known_version: int
+    known: KnownDocument
     now_ms: int
 
 
@@ -71,10 +74,11 @@
     Returns:
         The document to write, the acceptance of an earlier try, or a refusal.
     """
-    parsed = read_stored(context.stored)
+    parsed = read_stored(context.stored, context.known)
     if not isinstance(parsed, Success):
         return Failure(unreadable(parsed.failure()))
-    document = parsed.unwrap()
+    stored = parsed.unwrap()
+    document = stored.document
     earlier = record_of_patch(document, request.patch_id)
     if earlier is not None:
         return earlier_outcome(request, earlier)
@@ -82,17 +86,23 @@
     if document.version < known:
         return Failure(stale(document, known))
     if document.version > request.base:
-        return Failure(lost_race(request, document))
-    return _prepare(request, document, context)
+        return Failure(lost_race(request, stored))
+    return _prepare(request, stored, context)
 
 
 def read_stored(
     stored: StoredDocument,
-) -> Result[Document, tuple[Problem, ...]]:
-    """Read what the platform shows; an absent key is the empty document."""
+    known: KnownDocument,
+) -> Result[KnownDocument, tuple[Problem, ...]]:
+    """Read what the platform shows; an absent key is the empty document.
+
+    Args:
+        stored: what it shows.
+        known: a document read before.
+    """
     if stored.raw is None:
-        return Success(Document())
-    return parse_document(stored.raw)
+        return Success(known_document(Document()))
+    return parse_again(stored.raw, known)
 
 
 def earlier_outcome(request: PatchRequest, earlier: PatchRecord) -> Decision:
@@ -112,36 +122,31 @@
     return Failure(duplicate(request.patch_id, earlier))
 
 
-def lost_race(request: PatchRequest, document: Document) -> PatchRefused:
+def lost_race(request: PatchRequest, stored: KnownDocument) -> PatchRefused:
     """Refuse a patch whose base is no longer in force, with the changes."""
-    before = unstructure_document(document)
-    after = _normalised(merge_patch(before, request.patch))
-    changes = tree_changes(before, after)[:_SHOWN_CHANGES]
-    return conflicting(request, document, changes)
-
-
-def _normalised(tree: Any) -> Any:
-    """Fill in defaults where the tree is valid, so that they are no change."""
-    structured = structure_document(tree)
-    return structured.map(unstructure_document).value_or(tree)
+    merged = merge_patch(stored.tree, request.patch)
+    # Defaults that the patch leaves out are no change, if it is valid.
+    filled = structure_again(merged, stored).map(lambda made: made.tree)
+    changes = tree_changes(stored.tree, filled.value_or(merged))
+    return conflicting(request, stored.document, changes[:_SHOWN_CHANGES])
 
 
 def _prepare(
     request: PatchRequest,
-    document: Document,
+    stored: KnownDocument,
     context: PatchContext,
 ) -> Decision:
     own = sorted(request.patch.keys() & set(_OWN_KEYS))
     if own:
-        return Failure(faulty(map(_set_by_daemon, own), document))
-    before = unstructure_document(document)
-    checked = structure_document(merge_patch(before, request.patch))
+        return Failure(faulty(map(_set_by_daemon, own), stored.document))
+    merged = merge_patch(stored.tree, request.patch)
+    checked = structure_again(merged, stored)
     if not isinstance(checked, Success):
-        return Failure(faulty(checked.failure(), document))
+        return Failure(faulty(checked.failure(), stored.document))
     made = checked.unwrap()
-    changes = tree_changes(before, unstructure_document(made))
+    changes = tree_changes(stored.tree, made.tree)
     if not changes:
-        return Failure(idle(document))
+        return Failure(idle(stored.document))
     record = _record(request, changes, context)
     return _write(made, record, context)
 
@@ -169,18 +174,21 @@
 
 
 def _write(
-    made: Document,
+    made: KnownDocument,
     record: PatchRecord,
     context: PatchContext,
 ) -> Decision:
-    document = attrs.evolve(
-        made,
+    patches = with_record(made.document.patches, record)
+    headed = attrs.evolve(
+        made.document,
         version=record.version,
-        patches=with_record(made.patches, record),
+        patches=patches,
+        fronts={},
     )
-    raw = render_document(document)
+    tree = {**unstructure_document(headed), 'fronts': made.tree['fronts']}
+    raw = attrs.evolve(made, tree=tree).text
     if len(raw) > _MAX_DOCUMENT_BYTES:
-        return Failure(faulty([_too_large(len(raw))], made))
+        return Failure(faulty([_too_large(len(raw))], made.document))
     write = PreparedWrite(
         raw=raw,
         revision=context.stored.revision,
--- a/packages/fennelfork/src/fennelfork/_patch_writer.py
+++ b/packages/fennelfork/src/fennelfork/_patch_writer.py
@@ -16,6 +16,7 @@
 
 from fennelfork._config_backoff import Backoff
 from fennelfork._document import Document, PatchRecord
+from fennelfork._document_known import KnownDocument, known_document
 from fennelfork._patch import (
     PatchAccepted,
     PatchOutcome,
@@ -48,6 +49,7 @@
 
 _BACKOFF: Final = Backoff(base_ms=10, cap_ms=1000)
 _RETRY_AFTER_MS: Final = 5000
+_EMPTY: Final = known_document(Document())
 
 
 @attrs.define(kw_only=True)
@@ -57,6 +59,7 @@
     Attributes:
         request: the patch.
         known_version: the highest version known when the patch came.
+        known: the document in force here when the patch came.
         now_ms: civil time, for the history.
         tries_left: failed calls that are still allowed.
         jitter: spreads the retries of racing writers.
@@ -68,6 +71,7 @@
 
     request: PatchRequest
     known_version: int
+    known: KnownDocument
     now_ms: int
     tries_left: int
     jitter: random.Random
@@ -158,6 +162,7 @@
     context = PatchContext(
         stored=stored,
         known_version=writer.known_version,
+        known=writer.known,
         now_ms=writer.now_ms,
     )
     decided: Any = decide_patch(writer.request, context)
@@ -174,10 +179,10 @@
     write: PreparedWrite,
     stored: StoredDocument,
 ) -> None:
-    document = read_stored(stored).value_or(Document())
-    winner = record_of_version(document, write.record.version)
+    shown = read_stored(stored, writer.known).value_or(_EMPTY)
+    winner = record_of_version(shown.document, write.record.version)
     if winner:
-        writer.finish(_of_winner(writer.request, winner, document))
+        writer.finish(_of_winner(writer.request, winner, shown))
     elif stored.revision == write.revision:
         writer.step = WriteDocument(write=write)
     elif writer.lost:
@@ -189,8 +194,8 @@
 def _of_winner(
     request: PatchRequest,
     winner: PatchRecord,
-    document: Document,
+    shown: KnownDocument,
 ) -> Any:
     if winner.id == request.patch_id:
         return earlier_outcome(request, winner)
-    return Failure(lost_race(request, document))
+    return Failure(lost_race(request, shown))
--- a/packages/fennelfork/tests/core_builders_config.py
+++ b/packages/fennelfork/tests/core_builders_config.py
@@ -7,10 +7,12 @@
 import attrs
 
 from fennelfork import (
+    Document,
     PatchRequest,
     PatchWriter,
     PreparedWrite,
     StoredDocument,
+    known_document,
 )
 
 
@@ -96,6 +98,7 @@
     return PatchWriter(
         request=request,
         known_version=known_version,
+        known=known_document(Document()),
         now_ms=1000,
         tries_left=4,
         jitter=random.Random(7),
--- a/packages/fennelfork/tests/test_patch_decision.py
+++ b/packages/fennelfork/tests/test_patch_decision.py
@@ -13,6 +13,7 @@
 )
 
 from fennelfork import (
+    Document,
     FailureCode,
     PatchContext,
     PatchRefused,
@@ -21,6 +22,7 @@
     StoredDocument,
     Verdict,
     decide_patch,
+    known_document,
     parse_document,
     structure_request,
 )
@@ -30,6 +32,7 @@
     return PatchContext(
         stored=stored,
         known_version=known_version,
+        known=known_document(Document()),
         now_ms=77,
     )
 
