--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -20,11 +20,13 @@
 from fennelfork._document import Shard as Shard
 from fennelfork._document import Tenant as Tenant
 from fennelfork._document import TrafficClass as TrafficClass
-from fennelfork._document_parse import (
 from fennelfork._document_parse import digest as digest
 from fennelfork._document_parse import parse_document as parse_document
 from fennelfork._document_parse import render_document as render_document
 from fennelfork._document_parse import structure_document as structure_document
+from fennelfork._document_parse import (
+    unstructure_document as unstructure_document,
+)
 from fennelfork._document_problem import Problem as Problem
 from fennelfork._entries import choose_entries as choose_entries
 from fennelfork._member import Member as Member
