Run an admitted execute on a probed connection, with verdicts from proof

Cause: a lost reply, a reset or a crossed answer must not turn into a second run or a false NOT_RUN. Ruled out: a pooled connection, as its silence is found only after the request was sent. Change: a new connection answers a health probe first, the ticket and the deadline are checked right before the send, only the server's word on this very attempt says NOT_RUN, and a run goes on when its caller has left.

--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
@@ -0,0 +1,153 @@
+"""Runs requests that the gate admitted, each in a green thread of its own.
+
+A run goes on when its caller has left: its outcome is what a repeat is told.
+"""
+
+import contextlib
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import eventlet
+from eventlet.event import Event
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from fennelfork import (
+    Clock,
+    ExecuteCall,
+    ExecuteRequest,
+    Failure,
+    FailureCode,
+    OnceTable,
+    Verdict,
+    not_run,
+)
+from fennelfork_daemon._execute_connection import (
+    ExecutePatience,
+    ExecuteTarget,
+    attempt_execute,
+)
+
+_MOST_ATTEMPTS: Final = 3
+# The server's own word on a missed deadline should arrive before the caller's.
+_RESERVE_MS: Final = 10
+_BUSY_RETRY_MS: Final = 200
+
+# The backend servers that hold the record of a request, the best first.
+FindTargets = Callable[
+    [ExecuteRequest],
+    Result[tuple[ExecuteTarget, ...], Failure],
+]
+
+
+@attrs.define(kw_only=True)
+class ExecuteRunner:
+    """The requests in progress of one incarnation."""
+
+    _table: OnceTable
+    _clock: Clock
+    _find_targets: FindTargets
+    _patience: ExecutePatience
+    _limit: int
+    _running: dict[str, Event] = attrs.field(factory=dict)
+
+    @property
+    def running(self) -> int:
+        """How many requests are in progress."""
+        return len(self._running)
+
+    def start(self, request: ExecuteRequest, deadline_at_ms: float) -> None:
+        """Begin a request that was admitted as new.
+
+        Args:
+            request: the request.
+            deadline_at_ms: reading of the clock by which it must have run.
+        """
+        if self.running >= self._limit:
+            reason = not_run(
+                FailureCode.QUEUE_FULL,
+                'too many non-idempotent requests in progress',
+                _BUSY_RETRY_MS,
+            )
+            self._table.abandon(request.request_id, reason)
+            return
+        self._running[request.request_id] = Event()
+        eventlet.spawn_n(self._run, request, deadline_at_ms)
+
+    def wait(self, request_id: str, within_ms: float) -> bool:
+        """Wait for the end of a request.
+
+        Returns:
+            Whether it has ended.
+        """
+        event = self._running.get(request_id)
+        if event is None:
+            return True
+        with eventlet.Timeout(max(0, within_ms) / 1000, exception=False):
+            event.wait()
+        return event.ready()
+
+    def _run(self, request: ExecuteRequest, deadline_at_ms: float) -> None:
+        with contextlib.ExitStack() as ending:
+            ending.callback(self._end, request.request_id)
+            reason = self._try_targets(request, deadline_at_ms)
+            if reason is not None:
+                self._table.abandon(request.request_id, reason)
+
+    def _end(self, request_id: str) -> None:
+        """Let nothing stay open, whatever stopped the run."""
+        reason = not_run(FailureCode.INTERNAL, 'the request was given up')
+        self._table.abandon(request_id, reason)
+        self._running.pop(request_id).send()
+
+    def _try_targets(
+        self,
+        request: ExecuteRequest,
+        deadline_at_ms: float,
+    ) -> Failure | None:
+        found = self._find_targets(request)
+        if isinstance(found, Failed):
+            return found.failure()
+        failure = not_run(FailureCode.NO_SERVER, 'no server holds the record')
+        for number, target in enumerate(found.unwrap()[:_MOST_ATTEMPTS]):
+            result = self._attempt(request, target, number, deadline_at_ms)
+            if isinstance(result, Success):
+                self._table.finish(request.request_id, result.unwrap())
+                return None
+            failure = result.failure()
+            if failure.verdict is not Verdict.NOT_RUN:
+                return failure
+            self._table.take_back(request.request_id)
+        return failure
+
+    def _attempt(
+        self,
+        request: ExecuteRequest,
+        target: ExecuteTarget,
+        number: int,
+        deadline_at_ms: float,
+    ) -> Result[str, Failure]:
+        call = ExecuteCall(
+            request_id=request.request_id,
+            sub_query=f'x{number}',
+            key=request.key,
+            action=request.action,
+        )
+        return attempt_execute(
+            target,
+            call,
+            lambda: self._leave(request.request_id, deadline_at_ms),
+            self._patience,
+        )
+
+    def _leave(
+        self,
+        request_id: str,
+        deadline_at_ms: float,
+    ) -> Result[float, Failure]:
+        left_ms = deadline_at_ms - self._clock.now_ms() - _RESERVE_MS
+        if left_ms <= 0:
+            return Failed(not_run(FailureCode.DEADLINE, 'no time left to send'))
+        leave = self._table.may_send(request_id)
+        return leave.map(lambda ticket_ms: min(left_ms, ticket_ms))
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -0,0 +1,141 @@
+"""A backend server that runs executes as a test tells it to."""
+
+import json
+import random
+import socket
+import threading
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import closing, contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, Final
+
+import attrs
+
+from fennelfork import (
+    ExecuteRequest,
+    OnceGate,
+    OnceLimits,
+    bound_request_id,
+    once_gate,
+    system_clock,
+    ticket_key,
+)
+from fennelfork_daemon._execute_connection import (
+    ExecutePatience,
+    ExecuteTarget,
+)
+
+PATIENCE: Final = ExecutePatience(probe_ms=1000, settle_ms=3000)
+
+
+@attrs.define(kw_only=True)
+class FakeServer:
+    """What the server does, and what it ran.
+
+    Attributes:
+        refuse: answer that nothing ran.
+        lose: run, then close the connection without an answer.
+        cross: answer about another request.
+        sick: fail the probe.
+        hang_up: close the connection after the probe.
+    """
+
+    port: int = 0
+    runs: Counter[str] = attrs.field(factory=Counter)
+    deadlines: list[int] = attrs.field(factory=list)
+    refuse: bool = False
+    lose: bool = False
+    cross: bool = False
+    sick: bool = False
+    hang_up: bool = False
+
+    @property
+    def target(self) -> ExecuteTarget:
+        """The server as the daemon addresses it."""
+        return ExecuteTarget(name='s', host='127.0.0.1', port=self.port)
+
+    def execute(self, request: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Give status and body of the answer; status 0 closes instead."""
+        echo = {name: request[name] for name in ('request_id', 'sub_query')}
+        if self.refuse:
+            return 503, {**echo, 'code': 'shed', 'verdict': 'not_run'}
+        self.runs[request['request_id']] += 1
+        self.deadlines.append(request['deadline_ms'])
+        if self.cross:
+            echo['request_id'] = 'another'
+        outcome = {'key': request['key'], 'outcome': 'certificate 5'}
+        return (0 if self.lose else 200), {**echo, **outcome}
+
+
+class _FakeCalls(BaseHTTPRequestHandler):
+    protocol_version = 'HTTP/1.1'
+    fake: FakeServer
+
+    def do_GET(self) -> None:
+        """Answer the probe."""
+        self.close_connection = self.fake.hang_up
+        self._answer(503 if self.fake.sick else 200, {})
+
+    def do_POST(self) -> None:
+        """Answer an execute."""
+        length = int(self.headers['Content-Length'])
+        status, document = self.fake.execute(
+            json.loads(self.rfile.read(length))
+        )
+        if status:
+            self._answer(status, document)
+        else:
+            self.close_connection = True
+
+    def log_message(self, *_: object) -> None:
+        """Keep the test's output clean."""
+
+    def _answer(self, status: int, document: dict[str, Any]) -> None:
+        body = json.dumps(document).encode()
+        self.send_response(status)
+        self.send_header('Content-Length', str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+@contextmanager
+def fake_server() -> Iterator[FakeServer]:
+    """Serve from threads, on a port of the system's choice."""
+    fake = FakeServer()
+    calls = type('_BoundCalls', (_FakeCalls,), {'fake': fake})
+    with ThreadingHTTPServer(('127.0.0.1', 0), calls) as listener:
+        fake.port = listener.server_address[1]
+        threading.Thread(target=listener.serve_forever, daemon=True).start()
+        yield fake
+        listener.shutdown()
+
+
+def free_port() -> int:
+    """Give a port on which nothing listens."""
+    with closing(socket.socket()) as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+def build_gate(
+    name: str = 'vm-1', limits: OnceLimits | None = None
+) -> OnceGate:
+    """Build the gate of a new incarnation on the system's clock."""
+    rng = random.SystemRandom()
+    key = ticket_key(name, rng.getrandbits(62), rng.randbytes(32))
+    return once_gate(key, system_clock(), rng, limits)
+
+
+def execute_request(gate: OnceGate, name: str = 'cert-1') -> ExecuteRequest:
+    """Build a request under a fresh ticket of the gate."""
+    ticket = gate.issue(60_000)
+    assert ticket is not None
+    return ExecuteRequest(
+        request_id=bound_request_id(name, ticket.text),
+        ticket=ticket.text,
+        front='raft-search',
+        key=7,
+        action='issue',
+        tenant='salvare',
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -0,0 +1,208 @@
+"""Running of admitted non-idempotent requests."""
+
+from collections.abc import Iterator
+
+import eventlet
+import pytest
+from daemon_builders_once import (
+    PATIENCE,
+    FakeServer,
+    build_gate,
+    execute_request,
+    fake_server,
+    free_port,
+)
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from fennelfork import (
+    Done,
+    Ended,
+    ExecuteCall,
+    ExecuteRequest,
+    Failure,
+    FailureCode,
+    OnceGate,
+    Verdict,
+    not_run,
+    system_clock,
+)
+from fennelfork_daemon._execute_connection import (
+    ExecuteTarget,
+    attempt_execute,
+)
+from fennelfork_daemon._execute_runner import ExecuteRunner
+
+_CALL = ExecuteCall(request_id='a@s', sub_query='x0', key=7, action='issue')
+_CAP_MS = 20_000
+
+
+@pytest.fixture
+def server() -> Iterator[FakeServer]:
+    """A backend server on loopback."""
+    with fake_server() as running:
+        yield running
+
+
+def _gone() -> ExecuteTarget:
+    return ExecuteTarget(name='gone', host='127.0.0.1', port=free_port())
+
+
+def _no_leave() -> Result[float, Failure]:
+    raise AssertionError('asked for leave')
+
+
+def _broken(request: ExecuteRequest):
+    raise RuntimeError('a defect')
+
+
+def _runner(gate: OnceGate, *targets: ExecuteTarget, limit: int = 8):
+    return ExecuteRunner(
+        table=gate.table,
+        clock=system_clock(),
+        find_targets=lambda request: Success(targets),
+        patience=PATIENCE,
+        limit=limit,
+    )
+
+
+def _run(gate: OnceGate, *targets: ExecuteTarget, left_ms: float = _CAP_MS):
+    request = execute_request(gate)
+    gate.admit(request)
+    runner = _runner(gate, *targets)
+    runner.start(request, system_clock().now_ms() + left_ms)
+    assert runner.wait(request.request_id, _CAP_MS)
+    return gate.table.state(request.request_id)
+
+
+class TestAttempt:
+    """One attempt at one server."""
+
+    def test_gives_the_outcome(self, server: FakeServer) -> None:
+        """A server that answers gives its outcome, and got a deadline."""
+        outcome = attempt_execute(
+            server.target,
+            _CALL,
+            lambda: Success(250.5),
+            PATIENCE,
+        )
+        assert outcome == Success('certificate 5')
+        assert server.deadlines == [250]
+
+    def test_sends_nothing_without_leave(self, server: FakeServer) -> None:
+        """A refusal just before the send keeps every byte back."""
+        refusal = Failed(not_run(FailureCode.TICKET, 'expired'))
+        result = attempt_execute(
+            server.target,
+            _CALL,
+            lambda: refusal,
+            PATIENCE,
+        )
+        assert result == refusal
+        assert not server.runs
+
+    @pytest.mark.parametrize('fault', ['lose', 'cross'])
+    def test_doubts_a_lost_or_crossed_reply(
+        self,
+        server: FakeServer,
+        fault: str,
+    ) -> None:
+        """Once sent, only a reply about this attempt proves anything."""
+        setattr(server, fault, True)
+        result = attempt_execute(
+            server.target,
+            _CALL,
+            lambda: Success(5000),
+            PATIENCE,
+        )
+        assert result.failure().verdict is Verdict.MAY_HAVE_RUN
+        assert server.runs == {'a@s': 1}
+
+    def test_does_not_open_the_connection_anew(
+        self,
+        server: FakeServer,
+    ) -> None:
+        """A connection lost after the probe is not replaced unprobed."""
+        server.hang_up = True
+        result = attempt_execute(
+            server.target,
+            _CALL,
+            lambda: Success(5000),
+            PATIENCE,
+        )
+        assert isinstance(result, Failed)
+        assert not server.runs
+
+    def test_does_not_send_to_a_sick_server(self, server: FakeServer) -> None:
+        """A server that fails the probe gets no byte of the request."""
+        server.sick = True
+        result = attempt_execute(server.target, _CALL, _no_leave, PATIENCE)
+        assert result.failure().verdict is Verdict.NOT_RUN
+
+
+class TestRunner:
+    """A request from admission to its end."""
+
+    def test_tries_the_next_server_after_not_run(
+        self,
+        server: FakeServer,
+    ) -> None:
+        """A server that is gone is passed over, and the request runs once."""
+        gate = build_gate()
+        state = _run(gate, _gone(), server.target)
+        assert state == Done(outcome='certificate 5')
+        assert list(server.runs.values()) == [1]
+
+    def test_never_tries_again_in_doubt(self, server: FakeServer) -> None:
+        """After a lost reply no other server is asked."""
+        server.lose = True
+        state = _run(build_gate(), server.target, server.target)
+        assert isinstance(state, Ended)
+        assert state.failure.verdict is Verdict.MAY_HAVE_RUN
+        assert list(server.runs.values()) == [1]
+
+    def test_ends_as_not_run_when_all_refuse(self, server: FakeServer) -> None:
+        """Refusals by the servers' own word end as not run."""
+        server.refuse = True
+        state = _run(build_gate(), server.target, _gone())
+        assert isinstance(state, Ended)
+        assert state.failure.verdict is Verdict.NOT_RUN
+        assert not server.runs
+
+    def test_sends_nothing_too_late(self, server: FakeServer) -> None:
+        """A request whose deadline has passed is not sent."""
+        state = _run(build_gate(), server.target, left_ms=1)
+        assert isinstance(state, Ended)
+        assert state.failure.code is FailureCode.DEADLINE
+        assert state.failure.verdict is Verdict.NOT_RUN
+        assert not server.runs
+
+    def test_refuses_above_its_limit(self, server: FakeServer) -> None:
+        """A request above the limit ends as not run, for good."""
+        gate = build_gate()
+        request = execute_request(gate)
+        gate.admit(request)
+        _runner(gate, server.target, limit=0).start(request, _CAP_MS)
+        state = gate.table.state(request.request_id)
+        assert isinstance(state, Ended)
+        assert state.failure.code is FailureCode.QUEUE_FULL
+        assert state.failure.verdict is Verdict.NOT_RUN
+
+    def test_a_defect_leaves_nothing_open(self) -> None:
+        """An exception in a run ends the request."""
+        gate = build_gate()
+        request = execute_request(gate)
+        gate.admit(request)
+        runner = ExecuteRunner(
+            table=gate.table,
+            clock=system_clock(),
+            find_targets=_broken,
+            patience=PATIENCE,
+            limit=1,
+        )
+        runner.start(request, _CAP_MS)
+        eventlet.sleep(0)
+        assert runner.running == 0
+        state = gate.table.state(request.request_id)
+        assert isinstance(state, Ended)
+        assert state.failure.verdict is Verdict.NOT_RUN
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -49,6 +49,8 @@
 from fennelfork._once_gate import PassOn as PassOn
 from fennelfork._once_gate import RunHere as RunHere
 from fennelfork._once_gate import once_gate as once_gate
+from fennelfork._once_reply import ExecuteCall as ExecuteCall
+from fennelfork._once_reply import judge_execute_reply as judge_execute_reply
 from fennelfork._once_state import Accepted as Accepted
 from fennelfork._once_state import Done as Done
 from fennelfork._once_state import Ended as Ended
