Execute over the wire: tickets in entry answers, pass-on, verdicts

Cause: the daemon had no path for non-idempotent requests. Ruled out: having the home of a shard send them, as a second daemon in the way can only add doubt; a pass-on goes to the ticket's daemon, whose memory makes it safe to repeat. Change: POST execute, peer call execute with the ticket in place of the shard, tickets in entry answers, targets from the homes' views, a run withdrawn when its deadline passes before the send. First shown failing: a request of 5 ms was answered in doubt although nothing was sent.

--- /dev/null
+++ b/packages/fennelfork-bench/tests/bench_builders_once.py
@@ -0,0 +1,137 @@
+"""A small fleet, its callers, and what the backend servers' logs prove."""
+
+import itertools
+from collections import Counter
+from typing import Any, Final
+
+import attrs
+
+from fennelfork import bound_request_id
+from fennelfork_bench import _rig_http as http
+from fennelfork_bench._rig_config import await_version, first_patch
+from fennelfork_bench._rig_fleet import Fleet, empty_fleet
+from fennelfork_bench._rig_process import Rig
+from fennelfork_bench._rig_specs import (
+    BackendSpec,
+    FleetSpec,
+    FrontSpec,
+    ShardSpec,
+    daemon_specs,
+)
+
+KEYS: Final = 40
+FRONT: Final = 'registry'
+_PATH: Final = f'/v1/fronts/{FRONT}/execute'
+_PATIENCE_MS: Final = 30_000
+
+
+def once_spec(daemons: int = 2, ttl_ms: int = 30_000) -> FleetSpec:
+    """Describe two shards of one server each and a few daemons."""
+    servers = [
+        BackendSpec(name=f'reg-{lo}', lo=lo, hi=lo + 20, keys=KEYS, mean_ms=2)
+        for lo in (0, 20)
+    ]
+    front = FrontSpec(
+        name=FRONT,
+        keys=KEYS,
+        shards=tuple(
+            ShardSpec(name=f's-{server.lo}', servers=(server,))
+            for server in servers
+        ),
+    )
+    tables = {'timeouts': {'entry_ttl_ms': ttl_ms}}
+    return FleetSpec(
+        fronts=(front,),
+        daemons=daemon_specs(daemons, tables=tables),
+    )
+
+
+def start_once_fleet(rig: Rig, spec: FleetSpec) -> Fleet:
+    """Start it, with its front in force on all daemons."""
+    fleet = empty_fleet(rig, spec).start_backends().start_daemons()
+    document = {'version': 1, 'patches': [], **first_patch(fleet)}
+    fleet.platform.write_document(document)
+    await_version(fleet, 1)
+    return fleet
+
+
+@attrs.define(kw_only=True)
+class Caller:
+    """A caller that keeps what it was told of each request id."""
+
+    answers: list[tuple[str, http.HttpReply]] = attrs.field(factory=list)
+    _numbers: Any = attrs.field(factory=lambda: itertools.count(1))
+
+    def ticket(self, address: str) -> str:
+        """Ask a daemon for a ticket."""
+        return str(http.get(address, '/v1/entries').body['ticket'])
+
+    def request(self, ticket: str, key: int = 7) -> dict[str, Any]:
+        """Write a new request under a ticket."""
+        name = f'cert-{next(self._numbers)}'
+        return {
+            'request_id': bound_request_id(name, ticket),
+            'ticket': ticket,
+            'deadline_ms': 5000,
+            'tenant': 'salvare',
+            'class': 'counter',
+            'key': key,
+            'action': 'issue',
+        }
+
+    def send(
+        self,
+        address: str,
+        request: dict[str, Any],
+        patience_ms: float = _PATIENCE_MS,
+    ) -> http.HttpReply:
+        """Send a request, and keep what came back."""
+        reply = http.post(address, _PATH, request, patience_ms)
+        self.answers.append((request['request_id'], reply))
+        return reply
+
+    @property
+    def refused(self) -> set[str]:
+        """The ids of which this caller was told that they did not run."""
+        return {
+            request_id
+            for request_id, reply in self.answers
+            if reply.body.get('verdict') == 'not_run'
+        }
+
+
+def faults(fleet: Fleet, server: str, **order: Any) -> None:
+    """Switch faults of a backend server; none switches all off."""
+    reply = http.post(_address(fleet, server), '/control/faults', order)
+    assert reply.fine, reply
+
+
+def events(fleet: Fleet, kind: str) -> Counter[str]:
+    """Count events of executes in all servers' logs, by request id."""
+    counts: Counter[str] = Counter()
+    for name in fleet.backends:
+        page = http.get(_address(fleet, name), '/control/log').body
+        assert page['dropped'] == 0
+        counts.update(
+            event['request_id']
+            for event in page['events']
+            if event['call'] == 'execute' and event['kind'] == kind
+        )
+    return counts
+
+
+def assert_once(fleet: Fleet, *callers: Caller) -> Counter[str]:
+    """Assert the promise by the servers' own logs.
+
+    Returns:
+        How often each request id started.
+    """
+    started = events(fleet, 'started')
+    assert max(started.values(), default=0) <= 1
+    for caller in callers:
+        assert not caller.refused & started.keys()
+    return started
+
+
+def _address(fleet: Fleet, server: str) -> str:
+    return fleet.backends[server].ready['address']
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -18,6 +18,7 @@
 )
 from fennelfork_daemon._caller_face import CallerFace
 from fennelfork_daemon._entries_face import EntriesFace
+from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners, open_listeners
@@ -44,7 +45,17 @@
 
     def serve(self) -> None:
         """Serve until the process is told to stop."""
-        handler = PeerHandler(board=self._board, home=self._home)
+        execute = execute_parts(
+            self._board,
+            self._clock,
+            self._home,
+            self._settings,
+        )
+        handler = PeerHandler(
+            board=self._board,
+            home=self._home,
+            execute=execute.peer,
+        )
         eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
         eventlet.spawn_n(self._home.poll_forever)
         eventlet.spawn_n(platform_poll(self._board, self._settings).run)
@@ -57,9 +68,13 @@
         )
         sys.stdout.write(f'{self._listeners.ready_line}\n')
         sys.stdout.flush()
-        serve_http(self._listeners.caller, self._caller(), self._settings)
+        serve_http(
+            self._listeners.caller,
+            self._caller(execute),
+            self._settings,
+        )
 
-    def _caller(self) -> Router:
+    def _caller(self, execute: ExecuteParts) -> Router:
         caller = CallerFace(
             root=root_service(self._board, self._clock, self._home),
             clock=self._clock,
@@ -69,8 +84,11 @@
             board=self._board,
             rng=random.Random(),
             ttl_ms=self._settings.timeouts.entry_ttl_ms,
+            issuer=execute.issuer,
+        )
+        return router(
+            (*caller.routes, *entries.routes, *execute.face.routes),
         )
-        return router((*caller.routes, *entries.routes))
 
 
 def daemon(settings: Settings) -> Daemon:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_describer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_describer.py
@@ -11,7 +11,6 @@
     Front,
     HomeGroup,
     PeerHealth,
-    QueryRequest,
     homes_of,
     route_homes,
 )
@@ -33,28 +32,35 @@
     _views: ViewCache
     _clock: Clock
 
-    def learn(self, request: QueryRequest, front: Front) -> None:
-        """Ask the homes of unknown shards, then the next homes."""
-        self._views.keep_only(request.front, front.shards)
+    def learn(self, name: str, front: Front, deadline_at_ms: float) -> None:
+        """Ask the homes of unknown shards, then the next homes.
+
+        Args:
+            name: the front.
+            front: its settings.
+            deadline_at_ms: reading of the clock that ends the asking.
+        """
+        self._views.keep_only(name, front.shards)
         silent = self._health.avoided
         for _ in range(_MOST_ROUNDS):
-            unknown = self._views.unknown(request.front, front.shards)
-            groups = route_homes(self._board, request.front, unknown, silent)
+            unknown = self._views.unknown(name, front.shards)
+            groups = route_homes(self._board, name, unknown, silent)
             if not groups:
                 return
-            self._ask(request, groups)
+            self._ask(name, groups, deadline_at_ms)
             silent |= homes_of(groups)
 
     def _ask(
         self,
-        request: QueryRequest,
+        front: str,
         groups: tuple[HomeGroup, ...],
+        deadline_at_ms: float,
     ) -> None:
-        left_ms = request.deadline_at_ms - self._clock.now_ms()
+        left_ms = deadline_at_ms - self._clock.now_ms()
         timeout_ms = min(left_ms * _SHARE, _LONGEST_MS)
         pool = eventlet.GreenPool(len(groups))
         for group in groups:
-            pool.spawn_n(self._ask_home, request.front, group, timeout_ms)
+            pool.spawn_n(self._ask_home, front, group, timeout_ms)
         pool.waitall()
 
     def _ask_home(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_entries_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_entries_face.py
@@ -12,6 +12,7 @@
     Route,
     json_reply,
 )
+from fennelfork_daemon._ticket_issuer import TicketIssuer
 
 _COUNT: Final = 3
 
@@ -23,6 +24,7 @@
     _board: Blackboard
     _rng: random.Random
     _ttl_ms: int
+    _issuer: TicketIssuer
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -43,7 +45,7 @@
             {
                 'entries': [_entry(member) for member in chosen],
                 'ttl_ms': self._ttl_ms,
-                'ticket': None,
+                **self._issuer.members(),
                 'config_version': self._board.config_version,
             },
         )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -0,0 +1,139 @@
+"""Builds what a daemon needs for non-idempotent requests."""
+
+import random
+from typing import Final
+
+import attrs
+
+from fennelfork import (
+    Blackboard,
+    Clock,
+    OnceGate,
+    once_gate,
+    peer_health,
+    ticket_key,
+)
+from fennelfork_daemon._describer import Describer
+from fennelfork_daemon._execute_codec import order_from_peer, reply_to_peer
+from fennelfork_daemon._execute_connection import ExecutePatience
+from fennelfork_daemon._execute_face import ExecuteFace
+from fennelfork_daemon._execute_runner import ExecuteRunner
+from fennelfork_daemon._execute_service import ExecuteService
+from fennelfork_daemon._execute_targets import ExecuteTargets
+from fennelfork_daemon._home_calls import Home, HomeCalls
+from fennelfork_daemon._peer_client import PeerClient
+from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._ticket_issuer import TicketIssuer
+from fennelfork_daemon._view_cache import ViewCache
+
+_SECRET_BYTES: Final = 32
+_INCARNATION_BITS: Final = 62
+_MOST_RUNNING: Final = 64
+_SETTLE_MS: Final = 10_000
+
+
+@attrs.frozen(kw_only=True)
+class ExecuteParts:
+    """What the daemon wires into its faces.
+
+    Attributes:
+        face: routes of the caller face.
+        issuer: tickets for entry answers.
+        peer: the peer face's part.
+    """
+
+    face: ExecuteFace
+    issuer: TicketIssuer
+    peer: 'ExecutePeer'
+
+
+@attrs.frozen(kw_only=True)
+class ExecutePeer:
+    """Serves requests that another daemon passed on."""
+
+    _service: ExecuteService
+    _clock: Clock
+
+    def execute(self, request: object) -> object:
+        """Answer as the incarnation that the ticket should name."""
+        order = order_from_peer(request, self._clock.now_ms())
+        return reply_to_peer(self._service.answer_here(order))
+
+
+def execute_parts(
+    board: Blackboard,
+    clock: Clock,
+    home: Home,
+    settings: Settings,
+) -> ExecuteParts:
+    """Build the parts of a new incarnation.
+
+    Args:
+        board: the facts of the daemon.
+        clock: its monotonic clock.
+        home: the home side of the same daemon.
+        settings: of the daemon.
+    """
+    gate = _new_gate(board.local.name, clock)
+    service = ExecuteService(
+        gate=gate,
+        runner=ExecuteRunner(
+            table=gate.table,
+            clock=clock,
+            targets=_targets(board, clock, home),
+            patience=ExecutePatience(
+                probe_ms=settings.timeouts.connect_ms,
+                settle_ms=_SETTLE_MS,
+            ),
+            limit=_MOST_RUNNING,
+        ),
+        board=board,
+        peers=PeerClient(),
+        clock=clock,
+    )
+    return ExecuteParts(
+        face=ExecuteFace(
+            service=service,
+            board=board,
+            clock=clock,
+            settings=settings,
+        ),
+        issuer=TicketIssuer(
+            gate=gate,
+            board=board,
+            lifetime_ms=settings.timeouts.entry_ttl_ms,
+        ),
+        peer=ExecutePeer(service=service, clock=clock),
+    )
+
+
+def _new_gate(name: str, clock: Clock) -> OnceGate:
+    """Build a gate whose key no other incarnation can have."""
+    rng = random.SystemRandom()
+    incarnation = rng.getrandbits(_INCARNATION_BITS)
+    key = ticket_key(name, incarnation, rng.randbytes(_SECRET_BYTES))
+    return once_gate(key, clock, rng)
+
+
+def _targets(board: Blackboard, clock: Clock, home: Home) -> ExecuteTargets:
+    health = peer_health(clock)
+    views = ViewCache()
+    calls = HomeCalls(
+        local_name=board.local.name,
+        local=home,
+        peers=PeerClient(),
+        health=health,
+    )
+    describer = Describer(
+        board=board,
+        calls=calls,
+        health=health,
+        views=views,
+        clock=clock,
+    )
+    return ExecuteTargets(
+        board=board,
+        describer=describer,
+        views=views,
+        rng=random.Random(),
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_codec.py
@@ -0,0 +1,59 @@
+"""Non-idempotent requests, to and from the messages of the peer face."""
+
+from typing import Any
+
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from fennelfork import ExecuteRequest, Failure
+from fennelfork_daemon._execute_order import ExecuteOrder
+from fennelfork_daemon._peer_codec_fault import fault_from_peer, fault_to_peer
+from fennelfork_daemon._peer_idl import peer
+
+
+def order_to_peer(
+    request: ExecuteRequest,
+    traffic_class: str,
+    left_ms: float,
+) -> Any:
+    """Write a request with what remains of its deadline."""
+    return peer.ExecuteRequest(
+        request_id=request.request_id,
+        front=request.front,
+        ticket=request.ticket,
+        key=request.key,
+        action=request.action,
+        deadline_ms=int(left_ms),
+        tenant=request.tenant,
+        traffic_class=traffic_class,
+    )
+
+
+def order_from_peer(message: Any, now_ms: float) -> ExecuteOrder:
+    """Read a request and take its deadline from now on."""
+    return ExecuteOrder(
+        request=ExecuteRequest(
+            request_id=message.request_id,
+            ticket=message.ticket,
+            front=message.front,
+            key=message.key,
+            action=message.action,
+            tenant=message.tenant,
+        ),
+        traffic_class=message.traffic_class,
+        deadline_at_ms=now_ms + message.deadline_ms,
+    )
+
+
+def reply_to_peer(result: Result[str, Failure]) -> Any:
+    """Write the outcome or the failure."""
+    if isinstance(result, Success):
+        return peer.ExecuteReply(outcome=result.unwrap())
+    return peer.ExecuteReply(fault=fault_to_peer(result.failure()))
+
+
+def reply_from_peer(message: Any) -> Result[str, Failure]:
+    """Read the outcome or the failure."""
+    if message.fault is not None:
+        return Failed(fault_from_peer(message.fault))
+    return Success(message.outcome)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
@@ -0,0 +1,90 @@
+"""The caller face of non-idempotent requests."""
+
+import attrs
+from returns.result import Failure as Failed
+from returns.result import Success
+
+from fennelfork import Blackboard, Clock
+from fennelfork_daemon._execute_order import (
+    ExecuteOrder,
+    doubted,
+    read_execute,
+)
+from fennelfork_daemon._execute_service import ExecuteService
+from fennelfork_daemon._http_router import (
+    HttpReply,
+    HttpRequest,
+    Route,
+    failure_reply,
+    json_reply,
+)
+from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon._wsgi_request import (
+    BodyLimits,
+    Refusal,
+    read_json_object,
+)
+
+
+@attrs.frozen(kw_only=True)
+class ExecuteFace:
+    """Answers callers that want something done once."""
+
+    _service: ExecuteService
+    _board: Blackboard
+    _clock: Clock
+    _settings: Settings
+
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """The routes of this face."""
+        return (
+            Route(
+                method='POST',
+                path='/v1/fronts/{front}/execute',
+                handler=self.execute,
+            ),
+        )
+
+    def execute(self, request: HttpRequest) -> HttpReply:
+        """Answer one request."""
+        limits = BodyLimits(
+            body_bytes=self._settings.limits.body_bytes,
+            read_ms=self._settings.timeouts.request_read_ms,
+        )
+        body = read_json_object(request.environ, limits)
+        if isinstance(body, Failed):
+            return _unread(request, body.failure())
+        tree = body.unwrap()
+        order = read_execute(
+            request.names['front'],
+            tree,
+            self._clock.now_ms(),
+            self._settings.timeouts.longest_deadline_ms,
+        )
+        if isinstance(order, Success):
+            return self._answer(order.unwrap())
+        return failure_reply(order.failure(), str(tree.get('request_id')))
+
+    def _answer(self, order: ExecuteOrder) -> HttpReply:
+        started_ms = self._clock.now_ms()
+        result = self._service.answer(order)
+        request = order.request
+        if isinstance(result, Failed):
+            return failure_reply(result.failure(), request.request_id)
+        return json_reply(
+            {
+                'request_id': request.request_id,
+                'key': request.key,
+                'outcome': result.unwrap(),
+                'config_version': self._board.config_version,
+                'took_ms': round(self._clock.now_ms() - started_ms, 3),
+            },
+        )
+
+
+def _unread(request: HttpRequest, refusal: Refusal) -> HttpReply:
+    if refusal.close:
+        request.environ[CLOSE_KEY]()
+    return failure_reply(doubted(refusal.failure), status=refusal.status)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
@@ -4,8 +4,7 @@
 """
 
 import contextlib
-from collections.abc import Callable
-from typing import Final
+from typing import Final, Protocol
 
 import attrs
 import eventlet
@@ -33,12 +32,21 @@
 # The server's own word on a missed deadline should arrive before the caller's.
 _RESERVE_MS: Final = 10
 _BUSY_RETRY_MS: Final = 200
+_MS: Final = 1000
 
-# The backend servers that hold the record of a request, the best first.
-FindTargets = Callable[
-    [ExecuteRequest],
-    Result[tuple[ExecuteTarget, ...], Failure],
-]
+
+class Targets(Protocol):
+    """Knows the backend servers of records."""
+
+    def find(
+        self,
+        request: ExecuteRequest,
+        deadline_at_ms: float,
+    ) -> Result[tuple[ExecuteTarget, ...], Failure]:
+        """List the servers that hold the record, the best first."""
+
+    def forget(self, request: ExecuteRequest) -> None:
+        """Ask anew the next time."""
 
 
 @attrs.define(kw_only=True)
@@ -47,10 +55,11 @@
 
     _table: OnceTable
     _clock: Clock
-    _find_targets: FindTargets
+    _targets: Targets
     _patience: ExecutePatience
     _limit: int
     _running: dict[str, Event] = attrs.field(factory=dict)
+    _attempts: int = 0
 
     @property
     def running(self) -> int:
@@ -84,14 +93,14 @@
         event = self._running.get(request_id)
         if event is None:
             return True
-        with eventlet.Timeout(max(0, within_ms) / 1000, exception=False):
+        with eventlet.Timeout(max(0, within_ms) / _MS, exception=False):
             event.wait()
         return event.ready()
 
     def _run(self, request: ExecuteRequest, deadline_at_ms: float) -> None:
         with contextlib.ExitStack() as ending:
             ending.callback(self._end, request.request_id)
-            reason = self._try_targets(request, deadline_at_ms)
+            reason = self._try_rounds(request, deadline_at_ms)
             if reason is not None:
                 self._table.abandon(request.request_id, reason)
 
@@ -101,17 +110,31 @@
         self._table.abandon(request_id, reason)
         self._running.pop(request_id).send()
 
+    def _try_rounds(
+        self,
+        request: ExecuteRequest,
+        deadline_at_ms: float,
+    ) -> Failure | None:
+        """Run it, and look for the record once more if it has moved."""
+        failure = self._try_targets(request, deadline_at_ms)
+        if failure is None or failure.code is not FailureCode.NOT_HELD:
+            return failure
+        if failure.verdict is not Verdict.NOT_RUN:
+            return failure
+        self._targets.forget(request)
+        return self._try_targets(request, deadline_at_ms)
+
     def _try_targets(
         self,
         request: ExecuteRequest,
         deadline_at_ms: float,
     ) -> Failure | None:
-        found = self._find_targets(request)
+        found = self._targets.find(request, deadline_at_ms)
         if isinstance(found, Failed):
             return found.failure()
-        failure = not_run(FailureCode.NO_SERVER, 'no server holds the record')
-        for number, target in enumerate(found.unwrap()[:_MOST_ATTEMPTS]):
-            result = self._attempt(request, target, number, deadline_at_ms)
+        failure = not_run(FailureCode.NOT_HELD, 'no server holds the record')
+        for target in found.unwrap()[:_MOST_ATTEMPTS]:
+            result = self._attempt(request, target, deadline_at_ms)
             if isinstance(result, Success):
                 self._table.finish(request.request_id, result.unwrap())
                 return None
@@ -125,12 +148,12 @@
         self,
         request: ExecuteRequest,
         target: ExecuteTarget,
-        number: int,
         deadline_at_ms: float,
     ) -> Result[str, Failure]:
+        self._attempts += 1
         call = ExecuteCall(
             request_id=request.request_id,
-            sub_query=f'x{number}',
+            sub_query=f'x{self._attempts}',
             key=request.key,
             action=request.action,
         )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_targets.py
@@ -0,0 +1,65 @@
+"""Finds the backend servers of a record through the homes of its front."""
+
+import random
+
+import attrs
+from returns.result import Failure as Failed
+from returns.result import Result, Success
+
+from fennelfork import (
+    Blackboard,
+    ExecuteRequest,
+    Failure,
+    FailureCode,
+    NamedServer,
+    execute_servers,
+    not_run,
+)
+from fennelfork_daemon._address import address
+from fennelfork_daemon._describer import Describer
+from fennelfork_daemon._execute_connection import ExecuteTarget
+from fennelfork_daemon._view_cache import ViewCache
+
+
+@attrs.define(kw_only=True)
+class ExecuteTargets:
+    """What is known of where records are, asked for when it is not."""
+
+    _board: Blackboard
+    _describer: Describer
+    _views: ViewCache
+    _rng: random.Random
+
+    def find(
+        self,
+        request: ExecuteRequest,
+        deadline_at_ms: float,
+    ) -> Result[tuple[ExecuteTarget, ...], Failure]:
+        """List the servers that hold the record of a request, best first.
+
+        Args:
+            request: the request.
+            deadline_at_ms: reading of the clock until which homes are asked.
+        """
+        front = self._board.front(request.front)
+        if front is None:
+            detail = f'there is no front {request.front!r}'
+            return Failed(not_run(FailureCode.UNKNOWN_FRONT, detail))
+        self._describer.learn(request.front, front, deadline_at_ms)
+        servers = execute_servers(
+            front,
+            self._views.known(request.front),
+            request.key,
+            self._board.local.data_centre,
+            self._rng,
+        )
+        return Success(tuple(_target(named) for named in servers))
+
+    def forget(self, request: ExecuteRequest) -> None:
+        """Ask anew, as the servers that were named do not hold the record."""
+        self._views.keep_only(request.front, ())
+
+
+def _target(named: NamedServer) -> ExecuteTarget:
+    place = address(named.server.address)
+    return ExecuteTarget(name=named.name, host=place.host, port=place.port)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fennelfork import Blackboard, Member
+from fennelfork_daemon._execute_build import ExecutePeer
 from fennelfork_daemon._home_calls import Home
 from fennelfork_daemon._peer_codec import order_from_peer, outcome_to_peer
 from fennelfork_daemon._peer_codec_view import views_to_peer
@@ -17,6 +18,7 @@
 
     _board: Blackboard
     _home: Home
+    _execute: ExecutePeer
 
     def scatter(self, request: Any) -> Any:
         """Run sub-queries as the home of their shards."""
@@ -28,6 +30,10 @@
         views = self._home.describe(request.front, tuple(request.shards))
         return peer.DescribeReply(shards=views_to_peer(views))
 
+    def execute(self, request: Any) -> Any:
+        """Answer a non-idempotent request under a ticket of this daemon."""
+        return self._execute.execute(request)
+
     def probe(self, request: Any) -> Any:
         """Answer that this daemon lives."""
         return peer.ProbeReply(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -59,7 +59,7 @@
             detail = f'there is no front {request.front!r}'
             return Bad(not_run(FailureCode.UNKNOWN_FRONT, detail))
         config_version = self._board.config_version
-        self._describer.learn(request, front)
+        self._describer.learn(request.front, front, request.deadline_at_ms)
         scatter = self._scatter(request)
         merged = self._rounds(scatter, request, KeyRange(lo=0, hi=front.keys))
         return merged.bind(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
@@ -76,7 +76,7 @@
 struct ExecuteRequest {
   1: required string request_id
   2: required string front
-  3: required string shard
+  3: required string ticket
   4: required i64 key
   5: required string action
   6: required i64 deadline_ms
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -11,9 +11,11 @@
 from typing import Any, Final
 
 import attrs
+from returns.result import Result, Success
 
 from fennelfork import (
     ExecuteRequest,
+    Failure,
     OnceGate,
     OnceLimits,
     bound_request_id,
@@ -68,6 +70,28 @@
         return (0 if self.lose else 200), {**echo, **outcome}
 
 
+@attrs.define(kw_only=True)
+class FixedTargets:
+    """Always the same servers; none at all stands for a defect."""
+
+    targets: tuple[ExecuteTarget, ...] | None
+    forgotten: int = 0
+
+    def find(
+        self,
+        request: ExecuteRequest,
+        deadline_at_ms: float,
+    ) -> Result[tuple[ExecuteTarget, ...], Failure]:
+        """Give the servers."""
+        if self.targets is None:
+            raise RuntimeError('a defect')
+        return Success(self.targets)
+
+    def forget(self, request: ExecuteRequest) -> None:
+        """Count the calls."""
+        self.forgotten += 1
+
+
 class _FakeCalls(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     fake: FakeServer
--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -7,6 +7,7 @@
 from daemon_builders_once import (
     PATIENCE,
     FakeServer,
+    FixedTargets,
     build_gate,
     execute_request,
     fake_server,
@@ -19,7 +20,6 @@
     Done,
     Ended,
     ExecuteCall,
-    ExecuteRequest,
     Failure,
     FailureCode,
     OnceGate,
@@ -52,15 +52,11 @@
     raise AssertionError('asked for leave')
 
 
-def _broken(request: ExecuteRequest):
-    raise RuntimeError('a defect')
-
-
 def _runner(gate: OnceGate, *targets: ExecuteTarget, limit: int = 8):
     return ExecuteRunner(
         table=gate.table,
         clock=system_clock(),
-        find_targets=lambda request: Success(targets),
+        targets=FixedTargets(targets=targets),
         patience=PATIENCE,
         limit=limit,
     )
@@ -196,7 +192,7 @@
         runner = ExecuteRunner(
             table=gate.table,
             clock=system_clock(),
-            find_targets=_broken,
+            targets=FixedTargets(targets=None),
             patience=PATIENCE,
             limit=1,
         )
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -60,7 +60,10 @@
 from fennelfork._once_state import Accepted as Accepted
 from fennelfork._once_state import Done as Done
 from fennelfork._once_state import Ended as Ended
+from fennelfork._once_state import OnceState as OnceState
 from fennelfork._once_state import Sent as Sent
+from fennelfork._once_target import NamedServer as NamedServer
+from fennelfork._once_target import execute_servers as execute_servers
 from fennelfork._partition import Assignment as Assignment
 from fennelfork._partition import PartitionMap as PartitionMap
 from fennelfork._partition import ShardView as ShardView
@@ -81,6 +84,9 @@
 from fennelfork._reply import Record as Record
 from fennelfork._reply import Reply as Reply
 from fennelfork._reply import check_reply as check_reply
+from fennelfork._scatter import Part as Part
+from fennelfork._scatter import ScatterOrder as ScatterOrder
+from fennelfork._scatter import ScatterOutcome as ScatterOutcome
 from fennelfork._ticket import Ticket as Ticket
 from fennelfork._ticket import TicketKey as TicketKey
 from fennelfork._ticket import bound_request_id as bound_request_id
@@ -90,9 +96,6 @@
 from fennelfork._ticket import parse_ticket as parse_ticket
 from fennelfork._ticket import ticket_key as ticket_key
 from fennelfork._ticket import unsettled as unsettled
-from fennelfork._scatter import Part as Part
-from fennelfork._scatter import ScatterOrder as ScatterOrder
-from fennelfork._scatter import ScatterOutcome as ScatterOutcome
 from fennelfork._verdict import Failure as Failure
 from fennelfork._verdict import FailureCode as FailureCode
 from fennelfork._verdict import Verdict as Verdict
--- a/packages/fennelfork/src/fennelfork/_once.py
+++ b/packages/fennelfork/src/fennelfork/_once.py
@@ -176,6 +176,11 @@
             return entry.state.failure
         return reason.with_verdict(Verdict.RAN)
 
+    def withdraw(self, request_id: str, reason: Failure) -> None:
+        """End a request of which no byte was sent; leave any other alone."""
+        if isinstance(self._entries[request_id].state, Accepted):
+            self.abandon(request_id, reason)
+
     def close(self) -> None:
         """Refuse for good every unknown id under the tickets of up to now."""
         self._closed_ms = math.floor(self._clock.now_ms())
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_once_target.py
@@ -0,0 +1,71 @@
+"""Which backend servers may run a non-idempotent request."""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from fennelfork._document import Front, Server
+from fennelfork._partition import ShardView
+
+
+@attrs.frozen(kw_only=True)
+class NamedServer:
+    """A configured backend server under its name."""
+
+    name: str
+    server: Server
+
+
+def execute_servers(
+    front: Front,
+    views: Iterable[ShardView],
+    key: int,
+    data_centre: str,
+    rng: random.Random,
+) -> tuple[NamedServer, ...]:
+    """List the servers that hold a record, the best first.
+
+    While records move, the shard that holds the record at the newest snapshot
+    comes first; each server refuses what it no longer holds.
+
+    Args:
+        front: settings of the front.
+        views: what each of its shards holds.
+        key: the record.
+        data_centre: where this daemon runs; its own servers come first.
+        rng: spreads the load over equal servers.
+    """
+    newest = {
+        view.shard: version
+        for view in views
+        if (version := _newest(view, key)) is not None
+    }
+    holders = [name for name in front.shards if name in newest]
+    holders.sort(key=newest.__getitem__, reverse=True)
+    found: list[NamedServer] = []
+    for name in holders:
+        servers = front.shards[name].servers.items()
+        found.extend(_ordered(servers, data_centre, rng))
+    return tuple(found)
+
+
+def _newest(view: ShardView, key: int) -> int | None:
+    """Give the newest snapshot at which a shard holds a record."""
+    versions = (
+        snapshot.version
+        for snapshot in view.snapshots
+        if any(part.holds(key) for part in snapshot.ranges)
+    )
+    return max(versions, default=None)
+
+
+def _ordered(
+    servers: Iterable[tuple[str, Server]],
+    data_centre: str,
+    rng: random.Random,
+) -> list[NamedServer]:
+    named = [NamedServer(name=name, server=each) for name, each in servers]
+    rng.shuffle(named)
+    named.sort(key=lambda one: one.server.data_centre != data_centre)
+    return named
--- a/packages/fennelfork/tests/test_once.py
+++ b/packages/fennelfork/tests/test_once.py
@@ -111,6 +111,20 @@
         gate.table.take_back(request.request_id)
         assert gate.table.may_send(request.request_id) == Success(LIFETIME_MS)
 
+    @pytest.mark.parametrize('sent', [False, True])
+    def test_is_withdrawn_only_unsent(self, sent: bool) -> None:
+        """Past its deadline, only what was not sent ends as not run."""
+        gate = build_gate(ManualTime())
+        request = _taken(gate)
+        if sent:
+            gate.table.may_send(request.request_id)
+        gate.table.withdraw(request.request_id, _REASON)
+        ended = isinstance(gate.table.state(request.request_id), Ended)
+        assert ended is not sent
+        if ended:
+            leave = gate.table.may_send(request.request_id)
+            assert leave.failure().verdict is Verdict.NOT_RUN
+
     def test_outcome_too_long_is_still_known_to_have_run(self) -> None:
         """A repeat learns that it ran when the outcome could not be kept."""
         gate = build_gate(ManualTime())
--- /dev/null
+++ b/packages/fennelfork/tests/test_once_target.py
@@ -0,0 +1,67 @@
+"""Which backend servers may run a non-idempotent request."""
+
+import random
+
+from fennelfork import (
+    Front,
+    Server,
+    Shard,
+    ShardView,
+    SnapshotView,
+    execute_servers,
+    key_range,
+)
+
+
+def _server(centre: str) -> Server:
+    return Server(
+        address='127.0.0.1:9001',
+        data_centre=centre,
+        slots=5,
+        connections=40,
+        connect_ms=6,
+    )
+
+
+def _view(shard: str, **held: tuple[int, int]) -> ShardView:
+    return ShardView(
+        shard=shard,
+        snapshots=tuple(
+            SnapshotView(version=int(name[1:]), ranges=(key_range(lo, hi),))
+            for name, (lo, hi) in held.items()
+        ),
+    )
+
+
+_FRONT = Front(
+    keys=100,
+    shards={
+        'a': Shard(servers={'a1': _server('dc-1'), 'a2': _server('dc-2')}),
+        'b': Shard(servers={'b1': _server('dc-1')}),
+    },
+)
+
+
+def _names(key: int, *views: ShardView, seed: int = 1) -> list[str]:
+    found = execute_servers(_FRONT, views, key, 'dc-2', random.Random(seed))
+    return [one.name for one in found]
+
+
+class TestExecuteServers:
+    """The servers of a record, the best first."""
+
+    def test_near_ones_first(self) -> None:
+        """Servers of the daemon's data centre come before others."""
+        view = _view('a', v1=(0, 50))
+        for seed in range(5):
+            assert _names(7, view, seed=seed) == ['a2', 'a1']
+
+    def test_newest_snapshot_first(self) -> None:
+        """A record that moved is run by its new shard."""
+        old, new = _view('a', v1=(0, 50)), _view('b', v2=(0, 50))
+        assert _names(7, old, new) == ['b1', 'a2', 'a1']
+
+    def test_none_without_a_holder(self) -> None:
+        """A record that no configured shard holds has no server."""
+        views = (_view('a', v1=(0, 50)), _view('gone', v1=(50, 100)))
+        assert not _names(60, *views)
