--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
@@ -0,0 +1,80 @@
+"""The log of a stand-in as its control face sends it."""
+
+import attrs
+
+from fennelfork_bench._backend_log import Event
+from fennelfork_bench._backend_state import ServerState
+
+
+@attrs.frozen(kw_only=True)
+class LogLine:
+    """An event as the control face sends it."""
+
+    at_ms: float
+    kind: str
+    call: str
+    request_id: str
+    sub_query: str
+    snapshot: int | None
+    lo: int | None
+    hi: int | None
+    key: int | None
+    action: str | None
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class LogCounts:
+    """The counts of a log without its events."""
+
+    name: str
+    counts: dict[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class LogPage:
+    """The log as the control face sends it."""
+
+    name: str
+    connections: int
+    connections_peak: int
+    connections_refused: int
+    dropped: int
+    counts: dict[str, int]
+    events: tuple[LogLine, ...]
+
+
+def log_counts(state: ServerState) -> LogCounts:
+    """Give the counts of a server's log as a message."""
+    return LogCounts(name=state.settings.name, counts=dict(state.log.counts))
+
+
+def log_page(state: ServerState) -> LogPage:
+    """Give the log of a server as a message."""
+    log = state.log
+    return LogPage(
+        name=state.settings.name,
+        connections=state.connections,
+        connections_peak=state.connections_peak,
+        connections_refused=state.connections_refused,
+        dropped=log.dropped,
+        counts=dict(log.counts),
+        events=tuple(_log_line(event) for event in log.events),
+    )
+
+
+def _log_line(event: Event) -> LogLine:
+    subject = event.subject
+    return LogLine(
+        at_ms=event.at_ms,
+        kind=event.kind.value,
+        call=subject.call.value,
+        request_id=subject.request_id,
+        sub_query=subject.sub_query,
+        snapshot=subject.snapshot,
+        lo=subject.lo,
+        hi=subject.hi,
+        key=subject.key,
+        action=subject.action,
+        detail=event.detail,
+    )
