Bound the start of an execute by the server's own clock; kills and pauses

Ruled out: civil time, as clocks differ. Change: the probe may bring a reading of the server's clock, and the execute names the reading from which on it must not start; the stand-in keeps it.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_engine.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_engine.py
@@ -92,7 +92,7 @@
     """Run a non-idempotent request; the outcome tells how often it ran."""
     attempt = Attempt(
         subject=execute_subject(request),
-        deadline_ms=request.deadline_ms,
+        deadline_ms=request.left_ms(state.clock.now_ms()),
         faults=faults,
     )
     wanted = key_range(request.key, request.key + 1)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_messages.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_messages.py
@@ -33,13 +33,25 @@
 
 @attrs.frozen(kw_only=True)
 class ExecuteRequest:
-    """A request that must run at most once."""
+    """A request that must run at most once.
+
+    Attributes:
+        not_after_ms: reading of the server's own clock, as told by its health
+            endpoint, from which on the request must not start.
+    """
 
     request_id: str
     sub_query: str
     key: int
     action: str
     deadline_ms: float
+    not_after_ms: float | None = None
+
+    def left_ms(self, now_ms: float) -> float:
+        """Give what is left of the deadline, zero if it came too late."""
+        if self.not_after_ms is not None and now_ms >= self.not_after_ms:
+            return 0
+        return self.deadline_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -79,12 +91,13 @@
 
 @attrs.frozen(kw_only=True)
 class Health:
-    """What a server says of itself."""
+    """What a server says of itself; `now_ms` is a reading of its clock."""
 
     state: str
     snapshots: tuple[HeldSnapshot, ...]
     slots: int
     busy: int
+    now_ms: float
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_views.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_views.py
@@ -24,6 +24,7 @@
             told,
             state=fault.state or told.state,
             busy=told.busy if fault.busy is None else fault.busy,
+            now_ms=self._state.clock.now_ms(),
         )
 
     def load(self) -> Load:
@@ -62,6 +63,7 @@
         snapshots=state.holdings.held,
         slots=state.slots.size,
         busy=state.slots.busy,
+        now_ms=state.clock.now_ms(),
     )
 
 
--- a/packages/fennelfork-bench/tests/bench_builders_once.py
+++ b/packages/fennelfork-bench/tests/bench_builders_once.py
@@ -25,7 +25,11 @@
 _PATIENCE_MS: Final = 30_000
 
 
-def once_spec(daemons: int = 2, ttl_ms: int = 30_000) -> FleetSpec:
+def once_spec(
+    daemons: int = 2,
+    ttl_ms: int = 30_000,
+    connect_ms: int = 500,
+) -> FleetSpec:
     """Describe two shards of one server each and a few daemons."""
     servers = [
         BackendSpec(name=f'reg-{lo}', lo=lo, hi=lo + 20, keys=KEYS, mean_ms=2)
@@ -39,10 +43,10 @@
             for server in servers
         ),
     )
-    tables = {'timeouts': {'entry_ttl_ms': ttl_ms}}
+    timeouts = {'entry_ttl_ms': ttl_ms, 'connect_ms': connect_ms}
     return FleetSpec(
         fronts=(front,),
-        daemons=daemon_specs(daemons, tables=tables),
+        daemons=daemon_specs(daemons, tables={'timeouts': timeouts}),
     )
 
 
--- a/packages/fennelfork-bench/tests/test_once_process.py
+++ b/packages/fennelfork-bench/tests/test_once_process.py
@@ -1,5 +1,6 @@
 """At most once, with real daemons that are killed, paused and cut off."""
 
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -7,15 +8,18 @@
 from bench_builders_once import (
     Caller,
     assert_once,
+    events,
     faults,
     once_spec,
     start_once_fleet,
 )
 
+from fennelfork_bench import _rig_http as http
 from fennelfork_bench._rig_fleet import Fleet
 from fennelfork_bench._rig_process import rig, wait_until
 
 _CAP_S = 30
+_TTL_MS = 1500
 
 
 @pytest.fixture(scope='module')
@@ -117,3 +121,93 @@
         fleet.platform.vm_list.resume()
         assert {reply.status for reply in replies} == {200}, replies
         assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_a_server_refuses_what_comes_late(self, fleet: Fleet) -> None:
+        """An execute read after its limit is refused and not started."""
+        address = fleet.backends['reg-0'].ready['address']
+        now_ms = http.get(address, '/v1/health').body['now_ms']
+        late = {
+            'request_id': 'late@s',
+            'sub_query': 'x1',
+            'key': 7,
+            'action': 'issue',
+            'deadline_ms': 5000,
+            'not_after_ms': now_ms,
+        }
+        reply = http.post(address, '/v1/execute', late)
+        assert reply.body['verdict'] == 'not_run', reply
+        assert 'late@s' not in assert_once(fleet)
+
+
+@pytest.mark.process
+class TestDeaths:
+    """Daemons that are killed, paused and started again."""
+
+    def test_killed_in_the_middle(self) -> None:
+        """Nobody runs again what a killed daemon sent, nor denies it."""
+        caller = Caller()
+        with rig() as own, ThreadPoolExecutor(1) as pool:
+            fleet = start_once_fleet(own, once_spec())
+            here, there = fleet.callers
+            request = caller.request(caller.ticket(here))
+            faults(fleet, 'reg-0', rules=[{'kind': 'late', 'delay_ms': 4000}])
+            first = pool.submit(caller.send, here, request)
+            wait_until(lambda: events(fleet, 'started'), _CAP_S, 'the run')
+            fleet.daemons['vm-1'].kill()
+            assert first.result().status == 0
+            cut_off = caller.send(there, request)
+            fleet.start_daemons([fleet.daemon_spec('vm-1')])
+            restarted = fleet.daemons['vm-1'].ready['caller']
+            repeats = [cut_off]
+            for address in (restarted, there):
+                fresh = {**request, 'ticket': caller.ticket(address)}
+                repeats.append(caller.send(address, request))
+                repeats.append(caller.send(address, fresh))
+            verdicts = [reply.body.get('verdict') for reply in repeats]
+            assert set(verdicts) == {'may_have_run'}, repeats
+            assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_paused_past_its_ticket(self) -> None:
+        """A daemon that wakes with an expired ticket does not send."""
+        caller = Caller()
+        with rig() as own, ThreadPoolExecutor(1) as pool:
+            spec = once_spec(
+                ttl_ms=_TTL_MS,
+                connect_ms=20_000,
+            )
+            fleet = start_once_fleet(own, spec)
+            here, there = fleet.callers
+            request = caller.request(caller.ticket(here))
+            request['deadline_ms'] = 20_000
+            # The probe waits for the frozen server, so the send comes after.
+            faults(fleet, 'reg-0', freeze_ms=2 * _TTL_MS)
+            first = pool.submit(caller.send, here, request)
+            time.sleep(_TTL_MS / 5000)
+            fleet.daemons['vm-1'].pause()
+            time.sleep(_TTL_MS / 1000)
+            fleet.daemons['vm-1'].resume()
+            replies = [first.result(), caller.send(there, request)]
+            verdicts = [reply.body.get('verdict') for reply in replies]
+            assert verdicts == ['not_run', 'not_run'], replies
+            assert request['request_id'] not in assert_once(fleet, caller)
+
+    def test_paused_after_the_send(self) -> None:
+        """A daemon that wakes after its ticket tells the outcome it got."""
+        caller = Caller()
+        with rig() as own, ThreadPoolExecutor(1) as pool:
+            fleet = start_once_fleet(own, once_spec(ttl_ms=_TTL_MS))
+            here, there = fleet.callers
+            request = caller.request(caller.ticket(here))
+            faults(fleet, 'reg-0', rules=[{'kind': 'late', 'delay_ms': 500}])
+            first = pool.submit(caller.send, here, request)
+            wait_until(lambda: events(fleet, 'started'), _CAP_S, 'the run')
+            fleet.daemons['vm-1'].pause()
+            time.sleep(_TTL_MS / 1000)
+            fleet.daemons['vm-1'].resume()
+            first.result()
+            wait_until(
+                lambda: caller.send(there, request).status == 200,
+                _CAP_S,
+                'the outcome',
+            )
+            assert assert_once(fleet, caller)[request['request_id']] == 1
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
@@ -14,7 +14,7 @@
 import attrs
 import eventlet
 from returns.result import Failure as Failed
-from returns.result import Result
+from returns.result import Result, Success
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
@@ -56,6 +56,20 @@
     settle_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class _Window:
+    """When the server may start.
+
+    Attributes:
+        left_ms: how long from when it reads the request.
+        not_after_ms: until which reading of its own clock, if it tells one;
+            this also bounds the time that the request waits unread.
+    """
+
+    left_ms: float
+    not_after_ms: float | None
+
+
 # Asked immediately before the first byte is sent; gives the milliseconds
 # within which the server must have run the request.
 Leave = Callable[[], Result[float, Failure]]
@@ -92,49 +106,72 @@
     leave: Leave,
     patience: ExecutePatience,
 ) -> Result[str, Failure]:
-    fault = _probe(connection, patience.probe_ms)
-    if fault is not None:
-        detail = f'backend server {target.name} failed the probe: {fault}'
-        return Failed(not_run(FailureCode.UNREACHABLE, detail))
+    probed = _probe(connection, target, patience.probe_ms)
+    if isinstance(probed, Failed):
+        return Failed(probed.failure())
     # Without this, a connection lost since the probe would be opened anew.
     connection.auto_open = 0
-    return leave().bind(
-        lambda left_ms: _send(connection, target, call, left_ms, patience),
-    )
+    left = leave()
+    if isinstance(left, Failed):
+        return Failed(left.failure())
+    window = _window(left.unwrap(), probed.unwrap())
+    return _send(connection, target, call, window, patience)
+
 
+def _window(left_ms: float, server_now_ms: float | None) -> _Window:
+    # The server's reading is older than `left_ms`, so this errs on the early
+    # side, whatever either process spent paused in between.
+    not_after_ms = None if server_now_ms is None else server_now_ms + left_ms
+    return _Window(left_ms=left_ms, not_after_ms=not_after_ms)
 
-def _probe(connection: HTTPConnection, within_ms: float) -> str | None:
-    """Give what is wrong with the server, or none."""
+
+def _probe(
+    connection: HTTPConnection,
+    target: ExecuteTarget,
+    within_ms: float,
+) -> Result[float | None, Failure]:
+    """Give the reading of the server's clock, none if it tells none."""
     timeout = eventlet.Timeout(within_ms / _MS)
     try:
         return _ask_health(connection)
     except _ERRORS as error:
-        return type(error).__name__
+        fault = type(error).__name__
     finally:
         timeout.cancel()
+    detail = f'backend server {target.name} failed the probe: {fault}'
+    return Failed(not_run(FailureCode.UNREACHABLE, detail))
 
 
-def _ask_health(connection: HTTPConnection) -> str | None:
+def _ask_health(connection: HTTPConnection) -> Result[float | None, Failure]:
     connection.request('GET', '/v1/health', preload_content=False)
     response = connection.getresponse()
-    response.read(_REPLY_BYTES)
-    if response.length_remaining:
-        return 'the answer is too long'
-    if connection.sock is None:
-        return 'the connection was closed'
-    return None if response.status == _OK else f'status {response.status}'
+    content = response.read(_REPLY_BYTES)
+    usable = response.status == _OK and not response.length_remaining
+    if not usable or connection.sock is None:
+        detail = f'the probe was answered with status {response.status}'
+        return Failed(not_run(FailureCode.UNREACHABLE, detail))
+    return Success(_read_clock(content))
+
+
+def _read_clock(content: bytes) -> float | None:
+    try:
+        health = json.loads(content)
+    except ValueError:
+        return None
+    told = health.get('now_ms') if isinstance(health, dict) else None
+    return told if isinstance(told, int | float) else None
 
 
 def _send(
     connection: HTTPConnection,
     target: ExecuteTarget,
     call: ExecuteCall,
-    left_ms: float,
+    window: _Window,
     patience: ExecutePatience,
 ) -> Result[str, Failure]:
-    timeout = eventlet.Timeout((left_ms + patience.settle_ms) / _MS)
+    timeout = eventlet.Timeout((window.left_ms + patience.settle_ms) / _MS)
     try:
-        return _exchange(connection, call, left_ms)
+        return _exchange(connection, call, window)
     except _ERRORS as error:
         fault = type(error).__name__
     finally:
@@ -146,9 +183,11 @@
 def _exchange(
     connection: HTTPConnection,
     call: ExecuteCall,
-    left_ms: float,
+    window: _Window,
 ) -> Result[str, Failure]:
-    body = {**attrs.asdict(call), 'deadline_ms': int(left_ms)}
+    body = {**attrs.asdict(call), 'deadline_ms': int(window.left_ms)}
+    if window.not_after_ms is not None:
+        body['not_after_ms'] = window.not_after_ms
     connection.request(
         'POST',
         '/v1/execute',
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -40,16 +40,19 @@
         lose: run, then close the connection without an answer.
         cross: answer about another request.
         sick: fail the probe.
+        now_ms: reading of its clock, which it tells if not none.
         hang_up: close the connection after the probe.
     """
 
     port: int = 0
     runs: Counter[str] = attrs.field(factory=Counter)
     deadlines: list[int] = attrs.field(factory=list)
+    limits: list[float | None] = attrs.field(factory=list)
     refuse: bool = False
     lose: bool = False
     cross: bool = False
     sick: bool = False
+    now_ms: float | None = None
     hang_up: bool = False
 
     @property
@@ -64,6 +67,7 @@
             return 503, {**echo, 'code': 'shed', 'verdict': 'not_run'}
         self.runs[request['request_id']] += 1
         self.deadlines.append(request['deadline_ms'])
+        self.limits.append(request.get('not_after_ms'))
         if self.cross:
             echo['request_id'] = 'another'
         outcome = {'key': request['key'], 'outcome': 'certificate 5'}
@@ -99,7 +103,8 @@
     def do_GET(self) -> None:
         """Answer the probe."""
         self.close_connection = self.fake.hang_up
-        self._answer(503 if self.fake.sick else 200, {})
+        health = {'now_ms': self.fake.now_ms}
+        self._answer(503 if self.fake.sick else 200, health)
 
     def do_POST(self) -> None:
         """Answer an execute."""
--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -85,6 +85,23 @@
         assert outcome == Success('certificate 5')
         assert server.deadlines == [250]
 
+    @pytest.mark.parametrize(('now_ms', 'limit'), [(None, None), (70, 320.5)])
+    def test_bounds_the_start_by_the_clock_of_the_server(
+        self,
+        server: FakeServer,
+        now_ms: float | None,
+        limit: float | None,
+    ) -> None:
+        """A server that tells its clock is told until when it may start."""
+        server.now_ms = now_ms
+        attempt_execute(
+            server.target,
+            _CALL,
+            lambda: Success(250.5),
+            PATIENCE,
+        )
+        assert server.limits == [limit]
+
     def test_sends_nothing_without_leave(self, server: FakeServer) -> None:
         """A refusal just before the send keeps every byte back."""
         refusal = Failed(not_run(FailureCode.TICKET, 'expired'))
