What a caller may do after each verdict, as a decision

Cause: the command and callers of tests sent ids that no ticket binds, and a caller in doubt that meets a refused connection would ask under a new ticket. Ruled out: binding in the daemon, as the same id under a new ticket would then run again.

--- a/packages/fennelfork-cli/src/fennelfork_cli/_caller_commands.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_caller_commands.py
@@ -7,7 +7,7 @@
 from cyclopts import Parameter
 from returns.result import Result
 
-from fennelfork import Verdict
+from fennelfork import Verdict, bound_request_id
 from fennelfork_cli._call import CallFailure, Tree
 from fennelfork_cli._caller_call import ask, fetch_entries, request_body
 from fennelfork_cli._caller_texts import (
@@ -73,7 +73,8 @@
     """Run a non-idempotent request, at most once.
 
     Exit 3 says that it did not run. After exit 4, ask again with the printed
-    --request-id and --ticket: the same pair never runs twice.
+    --request-id and --ticket: the same pair never runs twice. A first
+    --request-id is a name, to which the serial of the ticket is added.
 
     Example: fennelfork execute certificate-registry --key 7 --action issue
 
@@ -98,6 +99,11 @@
     found: Tree,
 ) -> Result[Tree, CallFailure]:
     ticketed = body | {'ticket': ticket or found.get('ticket')}
+    if ticket is None:
+        ticketed['request_id'] = bound_request_id(
+            body['request_id'],
+            str(ticketed['ticket']),
+        )
     return ask(path, ticketed, found).alt(
         lambda failure: _with_way_back(failure, ticketed),
     )
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -50,6 +50,12 @@
 from fennelfork._once_admission import AnswerIt as AnswerIt
 from fennelfork._once_admission import AwaitIt as AwaitIt
 from fennelfork._once_admission import RunIt as RunIt
+from fennelfork._once_caller import Answered as Answered
+from fennelfork._once_caller import CallerEvent as CallerEvent
+from fennelfork._once_caller import CallerStep as CallerStep
+from fennelfork._once_caller import NoAnswer as NoAnswer
+from fennelfork._once_caller import NothingSent as NothingSent
+from fennelfork._once_caller import OnceCaller as OnceCaller
 from fennelfork._once_gate import ExecuteRequest as ExecuteRequest
 from fennelfork._once_gate import OnceGate as OnceGate
 from fennelfork._once_gate import PassOn as PassOn
--- /dev/null
+++ b/packages/fennelfork/tests/test_once_caller.py
@@ -0,0 +1,57 @@
+"""What a caller may do after each answer."""
+
+import pytest
+
+from fennelfork import (
+    Answered,
+    CallerEvent,
+    CallerStep,
+    NoAnswer,
+    NothingSent,
+    OnceCaller,
+    Verdict,
+)
+
+_DOUBT = Answered(verdict=Verdict.MAY_HAVE_RUN)
+_REFUSED = Answered(verdict=Verdict.NOT_RUN)
+
+
+class TestOnceCaller:
+    """The steps of a caller that wants one deed done once."""
+
+    @pytest.mark.parametrize(
+        ('event', 'step'),
+        [
+            (Answered(verdict=Verdict.RAN, has_outcome=True), CallerStep.STOP),
+            (Answered(verdict=Verdict.RAN), CallerStep.LOOK_UP),
+            (_REFUSED, CallerStep.RENEW),
+            (_DOUBT, CallerStep.ASK_AGAIN),
+            (NoAnswer(), CallerStep.ASK_AGAIN),
+            (NothingSent(), CallerStep.RENEW),
+        ],
+    )
+    def test_first_attempt(self, event: CallerEvent, step: CallerStep) -> None:
+        """Only a true refusal, or nothing sent, allows a new ticket."""
+        assert OnceCaller().after(event, 1000) is step
+
+    @pytest.mark.parametrize('doubt', [_DOUBT, NoAnswer()])
+    def test_doubt_outlives_a_refused_connection(
+        self,
+        doubt: CallerEvent,
+    ) -> None:
+        """That nothing was sent now says nothing of the attempt before."""
+        caller = OnceCaller()
+        caller.after(doubt, 1000)
+        assert caller.after(NothingSent(), 1000) is CallerStep.ASK_AGAIN
+        assert caller.after(NothingSent(), 0) is CallerStep.LOOK_UP
+
+    def test_a_true_refusal_ends_the_doubt(self) -> None:
+        """The daemon of the ticket settles it, and a new ticket is clean."""
+        caller = OnceCaller()
+        caller.after(NoAnswer(), 1000)
+        assert caller.after(_REFUSED, 0) is CallerStep.RENEW
+        assert caller.after(NothingSent(), 1000) is CallerStep.RENEW
+
+    def test_looks_up_when_the_ticket_has_ended(self) -> None:
+        """In doubt past the ticket's end, a caller stops asking."""
+        assert OnceCaller().after(_DOUBT, 0) is CallerStep.LOOK_UP
