--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -2,8 +2,6 @@
 
 import random
 import sys
-import time
-from typing import Final
 
 import attrs
 import eventlet
@@ -11,26 +9,24 @@
 from fennelfork import (
     Blackboard,
     Clock,
-    Member,
-    MemberStatus,
     blackboard,
     system_clock,
 )
 from fennelfork_daemon._caller_face import CallerFace
 from fennelfork_daemon._config_service import ConfigService, config_service
 from fennelfork_daemon._entries_face import EntriesFace
+from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners, open_listeners
+from fennelfork_daemon._local_member import local_member
 from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
 from fennelfork_daemon._peer_server import peer_server
 from fennelfork_daemon._platform_poll import platform_poll
 from fennelfork_daemon._root_service import root_service
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_server import listening_address, serve_http
-
-_NS_PER_MS: Final = 1_000_000
+from fennelfork_daemon._wsgi_server import serve_http
 
 
 @attrs.define(kw_only=True)
@@ -46,9 +42,16 @@
 
     def serve(self) -> None:
         """Serve until the process is told to stop."""
+        execute = execute_parts(
+            self._board,
+            self._clock,
+            self._home,
+            self._settings,
+        )
         handler = PeerHandler(
             board=self._board,
             home=self._home,
+            execute=execute.peer,
             config=self._config.exchange,
         )
         eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
@@ -64,9 +67,13 @@
         )
         sys.stdout.write(f'{self._listeners.ready_line}\n')
         sys.stdout.flush()
-        serve_http(self._listeners.caller, self._caller(), self._settings)
+        serve_http(
+            self._listeners.caller,
+            self._caller(execute),
+            self._settings,
+        )
 
-    def _caller(self) -> Router:
+    def _caller(self, execute: ExecuteParts) -> Router:
         caller = CallerFace(
             root=root_service(self._board, self._clock, self._home),
             clock=self._clock,
@@ -76,8 +83,11 @@
             board=self._board,
             rng=random.Random(),
             ttl_ms=self._settings.timeouts.entry_ttl_ms,
+            issuer=execute.issuer,
+        )
+        return router(
+            (*caller.routes, *entries.routes, *execute.face.routes),
         )
-        return router((*caller.routes, *entries.routes))
 
 
 def daemon(settings: Settings) -> Daemon:
@@ -88,7 +98,7 @@
     """
     listeners = open_listeners(settings.listen)
     clock = system_clock()
-    board = blackboard(_local_member(settings, listeners))
+    board = blackboard(local_member(settings, listeners))
     board.routing = settings.routing.mode
     return Daemon(
         settings=settings,
@@ -98,16 +108,3 @@
         home=home_service(board, clock),
         config=config_service(board, clock, settings),
     )
-
-
-def _local_member(settings: Settings, listeners: Listeners) -> Member:
-    return Member(
-        name=settings.daemon.name,
-        incarnation=time.time_ns() // _NS_PER_MS,
-        state=MemberStatus.ALIVE,
-        region=settings.daemon.region,
-        data_centre=settings.daemon.data_centre,
-        caller=str(listening_address(listeners.caller)),
-        operator=str(listening_address(listeners.operator)),
-        peer=str(listening_address(listeners.peer)),
-    )
