--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
@@ -0,0 +1,56 @@
+"""The three listening sockets of a daemon."""
+
+import errno
+from typing import Final
+
+import attrs
+from eventlet.green import socket
+from returns.result import Failure, Result, Success
+
+from fennelfork_daemon._address import Address
+from fennelfork_daemon._settings_tables import ListenSettings
+from fennelfork_daemon._wsgi_server import open_listener
+
+_WORDS: Final = {
+    errno.EADDRINUSE: 'the address is already in use',
+    errno.EADDRNOTAVAIL: 'this machine does not have that IP number',
+    errno.EACCES: 'the port is not allowed for this user',
+}
+
+
+@attrs.frozen(kw_only=True)
+class Listeners:
+    """The open sockets of the three faces."""
+
+    caller: socket.socket
+    operator: socket.socket
+    peer: socket.socket
+
+
+def open_listeners(settings: ListenSettings) -> Result[Listeners, str]:
+    """Open the sockets of all three faces, or none.
+
+    Returns:
+        The sockets, or one line that names the setting and the reason.
+    """
+    opened: dict[str, socket.socket] = {}
+    for name, at in attrs.asdict(settings, recurse=False).items():
+        listener = _open(name, at)
+        if isinstance(listener, Failure):
+            _close(opened)
+            return listener
+        opened[name] = listener.unwrap()
+    return Success(Listeners(**opened))
+
+
+def _open(name: str, at: Address) -> Result[socket.socket, str]:
+    try:
+        return Success(open_listener(at))
+    except OSError as err:
+        reason = _WORDS.get(err.errno or 0, str(err))
+        return Failure(f'listen.{name}: cannot listen on {at}: {reason}')
+
+
+def _close(opened: dict[str, socket.socket]) -> None:
+    for listener in opened.values():
+        listener.close()
