--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/__main__.py
@@ -0,0 +1,16 @@
+"""The binary `fennelforkd`."""
+
+import sys
+
+from fennelfork_daemon import _green  # noqa: F401  # before all else
+from fennelfork_daemon._cli import run_command
+from fennelfork_daemon._serve import serve
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    sys.exit(run_command(sys.argv[1:], serve))
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
@@ -1,6 +1,7 @@
 """The three listening sockets of a daemon."""
 
 import errno
+import json
 from typing import Final
 
 import attrs
@@ -9,7 +10,7 @@
 
 from fennelfork_daemon._address import Address
 from fennelfork_daemon._settings_tables import ListenSettings
-from fennelfork_daemon._wsgi_server import open_listener
+from fennelfork_daemon._wsgi_server import listening_address, open_listener
 
 _WORDS: Final = {
     errno.EADDRINUSE: 'the address is already in use',
@@ -26,6 +27,16 @@
     operator: socket.socket
     peer: socket.socket
 
+    @property
+    def ready_line(self) -> str:
+        """What a daemon prints once it serves."""
+        addresses = {
+            'caller': str(listening_address(self.caller)),
+            'operator': str(listening_address(self.operator)),
+            'peer': str(listening_address(self.peer)),
+        }
+        return json.dumps({'ready': addresses})
+
 
 def open_listeners(settings: ListenSettings) -> Result[Listeners, str]:
     """Open the sockets of all three faces, or none.
