Operator face: readiness, metrics, history, members, fronts and explain

Cause: the daemon served, but told nobody what it did. Ruled out: hooks in each adapter for log lines, which other changes would lose; a watch reads the blackboard twice a second instead. Change: a bounded trace a request (32 events, what is unusual only), a ring of them as JSON, four histograms and the answers by verdict counted at the caller face. Not counted yet: sheds, dropped replies, hedges and retries by front, control cost. Conclusion: patch, status and drain are still to come on this face.

--- a/packages/fennelfork-cli/src/fennelfork_cli/_front_texts.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_front_texts.py
@@ -8,8 +8,18 @@
 from fennelfork_cli._text_table import text_table
 
 _NAME: Final = 'name'
-_LIST: Final = ('name', 'snapshot', 'shards', 'servers')
-_SERVERS: Final = ('shard', 'home', 'name', 'state', 'slots', 'busy')
+_LIST: Final = ('name', 'keys', 'hedge', 'shards', 'servers')
+_SERVERS: Final = (
+    'shard',
+    'home',
+    'name',
+    'address',
+    'data_centre',
+    'state',
+    'slots',
+    'busy',
+    'snapshots',
+)
 
 
 def front_list_report(tree: Tree) -> Report:
@@ -17,7 +27,8 @@
     rows = [
         {
             'name': front[_NAME],
-            'snapshot': front.get('snapshot'),
+            'keys': front.get('keys'),
+            'hedge': front.get('hedge'),
             'shards': len(front['shards']),
             'servers': sum(len(shard['servers']) for shard in front['shards']),
         }
@@ -53,4 +64,7 @@
         for server in shard['servers']
     ]
     table = text_table(_SERVERS, rows)
-    return f'{front[_NAME]}, snapshot {front.get("snapshot")}\n{table}'
+    return (
+        f'{front[_NAME]}, keys 0 to {front.get("keys")}, '
+        f'hedge {front.get("hedge")}\n{table}'
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
@@ -14,6 +14,7 @@
     failure_reply,
     json_reply,
 )
+from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._root_service import RootService
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
@@ -31,6 +32,7 @@
     _root: RootService
     _clock: Clock
     _settings: Settings
+    _observer: Observer
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -64,11 +66,13 @@
         return self._answer(read.unwrap())
 
     def _answer(self, query: QueryRequest) -> HttpReply:
-        started_ms = self._clock.now_ms()
-        answered = self._root.answer(query)
-        took_ms = self._clock.now_ms() - started_ms
+        trace = self._observer.began()
+        answered = self._root.answer(query, trace)
+        took_ms = trace.took_ms
         if not is_successful(answered):
+            self._observer.refused(query, answered.failure(), trace)
             return failure_reply(answered.failure(), query.request_id)
+        self._observer.answered(query, answered.unwrap(), trace)
         return json_reply(answer_tree(query, answered.unwrap(), took_ms))
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -2,8 +2,6 @@
 
 import random
 import sys
-import time
-from typing import Final
 
 import attrs
 import eventlet
@@ -11,8 +9,6 @@
 from fennelfork import (
     Blackboard,
     Clock,
-    Member,
-    MemberStatus,
     blackboard,
     system_clock,
 )
@@ -21,15 +17,16 @@
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners
+from fennelfork_daemon._local_member import local_member
+from fennelfork_daemon._observer import Observer, observer
 from fennelfork_daemon._operator_face import OperatorFace
 from fennelfork_daemon._peer_handler import PeerHandler
 from fennelfork_daemon._peer_server import peer_server
 from fennelfork_daemon._platform_poll import platform_poll
 from fennelfork_daemon._root_service import root_service
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_server import listening_address, serve_http
-
-_NS_PER_MS: Final = 1_000_000
+from fennelfork_daemon._state_watch import state_watch
+from fennelfork_daemon._wsgi_server import serve_http
 
 
 @attrs.define(kw_only=True)
@@ -41,14 +38,17 @@
     _board: Blackboard
     _listeners: Listeners
     _home: HomeService
+    _observer: Observer
 
     def serve(self) -> None:
         """Serve until the process is told to stop."""
         handler = PeerHandler(board=self._board, home=self._home)
         eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
         eventlet.spawn_n(self._home.poll_forever)
+        watch = state_watch(self._board, self._observer.metrics)
+        eventlet.spawn_n(watch.run)
         eventlet.spawn_n(platform_poll(self._board, self._settings).run)
-        operator = router(OperatorFace(board=self._board).routes)
+        operator = router(self._operator_face().routes)
         eventlet.spawn_n(
             serve_http,
             self._listeners.operator,
@@ -59,11 +59,19 @@
         sys.stdout.flush()
         serve_http(self._listeners.caller, self._caller(), self._settings)
 
+    def _operator_face(self) -> OperatorFace:
+        return OperatorFace(
+            board=self._board,
+            home=self._home,
+            observer=self._observer,
+        )
+
     def _caller(self) -> Router:
         caller = CallerFace(
             root=root_service(self._board, self._clock, self._home),
             clock=self._clock,
             settings=self._settings,
+            observer=self._observer,
         )
         entries = EntriesFace(
             board=self._board,
@@ -76,24 +84,12 @@
 def daemon(settings: Settings, listeners: Listeners) -> Daemon:
     """Build a daemon that serves on open sockets."""
     clock = system_clock()
-    board = blackboard(_local_member(settings, listeners))
+    board = blackboard(local_member(settings, listeners))
     return Daemon(
         settings=settings,
         clock=clock,
         board=board,
         listeners=listeners,
         home=home_service(board, clock),
-    )
-
-
-def _local_member(settings: Settings, listeners: Listeners) -> Member:
-    return Member(
-        name=settings.daemon.name,
-        incarnation=time.time_ns() // _NS_PER_MS,
-        state=MemberStatus.ALIVE,
-        region=settings.daemon.region,
-        data_centre=settings.daemon.data_centre,
-        caller=str(listening_address(listeners.caller)),
-        operator=str(listening_address(listeners.operator)),
-        peer=str(listening_address(listeners.peer)),
+        observer=observer(settings.limits, clock),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
@@ -33,6 +33,11 @@
     _clock: Clock
     _book: ServerBook
 
+    @property
+    def servers(self) -> tuple[ServerState, ...]:
+        """The backend servers that this daemon sees as their home."""
+        return self._book.servers
+
     def scatter(self, order: ScatterOrder) -> ScatterOutcome:
         """Run the sub-queries of `order`, within its deadline."""
         deadline_ms = self._clock.now_ms() + order.deadline_ms
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -0,0 +1,135 @@
+"""Counts and remembers finished requests."""
+
+from typing import Any
+
+import attrs
+
+from fennelfork import (
+    Clock,
+    Failure,
+    QueryAnswer,
+    QueryRequest,
+    Verdict,
+)
+from fennelfork_daemon._metrics import DaemonMetrics, QueryFacts, daemon_metrics
+from fennelfork_daemon._settings_tables import LimitSettings
+from fennelfork_daemon._trace import ExplainRing, RequestTrace, request_trace
+
+
+@attrs.frozen(kw_only=True)
+class Observer:
+    """Sees each request of callers begin and end.
+
+    Attributes:
+        metrics: what operators scrape.
+        ring: what `explain` reads.
+    """
+
+    metrics: DaemonMetrics
+    ring: ExplainRing
+    _clock: Clock
+
+    def began(self) -> RequestTrace:
+        """Begin the trace of a request that was just read."""
+        return request_trace(self._clock)
+
+    def answered(
+        self,
+        query: QueryRequest,
+        answered: QueryAnswer,
+        trace: RequestTrace,
+    ) -> None:
+        """Count and remember a query that was answered, whole or partly."""
+        labels = self._labels(query)
+        coverage = answered.answer.coverage
+        work = answered.work
+        code = 'complete' if coverage.complete else 'partial'
+        self.metrics.count_answer(labels, Verdict.RAN, code)
+        self.metrics.observe_query(
+            QueryFacts(
+                labels=labels,
+                took_ms=trace.took_ms,
+                queue_ms=trace.longest_queue_ms,
+                fraction=coverage.fraction,
+                sub_queries=work.sub_queries,
+                extra_runs=work.hedges + work.retries,
+            ),
+        )
+        self._remember(
+            query,
+            trace,
+            {
+                'outcome': code,
+                'verdict': Verdict.RAN.value,
+                'snapshot': answered.answer.snapshot,
+                'config_version': answered.config_version,
+                'coverage': coverage.fraction,
+                'work': attrs.asdict(work),
+            },
+        )
+
+    def refused(
+        self,
+        query: QueryRequest,
+        failure: Failure,
+        trace: RequestTrace,
+    ) -> None:
+        """Count and remember a query that failed."""
+        code = failure.code.value
+        self.metrics.count_answer(self._labels(query), failure.verdict, code)
+        self._remember(
+            query,
+            trace,
+            {
+                'outcome': code,
+                'verdict': failure.verdict.value,
+                'detail': failure.detail,
+            },
+        )
+
+    def _labels(self, query: QueryRequest) -> Any:
+        return self.metrics.labels(
+            query.front,
+            query.tenant,
+            query.traffic_class,
+        )
+
+    def _remember(
+        self,
+        query: QueryRequest,
+        trace: RequestTrace,
+        outcome: dict[str, Any],
+    ) -> None:
+        story = {
+            'request_id': query.request_id,
+            'front': query.front,
+            'tenant': query.tenant,
+            'class': query.traffic_class,
+            **outcome,
+            'took_ms': round(trace.took_ms, 1),
+            'queue_ms': round(trace.longest_queue_ms, 1),
+            'slowest': _slowest(trace),
+            'events': trace.events,
+            'events_left_out': trace.left_out,
+        }
+        self.ring.remember(query.request_id, story)
+
+
+def observer(limits: LimitSettings, clock: Clock) -> Observer:
+    """Build the observer of a daemon."""
+    return Observer(
+        metrics=daemon_metrics(limits.label_values),
+        ring=ExplainRing(most=limits.explain_entries),
+        clock=clock,
+    )
+
+
+def _slowest(trace: RequestTrace) -> dict[str, Any] | None:
+    part = trace.slowest
+    if part is None:
+        return None
+    return {
+        'shard': part.planned.shard,
+        'server': part.server,
+        'server_ms': round(part.server_ms, 1),
+    }
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -1,14 +1,26 @@
-"""The operator face: health, configuration and members over HTTP."""
+"""The operator face: health, metrics, configuration and members over HTTP."""
+
+import http
 
 import attrs
 
-from fennelfork import Blackboard, unstructure_document
+from fennelfork import Blackboard, FailureCode, not_run, unstructure_document
+from fennelfork_daemon._home_service import HomeService
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
     Route,
+    failure_reply,
     json_reply,
 )
+from fennelfork_daemon._metrics import METRICS_TYPE
+from fennelfork_daemon._observer import Observer
+from fennelfork_daemon._operator_pages import (
+    fronts_page,
+    history_page,
+    members_page,
+)
+from fennelfork_daemon._readiness import unready_reasons
 
 
 @attrs.frozen(kw_only=True)
@@ -16,19 +28,80 @@
     """Answers operators."""
 
     _board: Blackboard
+    _home: HomeService
+    _observer: Observer
 
     @property
     def routes(self) -> tuple[Route, ...]:
         """The routes of this face."""
-        return (
-            Route(method='GET', path='/healthz', handler=self.health),
-            Route(method='GET', path='/v1/config', handler=self.config),
+        pages = {
+            '/healthz': self.health,
+            '/readyz': self.readiness,
+            '/metrics': self.metrics,
+            '/v1/config': self.config,
+            '/v1/config/history': self.history,
+            '/v1/members': self.members,
+            '/v1/fronts': self.fronts,
+            '/v1/explain/{request_id}': self.explain,
+        }
+        return tuple(
+            Route(method='GET', path=path, handler=handler)
+            for path, handler in pages.items()
         )
 
     def health(self, request: HttpRequest) -> HttpReply:
         """Tell that the process serves."""
         return json_reply({'status': 'ok'})
 
+    def readiness(self, request: HttpRequest) -> HttpReply:
+        """Tell whether callers should come, and why not."""
+        reasons = unready_reasons(self._board)
+        return json_reply(
+            {'ready': not reasons, 'reasons': reasons},
+            status=(
+                http.HTTPStatus.SERVICE_UNAVAILABLE
+                if reasons
+                else http.HTTPStatus.OK
+            ),
+        )
+
+    def metrics(self, request: HttpRequest) -> HttpReply:
+        """Give all metrics as Prometheus text."""
+        return HttpReply(
+            status=http.HTTPStatus.OK,
+            headers=(('Content-Type', METRICS_TYPE),),
+            body=self._observer.metrics.page(),
+        )
+
     def config(self, request: HttpRequest) -> HttpReply:
         """Give the configuration in force here."""
         return json_reply(unstructure_document(self._board.document))
+
+    def history(self, request: HttpRequest) -> HttpReply:
+        """Give the patches that led to it."""
+        return json_reply(history_page(self._board))
+
+    def members(self, request: HttpRequest) -> HttpReply:
+        """Give the daemons known here."""
+        return json_reply(members_page(self._board))
+
+    def fronts(self, request: HttpRequest) -> HttpReply:
+        """Give the fronts with homes and servers."""
+        return json_reply(fronts_page(self._board, self._home.servers))
+
+    def explain(self, request: HttpRequest) -> HttpReply:
+        """Give what was done for one request of the latest."""
+        request_id = request.names['request_id']
+        story = self._observer.ring.find(request_id)
+        if story is not None:
+            return json_reply(story)
+        failure = not_run(
+            FailureCode.BAD_REQUEST,
+            f'nothing is kept here of request {request_id}; '
+            'ask the daemon that answered it, soon after',
+        )
+        return failure_reply(
+            failure,
+            request_id,
+            status=http.HTTPStatus.NOT_FOUND,
+        )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_readiness.py
@@ -0,0 +1,22 @@
+"""Whether callers should come to this daemon, and why not."""
+
+from fennelfork import Blackboard, MemberStatus
+
+
+def unready_reasons(board: Blackboard) -> tuple[str, ...]:
+    """Give every reason why callers should not come here.
+
+    An unreachable platform is none: a daemon that has a configuration serves
+    on without it.
+
+    Returns:
+        Reasons in words; none if the daemon is ready.
+    """
+    reasons = []
+    if not board.config_version:
+        reasons.append(
+            'no configuration yet: neither the platform nor a peer gave one',
+        )
+    if board.local.state is MemberStatus.LEAVING:
+        reasons.append('draining: this daemon is about to stop')
+    return tuple(reasons)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
@@ -24,6 +24,7 @@
     route_homes,
 )
 from fennelfork_daemon._home_calls import HomeCalls
+from fennelfork_daemon._trace import RequestTrace
 from fennelfork_daemon._view_cache import ViewCache
 
 _MS: Final = 1000
@@ -40,9 +41,11 @@
     """Sends sub-queries to homes, and to the next homes on silence.
 
     Attributes:
+        trace: takes notes of what is done.
         work: what was done for the answer so far.
     """
 
+    trace: RequestTrace
     work: Work = attrs.field(factory=Work)
     _request: QueryRequest
     _query_text: str
@@ -86,6 +89,7 @@
             silent | self._health.avoided,
         )
         for group in groups:
+            self._note_group(group, silent)
             self._waiting += 1
             order = self._order(merge, group)
             eventlet.spawn_n(self._ask, group.home, order)
@@ -95,6 +99,15 @@
         )
         return homes_of(groups)
 
+    def _note_group(self, group: HomeGroup, silent: frozenset[str]) -> None:
+        if silent:
+            self.trace.note(
+                'asked the next home',
+                home=group.home.name,
+                shards=sorted(group.shards),
+                silent=sorted(silent),
+            )
+
     def _order(self, merge: Merge, group: HomeGroup) -> ScatterOrder:
         return ScatterOrder(
             request_id=self._request.request_id,
@@ -134,6 +147,7 @@
             self._take_part(merge, part)
 
     def _take_part(self, merge: Merge, part: Part) -> None:
+        self.trace.part(part)
         self.work = attrs.evolve(
             self.work,
             hedges=self.work.hedges + part.hedges,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -30,6 +30,7 @@
 from fennelfork_daemon._home_calls import Home, HomeCalls
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._root_scatter import RootScatter
+from fennelfork_daemon._trace import RequestTrace
 from fennelfork_daemon._view_cache import ViewCache
 
 _RETRY_PARTIAL_MS: Final = 1000
@@ -47,9 +48,17 @@
     _describer: Describer
     _clock: Clock
 
-    def answer(self, request: QueryRequest) -> Result[QueryAnswer, Failure]:
+    def answer(
+        self,
+        request: QueryRequest,
+        trace: RequestTrace,
+    ) -> Result[QueryAnswer, Failure]:
         """Answer one query, before its deadline.
 
+        Args:
+            request: what the caller asks.
+            trace: takes notes of what is done for it.
+
         Returns:
             The answer with its coverage, or a failure whose verdict says
             whether any part of the query may have run.
@@ -60,14 +69,19 @@
             return Bad(not_run(FailureCode.UNKNOWN_FRONT, detail))
         config_version = self._board.config_version
         self._describer.learn(request, front)
-        scatter = self._scatter(request)
+        scatter = self._scatter(request, trace)
         merged = self._rounds(scatter, request, KeyRange(lo=0, hi=front.keys))
         return merged.bind(
             lambda merge: _finish(request, merge, config_version, scatter),
         )
 
-    def _scatter(self, request: QueryRequest) -> RootScatter:
+    def _scatter(
+        self,
+        request: QueryRequest,
+        trace: RequestTrace,
+    ) -> RootScatter:
         return RootScatter(
+            trace=trace,
             request=request,
             query_text=json.dumps(request.query),
             board=self._board,
@@ -90,6 +104,7 @@
         if merge is None or not merge.snapshot_gone or scatter.left_ms <= 0:
             return first
         scatter.work = attrs.evolve(scatter.work, reruns=1)
+        scatter.trace.note('rerun on another snapshot', gone=merge.snapshot)
         gone = frozenset((merge.snapshot,))
         again = self._round(scatter, request, whole, gone)
         return again.map(lambda rerun: _better(merge, rerun)).lash(
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_state_watch.py
@@ -0,0 +1,89 @@
+"""Log lines and readiness from the facts of the blackboard."""
+
+import io
+import json
+
+import attrs
+import structlog
+from daemon_builders_product import labelled_document
+
+from fennelfork import Blackboard, Member, MemberStatus, blackboard
+from fennelfork_daemon._logs import configure_logs
+from fennelfork_daemon._metrics import daemon_metrics
+from fennelfork_daemon._readiness import unready_reasons
+from fennelfork_daemon._settings_tables import LogSettings
+from fennelfork_daemon._state_watch import state_watch
+
+
+def _board() -> Blackboard:
+    return blackboard(
+        Member(
+            name='vm-1',
+            incarnation=1,
+            state=MemberStatus.ALIVE,
+            region='r',
+            data_centre='d',
+            caller='127.0.0.1:1',
+            operator='127.0.0.1:2',
+            peer='127.0.0.1:3',
+        ),
+    )
+
+
+class TestUnreadyReasons:
+    """Why callers should not come."""
+
+    def test_ready_once_configured(self) -> None:
+        """A daemon without a configuration says so; with one it is ready."""
+        board = _board()
+        assert unready_reasons(board)[0].startswith('no configuration yet')
+        board.document = labelled_document(fronts=('f',), tenants=())
+        assert unready_reasons(board) == ()
+
+    def test_leaving(self) -> None:
+        """A daemon that is about to stop is not ready."""
+        board = _board()
+        board.document = labelled_document(fronts=('f',), tenants=())
+        board.local = board.local.with_state(MemberStatus.LEAVING)
+        assert unready_reasons(board)[0].startswith('draining')
+
+
+class TestStateWatch:
+    """Lines for what changed between two looks."""
+
+    def test_logs_changes_once(self) -> None:
+        """Each change is one line with its version; rest is silence."""
+        stream = io.StringIO()
+        configure_logs(LogSettings(), stream)
+        board = _board()
+        watch = state_watch(board, daemon_metrics(4))
+        watch.look()
+        watch.look()
+        board.document = labelled_document(fronts=('f',), tenants=())
+        board.members = {
+            'vm-1': attrs.evolve(board.local, state=MemberStatus.SUSPECT),
+        }
+        watch.look()
+        watch.look()
+        structlog.reset_defaults()
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        assert [(line['subject'], line['state']) for line in lines] == [
+            ('configuration', 'version 0'),
+            ('readiness', 'not ready'),
+            ('member vm-1', 'alive'),
+            ('configuration', 'version 3'),
+            ('readiness', 'ready'),
+            ('member vm-1', 'suspect'),
+        ]
+        assert lines[3]['config_version'] == 3
+
+    def test_metrics_follow_the_configuration(self) -> None:
+        """Names of a new configuration become label values."""
+        board = _board()
+        metrics = daemon_metrics(4)
+        watch = state_watch(board, metrics)
+        watch.look()
+        assert metrics.labels('f', 't', 'counter').front == 'other'
+        board.document = labelled_document(fronts=('f',), tenants=('t',))
+        watch.look()
+        assert metrics.labels('f', 't', 'counter').front == 'f'
