OpenAPI file held against running daemons; two faults it found

Cause: nothing checked that answers are as documented. Fault 1: a request id with a slash could not be explained, as the router split a path that eventlet had decoded, and decoded names twice. Ruled out: a shorter period of the watch, which only narrows the gap. Change: the router splits the path as sent; the observer follows the configuration before it labels. Conclusion: each refusal of the issue has a test over a real socket.

--- /dev/null
+++ b/packages/fennelfork-bench/tests/bench_builders_openapi.py
@@ -0,0 +1,87 @@
+"""The OpenAPI file, and answers of a daemon held against it."""
+
+import pathlib
+from typing import Any, Final
+
+import attrs
+import jsonschema
+import urllib3
+import yaml
+
+_ROOT: Final = pathlib.Path(__file__).parents[3]
+_SPEC: Final = yaml.safe_load((_ROOT / 'docs/openapi.yaml').read_text())
+_TIMEOUT_S: Final = 20
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """One answer that the file allows."""
+
+    status: int
+    tree: Any
+    headers: Any
+
+
+@attrs.frozen(kw_only=True)
+class Asked:
+    """One request, and the path of the file that it is under."""
+
+    address: str
+    path: str
+    template: str
+    body: bytes | None = None
+    headers: dict[str, str] = attrs.field(factory=dict)
+
+
+def documented_paths(tag: str) -> set[str]:
+    """List the paths of a face."""
+    return {
+        path
+        for path, methods in _SPEC['paths'].items()
+        if any(tag in operation['tags'] for operation in methods.values())
+    }
+
+
+def ask(asked: Asked) -> Answer:
+    """Send a request and hold the answer against the file.
+
+    Raises:
+        AssertionError: if the status or the type of content is not in it.
+        jsonschema.ValidationError: if the body is not as it says.
+    """
+    method = 'GET' if asked.body is None else 'POST'
+    response = urllib3.request(
+        method,
+        f'http://{asked.address}{asked.path}',
+        body=asked.body,
+        headers=asked.headers,
+        timeout=_TIMEOUT_S,
+        retries=False,
+    )
+    operation = _SPEC['paths'][asked.template][method.lower()]
+    documented = operation['responses']
+    assert str(response.status) in documented, response.data
+    content = _resolved(documented[str(response.status)])['content']
+    kind = response.headers['Content-Type'].partition(';')[0]
+    assert kind in content, kind
+    tree = response.json() if kind.endswith('json') else response.data.decode()
+    _validate(tree, content[kind]['schema'])
+    return Answer(
+        status=response.status,
+        tree=tree,
+        headers=response.headers,
+    )
+
+
+def _resolved(tree: dict[str, Any]) -> dict[str, Any]:
+    if '$ref' not in tree:
+        return tree
+    found: Any = _SPEC
+    for name in tree['$ref'].removeprefix('#/').split('/'):
+        found = found[name]
+    return found
+
+
+def _validate(tree: Any, schema: dict[str, Any]) -> None:
+    whole = {'components': _SPEC['components'], **schema}
+    jsonschema.Draft202012Validator(whole).validate(tree)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -91,5 +91,5 @@
         board=board,
         listeners=listeners,
         home=home_service(board, clock),
-        observer=observer(settings.limits, clock),
+        observer=observer(board, clock, settings.limits),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_router.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_router.py
@@ -76,7 +76,9 @@
         return [reply.body]
 
     def _answer(self, environ: dict[str, Any]) -> HttpReply:
-        path = environ['PATH_INFO']
+        # As sent: a decoded slash would split a segment, and decoding
+        # twice would change a name that has a percent sign.
+        path = environ['RAW_PATH_INFO']
         methods: set[str] = set()
         for route in self._routes:
             names = _match(route.path, path)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
@@ -106,10 +106,8 @@
 
     def follow(self, document: Document) -> None:
         """Take the known names and the version from a configuration."""
-        self._guard.fronts.allow(document.fronts)
-        self._guard.tenants.allow(document.tenants)
-        self._guard.classes.allow(document.classes)
-        self._config_version.set(document.version)
+        if self._guard.follow(document):
+            self._config_version.set(document.version)
 
     def observe_query(self, facts: QueryFacts) -> None:
         """Count one finished query in the four histograms."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics_labels.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics_labels.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from fennelfork import Document
+
 OTHER: Final = 'other'
 _COMBINATIONS: Final = 4
 
@@ -60,6 +62,21 @@
     classes: KnownNames
     _most: int
     _used: set[Labels] = attrs.field(factory=set)
+    _followed: Document | None = None
+
+    def follow(self, document: Document) -> bool:
+        """Take the known names from a configuration.
+
+        Returns:
+            Whether it is another one than before.
+        """
+        if document is self._followed:
+            return False
+        self._followed = document
+        self.fronts.allow(document.fronts)
+        self.tenants.allow(document.tenants)
+        self.classes.allow(document.classes)
+        return True
 
     def labels(self, front: str, tenant: str, traffic_class: str) -> Labels:
         """Give the labels for what a caller sent."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fennelfork import (
+    Blackboard,
     Clock,
     Failure,
     QueryAnswer,
@@ -12,6 +13,7 @@
     Verdict,
 )
 from fennelfork_daemon._metrics import DaemonMetrics, QueryFacts, daemon_metrics
+from fennelfork_daemon._metrics_labels import Labels
 from fennelfork_daemon._settings_tables import LimitSettings
 from fennelfork_daemon._trace import ExplainRing, RequestTrace, request_trace
 
@@ -27,6 +29,7 @@
 
     metrics: DaemonMetrics
     ring: ExplainRing
+    _board: Blackboard
     _clock: Clock
 
     def began(self) -> RequestTrace:
@@ -87,7 +90,9 @@
             },
         )
 
-    def _labels(self, query: QueryRequest) -> Any:
+    def _labels(self, query: QueryRequest) -> Labels:
+        # A front may be asked before anything else looked at its patch.
+        self.metrics.follow(self._board.document)
         return self.metrics.labels(
             query.front,
             query.tenant,
@@ -115,9 +120,14 @@
         self.ring.remember(query.request_id, story)
 
 
-def observer(limits: LimitSettings, clock: Clock) -> Observer:
+def observer(
+    board: Blackboard,
+    clock: Clock,
+    limits: LimitSettings,
+) -> Observer:
     """Build the observer of a daemon."""
     return Observer(
+        board=board,
         metrics=daemon_metrics(limits.label_values),
         ring=ExplainRing(most=limits.explain_entries),
         clock=clock,
