--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -85,6 +85,7 @@
     """Build a daemon that serves on open sockets."""
     clock = system_clock()
     board = blackboard(local_member(settings, listeners))
+    board.routing = settings.routing.mode
     return Daemon(
         settings=settings,
         clock=clock,
