Count hedges, retries, sheds and dropped replies by front

Cause: the counters of the operators page stood at nothing. Ruled out: hooks in the home service, which is about to change; sheds and bad replies are seen by the client of a server, hedges and retries in the parts at the root. Change: the client tells a notice of each failed sub-query, and the reason of a drop follows from what the check of replies says (a test ties the two). Conclusion: control cost is counted by nobody yet; DaemonMetrics.count_control waits for its callers.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
@@ -1,6 +1,7 @@
 """Calls to one backend server over HTTP."""
 
 import json
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -23,6 +24,8 @@
     not_run,
 )
 
+FailureNotice = Callable[[Failure], None]
+
 _MS: Final = 1000
 _OK: Final = 200
 _NEVER_SENT: Final = (
@@ -36,6 +39,7 @@
     """Speaks to one backend server; a failed connection is not used again."""
 
     _name: str
+    _notice: FailureNotice
     _pool: urllib3.HTTPConnectionPool
 
     def search(
@@ -64,9 +68,11 @@
             'deadline_ms': int(timeout_ms),
         }
         answer = self._call('POST', '/v1/search', body, timeout_ms)
-        return answer.bind(_read_reply).bind(
+        checked = answer.bind(_read_reply).bind(
             lambda reply: check_reply(expected, reply),
         )
+        checked.alt(self._notice)
+        return checked
 
     def health(self, timeout_ms: float) -> Result[Any, Failure]:
         """Ask what the server says of itself."""
@@ -105,8 +111,18 @@
         return f'backend server {self._name}: {type(error).__name__}'
 
 
-def backend_client(name: str, server: Server) -> BackendClient:
-    """Build the client of one configured backend server."""
+def backend_client(
+    name: str,
+    server: Server,
+    notice: FailureNotice,
+) -> BackendClient:
+    """Build the client of one configured backend server.
+
+    Args:
+        name: of the server.
+        server: as configured.
+        notice: told of each sub-query that failed, for counting.
+    """
     host, _, port = server.address.rpartition(':')
     pool = urllib3.HTTPConnectionPool(
         host,
@@ -114,7 +130,7 @@
         maxsize=server.connections,
         block=False,
     )
-    return BackendClient(name=name, pool=pool)
+    return BackendClient(name=name, notice=notice, pool=pool)
 
 
 def _read_json(status: int, body: bytes) -> Result[Any, Failure]:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -86,11 +86,12 @@
     clock = system_clock()
     board = blackboard(local_member(settings, listeners))
     board.routing = settings.routing.mode
+    seen = observer(board, clock, settings.limits)
     return Daemon(
         settings=settings,
         clock=clock,
         board=board,
         listeners=listeners,
-        home=home_service(board, clock),
-        observer=observer(board, clock, settings.limits),
+        home=home_service(board, clock, seen.metrics),
+        observer=seen,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
@@ -17,6 +17,7 @@
     ShardView,
     not_run,
 )
+from fennelfork_daemon._metrics import DaemonMetrics
 from fennelfork_daemon._server_book import ServerBook, ServerState
 
 _POLL_MS: Final = 500
@@ -146,6 +147,11 @@
         )
 
 
-def home_service(board: Blackboard, clock: Clock) -> HomeService:
+def home_service(
+    board: Blackboard,
+    clock: Clock,
+    metrics: DaemonMetrics,
+) -> HomeService:
     """Build the home side of a daemon."""
-    return HomeService(board=board, clock=clock, book=ServerBook(board=board))
+    book = ServerBook(board=board, metrics=metrics)
+    return HomeService(board=board, clock=clock, book=book)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
@@ -11,7 +11,7 @@
     generate_latest,
 )
 
-from fennelfork import Document, Verdict
+from fennelfork import Document, Failure, FailureCode, Verdict
 from fennelfork_daemon._metrics_families import (
     CounterFamilies,
     QueryFamilies,
@@ -23,6 +23,8 @@
 
 METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 _MS_PER_SECOND: Final = 1000
+# How the check of replies begins what it says of a crossed one.
+_CROSSED: Final = 'crossed'
 
 
 @enum.unique
@@ -38,7 +40,7 @@
     """What was wrong with a reply of a backend server."""
 
     CROSSED = 'crossed'
-    TRUNCATED = 'truncated'
+    INCOMPLETE = 'incomplete'
     UNREADABLE = 'unreadable'
 
 
@@ -70,7 +72,6 @@
     front: str
     hedges: int = 0
     retries: int = 0
-    sheds: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -137,12 +138,15 @@
         front = self._guard.fronts.label(work.front)
         self._counters.hedges.labels(front).inc(work.hedges)
         self._counters.retries.labels(front).inc(work.retries)
-        self._counters.sheds.labels(front).inc(work.sheds)
 
-    def count_dropped(self, front: str, reason: DropReason) -> None:
-        """Count one reply that was thrown away."""
+    def count_failure(self, front: str, failure: Failure) -> None:
+        """Count a sub-query that a server shed or answered wrongly."""
         label = self._guard.fronts.label(front)
-        self._counters.dropped_replies.labels(label, reason.value).inc()
+        if failure.code is FailureCode.SHED:
+            self._counters.sheds.labels(label).inc()
+        elif failure.code is FailureCode.BAD_REPLY:
+            reason = drop_reason(failure).value
+            self._counters.dropped_replies.labels(label, reason).inc()
 
     def count_control(self, cost: ControlCost) -> None:
         """Add the cost of one exchange of control."""
@@ -159,6 +163,19 @@
         return generate_latest(self._registry)
 
 
+def drop_reason(failure: Failure) -> DropReason:
+    """Tell what was wrong with a reply from the failure that says so.
+
+    A reply of this very sub-query whose content does not fit it has the
+    verdict that it ran: truncated, doubled, or of another range or snapshot.
+    """
+    if failure.verdict is Verdict.RAN:
+        return DropReason.INCOMPLETE
+    if failure.detail.startswith(_CROSSED):
+        return DropReason.CROSSED
+    return DropReason.UNREADABLE
+
+
 def daemon_metrics(most_names: int) -> DaemonMetrics:
     """Build the metrics of one daemon, in a registry of their own.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -12,7 +12,12 @@
     QueryRequest,
     Verdict,
 )
-from fennelfork_daemon._metrics import DaemonMetrics, QueryFacts, daemon_metrics
+from fennelfork_daemon._metrics import (
+    DaemonMetrics,
+    FrontWork,
+    QueryFacts,
+    daemon_metrics,
+)
 from fennelfork_daemon._metrics_labels import Labels
 from fennelfork_daemon._settings_tables import LimitSettings
 from fennelfork_daemon._trace import ExplainRing, RequestTrace, request_trace
@@ -43,6 +48,7 @@
         trace: RequestTrace,
     ) -> None:
         """Count and remember a query that was answered, whole or partly."""
+        self._count_work(query, trace)
         labels = self._labels(query)
         coverage = answered.answer.coverage
         work = answered.work
@@ -78,6 +84,7 @@
         trace: RequestTrace,
     ) -> None:
         """Count and remember a query that failed."""
+        self._count_work(query, trace)
         code = failure.code.value
         self.metrics.count_answer(self._labels(query), failure.verdict, code)
         self._remember(
@@ -99,6 +106,15 @@
             query.traffic_class,
         )
 
+    def _count_work(self, query: QueryRequest, trace: RequestTrace) -> None:
+        self.metrics.count_work(
+            FrontWork(
+                front=query.front,
+                hedges=trace.hedges,
+                retries=trace.retries,
+            ),
+        )
+
     def _remember(
         self,
         query: QueryRequest,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_server_book.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_server_book.py
@@ -1,6 +1,7 @@
 """What this daemon knows of the backend servers it calls."""
 
 import contextlib
+import functools
 from collections.abc import Iterator
 from typing import Any
 
@@ -17,6 +18,7 @@
     slot_share,
 )
 from fennelfork_daemon._backend_client import BackendClient, backend_client
+from fennelfork_daemon._metrics import DaemonMetrics
 
 
 @attrs.define(kw_only=True)
@@ -82,6 +84,7 @@
     """The servers of the shards that were asked for here."""
 
     _board: Blackboard
+    _metrics: DaemonMetrics
     _servers: dict[tuple[str, str, str], ServerState] = attrs.field(
         factory=dict,
     )
@@ -129,7 +132,11 @@
             known = ServerState(
                 name=name,
                 server=server,
-                client=backend_client(name, server),
+                client=backend_client(
+                    name,
+                    server,
+                    functools.partial(self._metrics.count_failure, front),
+                ),
             )
             self._servers[place] = known
         return known
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_trace.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_trace.py
@@ -18,11 +18,15 @@
     Attributes:
         longest_queue_ms: longest wait of a sub-query for a slot.
         slowest: the sub-query whose server took longest.
+        hedges: second copies of sub-queries.
+        retries: sub-queries sent again.
         left_out: events beyond the bound.
     """
 
     longest_queue_ms: float = 0
     slowest: Part | None = None
+    hedges: int = 0
+    retries: int = 0
     left_out: int = 0
     _clock: Clock
     _started_ms: float
@@ -53,6 +57,8 @@
 
     def part(self, part: Part) -> None:
         """Take what came of one sub-query; only the unusual is noted."""
+        self.hedges += part.hedges
+        self.retries += part.retries
         self.longest_queue_ms = max(self.longest_queue_ms, part.queue_ms)
         if self.slowest is None or part.server_ms > self.slowest.server_ms:
             self.slowest = part
--- a/packages/fennelfork-daemon/tests/test_metrics.py
+++ b/packages/fennelfork-daemon/tests/test_metrics.py
@@ -1,8 +1,21 @@
 """Metrics and the bounds of their labels."""
 
+from typing import Any
+
+import attrs
+import pytest
 from daemon_builders_product import labelled_document
 
-from fennelfork import Verdict
+from fennelfork import (
+    Expected,
+    FailureCode,
+    KeyRange,
+    Reply,
+    Verdict,
+    check_reply,
+    may_have_run,
+    not_run,
+)
 from fennelfork_daemon._metrics import (
     Channel,
     ControlCost,
@@ -11,6 +24,7 @@
     FrontWork,
     QueryFacts,
     daemon_metrics,
+    drop_reason,
 )
 from fennelfork_daemon._metrics_labels import OTHER
 
@@ -57,8 +71,9 @@
         metrics = _metrics()
         labels = metrics.labels('f', 't', 'counter')
         metrics.count_answer(labels, Verdict.NOT_RUN, 'shed')
-        metrics.count_work(FrontWork(front='f', hedges=2, retries=1, sheds=4))
-        metrics.count_dropped('f', DropReason.CROSSED)
+        metrics.count_work(FrontWork(front='f', hedges=2, retries=1))
+        metrics.count_failure('f', not_run(FailureCode.SHED, 'busy'))
+        metrics.count_failure('f', not_run(FailureCode.DRAINING, 'leaving'))
         cost = ControlCost(channel=Channel.PEER, sent=70, processor_ms=250)
         metrics.count_control(cost)
         page = metrics.page().decode()
@@ -66,8 +81,7 @@
             'verdict="not_run"} 1.0',
             'fennelfork_hedges_total{front="f"} 2.0',
             'fennelfork_retries_total{front="f"} 1.0',
-            'fennelfork_sheds_total{front="f"} 4.0',
-            'fennelfork_dropped_replies_total{front="f",reason="crossed"} 1.0',
+            'fennelfork_sheds_total{front="f"} 1.0',
             'control_bytes_total{channel="peer",direction="sent"} 70.0',
             'control_processor_seconds_total{channel="peer"} 0.25',
             'fennelfork_config_version 3.0',
@@ -75,6 +89,51 @@
             assert line in page
 
 
+class TestDroppedReplies:
+    """Replies thrown away, by what was wrong with them."""
+
+    @pytest.mark.parametrize(
+        ('changes', 'reason'),
+        [
+            ({'request_id': 'r2'}, DropReason.CROSSED),
+            ({'sub_query': 'q2'}, DropReason.CROSSED),
+            ({'count': 2}, DropReason.INCOMPLETE),
+            ({'snapshot': 6}, DropReason.INCOMPLETE),
+        ],
+    )
+    def test_by_the_check_of_replies(
+        self,
+        changes: dict[str, Any],
+        reason: DropReason,
+    ) -> None:
+        """What the check of replies says is counted under its reason."""
+        span = KeyRange(lo=0, hi=5)
+        expected = Expected(
+            request_id='r1',
+            sub_query='q1',
+            snapshot=7,
+            span=span,
+        )
+        reply = Reply(
+            request_id='r1',
+            sub_query='q1',
+            snapshot=7,
+            span=span,
+            count=0,
+            records=(),
+        )
+        crossed = check_reply(expected, attrs.evolve(reply, **changes))
+        metrics = _metrics()
+        metrics.count_failure('f', crossed.failure())
+        line = f'dropped_replies_total{{front="f",reason="{reason.value}"}} 1.0'
+        assert line in metrics.page().decode()
+
+    def test_unreadable(self) -> None:
+        """A reply that is no JSON has a reason of its own."""
+        failure = may_have_run(FailureCode.BAD_REPLY, 'the body is not JSON')
+        assert drop_reason(failure) is DropReason.UNREADABLE
+
+
 class TestBounds:
     """Series do not grow with what callers send."""
 
