Cut off a client that does not take its answer

Cause: a client that read 1 KB each 30 ms of a 32 MB answer held it for as long as it liked (the new test failed: not ended after 20 s), since the time of a socket starts anew with each byte taken. Ruled out: shutting the socket alone; the test still failed, as the system went on sending what it buffered. Change: one time for each write of an answer, then a reset, which frees the buffers.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_settings_tables.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_settings_tables.py
@@ -112,7 +112,8 @@
 
     Attributes:
         longest_deadline_ms: the longest deadline that a caller may ask for.
-        request_read_ms: to receive one whole request.
+        request_read_ms: to receive one whole request, or to hand over an
+            answer.
         idle_ms: an unused connection of a caller is closed after this.
         connect_ms: to open a connection to a daemon or the platform.
         platform_ms: one call of the platform.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_protocol.py
@@ -9,6 +9,7 @@
 
 from fennelfork import FailureCode, not_run
 from fennelfork_daemon._problem import ProblemReply, problem_reply
+from fennelfork_daemon._wsgi_writer import BoundedWriter
 
 CLOSE_KEY: Final = 'fennelfork.close_connection'
 _MS_PER_SECOND: Final = 1000
@@ -23,8 +24,8 @@
 
     Attributes:
         header_bytes: request line aside, all headers of a request.
-        request_read_ms: for all headers of one request, and for each wait
-            on the socket while one is served.
+        request_read_ms: for all headers of one request, and for the client
+            to take the answer.
         idle_ms: for the next request to begin.
     """
 
@@ -42,6 +43,15 @@
 
     limits: ConnectionLimits
 
+    def setup(self) -> None:
+        """Prepare the connection; answers are written within a time."""
+        super().setup()
+        self.wfile = BoundedWriter(
+            target=self.wfile,
+            connection=self.connection,
+            seconds=self.limits.request_read_ms / _MS_PER_SECOND,
+        )
+
     def parse_request(self) -> bool:
         """Read the headers, or answer why they are refused."""
         self.rfile = _HeaderReader(
--- a/packages/fennelfork-daemon/tests/daemon_builders_product.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_product.py
@@ -12,6 +12,7 @@
 from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
 from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
 
+LARGE_BYTES = 32_000_000
 _DOCUMENT = {
     'daemon': {
         'name': 'vm-1',
@@ -65,6 +66,15 @@
     )
 
 
+def large_application(
+    environ: dict[str, Any],
+    start_response: Any,
+) -> list[bytes]:
+    """Answer with more than any socket buffers."""
+    start_response('200 OK', [('Content-Type', 'application/json')])
+    return [b' ' * LARGE_BYTES]
+
+
 def json_answer(
     found: Any,
     environ: dict[str, Any],
--- a/packages/fennelfork-daemon/tests/test_wsgi_server.py
+++ b/packages/fennelfork-daemon/tests/test_wsgi_server.py
@@ -2,10 +2,16 @@
 
 import json
 from collections.abc import Iterator
+from typing import Any
 
 import eventlet
 import pytest
-from daemon_builders_product import echo_application, settings_document
+from daemon_builders_product import (
+    LARGE_BYTES,
+    echo_application,
+    large_application,
+    settings_document,
+)
 from eventlet.green import socket
 
 from fennelfork_daemon._address import address
@@ -23,6 +29,16 @@
 @pytest.fixture
 def port() -> Iterator[int]:
     """Serve the echo application with small limits."""
+    yield from _served(echo_application)
+
+
+@pytest.fixture
+def large_port() -> Iterator[int]:
+    """Serve large answers with small limits."""
+    yield from _served(large_application)
+
+
+def _served(application: Any) -> Iterator[int]:
     settings = read_settings(
         settings_document(
             limits={'header_bytes': 1024},
@@ -30,7 +46,7 @@
         ),
     ).unwrap()
     listener = open_listener(address('127.0.0.1:0'))
-    server = eventlet.spawn(serve_http, listener, echo_application, settings)
+    server = eventlet.spawn(serve_http, listener, application, settings)
     eventlet.sleep(0)
     yield listening_address(listener).port
     server.kill()
@@ -132,3 +148,26 @@
     def test_not_http(self, port: int) -> None:
         """Bytes that are no HTTP request get a problem document."""
         assert _problem(_talk(port, b'what is this\r\n\r\n'))[0] == 400
+
+
+class TestSlowReader:
+    """A client that hardly reads its answer."""
+
+    def test_is_cut_off(self, large_port: int) -> None:
+        """An answer not taken in time as a whole ends the connection."""
+        received = 0
+        with eventlet.Timeout(_PATIENCE_S), socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            connection.connect(('127.0.0.1', large_port))
+            connection.sendall(_posted(b'{}'))
+            while part := _next_part(connection):
+                received += len(part)
+                eventlet.sleep(0.03)
+        assert 0 < received < LARGE_BYTES
+
+
+def _next_part(connection: socket.socket) -> bytes:
+    try:
+        return connection.recv(1024)
+    except ConnectionResetError:
+        return b''
