--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
@@ -1,7 +1,6 @@
 """Calls to one backend server over HTTP."""
 
 import json
-from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -24,8 +23,6 @@
     not_run,
 )
 
-FailureNotice = Callable[[Failure], None]
-
 _MS: Final = 1000
 _OK: Final = 200
 _NEVER_SENT: Final = (
@@ -39,7 +36,6 @@
     """Speaks to one backend server; a failed connection is not used again."""
 
     _name: str
-    _notice: FailureNotice
     _pool: urllib3.HTTPConnectionPool
 
     def search(
@@ -68,11 +64,9 @@
             'deadline_ms': int(timeout_ms),
         }
         answer = self._call('POST', '/v1/search', body, timeout_ms)
-        checked = answer.bind(_read_reply).bind(
+        return answer.bind(_read_reply).bind(
             lambda reply: check_reply(expected, reply),
         )
-        checked.alt(self._notice)
-        return checked
 
     def health(self, timeout_ms: float) -> Result[Any, Failure]:
         """Ask what the server says of itself."""
@@ -111,18 +105,8 @@
         return f'backend server {self._name}: {type(error).__name__}'
 
 
-def backend_client(
-    name: str,
-    server: Server,
-    notice: FailureNotice,
-) -> BackendClient:
-    """Build the client of one configured backend server.
-
-    Args:
-        name: of the server.
-        server: as configured.
-        notice: told of each sub-query that failed, for counting.
-    """
+def backend_client(name: str, server: Server) -> BackendClient:
+    """Build the client of one configured backend server."""
     host, _, port = server.address.rpartition(':')
     pool = urllib3.HTTPConnectionPool(
         host,
@@ -130,7 +114,7 @@
         maxsize=server.connections,
         block=False,
     )
-    return BackendClient(name=name, notice=notice, pool=pool)
+    return BackendClient(name=name, pool=pool)
 
 
 def _read_json(status: int, body: bytes) -> Result[Any, Failure]:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -62,7 +62,6 @@
     def _operator_face(self) -> OperatorFace:
         return OperatorFace(
             board=self._board,
-            home=self._home,
             observer=self._observer,
         )
 
@@ -92,6 +91,6 @@
         clock=clock,
         board=board,
         listeners=listeners,
-        home=home_service(board, clock, seen.metrics),
+        home=home_service(board, clock),
         observer=seen,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
@@ -17,7 +17,6 @@
     ShardView,
     not_run,
 )
-from fennelfork_daemon._metrics import DaemonMetrics
 from fennelfork_daemon._server_book import ServerBook, ServerState
 
 _POLL_MS: Final = 500
@@ -34,11 +33,6 @@
     _clock: Clock
     _book: ServerBook
 
-    @property
-    def servers(self) -> tuple[ServerState, ...]:
-        """The backend servers that this daemon sees as their home."""
-        return self._book.servers
-
     def scatter(self, order: ScatterOrder) -> ScatterOutcome:
         """Run the sub-queries of `order`, within its deadline."""
         deadline_ms = self._clock.now_ms() + order.deadline_ms
@@ -147,11 +141,6 @@
         )
 
 
-def home_service(
-    board: Blackboard,
-    clock: Clock,
-    metrics: DaemonMetrics,
-) -> HomeService:
+def home_service(board: Blackboard, clock: Clock) -> HomeService:
     """Build the home side of a daemon."""
-    book = ServerBook(board=board, metrics=metrics)
-    return HomeService(board=board, clock=clock, book=book)
+    return HomeService(board=board, clock=clock, book=ServerBook(board=board))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -5,7 +5,6 @@
 import attrs
 
 from fennelfork import Blackboard, FailureCode, not_run, unstructure_document
-from fennelfork_daemon._home_service import HomeService
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -28,7 +27,6 @@
     """Answers operators."""
 
     _board: Blackboard
-    _home: HomeService
     _observer: Observer
 
     @property
@@ -87,7 +85,7 @@
 
     def fronts(self, request: HttpRequest) -> HttpReply:
         """Give the fronts with homes and servers."""
-        return json_reply(fronts_page(self._board, self._home.servers))
+        return json_reply(fronts_page(self._board, ()))
 
     def explain(self, request: HttpRequest) -> HttpReply:
         """Give what was done for one request of the latest."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_pages.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_pages.py
@@ -13,10 +13,28 @@
     route_homes,
     unstructure_document,
 )
-from fennelfork_daemon._server_book import ServerState
 
 Tree = dict[str, Any]
-Seen = Mapping[tuple[str, str], ServerState]
+Seen = Mapping[tuple[str, str], 'ServerSight']
+
+
+@attrs.frozen(kw_only=True)
+class ServerSight:
+    """A backend server as its home sees it.
+
+    Attributes:
+        name: as configured.
+        address: as configured.
+        state: in a word.
+        busy: slots in use.
+        snapshots: versions that it holds.
+    """
+
+    name: str
+    address: str
+    state: str
+    busy: int
+    snapshots: tuple[int, ...]
 
 
 def history_page(board: Blackboard) -> Tree:
@@ -33,7 +51,7 @@
 
 def fronts_page(
     board: Blackboard,
-    servers: tuple[ServerState, ...],
+    servers: tuple[ServerSight, ...],
 ) -> Tree:
     """List the fronts with their shards, homes and backend servers.
 
@@ -42,7 +60,7 @@
         servers: what this daemon sees as their home; of other servers only
             the configuration is told.
     """
-    seen = {(state.name, state.server.address): state for state in servers}
+    seen = {(sight.name, sight.address): sight for sight in servers}
     return {
         'config_version': board.config_version,
         'fronts': [
@@ -94,11 +112,11 @@
     ]
 
 
-def _sight(state: ServerState | None) -> Tree:
-    if state is None:
+def _sight(sight: ServerSight | None) -> Tree:
+    if sight is None:
         return {'state': None, 'busy': None, 'snapshots': None}
     return {
-        'state': 'serving' if state.serving else 'not serving',
-        'busy': state.outstanding,
-        'snapshots': [held.version for held in state.snapshots],
+        'state': sight.state,
+        'busy': sight.busy,
+        'snapshots': sight.snapshots,
     }
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_server_book.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_server_book.py
@@ -1,7 +1,6 @@
 """What this daemon knows of the backend servers it calls."""
 
 import contextlib
-import functools
 from collections.abc import Iterator
 from typing import Any
 
@@ -18,7 +17,6 @@
     slot_share,
 )
 from fennelfork_daemon._backend_client import BackendClient, backend_client
-from fennelfork_daemon._metrics import DaemonMetrics
 
 
 @attrs.define(kw_only=True)
@@ -84,7 +82,6 @@
     """The servers of the shards that were asked for here."""
 
     _board: Blackboard
-    _metrics: DaemonMetrics
     _servers: dict[tuple[str, str, str], ServerState] = attrs.field(
         factory=dict,
     )
@@ -132,11 +129,7 @@
             known = ServerState(
                 name=name,
                 server=server,
-                client=backend_client(
-                    name,
-                    server,
-                    functools.partial(self._metrics.count_failure, front),
-                ),
+                client=backend_client(name, server),
             )
             self._servers[place] = known
         return known
