--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -13,19 +13,19 @@
     system_clock,
 )
 from fennelfork_daemon._caller_face import CallerFace
+from fennelfork_daemon._config_service import ConfigService, config_service
 from fennelfork_daemon._entries_face import EntriesFace
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners
 from fennelfork_daemon._local_member import local_member
 from fennelfork_daemon._observer import Observer, observer
-from fennelfork_daemon._operator_face import OperatorFace
+from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
 from fennelfork_daemon._peer_server import peer_server
 from fennelfork_daemon._platform_poll import platform_poll
 from fennelfork_daemon._root_service import root_service
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._state_watch import state_watch
 from fennelfork_daemon._wsgi_server import serve_http
 
 
@@ -39,31 +39,38 @@
     _listeners: Listeners
     _home: HomeService
     _observer: Observer
+    _config: ConfigService
 
     def serve(self) -> None:
         """Serve until the process is told to stop."""
-        handler = PeerHandler(board=self._board, home=self._home)
+        handler = PeerHandler(
+            board=self._board,
+            home=self._home,
+            config=self._config.exchange,
+        )
         eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
         eventlet.spawn_n(self._home.poll_forever)
-        watch = state_watch(self._board, self._observer.metrics)
-        eventlet.spawn_n(watch.run)
+        eventlet.spawn_n(self._observer.watch.run)
         eventlet.spawn_n(platform_poll(self._board, self._settings).run)
-        operator = router(self._operator_face().routes)
+        self._config.start()
+        operator = operator_router(
+            self._board,
+            self._observer,
+            self._config,
+            self._settings,
+        )
         eventlet.spawn_n(
             serve_http,
             self._listeners.operator,
             operator,
             self._settings,
         )
-        sys.stdout.write(f'{self._listeners.ready_line}\n')
-        sys.stdout.flush()
+        self._announce()
         serve_http(self._listeners.caller, self._caller(), self._settings)
 
-    def _operator_face(self) -> OperatorFace:
-        return OperatorFace(
-            board=self._board,
-            observer=self._observer,
-        )
+    def _announce(self) -> None:
+        sys.stdout.write(f'{self._listeners.ready_line}\n')
+        sys.stdout.flush()
 
     def _caller(self) -> Router:
         caller = CallerFace(
@@ -93,4 +100,5 @@
         listeners=listeners,
         home=home_service(board, clock),
         observer=seen,
+        config=config_service(board, clock, settings),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -20,6 +20,7 @@
 )
 from fennelfork_daemon._metrics_labels import Labels
 from fennelfork_daemon._settings_tables import LimitSettings
+from fennelfork_daemon._state_watch import StateWatch, state_watch
 from fennelfork_daemon._trace import ExplainRing, RequestTrace, request_trace
 
 
@@ -30,10 +31,12 @@
     Attributes:
         metrics: what operators scrape.
         ring: what `explain` reads.
+        watch: logs changes of facts.
     """
 
     metrics: DaemonMetrics
     ring: ExplainRing
+    watch: StateWatch
     _board: Blackboard
     _clock: Clock
 
@@ -142,9 +145,11 @@
     limits: LimitSettings,
 ) -> Observer:
     """Build the observer of a daemon."""
+    metrics = daemon_metrics(limits.label_values)
     return Observer(
         board=board,
-        metrics=daemon_metrics(limits.label_values),
+        metrics=metrics,
+        watch=state_watch(board, metrics),
         ring=ExplainRing(most=limits.explain_entries),
         clock=clock,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -1,25 +1,29 @@
-"""The operator face: health, metrics, configuration and members over HTTP."""
+"""The operator face: health, metrics, members, fronts and explanations."""
 
 import http
 
 import attrs
 
-from fennelfork import Blackboard, FailureCode, not_run, unstructure_document
+from fennelfork import Blackboard, FailureCode, not_run
+from fennelfork_daemon._config_face import config_face
+from fennelfork_daemon._config_service import ConfigService
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
     Route,
+    Router,
     failure_reply,
     json_reply,
+    router,
 )
 from fennelfork_daemon._metrics import METRICS_TYPE
 from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._operator_pages import (
     fronts_page,
-    history_page,
     members_page,
 )
 from fennelfork_daemon._readiness import unready_reasons
+from fennelfork_daemon._settings_tables import Settings
 
 
 @attrs.frozen(kw_only=True)
@@ -36,8 +40,6 @@
             '/healthz': self.health,
             '/readyz': self.readiness,
             '/metrics': self.metrics,
-            '/v1/config': self.config,
-            '/v1/config/history': self.history,
             '/v1/members': self.members,
             '/v1/fronts': self.fronts,
             '/v1/explain/{request_id}': self.explain,
@@ -71,14 +73,6 @@
             body=self._observer.metrics.page(),
         )
 
-    def config(self, request: HttpRequest) -> HttpReply:
-        """Give the configuration in force here."""
-        return json_reply(unstructure_document(self._board.document))
-
-    def history(self, request: HttpRequest) -> HttpReply:
-        """Give the patches that led to it."""
-        return json_reply(history_page(self._board))
-
     def members(self, request: HttpRequest) -> HttpReply:
         """Give the daemons known here."""
         return json_reply(members_page(self._board))
@@ -103,3 +97,22 @@
             request_id,
             status=http.HTTPStatus.NOT_FOUND,
         )
+
+
+def operator_router(
+    board: Blackboard,
+    seen: Observer,
+    config: ConfigService,
+    settings: Settings,
+) -> Router:
+    """Build the application of the operator face.
+
+    Args:
+        board: the facts of this daemon.
+        seen: what was counted and remembered here.
+        config: follows and changes the configuration.
+        settings: what bounds requests.
+    """
+    face = OperatorFace(board=board, observer=seen)
+    config_routes = config_face(board, config, settings).routes
+    return router((*face.routes, *config_routes))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_pages.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_pages.py
@@ -11,7 +11,6 @@
     Member,
     Shard,
     route_homes,
-    unstructure_document,
 )
 
 Tree = dict[str, Any]
@@ -37,12 +36,6 @@
     snapshots: tuple[int, ...]
 
 
-def history_page(board: Blackboard) -> Tree:
-    """Say which patches led to the version in force here."""
-    document = unstructure_document(board.document)
-    return {'version': document['version'], 'patches': document['patches']}
-
-
 def members_page(board: Blackboard) -> Tree:
     """List the daemons known here, by name."""
     names = sorted(board.members)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_state_watch.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_state_watch.py
@@ -30,19 +30,13 @@
     def look(self) -> None:
         """Log each fact that is not as it was at the last look."""
         board = self._board
-        version = board.config_version
-        if self._log.change(
-            'configuration',
-            f'version {version}',
-            config_version=version,
-        ):
-            self._metrics.follow(board.document)
+        self._metrics.follow(board.document)
         reasons = unready_reasons(board)
         self._log.change(
             'readiness',
             'not ready' if reasons else 'ready',
             reasons=reasons,
-            config_version=version,
+            config_version=board.config_version,
         )
         for member in tuple(board.members.values()):
             self._log.change(
