Patches and status in the OpenAPI file; the command reads the race from the refusal

Cause: the configuration service landed with a refusal that tells the loser of a race what was accepted since and what is left of the patch. Ruled out: fetching document and history separately, which another patch may change in between. Change: the command prints that refusal, and takes merge and diff from the decision package instead of its own copy. Conclusion: patch, status and history run against real daemons.

--- a/packages/fennelfork-bench/tests/test_openapi.py
+++ b/packages/fennelfork-bench/tests/test_openapi.py
@@ -7,8 +7,8 @@
 import pytest
 from bench_builders_openapi import Answer, Asked, ask
 
-from fennelfork_bench._rig_config import await_version, first_patch
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
+from fennelfork_bench._rig_config import start_fleet
+from fennelfork_bench._rig_fleet import Fleet
 from fennelfork_bench._rig_process import rig
 from fennelfork_bench._rig_specs import (
     BackendSpec,
@@ -45,11 +45,7 @@
 def fleet() -> Iterator[Fleet]:
     """Start two daemons over two shards."""
     with rig() as own:
-        started = empty_fleet(own, _spec()).start_backends().start_daemons()
-        document = {'version': 1, 'patches': [], **first_patch(started)}
-        started.platform.write_document(document)
-        await_version(started, 1)
-        yield started
+        yield start_fleet(own, _spec())
 
 
 def _query(fleet: Fleet, front: str = 'raft-search', **changes: Any) -> Answer:
@@ -90,6 +86,25 @@
     )
 
 
+def _patch(fleet: Fleet, **changes: Any) -> Answer:
+    body = {
+        'base': 1,
+        'patch_id': 'p1',
+        'author': 'anna',
+        'patch': {'tenants': {'salvare': {'weight': 2}}},
+        **changes,
+    }
+    path = '/v1/config/patch'
+    return ask(
+        Asked(
+            address=fleet.operators[0],
+            path=path,
+            template=path,
+            body=json.dumps(body).encode(),
+        ),
+    )
+
+
 class TestCallerFace:
     """Answers and refusals to callers."""
 
@@ -170,7 +185,12 @@
 
     @pytest.mark.parametrize(
         'path',
-        ['/healthz', '/readyz', '/v1/config', '/v1/config/history'],
+        [
+            '/healthz',
+            '/readyz',
+            '/v1/config',
+            '/v1/config/history',
+        ],
     )
     def test_pages(self, fleet: Fleet, path: str) -> None:
         """Each page is there and as documented."""
@@ -207,3 +227,32 @@
         start = 'fennelfork_answers_total{class="other",code="complete",'
         assert f'{start}front="raft-search",tenant="other"' in page
         assert 'no-such' not in page
+
+
+class TestConfiguration:
+    """Patches and who runs them."""
+
+    def test_patches(self, fleet: Fleet) -> None:
+        """Accepted, repeated, lost to a race, faulty: each as documented."""
+        first = _patch(fleet)
+        assert (first.status, first.tree['version']) == (200, 2)
+        again = _patch(fleet)
+        assert (again.tree['version'], again.tree['repeated']) == (2, True)
+        patch = {'tenants': {'salvare': {'weight': 3}}}
+        lost = _patch(fleet, patch_id='p2', patch=patch)
+        assert (lost.status, lost.tree['version']) == (409, 2)
+        assert lost.tree['since'][0]['id'] == 'p1'
+        assert lost.tree['changes'][0]['after'] == 3
+        patch = {'tenants': {'salvare': {'weigth': 3}}}
+        faulty = _patch(fleet, base=2, patch_id='p3', patch=patch)
+        assert faulty.status == 400
+        assert faulty.tree['problems'][0]['path'] == 'tenants.salvare.weigth'
+
+    def test_status(self, fleet: Fleet) -> None:
+        """Every daemon is asked for its version."""
+        status = _page(fleet, '/v1/config/status').tree
+        assert [daemon['name'] for daemon in status['daemons']] == [
+            'vm-1',
+            'vm-2',
+        ]
+        assert status['unreached'] == []
--- a/packages/fennelfork-cli/src/fennelfork_cli/_config_commands.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_config_commands.py
@@ -6,20 +6,21 @@
 import uuid
 from typing import Annotated
 
+import attrs
 from cyclopts import App, Parameter, validators
 
+from fennelfork import merge_patch, tree_changes
 from fennelfork_cli._call import Tree
 from fennelfork_cli._config_texts import (
-    difference_trees,
-    differences_text,
+    changes_text,
     history_report,
     status_report,
 )
-from fennelfork_cli._leaves import patch_differences, with_removals
 from fennelfork_cli._options import OperatorOptions
 from fennelfork_cli._page import show_page, show_result
 from fennelfork_cli._patch import PatchRequest
 from fennelfork_cli._patch_outcome import submit
+from fennelfork_cli._removals import with_removals
 from fennelfork_cli._report import Report
 from fennelfork_cli._toml_file import read_toml
 
@@ -129,12 +130,12 @@
 
 
 def _diff_report(tree: Tree, patch: Tree) -> Report:
-    differences = patch_differences(tree, patch)
+    changes = [
+        attrs.asdict(change)
+        for change in tree_changes(tree, merge_patch(tree, patch))
+    ]
+    version = tree['version']
     return Report(
-        tree={
-            'version': tree['version'],
-            'differences': difference_trees(differences),
-        },
-        text=f'against version {tree["version"]}:\n'
-        f'{differences_text(differences)}',
+        tree={'version': version, 'changes': changes},
+        text=f'against version {version}:\n{changes_text(changes)}',
     )
--- a/packages/fennelfork-cli/src/fennelfork_cli/_config_texts.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_config_texts.py
@@ -5,17 +5,24 @@
 from collections.abc import Iterable
 from typing import Any, Final
 
-import attrs
-
 from fennelfork_cli._call import Tree
 from fennelfork_cli._exit_code import ExitCode
-from fennelfork_cli._leaves import Difference
 from fennelfork_cli._report import Report
 from fennelfork_cli._text_table import text_table
 
 _MS_PER_SECOND: Final = 1000
 _HISTORY: Final = ('version', 'author', 'at', 'id', 'paths')
-_STATUS: Final = ('name', 'state', 'config_version', 'age_ms')
+_CHANGES: Final = ('path', 'in_force', 'patched')
+_STATUS: Final = (
+    'name',
+    'data_centre',
+    'state',
+    'config_version',
+    'age_ms',
+    'confirmed_age_ms',
+    'anomaly',
+    'failure',
+)
 
 
 def history_report(tree: Tree) -> Report:
@@ -49,49 +56,40 @@
     )
 
 
-def differences_text(differences: Iterable[Difference]) -> str:
-    """Lay out what a patch changes, or say that it changes nothing."""
+def changes_text(changes: Iterable[Tree]) -> str:
+    """Lay out what a patch changes, or say that it changes nothing.
+
+    Args:
+        changes: each with `path`, `before` and `after`.
+    """
     rows = [
         {
-            'path': difference.path,
-            'in_force': _value_text(difference.in_force),
-            'patched': _value_text(difference.patched),
+            'path': change['path'],
+            'in_force': _value_text(change['before']),
+            'patched': _value_text(change['after']),
         }
-        for difference in differences
+        for change in changes
     ]
     if not rows:
         return 'the patch changes nothing'
-    return text_table(('path', 'in_force', 'patched'), rows)
-
+    return text_table(_CHANGES, rows)
 
-def changes_since(history: Tree, base: int) -> list[Tree]:
-    """Pick the patches that were accepted after version `base`."""
-    return [patch for patch in history['patches'] if patch['version'] > base]
 
-
-def conflict_text(
-    version: Any,
-    differences: Iterable[Difference],
-    since: list[Tree],
-) -> str:
+def conflict_text(problem: Tree) -> str:
     """Say who won a race and what is left of one's own patch."""
-    rows = [_patch_row(patch) for patch in since]
+    rows = [_patch_row(patch) for patch in problem.get('since', ())]
     return '\n'.join(
         (
-            f'conflict: version {version} is in force; nothing was changed',
+            f'conflict: version {problem.get("version")} is in force; '
+            'nothing was changed',
             'accepted since your base:',
             text_table(_HISTORY, rows),
             'your patch against the version in force:',
-            differences_text(differences),
+            changes_text(problem.get('changes', ())),
         ),
     )
 
 
-def difference_trees(differences: Iterable[Difference]) -> list[Tree]:
-    """Give differences for JSON."""
-    return [attrs.asdict(difference) for difference in differences]
-
-
 def _patch_row(patch: Tree) -> Tree:
     at = dt.datetime.fromtimestamp(
         patch.get('at_ms', 0) / _MS_PER_SECOND,
--- a/packages/fennelfork-cli/src/fennelfork_cli/_patch_outcome.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_patch_outcome.py
@@ -4,15 +4,9 @@
 
 from fennelfork import FailureCode, Verdict
 from fennelfork_cli._call import CallFailure
-from fennelfork_cli._config_texts import (
-    changes_since,
-    conflict_text,
-    difference_trees,
-)
+from fennelfork_cli._config_texts import conflict_text
 from fennelfork_cli._exit_code import ExitCode
-from fennelfork_cli._leaves import patch_differences
 from fennelfork_cli._options import OperatorOptions
-from fennelfork_cli._page import fetch
 from fennelfork_cli._patch import PatchRequest, send_patch
 from fennelfork_cli._report import Report
 
@@ -35,30 +29,16 @@
         return Success(Report(tree=tree, text=text))
     failure = outcome.failure()
     if failure.code == FailureCode.CONFLICT.value:
-        return Success(_lost_race(request, failure, options))
+        return Success(_lost_race(failure))
     if failure.verdict is not Verdict.NOT_RUN:
         return Success(_unknown(request, failure))
     return Failure(failure)
 
 
-def _lost_race(
-    request: PatchRequest,
-    failure: CallFailure,
-    options: OperatorOptions,
-) -> Report:
-    document = fetch('/v1/config', options).value_or({})
-    differences = patch_differences(document, request.patch)
-    history = fetch('/v1/config/history', options).value_or({'patches': ()})
-    since = changes_since(history, request.base)
-    version = failure.problem.get('version', document.get('version'))
+def _lost_race(failure: CallFailure) -> Report:
     return Report(
-        tree=failure.problem
-        | {
-            'version': version,
-            'since': since,
-            'differences': difference_trees(differences),
-        },
-        text=conflict_text(version, differences, since),
+        tree=failure.problem,
+        text=conflict_text(failure.problem),
         code=ExitCode.REFUSED,
     )
 
--- a/packages/fennelfork-cli/tests/test_app.py
+++ b/packages/fennelfork-cli/tests/test_app.py
@@ -285,14 +285,13 @@
         outcome, posted = _patch_with(
             command,
             {
-                '/v1/config/patch': [problem(409, code='conflict', version=6)],
-                '/v1/config': [document(6, 25)],
-                '/v1/config/history': [
-                    Answer(
-                        tree={
-                            'version': 6,
-                            'patches': [patch_record(4), patch_record(6)],
-                        },
+                '/v1/config/patch': [
+                    problem(
+                        409,
+                        code='conflict',
+                        version=6,
+                        since=[patch_record(6)],
+                        changes=[{'path': 'a.b', 'before': 25, 'after': 20}],
                     ),
                 ],
             },
@@ -303,7 +302,7 @@
         lines = outcome[2].splitlines()
         assert 'version 6 is in force; nothing was changed' in lines[0]
         assert lines[3].split()[:2] == ['6', 'anna']
-        assert lines[-1].split()[1:] == ['25', '20']
+        assert lines[-1].split() == ['a.b', '25', '20']
 
     def test_outcome_unknown(self, patch_file: str, command: Any) -> None:
         """Replies lost each time exit 4 and tell how to ask again."""
