--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -1,8 +1,10 @@
-"""The operator face: health over HTTP."""
+"""The operator face: health, metrics, members, fronts and explanations."""
+
+import http
 
 import attrs
 
-from fennelfork import Blackboard
+from fennelfork import Blackboard, FailureCode, not_run
 from fennelfork_daemon._config_face import config_face
 from fennelfork_daemon._config_service import ConfigService
 from fennelfork_daemon._http_router import (
@@ -10,9 +12,17 @@
     HttpRequest,
     Route,
     Router,
+    failure_reply,
     json_reply,
     router,
 )
+from fennelfork_daemon._metrics import METRICS_TYPE
+from fennelfork_daemon._observer import Observer
+from fennelfork_daemon._operator_pages import (
+    fronts_page,
+    members_page,
+)
+from fennelfork_daemon._readiness import unready_reasons
 from fennelfork_daemon._settings_tables import Settings
 
 
@@ -20,18 +30,78 @@
 class OperatorFace:
     """Answers operators."""
 
+    _board: Blackboard
+    _observer: Observer
+
     @property
     def routes(self) -> tuple[Route, ...]:
         """The routes of this face."""
-        return (Route(method='GET', path='/healthz', handler=self.health),)
+        pages = {
+            '/healthz': self.health,
+            '/readyz': self.readiness,
+            '/metrics': self.metrics,
+            '/v1/members': self.members,
+            '/v1/fronts': self.fronts,
+            '/v1/explain/{request_id}': self.explain,
+        }
+        return tuple(
+            Route(method='GET', path=path, handler=handler)
+            for path, handler in pages.items()
+        )
 
     def health(self, request: HttpRequest) -> HttpReply:
         """Tell that the process serves."""
         return json_reply({'status': 'ok'})
 
+    def readiness(self, request: HttpRequest) -> HttpReply:
+        """Tell whether callers should come, and why not."""
+        reasons = unready_reasons(self._board)
+        return json_reply(
+            {'ready': not reasons, 'reasons': reasons},
+            status=(
+                http.HTTPStatus.SERVICE_UNAVAILABLE
+                if reasons
+                else http.HTTPStatus.OK
+            ),
+        )
+
+    def metrics(self, request: HttpRequest) -> HttpReply:
+        """Give all metrics as Prometheus text."""
+        return HttpReply(
+            status=http.HTTPStatus.OK,
+            headers=(('Content-Type', METRICS_TYPE),),
+            body=self._observer.metrics.page(),
+        )
+
+    def members(self, request: HttpRequest) -> HttpReply:
+        """Give the daemons known here."""
+        return json_reply(members_page(self._board))
+
+    def fronts(self, request: HttpRequest) -> HttpReply:
+        """Give the fronts with homes and servers."""
+        return json_reply(fronts_page(self._board, ()))
+
+    def explain(self, request: HttpRequest) -> HttpReply:
+        """Give what was done for one request of the latest."""
+        request_id = request.names['request_id']
+        story = self._observer.ring.find(request_id)
+        if story is not None:
+            return json_reply(story)
+        failure = not_run(
+            FailureCode.BAD_REQUEST,
+            f'nothing is kept here of request {request_id}; '
+            'ask the daemon that answered it, soon after',
+        )
+        return failure_reply(
+            failure,
+            request_id,
+            status=http.HTTPStatus.NOT_FOUND,
+        )
+
 
 def operator_router(
     board: Blackboard,
+    seen: Observer,
     config: ConfigService,
     settings: Settings,
 ) -> Router:
@@ -39,8 +109,10 @@
 
     Args:
         board: the facts of this daemon.
+        seen: what was counted and remembered here.
         config: follows and changes the configuration.
         settings: what bounds requests.
     """
+    face = OperatorFace(board=board, observer=seen)
     config_routes = config_face(board, config, settings).routes
-    return router((*OperatorFace().routes, *config_routes))
+    return router((*face.routes, *config_routes))
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_serve.py
@@ -0,0 +1,26 @@
+"""The serving process: logs, sockets, then the daemon."""
+
+import sys
+
+from returns.result import Failure
+
+from fennelfork_daemon._cli import ExitCode
+from fennelfork_daemon._daemon import daemon
+from fennelfork_daemon._listeners import open_listeners
+from fennelfork_daemon._logs import configure_logs
+from fennelfork_daemon._settings_tables import Settings
+
+
+def serve(settings: Settings) -> int:
+    """Serve as one daemon until told to stop.
+
+    Returns:
+        The exit code of the process.
+    """
+    configure_logs(settings.logs, sys.stderr)
+    opened = open_listeners(settings.listen)
+    if isinstance(opened, Failure):
+        sys.stderr.write(f'{opened.failure()}\n')
+        return int(ExitCode.CANNOT_SERVE)
+    daemon(settings, opened.unwrap()).serve()
+    return int(ExitCode.DONE)
