--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -1,7 +1,6 @@
 """One daemon: its facts, services and faces, put together."""
 
 import random
-import sys
 
 import attrs
 import eventlet
@@ -18,8 +17,9 @@
 from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
-from fennelfork_daemon._listeners import Listeners, open_listeners
+from fennelfork_daemon._listeners import Listeners
 from fennelfork_daemon._local_member import local_member
+from fennelfork_daemon._observer import Observer, observer
 from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
 from fennelfork_daemon._peer_server import peer_server
@@ -38,6 +38,7 @@
     _board: Blackboard
     _listeners: Listeners
     _home: HomeService
+    _observer: Observer
     _config: ConfigService
 
     def serve(self) -> None:
@@ -56,17 +57,22 @@
         )
         eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
         eventlet.spawn_n(self._home.poll_forever)
+        eventlet.spawn_n(self._observer.watch.run)
         eventlet.spawn_n(platform_poll(self._board, self._settings).run)
         self._config.start()
-        operator = operator_router(self._board, self._config, self._settings)
+        operator = operator_router(
+            self._board,
+            self._observer,
+            self._config,
+            self._settings,
+        )
         eventlet.spawn_n(
             serve_http,
             self._listeners.operator,
             operator,
             self._settings,
         )
-        sys.stdout.write(f'{self._listeners.ready_line}\n')
-        sys.stdout.flush()
+        self._listeners.announce()
         serve_http(
             self._listeners.caller,
             self._caller(execute),
@@ -78,6 +84,7 @@
             root=root_service(self._board, self._clock, self._home),
             clock=self._clock,
             settings=self._settings,
+            observer=self._observer,
         )
         entries = EntriesFace(
             board=self._board,
@@ -90,21 +97,18 @@
         )
 
 
-def daemon(settings: Settings) -> Daemon:
-    """Open the faces of a daemon and build what serves them.
-
-    Raises:
-        OSError: if an address cannot be bound.
-    """
-    listeners = open_listeners(settings.listen)
+def daemon(settings: Settings, listeners: Listeners) -> Daemon:
+    """Build a daemon that serves on open sockets."""
     clock = system_clock()
     board = blackboard(local_member(settings, listeners))
     board.routing = settings.routing.mode
+    seen = observer(board, clock, settings.limits)
     return Daemon(
         settings=settings,
         clock=clock,
         board=board,
         listeners=listeners,
         home=home_service(board, clock),
+        observer=seen,
         config=config_service(board, clock, settings),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_local_member.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_local_member.py
@@ -1,4 +1,4 @@
-"""How a daemon announces itself when it starts."""
+"""This daemon, as it announces itself to the fleet."""
 
 import time
 from typing import Final
@@ -12,12 +12,7 @@
 
 
 def local_member(settings: Settings, listeners: Listeners) -> Member:
-    """Build this daemon's own entry, with the ports it really listens on.
-
-    Args:
-        settings: its name and place.
-        listeners: its open faces.
-    """
+    """Build the member; its incarnation is the time of this start."""
     return Member(
         name=settings.daemon.name,
         incarnation=time.time_ns() // _NS_PER_MS,
