Ask the fleet before version 1 is written

Cause: a daemon that starts without peers and meets an emptied platform would take a patch with base 0 and make a second version 1 beside the fleet's own. Ruled out: refusing base 0 outright (a new fleet needs it). Change: a daemon without a document asks all members for their version first.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
@@ -1,6 +1,7 @@
 """Carries operators' patches to the platform."""
 
 import random
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -43,6 +44,7 @@
     _key: ConfigKey
     _clock: Clock
     _jitter: random.Random
+    _ask_fleet: Callable[[], int]
     _slots: Semaphore = attrs.field(
         factory=lambda: Semaphore(_PATCHES_AT_ONCE),
     )
@@ -61,12 +63,23 @@
         with self._slots:
             return self._run(self._writer(request))
 
-    def _writer(self, request: PatchRequest) -> PatchWriter:
+    def _known_version(self) -> int:
+        """Give the highest version that this daemon can learn of.
+
+        One that holds no document asks all others first: an emptied platform
+        must not be given a second version 1.
+        """
+        state = self._holder.state
+        if state.held is None:
+            return self._ask_fleet()
         members = self._board.members.values()
         heard = max((member.config_version for member in members), default=0)
+        return max(state.version, heard)
+
+    def _writer(self, request: PatchRequest) -> PatchWriter:
         return PatchWriter(
             request=request,
-            known_version=max(self._holder.state.version, heard),
+            known_version=self._known_version(),
             known=self._holder.state.known,
             now_ms=int(self._clock.now_ms()),
             tries_left=_TRIES,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
@@ -60,6 +60,11 @@
     follower = config_follower(clock, jitter)
     key = config_key(settings, clock)
     peers = PeerClient()
+    survey = ConfigSurvey(
+        board=board,
+        peers=peers,
+        timeout_ms=settings.timeouts.peer_ms,
+    )
     return ConfigService(
         holder=holder,
         reader=ConfigReader(
@@ -83,10 +88,7 @@
             key=key,
             clock=wall_clock(),
             jitter=jitter,
+            ask_fleet=survey.newest_version,
         ),
-        survey=ConfigSurvey(
-            board=board,
-            peers=peers,
-            timeout_ms=settings.timeouts.peer_ms,
-        ),
+        survey=survey,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_status.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_status.py
@@ -61,6 +61,11 @@
         pool = eventlet.GreenPool(_CALLS_AT_ONCE)
         return tuple(pool.imap(self._ask, members))
 
+    def newest_version(self) -> int:
+        """Give the highest version that any reachable daemon holds."""
+        versions = [daemon.config_version or 0 for daemon in self.ask_all()]
+        return max(versions, default=0)
+
     def _asked(self) -> Iterable[Member]:
         return [
             member
--- a/packages/fennelfork-daemon/tests/test_config_patcher.py
+++ b/packages/fennelfork-daemon/tests/test_config_patcher.py
@@ -3,6 +3,7 @@
 import random
 from typing import Any
 
+import attrs
 import pytest
 from daemon_builders_config import (
     CUT,
@@ -39,7 +40,10 @@
 _SHED = Scripted(body={}, status=429)
 
 
-def _patcher(platform: ScriptedPlatform) -> ConfigPatcher:
+def _patcher(
+    platform: ScriptedPlatform,
+    fleet_version: int = 0,
+) -> ConfigPatcher:
     board = blackboard(
         Member(
             name='vm',
@@ -58,6 +62,7 @@
         key=scripted_key(platform),
         clock=system_clock(),
         jitter=random.Random(1),
+        ask_fleet=lambda: fleet_version,
     )
 
 
@@ -108,3 +113,13 @@
         with scripted_platform(*script) as platform:
             refused = _patcher(platform).patch(_REQUEST).failure()
         assert refused.failure.verdict is verdict
+
+    def test_emptied_platform_gets_no_second_first_version(self) -> None:
+        """A daemon without a document asks the others before version 1."""
+        first = attrs.evolve(_REQUEST, base=0)
+        absent = Scripted(body={'header': {}})
+        with scripted_platform(absent, swapped(succeeded=True)) as platform:
+            refused = _patcher(platform, 50).patch(first).failure()
+        assert refused.failure.verdict is Verdict.NOT_RUN
+        assert 'version 50 was accepted before' in refused.failure.detail
+        assert len(platform.paths) == 1
