Watch an absent configuration key from now on, not from its beginning

Cause: after the key was deleted a watcher asked for changes from revision 1 and was sent every document of the past, up to 1 MB each. Ruled out: the revision of the reply's header as a start (compare-and-swap on an absent key needs zero, so two numbers would have to be kept). Change: no start revision for an absent key; the read of the revision every 3 s covers what falls between.

--- a/packages/fennelfork-bench/tests/test_config_fleet.py
+++ b/packages/fennelfork-bench/tests/test_config_fleet.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from bench_builders_platform import text
 
 from fennelfork_bench import _rig_http as http
 from fennelfork_bench._rig_config import await_version, send_patch, version
@@ -69,6 +70,12 @@
     return [version(operator) for operator in fleet.operators]
 
 
+def _remove_document(fleet: Fleet) -> None:
+    address = fleet.platform.key_value_address
+    body = {'key': text('/fennelfork/config')}
+    assert http.post(address, '/v3/kv/deleterange', body).fine
+
+
 def _has_anomaly(fleet: Fleet, outcome: str) -> bool:
     found = [daemon['anomaly'] for daemon in _status(fleet)['daemons']]
     return outcome in found
@@ -206,6 +213,25 @@
         assert (reply.status, reply.body['verdict']) == (503, 'not_run')
         assert 'version 2 was accepted before' in reply.body['detail']
 
+    def test_emptied_platform_takes_the_document_back(
+        self,
+        fleet: Fleet,
+    ) -> None:
+        """Patches wait until the document is put back, in any layout."""
+        assert _patch(fleet, 1).fine
+        await_version(fleet, 2)
+        held = _page(fleet, '/v1/config')
+        _remove_document(fleet)
+        _await(lambda: _has_anomaly(fleet, 'empty'), 'the report')
+        assert _versions(fleet) == [2, 2, 2, 2]
+        for base in (0, 2):
+            reply = _patch(fleet, base)
+            assert (reply.status, reply.body['verdict']) == (503, 'not_run')
+        fleet.platform.write_document(held)
+        _await(lambda: not _has_anomaly(fleet, 'empty'), 'the agreement')
+        assert _patch(fleet, 2).body['version'] == 3
+        await_version(fleet, 3)
+
     def test_other_document_of_the_version_is_a_conflict(
         self,
         fleet: Fleet,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_codec.py
@@ -34,8 +34,16 @@
 
 
 def watch_body(key: str, revision: int) -> dict[str, Any]:
-    """Ask for the changes of one key after a revision."""
-    request = {'key': _encoded(key), 'start_revision': str(revision + 1)}
+    """Ask for the changes of one key.
+
+    Args:
+        key: the key.
+        revision: its last change that is known; zero, for an absent key, asks
+            for changes from now on and not for all that ever were.
+    """
+    request = {'key': _encoded(key)}
+    if revision:
+        request['start_revision'] = str(revision + 1)
     return {'create_request': request}
 
 
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -24,6 +24,7 @@
     call_budget,
     manual_clock,
 )
+from fennelfork_daemon._kv_codec import watch_body
 
 _WRITE = PreparedWrite(
     raw='{"version":2}',
@@ -119,3 +120,13 @@
         with scripted_platform(scripted) as platform:
             with pytest.raises(OSError, match='.'):
                 list(scripted_key(platform).changes(3))
+
+    @pytest.mark.parametrize(('known', 'start'), [(0, None), (7, '8')])
+    def test_of_an_absent_key_asks_for_no_past(
+        self,
+        known: int,
+        start: str | None,
+    ) -> None:
+        """Only a known revision asks for what came after it."""
+        request = watch_body('/config', known)['create_request']
+        assert request.get('start_revision') == start
