--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
@@ -44,8 +44,8 @@
     def read_forever(self) -> None:
         """Read the key whenever it is due here."""
         while True:  # noqa: WPS457  # as long as the daemon runs
-            if self._follower.read_is_due() and self._is_reader():
-                self._read()
+            if self._follower.read_is_due():
+                self._read_if_reader()
             eventlet.sleep(_TICK_S)
 
     def watch_forever(self) -> None:
@@ -55,6 +55,12 @@
                 self._watch(self._watched)
             eventlet.sleep(_TICK_S)
 
+    def _read_if_reader(self) -> None:
+        if self._is_reader():
+            self._read()
+        else:
+            self._follower.note_no_reader()
+
     def _is_reader(self) -> bool:
         board = self._board
         return self._follower.reads_platform(board.local, board.members)
--- a/packages/fennelfork/src/fennelfork/_config_follow.py
+++ b/packages/fennelfork/src/fennelfork/_config_follow.py
@@ -31,6 +31,7 @@
     Attributes:
         read_every_ms: between two reads of the platform by a watcher, in case
             its watch is silent.
+        role_every_ms: between two looks whether this daemon reads at all.
         ask_every_ms: between two questions to a peer chosen by chance.
         hurry_every_ms: the same while one is known to run a newer version.
         lonely_ms: without an answer of any peer for this long, a daemon reads
@@ -40,6 +41,7 @@
     """
 
     read_every_ms: float = 3000
+    role_every_ms: float = 1000
     ask_every_ms: float = 2000
     hurry_every_ms: float = 200
     lonely_ms: float = 6000
@@ -92,6 +94,11 @@
         """Tell whether the platform is to be read now."""
         return self._clock.now_ms() >= self.read_at_ms
 
+    def note_no_reader(self) -> None:
+        """Plan when to look again whether this daemon reads the platform."""
+        wait_ms = self._spread(self.policy.role_every_ms)
+        self.read_at_ms = self._clock.now_ms() + wait_ms
+
     def note_read(self, *, answered: bool) -> None:
         """Plan the next read of the platform after one that ended now."""
         self.read_failures = 0 if answered else self.read_failures + 1
--- a/packages/fennelfork/tests/test_config_follow.py
+++ b/packages/fennelfork/tests/test_config_follow.py
@@ -75,6 +75,15 @@
         follower.note_asked(answered=True)
         assert not follower.reads_platform(other, fleet)
 
+    def test_others_look_now_and_then_whether_they_read(self) -> None:
+        """A daemon that does not read looks at its role about each second."""
+        manual = ManualTime()
+        follower = _follower(manual)
+        follower.note_no_reader()
+        assert not follower.read_is_due()
+        manual.advance(1250)
+        assert follower.read_is_due()
+
     def test_failures_slow_reads_down_until_an_answer(self) -> None:
         """The wait grows to its cap, and is short again after an answer."""
         manual = ManualTime()
