--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
@@ -40,16 +40,10 @@
     _packed_hash: str = ''
     _packed_document: bytes = b''
 
-    @property
-    def _local(self) -> Member:
-        """This daemon with the version in force, announced already or not."""
-        version = self._holder.state.version
-        return attrs.evolve(self._board.local, config_version=version)
-
     def ask_forever(self) -> None:
         """Ask a peer whenever it is due."""
         while True:  # noqa: WPS457  # as long as the daemon runs
-            local = self._local
+            local = self._current()
             members = tuple(self._board.members.values())
             if self._follower.ask_is_due(local, members):
                 self._ask(self._follower.peer_to_ask(local, members))
@@ -58,7 +52,7 @@
     def tell_peers(self) -> None:
         """Tell a few peers that this daemon has a new version."""
         members = self._board.members.values()
-        for told in self._follower.peers_to_tell(self._local, members):
+        for told in self._follower.peers_to_tell(self._current(), members):
             self._spawn(told.peer, self._board.local.peer)
 
     def answer(self, request: Any) -> Any:
@@ -77,6 +71,11 @@
             anomaly=next((seen.outcome.value for seen in anomalies), None),
         )
 
+    def _current(self) -> Member:
+        """This daemon with the version in force, announced already or not."""
+        version = self._holder.state.version
+        return attrs.evolve(self._board.local, config_version=version)
+
     def _fetch(self, address: str, version: int) -> None:
         if version > self._fetching:
             self._fetching = version
