Count what the configuration costs in bytes

Ruled out: counting whole thrift messages in PeerClient (queries use it too). Change: bodies to and from the platform, and documents between daemons, go to fennelfork_control_bytes_total.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
@@ -15,6 +15,7 @@
 )
 from fennelfork_daemon._config_codec import pack_document, unpack_document
 from fennelfork_daemon._config_holder import ConfigHolder
+from fennelfork_daemon._metrics import Channel, ControlCost, CountCost
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._peer_idl import peer
 
@@ -33,6 +34,7 @@
     _peers: PeerClient
     _clock: Clock
     _timeout_ms: float
+    _count_cost: CountCost
     _pool: eventlet.GreenPool = attrs.field(
         factory=lambda: eventlet.GreenPool(_CALLS_AT_ONCE),
     )
@@ -106,6 +108,9 @@
         if told.document is None:
             self._holder.hear(told.version, told.config_hash or '')
             return
+        self._count_cost(
+            ControlCost(channel=Channel.PEER, received=len(told.document)),
+        )
         unpacked = unpack_document(told.document)
         if is_successful(unpacked):
             self._holder.offer(unpacked.unwrap(), ConfigSource.PEER)
@@ -115,7 +120,9 @@
         if held is not None and self._packed_hash != held.digest:
             self._packed_hash = held.digest
             self._packed_document = pack_document(held.raw)
-        return self._packed_document
+        packed = self._packed_document
+        self._count_cost(ControlCost(channel=Channel.PEER, sent=len(packed)))
+        return packed
 
     def _age_ms(self, since_ms: float | None) -> int | None:
         if since_ms is None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
@@ -13,6 +13,7 @@
 from fennelfork_daemon._config_status import ConfigSurvey
 from fennelfork_daemon._kv_client import config_key
 from fennelfork_daemon._logs import state_log
+from fennelfork_daemon._metrics import CountCost
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._settings_tables import Settings
 
@@ -47,6 +48,7 @@
     board: Blackboard,
     clock: Clock,
     settings: Settings,
+    count_cost: CountCost,
 ) -> ConfigService:
     """Build the service of a daemon.
 
@@ -54,11 +56,12 @@
         board: the facts of this daemon.
         clock: monotonic time.
         settings: endpoints, timeouts and bounds.
+        count_cost: told the bytes of calls and documents.
     """
     jitter = random.Random()
     holder = config_holder(board, clock)
     follower = config_follower(clock, jitter)
-    key = config_key(settings, clock)
+    key = config_key(settings, clock, count_cost)
     peers = PeerClient()
     survey = ConfigSurvey(
         board=board,
@@ -81,6 +84,7 @@
             peers=peers,
             clock=clock,
             timeout_ms=settings.timeouts.peer_ms,
+            count_cost=count_cost,
         ),
         patcher=ConfigPatcher(
             board=board,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -110,5 +110,10 @@
         listeners=listeners,
         home=home_service(board, clock),
         observer=seen,
-        config=config_service(board, clock, settings),
+        config=config_service(
+            board,
+            clock,
+            settings,
+            seen.metrics.count_control,
+        ),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_client.py
@@ -27,6 +27,7 @@
     watch_body,
 )
 from fennelfork_daemon._kv_http import KeyValueHttp, key_value_http
+from fennelfork_daemon._metrics import CountCost
 from fennelfork_daemon._settings_tables import Settings
 
 _CALLS_PER_SECOND: Final = 20
@@ -81,12 +82,22 @@
             yield from read_watch_line(line)
 
 
-def config_key(settings: Settings, clock: Clock) -> ConfigKey:
-    """Build the access to the configuration key of the settings."""
+def config_key(
+    settings: Settings,
+    clock: Clock,
+    count_cost: CountCost,
+) -> ConfigKey:
+    """Build the access to the configuration key of the settings.
+
+    Args:
+        settings: endpoints, timeouts and the prefix of keys.
+        clock: monotonic time.
+        count_cost: told the bytes of each call.
+    """
     budget = call_budget(clock, _CALLS_PER_SECOND, _BURST)
     return ConfigKey(
         key=f'{settings.platform.key_prefix}{_CONFIG}',
-        http=key_value_http(settings, budget),
+        http=key_value_http(settings, budget, count_cost),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_http.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_http.py
@@ -18,6 +18,7 @@
     may_have_run,
     not_run,
 )
+from fennelfork_daemon._metrics import Channel, ControlCost, CountCost
 from fennelfork_daemon._settings_tables import Settings
 
 _MS: Final = 1000
@@ -46,6 +47,7 @@
     _budget: CallBudget
     _connect_s: float
     _call_s: float
+    _count_cost: CountCost
     _current: int = 0
 
     def call(self, path: str, body: dict[str, Any]) -> Result[Any, Failure]:
@@ -89,7 +91,9 @@
         except http_errors.HTTPError as error:
             raise ConnectionError(self._failed(error)) from error
         try:
-            yield from _lines(response)
+            for line in _lines(response):
+                self._count(received=len(line))
+                yield line
         except http_errors.HTTPError as error:
             raise ConnectionError(type(error).__name__) from error
         finally:
@@ -99,6 +103,7 @@
         timeout = urllib3.Timeout(connect=self._connect_s, read=self._call_s)
         response = self._send(path, body, timeout)
         raw = response.read(_MAX_REPLY_BYTES + 1)
+        self._count(received=len(raw))
         if len(raw) > _MAX_REPLY_BYTES:
             response.close()
             raise ValueError('the reply is too long')
@@ -117,28 +122,43 @@
         timeout: urllib3.Timeout,
     ) -> urllib3.BaseHTTPResponse:
         endpoint = self._endpoints[self._current]
+        payload = json.dumps(body).encode()
+        self._count(sent=len(payload))
         return self._pools.request(
             'POST',
             f'http://{endpoint}{path}',
-            body=json.dumps(body),
+            body=payload,
             headers={'Content-Type': 'application/json'},
             timeout=timeout,
             retries=False,
             preload_content=False,
         )
 
+    def _count(self, sent: int = 0, received: int = 0) -> None:
+        cost = ControlCost(
+            channel=Channel.PLATFORM,
+            sent=sent,
+            received=received,
+        )
+        self._count_cost(cost)
+
     def _failed(self, error: Exception) -> str:
         endpoint = self._endpoints[self._current]
         self._current = (self._current + 1) % len(self._endpoints)
         return f'key-value service at {endpoint}: {type(error).__name__}'
 
 
-def key_value_http(settings: Settings, budget: CallBudget) -> KeyValueHttp:
+def key_value_http(
+    settings: Settings,
+    budget: CallBudget,
+    count_cost: CountCost,
+) -> KeyValueHttp:
     """Build what calls the endpoints of the settings.
 
     Args:
         settings: endpoints and timeouts.
         budget: how many calls this daemon may make.
+        count_cost: told the bytes of each body, without headers.
     """
     return KeyValueHttp(
         endpoints=tuple(map(str, settings.platform.key_value)),
@@ -146,6 +166,7 @@
         budget=budget,
         connect_s=settings.timeouts.connect_ms / _MS,
         call_s=settings.timeouts.platform_ms / _MS,
+        count_cost=count_cost,
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a daemon, through prometheus_client."""
 
 import enum
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -91,6 +92,9 @@
     processor_ms: float = 0
 
 
+CountCost = Callable[[ControlCost], None]
+
+
 @attrs.frozen(kw_only=True)
 class DaemonMetrics:
     """All metrics of one daemon, with bounded labels."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_config.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_config.py
@@ -20,6 +20,7 @@
 from fennelfork_daemon._address import address
 from fennelfork_daemon._kv_client import ConfigKey
 from fennelfork_daemon._kv_http import KeyValueHttp, key_value_http
+from fennelfork_daemon._metrics import ControlCost
 from fennelfork_daemon._settings_tables import (
     DaemonSettings,
     ListenSettings,
@@ -116,11 +117,17 @@
 def key_value_calls(
     *endpoints: str,
     budget: CallBudget | None = None,
+    costs: list[ControlCost] | None = None,
 ) -> KeyValueHttp:
     """Build the calls of a daemon to these endpoints."""
     clock = system_clock()
     plenty = call_budget(clock, per_second=1000, burst=1000)
-    return key_value_http(key_value_settings(*endpoints), budget or plenty)
+    count_cost = [] if costs is None else costs
+    return key_value_http(
+        key_value_settings(*endpoints),
+        budget or plenty,
+        count_cost.append,
+    )
 
 
 def scripted_key(platform: ScriptedPlatform) -> ConfigKey:
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -25,6 +25,7 @@
     manual_clock,
 )
 from fennelfork_daemon._kv_codec import watch_body
+from fennelfork_daemon._metrics import Channel, ControlCost
 
 _WRITE = PreparedWrite(
     raw='{"version":2}',
@@ -101,6 +102,20 @@
         assert platform.paths == ['/found']
 
 
+class TestCost:
+    """What the calls cost, as it is counted."""
+
+    def test_counts_bodies_both_ways(self) -> None:
+        """Each body sent and received is counted towards the platform."""
+        costs: list[ControlCost] = []
+        with scripted_platform(Scripted(body={'a': 1})) as platform:
+            calls = key_value_calls(platform.address, costs=costs)
+            calls.call('/', {'key': 'x'})
+        assert {cost.channel for cost in costs} == {Channel.PLATFORM}
+        assert [cost.sent for cost in costs] == [len('{"key": "x"}'), 0]
+        assert [cost.received for cost in costs] == [0, len('{"a": 1}')]
+
+
 class TestWatch:
     """The stream of changes."""
 
