Bound the history of the document in characters, not in paths alone

Cause: 256 records of 16 paths of 512 characters need 2,274,151 bytes, more than the platform's megabyte: wide patches could have stopped every later one. Ruled out: dropping old records by bytes (a few wide patches would forget the ids that settle lost replies). Change: 8 paths and 400 characters a record, authors up to 128 characters. The new test failed before: a later small patch was refused as too large. Conclusion: the worst history stays under 400,000 bytes (test).

--- a/packages/fennelfork/src/fennelfork/_document.py
+++ b/packages/fennelfork/src/fennelfork/_document.py
@@ -27,6 +27,10 @@
     pattern=r'[^\x00-\x1f\x7f]{1,512}',
     words='1 to 512 characters without control characters',
 )
+_AUTHOR: Final = Text(
+    pattern=r'[^\x00-\x1f\x7f]{1,128}',
+    words='1 to 128 characters without control characters',
+)
 _MAX_EXACT: Final = 9_007_199_254_740_991  # kept exactly by any JSON reader
 _MAX_SLOTS: Final = 10_000
 _MAX_CONNECTIONS: Final = 100_000
@@ -40,6 +44,7 @@
 Version = Annotated[int, _EXACT]
 PatchId = Annotated[str, _ID]
 Line = Annotated[str, _LINE]
+Author = Annotated[str, _AUTHOR]
 Weight = Annotated[int, WholeNumber(least=1, most=1000)]
 
 
@@ -140,7 +145,7 @@
 
     id: PatchId
     version: Version
-    author: Line
+    author: Author
     at_ms: Annotated[int, _EXACT]
     paths: tuple[Line, ...]
 
--- a/packages/fennelfork/src/fennelfork/_patch.py
+++ b/packages/fennelfork/src/fennelfork/_patch.py
@@ -5,7 +5,7 @@
 import attrs
 from returns.result import Result
 
-from fennelfork._document import Line, PatchId, PatchRecord, Version
+from fennelfork._document import Author, PatchId, PatchRecord, Version
 from fennelfork._document_problem import Problem
 from fennelfork._merge_patch import Change
 from fennelfork._verdict import Failure
@@ -25,7 +25,7 @@
 
     base: Version
     patch_id: PatchId
-    author: Line
+    author: Author
     patch: dict[str, Any]
 
 
--- a/packages/fennelfork/src/fennelfork/_patch_history.py
+++ b/packages/fennelfork/src/fennelfork/_patch_history.py
@@ -7,8 +7,9 @@
 from fennelfork._merge_patch import Change
 
 _MAX_RECORDS: Final = 256
-_MAX_PATHS: Final = 16
-_PATH_CHARACTERS: Final = 512
+# 256 records of the longest texts need a third of the platform's megabyte.
+_MAX_PATHS: Final = 8
+_PATH_CHARACTERS: Final = 400
 
 
 def with_record(
@@ -51,12 +52,16 @@
         tables that hold them.
     """
     paths = {change.path for change in changes}
-    depth = max(path.count('.') for path in paths) if paths else 0
-    while len(paths) > _MAX_PATHS and depth:
+    depth = max((path.count('.') for path in paths), default=0)
+    while depth and _is_too_much(paths):
         paths = {_shortened(path, depth) for path in paths}
         depth -= 1
-    shown = (path[:_PATH_CHARACTERS] for path in sorted(paths))
-    return tuple(shown)[:_MAX_PATHS]
+    return tuple(sorted(paths))
+
+
+def _is_too_much(paths: set[str]) -> bool:
+    characters = sum(map(len, paths))
+    return len(paths) > _MAX_PATHS or characters > _PATH_CHARACTERS
 
 
 def _shortened(path: str, depth: int) -> str:
--- a/packages/fennelfork/tests/test_patch_decision.py
+++ b/packages/fennelfork/tests/test_patch_decision.py
@@ -82,11 +82,31 @@
             request = request if version else wide
             write = _prepare(request, stored)
             stored = StoredDocument(raw=write.raw, revision=version + 1)
-            assert len(write.record.paths) <= 16
+            assert len(write.record.paths) <= 8
         document = parse_document(str(stored.raw)).unwrap()
         versions = [record.version for record in document.patches]
         assert versions == list(range(45, 301))
 
+    def test_longest_history_leaves_room_for_the_document(self) -> None:
+        """With the longest names, 256 records need under 400,000 bytes."""
+        names = [f'{number:063}' for number in range(16)]
+        stored = stored_document({'version': 0})
+        for version in range(256):
+            server = {**server_tree(), 'slots': version + 1}
+            shard = {'servers': dict.fromkeys(names, server)}
+            front = {'keys': 9, 'shards': {names[0]: shard}}
+            request = PatchRequest(
+                base=version,
+                patch_id=f'{version:064}',
+                author='\u00e9' * 128,
+                patch={'fronts': {names[0]: front}},
+            )
+            write = _prepare(request, stored)
+            stored = StoredDocument(raw=write.raw, revision=version + 1)
+        history = json.loads(str(stored.raw))['patches']
+        assert len(history) == 256
+        assert len(json.dumps(history)) < 400_000
+
 
 class TestRepetition:
     """A patch id that is in the history already."""
