--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -11,6 +11,7 @@
 
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
 _EXPERIMENTS: Final[dict[str, str]] = {
+    'once': 'fennelfork_bench._exp_once',
     'tail': 'fennelfork_bench._exp_tail',
 }
 _USAGE: Final = 2
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_once_cost.py
@@ -0,0 +1,86 @@
+"""What a ticket and a remembered request id cost a daemon."""
+
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Final
+
+from fennelfork import (
+    ExecuteRequest,
+    OnceGate,
+    OnceLimits,
+    bound_request_id,
+    once_gate,
+    system_clock,
+    ticket_key,
+)
+
+_IDS: Final = 4096
+_LIFETIME_MS: Final = 600_000
+_SECRET_BYTES: Final = 32
+_US: Final = 1_000_000
+_OUTCOME: Final = 'certificate-0000004096'
+
+
+def memory_costs(seed: int) -> dict[str, float]:
+    """Measure time and memory of tickets and of remembered ids.
+
+    Args:
+        seed: of the serials.
+    """
+    gate = _gate(seed)
+    issue_us = _time_us(lambda: gate.issue(_LIFETIME_MS))
+    requests = [_request(gate, number) for number in range(_IDS)]
+    fresh = iter(requests)
+    admit_us = _time_us(lambda: _run(gate, next(fresh)))
+    again = iter(requests)
+    repeat_us = _time_us(lambda: gate.admit(next(again)))
+    return {
+        'issue_us': issue_us,
+        'run_us': admit_us,
+        'repeat_us': repeat_us,
+        'bytes_per_id': _bytes_per_id(seed),
+    }
+
+
+def _bytes_per_id(seed: int) -> float:
+    gate = _gate(seed)
+    tracemalloc.start()
+    for number in range(_IDS):
+        _run(gate, _request(gate, number))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / _IDS
+
+
+def _time_us(call: Callable[[], object]) -> float:
+    started_s = time.perf_counter()
+    for _ in range(_IDS):
+        call()
+    return (time.perf_counter() - started_s) * _US / _IDS
+
+
+def _run(gate: OnceGate, request: ExecuteRequest) -> None:
+    gate.admit(request)
+    gate.table.may_send(request.request_id)
+    gate.table.finish(request.request_id, f'{_OUTCOME}-{request.key}')
+
+
+def _gate(seed: int) -> OnceGate:
+    rng = random.Random(seed)
+    key = ticket_key('vm-1', 1, rng.randbytes(_SECRET_BYTES))
+    return once_gate(key, system_clock(), rng, OnceLimits(entries=_IDS))
+
+
+def _request(gate: OnceGate, number: int) -> ExecuteRequest:
+    ticket = gate.issue(_LIFETIME_MS)
+    text = '' if ticket is None else ticket.text
+    return ExecuteRequest(
+        request_id=bound_request_id(f'deed-{number}', text),
+        ticket=text,
+        front='raft-search',
+        key=number,
+        action='issue',
+        tenant='salvare',
+    )
--- a/packages/fennelfork-bench/tests/bench_builders_once.py
+++ b/packages/fennelfork-bench/tests/bench_builders_once.py
@@ -138,4 +138,4 @@
 
 
 def _address(fleet: Fleet, server: str) -> str:
-    return fleet.backends[server].ready['address']
+    return fleet.backends[server].ready['control']
--- a/packages/fennelfork/src/fennelfork/_once.py
+++ b/packages/fennelfork/src/fennelfork/_once.py
@@ -66,7 +66,7 @@
 
 @attrs.define(kw_only=True)
 class _Entry:
-    ticket: Ticket
+    expires_ms: int
     content_hash: int
     state: OnceState
 
@@ -130,7 +130,7 @@
             return Failed(entry.state.failure)
         if not isinstance(entry.state, Accepted):
             raise ValueError(f'sent already: {request_id}')
-        left_ms = entry.ticket.terms.expires_ms - self._clock.now_ms()
+        left_ms = entry.expires_ms - self._clock.now_ms()
         if left_ms <= 0:
             entry.state = Ended(failure=_expired())
             return Failed(_expired())
@@ -201,7 +201,7 @@
             self.close()
             return Failed(_closed())
         self._entries[request.request_id] = _Entry(
-            ticket=ticket,
+            expires_ms=ticket.terms.expires_ms,
             content_hash=request.content_hash,
             state=Accepted(),
         )
--- a/packages/fennelfork/tests/test_once.py
+++ b/packages/fennelfork/tests/test_once.py
@@ -44,10 +44,15 @@
     return request
 
 
-def _fill(gate: OnceGate) -> None:
+def _fill(gate: OnceGate) -> list[str]:
     ticket = _ticket(gate)
-    for number in range(LIMITS.entries):
-        gate.admit(execute_request(ticket, f'fill-{number}'))
+    filling = [
+        execute_request(ticket, f'fill-{number}')
+        for number in range(LIMITS.entries)
+    ]
+    for request in filling:
+        gate.admit(request)
+    return [request.request_id for request in filling]
 
 
 class TestRepeat:
@@ -189,10 +194,8 @@
         """A late copy does not run when there is room again."""
         manual = ManualTime()
         gate = build_gate(manual, table_type=table_type)
-        _fill(gate)
-        for number in range(LIMITS.entries):
-            ticket = next(iter(gate.table._entries.values())).ticket.serial
-            gate.table.abandon(f'fill-{number}@{ticket}', _REASON)
+        for request_id in _fill(gate):
+            gate.table.abandon(request_id, _REASON)
         manual.advance(LIFETIME_MS - 1)
         request = execute_request(_ticket(gate))
         refused = gate.admit(request)
