--- a/packages/fennelfork-cli/tests/cli_builders.py
+++ b/packages/fennelfork-cli/tests/cli_builders.py
@@ -4,7 +4,10 @@
 import json
 import threading
 from collections.abc import Iterator
-from http import server as http_server
+
+# Not `from http import server`: importing eventlet's green modules leaves a
+# green copy under that attribute, and its accept never wakes a real thread.
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
 import attrs
@@ -45,7 +48,7 @@
     """Serve a script on loopback."""
     daemon = ScriptedDaemon(script=script)
     scripted = type('_Handler', (_ScriptHandler,), {'daemon': daemon})
-    server = http_server.ThreadingHTTPServer(('127.0.0.1', 0), scripted)
+    server = ThreadingHTTPServer(('127.0.0.1', 0), scripted)
     daemon.address = f'127.0.0.1:{server.server_port}'
     thread = threading.Thread(target=server.serve_forever, args=(0.01,))
     thread.start()
@@ -56,7 +59,7 @@
 
 
 def _stop(
-    server: http_server.ThreadingHTTPServer,
+    server: ThreadingHTTPServer,
     thread: threading.Thread,
 ) -> None:
     server.shutdown()
@@ -127,7 +130,7 @@
     )
 
 
-class _ScriptHandler(http_server.BaseHTTPRequestHandler):
+class _ScriptHandler(BaseHTTPRequestHandler):
     daemon: ScriptedDaemon
 
     def do_GET(self) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
@@ -6,6 +6,7 @@
 
 from fennelfork import Blackboard, Member
 from fennelfork_daemon._config_exchange import ConfigExchange
+from fennelfork_daemon._execute_build import ExecutePeer
 from fennelfork_daemon._home_calls import Home
 from fennelfork_daemon._peer_codec import order_from_peer, outcome_to_peer
 from fennelfork_daemon._peer_codec_view import views_to_peer
@@ -19,6 +20,7 @@
     _board: Blackboard
     _home: Home
     _config: ConfigExchange
+    _execute: ExecutePeer
 
     def scatter(self, request: Any) -> Any:
         """Run sub-queries as the home of their shards."""
@@ -34,6 +36,10 @@
         """Give the configuration to a peer that has an older one."""
         return self._config.answer(request)
 
+    def execute(self, request: Any) -> Any:
+        """Answer a non-idempotent request under a ticket of this daemon."""
+        return self._execute.execute(request)
+
     def probe(self, request: Any) -> Any:
         """Answer that this daemon lives."""
         return peer.ProbeReply(
