--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -10,7 +10,9 @@
 import cyclopts
 
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
-_EXPERIMENTS: Final[dict[str, str]] = {}
+_EXPERIMENTS: Final = {
+    'demo': 'fennelfork_bench._demo',
+}
 _USAGE: Final = 2
 
 
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_demo_caller.py
@@ -0,0 +1,116 @@
+"""A caller as the brief has it: asks for addresses, keeps them, connects."""
+
+import time
+import uuid
+from collections.abc import Mapping
+from typing import Any, Final
+
+import attrs
+
+from fennelfork_bench import _rig_http as http
+
+_MS_PER_S: Final = 1000
+_PAUSE_S: Final = 0.02
+_DEADLINE_MS: Final = 5000
+_ATTEMPT_MS: Final = 1500
+
+
+@attrs.frozen(kw_only=True)
+class Asked:
+    """One request and what finally came back.
+
+    Attributes:
+        attempts: how many times it was sent.
+        took_ms: from the first attempt to the last answer.
+    """
+
+    request_id: str
+    reply: http.HttpReply
+    attempts: int
+    took_ms: float
+
+
+@attrs.define(kw_only=True)
+class Caller:
+    """Keeps one entry answer for its time and asks there.
+
+    Attributes:
+        seeds: addresses that it starts from.
+        place: query string of `GET /v1/entries`.
+    """
+
+    seeds: tuple[str, ...]
+    place: str = ''
+    _entries: list[str] = attrs.field(factory=list)
+    _ticket: str = ''
+    _good_until_s: float = 0
+
+    def entries(self) -> http.HttpReply:
+        """Ask for addresses and keep them; the first answer is given back."""
+        reply = http.HttpReply(status=0, body={})
+        for seed in (*self._entries, *self.seeds):
+            reply = http.get(seed, f'/v1/entries{self.place}', _ATTEMPT_MS)
+            if reply.fine:
+                break
+        if reply.fine:
+            listed = reply.body['entries']
+            self._entries = [entry['address'] for entry in listed]
+            self._ticket = reply.body.get('ticket', '')
+            kept_s = reply.body['ttl_ms'] / _MS_PER_S
+            self._good_until_s = time.monotonic() + kept_s
+        return reply
+
+    def query(self, front: str, body: Mapping[str, Any]) -> Asked:
+        """Ask a query, again at another address while time is left."""
+        request_id = uuid.uuid4().hex
+        path = f'/v1/fronts/{front}/query'
+        full = {'request_id': request_id, 'deadline_ms': _ATTEMPT_MS, **body}
+        started_s = time.monotonic()
+        attempts = 0
+        reply = http.HttpReply(status=0, body={})
+        while not _is_final(reply) and _since_ms(started_s) < _DEADLINE_MS:
+            reply = http.post(self._address(attempts), path, full)
+            attempts += 1
+            if not reply.fine:
+                time.sleep(_PAUSE_S)
+        return Asked(
+            request_id=request_id,
+            reply=reply,
+            attempts=attempts,
+            took_ms=_since_ms(started_s),
+        )
+
+    def execute(self, front: str, body: Mapping[str, Any]) -> Asked:
+        """Send a request that must run at most once, once."""
+        address = self._address(0)
+        request_id = uuid.uuid4().hex
+        started_s = time.monotonic()
+        full = {
+            'request_id': request_id,
+            'deadline_ms': _DEADLINE_MS,
+            'ticket': self._ticket,
+            **body,
+        }
+        reply = http.post(address, f'/v1/fronts/{front}/execute', full)
+        return Asked(
+            request_id=request_id,
+            reply=reply,
+            attempts=1,
+            took_ms=_since_ms(started_s),
+        )
+
+    def _address(self, attempt: int) -> str:
+        if time.monotonic() >= self._good_until_s:
+            self.entries()
+        known = self._entries or list(self.seeds)
+        return known[attempt % len(known)]
+
+
+def _is_final(reply: http.HttpReply) -> bool:
+    # A problem without a time to come back will not change by asking again.
+    problem = reply.status and not reply.fine
+    return reply.fine or bool(problem and 'retry_after_ms' not in reply.body)
+
+
+def _since_ms(started_s: float) -> float:
+    return (time.monotonic() - started_s) * _MS_PER_S
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_demo_fleet.py
@@ -0,0 +1,62 @@
+"""The fleet of the demo: one front for each deployment of the brief."""
+
+from typing import Final
+
+from fennelfork_bench._rig_specs import (
+    BackendSpec,
+    FleetSpec,
+    FrontSpec,
+    ShardSpec,
+    daemon_specs,
+    shard_spec,
+)
+
+KEYS: Final = 1000
+SALVARE_FRONT: Final = 'certificate-registry'
+CEDOLE_FRONT: Final = 'payout-register'
+SALVARE: Final = 'salvare-pe-ape'
+CEDOLE: Final = 'cedole-trinacria'
+_HALF: Final = KEYS // 2
+_ENTRY_TTL_MS: Final = 2000
+_STRAGGLE: Final = 0.01
+_HEDGE: Final = {'policy': 'quantile', 'quantile': 0.95, 'delay_ms': 30}
+
+
+def demo_fleet(seed: int) -> FleetSpec:
+    """Build six backend servers over two fronts, and three daemons.
+
+    In each front the lower half of the keys has two servers and the upper
+    half has one, so that a lost server may or may not cost coverage.
+
+    Args:
+        seed: of the service times.
+    """
+    return FleetSpec(
+        fronts=(
+            _front(SALVARE_FRONT, 'certificate', seed),
+            _front(CEDOLE_FRONT, 'payout', seed),
+        ),
+        daemons=daemon_specs(
+            3,
+            tables={'timeouts': {'entry_ttl_ms': _ENTRY_TTL_MS}},
+        ),
+    )
+
+
+def _front(name: str, stem: str, seed: int) -> FrontSpec:
+    shards: tuple[ShardSpec, ...] = (
+        shard_spec(f'{stem}-low', 2, _server(0, _HALF, seed)),
+        shard_spec(f'{stem}-high', 1, _server(_HALF, KEYS, seed)),
+    )
+    return FrontSpec(name=name, keys=KEYS, shards=shards, hedge=dict(_HEDGE))
+
+
+def _server(lo: int, hi: int, seed: int) -> BackendSpec:
+    return BackendSpec(
+        name='',
+        lo=lo,
+        hi=hi,
+        keys=KEYS,
+        straggle=_STRAGGLE,
+        seed=seed,
+    )
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_process.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_process.py
@@ -39,7 +39,7 @@
     name: str
     stdout: Path
     stderr: Path
-    ready: dict[str, str] = attrs.field(factory=dict)
+    ready: dict[str, Any] = attrs.field(factory=dict)
     _child: 'subprocess.Popen[bytes]'
 
     @property
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_settings.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_settings.py
@@ -1,12 +1,13 @@
-"""Writes the settings file of a daemon."""
+"""Writes settings files of daemons and patch files of operators."""
 
-import itertools
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
 from fennelfork_bench._rig_specs import DaemonSpec
 
+Tree = Mapping[str, Any]
+
 _ANY_PORT: Final = '127.0.0.1:0'
 
 
@@ -41,12 +42,32 @@
     }
     for name, extra in spec.tables.items():
         tables.setdefault(name, {}).update(extra)
-    return ''.join(itertools.starmap(_table, tables.items()))
+    return write_toml(tables)
+
+
+def write_toml(tree: Tree) -> str:
+    """Write nested tables as TOML.
+
+    Args:
+        tree: tables, and in them strings, numbers, booleans and flat lists,
+            whose JSON is TOML as well.
+    """
+    return '\n'.join((*_lines(tree, ()), ''))
+
+
+def _lines(tree: Tree, path: Sequence[str]) -> list[str]:
+    tables = {name for name, entry in tree.items() if _is_table(entry)}
+    lines = []
+    for plain in sorted(tree.keys() - tables):
+        written = json.dumps(tree[plain])
+        lines.append(f'{plain} = {written}')
+    for name in sorted(tables):
+        inner = (*path, name)
+        title = '.'.join(inner)
+        lines.append(f'[{title}]')
+        lines += _lines(tree[name], inner)
+    return lines
 
 
-def _table(name: str, table: Mapping[str, Any]) -> str:
-    # JSON's strings, numbers, booleans and flat lists are TOML's as well.
-    lines = [f'[{name}]']
-    for key, entry in table.items():
-        lines.append(f'{key} = {json.dumps(entry)}')
-    return '\n'.join((*lines, ''))
+def _is_table(entry: Any) -> bool:
+    return isinstance(entry, Mapping)
