--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_usage.py
@@ -0,0 +1,56 @@
+"""Processor time and memory of a process, as the kernel counts them."""
+
+import os
+from pathlib import Path
+from typing import Final
+
+import attrs
+
+_MS_PER_S: Final = 1000
+_USER_FIELD: Final = 11  # of what follows the command's name
+_SYSTEM_FIELD: Final = 12
+_KIB_PER_MIB: Final = 1024
+_PERCENT: Final = 100
+_TICKS_PER_S: Final = os.sysconf('SC_CLK_TCK')
+
+
+@attrs.frozen(kw_only=True)
+class Usage:
+    """What a process has used so far.
+
+    Attributes:
+        cpu_ms: processor time since its start.
+        resident_mb: memory that it holds now.
+    """
+
+    cpu_ms: float
+    resident_mb: float
+
+
+def usage(pid: int) -> Usage:
+    """Read what a process has used.
+
+    Raises:
+        OSError: if it has ended.
+    """
+    proc = Path(f'/proc/{pid}')
+    after_name = proc.joinpath('stat').read_text().rpartition(')')[2]
+    fields = after_name.split()
+    ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
+    return Usage(
+        cpu_ms=ticks * _MS_PER_S / _TICKS_PER_S,
+        resident_mb=_resident_kb(proc) / _KIB_PER_MIB,
+    )
+
+
+def core_percent(before: Usage, after: Usage, elapsed_ms: float) -> float:
+    """Give the share of one core used between two readings, in percent."""
+    return (after.cpu_ms - before.cpu_ms) / elapsed_ms * _PERCENT
+
+
+def _resident_kb(proc: Path) -> int:
+    for line in proc.joinpath('status').read_text().splitlines():
+        name, _, amount = line.partition(':')
+        if name == 'VmRSS':
+            return int(amount.split()[0])
+    return 0
