Experiments of the fleet: config, membership, control, stop, outage (not run yet)

Shown: six tests of the parts that judge or work out figures pass. Not run: every experiment, until configuration and membership land.

--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -11,7 +11,12 @@
 
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
 _EXPERIMENTS: Final = {
+    'config': 'fennelfork_bench._exp_config',
+    'control': 'fennelfork_bench._exp_control',
     'demo': 'fennelfork_bench._demo',
+    'membership': 'fennelfork_bench._exp_membership',
+    'outage': 'fennelfork_bench._exp_outage',
+    'stop': 'fennelfork_bench._exp_stop',
 }
 _USAGE: Final = 2
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_check.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_demo_check.py
@@ -6,7 +6,7 @@
 import attrs
 
 from fennelfork_bench._backend_records import record_at
-from fennelfork_bench._demo_caller import Asked
+from fennelfork_bench._rig_caller import Asked
 
 _FRONT_SEED: Final = 1
 _NEAR: Final = 1e-6
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_demo_load.py
@@ -8,7 +8,6 @@
 import attrs
 import eventlet
 
-from fennelfork_bench._demo_caller import Caller
 from fennelfork_bench._demo_check import Expected, faults_of
 from fennelfork_bench._demo_fleet import (
     CEDOLE,
@@ -18,6 +17,7 @@
     SALVARE_FRONT,
 )
 from fennelfork_bench._demo_table import Step
+from fennelfork_bench._rig_caller import Caller
 
 _CALLERS: Final = 6
 _GAP_S: Final = 0.03
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_steps.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_demo_steps.py
@@ -5,7 +5,6 @@
 from typing import Any, Final
 
 from fennelfork_bench import _rig_http as http
-from fennelfork_bench._demo_caller import Asked, Caller
 from fennelfork_bench._demo_check import Expected, faults_of
 from fennelfork_bench._demo_fleet import (
     CEDOLE,
@@ -16,6 +15,7 @@
 )
 from fennelfork_bench._demo_load import Load, lookup, one_key, register
 from fennelfork_bench._demo_table import Step
+from fennelfork_bench._rig_caller import Asked, Caller
 from fennelfork_bench._rig_fleet import Fleet
 
 _LOOKUPS: Final = 20
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_table.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_demo_table.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork_bench._demo_caller import Asked
+from fennelfork_bench._rig_caller import Asked
 from fennelfork_bench._rig_report import percentile, table
 
 _TITLES: Final = (
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_fleet.py
@@ -0,0 +1,44 @@
+"""The small fleet that the fleet's experiments run on."""
+
+from typing import Any, Final
+
+from fennelfork_bench._rig_specs import (
+    BackendSpec,
+    FleetSpec,
+    FrontSpec,
+    daemon_specs,
+    shard_spec,
+)
+
+FRONT: Final = 'certificate-registry'
+KEYS: Final = 300
+TODAY: Final = 9
+SIZES: Final = (TODAY, 30, 60)
+_SERVERS: Final = 3
+_ENTRY_TTL_MS: Final = 2000
+
+
+def small_fleet(
+    daemons: int,
+    seed: int,
+    entry_ttl_ms: int = _ENTRY_TTL_MS,
+) -> FleetSpec:
+    """Build daemons in three data centres and one front of one shard.
+
+    Args:
+        daemons: how many.
+        seed: of the service times.
+        entry_ttl_ms: how long callers keep an answer on entries.
+    """
+    server = BackendSpec(name='', lo=0, hi=KEYS, keys=KEYS, seed=seed)
+    shard = shard_spec('registry', _SERVERS, server)
+    tables = {'timeouts': {'entry_ttl_ms': entry_ttl_ms}}
+    return FleetSpec(
+        fronts=(FrontSpec(name=FRONT, keys=KEYS, shards=(shard,)),),
+        daemons=daemon_specs(daemons, tables=tables),
+    )
+
+
+def hedge_patch(delay_ms: int) -> dict[str, Any]:
+    """Build a small change of the configuration."""
+    return {'fronts': {FRONT: {'hedge': {'delay_ms': delay_ms}}}}
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_caller.py
@@ -21,6 +21,7 @@
 
     Attributes:
         attempts: how many times it was sent.
+        cuts: what was seen of attempts that got no answer at all.
         took_ms: from the first attempt to the last answer.
     """
 
@@ -28,6 +29,7 @@
     reply: http.HttpReply
     attempts: int
     took_ms: float
+    cuts: tuple[str, ...] = ()
 
 
 @attrs.define(kw_only=True)
@@ -66,18 +68,18 @@
         path = f'/v1/fronts/{front}/query'
         full = {'request_id': request_id, 'deadline_ms': _ATTEMPT_MS, **body}
         started_s = time.monotonic()
-        attempts = 0
-        reply = http.HttpReply(status=0, body={})
-        while not _is_final(reply) and _since_ms(started_s) < _DEADLINE_MS:
-            reply = http.post(self._address(attempts), path, full)
-            attempts += 1
-            if not reply.fine:
+        replies: list[http.HttpReply] = []
+        while not replies or not _is_final(replies[-1], started_s):
+            address = self._address(len(replies))
+            replies.append(http.post(address, path, full))
+            if not replies[-1].fine:
                 time.sleep(_PAUSE_S)
         return Asked(
             request_id=request_id,
-            reply=reply,
-            attempts=attempts,
+            reply=replies[-1],
+            attempts=len(replies),
             took_ms=_since_ms(started_s),
+            cuts=tuple(each.fault for each in replies if not each.status),
         )
 
     def execute(self, front: str, body: Mapping[str, Any]) -> Asked:
@@ -106,10 +108,11 @@
         return known[attempt % len(known)]
 
 
-def _is_final(reply: http.HttpReply) -> bool:
+def _is_final(reply: http.HttpReply, started_s: float) -> bool:
+    if reply.fine or _since_ms(started_s) > _DEADLINE_MS:
+        return True
     # A problem without a time to come back will not change by asking again.
-    problem = reply.status and not reply.fine
-    return reply.fine or bool(problem and 'retry_after_ms' not in reply.body)
+    return bool(reply.status) and 'retry_after_ms' not in reply.body
 
 
 def _since_ms(started_s: float) -> float:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_http.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_http.py
@@ -46,6 +46,19 @@
     return request('GET', f'http://{address}{path}', None, timeout_ms)
 
 
+def get_text(address: str, path: str) -> str:
+    """Read a page that is not JSON; empty if there was no answer."""
+    try:
+        reply = _manager.request(
+            'GET',
+            f'http://{address}{path}',
+            timeout=_TIMEOUT_MS / _MS_PER_S,
+        )
+    except urllib3.exceptions.HTTPError:
+        return ''
+    return reply.data.decode()
+
+
 def post(
     address: str,
     path: str,
--- a/packages/fennelfork-bench/tests/test_demo_check.py
+++ b/packages/fennelfork-bench/tests/test_demo_check.py
@@ -4,8 +4,8 @@
 import pytest
 
 from fennelfork_bench._backend_records import record_at
-from fennelfork_bench._demo_caller import Asked
 from fennelfork_bench._demo_check import Expected, faults_of
+from fennelfork_bench._rig_caller import Asked
 from fennelfork_bench._rig_http import HttpReply
 
 _KEYS = 20
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_exp_parts.py
@@ -0,0 +1,97 @@
+"""Parts of the experiments that judge or work out figures."""
+
+import json
+
+from fennelfork_bench._exp_cost import Reading, costs_between, sum_of_metric
+from fennelfork_bench._exp_load import Sample, load_metrics
+from fennelfork_bench._rig_caller import Asked
+from fennelfork_bench._rig_http import HttpReply
+from fennelfork_bench._rig_report import Arm, Report, percentile
+from fennelfork_bench._rig_usage import Usage
+
+_PAGE = """\
+# TYPE fennelfork_control_bytes counter
+fennelfork_control_bytes_total{channel="peer",direction="sent"} 40.0
+fennelfork_control_bytes_total{channel="platform",direction="sent"} 2.0
+fennelfork_control_bytes_created{channel="peer",direction="sent"} 9.0
+"""
+
+
+def _sample(status: int, faults: tuple[str, ...], cuts: int) -> Sample:
+    asked = Asked(
+        request_id='r',
+        reply=HttpReply(status=status, body={}),
+        attempts=1 + cuts,
+        took_ms=5,
+        cuts=('ProtocolError',) * cuts,
+    )
+    return Sample(at_ms=1, asked=asked, faults=faults)
+
+
+class TestCosts:
+    """Processor time, memory and bytes over a time."""
+
+    def test_adds_up_the_series_of_one_metric(self) -> None:
+        """Labels are added up and other series of the family left out."""
+        name = 'fennelfork_control_bytes_total'
+        assert sum_of_metric(_PAGE, name) == 42
+
+    def test_cost_between_two_readings(self) -> None:
+        """Costs are by the time between the readings."""
+        used = Usage(cpu_ms=100, resident_mb=50)
+        before = Reading(at_ms=0, used=used, control_bytes=1000)
+        later = Usage(cpu_ms=200, resident_mb=60)
+        after = Reading(at_ms=2000, used=later, control_bytes=5000)
+        cost = costs_between([before], [after])[0]
+        assert cost.core_percent == 5
+        assert cost.kb_per_s == 2
+        assert cost.resident_mb == 60
+
+
+class TestLoadMetrics:
+    """What became of a load's requests."""
+
+    def test_failed_and_wrong_are_told_apart(self) -> None:
+        """A request without an answer failed; a false answer is wrong."""
+        samples = [
+            _sample(200, (), 0),
+            _sample(200, ('wrong records',), 1),
+            _sample(503, ('no answer',), 0),
+        ]
+        metrics = load_metrics(samples)
+        assert metrics['requests'] == 3
+        assert metrics['failed'] == 1
+        assert metrics['wrong'] == 1
+        assert metrics['cut'] == 1
+
+
+class TestReport:
+    """Results for people and machines."""
+
+    def test_json_has_the_agreed_members(self) -> None:
+        """Experiment, seed and arms with their metrics, and no more."""
+        arms = (Arm(name='a', metrics={'p50_ms': 1.5}),)
+        report = Report(experiment='x', seed=3, arms=arms)
+        assert json.loads(report.to_json()) == {
+            'experiment': 'x',
+            'seed': 3,
+            'arms': [{'name': 'a', 'metrics': {'p50_ms': 1.5}}],
+        }
+
+    def test_table_shows_a_dash_for_what_an_arm_lacks(self) -> None:
+        """Arms may have different metrics."""
+        arms = (
+            Arm(name='a', metrics={'x': 1}),
+            Arm(name='b', metrics={'y': 2}),
+        )
+        text = Report(experiment='x', seed=3, arms=arms).to_text()
+        assert text.splitlines() == [
+            '   a  b',
+            'x  1  -',
+            'y  -  2',
+        ]
+
+    def test_percentile_of_few_samples(self) -> None:
+        """The highest share gives the highest sample."""
+        assert percentile([3, 1, 2], 0.5) == 2
+        assert percentile([3, 1, 2], 0.99) == 3
