--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_scatter.py
@@ -0,0 +1,70 @@
+"""What goes between the root of a query and the homes of its shards."""
+
+import attrs
+
+from fennelfork._merge import Planned
+from fennelfork._partition import ShardView
+from fennelfork._reply import Reply
+from fennelfork._verdict import Failure
+
+
+@attrs.frozen(kw_only=True)
+class ScatterOrder:
+    """The sub-queries of one query that go to one home.
+
+    Attributes:
+        snapshot: the index version that every part must be of.
+        query: the caller's query as JSON text.
+        deadline_ms: what remains of the deadline.
+        config_version: the configuration that the root works under.
+    """
+
+    request_id: str
+    front: str
+    snapshot: int
+    planned: tuple[Planned, ...]
+    query: str
+    deadline_ms: float
+    tenant: str
+    traffic_class: str
+    config_version: int
+
+
+@attrs.frozen(kw_only=True)
+class Part:
+    """What came of one sub-query.
+
+    Attributes:
+        planned: the sub-query.
+        reply: the reply, if there is one.
+        failure: why there is none.
+        hedges: second copies that were started.
+        retries: copies that were started after a failure.
+        queue_ms: how long it waited at the home for a slot.
+        server_ms: how long the server that answered took.
+        server: name of the backend server that answered.
+    """
+
+    planned: Planned
+    reply: Reply | None = None
+    failure: Failure | None = None
+    hedges: int = 0
+    retries: int = 0
+    queue_ms: float = 0
+    server_ms: float = 0
+    server: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class ScatterOutcome:
+    """The merged message that a home gives back.
+
+    Attributes:
+        parts: one for each sub-query of the order.
+        shards: what the home knows of the snapshots of the shards asked.
+        config_version: the configuration that the home works under.
+    """
+
+    parts: tuple[Part, ...]
+    shards: tuple[ShardView, ...]
+    config_version: int
