Experiment document: what the size of the configuration costs

Change: an experiment over documents of 30, 310 and 3,100 servers; link delay of backend servers in the fleet's specs.

--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -14,6 +14,7 @@
     'config': 'fennelfork_bench._exp_config',
     'control': 'fennelfork_bench._exp_control',
     'demo': 'fennelfork_bench._demo',
+    'document': 'fennelfork_bench._exp_document',
     'membership': 'fennelfork_bench._exp_membership',
     'outage': 'fennelfork_bench._exp_outage',
     'stop': 'fennelfork_bench._exp_stop',
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_document.py
@@ -0,0 +1,117 @@
+"""Experiment `document`: what the size of the configuration costs a daemon."""
+
+import gc
+import os
+import statistics
+import time
+import zlib
+from collections.abc import Callable
+from typing import Any, Final
+
+from fennelfork import (
+    digest,
+    parse_document,
+    render_document,
+    structure_document,
+)
+from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench._rig_usage import usage
+
+_SERVERS: Final = (30, 310, 3100)
+_SERVERS_A_SHARD: Final = 3
+_SHARDS_A_FRONT: Final = 10
+_PATCHES: Final = 64
+_REPEATS: Final = 7
+_EPOCH_MS: Final = 1_790_000_000_000
+_MS_PER_S: Final = 1000
+_BYTES_PER_KB: Final = 1000
+
+
+def run(seed: int) -> Report:
+    """Measure documents of 30, 310 and the letter's 3,100 servers.
+
+    Args:
+        seed: not used; the documents are the same each time.
+    """
+    arms = tuple(_arm(servers) for servers in _SERVERS)
+    return Report(experiment='document', seed=seed, arms=arms)
+
+
+def _arm(servers: int) -> Arm:
+    gc.collect()
+    before_mb = usage(os.getpid()).resident_mb
+    document = structure_document(document_tree(servers)).unwrap()
+    raw = render_document(document)
+    held = parse_document(raw).unwrap()
+    gc.collect()
+    after_mb = usage(os.getpid()).resident_mb
+    return Arm(
+        name=f'servers_{servers}',
+        metrics={
+            'kb': len(raw) / _BYTES_PER_KB,
+            'deflated_kb': len(zlib.compress(raw.encode())) / _BYTES_PER_KB,
+            'parse_and_check_ms': _median_ms(lambda: parse_document(raw)),
+            'render_ms': _median_ms(lambda: render_document(held)),
+            'digest_ms': _median_ms(lambda: digest(raw)),
+            'resident_growth_mb': after_mb - before_mb,
+        },
+    )
+
+
+def document_tree(servers: int) -> dict[str, Any]:
+    """Build a document with that many servers and a full history.
+
+    Args:
+        servers: three a shard and ten shards a front.
+    """
+    shards = max(1, servers // _SERVERS_A_SHARD)
+    fronts = max(1, shards // _SHARDS_A_FRONT)
+    return {
+        'version': _PATCHES,
+        'patches': [_patch(number) for number in range(1, _PATCHES + 1)],
+        'fronts': {
+            f'front-{number}': {
+                'keys': 1_000_000,
+                'shards': _shards(shards // fronts),
+            }
+            for number in range(fronts)
+        },
+    }
+
+
+def _shards(count: int) -> dict[str, Any]:
+    return {f'shard-{number}': _shard(number) for number in range(count)}
+
+
+def _shard(number: int) -> dict[str, Any]:
+    return {
+        'servers': {
+            f'server-{number}-{index}': {
+                'address': f'10.20.{number}.{index + 1}:9000',
+                'data_centre': f'dc-{index + 1}',
+                'slots': 5,
+                'connections': 40,
+                'connect_ms': 6,
+            }
+            for index in range(_SERVERS_A_SHARD)
+        },
+    }
+
+
+def _patch(number: int) -> dict[str, Any]:
+    return {
+        'id': f'patch-{number:020}',
+        'version': number,
+        'author': 'operator@example',
+        'at_ms': _EPOCH_MS + number,
+        'paths': [f'fronts.front-{number}.hedge.delay_ms'],
+    }
+
+
+def _median_ms(action: Callable[[], Any]) -> float:
+    times_ms = []
+    for _ in range(_REPEATS):
+        started_s = time.process_time()
+        action()
+        times_ms.append((time.process_time() - started_s) * _MS_PER_S)
+    return statistics.median(times_ms)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_specs.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_specs.py
@@ -20,6 +20,7 @@
         connect_ms: what a new connection costs.
         mean_ms: mean time of a search.
         straggle: share of searches that take `straggle_factor` times as long.
+        link_ms: one way through the network, added to both ways.
     """
 
     name: str
@@ -33,6 +34,7 @@
     mean_ms: float = 6
     straggle: float = 0
     straggle_factor: float = 10
+    link_ms: float = 0
     seed: int = 1
 
 
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_exp_document.py
@@ -0,0 +1,21 @@
+"""The documents that the experiment `document` measures."""
+
+import pytest
+
+from fennelfork import structure_document
+from fennelfork_bench._exp_document import document_tree
+
+
+class TestDocumentTree:
+    """Synthetic documents."""
+
+    @pytest.mark.parametrize('servers', [30, 300, 3000])
+    def test_is_valid_and_of_the_size_asked_for(self, servers: int) -> None:
+        """The product's own check takes it, and every server is there."""
+        document = structure_document(document_tree(servers)).unwrap()
+        shards = [
+            shard
+            for front in document.fronts.values()
+            for shard in front.shards.values()
+        ]
+        assert sum(len(shard.servers) for shard in shards) == servers
