Key-value stand-in: backups, wipes, and a module for its control face

Cause: versions must not fall when the platform shows an older value or comes back empty, and nothing could provoke that. Change: POST /control/save, restore and wipe; watches are cut, as by a restart. A watch from a forgotten revision was answered with a length instead of chunks, so a streaming client failed on it: the new test failed first, then the answer lost its length.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_app.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_kv_app.py
@@ -3,7 +3,6 @@
 import itertools
 from collections.abc import Iterable
 from typing import Final
-from urllib.parse import parse_qs
 
 import attrs
 import eventlet
@@ -16,6 +15,7 @@
     key_value_service,
     problem,
 )
+from fennelfork_bench._kv_control import Control
 from fennelfork_bench._kv_faults import Faults, Rate
 from fennelfork_bench._kv_log import Call, CallLog, Outcome
 from fennelfork_bench._kv_read import BadRequestError
@@ -51,6 +51,7 @@
     _reads: Rate
     _writes: Rate
     _streams: Streams
+    _control: Control
 
     def __call__(
         self,
@@ -72,7 +73,7 @@
             answer = problem(_BAD, _INVALID, str(error))
             return send(answer, start_response)
         if path.startswith('/control/'):
-            return send(self._control(environ, body), start_response)
+            return send(self._control.answer(environ, body), start_response)
         return self._call(environ, body, start_response)
 
     def expire_forever(self) -> None:
@@ -118,36 +119,6 @@
         except BadRequestError as error:
             return problem(_BAD, _INVALID, str(error))
 
-    def _control(self, environ: Json, body: Json) -> Answer:
-        path = environ['PATH_INFO']
-        if path == '/control/faults':
-            return self._switch(body)
-        if path == '/control/lapse':
-            lapsed = self._service.leases.lapse_all()
-            return Answer(status=_OK, body={'lapsed': lapsed})
-        if path == '/control/log':
-            query = parse_qs(environ.get('QUERY_STRING', ''))
-            since_ms = float(query.get('since_ms', ['0'])[0])
-            return Answer(status=_OK, body=self._report(since_ms))
-        return problem('404 Not Found', _INVALID, 'no such control')
-
-    def _switch(self, body: Json) -> Answer:
-        known = attrs.asdict(self._faults)
-        unknown = sorted(set(body) - set(known))
-        if unknown:
-            return problem(_BAD, _INVALID, f'unknown faults: {unknown}')
-        for name, setting in body.items():
-            setattr(self._faults, name, setting)
-        return Answer(status=_OK, body=attrs.asdict(self._faults))
-
-    def _report(self, since_ms: float) -> Json:
-        return {
-            'now_ms': self._clock.now_ms(),
-            'watching': self._service.hub.waiting,
-            'revision': self._service.store.revision,
-            **self._log.to_json(since_ms),
-        }
-
     def _note(self, environ: Json, outcome: Outcome) -> None:
         call = Call(
             at_ms=self._clock.now_ms(),
@@ -172,14 +143,21 @@
     """
     service = key_value_service(clock)
     faults = Faults()
+    log = CallLog()
     return Application(
         service=service,
         clock=clock,
         faults=faults,
-        log=CallLog(),
+        log=log,
         reads=Rate(per_s=reads_per_s, clock=clock),
         writes=Rate(per_s=writes_per_s, clock=clock),
         streams=Streams(service=service, faults=faults),
+        control=Control(
+            service=service,
+            clock=clock,
+            faults=faults,
+            log=log,
+        ),
     )
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_store.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_kv_store.py
@@ -45,6 +45,17 @@
 }
 
 
+@attrs.frozen(kw_only=True)
+class Backup:
+    """All keys as they were at one revision."""
+
+    revision: int
+    entries: dict[bytes, KeyValue]
+
+
+EMPTY: Final = Backup(revision=1, entries={})
+
+
 @attrs.define(kw_only=True)
 class KeyValueStore:
     """Keys with etcd's revisions; one writer at a time, no I/O.
@@ -109,6 +120,17 @@
         """Drop a key."""
         self._entries.pop(key)
 
+    def backup(self) -> Backup:
+        """Copy all keys."""
+        return Backup(revision=self.revision, entries=dict(self._entries))
+
+    def restore(self, backup: Backup) -> None:
+        """Go back to a backup; what came after it is lost without a trace."""
+        self.revision = backup.revision
+        self.compacted = backup.revision
+        self._entries = dict(backup.entries)
+        self._history.clear()
+
     def _holds(self, compare: Compare) -> bool:
         missing = KeyValue(
             key=compare.key,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_stream.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_kv_stream.py
@@ -48,7 +48,7 @@
         start_response('200 OK', [('Content-Type', 'application/json')])
         start_revision = reader.number(create, 'start_revision')
         if 0 < start_revision <= self._service.store.compacted:
-            return [self._compacted()]
+            return iter((self._compacted(),))  # no length: sent in chunks
         watch = self._service.hub.open(span, start_revision)
         return self._stream(environ, watch)
 
@@ -64,7 +64,7 @@
     def _lines(self, environ: Json, watch: Watch) -> Iterator[bytes]:
         yield self._line({'created': True})
         ticks = 0
-        while not self._faults.down:
+        while not (self._faults.down or watch.ended):
             while watch.pending and not self._faults.stall_watches:
                 events = watch.pending.popleft()
                 yield self._line({'events': list(map(write_event, events))})
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_watch.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_kv_watch.py
@@ -14,9 +14,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Watch:
-    """One waiting watch and the changes it has not sent yet."""
+    """One waiting watch and the changes it has not sent yet.
+
+    Attributes:
+        span: the keys that it is about.
+        ended: whether its connection is to be cut.
+        pending: the changes of each transaction that it has not sent.
+    """
 
     span: KeySpan
+    ended: bool = False
     pending: deque[tuple[Event, ...]] = attrs.field(
         factory=lambda: deque(maxlen=_PENDING),
     )
@@ -54,6 +61,11 @@
         """Forget a watch."""
         self._watches.discard(watch)
 
+    def end_all(self) -> None:
+        """Have the connection of every watch cut."""
+        for watch in self._watches:
+            watch.ended = True
+
     def publish(self, events: tuple[Event, ...]) -> None:
         """Offer the changes of one transaction to every watch."""
         for watch in self._watches:
--- a/packages/fennelfork-bench/tests/test_kv.py
+++ b/packages/fennelfork-bench/tests/test_kv.py
@@ -230,6 +230,43 @@
         assert limited.put('/a', 'one').status == 429
         assert limited.call('/v3/kv/range', {'key': text('/a')}).fine
 
+    def test_restore_brings_an_older_value_back(
+        self,
+        key_value: KeyValueClient,
+    ) -> None:
+        """What came after the backup is lost, and watches are cut."""
+        key_value.put('/a', 'old')
+        key_value.call('/control/save', {})
+        watch = key_value.watch('/a')
+        watch.next()
+        key_value.put('/a', 'new')
+        key_value.call('/control/restore', {})
+        assert key_value.values('/a') == ['old']
+        assert key_value.log()['revision'] == 2
+        wait_until(
+            lambda: key_value.log()['watching'] == 0,
+            _CAP_S,
+            'the watch to end',
+        )
+
+    def test_wiped_store_is_empty(self, key_value: KeyValueClient) -> None:
+        """A service that comes back empty starts at revision 1 again."""
+        key_value.put('/a', 'old')
+        assert key_value.call('/control/wipe', {}).body == {'revision': 1}
+        assert not key_value.values('/a')
+
+    def test_watch_of_a_forgotten_revision_is_cancelled(
+        self,
+        key_value: KeyValueClient,
+    ) -> None:
+        """A start before the compacted revision is answered as such."""
+        key_value.put('/a', 'old')
+        key_value.call('/control/save', {})
+        key_value.call('/control/restore', {})
+        message = key_value.watch('/a', start_revision=1).next()
+        assert message['canceled'] is True
+        assert message['compact_revision'] == '2'
+
     def test_unknown_fault_is_refused(self, key_value: KeyValueClient) -> None:
         """A misspelt fault is not taken for none."""
         assert key_value.call('/control/faults', {'dwon': True}).status == 400
