--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -9,6 +9,8 @@
 
 import cyclopts
 
+from fennelfork_bench._rig_process import RigError
+
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
 _EXPERIMENTS: Final = {
     'config': 'fennelfork_bench._exp_config',
@@ -31,14 +33,19 @@
         json: print one JSON object in place of a table.
 
     Returns:
-        0, 1 if the run saw a promise broken, 2 for an unknown name.
+        0, 1 if the run saw a promise broken or could not go on, 2 for an
+        unknown name.
     """
     if name not in _EXPERIMENTS:
         known = ', '.join(sorted(_EXPERIMENTS))
         sys.stderr.write(f'unknown experiment {name}; known: {known}\n')
         return _USAGE
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
-    report = import_module(_EXPERIMENTS[name]).run(seed)
+    try:
+        report = import_module(_EXPERIMENTS[name]).run(seed)
+    except RigError as error:
+        sys.stderr.write(f'{error}\n')
+        return 1
     text = report.to_json() if json else report.to_text()
     sys.stdout.write(f'{text}\n')
     return 1 if report.failures else 0
