--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -20,6 +20,7 @@
     'membership': 'fennelfork_bench._exp_membership',
     'outage': 'fennelfork_bench._exp_outage',
     'stop': 'fennelfork_bench._exp_stop',
+    'tail': 'fennelfork_bench._exp_tail',
 }
 _USAGE: Final = 2
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_state.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork import Clock
+from fennelfork import Clock, wall_clock
 from fennelfork_bench._backend_faults import FaultPlan, HealthFault, fault_plan
 from fennelfork_bench._backend_log import EventLog, event_log
 from fennelfork_bench._backend_service_time import ServiceTimes, service_times
@@ -29,6 +29,8 @@
         draining: whether it refuses new work.
         frozen_until_ms: when it stops standing still.
         connections: how many connections are open.
+        connections_peak: how many were open at once at most.
+        connections_refused: how many were closed for the limit.
         executed: how often each action of a key ran.
     """
 
@@ -43,6 +45,8 @@
     draining: bool = False
     frozen_until_ms: float = 0
     connections: int = 0
+    connections_peak: int = 0
+    connections_refused: int = 0
     executed: dict[tuple[int, str], int] = attrs.field(factory=dict)
 
 
@@ -57,7 +61,7 @@
         clock=clock,
         holdings=first_holdings(settings.snapshot, first_range(settings)),
         slots=Slots(size=settings.slots),
-        log=event_log(clock, settings.log_limit),
+        log=event_log(wall_clock(), settings.log_limit),
         faults=fault_plan(random.Random(f'faults {settings.seed}')),
         times=service_times(settings, clock.now_ms()),
         health_fault=HealthFault(lag_ms=settings.health_lag_ms),
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_config.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_config.py
@@ -8,8 +8,13 @@
 import eventlet
 
 from fennelfork import system_clock
-from fennelfork_bench._exp_fleet import SIZES, TODAY, hedge_patch, small_fleet
 from fennelfork_bench._exp_race import race
+from fennelfork_bench._exp_small_fleet import (
+    SIZES,
+    TODAY,
+    hedge_patch,
+    small_fleet,
+)
 from fennelfork_bench._rig_config import send_patch, start_fleet, version
 from fennelfork_bench._rig_fleet import Fleet
 from fennelfork_bench._rig_process import RigError, rig
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_control.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_control.py
@@ -11,7 +11,7 @@
     costs_over,
     read_costs,
 )
-from fennelfork_bench._exp_fleet import TODAY, hedge_patch, small_fleet
+from fennelfork_bench._exp_small_fleet import TODAY, hedge_patch, small_fleet
 from fennelfork_bench._rig_config import send_patch, start_fleet
 from fennelfork_bench._rig_fleet import Fleet
 from fennelfork_bench._rig_process import RigError, rig
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_load.py
@@ -10,7 +10,7 @@
 
 from fennelfork import system_clock
 from fennelfork_bench._demo_check import Expected, faults_of
-from fennelfork_bench._exp_fleet import FRONT, KEYS
+from fennelfork_bench._exp_small_fleet import FRONT, KEYS
 from fennelfork_bench._rig_caller import Asked, Caller
 from fennelfork_bench._rig_report import percentile
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_membership.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_membership.py
@@ -7,8 +7,8 @@
 
 from fennelfork import system_clock
 from fennelfork_bench._exp_cost import cost_metrics, costs_over
-from fennelfork_bench._exp_fleet import SIZES, small_fleet
 from fennelfork_bench._exp_members import noticed_ms, watch_for_doubts
+from fennelfork_bench._exp_small_fleet import SIZES, small_fleet
 from fennelfork_bench._rig_config import start_fleet
 from fennelfork_bench._rig_fleet import Fleet
 from fennelfork_bench._rig_process import Process, rig
