Experiments: failures by code, writes that lost their reply

Change: failed requests are counted by code of their problem, writes without a reply are read from the stand-in's log. Shown: test_exp_parts.py passes.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_load.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 import time
+from collections import Counter
 from typing import Final
 
 import attrs
@@ -102,9 +103,16 @@
         'wrong': len(wrong),
         'cut': sum(len(sample.asked.cuts) for sample in samples),
         'p99_ms': percentile(times_ms, _TAIL) if times_ms else 0,
+        **_failures_by_code(samples),
     }
 
 
+def _failures_by_code(samples: list[Sample]) -> dict[str, float]:
+    failed = [sample.asked.reply for sample in samples if sample.failed]
+    codes = Counter(reply.body.get('code', 'no_answer') for reply in failed)
+    return {f'failed_{code}': count for code, count in codes.items()}
+
+
 def _lookup(key: int) -> dict[str, object]:
     return {
         'tenant': 'salvare-pe-ape',
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_race.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_race.py
@@ -110,6 +110,7 @@
 def _counts(fleet: Fleet, log: RaceLog) -> dict[str, float]:
     history = http.get(fleet.operators[0], '/v1/config/history').body
     recorded = [each[_VERSION] for each in history['patches']]
+    calls = fleet.platform.log()['calls']
     told = list(log.wins.values())
     return {
         'operators': _OPERATORS,
@@ -117,6 +118,9 @@
         'accepted': len(told),
         'conflicts': log.conflicts,
         'unknown_replies': log.unknown,
+        'writes_without_reply': sum(
+            call['outcome'] == 'reply_lost' for call in calls
+        ),
         'skipped': _skipped(recorded) + _skipped([_FIRST, *told]),
         'doubled': _doubled(recorded) + _doubled(told),
         'reverted': log.reverted,
--- a/packages/fennelfork-bench/tests/test_exp_parts.py
+++ b/packages/fennelfork-bench/tests/test_exp_parts.py
@@ -63,6 +63,7 @@
         assert metrics['failed'] == 1
         assert metrics['wrong'] == 1
         assert metrics['cut'] == 1
+        assert metrics['failed_no_answer'] == 1
 
 
 class TestReport:
