Experiment membership: platform calls of a fleet at rest

Cause: platform calls must grow with data centres and not with daemons, and nothing counted them at rest. Change: watches, key-value calls and reads of the VM list a second at rest.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_membership.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_membership.py
@@ -40,7 +40,7 @@
         time.sleep(_SETTLE_S)
         metrics = {
             'daemons': size,
-            **cost_metrics(costs_over(fleet.living, _REST_S)),
+            **_rest(fleet),
             **_false_doubts(fleet, 'rest', _REST_S),
             **_busy(fleet),
             **_kills(fleet),
@@ -48,6 +48,20 @@
     return Arm(name=f'daemons_{size}', metrics=metrics)
 
 
+def _rest(fleet: Fleet) -> dict[str, float]:
+    since_ms = _CLOCK.now_ms()
+    listed = fleet.platform.vm_list_reads()
+    costs = costs_over(fleet.living, _REST_S)
+    log = fleet.platform.log(since_ms)
+    reads = fleet.platform.vm_list_reads() - listed
+    return {
+        **cost_metrics(costs),
+        'watches': log['watching'],
+        'key_value_calls_per_s': len(log['calls']) / _REST_S,
+        'vm_list_reads_per_s': reads / _REST_S,
+    }
+
+
 def _false_doubts(fleet: Fleet, name: str, seconds: float) -> dict[str, float]:
     doubts = watch_for_doubts(fleet.living, seconds)
     suspected = {doubt.subject for doubt in doubts}
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_platform.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_platform.py
@@ -47,6 +47,11 @@
         path = f'/control/log?since_ms={since_ms}'
         return http.get(self.key_value_address, path).body
 
+    def vm_list_reads(self) -> int:
+        """Read how often the VM list was read."""
+        reply = http.get(self.vm_list_address, '/control/log')
+        return int(reply.body['reads'])
+
     def list_vms(self, vms: Sequence[Mapping[str, str]]) -> None:
         """Set the truth of the VM list."""
         http.put(self.vm_list_address, '/control/vms', {'vms': vms})
