Demo: requests that run at most once go to the daemon of their ticket

Cause: execute takes ids that end with the serial of their ticket, and the demo sent plain ones (400 bad_request). Change: the caller keeps the ticket of its entry answer, ends its ids with the serial and asks the daemon that gave it.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_caller.py
@@ -8,6 +8,7 @@
 import attrs
 
 from fennelfork_bench import _rig_http as http
+from fennelfork_bench._rig_process import RigError
 
 _MS_PER_S: Final = 1000
 _PAUSE_S: Final = 0.02
@@ -32,6 +33,21 @@
     cuts: tuple[str, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class Ticket:
+    """The right to send requests that run at most once to one daemon.
+
+    Attributes:
+        text: goes with each such request.
+        serial: ends the id of each such request.
+        address: the daemon that gave it.
+    """
+
+    text: str
+    serial: str
+    address: str
+
+
 @attrs.define(kw_only=True)
 class Caller:
     """Keeps one entry answer for its time and asks there.
@@ -44,7 +60,7 @@
     seeds: tuple[str, ...]
     place: str = ''
     _entries: list[str] = attrs.field(factory=list)
-    _ticket: str = ''
+    _ticket: Ticket | None = None
     _good_until_s: float = 0
 
     def entries(self) -> http.HttpReply:
@@ -57,7 +73,7 @@
         if reply.fine:
             listed = reply.body['entries']
             self._entries = [entry['address'] for entry in listed]
-            self._ticket = reply.body.get('ticket', '')
+            self._ticket = _ticket(reply.body)
             kept_s = reply.body['ttl_ms'] / _MS_PER_S
             self._good_until_s = time.monotonic() + kept_s
         return reply
@@ -96,17 +112,30 @@
         )
 
     def execute(self, front: str, body: Mapping[str, Any]) -> Asked:
-        """Send a request that must run at most once, once."""
-        address = self._address(0)
-        request_id = uuid.uuid4().hex
+        """Send a request that must run at most once, once.
+
+        Args:
+            front: the search front.
+            body: the request without its id and ticket.
+
+        Raises:
+            RigError: if no daemon gave a ticket.
+        """
+        if time.monotonic() >= self._good_until_s:
+            self.entries()
+        ticket = self._ticket
+        if ticket is None:
+            raise RigError('no daemon gave a ticket')
+        request_id = f'{uuid.uuid4().hex}@{ticket.serial}'
         started_s = time.monotonic()
         full = {
             'request_id': request_id,
             'deadline_ms': _DEADLINE_MS,
-            'ticket': self._ticket,
+            'ticket': ticket.text,
             **body,
         }
-        reply = http.post(address, f'/v1/fronts/{front}/execute', full)
+        path = f'/v1/fronts/{front}/execute'
+        reply = http.post(ticket.address, path, full)
         return Asked(
             request_id=request_id,
             reply=reply,
@@ -121,6 +150,16 @@
         return known[attempt % len(known)]
 
 
+def _ticket(entries: Mapping[str, Any]) -> Ticket | None:
+    if not entries.get('ticket'):
+        return None
+    return Ticket(
+        text=entries['ticket'],
+        serial=str(entries['ticket_serial']),
+        address=entries['ticket_address'],
+    )
+
+
 def _may_help(reply: http.HttpReply) -> bool:
     # A problem without a time to come back will not change by asking again.
     return not reply.status or 'retry_after_ms' in reply.body
