Experiments: the median cost of a daemon beside mean and highest

Cause: two daemons a data centre watch the platform and cost more, so a mean tells neither what a member nor what a watcher costs. Change: the median (a member, in a large fleet) beside the highest (a watcher).

--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_cost.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_cost.py
@@ -1,5 +1,6 @@
 """What a daemon spends: processor time, memory, bytes of control."""
 
+import statistics
 import time
 from collections.abc import Sequence
 from typing import Any, Final
@@ -63,11 +64,16 @@
 
 
 def cost_metrics(costs: Sequence[Cost]) -> dict[str, float]:
-    """Give the mean and the highest of each cost."""
+    """Give the mean, the median and the highest of each cost.
+
+    Only two daemons a data centre watch the platform, so in a large fleet
+    the median is a plain member and the highest a watcher.
+    """
     metrics: dict[str, float] = {}
     for name in ('core_percent', 'resident_mb', 'kb_per_s'):
         found = [getattr(cost, name) for cost in costs]
-        metrics[f'{name}_mean'] = sum(found) / len(found)
+        metrics[f'{name}_mean'] = statistics.fmean(found)
+        metrics[f'{name}_p50'] = statistics.median(found)
         metrics[f'{name}_max'] = max(found)
     return metrics
 
