--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_stop.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_check_stop.py
@@ -44,6 +44,8 @@
     ]
     if not ends:
         yield _violation('the daemon never exited', (stop,))
+    if any(isinstance(end, Killed) for end in ends):
+        return
     for end in ends:
         if isinstance(end, Exited) and end.status:
             detail = f'the daemon exited with status {end.status}'
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_entry.py
@@ -0,0 +1,70 @@
+"""Asks the system which of its addresses to use, as callers do."""
+
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, Final
+
+import attrs
+
+from fennelfork import Clock
+from fennelfork_bench import _rig_http as http
+
+_TIMEOUT_MS: Final = 500
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """What one entry answer says.
+
+    Attributes:
+        addresses: caller addresses of daemons, best first.
+        until_ms: end of the time in which it may be used.
+        ticket: binds executions to one daemon.
+    """
+
+    addresses: tuple[str, ...]
+    until_ms: float
+    ticket: str
+
+
+@attrs.define(kw_only=True)
+class EntryBook:
+    """Keeps one entry answer for as long as it says.
+
+    Attributes:
+        known: gives addresses of daemons that may be asked.
+    """
+
+    known: Callable[[], Sequence[str]]
+    _clock: Clock
+    _randomness: random.Random
+    _entry: Entry | None = None
+
+    def current(self) -> Entry | None:
+        """Give a valid entry; none if no daemon gives one now."""
+        entry = self._entry
+        if entry is None or self._clock.now_ms() >= entry.until_ms:
+            self._entry = self._ask()
+        return self._entry
+
+    def forget(self) -> None:
+        """Ask anew before the next request."""
+        self._entry = None
+
+    def _ask(self) -> Entry | None:
+        known = list(self.known())
+        self._randomness.shuffle(known)
+        for address in known:
+            asked_ms = self._clock.now_ms()
+            reply = http.get(address, '/v1/entries', _TIMEOUT_MS)
+            if reply.fine and reply.body['entries']:
+                return _entry(reply.body, asked_ms)
+        return None
+
+
+def _entry(body: dict[str, Any], asked_ms: float) -> Entry:
+    return Entry(
+        addresses=tuple(each['address'] for each in body['entries']),
+        until_ms=asked_ms + body['ttl_ms'],
+        ticket=body['ticket'],
+    )
--- a/packages/fennelfork-bench/src/fennelfork_bench/_history_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_history_caller.py
@@ -106,6 +106,13 @@
     verdict: Verdict
 
 
+@attrs.frozen(kw_only=True)
+class Malformed(Ended):
+    """A whole reply that is neither an answer nor a problem document."""
+
+    detail: str
+
+
 @attrs.frozen(kw_only=True)
 class ConnectionCut(Ended):
     """The connection was open and ended without a whole reply."""
@@ -127,6 +134,7 @@
     | QueryAnswered
     | ExecuteAnswered
     | Refused
+    | Malformed
     | ConnectionCut
     | ConnectRefused
 )
--- a/packages/fennelfork-bench/src/fennelfork_bench/_history_server.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_history_server.py
@@ -25,36 +25,41 @@
     sub_query: str
 
 
+@attrs.frozen(kw_only=True)
+class WorkReceived(Work):
+    """A request arrived, whatever came of it."""
+
+
 @attrs.frozen(kw_only=True)
 class QueryRan(Work):
     """The server began to run its part of a query."""
 
-    snapshot: int
-    lo: int
-    hi: int
-
 
 @attrs.frozen(kw_only=True)
 class ExecuteRan(Work):
-    """The server ran a request that is not idempotent."""
+    """The server began to run a request that is not idempotent."""
 
     key: int
-    action: str
 
 
 @attrs.frozen(kw_only=True)
 class WorkRefused(Work):
-    """The server refused a request before it ran."""
+    """The server answered with a problem, before it ran or after."""
 
     code: str
 
 
 @attrs.frozen(kw_only=True)
 class WorkCancelled(Work):
-    """The server was asked to cancel a request it knew."""
+    """The server ended a running request as it was asked to."""
 
 
 # The concrete classes of this module, for reading and writing.
 AnyServerEvent = (
-    DrainAsked | QueryRan | ExecuteRan | WorkRefused | WorkCancelled
+    DrainAsked
+    | WorkReceived
+    | QueryRan
+    | ExecuteRan
+    | WorkRefused
+    | WorkCancelled
 )
--- a/packages/fennelfork-bench/tests/test_check_answer.py
+++ b/packages/fennelfork-bench/tests/test_check_answer.py
@@ -17,7 +17,9 @@
 )
 
 from fennelfork_bench._check_answer import check_own_answer
+from fennelfork_bench._history_caller import Malformed
 
+_MALFORMED = Malformed(at_ms=150, attempt='try-1', detail='200 []')
 _NARROW = query_asked(query='{"keys": [1]}')
 
 
@@ -33,6 +35,7 @@
             ((query_asked(), query_answered(reply_to='req-2')), 'req-2'),
             ((query_asked(), refused(reply_to='req-2')), 'req-2'),
             ((query_asked(), execute_answered()), 'of an execution'),
+            ((query_asked(), _MALFORMED), 'malformed'),
             ((query_asked(), partial_answer()), 'takes only the whole'),
             ((_NARROW, query_answered(records=records(1, 1))), 'twice'),
             ((_NARROW, query_answered(records=records(1, 2))), '[2]'),
