--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_menu.py
@@ -0,0 +1,97 @@
+"""The faults that the soak draws from, and the fleet that it strikes."""
+
+import random
+from typing import Final
+
+import attrs
+
+from fennelfork_bench._exp_soak_fault import Fault
+from fennelfork_bench._exp_soak_fault_daemons import (
+    KillDaemon,
+    PauseDaemon,
+    StopDaemon,
+)
+from fennelfork_bench._exp_soak_fault_index import NextSnapshot, Repartition
+from fennelfork_bench._exp_soak_fault_platform import (
+    PlatformFault,
+    VmListDown,
+)
+from fennelfork_bench._exp_soak_fault_servers import (
+    DrainServer,
+    FreezeServer,
+    KillServer,
+    SilenceConnections,
+    SpoilReplies,
+)
+from fennelfork_bench._rig_specs import (
+    BackendSpec,
+    FleetSpec,
+    FrontSpec,
+    daemon_specs,
+    shard_spec,
+)
+
+_KEYS: Final = 120
+_STRAGGLE: Final = 0.02
+_LIST_LAG_MS: Final = 300
+_SPOILED: Final = (
+    'late',
+    'lose_reply',
+    'cross',
+    'truncate',
+    'double',
+    'cut',
+    'mute',
+    'straggle',
+)
+_MENU: Final[tuple[Fault, ...]] = (
+    KillDaemon(),
+    PauseDaemon(hold_s=2),
+    StopDaemon(hold_s=0),
+    KillServer(),
+    FreezeServer(),
+    SilenceConnections(),
+    DrainServer(hold_s=4),
+    DrainServer(hold_s=4, lies=True),
+    NextSnapshot(),
+    Repartition(),
+    VmListDown(hold_s=2),
+    PlatformFault(hold_s=3, switches={'down': True}),
+    PlatformFault(hold_s=3, switches={'slow_ms': 700}),
+    PlatformFault(hold_s=3, switches={'refuse': True}),
+    PlatformFault(hold_s=3, switches={'lose_replies': 3}),
+    PlatformFault(hold_s=3, switches={'stall_watches': True}),
+    *(SpoilReplies(kind=kind) for kind in _SPOILED),
+)
+
+
+def draw_pair(randomness: random.Random) -> tuple[Fault, Fault]:
+    """Draw two faults, which may be the same."""
+    return randomness.choice(_MENU), randomness.choice(_MENU)
+
+
+def small_fleet(seed: int) -> FleetSpec:
+    """Build two shards of two replicas each and three daemons.
+
+    Args:
+        seed: of the service times of the servers.
+    """
+    half = _KEYS // 2
+    low = BackendSpec(
+        name='',
+        lo=0,
+        hi=half,
+        keys=_KEYS,
+        straggle=_STRAGGLE,
+        seed=seed,
+    )
+    high = attrs.evolve(low, lo=half, hi=_KEYS, seed=seed + _KEYS)
+    shards = (shard_spec('low', 2, low), shard_spec('high', 2, high))
+    front = FrontSpec(
+        name='raft-search',
+        keys=_KEYS,
+        shards=shards,
+        hedge={'policy': 'quantile', 'delay_ms': 30, 'budget': 0.05},
+    )
+    daemons = daemon_specs(3)
+    return FleetSpec(fronts=(front,), daemons=daemons, lag_ms=_LIST_LAG_MS)
