--- a/packages/fennelfork-bench/tests/conftest.py
+++ b/packages/fennelfork-bench/tests/conftest.py
@@ -1,13 +1,25 @@
-"""Fixtures that start real processes for the tests of the bench."""
+"""Settings and fixtures of every test of the bench."""
 
+import os
 from collections.abc import Iterator
 
 import pytest
 from bench_builders_platform import KeyValueClient
+from hypothesis import settings
 
 from fennelfork_bench._rig_process import Rig
 from fennelfork_bench._rig_process import rig as new_rig
 
+settings.register_profile('ci', derandomize=True, deadline=None)
+settings.register_profile(
+    'long',
+    derandomize=False,
+    deadline=None,
+    max_examples=2000,
+    stateful_step_count=80,
+)
+settings.load_profile(os.environ.get('HYPOTHESIS_PROFILE', 'ci'))
+
 
 @pytest.fixture
 def rig() -> Iterator[Rig]:
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_fuzz_settings.py
@@ -0,0 +1,73 @@
+"""Settings files stand bad input."""
+
+import json
+from pathlib import Path
+
+import pytest
+from bench_builders_fuzz import json_values, patient
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from fennelfork_bench._rig_settings import settings_toml
+from fennelfork_bench._rig_specs import daemon_specs
+from fennelfork_daemon._settings import load_settings, read_settings
+
+_VALID = {
+    'daemon': {'name': 'a', 'region': 'r', 'data_centre': 'd'},
+    'listen': dict.fromkeys(('caller', 'operator', 'peer'), '127.0.0.1:0'),
+    'platform': {'key_value': ['127.0.0.1:1'], 'vm_list': '127.0.0.1:2'},
+    'limits': {'body_bytes': 4096},
+    'timeouts': {'stop_ms': 9000, 'entry_ttl_ms': 100},
+    'logs': {'level': 'info'},
+}
+_TEXT = settings_toml(*daemon_specs(1), '127.0.0.1:1', '127.0.0.1:2')
+
+
+@pytest.fixture(scope='module')
+def path(tmp_path_factory) -> Path:
+    """Give a file that each example writes anew."""
+    return tmp_path_factory.mktemp('settings') / 'fennelforkd.toml'
+
+
+class TestReadSettings:
+    """A parsed document is taken, or refused with path and reason."""
+
+    @patient
+    @given(
+        table=st.sampled_from([*_VALID, 'unknown']),
+        member=st.sampled_from(('name', 'caller', 'key_value', 'stop_ms', 'x')),
+        changed=json_values,
+    )
+    def test_members(self, table, member, changed) -> None:
+        """A wrong value names where it stands."""
+        tables = _VALID | {table: {**_VALID.get(table, {}), member: changed}}
+        found = read_settings(tables)
+        if not is_successful(found):
+            assert all(problem.path for problem in found.failure())
+            assert any(table in problem.path for problem in found.failure())
+
+    @patient
+    @given(table=st.sampled_from([*_VALID, 'unknown']), changed=json_values)
+    def test_tables(self, table, changed) -> None:
+        """A table of another type is refused, never raised."""
+        found = read_settings(_VALID | {table: changed})
+        if not is_successful(found):
+            assert all(problem.message for problem in found.failure())
+
+
+class TestLoadSettings:
+    """A file of any bytes is taken or refused."""
+
+    @patient
+    @given(
+        cut=st.integers(0, len(_TEXT)),
+        noise=st.binary(max_size=20) | st.text(max_size=20).map(str.encode),
+    )
+    def test_bytes(self, path, cut, noise) -> None:
+        """Noise in a good file gives problems, never an exception."""
+        text = _TEXT.encode()
+        path.write_bytes(text[:cut] + noise + text[cut:])
+        found = load_settings(path)
+        if not is_successful(found):
+            assert json.dumps([str(each) for each in found.failure()])
