--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_history.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_history.py
@@ -1,17 +1,23 @@
 """Reads the log of a stand-in as events of a history."""
 
-from collections.abc import Iterator, Mapping
-from typing import Any
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, Final
 
 from fennelfork_bench._backend_log import Call, EventKind
 from fennelfork_bench._history_server import (
     ExecuteRan,
     QueryRan,
+    ReplySpoiled,
     ServerEvent,
     WorkCancelled,
+    WorkReceived,
     WorkRefused,
 )
 
+_Line = Mapping[str, Any]
+_Make = Callable[[dict[str, Any], _Line], ServerEvent]
+_Makers = dict[EventKind, _Make]
+
 
 def server_events(page: Mapping[str, Any]) -> Iterator[ServerEvent]:
     """Give the events of a log page that the checkers know.
@@ -20,29 +26,25 @@
         page: the answer of `GET /control/log`.
     """
     for line in page['events']:
-        event = _server_event(page['name'], line)
-        if event is not None:
-            yield event
+        make = _MAKERS.get(EventKind(line['kind']))
+        if make is not None:
+            yield make(_work(page['name'], line), line)
 
 
-def _server_event(server: str, line: Mapping[str, Any]) -> ServerEvent | None:
-    work = {
+def _work(server: str, line: _Line) -> dict[str, Any]:
+    return {
         'at_ms': line['at_ms'],
         'server': server,
         'request_id': line['request_id'],
         'sub_query': line['sub_query'],
     }
-    kind = EventKind(line['kind'])
-    if kind is EventKind.STARTED:
-        return _started(work, line)
-    if kind is EventKind.CANCELLED:
-        return WorkCancelled(**work)
-    if kind is EventKind.REFUSED:
-        return WorkRefused(**work, code=line['detail'])
-    return None
 
 
-def _started(work: dict[str, Any], line: Mapping[str, Any]) -> ServerEvent:
+def _received(work: dict[str, Any], line: _Line) -> ServerEvent:
+    return WorkReceived(**work)
+
+
+def _started(work: dict[str, Any], line: _Line) -> ServerEvent:
     if Call(line['call']) is Call.EXECUTE:
         return ExecuteRan(**work, key=line['key'], action=line['action'])
     return QueryRan(
@@ -51,3 +53,24 @@
         lo=line['lo'],
         hi=line['hi'],
     )
+
+
+def _refused(work: dict[str, Any], line: _Line) -> ServerEvent:
+    return WorkRefused(**work, code=line['detail'])
+
+
+def _spoiled(work: dict[str, Any], line: _Line) -> ServerEvent:
+    return ReplySpoiled(**work, kind=line['detail'])
+
+
+def _cancelled(work: dict[str, Any], line: _Line) -> ServerEvent:
+    return WorkCancelled(**work)
+
+
+_MAKERS: Final[_Makers] = {
+    EventKind.RECEIVED: _received,
+    EventKind.STARTED: _started,
+    EventKind.REFUSED: _refused,
+    EventKind.FAULT: _spoiled,
+    EventKind.CANCELLED: _cancelled,
+}
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_answer.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_check_answer.py
@@ -21,14 +21,16 @@
 )
 from fennelfork_bench._history_server import ExecuteRan
 
-# Request id and key of what the backend servers ran.
-_Runs = set[tuple[str, int]]
+# Request id, key and action of what the backend servers ran.
+_Runs = set[tuple[str, int, str]]
 
 
 def check_own_answer(history: History, truth: Truth) -> tuple[Violation, ...]:
     """Find tries left alone, ended twice, or given another's answer."""
     tries = tries_of(history)
-    runs = {(run.request_id, run.key) for run in history.of(ExecuteRan)}
+    runs = {
+        (run.request_id, run.key, run.action) for run in history.of(ExecuteRan)
+    }
     return (
         *_orphans(history, tries),
         *(
@@ -105,7 +107,7 @@
         return
     if end.key != asked.key:
         yield f'an outcome for key {end.key}'
-    if (asked.request_id, asked.key) not in runs:
+    if (asked.request_id, asked.key, asked.action) not in runs:
         yield 'an outcome of an execution that no server ran'
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_trial.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_trial.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from fennelfork import system_clock
+from fennelfork import wall_clock
 from fennelfork_bench._check_all import check_history
 from fennelfork_bench._check_base import Limits, Violation
 from fennelfork_bench._exp_soak_caller import Caller, Habits
@@ -141,7 +141,7 @@
     built = Trial(
         fleet=fleet,
         layout={each.name: (each.lo, each.hi) for each in servers},
-        recorder=Recorder(clock=system_clock()),
+        recorder=Recorder(clock=wall_clock()),
         randomness=random.Random(seed),
     )
     for daemon in fleet.daemons:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_history_event.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_history_event.py
@@ -8,7 +8,7 @@
     """Something that one process saw.
 
     Attributes:
-        at_ms: monotonic time of the machine, which all its processes share.
+        at_ms: civil time of the machine, which all its processes share.
     """
 
     at_ms: float
--- a/packages/fennelfork-bench/src/fennelfork_bench/_history_server.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_history_server.py
@@ -34,12 +34,17 @@
 class QueryRan(Work):
     """The server began to run its part of a query."""
 
+    snapshot: int
+    lo: int
+    hi: int
+
 
 @attrs.frozen(kw_only=True)
 class ExecuteRan(Work):
     """The server began to run a request that is not idempotent."""
 
     key: int
+    action: str
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/tests/bench_builders_proof.py
+++ b/packages/fennelfork-bench/tests/bench_builders_proof.py
@@ -127,6 +127,7 @@
         request_id='req-1',
         sub_query='s0',
         key=3,
+        action='issue',
     )
     return attrs.evolve(run, **changes)
 
@@ -138,6 +139,9 @@
         server='raft-a',
         request_id='req-1',
         sub_query='s0',
+        snapshot=1,
+        lo=0,
+        hi=KEYS,
     )
     return attrs.evolve(run, **changes)
 
--- a/packages/fennelfork-bench/tests/test_backend_history.py
+++ b/packages/fennelfork-bench/tests/test_backend_history.py
@@ -7,6 +7,7 @@
 from fennelfork_bench._history_server import (
     ExecuteRan,
     QueryRan,
+    WorkReceived,
     WorkRefused,
 )
 
@@ -16,12 +17,17 @@
     """Events of the real log."""
 
     def test_reads_runs_and_refusals(self) -> None:
-        """Each run and each refusal becomes one event, the rest none."""
+        """Each arrival, run and refusal becomes one event, the rest none."""
         with backend(name='raft-a') as server:
             server.post('/v1/search', **search_body('r1', lo=5, hi=9))
             server.post('/v1/execute', **execute_body('r2'))
             server.post('/v1/search', **search_body('r3', snapshot=8))
-            ran, executed, refused = server_events(server.page())
+            events = list(server_events(server.page()))
+        arrived = [each for each in events if isinstance(each, WorkReceived)]
+        assert [each.request_id for each in arrived] == ['r1', 'r2', 'r3']
+        ran, executed, refused = (
+            each for each in events if each not in arrived
+        )
         assert isinstance(ran, QueryRan)
         assert (ran.server, ran.request_id) == ('raft-a', 'r1')
         assert (ran.snapshot, ran.lo, ran.hi) == (1, 5, 9)
--- a/packages/fennelfork-bench/tests/test_check_answer.py
+++ b/packages/fennelfork-bench/tests/test_check_answer.py
@@ -70,6 +70,7 @@
             ((execute_answered(key=4), execute_ran()), 'key 4'),
             ((execute_answered(),), 'no server ran'),
             ((execute_answered(), execute_ran(key=4)), 'no server ran'),
+            ((execute_answered(), execute_ran(action='void')), 'no server'),
             ((query_answered(), execute_ran()), 'of a query'),
         ],
     )
