Callers of the soak name executions by their ticket's serial

A caller takes a new ticket only after not_run, so runs are now counted together by NAME: a false not_run shows as two runs.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_once.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_check_once.py
@@ -6,16 +6,22 @@
 
 
 def check_at_most_once(history: History) -> tuple[Violation, ...]:
-    """Find request ids that backend servers ran more than once."""
+    """Find requests that backend servers ran more than once.
+
+    The part of an id after `@` names the ticket. A caller takes another
+    ticket only when it was told that nothing ran, so runs under two tickets
+    count together.
+    """
     runs: dict[str, list[ExecuteRan]] = {}
     for run in history.of(ExecuteRan):
-        runs.setdefault(run.request_id, []).append(run)
+        name = run.request_id.partition('@')[0]
+        runs.setdefault(name, []).append(run)
     return tuple(
         Violation(
             promise=Promise.AT_MOST_ONCE,
-            detail=f'{request_id} ran {len(ran)} times',
+            detail=f'{name} ran {len(ran)} times',
             events=tuple(ran),
         )
-        for request_id, ran in runs.items()
+        for name, ran in runs.items()
         if len(ran) > 1
     )
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
@@ -93,11 +93,11 @@
         self._send(asked, 'query', body)
 
     def _execute(self, entry: Entry) -> None:
-        request_id = self._next_id()
+        name = self._next_id()
         key = self._randomness.randrange(self.habits.keys)
         for _ in range(self._randomness.choice((1, _TRIES))):
             asked = ExecuteAsked(
-                **self._common(entry, request_id),
+                **self._common(entry, f'{name}@{entry.serial}'),
                 key=key,
                 action='issue',
             )
@@ -111,8 +111,8 @@
     def _entry_for_retry(self, entry: Entry, end: Ended) -> Entry | None:
         """Give what to use for another try, none if there is to be none.
 
-        A request that may have run goes on under its own ticket; one that
-        surely did not may take a new one.
+        A request that may have run goes on under its own ticket, and so its
+        own id; one that surely did not may take a new ticket.
         """
         if isinstance(end, ConnectionCut):
             return entry
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_entry.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_entry.py
@@ -20,11 +20,13 @@
         addresses: caller addresses of daemons, best first.
         until_ms: end of the time in which it may be used.
         ticket: binds executions to one daemon.
+        serial: names the ticket in the ids of its executions.
     """
 
     addresses: tuple[str, ...]
     until_ms: float
     ticket: str
+    serial: str
 
 
 @attrs.define(kw_only=True)
@@ -67,4 +69,5 @@
         addresses=tuple(each['address'] for each in body['entries']),
         until_ms=asked_ms + body['ttl_ms'],
         ticket=body['ticket'],
+        serial=body['ticket_serial'],
     )
--- a/packages/fennelfork-bench/tests/test_check_once.py
+++ b/packages/fennelfork-bench/tests/test_check_once.py
@@ -16,6 +16,14 @@
             (execute_ran(), again),
         ]
 
+    def test_two_tickets(self) -> None:
+        """Two runs of one request under two tickets are caught."""
+        runs = (
+            execute_ran(request_id='issue-1@t1'),
+            execute_ran(request_id='issue-1@t2'),
+        )
+        assert check_at_most_once(history(*runs))
+
     def test_near_miss(self) -> None:
         """Two requests for one key, and hedged queries, are good."""
         whole = history(
