Soak waits for known entries and lets operators think

Change: wait until every entry answer names all daemons; operators pause between reading and sending.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_entry.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_entry.py
@@ -8,8 +8,11 @@
 
 from fennelfork import Clock
 from fennelfork_bench import _rig_http as http
+from fennelfork_bench._rig_fleet import Fleet
+from fennelfork_bench._rig_process import wait_until
 
 _TIMEOUT_MS: Final = 500
+_KNOWN_CAP_S: Final = 30
 
 
 @attrs.frozen(kw_only=True)
@@ -64,6 +67,25 @@
         return None
 
 
+def await_entries(fleet: Fleet) -> None:
+    """Wait until every daemon names every daemon to callers.
+
+    Raises:
+        RigError: if that does not come within 30 s.
+    """
+    everyone = set(fleet.callers)
+    wait_until(
+        lambda: all(_named_by(each) == everyone for each in everyone),
+        _KNOWN_CAP_S,
+        'all daemons in every entry answer',
+    )
+
+
+def _named_by(address: str) -> set[str]:
+    reply = http.get(address, '/v1/entries', _TIMEOUT_MS)
+    return {each['address'] for each in reply.body.get('entries', ())}
+
+
 def _entry(body: dict[str, Any], asked_ms: float) -> Entry:
     return Entry(
         addresses=tuple(each['address'] for each in body['entries']),
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_operator.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_operator.py
@@ -21,6 +21,7 @@
 
 _TRIES: Final = 4
 _RETRY_S: Final = 0.2
+_THINKING_S: Final = 0.3
 _NOT_RUN: Final = 'not_run'
 
 
@@ -51,6 +52,8 @@
         base = _rig_config.version(self._randomness.choice(known))
         if base < 1:
             return
+        # People take a while between reading and sending: races are common.
+        time.sleep(self._randomness.uniform(0, _THINKING_S))
         for _ in range(_TRIES):
             event = self._propose(patch_id, base)
             self.recorder.note(event)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_round.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_round.py
@@ -9,6 +9,7 @@
 from fennelfork_bench._check_base import Violation
 from fennelfork_bench._exp_soak_caller import Habits
 from fennelfork_bench._exp_soak_crew import Crew
+from fennelfork_bench._exp_soak_entry import await_entries
 from fennelfork_bench._exp_soak_fault import Fault, strike
 from fennelfork_bench._exp_soak_menu import small_fleet
 from fennelfork_bench._exp_soak_trial import Trial, trial
@@ -55,7 +56,9 @@
         seed: of every random choice.
         load: how much is asked of it.
     """
-    running = trial(start_fleet(start_rig, small_fleet(seed)), seed)
+    fleet = start_fleet(start_rig, small_fleet(seed))
+    await_entries(fleet)
+    running = trial(fleet, seed)
     habits = Habits(
         front=running.front.name,
         keys=running.front.keys,
--- a/packages/fennelfork-bench/tests/bench_builders_faults.py
+++ b/packages/fennelfork-bench/tests/bench_builders_faults.py
@@ -3,6 +3,7 @@
 import time
 
 from fennelfork_bench._exp_soak_caller import Habits
+from fennelfork_bench._exp_soak_entry import await_entries
 from fennelfork_bench._exp_soak_fault import Fault
 from fennelfork_bench._exp_soak_menu import small_fleet
 from fennelfork_bench._exp_soak_round import Round, strike_together
@@ -33,6 +34,7 @@
     document = {'version': 1, 'patches': [], **first_patch(fleet)}
     fleet.platform.write_document(document)
     await_version(fleet, 1)
+    await_entries(fleet)
     running = trial(fleet, 1)
     front = running.front
     habits = Habits(
