--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_servers.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_servers.py
@@ -1,17 +1,21 @@
 """Backend stand-ins under test: their orders and their logs."""
 
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, Final
 
 from fennelfork_bench import _backend_history
 from fennelfork_bench import _rig_http as http
 from fennelfork_bench._history_event import Event
 from fennelfork_bench._rig_process import Process, RigError
 
+_GONE_S: Final = 1
+
 
 def order(server: Process, what: str, body: dict[str, Any]) -> None:
     """Give an order on the control face, which no fault touches.
 
+    A server that another fault kills meanwhile needs no order.
+
     Args:
         server: the stand-in.
         what: `faults`, `snapshot` or `drain`.
@@ -22,7 +26,7 @@
     """
     path = f'/control/{what}'
     reply = http.post(server.ready['control'], path, body)
-    if not reply.fine:
+    if not reply.fine and server.wait(_GONE_S) is None:
         raise RigError(f'{server.name} refused {what}: {reply}')
 
 
--- a/packages/fennelfork-bench/tests/test_exp_soak_servers.py
+++ b/packages/fennelfork-bench/tests/test_exp_soak_servers.py
@@ -41,6 +41,15 @@
             WorkRefused,
         ]
 
+    def test_order_to_the_dead(self, rig: Rig) -> None:
+        """An order to a killed server is no error; a bad order is."""
+        server = rig.start_module('raft-a', 'fennelfork_bench.backend')
+        server.await_ready()
+        with pytest.raises(RigError, match='raft-a refused snapshot'):
+            order(server, 'snapshot', {'version': 2, 'ranges': [[5, 5]]})
+        server.kill()
+        order(server, 'drain', {'draining': True})
+
     def test_no_log(self, rig: Rig) -> None:
         """A log that can't be read is an error, not an empty history."""
         server = rig.start_module('raft-a', 'fennelfork_bench.backend')
