Schedule a shard's slots at its home as a pure controller

Cause: slots, queue, hedges, retries and admission need one place that counts. Ruled out: independent draws of what to shed; hardly any query would be whole, so every home draws the same fixed number from the request id. Ruled out: freeing a cancelled copy's slot before the server confirms it.

--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_admission.py
@@ -0,0 +1,165 @@
+"""What a home takes in, and what it refuses at once."""
+
+import math
+from typing import Final
+
+import attrs
+import xxhash
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from fennelfork._fair import Flow, Shares, fair_rates
+from fennelfork._verdict import Failure, FailureCode, not_run
+
+_WINDOW_MS: Final = 300.0
+# A rate read sooner than this after the first event says nothing.
+_YOUNGEST_MS: Final = 50.0
+_FORGOTTEN: Final = 0.01
+_HASH_BITS: Final = 64
+_HASH_RANGE: Final = 2**_HASH_BITS
+# Slightly more than the slots can run, so that they never idle; what has
+# queued up for it comes off again.
+_HIGHEST_USE: Final = 1.05
+_SERVICE_GAIN: Final = 0.02
+_RETRY_MS: Final = 1000
+
+
+@attrs.define(kw_only=True)
+class Rate:
+    """Events per millisecond, the older ones fading out."""
+
+    _since_ms: float
+    _at_ms: float
+    _count: float = 0
+
+    def note(self, now_ms: float) -> None:
+        """Count one event."""
+        self._fade(now_ms)
+        self._count += 1
+
+    def per_ms(self, now_ms: float) -> float:
+        """Give the rate of the last window or so."""
+        self._fade(now_ms)
+        age_ms = max(_YOUNGEST_MS, now_ms - self._since_ms)
+        seen = 1 - math.exp(-age_ms / _WINDOW_MS)
+        return self._count / (_WINDOW_MS * seen)
+
+    def _fade(self, now_ms: float) -> None:
+        elapsed_ms = max(0, now_ms - self._at_ms)
+        self._count *= math.exp(-elapsed_ms / _WINDOW_MS)
+        self._at_ms = now_ms
+
+
+@attrs.frozen(kw_only=True)
+class Pressure:
+    """What stands before a new sub-query at its home.
+
+    Attributes:
+        slots: slots that may be in use on servers which can run it.
+        free: those of them that are free now.
+        ahead: queued sub-queries that get a slot before it.
+        least_ms: the time that a run takes at the median.
+        left_ms: the time until the deadline.
+    """
+
+    slots: int
+    free: int
+    ahead: float
+    least_ms: float
+    left_ms: float
+
+
+@attrs.define(kw_only=True)
+class Admission:
+    """Measured arrivals and service times of one shard."""
+
+    shares: Shares
+    service_ms: float = 0
+    _arrivals: dict[Flow, Rate] = attrs.field(factory=dict)
+
+    def note_service(self, held_ms: float) -> None:
+        """Note for how long a slot was held."""
+        if self.service_ms == 0:
+            self.service_ms = held_ms
+        self.service_ms += _SERVICE_GAIN * (held_ms - self.service_ms)
+
+    def wait_ms(self, pressure: Pressure) -> float:
+        """Predict how long a new sub-query waits for a slot."""
+        if pressure.free > pressure.ahead:
+            return 0
+        return (pressure.ahead + 1) * self.service_ms / pressure.slots
+
+    def judge(
+        self,
+        flow: Flow,
+        request_id: str,
+        pressure: Pressure,
+        now_ms: float,
+    ) -> Result[float, Failure]:
+        """Decide whether a new sub-query may wait for a slot.
+
+        Returns:
+            The predicted wait, or a refusal that says when to ask again.
+        """
+        arrivals = self._arrivals.get(flow)
+        if arrivals is None:
+            arrivals = Rate(since_ms=now_ms, at_ms=now_ms)
+            self._arrivals[flow] = arrivals
+        arrivals.note(now_ms)
+        wait_ms = self.wait_ms(pressure)
+        if wait_ms + pressure.least_ms > pressure.left_ms:
+            return _refuse(
+                FailureCode.DEADLINE,
+                f'a slot is free in {wait_ms:.0f} ms, the deadline is nearer',
+                wait_ms,
+            )
+        crowded = 0 < self.service_ms <= wait_ms
+        if crowded and draw(request_id) >= self._fraction(
+            flow, pressure, now_ms
+        ):
+            return _refuse(
+                FailureCode.SHED,
+                'more is offered than this share of the servers can run',
+                _RETRY_MS * (1 + draw(request_id)),
+            )
+        return Success(wait_ms)
+
+    def _fraction(
+        self,
+        flow: Flow,
+        pressure: Pressure,
+        now_ms: float,
+    ) -> float:
+        """Give the part of a flow that its fair share can carry."""
+        offered = {
+            found: rate.per_ms(now_ms) for found, rate in self._arrivals.items()
+        }
+        self._forget(offered)
+        able = _HIGHEST_USE * pressure.slots / self.service_ms
+        capacity = max(0, able - pressure.ahead / _WINDOW_MS)
+        return fair_rates(offered, self.shares, capacity)[flow] / offered[flow]
+
+    def _forget(self, offered: dict[Flow, float]) -> None:
+        for flow, per_ms in offered.items():
+            if per_ms * _WINDOW_MS < _FORGOTTEN:
+                self._arrivals.pop(flow)
+
+
+def draw(request_id: str) -> float:
+    """Give a request its fixed place between 0 and 1.
+
+    Every home draws the same for one request. Under overload all of them so
+    take the same requests; drawn independently, hardly any query would have
+    all of its parts taken, and what ran for the rest would be wasted.
+    """
+    return xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE
+
+
+def _refuse(
+    code: FailureCode,
+    detail: str,
+    retry_ms: float,
+) -> Result[float, Failure]:
+    return Err(
+        not_run(code, detail, retry_after_ms=max(1, math.ceil(retry_ms)))
+    )
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_home_intake.py
@@ -0,0 +1,85 @@
+"""Takes new work in, or refuses it at once; and ends it in time."""
+
+from returns.pipeline import is_successful
+
+from fennelfork._admission import Pressure
+from fennelfork._home_board import Board, Job, Timer
+from fennelfork._home_dispatch import (
+    free_slots,
+    holders,
+    obstacle,
+    usable_slots,
+)
+from fennelfork._home_messages import Action, Work
+from fennelfork._home_outcome import cancel_copies, failed, refuse, requeue
+from fennelfork._verdict import Failure, FailureCode, not_run
+
+
+def take_in(board: Board, work: Work) -> list[Action]:
+    """Queue new work, or refuse it if it cannot be met.
+
+    Raises:
+        ValueError: if the job's name is in use.
+    """
+    if work.job in board.jobs:
+        raise ValueError(f'job {work.job} is offered twice')
+    job = Job(work=work, queued_ms=board.clock.now_ms())
+    board.jobs[work.job] = job
+    failure = _objection(board, work)
+    if failure is not None:
+        return [refuse(board, job, failure)]
+    start_by_ms = work.deadline_ms - board.seen.median_ms
+    board.set_timer(Timer(at_ms=start_by_ms, start_by=True, job=work.job))
+    board.set_timer(Timer(at_ms=work.deadline_ms, job=work.job))
+    return requeue(board, job)
+
+
+def look(board: Board, timer: Timer) -> list[Action]:
+    """Look at what a timer was set for."""
+    if timer.attempt:
+        return _look_at_attempt(board, timer.attempt)
+    job = board.jobs.get(timer.job)
+    if job is None or (timer.start_by and timer.job not in board.queue):
+        return []
+    late = not_run(FailureCode.DEADLINE, 'the deadline cannot be met')
+    cancels = cancel_copies(board, job, lost=False)
+    return [refuse(board, job, late), *cancels]
+
+
+def _look_at_attempt(board: Board, number: int) -> list[Action]:
+    attempt = board.attempts.get(number)
+    if attempt is None:
+        return []
+    if attempt.cancelled:
+        silent = not_run(
+            FailureCode.CANCELLED,
+            'the server confirms no cancel',
+        )
+        return failed(board, number, silent)
+    board.overdue[number] = attempt
+    return []
+
+
+def _objection(board: Board, work: Work) -> Failure | None:
+    """Find a reason to refuse new work at once."""
+    code = obstacle(board, work)
+    if code is not None:
+        return not_run(code, 'no server of the shard can run it')
+    judged = board.admission.judge(
+        work.flow,
+        work.request_id,
+        _pressure(board, work),
+        board.clock.now_ms(),
+    )
+    return None if is_successful(judged) else judged.failure()
+
+
+def _pressure(board: Board, work: Work) -> Pressure:
+    able = list(holders(board, work))
+    return Pressure(
+        slots=max(1, sum(usable_slots(board, server) for server in able)),
+        free=sum(free_slots(board, server) for server in able),
+        ahead=board.queue.ahead_of(work.flow, work.deadline_ms),
+        least_ms=board.seen.median_ms,
+        left_ms=work.deadline_ms - board.clock.now_ms(),
+    )
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_queue.py
@@ -0,0 +1,156 @@
+"""Bounded queue of a home: fair between flows, by deadline within one."""
+
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+from sortedcontainers import SortedList
+
+from fennelfork._fair import Flow, Shares
+
+# How many jobs of one flow are looked at when the first finds no server.
+_LOOK_AHEAD: Final = 8
+
+
+@attrs.frozen(kw_only=True, order=True)
+class Entry:
+    """A queued job; entries sort by deadline, then by arrival."""
+
+    deadline_ms: float
+    arrival: int
+    job: str = attrs.field(order=False)
+    flow: Flow = attrs.field(order=False)
+
+
+@attrs.define(kw_only=True)
+class _FlowQueue:
+    """The jobs of one flow, and the virtual time of its next turn."""
+
+    weight: float
+    turn: float
+    entries: SortedList = attrs.field(factory=SortedList)
+
+
+@attrs.define(kw_only=True)
+class FairQueue:
+    """Jobs that wait for a slot.
+
+    Each flow's next turn is a virtual time that moves on by the inverse of
+    its weight when a job of it is taken; the earliest turn goes first. A flow
+    that was idle starts at the present turn, so idling saves nothing up.
+
+    Attributes:
+        limit: most jobs that wait.
+        shares: the weights of flows.
+    """
+
+    limit: int
+    shares: Shares
+    _flows: dict[Flow, _FlowQueue] = attrs.field(factory=dict)
+    _entries: dict[str, Entry] = attrs.field(factory=dict)
+    _now: float = 0
+    _arrivals: int = 0
+
+    @property
+    def jobs(self) -> tuple[str, ...]:
+        """The jobs that wait, in order of arrival."""
+        return tuple(self._entries)
+
+    def __len__(self) -> int:
+        """Count the jobs that wait."""
+        return len(self._entries)
+
+    def __contains__(self, job: str) -> bool:
+        """Tell whether a job waits."""
+        return job in self._entries
+
+    def push(self, job: str, flow: Flow, deadline_ms: float) -> str | None:
+        """Add a job; if the queue is full, some job has to go.
+
+        Returns:
+            The job that was put out, maybe the new one: the latest of the
+            flow that is furthest above its share.
+        """
+        self._arrivals += 1
+        entry = Entry(
+            deadline_ms=deadline_ms,
+            arrival=self._arrivals,
+            job=job,
+            flow=flow,
+        )
+        self._entries[job] = entry
+        self._flow_queue(flow).entries.add(entry)
+        if len(self) <= self.limit:
+            return None
+        crowded = max(self._flows.values(), key=_crowding)
+        victim: Entry = crowded.entries[-1]
+        self.remove(victim.job)
+        return victim.job
+
+    def take(self, job: str) -> None:
+        """Remove a job that got its turn, and move its flow's turn on."""
+        flow_queue = self._flows[self._entries[job].flow]
+        self._now = max(self._now, flow_queue.turn)
+        flow_queue.turn += 1 / flow_queue.weight
+        self.remove(job)
+
+    def remove(self, job: str) -> None:
+        """Remove a job that waits; none if it does not."""
+        entry = self._entries.pop(job, None)
+        if entry is None:
+            return
+        flow_queue = self._flows[entry.flow]
+        flow_queue.entries.remove(entry)
+        if not flow_queue.entries and flow_queue.turn <= self._now:
+            self._flows.pop(entry.flow)
+
+    def in_order(self) -> Iterator[str]:
+        """Give jobs in the order of their turns, a few of each flow."""
+        turns = sorted(self._flows.values(), key=_turn)
+        for flow_queue in turns:
+            for entry in flow_queue.entries[:_LOOK_AHEAD]:
+                yield entry.job
+
+    def ahead_of(self, flow: Flow, deadline_ms: float) -> float:
+        """Estimate how many jobs get a slot before a new one would.
+
+        Args:
+            flow: of the new job.
+            deadline_ms: of the new job.
+        """
+        waiting = [found for found in self._flows.values() if found.entries]
+        own = self._flows.get(flow)
+        probe = Entry(
+            deadline_ms=deadline_ms,
+            arrival=self._arrivals + 1,
+            job='',
+            flow=flow,
+        )
+        before = own.entries.bisect_left(probe) if own else 0
+        own_weight = self.shares.weight(flow)
+        others = sum(
+            min(
+                len(other.entries),
+                (before + 1) * other.weight / own_weight,
+            )
+            for other in waiting
+            if other is not own
+        )
+        return float(before + others)
+
+    def _flow_queue(self, flow: Flow) -> _FlowQueue:
+        found = self._flows.get(flow)
+        if found is None:
+            found = _FlowQueue(weight=self.shares.weight(flow), turn=self._now)
+            self._flows[flow] = found
+        elif not found.entries:
+            found.turn = max(found.turn, self._now)
+        return found
+
+
+def _turn(flow_queue: _FlowQueue) -> float:
+    return flow_queue.turn
+
+
+def _crowding(flow_queue: _FlowQueue) -> float:
+    return len(flow_queue.entries) / flow_queue.weight
--- /dev/null
+++ b/packages/fennelfork/tests/test_fair.py
@@ -0,0 +1,65 @@
+"""Fair shares of a capacity, and turns in the queue."""
+
+import pytest
+from core_builders_home import AUDIT, COUNTER
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fennelfork import FairQueue, Flow, Shares, fair_rates
+
+_SHARES = Shares(tenants={'salvare': 2}, classes={'counter': 4})
+_RATES = st.floats(0.01, 100)
+
+
+class TestFairRates:
+    """Max-min fairness by weight."""
+
+    def test_leftovers_are_shared(self) -> None:
+        """A light flow gets all, the heavy ones share the rest by weight."""
+        other = Flow(tenant='third', traffic_class='audit')
+        offered = {COUNTER: 100, AUDIT: 100, other: 0.5}
+        granted = fair_rates(offered, _SHARES, capacity=9.5)
+        assert granted[other] == pytest.approx(0.5)
+        assert granted[COUNTER] == pytest.approx(8)
+        assert granted[AUDIT] == pytest.approx(1)
+
+    @given(_RATES, _RATES, _RATES)
+    def test_wastes_and_invents_nothing(
+        self,
+        counter: float,
+        audit: float,
+        capacity: float,
+    ) -> None:
+        """All is granted that is offered and fits, and never more."""
+        offered = {COUNTER: counter, AUDIT: audit}
+        granted = fair_rates(offered, _SHARES, capacity)
+        fits = min(capacity, counter + audit)
+        assert sum(granted.values()) == pytest.approx(fits)
+        assert all(granted[flow] <= offered[flow] + 1e-9 for flow in granted)
+
+
+class TestFairQueue:
+    """Turns by weight, deadlines within a flow."""
+
+    def test_turns_follow_weights(self) -> None:
+        """Of nine turns the flow of weight 8 gets eight."""
+        queue = FairQueue(limit=99, shares=_SHARES)
+        for number in range(20):
+            queue.push(f'a{number}', AUDIT, 100)
+            queue.push(f'c{number}', COUNTER, 100)
+        taken = []
+        for _ in range(18):
+            job = next(queue.in_order())
+            queue.take(job)
+            taken.append(job[0])
+        assert taken.count('c') in {15, 16, 17}
+
+    def test_earliest_deadline_first_in_a_flow(self) -> None:
+        """Within one flow the deadline decides, then the arrival."""
+        queue = FairQueue(limit=9, shares=_SHARES)
+        for job, deadline_ms in (('b', 50), ('a', 20), ('c', 50)):
+            queue.push(job, COUNTER, deadline_ms)
+        assert list(queue.in_order()) == ['a', 'b', 'c']
+        assert queue.ahead_of(COUNTER, 50) == 3
+        assert queue.ahead_of(COUNTER, 30) == 1
+        assert queue.ahead_of(AUDIT, 30) == 3
