--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -3,6 +3,8 @@
 from fennelfork._admission import Admission as Admission
 from fennelfork._admission import Pressure as Pressure
 from fennelfork._admission import draw as draw
+from fennelfork._blackboard import Blackboard as Blackboard
+from fennelfork._blackboard import blackboard as blackboard
 from fennelfork._budget import Budget as Budget
 from fennelfork._budget import budget as budget
 from fennelfork._clock import Clock as Clock
@@ -18,8 +20,26 @@
 from fennelfork._coverage import WholeCoverage as WholeCoverage
 from fennelfork._coverage import allows as allows
 from fennelfork._coverage import coverage_of as coverage_of
+from fennelfork._document import Document as Document
+from fennelfork._document import Front as Front
+from fennelfork._document import HedgePolicyName as HedgePolicyName
+from fennelfork._document import HedgeSettings as HedgeSettings
+from fennelfork._document import PatchRecord as PatchRecord
+from fennelfork._document import Server as Server
+from fennelfork._document import Shard as Shard
+from fennelfork._document import Tenant as Tenant
+from fennelfork._document import TrafficClass as TrafficClass
+from fennelfork._document_parse import digest as digest
+from fennelfork._document_parse import parse_document as parse_document
+from fennelfork._document_parse import render_document as render_document
+from fennelfork._document_parse import structure_document as structure_document
+from fennelfork._document_parse import (
+    unstructure_document as unstructure_document,
+)
+from fennelfork._document_problem import Problem as Problem
 from fennelfork._ejection import Standing as Standing
 from fennelfork._ejection import may_eject as may_eject
+from fennelfork._entries import choose_entries as choose_entries
 from fennelfork._fair import Flow as Flow
 from fennelfork._fair import Shares as Shares
 from fennelfork._fair import fair_rates as fair_rates
@@ -41,7 +61,13 @@
 from fennelfork._home_messages import Send as Send
 from fennelfork._home_messages import ServerFacts as ServerFacts
 from fennelfork._home_messages import ServerReport as ServerReport
-from fennelfork._home_messages import Work as Work
+from fennelfork._home_messages import Task as Task
+from fennelfork._home_route import HomeGroup as HomeGroup
+from fennelfork._home_route import data_centres_of as data_centres_of
+from fennelfork._home_route import homes_of as homes_of
+from fennelfork._home_route import route_homes as route_homes
+from fennelfork._member import Member as Member
+from fennelfork._member import MemberStatus as MemberStatus
 from fennelfork._merge import Answer as Answer
 from fennelfork._merge import Merge as Merge
 from fennelfork._merge import Planned as Planned
@@ -51,6 +77,12 @@
 from fennelfork._partition import ShardView as ShardView
 from fennelfork._partition import SnapshotView as SnapshotView
 from fennelfork._partition import pin as pin
+from fennelfork._peer_health import PeerHealth as PeerHealth
+from fennelfork._peer_health import peer_health as peer_health
+from fennelfork._query import CoverageDemand as CoverageDemand
+from fennelfork._query import QueryAnswer as QueryAnswer
+from fennelfork._query import QueryRequest as QueryRequest
+from fennelfork._query import Work as Work
 from fennelfork._queue import FairQueue as FairQueue
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
@@ -58,10 +90,15 @@
 from fennelfork._rank import Candidate as Candidate
 from fennelfork._rank import ObservedLatency as ObservedLatency
 from fennelfork._rank import best as best
+from fennelfork._rendezvous import home_of as home_of
+from fennelfork._rendezvous import watchers as watchers
 from fennelfork._reply import Expected as Expected
 from fennelfork._reply import Record as Record
 from fennelfork._reply import Reply as Reply
 from fennelfork._reply import check_reply as check_reply
+from fennelfork._scatter import Part as Part
+from fennelfork._scatter import ScatterOrder as ScatterOrder
+from fennelfork._scatter import ScatterOutcome as ScatterOutcome
 from fennelfork._slots import SlotTable as SlotTable
 from fennelfork._verdict import Failure as Failure
 from fennelfork._verdict import FailureCode as FailureCode
--- a/packages/fennelfork/src/fennelfork/_home.py
+++ b/packages/fennelfork/src/fennelfork/_home.py
@@ -13,7 +13,7 @@
 from fennelfork._home_board import Board, board
 from fennelfork._home_dispatch import dispatch
 from fennelfork._home_intake import look, take_in
-from fennelfork._home_messages import Action, HomeSettings, Work
+from fennelfork._home_messages import Action, HomeSettings, Task
 from fennelfork._home_outcome import (
     cancel_copies,
     end_attempt,
@@ -51,13 +51,13 @@
         """How many slots are held."""
         return self._board.slots.total
 
-    def offer(self, work: Work) -> list[Action]:
+    def offer(self, task: Task) -> list[Action]:
         """Take in a piece of work, or refuse it at once.
 
         Raises:
             ValueError: if the job's name is in use.
         """
-        return [*take_in(self._board, work), *dispatch(self._board)]
+        return [*take_in(self._board, task), *dispatch(self._board)]
 
     def on_reply(self, attempt: int) -> list[Action]:
         """Take the whole and checked reply of an attempt."""
--- a/packages/fennelfork/src/fennelfork/_home_blame.py
+++ b/packages/fennelfork/src/fennelfork/_home_blame.py
@@ -85,13 +85,13 @@
     elif code is FailureCode.DRAINING:
         server.refuse_until(board.clock.now_ms() + _DRAIN_TRUSTED_MS)
     elif code is FailureCode.SNAPSHOT_GONE:
-        server.lose(attempt.work.snapshot)
+        server.lose(attempt.task.snapshot)
     elif code is FailureCode.NOT_HELD:
         # Until its health endpoint says again that it holds them.
         server.snapshots = tuple(
             held
             for held in server.snapshots
-            if held.version != attempt.work.snapshot
+            if held.version != attempt.task.snapshot
         )
 
 
--- a/packages/fennelfork/src/fennelfork/_home_board.py
+++ b/packages/fennelfork/src/fennelfork/_home_board.py
@@ -17,7 +17,7 @@
     HomeSettings,
     ServerFacts,
     ServerReport,
-    Work,
+    Task,
 )
 from fennelfork._partition import SnapshotView
 from fennelfork._queue import FairQueue
@@ -89,7 +89,7 @@
 class Job:
     """A piece of work that has no answer yet."""
 
-    work: Work
+    task: Task
     queued_ms: float
     queue_ms: float = 0
     hedges: int = 0
@@ -127,7 +127,7 @@
 class Attempt:
     """One copy that was sent to a server."""
 
-    work: Work
+    task: Task
     server: str
     sent_ms: float
     hedge: bool
--- a/packages/fennelfork/src/fennelfork/_home_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/_home_dispatch.py
@@ -5,7 +5,7 @@
 
 from fennelfork._hedge import hedge_delay_ms
 from fennelfork._home_board import Attempt, Board, Job, ServerState, Timer
-from fennelfork._home_messages import Action, Send, Work
+from fennelfork._home_messages import Action, Send, Task
 from fennelfork._range import missing_ranges
 from fennelfork._rank import Candidate, best
 from fennelfork._verdict import FailureCode
@@ -25,19 +25,19 @@
     return actions
 
 
-def holders(board: Board, work: Work) -> Iterator[ServerState]:
+def holders(board: Board, task: Task) -> Iterator[ServerState]:
     """Give the servers that may run the work once a slot is free."""
     for server in board.servers.values():
-        if server.staying and holds(server, work):
+        if server.staying and holds(server, task):
             yield server
 
 
-def holds(server: ServerState, work: Work) -> bool:
+def holds(server: ServerState, task: Task) -> bool:
     """Tell whether a server has the snapshot and the keys of the work."""
     return any(
-        not missing_ranges(work.span, held.ranges)
+        not missing_ranges(task.span, held.ranges)
         for held in server.snapshots
-        if work.snapshot in {None, held.version}
+        if task.snapshot in {None, held.version}
     )
 
 
@@ -57,15 +57,15 @@
     return max(0, usable_slots(board, server) - busy)
 
 
-def obstacle(board: Board, work: Work) -> FailureCode | None:
+def obstacle(board: Board, task: Task) -> FailureCode | None:
     """Say why no server could run the work, however long it waits."""
-    if any(holders(board, work)):
+    if any(holders(board, task)):
         return None
     staying = [server for server in board.servers.values() if server.staying]
     if not any(server.snapshots for server in staying):
         return FailureCode.NO_SERVER
     known = {held.version for server in staying for held in server.snapshots}
-    if work.snapshot is None or work.snapshot in known:
+    if task.snapshot is None or task.snapshot in known:
         return FailureCode.NOT_HELD
     return FailureCode.SNAPSHOT_GONE
 
@@ -89,7 +89,7 @@
     A hedge goes to a server that has no copy yet, while there is one at all:
     it waits for a slot there.
     """
-    able = list(holders(board, job.work))
+    able = list(holders(board, job.task))
     if hedge:
         untried = [
             server for server in able if server.facts.name not in job.tried
@@ -119,7 +119,7 @@
 def _hedges(board: Board) -> Iterator[Send]:
     """Send second copies of what is overdue, while budget and slots last."""
     for number, attempt in tuple(board.overdue.items()):
-        job = board.jobs.get(attempt.work.job)
+        job = board.jobs.get(attempt.task.job)
         if job is None or len(job.active) >= _COPIES:
             board.overdue.pop(number)
             continue
@@ -136,7 +136,7 @@
     number = board.last_attempt
     board.slots.hold(server, number)
     board.attempts[number] = Attempt(
-        work=job.work,
+        task=job.task,
         server=server,
         sent_ms=now_ms,
         hedge=hedge,
@@ -146,18 +146,18 @@
         board.hedge_budget.deposit()
     job.tried.add(server)
     job.active.add(number)
-    _await_reply(board, number, job.work)
+    _await_reply(board, number, job.task)
     return Send(
         attempt=number,
-        work=job.work,
+        task=job.task,
         server=server,
-        fresh_connection=hedge or not job.work.idempotent,
+        fresh_connection=hedge or not job.task.idempotent,
     )
 
 
-def _await_reply(board: Board, number: int, work: Work) -> None:
+def _await_reply(board: Board, number: int, task: Task) -> None:
     """Set the time at which a copy without a reply is overdue."""
     delay_ms = hedge_delay_ms(board.settings.hedge, board.seen)
-    if delay_ms is not None and work.idempotent:
+    if delay_ms is not None and task.idempotent:
         at_ms = board.clock.now_ms() + delay_ms
         board.set_timer(Timer(at_ms=at_ms, attempt=number))
--- a/packages/fennelfork/src/fennelfork/_home_intake.py
+++ b/packages/fennelfork/src/fennelfork/_home_intake.py
@@ -10,27 +10,27 @@
     obstacle,
     usable_slots,
 )
-from fennelfork._home_messages import Action, Work
+from fennelfork._home_messages import Action, Task
 from fennelfork._home_outcome import cancel_copies, failed, refuse, requeue
 from fennelfork._verdict import Failure, FailureCode, not_run
 
 
-def take_in(board: Board, work: Work) -> list[Action]:
+def take_in(board: Board, task: Task) -> list[Action]:
     """Queue new work, or refuse it if it cannot be met.
 
     Raises:
         ValueError: if the job's name is in use.
     """
-    if work.job in board.jobs:
-        raise ValueError(f'job {work.job} is offered twice')
-    job = Job(work=work, queued_ms=board.clock.now_ms())
-    board.jobs[work.job] = job
-    failure = _objection(board, work)
+    if task.job in board.jobs:
+        raise ValueError(f'job {task.job} is offered twice')
+    job = Job(task=task, queued_ms=board.clock.now_ms())
+    board.jobs[task.job] = job
+    failure = _objection(board, task)
     if failure is not None:
         return [refuse(board, job, failure)]
-    start_by_ms = work.deadline_ms - board.seen.median_ms
-    board.set_timer(Timer(at_ms=start_by_ms, start_by=True, job=work.job))
-    board.set_timer(Timer(at_ms=work.deadline_ms, job=work.job))
+    start_by_ms = task.deadline_ms - board.seen.median_ms
+    board.set_timer(Timer(at_ms=start_by_ms, start_by=True, job=task.job))
+    board.set_timer(Timer(at_ms=task.deadline_ms, job=task.job))
     return requeue(board, job)
 
 
@@ -60,26 +60,26 @@
     return []
 
 
-def _objection(board: Board, work: Work) -> Failure | None:
+def _objection(board: Board, task: Task) -> Failure | None:
     """Find a reason to refuse new work at once."""
-    code = obstacle(board, work)
+    code = obstacle(board, task)
     if code is not None:
         return not_run(code, 'no server of the shard can run it')
     judged = board.admission.judge(
-        work.flow,
-        work.request_id,
-        _pressure(board, work),
+        task.flow,
+        task.request_id,
+        _pressure(board, task),
         board.clock.now_ms(),
     )
     return None if is_successful(judged) else judged.failure()
 
 
-def _pressure(board: Board, work: Work) -> Pressure:
-    able = list(holders(board, work))
+def _pressure(board: Board, task: Task) -> Pressure:
+    able = list(holders(board, task))
     return Pressure(
         slots=max(1, sum(usable_slots(board, server) for server in able)),
         free=sum(free_slots(board, server) for server in able),
-        ahead=board.queue.ahead_of(work.flow, work.deadline_ms),
+        ahead=board.queue.ahead_of(task.flow, task.deadline_ms),
         least_ms=board.seen.median_ms,
-        left_ms=work.deadline_ms - board.clock.now_ms(),
+        left_ms=task.deadline_ms - board.clock.now_ms(),
     )
--- a/packages/fennelfork/src/fennelfork/_home_messages.py
+++ b/packages/fennelfork/src/fennelfork/_home_messages.py
@@ -15,7 +15,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Work:
+class Task:
     """One sub-query or one execution that a home is asked to get done.
 
     Attributes:
@@ -86,13 +86,13 @@
 
     Attributes:
         attempt: number of the copy, never used twice by one scheduler.
-        work: what to send.
+        task: what to send.
         server: where to.
         fresh_connection: open a new connection for it.
     """
 
     attempt: int
-    work: Work
+    task: Task
     server: str
     fresh_connection: bool
 
@@ -103,13 +103,13 @@
 
     Attributes:
         attempt: number of the copy.
-        work: as it was sent.
+        task: as it was sent.
         server: where it was sent.
         suspect: whether not a byte came back in the time of a hedge.
     """
 
     attempt: int
-    work: Work
+    task: Task
     server: str
     suspect: bool
 
@@ -127,7 +127,7 @@
 class Answered:
     """The reply of an attempt is the answer of the work."""
 
-    work: Work
+    task: Task
     attempt: int
     server: str
     effort: Effort
@@ -137,7 +137,7 @@
 class Refused:
     """The work ends without an answer."""
 
-    work: Work
+    task: Task
     failure: Failure
     effort: Effort
 
--- a/packages/fennelfork/src/fennelfork/_home_outcome.py
+++ b/packages/fennelfork/src/fennelfork/_home_outcome.py
@@ -26,13 +26,13 @@
         return []
     board.retry_budget.deposit()
     praise(board, attempt)
-    job = board.jobs.pop(attempt.work.job, None)
+    job = board.jobs.pop(attempt.task.job, None)
     if job is None:
         return []
     job.active.discard(number)
-    board.queue.remove(job.work.job)
+    board.queue.remove(job.task.job)
     answered = Answered(
-        work=job.work,
+        task=job.task,
         attempt=number,
         server=attempt.server,
         effort=job.effort,
@@ -46,7 +46,7 @@
     if attempt is None:
         return []
     blame(board, attempt, failure)
-    job = board.jobs.get(attempt.work.job)
+    job = board.jobs.get(attempt.task.job)
     if job is None:
         return []
     job.active.discard(number)
@@ -84,9 +84,9 @@
 def requeue(board: Board, job: Job) -> list[Action]:
     """Let a job wait for a slot; a full queue puts some job out."""
     victim = board.queue.push(
-        job.work.job,
-        job.work.flow,
-        job.work.deadline_ms,
+        job.task.job,
+        job.task.flow,
+        job.task.deadline_ms,
     )
     if victim is None:
         return []
@@ -100,10 +100,10 @@
 
 def refuse(board: Board, job: Job, failure: Failure) -> Refused:
     """End a job without an answer, with the verdict on all its copies."""
-    board.jobs.pop(job.work.job)
-    board.queue.remove(job.work.job)
+    board.jobs.pop(job.task.job)
+    board.queue.remove(job.task.job)
     return Refused(
-        work=job.work,
+        task=job.task,
         failure=failure.with_verdict(job.verdict),
         effort=job.effort,
     )
@@ -120,7 +120,7 @@
     board.set_timer(Timer(at_ms=now_ms + _ABANDON_MS, attempt=number))
     return Cancel(
         attempt=number,
-        work=attempt.work,
+        task=attempt.task,
         server=attempt.server,
         suspect=slow,
     )
@@ -129,10 +129,10 @@
 def _may_retry(board: Board, job: Job, failure: Failure) -> bool:
     if failure.code in _FINAL_CODES:
         return False
-    if job.verdict is not Verdict.NOT_RUN and not job.work.idempotent:
+    if job.verdict is not Verdict.NOT_RUN and not job.task.idempotent:
         return False
-    if not any(holders(board, job.work)):
+    if not any(holders(board, job.task)):
         return False
     least_ms = board.seen.median_ms
-    in_time = board.clock.now_ms() + least_ms < job.work.deadline_ms
+    in_time = board.clock.now_ms() + least_ms < job.task.deadline_ms
     return in_time and board.retry_budget.withdraw()
--- a/packages/fennelfork/tests/core_builders_home.py
+++ b/packages/fennelfork/tests/core_builders_home.py
@@ -20,7 +20,7 @@
     ServerFacts,
     ServerReport,
     SnapshotView,
-    Work,
+    Task,
     home_scheduler,
     key_range,
     manual_clock,
@@ -59,7 +59,7 @@
         """Offer one piece of work."""
         self._jobs += 1
         job = f'j{self._jobs}'
-        work = Work(
+        task = Task(
             job=job,
             request_id=request_id or job,
             span=WHOLE,
@@ -68,7 +68,7 @@
             flow=flow,
             idempotent=idempotent,
         )
-        return self.home.offer(work)
+        return self.home.offer(task)
 
     def after(self, by_ms: float) -> list[Action]:
         """Let time pass, then tick."""
--- a/packages/fennelfork/tests/test_home.py
+++ b/packages/fennelfork/tests/test_home.py
@@ -324,7 +324,7 @@
         served = []
         for _ in range(3):
             running = sends(shard.home.on_reply(running.attempt))[0]
-            served.append(running.work.flow)
+            served.append(running.task.flow)
         assert COUNTER in served
 
     def test_a_full_queue_puts_out_the_crowding_flow(self) -> None:
@@ -333,7 +333,7 @@
         for _ in range(6):
             shard.offer(within_ms=9000, flow=AUDIT)
         victims = refusals(shard.offer(flow=COUNTER))
-        assert [job.work.flow for job in victims] == [AUDIT]
+        assert [job.task.flow for job in victims] == [AUDIT]
         assert victims[0].failure.code is FailureCode.QUEUE_FULL
 
     def test_withdrawn_work_leaves_no_trace(self) -> None:
@@ -341,7 +341,7 @@
         shard = rig(servers=1, slots=1)
         sent = sends(shard.offer())[0]
         shard.offer()
-        assert cancels(shard.home.withdraw(sent.work.job))
+        assert cancels(shard.home.withdraw(sent.task.job))
         ended = refusals(shard.home.withdraw('j2'))
         assert ended[0].failure.verdict is Verdict.NOT_RUN
         assert shard.home.queued == 0
--- a/packages/fennelfork/tests/test_home_machine.py
+++ b/packages/fennelfork/tests/test_home_machine.py
@@ -88,7 +88,7 @@
     @rule(target=under_way, send=consumes(under_way))
     def answer(self, send: Send) -> object:
         """A server runs a copy and its reply arrives, early or late."""
-        self.ran[send.work.job] += 1
+        self.ran[send.task.job] += 1
         self.held.pop(send.attempt, None)
         return self.carry_out(self.rig.home.on_reply(send.attempt))
 
@@ -110,7 +110,7 @@
     )
     def lose(self, send: Send, failure: object, *, ran: bool) -> object:
         """A reply is lost; the copy ran or not."""
-        self.ran[send.work.job] += ran
+        self.ran[send.task.job] += ran
         self.held.pop(send.attempt, None)
         return self.carry_out(self.rig.home.on_failure(send.attempt, failure))
 
@@ -144,11 +144,11 @@
     def carry_out(self, actions: list[Action]) -> object:
         """Check and book what the scheduler orders."""
         for done in answers(actions):
-            self.pending.pop(done.work.job)
+            self.pending.pop(done.task.job)
         for refused in refusals(actions):
-            self.pending.pop(refused.work.job)
+            self.pending.pop(refused.task.job)
             if refused.failure.verdict is Verdict.NOT_RUN:
-                assert self.ran[refused.work.job] == 0
+                assert self.ran[refused.task.job] == 0
         for send in sends(actions):
             self.check_send(send)
         return multiple(*sends(actions), *self.confirm(cancels(actions)))
@@ -166,10 +166,10 @@
 
     def check_send(self, send: Send) -> None:
         """Check one copy against the promises."""
-        job = send.work.job
+        job = send.task.job
         assert send.server not in self.draining
         assert self.rig.time.at_ms < self.pending[job]
-        if not send.work.idempotent:
+        if not send.task.idempotent:
             assert self.ran[job] == 0
             assert send.fresh_connection
         self.sent[job] += 1
@@ -180,7 +180,7 @@
 
     def teardown(self) -> None:
         """In the end each job has ended and each slot is free."""
-        self.rig.home.servers.on_report('s0', SERVING)
+        self.report('s0', draining=False)
         self.carry_out(self.rig.after(1000))
         self.rig.after(5000)
         assert not self.pending
