--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_log.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log.py
@@ -1,7 +1,7 @@
 """The bounded log of what a stand-in received, ran and answered."""
 
 import enum
-from collections import deque
+from collections import Counter, deque
 
 import attrs
 
@@ -33,12 +33,24 @@
 
 @attrs.frozen(kw_only=True)
 class Subject:
-    """The request that an event is about."""
+    """The request that an event is about.
+
+    Attributes:
+        snapshot: the index version that a search reads.
+        lo: lowest key of a search.
+        hi: one above the highest key of a search.
+        key: the key of an execution.
+        action: what an execution does.
+    """
 
     call: Call
     request_id: str
     sub_query: str
+    snapshot: int | None = None
+    lo: int | None = None
+    hi: int | None = None
     key: int | None = None
+    action: str | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -46,7 +58,7 @@
     """One event of the log.
 
     Attributes:
-        at_ms: monotonic time, comparable between processes of one machine.
+        at_ms: civil time, comparable between processes of one machine.
         kind: what happened.
         subject: to which request.
         detail: the code of a refusal or the kind of a fault.
@@ -58,13 +70,14 @@
     detail: str = ''
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class EventLog:
     """The latest events, oldest first; older ones are only counted."""
 
     _clock: Clock
     _events: deque[Event]
-    _counts: dict[EventKind, int] = attrs.field(factory=dict)
+    _counts: Counter[str] = attrs.field(factory=Counter)
+    _total: int = 0
 
     @property
     def events(self) -> tuple[Event, ...]:
@@ -72,17 +85,21 @@
         return tuple(self._events)
 
     @property
-    def dropped(self) -> int:
-        """How many events no longer are held."""
-        return sum(self._counts.values()) - len(self._events)
+    def counts(self) -> Counter[str]:
+        """How many events of each kind, and of each kind and detail, were."""
+        return self._counts
 
-    def count(self, kind: EventKind) -> int:
-        """Give how many events of a kind there were, dropped ones too."""
-        return self._counts.get(kind, 0)
+    @property
+    def dropped(self) -> int:
+        """How many events are no longer held."""
+        return self._total - len(self._events)
 
     def add(self, kind: EventKind, subject: Subject, detail: str = '') -> None:
         """Append an event that happens now."""
-        self._counts[kind] = self.count(kind) + 1
+        self._total += 1
+        self._counts[kind.value] += 1
+        if detail:
+            self._counts[f'{kind.value}_{detail}'] += 1
         self._events.append(
             Event(
                 at_ms=self._clock.now_ms(),
@@ -96,49 +113,3 @@
 def event_log(clock: Clock, limit: int) -> EventLog:
     """Build an empty log that holds at most `limit` events."""
     return EventLog(clock=clock, events=deque(maxlen=limit))
-
-
-@attrs.frozen(kw_only=True)
-class LogLine:
-    """An event as the control face sends it."""
-
-    at_ms: float
-    kind: str
-    call: str
-    request_id: str
-    sub_query: str
-    key: int | None
-    detail: str
-
-
-@attrs.frozen(kw_only=True)
-class LogPage:
-    """The log as the control face sends it."""
-
-    name: str
-    dropped: int
-    counts: dict[str, int]
-    events: tuple[LogLine, ...]
-
-
-def log_page(name: str, log: EventLog) -> LogPage:
-    """Give the log of the server `name` as a message."""
-    return LogPage(
-        name=name,
-        dropped=log.dropped,
-        counts={kind.value: log.count(kind) for kind in EventKind},
-        events=tuple(_log_line(event) for event in log.events),
-    )
-
-
-def _log_line(event: Event) -> LogLine:
-    subject = event.subject
-    return LogLine(
-        at_ms=event.at_ms,
-        kind=event.kind.value,
-        call=subject.call.value,
-        request_id=subject.request_id,
-        sub_query=subject.sub_query,
-        key=subject.key,
-        detail=event.detail,
-    )
