Drive the servers of a shard through the home scheduler

Cause: the thin home chose by free count, with no queue, hedge, retry or cancel. Ruled out: urllib3's pool, which does not say which connection carries a call; silence and limits need that, so HTTPConnection under the connection ledger. Change: ShardRunner carries out Send and Cancel, one alarm a shard; a cancel goes on a new connection and tells a silent connection from a slow server; homes take half of a server's connections so that two homes fit; health polled per shard. Timers of ended work are skipped, so they wake nobody.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
@@ -1,161 +1,125 @@
 """Calls to one backend server over HTTP."""
 
-import json
-from typing import Any, Final
+from typing import Any
 
 import attrs
-import urllib3
-from returns.result import Failure as Bad
-from returns.result import Result, Success
-from urllib3 import exceptions as http_errors
-
-from fennelfork import (
-    Expected,
-    Failure,
-    FailureCode,
-    KeyRange,
-    Record,
-    Reply,
-    Server,
-    Verdict,
-    check_reply,
-    may_have_run,
-    not_run,
+from returns.result import Result
+
+from fennelfork import Expected, Failure, Reply, ServerReport
+from fennelfork_daemon._backend_connection import BackendCall
+from fennelfork_daemon._backend_pool import BackendPool, Trace
+from fennelfork_daemon._backend_reply import (
+    read_health,
+    read_outcome,
+    read_search,
+    read_tree,
 )
 
-_MS: Final = 1000
-_OK: Final = 200
-_NEVER_SENT: Final = (
-    http_errors.NewConnectionError,
-    http_errors.ConnectTimeoutError,
-)
 
+@attrs.frozen(kw_only=True)
+class ExecuteCall:
+    """One execution, as it is sent to a backend server."""
+
+    request_id: str
+    sub_query: str
+    key: int
+    action: str
+
+
+@attrs.frozen(kw_only=True)
+class Sending:
+    """How a call is sent.
+
+    Attributes:
+        left_ms: what remains of the deadline.
+        timeout_ms: how long to wait for the reply.
+        fresh: on a new connection.
+        trace: where the connection is noted.
+    """
+
+    left_ms: float
+    timeout_ms: float
+    fresh: bool
+    trace: Trace
 
-@attrs.define(kw_only=True)
+
+@attrs.frozen(kw_only=True)
 class BackendClient:
-    """Speaks to one backend server; a failed connection is not used again."""
+    """Speaks to one backend server."""
 
-    _name: str
-    _pool: urllib3.HTTPConnectionPool
+    pool: BackendPool
 
     def search(
         self,
         expected: Expected,
-        query: str,
-        timeout_ms: float,
+        query: Any,
+        sending: Sending,
     ) -> Result[Reply, Failure]:
-        """Run one sub-query.
-
-        Args:
-            expected: what the reply must echo.
-            query: the caller's query as JSON text.
-            timeout_ms: what remains of the deadline.
-
-        Returns:
-            A reply that was checked, or why there is none.
-        """
+        """Run one sub-query; its reply is checked."""
         body = {
             'request_id': expected.request_id,
             'sub_query': expected.sub_query,
             'snapshot': expected.snapshot,
             'lo': expected.span.lo,
             'hi': expected.span.hi,
-            'query': json.loads(query),
-            'deadline_ms': int(timeout_ms),
+            'query': query,
+            'deadline_ms': int(sending.left_ms),
         }
-        answer = self._call('POST', '/v1/search', body, timeout_ms)
-        return answer.bind(_read_reply).bind(
-            lambda reply: check_reply(expected, reply),
+        return self._call('/v1/search', body, sending).bind(
+            lambda tree: read_search(tree, expected),
         )
 
-    def health(self, timeout_ms: float) -> Result[Any, Failure]:
-        """Ask what the server says of itself."""
-        return self._call('GET', '/v1/health', None, timeout_ms)
-
-    def cancel(self, expected: Expected, timeout_ms: float) -> None:
-        """Tell the server that a sub-query is of no use any more."""
+    def execute(
+        self,
+        call: ExecuteCall,
+        sending: Sending,
+    ) -> Result[str, Failure]:
+        """Run what is not idempotent; gives its outcome."""
         body = {
-            'request_id': expected.request_id,
-            'sub_query': expected.sub_query,
+            'request_id': call.request_id,
+            'sub_query': call.sub_query,
+            'key': call.key,
+            'action': call.action,
+            'deadline_ms': int(sending.left_ms),
         }
-        self._call('POST', '/v1/cancel', body, timeout_ms)
+        return self._call('/v1/execute', body, sending).bind(
+            lambda tree: read_outcome(tree, call.request_id, call.sub_query),
+        )
+
+    def cancel(
+        self,
+        request_id: str,
+        sub_query: str,
+        sending: Sending,
+    ) -> Result[bool, Failure]:
+        """Tell the server that a copy is of no use any more."""
+        body = {'request_id': request_id, 'sub_query': sub_query}
+        return self._call('/v1/cancel', body, sending).map(_was_cancelled)
+
+    def health(self, timeout_ms: float) -> Result[ServerReport, Failure]:
+        """Ask what the server says of itself."""
+        sending = Sending(
+            left_ms=timeout_ms,
+            timeout_ms=timeout_ms,
+            fresh=False,
+            trace=Trace(),
+        )
+        return self._call('/v1/health', None, sending).bind(read_health)
 
     def _call(
         self,
-        method: str,
         path: str,
         body: dict[str, Any] | None,
-        timeout_ms: float,
+        sending: Sending,
     ) -> Result[Any, Failure]:
-        try:
-            response = self._pool.request(
-                method,
-                path,
-                body=None if body is None else json.dumps(body),
-                timeout=urllib3.Timeout(total=timeout_ms / _MS),
-                retries=False,
-            )
-        except _NEVER_SENT as error:
-            return Bad(not_run(FailureCode.UNREACHABLE, self._says(error)))
-        except http_errors.HTTPError as error:
-            return Bad(may_have_run(FailureCode.UNREACHABLE, self._says(error)))
-        return _read_json(response.status, response.data)
-
-    def _says(self, error: Exception) -> str:
-        return f'backend server {self._name}: {type(error).__name__}'
-
-
-def backend_client(name: str, server: Server) -> BackendClient:
-    """Build the client of one configured backend server."""
-    host, _, port = server.address.rpartition(':')
-    pool = urllib3.HTTPConnectionPool(
-        host,
-        int(port),
-        maxsize=server.connections,
-        block=False,
-    )
-    return BackendClient(name=name, pool=pool)
-
-
-def _read_json(status: int, body: bytes) -> Result[Any, Failure]:
-    try:
-        tree = json.loads(body)
-    except ValueError:
-        return Bad(may_have_run(FailureCode.BAD_REPLY, 'the body is not JSON'))
-    if status == _OK:
-        return Success(tree)
-    return Bad(_read_problem(status, tree))
-
-
-def _read_problem(status: int, tree: Any) -> Failure:
-    if not isinstance(tree, dict):
-        return may_have_run(FailureCode.BAD_REPLY, f'status {status}')
-    try:
-        return Failure(
-            code=FailureCode(tree['code']),
-            verdict=Verdict(tree['verdict']),
-            detail=str(tree.get('detail', f'status {status}')),
-            retry_after_ms=tree.get('retry_after_ms'),
+        call = BackendCall(
+            path=path,
+            body=body,
+            timeout_ms=sending.timeout_ms,
+            fresh=sending.fresh,
         )
-    except (KeyError, ValueError):
-        return may_have_run(FailureCode.BAD_REPLY, f'status {status}')
+        return self.pool.carry(call, sending.trace).bind(read_tree)
 
 
-def _read_reply(tree: Any) -> Result[Reply, Failure]:
-    try:
-        records = tuple(
-            Record(key=content['key'], content=content)
-            for content in tree['records']
-        )
-        reply = Reply(
-            request_id=tree['request_id'],
-            sub_query=tree['sub_query'],
-            snapshot=tree['snapshot'],
-            span=KeyRange(lo=tree['lo'], hi=tree['hi']),
-            count=tree['count'],
-            records=records,
-        )
-    except (KeyError, TypeError) as error:
-        detail = f'the reply lacks {error}'
-        return Bad(may_have_run(FailureCode.BAD_REPLY, detail))
-    return Success(reply)
+def _was_cancelled(tree: Any) -> bool:
+    return bool(tree.get('cancelled'))
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_reply.py
@@ -0,0 +1,110 @@
+"""Reads what a backend server sent back."""
+
+import itertools
+import json
+from typing import Any, Final
+
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from fennelfork import (
+    Expected,
+    Failure,
+    FailureCode,
+    KeyRange,
+    Record,
+    Reply,
+    ServerReport,
+    SnapshotView,
+    Verdict,
+    check_reply,
+    key_range,
+    may_have_run,
+)
+from fennelfork_daemon._backend_connection import BackendResponse
+
+_OK: Final = 200
+
+
+def read_tree(response: BackendResponse) -> Result[Any, Failure]:
+    """Read the JSON of a success, or the failure that a problem tells."""
+    try:
+        tree = json.loads(response.body)
+    except ValueError:
+        return _bad('the body is not JSON')
+    if not isinstance(tree, dict):
+        return _bad('the body is not an object')
+    if response.status == _OK:
+        return Success(tree)
+    return Bad(_read_problem(response.status, tree))
+
+
+def read_search(tree: Any, expected: Expected) -> Result[Reply, Failure]:
+    """Read the reply to a search and check it against what was sent."""
+    try:
+        reply = _reply(tree)
+    except (KeyError, TypeError) as error:
+        return _bad(f'the reply lacks {error}')
+    return check_reply(expected, reply)
+
+
+def read_outcome(
+    tree: Any,
+    request_id: str,
+    sub_query: str,
+) -> Result[str, Failure]:
+    """Read the reply to an execution; one of another request is refused."""
+    echoed = (tree.get('request_id'), tree.get('sub_query'))
+    if echoed != (request_id, sub_query):
+        return _bad('crossed: reply of another request')
+    if 'outcome' not in tree:
+        return _bad('the reply lacks its outcome')
+    return Success(str(tree['outcome']))
+
+
+def read_health(tree: Any) -> Result[ServerReport, Failure]:
+    """Read what a server says of itself."""
+    try:
+        report = ServerReport(
+            cold=tree['state'] == 'cold',
+            draining=tree['state'] == 'draining',
+            snapshots=tuple(_snapshot(held) for held in tree['snapshots']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        return _bad(f'the health report lacks {error}')
+    return Success(report)
+
+
+def _snapshot(held: Any) -> SnapshotView:
+    ranges = tuple(itertools.starmap(key_range, held['ranges']))
+    return SnapshotView(version=held['version'], ranges=ranges)
+
+
+def _reply(tree: Any) -> Reply:
+    return Reply(
+        request_id=tree['request_id'],
+        sub_query=tree['sub_query'],
+        snapshot=tree['snapshot'],
+        span=KeyRange(lo=tree['lo'], hi=tree['hi']),
+        count=tree['count'],
+        records=tuple(
+            Record(key=content['key'], content=content)
+            for content in tree['records']
+        ),
+    )
+
+
+def _read_problem(status: int, tree: dict[str, Any]) -> Failure:
+    try:
+        return Failure(
+            code=FailureCode(tree['code']),
+            verdict=Verdict(tree['verdict']),
+            detail=str(tree.get('detail', f'status {status}')),
+            retry_after_ms=tree.get('retry_after_ms'),
+        )
+    except (KeyError, ValueError):
+        return may_have_run(FailureCode.BAD_REPLY, f'status {status}')
+
+
+def _bad(detail: str) -> Result[Any, Failure]:
+    return Bad(may_have_run(FailureCode.BAD_REPLY, detail))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -88,7 +88,7 @@
         clock=clock,
         board=board,
         listeners=listeners,
-        home=home_service(board, clock),
+        home=home_service(board, clock, settings.limits),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
@@ -1,6 +1,8 @@
 """The home of some shards: hands out their servers' slots."""
 
-from collections.abc import Iterable
+import itertools
+import json
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -9,20 +11,48 @@
 from fennelfork import (
     Blackboard,
     Clock,
+    Effort,
     FailureCode,
+    Flow,
     Part,
     Planned,
     ScatterOrder,
     ScatterOutcome,
     ShardView,
+    Task,
     not_run,
 )
-from fennelfork_daemon._server_book import ServerBook, ServerState
+from fennelfork_daemon._home_orders import Errand, Outcome, SearchOrder
+from fennelfork_daemon._home_runners import HomeRunners, ShardName
+from fennelfork_daemon._settings_tables import LimitSettings
 
-_POLL_MS: Final = 500
-_POLL_TIMEOUT_MS: Final = 400
-_WAIT_MS: Final = 2
-_MS: Final = 1000
+_UNKNOWN: Final = not_run(
+    FailureCode.NO_SERVER,
+    'the shard is not configured at this home',
+)
+
+
+@attrs.define(kw_only=True)
+class _Gathering:
+    """Waits for the parts of one order."""
+
+    awaited: int
+    parts: list[Part] = attrs.field(factory=list)
+    _full: eventlet.event.Event = attrs.field(
+        factory=eventlet.event.Event,
+    )
+
+    def take(self, part: Part) -> None:
+        """Take one part; each sub-query gives just one."""
+        self.parts.append(part)
+        if len(self.parts) == self.awaited:
+            self._full.send()
+
+    def wait(self) -> tuple[Part, ...]:
+        """Wait for all parts; the scheduler ends each by the deadline."""
+        if self.awaited:
+            self._full.wait()
+        return tuple(self.parts)
 
 
 @attrs.define(kw_only=True)
@@ -31,19 +61,22 @@
 
     _board: Blackboard
     _clock: Clock
-    _book: ServerBook
+    _runners: HomeRunners
+    _serials: Iterator[int] = attrs.field(factory=itertools.count)
 
     def scatter(self, order: ScatterOrder) -> ScatterOutcome:
         """Run the sub-queries of `order`, within its deadline."""
         deadline_ms = self._clock.now_ms() + order.deadline_ms
-        pool = eventlet.GreenPool(len(order.planned) or 1)
-        threads = [
-            pool.spawn(self._run, order, planned, deadline_ms)
-            for planned in order.planned
-        ]
-        shards = sorted({planned.shard for planned in order.planned})
+        gathering = _Gathering(awaited=len(order.planned))
+        query = json.loads(order.query)
+        for planned in order.planned:
+            task = self._task(order, planned, deadline_ms)
+            search = SearchOrder(expected=planned.expected, query=query)
+            self._start(order.front, planned, task, search, gathering)
+        parts = gathering.wait()
+        shards = sorted({asked.shard for asked in order.planned})
         return ScatterOutcome(
-            parts=tuple(thread.wait() for thread in threads),
+            parts=parts,
             shards=self._views(order.front, shards),
             config_version=self._board.config_version,
         )
@@ -54,93 +87,92 @@
         shards: tuple[str, ...],
     ) -> tuple[ShardView, ...]:
         """Tell which snapshots and ranges the shards hold."""
-        for name in shards:
-            servers = self._book.of_shard(front, name)
-            if not any(state.snapshots for state in servers):
-                self._poll(servers)
+        pool = eventlet.GreenPool()
+        names = [ShardName(front=front, shard=shard) for shard in shards]
+        for _ in pool.imap(self._runners.of, names):
+            """Each runner learns what its servers hold."""
         return self._views(front, shards)
 
     def poll_forever(self) -> None:
-        """Read the health endpoints of the servers known here, again."""
-        while True:  # noqa: WPS457  # as long as the daemon runs
-            self._poll(self._book.servers)
-            eventlet.sleep(_POLL_MS / _MS)
+        """Read the health endpoints of the servers in use."""
+        self._runners.poll_forever()
 
     def _views(
         self,
         front: str,
         shards: Iterable[str],
     ) -> tuple[ShardView, ...]:
-        return tuple(self._book.view(front, shard) for shard in shards)
-
-    def _poll(self, servers: tuple[ServerState, ...]) -> None:
-        pool = eventlet.GreenPool()
-        for state in servers:
-            pool.spawn_n(state.poll, _POLL_TIMEOUT_MS)
-        pool.waitall()
-
-    def _run(
+        views = []
+        for shard in shards:
+            runner = self._runners.of(ShardName(front=front, shard=shard))
+            if runner is not None:
+                views.append(runner.scheduler.servers.view(shard))
+        return tuple(views)
+
+    def _task(
         self,
         order: ScatterOrder,
         planned: Planned,
         deadline_ms: float,
-    ) -> Part:
-        tried: set[str] = set()
-        failure = not_run(FailureCode.NO_SERVER, 'no server holds the range')
-        while self._clock.now_ms() < deadline_ms:
-            state = self._choose(order, planned, tried)
-            if state is None:
-                eventlet.sleep(_WAIT_MS / _MS)
-                tried.clear()
-                continue
-            part = self._send(state, order, planned, deadline_ms)
-            if part.failure is None:
-                return part
-            if part.failure.code is FailureCode.SNAPSHOT_GONE:
-                return part
-            failure = part.failure
-            tried.add(state.name)
-        return Part(planned=planned, failure=failure)
-
-    def _choose(
-        self,
-        order: ScatterOrder,
-        planned: Planned,
-        tried: set[str],
-    ) -> ServerState | None:
-        usable = [
-            state
-            for state in self._book.of_shard(order.front, planned.shard)
-            if state.name not in tried
-            and state.serving
-            and state.free > 0
-            and state.holds(order.snapshot)
-        ]
-        return max(usable, key=lambda state: state.free, default=None)
-
-    def _send(
+    ) -> Task:
+        return Task(
+            job=str(next(self._serials)),
+            request_id=order.request_id,
+            span=planned.expected.span,
+            snapshot=order.snapshot,
+            deadline_ms=deadline_ms,
+            flow=Flow(
+                tenant=order.tenant,
+                traffic_class=order.traffic_class,
+            ),
+        )
+
+    def _start(
         self,
-        state: ServerState,
-        order: ScatterOrder,
+        front: str,
         planned: Planned,
-        deadline_ms: float,
-    ) -> Part:
-        started_ms = self._clock.now_ms()
-        with state.slot():
-            result = state.client.search(
-                planned.expected,
-                order.query,
-                deadline_ms - started_ms,
-            )
-        return Part(
-            planned=planned,
-            reply=result.value_or(None),
-            failure=result.swap().value_or(None),
-            server_ms=self._clock.now_ms() - started_ms,
-            server=state.name,
+        task: Task,
+        search: SearchOrder,
+        gathering: _Gathering,
+    ) -> None:
+        runner = self._runners.of(ShardName(front=front, shard=planned.shard))
+        if runner is None:
+            gathering.take(Part(planned=planned, failure=_UNKNOWN))
+            return
+        errand = Errand(
+            name=planned.expected.sub_query,
+            task=task,
+            order=search,
+            done=lambda outcome: gathering.take(_part(planned, outcome)),
         )
-
-
-def home_service(board: Blackboard, clock: Clock) -> HomeService:
-    """Build the home side of a daemon."""
-    return HomeService(board=board, clock=clock, book=ServerBook(board=board))
+        runner.run(errand)
+
+
+def home_service(
+    board: Blackboard,
+    clock: Clock,
+    limits: LimitSettings,
+) -> HomeService:
+    """Build the home side of a daemon.
+
+    Args:
+        board: the facts of the daemon.
+        clock: its clock.
+        limits: what bounds its memory.
+    """
+    runners = HomeRunners(board=board, clock=clock, limits=limits)
+    return HomeService(board=board, clock=clock, runners=runners)
+
+
+def _part(planned: Planned, outcome: Outcome) -> Part:
+    effort: Effort = outcome.effort
+    return Part(
+        planned=planned,
+        reply=outcome.result.value_or(None),
+        failure=outcome.result.swap().value_or(None),
+        hedges=effort.hedges,
+        retries=effort.retries,
+        queue_ms=effort.queue_ms,
+        server_ms=outcome.server_ms,
+        server=outcome.server,
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_settings.py
@@ -0,0 +1,82 @@
+"""Turns the configuration document into settings of a shard's scheduler."""
+
+from typing import Final
+
+from fennelfork import (
+    Blackboard,
+    Document,
+    FixedHedge,
+    Front,
+    HedgePolicy,
+    HedgePolicyName,
+    HedgeSettings,
+    HomeSettings,
+    NoHedge,
+    QuantileHedge,
+    RoutingMode,
+    Server,
+    ServerFacts,
+    Shares,
+    slot_share,
+)
+
+# Two daemons may think that they are the home of a shard; each takes at most
+# this part of a server's connections, so that both fit.
+_HOMES: Final = 2
+
+
+def home_settings(
+    document: Document,
+    front: Front,
+    queue_limit: int,
+) -> HomeSettings:
+    """Give the policies of a front's shards.
+
+    Args:
+        document: the configuration in force.
+        front: the front.
+        queue_limit: most sub-queries that wait for one shard.
+    """
+    return HomeSettings(
+        hedge=_hedge_policy(front.hedge),
+        hedge_ratio=front.hedge.budget,
+        shares=Shares(
+            tenants={
+                name: tenant.weight for name, tenant in document.tenants.items()
+            },
+            classes={
+                name: traffic.weight
+                for name, traffic in document.classes.items()
+            },
+        ),
+        queue_limit=queue_limit,
+    )
+
+
+def server_facts(
+    board: Blackboard,
+    name: str,
+    server: Server,
+) -> ServerFacts:
+    """Give what this daemon may use of a server."""
+    daemons = max(1, len(board.members))
+    usable = slot_share(server, board.routing, daemons)
+    users = _HOMES if board.routing is RoutingMode.HOME else daemons
+    return ServerFacts(
+        name=name,
+        slots=usable.slots,
+        connections=max(1, server.connections // users),
+    )
+
+
+def _hedge_policy(hedge: HedgeSettings) -> HedgePolicy:
+    match hedge.policy:
+        case HedgePolicyName.NONE:
+            return NoHedge()
+        case HedgePolicyName.FIXED:
+            return FixedHedge(delay_ms=hedge.delay_ms)
+        case _:
+            return QuantileHedge(
+                quantile=hedge.quantile,
+                delay_ms=hedge.delay_ms,
+            )
--- a/packages/fennelfork/src/fennelfork/_home_board.py
+++ b/packages/fennelfork/src/fennelfork/_home_board.py
@@ -173,7 +173,9 @@
 
     @property
     def next_timer_ms(self) -> float | None:
-        """When the next timer is due."""
+        """When the next timer is due that still has something to look at."""
+        while self._timers and self._is_idle(self._timers[0]):
+            heapq.heappop(self._timers)
         return self._timers[0].at_ms if self._timers else None
 
     def set_timer(self, timer: Timer) -> None:
@@ -186,6 +188,12 @@
             return heapq.heappop(self._timers)
         return None
 
+    def _is_idle(self, timer: Timer) -> bool:
+        """Tell whether what a timer was set for has ended meanwhile."""
+        if timer.attempt:
+            return timer.attempt not in self.attempts
+        return bool(timer.job) and timer.job not in self.jobs
+
 
 def board(settings: HomeSettings, clock: Clock, rng: random.Random) -> Board:
     """Build the state of a shard without servers."""
