--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
@@ -10,22 +10,11 @@
 from fennelfork_daemon._backend_pool import BackendPool, Trace
 from fennelfork_daemon._backend_reply import (
     read_health,
-    read_outcome,
     read_search,
     read_tree,
 )
 
 
-@attrs.frozen(kw_only=True)
-class ExecuteCall:
-    """One execution, as it is sent to a backend server."""
-
-    request_id: str
-    sub_query: str
-    key: int
-    action: str
-
-
 @attrs.frozen(kw_only=True)
 class Sending:
     """How a call is sent.
@@ -69,23 +58,6 @@
             lambda tree: read_search(tree, expected),
         )
 
-    def execute(
-        self,
-        call: ExecuteCall,
-        sending: Sending,
-    ) -> Result[str, Failure]:
-        """Run what is not idempotent; gives its outcome."""
-        body = {
-            'request_id': call.request_id,
-            'sub_query': call.sub_query,
-            'key': call.key,
-            'action': call.action,
-            'deadline_ms': int(sending.left_ms),
-        }
-        return self._call('/v1/execute', body, sending).bind(
-            lambda tree: read_outcome(tree, call.request_id, call.sub_query),
-        )
-
     def cancel(
         self,
         request_id: str,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_reply.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_reply.py
@@ -48,20 +48,6 @@
     return check_reply(expected, reply)
 
 
-def read_outcome(
-    tree: Any,
-    request_id: str,
-    sub_query: str,
-) -> Result[str, Failure]:
-    """Read the reply to an execution; one of another request is refused."""
-    echoed = (tree.get('request_id'), tree.get('sub_query'))
-    if echoed != (request_id, sub_query):
-        return _bad('crossed: reply of another request')
-    if 'outcome' not in tree:
-        return _bad('the reply lacks its outcome')
-    return Success(str(tree['outcome']))
-
-
 def read_health(tree: Any) -> Result[ServerReport, Failure]:
     """Read what a server says of itself."""
     try:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_orders.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_orders.py
@@ -13,11 +13,7 @@
     Reply,
     Task,
 )
-from fennelfork_daemon._backend_client import (
-    BackendClient,
-    ExecuteCall,
-    Sending,
-)
+from fennelfork_daemon._backend_client import BackendClient, Sending
 
 
 @attrs.frozen(kw_only=True)
@@ -25,13 +21,13 @@
     """How a task ended.
 
     Attributes:
-        result: a reply, an execution's outcome, or why there is neither.
+        result: a reply, or why there is none.
         effort: what was done for it.
         server: which server answered.
         server_ms: how long that server took.
     """
 
-    result: Result[Any, Failure]
+    result: Result[Reply, Failure]
     effort: Effort
     server: str = ''
     server_ms: float = 0
@@ -59,30 +55,6 @@
         return attrs.evolve(reply, sub_query=self.expected.sub_query)
 
 
-@attrs.frozen(kw_only=True)
-class ExecutionOrder:
-    """An execution, which is not idempotent."""
-
-    request_id: str
-    key: int
-    action: str
-
-    def send(
-        self,
-        client: BackendClient,
-        sub_query: str,
-        sending: Sending,
-    ) -> Result[str, Failure]:
-        """Send it under the name `sub_query`."""
-        call = ExecuteCall(
-            request_id=self.request_id,
-            sub_query=sub_query,
-            key=self.key,
-            action=self.action,
-        )
-        return client.execute(call, sending)
-
-
 @attrs.frozen(kw_only=True)
 class Errand:
     """A task of the scheduler with all that is needed to carry it out.
@@ -96,5 +68,5 @@
 
     name: str
     task: Task
-    order: SearchOrder | ExecutionOrder
+    order: SearchOrder
     done: Callable[[Outcome], None]
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_shard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_shard.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Iterable
-from typing import Any, Final
+from typing import Final
 
 import attrs
 import eventlet
@@ -20,6 +20,7 @@
     FailureCode,
     HomeScheduler,
     Refused,
+    Reply,
     Send,
     Server,
     home_scheduler,
@@ -48,7 +49,7 @@
     trace: Trace
     started_ms: float
     thread: GreenThread | None = None
-    result: Result[Any, Failure] | None = None
+    result: Result[Reply, Failure] | None = None
 
 
 @attrs.define(kw_only=True)
@@ -136,7 +137,7 @@
             trace=copy.trace,
         )
         client = self._clients.get(send.server)
-        result: Result[Any, Failure] = (
+        result: Result[Reply, Failure] = (
             errand.order.send(client, copy.name, sending)
             if client
             else Bad(_GONE)
