Send each backend request in one write

Cause: a profile of a home on 2,000 sub-queries showed 4,458 sends of 0.36 ms, 1.6 s of 8.6: urllib3 writes head and body apart, each write wakes the server. Ruled out: leaving it to the kernel by TCP_NODELAY off, which delays calls. Change: the connection holds a request back until it is whole; a range that is held as it stands is found without cutting.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_connection.py
@@ -48,6 +48,30 @@
     body: bytes
 
 
+class _OneWriteConnection(HTTPConnection):
+    """Sends head and body of a request in one write.
+
+    Two writes wake the server twice and cost two system calls.
+    """
+
+    _held: list[bytes] | None = None
+
+    def request(self, *args: Any, **options: Any) -> None:
+        """Send a request whose body is bytes."""
+        self._held = []
+        super().request(*args, **options)
+        whole = b''.join(self._held)
+        self._held = None
+        self.send(whole)
+
+    def send(self, data: Any) -> None:
+        """Hold what belongs to a request back until it is whole."""
+        if self._held is None:
+            super().send(data)
+        else:
+            self._held.append(data)
+
+
 @attrs.define(kw_only=True)
 class BackendConnection:
     """Carries one call at a time."""
@@ -116,7 +140,7 @@
         address: of the server.
         most_bytes: the largest reply that is read.
     """
-    http = HTTPConnection(
+    http = _OneWriteConnection(
         address.host,
         address.port,
         socket_options=_OPTIONS,
--- a/packages/fennelfork/src/fennelfork/_home_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/_home_dispatch.py
@@ -35,7 +35,7 @@
 def holds(server: ServerState, task: Task) -> bool:
     """Tell whether a server has the snapshot and the keys of the work."""
     return any(
-        not missing_ranges(task.span, held.ranges)
+        task.span in held.ranges or not missing_ranges(task.span, held.ranges)
         for held in server.snapshots
         if task.snapshot in {None, held.version}
     )
