--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -99,7 +99,7 @@
         clock=clock,
         board=board,
         listeners=listeners,
-        home=home_service(board, clock),
+        home=home_service(board, clock, settings.limits),
         observer=seen,
         config=config_service(board, clock, settings),
     )
