--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_outage.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_outage.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from fennelfork import system_clock
-from fennelfork_bench._exp_load import SteadyLoad, load_metrics, steady_load
+from fennelfork_bench._exp_steady_load import SteadyLoad, load_metrics, steady_load
 from fennelfork_bench._exp_small_fleet import TODAY, hedge_patch, small_fleet
 from fennelfork_bench._rig_config import (
     await_version,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_stop.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_stop.py
@@ -6,7 +6,7 @@
 import attrs
 
 from fennelfork import system_clock
-from fennelfork_bench._exp_load import SteadyLoad, load_metrics, steady_load
+from fennelfork_bench._exp_steady_load import SteadyLoad, load_metrics, steady_load
 from fennelfork_bench._exp_small_fleet import TODAY, small_fleet
 from fennelfork_bench._rig_config import await_version, start_fleet
 from fennelfork_bench._rig_fleet import Fleet
--- a/packages/fennelfork-bench/tests/test_exp_parts.py
+++ b/packages/fennelfork-bench/tests/test_exp_parts.py
@@ -3,7 +3,7 @@
 import json
 
 from fennelfork_bench._exp_cost import Reading, costs_between, sum_of_metric
-from fennelfork_bench._exp_load import Sample, load_metrics
+from fennelfork_bench._exp_steady_load import Sample, load_metrics
 from fennelfork_bench._rig_caller import Asked
 from fennelfork_bench._rig_http import HttpReply
 from fennelfork_bench._rig_report import Arm, Report, percentile
