--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -11,6 +11,10 @@
 
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
 _EXPERIMENTS: Final[dict[str, str]] = {
+    'fanout': 'fennelfork_bench._exp_fanout',
+    'overload': 'fennelfork_bench._exp_overload',
+    'silent': 'fennelfork_bench._exp_silent',
+    'slots': 'fennelfork_bench._exp_slots',
     'tail': 'fennelfork_bench._exp_tail',
 }
 _USAGE: Final = 2
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_fanout.py
@@ -0,0 +1,92 @@
+"""Experiment `fanout`: processor time of a sub-query at several fan-outs."""
+
+import itertools
+from typing import Final
+
+import attrs
+import numpy as np
+
+from fennelfork_bench._exp_fleet import FrontSize, start_front
+from fennelfork_bench._exp_load import (
+    Measured,
+    front_load,
+    measure,
+    violations,
+    warm_up,
+)
+from fennelfork_bench._exp_metrics import latency_metrics, outcome_metrics
+from fennelfork_bench._exp_processor import idle_us_per_s
+from fennelfork_bench._rig_process import rig
+from fennelfork_bench._rig_report import Arm, Report
+
+_FAN_OUTS: Final = (8, 30, 88)
+_SUB_QUERIES_PER_S: Final = 600
+_SPAN_S: Final = 10
+_IDLE_S: Final = 5
+_DEADLINE_MS: Final = 5000
+_MODES: Final = ('home', 'direct')
+
+
+def run(seed: int) -> Report:
+    """Run each fan-out by home and directly, at equal sub-queries a second."""
+    points: dict[str, list[Measured]] = {mode: [] for mode in _MODES}
+    arms = []
+    for fan_out in _FAN_OUTS:
+        for mode, measured in points.items():
+            measured.append(_measure(fan_out, mode, seed))
+            arms.append(_arm(f'{mode}@{fan_out}', measured[-1]))
+    return Report(
+        experiment='fanout',
+        seed=seed,
+        arms=(*arms, *itertools.starmap(_slope, points.items())),
+        failures=violations(itertools.chain.from_iterable(points.values())),
+    )
+
+
+def _measure(fan_out: int, mode: str, seed: int) -> Measured:
+    size = FrontSize(shards=fan_out, servers=1)
+    rate_per_s = _SUB_QUERIES_PER_S / fan_out
+    with rig() as own:
+        fleet = start_front(own, size, seed, {'routing': {'mode': mode}})
+        load = front_load(
+            fleet,
+            size,
+            rate_per_s=rate_per_s,
+            count=round(rate_per_s * _SPAN_S),
+            deadline_ms=_DEADLINE_MS,
+            seed=seed,
+        )
+        warm_up(fleet, load)
+        idle = idle_us_per_s(fleet.living, _IDLE_S)
+        return attrs.evolve(measure(fleet, load), idle_us_per_s=idle)
+
+
+def _arm(name: str, measured: Measured) -> Arm:
+    return Arm(
+        name=name,
+        metrics={
+            **latency_metrics(measured.tally),
+            **outcome_metrics(measured.tally),
+            'daemon_us_per_query': _us_per_query(measured),
+            'daemon_us_per_sub_query': measured.busy_us / measured.needed,
+            'idle_us_per_s': measured.idle_us_per_s,
+            'server_us_per_sub_query': measured.server_us / measured.needed,
+        },
+    )
+
+
+def _slope(name: str, points: list[Measured]) -> Arm:
+    """Fit processor time of a query as a line over the fan-out."""
+    costs = [_us_per_query(point) for point in points]
+    slope, fixed = np.polyfit(_FAN_OUTS, costs, 1)
+    return Arm(
+        name=f'{name} slope',
+        metrics={
+            'fixed_us_per_query': float(fixed),
+            'slope_us_per_sub_query': float(slope),
+        },
+    )
+
+
+def _us_per_query(measured: Measured) -> float:
+    return measured.busy_us / measured.tally.counts['offered']
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_metrics.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_metrics.py
@@ -1,6 +1,5 @@
 """Metrics that the experiments on answers share."""
 
-from collections.abc import Iterable, Iterator
 from typing import Any, Final, TypeAlias
 
 from fennelfork_bench._caller_tally import Tally
@@ -52,9 +51,3 @@
         'lost': tally.counts['lost'] + tally.counts['given_up'],
         'coverage': tally.fractions / max(tally.counts['answered'], 1),
     }
-
-
-def violations(tallies: Iterable[Tally]) -> Iterator[str]:
-    """Give every broken promise that callers saw."""
-    for tally in tallies:
-        yield from tally.violations
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_processor.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_processor.py
@@ -1,6 +1,7 @@
 """Processor time that processes of the rig used."""
 
 import os
+import time
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Final
@@ -19,6 +20,19 @@
     return ticks * _US_PER_SECOND / os.sysconf('SC_CLK_TCK')
 
 
+def idle_us_per_s(processes: Iterable[Process], span_s: float) -> float:
+    """Measure what processes use in a second while nothing is asked.
+
+    Args:
+        processes: living processes.
+        span_s: how long to look.
+    """
+    watched = list(processes)
+    before = processor_us(watched)
+    time.sleep(span_s)
+    return (processor_us(watched) - before) / span_s
+
+
 def _ticks(pid: int) -> int:
     text = Path(f'/proc/{pid}/stat').read_text()
     fields = text.rpartition(')')[2].split()
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_slots.py
@@ -0,0 +1,78 @@
+"""Experiment `slots`: who should count the slots of a backend server."""
+
+import contextlib
+from typing import Final
+
+from fennelfork_bench._exp_fleet import FrontSize, start_front
+from fennelfork_bench._exp_load import Measured, front_load, measure, warm_up
+from fennelfork_bench._exp_metrics import latency_metrics, outcome_metrics
+from fennelfork_bench._rig_fleet import Fleet
+from fennelfork_bench._rig_process import rig
+from fennelfork_bench._rig_report import Arm, Report
+
+_STRAGGLE: Final = 0.01
+# Service takes ten times as long as the brief's, so that one machine can
+# fill every slot; the ratios of the arms are what counts.
+_MEAN_MS: Final = 60
+_SIZE: Final = FrontSize(shards=4, mean_ms=_MEAN_MS, straggle=_STRAGGLE)
+_SPAN_S: Final = 12
+_DEADLINE_MS: Final = 2000
+_LOADS: Final = (0.5, 0.7, 0.85, 1.2)
+_MODES: Final = (
+    ('independent', 'direct'),
+    ('static', 'static'),
+    ('home', 'home'),
+)
+
+
+def run(seed: int) -> Report:
+    """Run every load on one fleet of each mode, the modes in turn."""
+    arms = []
+    failures: list[str] = []
+    with contextlib.ExitStack() as rigs:
+        fleets = [(name, _start(rigs, mode, seed)) for name, mode in _MODES]
+        for share in _LOADS:
+            for name, fleet in fleets:
+                measured = _measure(fleet, share, seed)
+                arms.append(_arm(f'{name}@{share}', measured))
+                failures.extend(measured.tally.violations)
+    return Report(
+        experiment='slots',
+        seed=seed,
+        arms=tuple(arms),
+        failures=tuple(failures),
+    )
+
+
+def _start(rigs: contextlib.ExitStack, mode: str, seed: int) -> Fleet:
+    own = rigs.enter_context(rig())
+    return start_front(own, _SIZE, seed, {'routing': {'mode': mode}})
+
+
+def _measure(fleet: Fleet, share: float, seed: int) -> Measured:
+    rate_per_s = _SIZE.capacity * share
+    load = front_load(
+        fleet,
+        _SIZE,
+        rate_per_s=rate_per_s,
+        count=round(rate_per_s * _SPAN_S),
+        deadline_ms=_DEADLINE_MS,
+        caller=f'load-{share}',
+        seed=seed,
+    )
+    warm_up(fleet, load)
+    return measure(fleet, load)
+
+
+def _arm(name: str, measured: Measured) -> Arm:
+    tally = measured.tally
+    return Arm(
+        name=name,
+        metrics={
+            **latency_metrics(tally),
+            **outcome_metrics(tally),
+            'sheds_per_sub_query': measured.sheds,
+            'goodput_per_s': tally.per_second('complete'),
+            'daemon_us_per_query': measured.daemon_us / tally.counts['offered'],
+        },
+    )
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_exp_load.py
@@ -0,0 +1,65 @@
+"""What the experiments on answers share, on a small fleet."""
+
+import pytest
+
+from fennelfork_bench._caller_group import run_callers
+from fennelfork_bench._caller_spec import LoadSpec
+from fennelfork_bench._exp_fleet import (
+    FrontSize,
+    order_faults,
+    put_hedge,
+    start_front,
+)
+from fennelfork_bench._exp_load import front_load, joined, measure, violations
+from fennelfork_bench._exp_metrics import NO_HEDGE
+from fennelfork_bench._rig_config import version
+from fennelfork_bench._rig_process import Rig, RigError
+
+_SIZE = FrontSize(shards=2, servers=1, daemons=2)
+_COUNT = 40
+
+
+@pytest.mark.process
+class TestMeasure:
+    """One load on a fleet of two daemons and two servers."""
+
+    def test_tallies_counts_and_processor_time(self, rig: Rig) -> None:
+        """Callers, server logs and the system agree that the load ran."""
+        fleet = start_front(rig, _SIZE, seed=1)
+        load = front_load(fleet, _SIZE, count=_COUNT, deadline_ms=20_000)
+        first = measure(fleet, load)
+        again = measure(fleet, load)
+        both = joined((first, again))
+        assert not violations((first, again))
+        assert first.tally.counts['complete'] == _COUNT
+        assert first.needed == _COUNT * _SIZE.shards
+        assert first.counts['ran'] >= first.needed
+        assert first.daemon_us > 0
+        assert both.tally.counts['complete'] == 2 * _COUNT
+        assert both.counts['ran'] == first.counts['ran'] + again.counts['ran']
+
+    def test_spoiled_replies_are_seen(self, rig: Rig) -> None:
+        """The load really meets the faults that the experiment orders."""
+        fleet = start_front(rig, _SIZE, seed=1)
+        rule = {'kind': 'lose_reply', 'limit': 3}
+        order_faults(fleet, 's0-0', rules=[rule])
+        measured = measure(fleet, front_load(fleet, _SIZE, count=_COUNT))
+        assert measured.counts['fault_lose_reply'] == 3
+        assert not measured.tally.violations
+
+    def test_policy_is_in_force_everywhere(self, rig: Rig) -> None:
+        """Each change of the policy is a new version on every daemon."""
+        fleet = start_front(rig, _SIZE, seed=1)
+        put_hedge(fleet, NO_HEDGE)
+        assert [version(each) for each in fleet.operators] == [2, 2]
+
+
+@pytest.mark.process
+class TestRunCallers:
+    """A load split over processes."""
+
+    def test_a_failed_caller_is_no_result(self, rig: Rig) -> None:
+        """A caller process that ends with an error fails the experiment."""
+        load = LoadSpec(entries='127.0.0.1:9', rate_per_s=50, count=1, keys=0)
+        with pytest.raises(RigError, match='caller-0'):
+            run_callers(rig, load)
