--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_once_process.py
@@ -0,0 +1,213 @@
+"""At most once, with real daemons that are killed, paused and cut off."""
+
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from bench_builders_once import (
+    Caller,
+    assert_once,
+    events,
+    faults,
+    once_spec,
+    start_once_fleet,
+)
+
+from fennelfork_bench import _rig_http as http
+from fennelfork_bench._rig_fleet import Fleet
+from fennelfork_bench._rig_process import rig, wait_until
+
+_CAP_S = 30
+_TTL_MS = 1500
+
+
+@pytest.fixture(scope='module')
+def fleet() -> Iterator[Fleet]:
+    """Two daemons that no test of this module ends."""
+    with rig() as own:
+        yield start_once_fleet(own, once_spec())
+
+
+@pytest.fixture(autouse=True)
+def _no_faults(fleet: Fleet) -> Iterator[None]:
+    yield
+    faults(fleet, 'reg-0')
+
+
+@pytest.mark.process
+class TestAnswers:
+    """Callers of a fleet whose daemons live."""
+
+    def test_runs_and_repeats_the_outcome(self, fleet: Fleet) -> None:
+        """A repeat, here or at the other daemon, gets the first outcome."""
+        caller = Caller()
+        here, there = fleet.callers
+        request = caller.request(caller.ticket(here))
+        replies = [caller.send(each, request) for each in (here, here, there)]
+        assert [reply.status for reply in replies] == [200, 200, 200], replies
+        assert len({reply.body['outcome'] for reply in replies}) == 1
+        assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_crossing_copies_run_once(self, fleet: Fleet) -> None:
+        """Copies that arrive together at both daemons run once."""
+        caller = Caller()
+        request = caller.request(caller.ticket(fleet.callers[0]))
+        with ThreadPoolExecutor(8) as pool:
+            sent = [
+                pool.submit(caller.send, address, request)
+                for address in fleet.callers * 4
+            ]
+            replies = [each.result() for each in sent]
+        assert {reply.status for reply in replies} == {200}, replies
+        assert len({reply.body['outcome'] for reply in replies}) == 1
+        assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_a_lost_reply_is_not_run_again(self, fleet: Fleet) -> None:
+        """After a lost reply every repeat says so, whatever its ticket."""
+        caller = Caller()
+        here, there = fleet.callers
+        request = caller.request(caller.ticket(here))
+        faults(fleet, 'reg-0', rules=[{'kind': 'lose_reply', 'limit': 1}])
+        first = caller.send(here, request)
+        renewed = {**request, 'ticket': caller.ticket(there)}
+        repeats = [
+            caller.send(here, request),
+            caller.send(there, request),
+            caller.send(there, renewed),
+            caller.send(here, renewed),
+        ]
+        verdicts = {reply.body['verdict'] for reply in (first, *repeats)}
+        assert verdicts == {'may_have_run'}
+        assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_a_late_outcome_is_learnt(self, fleet: Fleet) -> None:
+        """A repeat after the caller's deadline gets the late outcome."""
+        caller = Caller()
+        here, there = fleet.callers
+        request = caller.request(caller.ticket(here))
+        late = {'kind': 'late', 'limit': 1, 'delay_ms': 1000}
+        faults(fleet, 'reg-0', rules=[late])
+        first = caller.send(here, {**request, 'deadline_ms': 300})
+        assert first.body['code'] == 'deadline', first
+        assert first.body['verdict'] == 'may_have_run'
+        wait_until(
+            lambda: caller.send(there, request).status == 200,
+            _CAP_S,
+            'the late outcome',
+        )
+        assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_a_refusal_is_true_and_final(self, fleet: Fleet) -> None:
+        """What a server refused is not run, and a copy does not revive it."""
+        caller = Caller()
+        here, _ = fleet.callers
+        request = caller.request(caller.ticket(here), key=25)
+        request['deadline_ms'] = 5
+        refused = caller.send(here, request)
+        assert refused.body['verdict'] == 'not_run', refused
+        again = caller.send(here, {**request, 'deadline_ms': 5000})
+        assert again.body['verdict'] == 'not_run', again
+        assert request['request_id'] not in assert_once(fleet, caller)
+
+    def test_platform_down(self, fleet: Fleet) -> None:
+        """Tickets are issued and used while the platform is away."""
+        caller = Caller()
+        fleet.platform.key_value.pause()
+        fleet.platform.vm_list.pause()
+        request = caller.request(caller.ticket(fleet.callers[0]))
+        replies = [caller.send(each, request) for each in fleet.callers]
+        fleet.platform.key_value.resume()
+        fleet.platform.vm_list.resume()
+        assert {reply.status for reply in replies} == {200}, replies
+        assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_a_server_refuses_what_comes_late(self, fleet: Fleet) -> None:
+        """An execute read after its limit is refused and not started."""
+        address = fleet.backends['reg-0'].ready['address']
+        now_ms = http.get(address, '/v1/health').body['now_ms']
+        late = {
+            'request_id': 'late@s',
+            'sub_query': 'x1',
+            'key': 7,
+            'action': 'issue',
+            'deadline_ms': 5000,
+            'not_after_ms': now_ms,
+        }
+        reply = http.post(address, '/v1/execute', late)
+        assert reply.body['verdict'] == 'not_run', reply
+        assert 'late@s' not in assert_once(fleet)
+
+
+@pytest.mark.process
+class TestDeaths:
+    """Daemons that are killed, paused and started again."""
+
+    def test_killed_in_the_middle(self) -> None:
+        """Nobody runs again what a killed daemon sent, nor denies it."""
+        caller = Caller()
+        with rig() as own, ThreadPoolExecutor(1) as pool:
+            fleet = start_once_fleet(own, once_spec())
+            here, there = fleet.callers
+            request = caller.request(caller.ticket(here))
+            faults(fleet, 'reg-0', rules=[{'kind': 'late', 'delay_ms': 4000}])
+            first = pool.submit(caller.send, here, request)
+            wait_until(lambda: events(fleet, 'started'), _CAP_S, 'the run')
+            fleet.daemons['vm-1'].kill()
+            assert first.result().status == 0
+            cut_off = caller.send(there, request)
+            fleet.start_daemons([fleet.daemon_spec('vm-1')])
+            restarted = fleet.daemons['vm-1'].ready['caller']
+            repeats = [cut_off]
+            for address in (restarted, there):
+                fresh = {**request, 'ticket': caller.ticket(address)}
+                repeats.append(caller.send(address, request))
+                repeats.append(caller.send(address, fresh))
+            verdicts = [reply.body.get('verdict') for reply in repeats]
+            assert set(verdicts) == {'may_have_run'}, repeats
+            assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_paused_past_its_ticket(self) -> None:
+        """A daemon that wakes with an expired ticket does not send."""
+        caller = Caller()
+        with rig() as own, ThreadPoolExecutor(1) as pool:
+            spec = once_spec(
+                ttl_ms=_TTL_MS,
+                connect_ms=20_000,
+            )
+            fleet = start_once_fleet(own, spec)
+            here, there = fleet.callers
+            request = caller.request(caller.ticket(here))
+            request['deadline_ms'] = 20_000
+            # The probe waits for the frozen server, so the send comes after.
+            faults(fleet, 'reg-0', freeze_ms=2 * _TTL_MS)
+            first = pool.submit(caller.send, here, request)
+            time.sleep(_TTL_MS / 5000)
+            fleet.daemons['vm-1'].pause()
+            time.sleep(_TTL_MS / 1000)
+            fleet.daemons['vm-1'].resume()
+            replies = [first.result(), caller.send(there, request)]
+            verdicts = [reply.body.get('verdict') for reply in replies]
+            assert verdicts == ['not_run', 'not_run'], replies
+            assert request['request_id'] not in assert_once(fleet, caller)
+
+    def test_paused_after_the_send(self) -> None:
+        """A daemon that wakes after its ticket tells the outcome it got."""
+        caller = Caller()
+        with rig() as own, ThreadPoolExecutor(1) as pool:
+            fleet = start_once_fleet(own, once_spec(ttl_ms=_TTL_MS))
+            here, there = fleet.callers
+            request = caller.request(caller.ticket(here))
+            faults(fleet, 'reg-0', rules=[{'kind': 'late', 'delay_ms': 500}])
+            first = pool.submit(caller.send, here, request)
+            wait_until(lambda: events(fleet, 'started'), _CAP_S, 'the run')
+            fleet.daemons['vm-1'].pause()
+            time.sleep(_TTL_MS / 1000)
+            fleet.daemons['vm-1'].resume()
+            first.result()
+            wait_until(
+                lambda: caller.send(there, request).status == 200,
+                _CAP_S,
+                'the outcome',
+            )
+            assert assert_once(fleet, caller)[request['request_id']] == 1
