Multi-search in the stand-in, and what it brings, measured at both ends

Ruled out: on by default (a server must say that it takes it). Change: POST /v1/multi-search behind a capability named by health, each search with its own slot, fault, verdict; arms in fanout. Mended: the strict health test, red since health names now_ms; it now checks that the clock rises as well. Conclusion: the server's capability stands; the daemon does not use it.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_app.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_app.py
@@ -24,8 +24,10 @@
 from fennelfork_bench._backend_messages import (
     CancelRequest,
     ExecuteRequest,
+    MultiSearchRequest,
     SearchRequest,
 )
+from fennelfork_bench._backend_multi import search_all
 from fennelfork_bench._backend_response import (
     Response,
     StartResponse,
@@ -124,6 +126,13 @@
     return failure_response(subject, outcome.failure(), held)
 
 
+def _multi_search(app: BackendApp, link: Link, body: bytes) -> Response:
+    if not app.state.settings.multi_search:
+        return bad_request_response('this server takes single searches')
+    request = parse_message(body, MultiSearchRequest)
+    return json_response(search_all(app.state, app.spoiler, request))
+
+
 def _execute(app: BackendApp, link: Link, body: bytes) -> Response | None:
     request = parse_message(body, ExecuteRequest)
     subject = execute_subject(request)
@@ -150,6 +159,7 @@
 
 _ROUTES: Final[dict[str, _Route]] = {
     'POST /v1/search': _search,
+    'POST /v1/multi-search': _multi_search,
     'POST /v1/execute': _execute,
     'POST /v1/cancel': _cancel,
     'GET /v1/health': _health,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_delivery.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_delivery.py
@@ -45,8 +45,7 @@
         if late:
             eventlet.sleep(late.delay_ms / _MS_PER_SECOND)
         kinds = {rule.kind for rule in faults}
-        body = render_message(self._spoil(reply, kinds))
-        self._last = reply
+        body = render_message(self.spoil(reply, kinds))
         return Delivery(
             body=body,
             sent=len(body) // 2 if FaultKind.CUT in kinds else len(body),
@@ -54,7 +53,13 @@
             muted=FaultKind.MUTE in kinds,
         )
 
-    def _spoil(self, reply: Reply, kinds: set[FaultKind]) -> Reply:
+    def spoil(self, reply: Reply, kinds: set[FaultKind]) -> Reply:
+        """Give what is sent in place of a reply."""
+        spoiled = self._spoiled(reply, kinds)
+        self._last = reply
+        return spoiled
+
+    def _spoiled(self, reply: Reply, kinds: set[FaultKind]) -> Reply:
         if FaultKind.CROSS in kinds:
             return self._other_than(reply)
         if isinstance(reply, ExecuteReply):
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_messages.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_messages.py
@@ -31,6 +31,20 @@
     records: tuple[Record, ...]
 
 
+@attrs.frozen(kw_only=True)
+class MultiSearchRequest:
+    """Several searches in one call."""
+
+    searches: tuple[SearchRequest, ...]
+
+
+@attrs.frozen(kw_only=True)
+class MultiSearchReply:
+    """The replies to several searches, in the order of the searches."""
+
+    replies: 'tuple[SearchReply | Problem, ...]'
+
+
 @attrs.frozen(kw_only=True)
 class ExecuteRequest:
     """A request that must run at most once.
@@ -98,6 +112,7 @@
     slots: int
     busy: int
     now_ms: float
+    capabilities: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_response.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_response.py
@@ -52,19 +52,26 @@
     snapshots: tuple[HeldSnapshot, ...],
 ) -> Response:
     """Build the response to a request that failed."""
+    return _problem_response(failure_problem(subject, failure, snapshots))
+
+
+def failure_problem(
+    subject: Subject,
+    failure: Failure,
+    snapshots: tuple[HeldSnapshot, ...],
+) -> Problem:
+    """Build the error body of a request that failed."""
     gone = failure.code is FailureCode.SNAPSHOT_GONE
-    return _problem_response(
-        Problem(
-            title=failure.code.value.replace('_', ' '),
-            status=_STATUSES[failure.code],
-            detail=failure.detail,
-            code=failure.code.value,
-            verdict=failure.verdict.value,
-            request_id=subject.request_id,
-            sub_query=subject.sub_query,
-            retry_after_ms=failure.retry_after_ms,
-            snapshots=snapshots if gone else (),
-        ),
+    return Problem(
+        title=failure.code.value.replace('_', ' '),
+        status=_STATUSES[failure.code],
+        detail=failure.detail,
+        code=failure.code.value,
+        verdict=failure.verdict.value,
+        request_id=subject.request_id,
+        sub_query=subject.sub_query,
+        retry_after_ms=failure.retry_after_ms,
+        snapshots=snapshots if gone else (),
     )
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_settings.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_settings.py
@@ -27,6 +27,7 @@
         cold_ms: how long after its start the server is cold.
         cold_factor: how much longer requests take while it is cold.
         link_ms: delay of the network, one way, added to both ways.
+        multi_search: whether it takes several searches in one call.
         health_lag_ms: how old the health and load answers may be.
         seed: seed of service times and of faults.
         log_limit: how many events the log keeps.
@@ -49,6 +50,7 @@
     cold_ms: float = 0
     cold_factor: float = 5
     link_ms: float = 0
+    multi_search: bool = False
     health_lag_ms: float = 0
     seed: int = 1
     log_limit: int = 50_000
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_views.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_views.py
@@ -1,10 +1,14 @@
 """What the health and load endpoints say: old, false or true."""
 
+from typing import Final
+
 import attrs
 
 from fennelfork_bench._backend_messages import Health, Load
 from fennelfork_bench._backend_state import ServerState
 
+_MULTI: Final = ('multi_search',)
+
 
 @attrs.define(kw_only=True)
 class Views:
@@ -64,6 +68,7 @@
         slots=state.slots.size,
         busy=state.slots.busy,
         now_ms=state.clock.now_ms(),
+        capabilities=_MULTI if state.settings.multi_search else (),
     )
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_fanout.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_fanout.py
@@ -6,6 +6,7 @@
 import attrs
 import numpy as np
 
+from fennelfork_bench._exp_fanout_server import batch_arms
 from fennelfork_bench._exp_fleet import FrontSize, start_front
 from fennelfork_bench._exp_load import (
     Measured,
@@ -35,10 +36,12 @@
         for mode, measured in points.items():
             measured.append(_measure(fan_out, mode, seed))
             arms.append(_arm(f'{mode}@{fan_out}', measured[-1]))
+    with rig() as own:
+        batches = batch_arms(own)
     return Report(
         experiment='fanout',
         seed=seed,
-        arms=(*arms, *itertools.starmap(_slope, points.items())),
+        arms=(*arms, *itertools.starmap(_slope, points.items()), *batches),
         failures=violations(itertools.chain.from_iterable(points.values())),
     )
 
--- a/packages/fennelfork-bench/tests/test_backend.py
+++ b/packages/fennelfork-bench/tests/test_backend.py
@@ -87,6 +87,45 @@
         assert (refused.status, refused.body['code']) == (400, 'bad_request')
 
 
+class TestMultiSearch:
+    """Several searches in one call."""
+
+    def test_answers_each_by_itself(self) -> None:
+        """A refusal of one search leaves the others whole."""
+        searches = [
+            search_body('r1', lo=1, hi=3),
+            search_body('r2', snapshot=9),
+            search_body('r3', lo=3, hi=4),
+        ]
+        with backend(multi_search=True) as server:
+            health = server.get('/v1/health')
+            found = server.post('/v1/multi-search', searches=searches)
+            steps = server.kinds('r2')
+        first, second, third = found.body['replies']
+        assert health.body['capabilities'] == ['multi_search']
+        assert (first['request_id'], first['count']) == ('r1', 2)
+        assert (second['code'], second['verdict']) == (
+            'snapshot_gone',
+            'not_run',
+        )
+        assert (third['request_id'], third['count']) == ('r3', 1)
+        assert steps == ['received', 'refused']
+
+    def test_each_takes_a_slot(self) -> None:
+        """A call with more searches than slots has the excess shed."""
+        searches = [search_body(f'r{number}') for number in range(3)]
+        with backend(multi_search=True, slots=2, mean_ms=50) as server:
+            found = server.post('/v1/multi-search', searches=searches)
+        codes = [reply.get('code') for reply in found.body['replies']]
+        assert codes == [None, None, 'shed']
+
+    def test_is_off_by_default(self) -> None:
+        """A server without the capability refuses the call."""
+        with backend() as server:
+            refused = server.post('/v1/multi-search', searches=[])
+        assert refused.status == 400
+
+
 class TestExecute:
     """Requests that must run at most once."""
 
--- a/packages/fennelfork-bench/tests/test_backend_server_faults.py
+++ b/packages/fennelfork-bench/tests/test_backend_server_faults.py
@@ -139,11 +139,14 @@
         """A server without faults tells the truth."""
         with backend(lo=200, hi=700, slots=3, snapshot=6) as server:
             health = server.get('/v1/health').body
+            later = server.get('/v1/health').body
+        assert 0 < health.pop('now_ms') < later['now_ms']
         assert health == {
             'state': 'serving',
             'snapshots': [{'version': 6, 'ranges': [[200, 700]]}],
             'slots': 3,
             'busy': 0,
+            'capabilities': [],
         }
 
     def test_lies(self) -> None:
