--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -12,14 +12,19 @@
 from fennelfork_bench._rig_process import RigError
 
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
+_EXPERIMENTS: Final[dict[str, str]] = {
 _EXPERIMENTS: Final[dict[str, str]] = {
     'config': 'fennelfork_bench._exp_config',
     'control': 'fennelfork_bench._exp_control',
     'demo': 'fennelfork_bench._demo',
     'document': 'fennelfork_bench._exp_document',
+    'fanout': 'fennelfork_bench._exp_fanout',
     'membership': 'fennelfork_bench._exp_membership',
     'once': 'fennelfork_bench._exp_once',
     'outage': 'fennelfork_bench._exp_outage',
+    'overload': 'fennelfork_bench._exp_overload',
+    'silent': 'fennelfork_bench._exp_silent',
+    'slots': 'fennelfork_bench._exp_slots',
     'stop': 'fennelfork_bench._exp_stop',
     'tail': 'fennelfork_bench._exp_tail',
 }
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -169,6 +169,7 @@
 from fennelfork._scatter import Part as Part
 from fennelfork._scatter import ScatterOrder as ScatterOrder
 from fennelfork._scatter import ScatterOutcome as ScatterOutcome
+from fennelfork._slots import SlotTable as SlotTable
 from fennelfork._ticket import Ticket as Ticket
 from fennelfork._ticket import TicketKey as TicketKey
 from fennelfork._ticket import bound_request_id as bound_request_id
@@ -178,7 +179,6 @@
 from fennelfork._ticket import parse_ticket as parse_ticket
 from fennelfork._ticket import ticket_key as ticket_key
 from fennelfork._ticket import unsettled as unsettled
-from fennelfork._slots import SlotTable as SlotTable
 from fennelfork._verdict import Failure as Failure
 from fennelfork._verdict import FailureCode as FailureCode
 from fennelfork._verdict import Verdict as Verdict
