--- a/packages/fennelfork/src/fennelfork/_member.py
+++ b/packages/fennelfork/src/fennelfork/_member.py
@@ -1,9 +1,13 @@
 """One daemon of the fleet, as another daemon knows it."""
 
 import enum
+from typing import Final
 
 import attrs
 
+# Low bits of an incarnation count refutations within one run.
+_REFUTATION_BITS: Final = 10
+
 
 @enum.unique
 class MemberStatus(enum.Enum):
@@ -48,6 +52,26 @@
     config_version: int = 0
     config_hash: str = ''
 
+    @property
+    def run(self) -> int:
+        """Which run of the daemon this is, the same for all refutations."""
+        return self.incarnation >> _REFUTATION_BITS
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether it is held for dead or may be."""
+        return self.state in {MemberStatus.SUSPECT, MemberStatus.DEAD}
+
     def with_state(self, state: MemberStatus) -> 'Member':
         """Give the same member under another state."""
         return attrs.evolve(self, state=state)
+
+
+def first_incarnation(wall_ms: float) -> int:
+    """Give the incarnation of a daemon that starts at `wall_ms`.
+
+    Nothing is stored between runs; civil time orders them. Should the clock
+    have gone back, the daemon hears of its higher incarnation from the others
+    and goes above it.
+    """
+    return int(wall_ms) << _REFUTATION_BITS
