--- /dev/null
+++ b/packages/fennelfork-daemon/tests/daemon_builders_product.py
@@ -0,0 +1,81 @@
+"""Builders of settings and WSGI requests."""
+
+import copy
+import io
+import json
+from typing import Any
+
+from returns.pipeline import is_successful
+
+from fennelfork_daemon._problem import problem_reply
+from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
+
+_DOCUMENT = {
+    'daemon': {
+        'name': 'vm-1',
+        'region': 'region-1',
+        'data_centre': 'dc-1',
+    },
+    'listen': {
+        'caller': '127.0.0.1:0',
+        'operator': '127.0.0.1:0',
+        'peer': '127.0.0.1:0',
+    },
+    'platform': {
+        'key_value': ['127.0.0.1:2379'],
+        'vm_list': '127.0.0.1:2380',
+    },
+}
+
+
+def settings_document(**changes: dict[str, Any]) -> dict[str, Any]:
+    """Build a valid settings document with some tables changed.
+
+    Args:
+        changes: by table, the values to set; None takes a value out.
+    """
+    document = copy.deepcopy(_DOCUMENT)
+    for table, values in changes.items():
+        merged = document.get(table, {}) | values
+        document[table] = {
+            name: value for name, value in merged.items() if value is not None
+        }
+    return document
+
+
+def wsgi_post(body: bytes, **changes: Any) -> dict[str, Any]:
+    """Build the environment of a POST request."""
+    environ = {
+        'REQUEST_METHOD': 'POST',
+        'CONTENT_LENGTH': str(len(body)),
+        'wsgi.input': io.BytesIO(body),
+    }
+    return environ | changes
+
+
+def echo_application(environ: dict[str, Any], start_response: Any) -> Any:
+    """Answer a POST with its JSON object, or with why it is refused."""
+    limits = BodyLimits(body_bytes=2048, read_ms=100)
+    return json_answer(
+        read_json_object(environ, limits),
+        environ,
+        start_response,
+    )
+
+
+def json_answer(
+    found: Any,
+    environ: dict[str, Any],
+    start_response: Any,
+) -> list[bytes]:
+    """Send what was read, or its refusal."""
+    if is_successful(found):
+        start_response('200 OK', [('Content-Type', 'application/json')])
+        return [json.dumps(found.unwrap()).encode()]
+    refusal = found.failure()
+    if refusal.close:
+        environ[CLOSE_KEY]()
+    reply = problem_reply(refusal.failure, None, status=refusal.status)
+    start_response(reply.status_line, list(reply.headers))
+    return [reply.body]
--- a/packages/fennelfork/tests/core_builders_network.py
+++ b/packages/fennelfork/tests/core_builders_network.py
@@ -18,6 +18,7 @@
     Member,
     MembershipPolicy,
     MemberStatus,
+    MemberTable,
     ProbeAnswer,
     SendProbe,
     membership,
@@ -45,9 +46,14 @@
         """What the daemon says of itself."""
         return self.fleet.view.me
 
+    @property
+    def table(self) -> MemberTable:
+        """What the daemon knows."""
+        return self.fleet.view.table
+
     def believes(self, name: str) -> MemberStatus | None:
         """Give the state in which this daemon holds another."""
-        member = self.fleet.view.table.get(name)
+        member = self.table.get(name)
         return member and member.state
 
 
--- a/packages/fennelfork/tests/test_membership.py
+++ b/packages/fennelfork/tests/test_membership.py
@@ -64,7 +64,7 @@
         network.start(a_member('new', incarnation=1024), [seed])
         network.run_until(lambda: _settled(network), 20_000)
         newcomer = network.nodes['new']
-        assert len(newcomer.fleet.view.table) == 61
+        assert len(newcomer.table) == 61
 
     def test_from_nothing_but_the_list(self) -> None:
         """A whole fleet that starts at once finds itself."""
@@ -73,9 +73,7 @@
         for member in members:
             network.start(member, members[:5])
         network.run_until(
-            lambda: all(
-                len(node.fleet.view.table) == 30 for node in _up(network)
-            ),
+            lambda: all(len(node.table) == 30 for node in _up(network)),
             20_000,
         )
         assert _settled(network)
@@ -112,7 +110,7 @@
         network = a_network(5)
         network.nodes['vm-1'].up = False
         network.run(1_000_000)
-        assert {len(node.fleet.view.table) for node in _up(network)} == {4}
+        assert {len(node.table) for node in _up(network)} == {4}
 
     def test_of_a_fifth_and_restart(self) -> None:
         """20% restarted at once under new incarnations all come back."""
@@ -134,7 +132,7 @@
             network.start(later, seeds)
         network.run_until(lambda: _settled(network), _MINUTE_MS)
         for witness in _up(network):
-            runs = {member.run for member in witness.fleet.view.table}
+            runs = {member.run for member in witness.table}
             assert runs == {1, 9}
 
 
@@ -189,8 +187,7 @@
         assert old.fleet.view.standing.superseded
         assert not new.fleet.view.standing.superseded
         assert {
-            node.fleet.view.table.get('vm-1').incarnation
-            for node in _up(network)
+            node.table.get('vm-1').incarnation for node in _up(network)
         } == {9216}
 
 
--- a/packages/fennelfork/tests/test_membership_machine.py
+++ b/packages/fennelfork/tests/test_membership_machine.py
@@ -119,15 +119,15 @@
     def only_a_member_raises_its_incarnation(self) -> None:
         """Nobody believes more of a member than it ever said itself."""
         for node in self.network.nodes.values():
-            for member in node.fleet.view.table:
-                said = self.network.nodes[member.name].me.incarnation
-                assert member.incarnation <= said
+            for member in node.table:
+                named = self.network.nodes[member.name]
+                assert member.incarnation <= named.me.incarnation
 
     @invariant()
     def incarnations_never_fall(self) -> None:
         """What a daemon knows of a member is never replaced by older."""
         for node in self.network.nodes.values():
-            for member in node.fleet.view.table:
+            for member in node.table:
                 key = (node.name, member.name)
                 assert member.incarnation >= self.highest.get(key, 0)
                 self.highest[key] = member.incarnation
@@ -136,7 +136,7 @@
     def tables_add_up(self) -> None:
         """Digests and counts kept along the way are the true ones."""
         for node in self.network.nodes.values():
-            table = node.fleet.view.table
+            table = node.table
             fresh = _rebuilt(table)
             assert table.digests == fresh.digests
             assert table.live_count == fresh.live_count
