--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -0,0 +1,186 @@
+"""The root of a query: pins a snapshot, scatters, merges, answers."""
+
+import json
+from typing import Final
+
+import attrs
+from returns.pipeline import is_successful
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from fennelfork import (
+    Answer,
+    Blackboard,
+    Clock,
+    Failure,
+    FailureCode,
+    KeyRange,
+    Merge,
+    PeerHealth,
+    QueryAnswer,
+    QueryRequest,
+    Verdict,
+    allows,
+    merge_of,
+    not_run,
+    peer_health,
+    pin,
+)
+from fennelfork_daemon._describer import Describer
+from fennelfork_daemon._home_calls import Home, HomeCalls
+from fennelfork_daemon._peer_client import PeerClient
+from fennelfork_daemon._root_scatter import RootScatter
+from fennelfork_daemon._view_cache import ViewCache
+
+_RETRY_PARTIAL_MS: Final = 1000
+_RETRY_SHED_MS: Final = 200
+
+
+@attrs.define(kw_only=True)
+class RootService:
+    """Answers queries that callers sent to this daemon."""
+
+    _board: Blackboard
+    _calls: HomeCalls
+    _health: PeerHealth
+    _views: ViewCache
+    _describer: Describer
+    _clock: Clock
+
+    def answer(self, request: QueryRequest) -> Result[QueryAnswer, Failure]:
+        """Answer one query, before its deadline.
+
+        Returns:
+            The answer with its coverage, or a failure whose verdict says
+            whether any part of the query may have run.
+        """
+        front = self._board.front(request.front)
+        if front is None:
+            detail = f'there is no front {request.front!r}'
+            return Bad(not_run(FailureCode.UNKNOWN_FRONT, detail))
+        config_version = self._board.config_version
+        self._describer.learn(request, front)
+        scatter = self._scatter(request)
+        merged = self._rounds(scatter, request, KeyRange(lo=0, hi=front.keys))
+        return merged.bind(
+            lambda merge: _finish(request, merge, config_version, scatter),
+        )
+
+    def _scatter(self, request: QueryRequest) -> RootScatter:
+        return RootScatter(
+            request=request,
+            query_text=json.dumps(request.query),
+            board=self._board,
+            calls=self._calls,
+            health=self._health,
+            views=self._views,
+            clock=self._clock,
+        )
+
+    def _rounds(
+        self,
+        scatter: RootScatter,
+        request: QueryRequest,
+        whole: KeyRange,
+    ) -> Result[Merge, Failure]:
+        """Run the query, and once more on another snapshot if one is gone."""
+        nothing_gone: frozenset[int] = frozenset()
+        first = self._round(scatter, request, whole, nothing_gone)
+        merge = first.value_or(None)
+        if merge is None or not merge.snapshot_gone or scatter.left_ms <= 0:
+            return first
+        scatter.work = attrs.evolve(scatter.work, reruns=1)
+        gone = frozenset((merge.snapshot,))
+        again = self._round(scatter, request, whole, gone)
+        return again.map(lambda rerun: _better(merge, rerun)).lash(
+            lambda _: first,
+        )
+
+    def _round(
+        self,
+        scatter: RootScatter,
+        request: QueryRequest,
+        whole: KeyRange,
+        gone: frozenset[int],
+    ) -> Result[Merge, Failure]:
+        pinned = pin(self._views.known(request.front), whole, gone)
+        planned = pinned.map(
+            lambda partition: merge_of(request.request_id, partition, whole),
+        )
+        if is_successful(planned):
+            scatter.run(planned.unwrap())
+        return planned
+
+
+def root_service(board: Blackboard, clock: Clock, home: Home) -> RootService:
+    """Build the root side of a daemon.
+
+    Args:
+        board: the facts of the daemon.
+        clock: its clock.
+        home: the home side of the same daemon.
+    """
+    health = peer_health(clock)
+    calls = HomeCalls(
+        local_name=board.local.name,
+        local=home,
+        peers=PeerClient(),
+        health=health,
+    )
+    views = ViewCache()
+    describer = Describer(
+        board=board,
+        calls=calls,
+        health=health,
+        views=views,
+        clock=clock,
+    )
+    return RootService(
+        board=board,
+        calls=calls,
+        health=health,
+        views=views,
+        describer=describer,
+        clock=clock,
+    )
+
+
+def _finish(
+    request: QueryRequest,
+    merge: Merge,
+    config_version: int,
+    scatter: RootScatter,
+) -> Result[QueryAnswer, Failure]:
+    answer = merge.answer()
+    if not allows(request.demand, answer.coverage):
+        return Bad(_refusal(merge, answer))
+    return Success(
+        QueryAnswer(
+            answer=answer,
+            config_version=config_version,
+            work=scatter.work,
+        ),
+    )
+
+
+def _better(first: Merge, rerun: Merge) -> Merge:
+    before = first.answer().coverage.fraction
+    after = rerun.answer().coverage.fraction
+    return rerun if after >= before else first
+
+
+def _refusal(merge: Merge, answer: Answer) -> Failure:
+    """Say why the coverage is refused; the verdict joins all parts."""
+    coverage = answer.coverage
+    reasons = sorted({gap.reason.value for gap in coverage.missing})
+    named = ', '.join(reasons)
+    nothing_ran = merge.verdict is Verdict.NOT_RUN
+    return Failure(
+        code=FailureCode.SHED if nothing_ran else FailureCode.PARTIAL,
+        verdict=merge.verdict,
+        detail=(
+            f'answered for {coverage.fraction:.4f} of the keys '
+            f'at snapshot {answer.snapshot}; missing: {named}'
+        ),
+        retry_after_ms=_RETRY_SHED_MS if nothing_ran else _RETRY_PARTIAL_MS,
+    )
