--- a/packages/fennelfork-daemon/src/fennelfork_daemon/__main__.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/__main__.py
@@ -17,7 +17,7 @@
         for problem in settings.failure():
             sys.stderr.write(f'{problem}\n')
         sys.exit(2)
-    daemon(settings.unwrap()).serve()
+    sys.exit(daemon(settings.unwrap()).serve())
 
 
 if __name__ == '__main__':
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -1,12 +1,11 @@
 """One daemon: its facts, services and faces, put together."""
 
-import random
 import sys
-import time
-from typing import Final
+from socket import socket
 
 import attrs
 import eventlet
+from eventlet.greenthread import GreenThread
 
 from fennelfork import (
     Blackboard,
@@ -14,22 +13,27 @@
     Member,
     MemberStatus,
     blackboard,
+    first_incarnation,
     system_clock,
+    wall_clock,
 )
 from fennelfork_daemon._caller_face import CallerFace
-from fennelfork_daemon._entries_face import EntriesFace
+from fennelfork_daemon._fleet import Fleet, fleet
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners, open_listeners
+from fennelfork_daemon._metrics import DaemonMetrics, daemon_metrics
 from fennelfork_daemon._operator_face import OperatorFace
 from fennelfork_daemon._peer_handler import PeerHandler
-from fennelfork_daemon._peer_server import peer_server
+from fennelfork_daemon._peer_server import PeerServer, peer_server
 from fennelfork_daemon._platform_poll import platform_poll
 from fennelfork_daemon._root_service import root_service
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_server import listening_address, serve_http
-
-_NS_PER_MS: Final = 1_000_000
+from fennelfork_daemon._wsgi_server import (
+    Application,
+    listening_address,
+    serve_http,
+)
 
 
 @attrs.define(kw_only=True)
@@ -41,23 +45,51 @@
     _board: Blackboard
     _listeners: Listeners
     _home: HomeService
+    _metrics: DaemonMetrics
+    _fleet: Fleet
 
-    def serve(self) -> None:
-        """Serve until the process is told to stop."""
-        handler = PeerHandler(board=self._board, home=self._home)
-        eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
+    def serve(self) -> int:
+        """Serve until the process is told to stop.
+
+        Returns:
+            The exit status.
+        """
+        self._fleet.start()
+        eventlet.spawn_n(self._peers().serve)
         eventlet.spawn_n(self._home.poll_forever)
         eventlet.spawn_n(platform_poll(self._board, self._settings).run)
-        operator = router(OperatorFace(board=self._board).routes)
-        eventlet.spawn_n(
-            serve_http,
-            self._listeners.operator,
-            operator,
-            self._settings,
+        self._serve_http(self._listeners.operator, self._operator())
+        callers = self._serve_http(
+            self._listeners.caller,
+            self._fleet.counted(self._caller()),
         )
         sys.stdout.write(f'{self._listeners.ready_line}\n')
         sys.stdout.flush()
-        serve_http(self._listeners.caller, self._caller(), self._settings)
+        return self._fleet.see_through(callers)
+
+    def _serve_http(
+        self,
+        listener: socket,
+        application: Application,
+    ) -> GreenThread:
+        return eventlet.spawn(
+            serve_http,
+            listener,
+            application,
+            self._settings,
+        )
+
+    def _peers(self) -> PeerServer:
+        handler = PeerHandler(
+            home=self._home,
+            members=self._fleet.members,
+            in_progress=self._fleet.in_progress,
+        )
+        return peer_server(self._listeners.peer, handler)
+
+    def _operator(self) -> Router:
+        face = OperatorFace(board=self._board, metrics=self._metrics)
+        return router((*face.routes, *self._fleet.operator_routes))
 
     def _caller(self) -> Router:
         caller = CallerFace(
@@ -65,12 +97,7 @@
             clock=self._clock,
             settings=self._settings,
         )
-        entries = EntriesFace(
-            board=self._board,
-            rng=random.Random(),
-            ttl_ms=self._settings.timeouts.entry_ttl_ms,
-        )
-        return router((*caller.routes, *entries.routes))
+        return router((*caller.routes, *self._fleet.caller_routes))
 
 
 def daemon(settings: Settings) -> Daemon:
@@ -82,19 +109,22 @@
     listeners = open_listeners(settings.listen)
     clock = system_clock()
     board = blackboard(_local_member(settings, listeners))
+    metrics = daemon_metrics(settings.limits.label_values)
     return Daemon(
         settings=settings,
         clock=clock,
         board=board,
         listeners=listeners,
         home=home_service(board, clock),
+        metrics=metrics,
+        fleet=fleet(settings, clock, board, metrics),
     )
 
 
 def _local_member(settings: Settings, listeners: Listeners) -> Member:
     return Member(
         name=settings.daemon.name,
-        incarnation=time.time_ns() // _NS_PER_MS,
+        incarnation=first_incarnation(wall_clock().now_ms()),
         state=MemberStatus.ALIVE,
         region=settings.daemon.region,
         data_centre=settings.daemon.data_centre,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_entries_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_entries_face.py
@@ -31,12 +31,13 @@
 
     def entries(self, request: HttpRequest) -> HttpReply:
         """Name a few daemons, the nearest first."""
+        local = self._board.local
         chosen = choose_entries(
-            request.options.get('region', ''),
-            request.options.get('data_centre', ''),
+            request.options.get('region', local.region),
+            request.options.get('data_centre', local.data_centre),
             self._board.members.values(),
             _COUNT,
-            '',
+            request.options.get('caller', ''),
             self._rng,
         )
         return json_reply(
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
@@ -0,0 +1,99 @@
+"""This daemon's part in the fleet: membership, VM list and its own stop."""
+
+import random
+
+import attrs
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from fennelfork import Blackboard, Clock, ListSchedule
+from fennelfork_daemon._entries_face import EntriesFace
+from fennelfork_daemon._http_router import Route
+from fennelfork_daemon._in_progress import (
+    Application,
+    CountedApplication,
+    InProgress,
+)
+from fennelfork_daemon._logs import state_log
+from fennelfork_daemon._members_face import MembersFace
+from fennelfork_daemon._membership_metrics import membership_metrics
+from fennelfork_daemon._membership_service import (
+    MembershipService,
+    membership_service,
+)
+from fennelfork_daemon._metrics import DaemonMetrics
+from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._stop_service import StopService, stop_service
+from fennelfork_daemon._vm_list import VmListReader, vm_list_reader
+
+
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """What keeps this daemon a member, and lets it leave.
+
+    Attributes:
+        members: the membership.
+        in_progress: requests that a stop must not cut.
+        operator_routes: what operators may ask of it.
+        caller_routes: what callers may ask of it.
+    """
+
+    members: MembershipService
+    in_progress: InProgress
+    operator_routes: tuple[Route, ...]
+    caller_routes: tuple[Route, ...]
+    _vm_list: VmListReader
+    _stop: StopService
+
+    def start(self) -> None:
+        """Take part from now on."""
+        self._stop.listen_to_signals()
+        eventlet.spawn_n(self.members.run)
+        eventlet.spawn_n(self._vm_list.run)
+
+    def counted(self, application: Application) -> CountedApplication:
+        """Have the requests of the caller face finished before a stop."""
+        return CountedApplication(
+            application=application,
+            in_progress=self.in_progress,
+            is_leaving=self._stop.is_leaving,
+        )
+
+    def see_through(self, callers: GreenThread) -> int:
+        """Wait for the stop of the daemon; see `StopService`."""
+        return self._stop.see_through(callers)
+
+
+def fleet(
+    settings: Settings,
+    clock: Clock,
+    board: Blackboard,
+    metrics: DaemonMetrics,
+) -> Fleet:
+    """Build the part of the daemon that `board` describes."""
+    log = state_log(daemon=board.local.name)
+    in_progress = InProgress()
+    members = membership_service(
+        board,
+        clock,
+        membership_metrics(metrics),
+        log,
+    )
+    stop = stop_service(settings, clock, members, in_progress, log)
+    return Fleet(
+        members=members,
+        in_progress=in_progress,
+        operator_routes=(*MembersFace(board=board).routes, *stop.routes),
+        caller_routes=EntriesFace(
+            board=board,
+            rng=random.Random(),
+            ttl_ms=settings.timeouts.entry_ttl_ms,
+        ).routes,
+        vm_list=vm_list_reader(
+            board,
+            settings,
+            members.fleet,
+            ListSchedule(rng=random.Random()),
+        ),
+        stop=stop,
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
@@ -100,6 +100,11 @@
     _counters: CounterFamilies
     _config_version: Gauge
 
+    @property
+    def registry(self) -> CollectorRegistry:
+        """Where further families of this daemon are registered."""
+        return self._registry
+
     def labels(self, front: str, tenant: str, traffic_class: str) -> Labels:
         """Give the labels for names as a caller sent them."""
         return self._guard.labels(front, tenant, traffic_class)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
@@ -4,8 +4,9 @@
 
 import attrs
 
-from fennelfork import Blackboard, Member
 from fennelfork_daemon._home_calls import Home
+from fennelfork_daemon._in_progress import InProgress
+from fennelfork_daemon._membership_service import MembershipService
 from fennelfork_daemon._peer_codec import order_from_peer, outcome_to_peer
 from fennelfork_daemon._peer_codec_view import views_to_peer
 from fennelfork_daemon._peer_idl import peer
@@ -15,13 +16,15 @@
 class PeerHandler:
     """A method for each call of `peer.thrift`."""
 
-    _board: Blackboard
     _home: Home
+    _members: MembershipService
+    _in_progress: InProgress
 
     def scatter(self, request: Any) -> Any:
         """Run sub-queries as the home of their shards."""
-        outcome = self._home.scatter(order_from_peer(request))
-        return outcome_to_peer(outcome)
+        with self._in_progress.one():
+            outcome = self._home.scatter(order_from_peer(request))
+            return outcome_to_peer(outcome)
 
     def describe(self, request: Any) -> Any:
         """Tell what shards hold."""
@@ -29,25 +32,5 @@
         return peer.DescribeReply(shards=views_to_peer(views))
 
     def probe(self, request: Any) -> Any:
-        """Answer that this daemon lives."""
-        return peer.ProbeReply(
-            sender=member_to_peer(self._board.local),
-            gossip=[],
-            reached=True,
-        )
-
-
-def member_to_peer(member: Member) -> Any:
-    """Write what is known of a member."""
-    return peer.MemberState(
-        name=member.name,
-        incarnation=member.incarnation,
-        state=member.state.value,
-        region=member.region,
-        data_centre=member.data_centre,
-        caller=member.caller,
-        operator_address=member.operator,
-        peer=member.peer,
-        config_version=member.config_version,
-        config_hash=member.config_hash,
-    )
+        """Answer that this daemon lives, and exchange news of the members."""
+        return self._members.probe(request)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_platform_poll.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_platform_poll.py
@@ -1,7 +1,6 @@
-"""Reads the configuration and the VM list from the platform, again and again.
+"""Reads the configuration from the platform, again and again.
 
-The thin path's reader: one call of each a period. Watches and membership
-take its place.
+The thin path's reader: one call a period. Watches take its place.
 """
 
 import base64
@@ -15,8 +14,6 @@
 from fennelfork import (
     Blackboard,
     Document,
-    Member,
-    MemberStatus,
     digest,
     parse_document,
 )
@@ -39,7 +36,6 @@
         """Poll as long as the daemon runs."""
         while True:  # noqa: WPS457  # as long as the daemon runs
             self._read_config()
-            self._read_vms()
             eventlet.sleep(_PERIOD_S)
 
     def _read_config(self) -> None:
@@ -56,15 +52,6 @@
             self._board.document = document
             self._board.config_hash = digest(raw)
 
-    def _read_vms(self) -> None:
-        endpoint = self._settings.platform.vm_list
-        tree = self._call('GET', f'http://{endpoint}/v1/vms', None)
-        if tree is None:
-            return
-        listed = {vm['name']: _member(vm) for vm in tree['vms']}
-        local = self._board.local
-        self._board.members = listed | {local.name: local}
-
     def _call(self, method: str, url: str, body: Any) -> Any:
         try:
             answer = self._http.request(
@@ -86,17 +73,3 @@
         settings=settings,
         http=urllib3.PoolManager(),
     )
-
-
-def _member(vm: dict[str, Any]) -> Member:
-    leaving = vm['state'] == 'leaving'
-    return Member(
-        name=vm['name'],
-        incarnation=0,
-        state=MemberStatus.LEAVING if leaving else MemberStatus.ALIVE,
-        region=vm['region'],
-        data_centre=vm['data_centre'],
-        caller=vm['caller'],
-        operator=vm['operator'],
-        peer=vm['peer'],
-    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -0,0 +1,131 @@
+"""Runs the graceful stop of a daemon: signals, listeners, requests."""
+
+import signal
+from typing import Any, Final
+
+import attrs
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from fennelfork import (
+    Clock,
+    GracefulStop,
+    StopFacts,
+    StopPhase,
+    StopPolicy,
+    graceful_stop,
+)
+from fennelfork_daemon._http_router import (
+    HttpReply,
+    HttpRequest,
+    Route,
+    json_reply,
+)
+from fennelfork_daemon._in_progress import InProgress
+from fennelfork_daemon._logs import StateLog
+from fennelfork_daemon._membership_service import MembershipService
+from fennelfork_daemon._settings_tables import Settings
+
+_STEP_S: Final = 0.05
+_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+
+
+@attrs.define(kw_only=True)
+class StopService:
+    """Takes requests to stop and sees them through."""
+
+    _stop: GracefulStop
+    _clock: Clock
+    _members: MembershipService
+    _in_progress: InProgress
+    _log: StateLog
+    _closed: bool = False
+
+    @property
+    def routes(self) -> tuple[Route, ...]:
+        """The routes on the operator face."""
+        return (Route(method='POST', path='/v1/drain', handler=self.drain),)
+
+    def is_leaving(self) -> bool:
+        """Tell whether callers should go elsewhere."""
+        return self._stop.is_leaving
+
+    def listen_to_signals(self) -> None:
+        """Stop gracefully on SIGTERM or SIGINT, at once on the second."""
+        for number in _SIGNALS:
+            signal.signal(number, self._on_signal)
+
+    def drain(self, request: HttpRequest) -> HttpReply:
+        """Send callers elsewhere, and serve on until told to end."""
+        self._stop.drain(self._clock.now_ms())
+        return json_reply(
+            {
+                'phase': self._stop.phase.value,
+                'running': self._in_progress.count,
+            },
+        )
+
+    def see_through(self, callers: GreenThread) -> int:
+        """Wait for a stop to be asked for, and carry it out.
+
+        Args:
+            callers: serves the caller face; killed, it listens no more and
+                ends when the requests in progress are answered.
+
+        Returns:
+            The exit status.
+        """
+        while self._step(callers) is not StopPhase.ENDED:
+            if self._stop.phase is StopPhase.CLOSING and not self._closed:
+                # Only once: a second kill would cut what the first waits for.
+                self._closed = True
+                eventlet.spawn_n(callers.kill)
+            eventlet.sleep(_STEP_S)
+        self._members.say_goodbye()
+        return self._stop.exit_status
+
+    def _step(self, callers: GreenThread) -> StopPhase:
+        before = self._stop.phase
+        if self._stop.is_leaving:
+            self._members.leave()
+        phase = self._stop.step(self._facts(callers))
+        if phase is not before:
+            self._log.change(
+                'stop',
+                phase.value,
+                running=self._in_progress.count,
+                cut=self._stop.cut,
+            )
+        return phase
+
+    def _facts(self, callers: GreenThread) -> StopFacts:
+        answering = 0 if callers.dead else 1
+        return StopFacts(
+            now_ms=self._clock.now_ms(),
+            told=self._members.leave_is_told,
+            running=max(self._in_progress.count, answering),
+        )
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        self._stop.end(self._clock.now_ms())
+
+
+def stop_service(
+    settings: Settings,
+    clock: Clock,
+    members: MembershipService,
+    in_progress: InProgress,
+    log: StateLog,
+) -> StopService:
+    """Build the stop of a daemon that was not asked to stop."""
+    policy = StopPolicy(
+        entry_ttl_ms=settings.timeouts.entry_ttl_ms,
+        stop_ms=settings.timeouts.stop_ms,
+    )
+    return StopService(
+        stop=graceful_stop(policy),
+        clock=clock,
+        members=members,
+        in_progress=in_progress,
+        log=log,
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
@@ -106,12 +106,14 @@
   1: required MemberState sender
   2: required list<MemberState> gossip
   3: optional string relay_to
+  4: optional binary digests
 }
 
 struct ProbeReply {
   1: required MemberState sender
   2: required list<MemberState> gossip
   3: required bool reached
+  4: optional bool more
 }
 
 struct ConfigRequest {
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -46,6 +46,7 @@
 from fennelfork._membership_announce import announce_end as announce_end
 from fennelfork._membership_announce import announce_leave as announce_leave
 from fennelfork._membership_announce import leave_is_told as leave_is_told
+from fennelfork._membership_list import ListSchedule as ListSchedule
 from fennelfork._membership_messages import MemberChange as MemberChange
 from fennelfork._membership_messages import ProbeAnswer as ProbeAnswer
 from fennelfork._membership_messages import ProbeMessage as ProbeMessage
@@ -79,6 +80,11 @@
 from fennelfork._scatter import Part as Part
 from fennelfork._scatter import ScatterOrder as ScatterOrder
 from fennelfork._scatter import ScatterOutcome as ScatterOutcome
+from fennelfork._stop import GracefulStop as GracefulStop
+from fennelfork._stop import StopFacts as StopFacts
+from fennelfork._stop import StopPhase as StopPhase
+from fennelfork._stop import StopPolicy as StopPolicy
+from fennelfork._stop import graceful_stop as graceful_stop
 from fennelfork._verdict import Failure as Failure
 from fennelfork._verdict import FailureCode as FailureCode
 from fennelfork._verdict import Verdict as Verdict
