--- a/packages/fennelfork-bench/tests/bench_builders_fleet.py
+++ b/packages/fennelfork-bench/tests/bench_builders_fleet.py
@@ -89,6 +89,42 @@
     )
 
 
+def await_busy(fleet: Fleet) -> None:
+    """Wait until a backend server runs a request."""
+    addresses = [each.ready['address'] for each in fleet.backends.values()]
+    wait_until(
+        lambda: any(
+            http.get(address, '/v1/load').body['busy'] for address in addresses
+        ),
+        CAP_S,
+        'a busy server',
+    )
+
+
+def await_leaving(fleet: Fleet, name: str) -> None:
+    """Wait until a daemon itself says that it leaves."""
+    operator = fleet.daemons[name].ready['operator']
+    wait_until(
+        lambda: members(operator)[name]['state'] == 'leaving',
+        CAP_S,
+        f'{name} to leave',
+    )
+
+
+def stop_and_restart(fleet: Fleet, name: str) -> int | None:
+    """Stop a daemon gracefully and start it again once it has ended.
+
+    Returns:
+        Its exit status.
+    """
+    process = fleet.daemons[name]
+    process.terminate()
+    status = process.wait(CAP_S)
+    fleet.start_daemons([fleet.daemon_spec(name)])
+    await_states(fleet, 'alive')
+    return status
+
+
 @attrs.define(kw_only=True, eq=False)
 class Caller:
     """Asks for entries, keeps the answer for its time, and queries.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/__main__.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/__main__.py
@@ -7,6 +7,7 @@
 
 from fennelfork_daemon import _green  # noqa: F401  # before all else
 from fennelfork_daemon._daemon import daemon
+from fennelfork_daemon._logs import configure_logs
 from fennelfork_daemon._settings import load_settings
 
 
@@ -17,6 +18,7 @@
         for problem in settings.failure():
             sys.stderr.write(f'{problem}\n')
         sys.exit(2)
+    configure_logs(settings.unwrap().logs, sys.stderr)
     sys.exit(daemon(settings.unwrap()).serve())
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -110,6 +110,7 @@
     clock = system_clock()
     board = blackboard(_local_member(settings, listeners))
     metrics = daemon_metrics(settings.limits.label_values)
+    board.routing = settings.routing.mode
     return Daemon(
         settings=settings,
         clock=clock,
