Index of homes: worked out once for each state of the members

Cause: at 460 members the homes of one query's 88 shards cost 41 ms, and a daemon is to root some 215 queries a second. Ruled out: fewer hashes by a cache of pair weights, 6 MB.

--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -31,6 +31,8 @@
 )
 from fennelfork._document_problem import Problem as Problem
 from fennelfork._entries import choose_entries as choose_entries
+from fennelfork._home_index import HomeIndex as HomeIndex
+from fennelfork._home_index import home_index as home_index
 from fennelfork._home_route import HomeGroup as HomeGroup
 from fennelfork._home_route import data_centres_of as data_centres_of
 from fennelfork._home_route import homes_of as homes_of
--- a/packages/fennelfork/src/fennelfork/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/_blackboard.py
@@ -3,17 +3,23 @@
 import attrs
 
 from fennelfork._document import Document, Front
+from fennelfork._home_index import HomeIndex, home_index
 from fennelfork._member import Member
 from fennelfork._routing_mode import RoutingMode
 
 
+def _no_homes() -> HomeIndex:
+    return home_index(())
+
+
 @attrs.define(kw_only=True)
 class Blackboard:
     """Facts shared by the controllers of one daemon.
 
     Attributes:
         local: this daemon, as it announces itself.
-        members: what is known of the fleet, this daemon included, by name.
+        members: what is known of the fleet, this daemon included, by name;
+            replaced as a whole when a member comes, goes or changes state.
         document: the configuration in force here.
         config_hash: digest of that configuration.
         routing: how sub-queries reach the backend servers.
@@ -24,6 +30,16 @@
     document: Document
     config_hash: str = ''
     routing: RoutingMode = RoutingMode.HOME
+    _homes: HomeIndex = attrs.field(factory=_no_homes, eq=False)
+    _homes_of: dict[str, Member] | None = attrs.field(default=None, eq=False)
+
+    @property
+    def homes(self) -> HomeIndex:
+        """The homes of shards, by the members as they are now."""
+        if self._homes_of is not self.members:
+            self._homes_of = self.members
+            self._homes = home_index(self.members.values())
+        return self._homes
 
     @property
     def config_version(self) -> int:
--- a/packages/fennelfork/src/fennelfork/_entries.py
+++ b/packages/fennelfork/src/fennelfork/_entries.py
@@ -5,7 +5,7 @@
 from itertools import groupby
 
 from fennelfork._member import Member, MemberStatus
-from fennelfork._rendezvous import weight
+from fennelfork._weight import member_weight, weight_key
 
 _SAME_DATA_CENTRE = 0
 _SAME_REGION = 1
@@ -44,7 +44,8 @@
     usable.sort(key=lambda member: member.name)
     rng.shuffle(usable)
     if salt:
-        usable.sort(key=lambda member: weight(salt, member.name))
+        key = weight_key(salt)
+        usable.sort(key=lambda member: member_weight(key, member))
     usable.sort(
         key=lambda member: _distance(
             member,
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_home_index.py
@@ -0,0 +1,100 @@
+"""Homes of shards, found fast for a fleet of some hundred members."""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from typing import Final
+
+import attrs
+
+from fennelfork._member import Member, MemberStatus
+from fennelfork._weight import heaviest, weight_key
+
+# A leaving member still serves, a suspect one may not: it comes last.
+_PREFERENCE: Final = (
+    MemberStatus.ALIVE,
+    MemberStatus.LEAVING,
+    MemberStatus.SUSPECT,
+)
+_PURPOSE: Final = 'home'
+_MOST_REMEMBERED: Final = 65_536
+_NOBODY: Final[frozenset[str]] = frozenset()
+
+_Asked = tuple[str, str, tuple[str, ...]]
+
+
+@attrs.define(kw_only=True)
+class HomeIndex:
+    """Members by state and data centre, and the homes worked out so far.
+
+    It holds for one state of the members; build another when they change.
+    A home costs one hash for each member of a data centre the first time, and
+    one look-up after that.
+    """
+
+    _groups: Mapping[tuple[MemberStatus, str], list[Member]]
+    _remembered: dict[_Asked, Member | None] = attrs.field(factory=dict)
+
+    def home(
+        self,
+        front: str,
+        shard: str,
+        data_centres: Sequence[str],
+        avoid: frozenset[str] = _NOBODY,
+    ) -> Member | None:
+        """Name the daemon that hands out the slots of a shard's servers.
+
+        Args:
+            front: name of the search front.
+            shard: name of the shard within the front.
+            data_centres: where the home should be, best first.
+            avoid: members to use only where no other is left.
+
+        Returns:
+            Of the alive members in the first data centre that has any, the
+            one with the highest weight; failing that any alive member
+            elsewhere, then a leaving one, then a suspect one; none if all
+            are dead.
+        """
+        asked = (front, shard, tuple(data_centres))
+        best = self._remember(asked)
+        if best is None or best.name not in avoid:
+            return best
+        return self._find(asked, avoid) or best
+
+    def _remember(self, asked: _Asked) -> Member | None:
+        if asked not in self._remembered:
+            if len(self._remembered) >= _MOST_REMEMBERED:
+                self._remembered.clear()
+            self._remembered[asked] = self._find(asked, _NOBODY)
+        return self._remembered[asked]
+
+    def _find(self, asked: _Asked, avoid: frozenset[str]) -> Member | None:
+        front, shard, data_centres = asked
+        key = weight_key(_PURPOSE, front, shard)
+        for group in self._in_order(data_centres):
+            usable = [member for member in group if member.name not in avoid]
+            if usable:
+                return heaviest(key, usable)
+        return None
+
+    def _in_order(
+        self,
+        data_centres: tuple[str, ...],
+    ) -> Iterator[list[Member]]:
+        for state in _PREFERENCE:
+            for data_centre in data_centres:
+                yield self._groups.get((state, data_centre), [])
+            yield [
+                member
+                for (held, centre), group in self._groups.items()
+                if held is state and centre not in data_centres
+                for member in group
+            ]
+
+
+def home_index(members: Iterable[Member]) -> HomeIndex:
+    """Build the index of members as they are now."""
+    groups: dict[tuple[MemberStatus, str], list[Member]] = {}
+    for member in members:
+        group = groups.setdefault((member.state, member.data_centre), [])
+        group.append(member)
+    return HomeIndex(groups=groups)
--- a/packages/fennelfork/src/fennelfork/_home_route.py
+++ b/packages/fennelfork/src/fennelfork/_home_route.py
@@ -8,7 +8,6 @@
 from fennelfork._blackboard import Blackboard
 from fennelfork._document import Shard
 from fennelfork._member import Member
-from fennelfork._rendezvous import home_of
 from fennelfork._routing_mode import RoutingMode
 
 
@@ -43,11 +42,9 @@
         return _own_group(board, front, shards, avoid)
     groups: dict[str, set[str]] = {}
     known = board.document.fronts[front].shards
-    members = list(board.members.values())
-    usable = [member for member in members if member.name not in avoid]
     for name in known.keys() & set(shards):
         centres = data_centres_of(known[name])
-        home = home_of(front, name, centres, usable or members)
+        home = board.homes.home(front, name, centres, avoid)
         if home is not None:
             groups.setdefault(home.name, set()).add(name)
     return tuple(
