--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -18,6 +18,7 @@
     wall_clock,
 )
 from fennelfork_daemon._caller_face import CallerFace
+from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
 from fennelfork_daemon._fleet import Fleet, fleet
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
@@ -47,6 +48,7 @@
     _home: HomeService
     _metrics: DaemonMetrics
     _fleet: Fleet
+    _execute: ExecuteParts
 
     def serve(self) -> int:
         """Serve until the process is told to stop.
@@ -82,6 +84,7 @@
     def _peers(self) -> PeerServer:
         handler = PeerHandler(
             home=self._home,
+            execute=self._execute.peer,
             members=self._fleet.members,
             in_progress=self._fleet.in_progress,
         )
@@ -97,7 +100,13 @@
             clock=self._clock,
             settings=self._settings,
         )
-        return router((*caller.routes, *self._fleet.caller_routes))
+        return router(
+            (
+                *caller.routes,
+                *self._fleet.entry_routes(self._execute.issuer),
+                *self._execute.face.routes,
+            ),
+        )
 
 
 def daemon(settings: Settings) -> Daemon:
@@ -111,12 +120,14 @@
     board = blackboard(_local_member(settings, listeners))
     metrics = daemon_metrics(settings.limits.label_values)
     board.routing = settings.routing.mode
+    home = home_service(board, clock)
     return Daemon(
         settings=settings,
         clock=clock,
         board=board,
         listeners=listeners,
-        home=home_service(board, clock),
+        home=home,
+        execute=execute_parts(board, clock, home, settings),
         metrics=metrics,
         fleet=fleet(settings, clock, board, metrics),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
@@ -24,6 +24,7 @@
 from fennelfork_daemon._metrics import DaemonMetrics
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._stop_service import StopService, stop_service
+from fennelfork_daemon._ticket_issuer import TicketIssuer
 from fennelfork_daemon._vm_list import VmListReader, vm_list_reader
 
 
@@ -35,13 +36,13 @@
         members: the membership.
         in_progress: requests that a stop must not cut.
         operator_routes: what operators may ask of it.
-        caller_routes: what callers may ask of it.
     """
 
     members: MembershipService
     in_progress: InProgress
     operator_routes: tuple[Route, ...]
-    caller_routes: tuple[Route, ...]
+    _settings: Settings
+    _board: Blackboard
     _vm_list: VmListReader
     _stop: StopService
 
@@ -51,6 +52,16 @@
         eventlet.spawn_n(self.members.run)
         eventlet.spawn_n(self._vm_list.run)
 
+    def entry_routes(self, issuer: TicketIssuer) -> tuple[Route, ...]:
+        """Give the routes by which callers ask where to connect."""
+        self._stop.on_leave.append(issuer.stop)
+        return EntriesFace(
+            board=self._board,
+            rng=random.Random(),
+            ttl_ms=self._settings.timeouts.entry_ttl_ms,
+            issuer=issuer,
+        ).routes
+
     def counted(self, application: Application) -> CountedApplication:
         """Have the requests of the caller face finished before a stop."""
         return CountedApplication(
@@ -81,14 +92,11 @@
     )
     stop = stop_service(settings, clock, members, in_progress, log)
     return Fleet(
+        settings=settings,
+        board=board,
         members=members,
         in_progress=in_progress,
         operator_routes=(*MembersFace(board=board).routes, *stop.routes),
-        caller_routes=EntriesFace(
-            board=board,
-            rng=random.Random(),
-            ttl_ms=settings.timeouts.entry_ttl_ms,
-        ).routes,
         vm_list=vm_list_reader(
             board,
             settings,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fennelfork_daemon._execute_build import ExecutePeer
 from fennelfork_daemon._home_calls import Home
 from fennelfork_daemon._in_progress import InProgress
 from fennelfork_daemon._membership_service import MembershipService
@@ -17,6 +18,7 @@
     """A method for each call of `peer.thrift`."""
 
     _home: Home
+    _execute: ExecutePeer
     _members: MembershipService
     _in_progress: InProgress
 
@@ -31,6 +33,11 @@
         views = self._home.describe(request.front, tuple(request.shards))
         return peer.DescribeReply(shards=views_to_peer(views))
 
+    def execute(self, request: Any) -> Any:
+        """Answer a non-idempotent request under a ticket of this daemon."""
+        with self._in_progress.one():
+            return self._execute.execute(request)
+
     def probe(self, request: Any) -> Any:
         """Answer that this daemon lives, and exchange news of the members."""
         return self._members.probe(request)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -1,6 +1,7 @@
 """Runs the graceful stop of a daemon: signals, listeners, requests."""
 
 import signal
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -32,8 +33,13 @@
 
 @attrs.define(kw_only=True)
 class StopService:
-    """Takes requests to stop and sees them through."""
+    """Takes requests to stop and sees them through.
 
+    Attributes:
+        on_leave: called once the daemon leaves, before members are told.
+    """
+
+    on_leave: list[Callable[[], None]] = attrs.field(factory=list)
     _stop: GracefulStop
     _clock: Clock
     _members: MembershipService
@@ -87,7 +93,7 @@
     def _step(self, callers: GreenThread) -> StopPhase:
         before = self._stop.phase
         if self._stop.is_leaving:
-            self._members.leave()
+            self._leave()
         phase = self._stop.step(self._facts(callers))
         if phase is not before:
             self._log.change(
@@ -98,6 +104,12 @@
             )
         return phase
 
+    def _leave(self) -> None:
+        for act in self.on_leave:
+            act()
+        self.on_leave.clear()
+        self._members.leave()
+
     def _facts(self, callers: GreenThread) -> StopFacts:
         answering = 0 if callers.dead else 1
         return StopFacts(
