--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -1,40 +1,31 @@
 """One daemon: its facts, services and faces, put together."""
 
 import sys
-from socket import socket
 
 import attrs
 import eventlet
-from eventlet.greenthread import GreenThread
 
 from fennelfork import (
     Blackboard,
     Clock,
-    Member,
-    MemberStatus,
     blackboard,
-    first_incarnation,
     system_clock,
-    wall_clock,
 )
 from fennelfork_daemon._caller_face import CallerFace
+from fennelfork_daemon._config_service import ConfigService, config_service
 from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
 from fennelfork_daemon._fleet import Fleet, fleet
 from fennelfork_daemon._home_service import HomeService, home_service
 from fennelfork_daemon._http_router import Router, router
-from fennelfork_daemon._listeners import Listeners, open_listeners
-from fennelfork_daemon._metrics import DaemonMetrics, daemon_metrics
-from fennelfork_daemon._operator_face import OperatorFace
+from fennelfork_daemon._listeners import Listeners
+from fennelfork_daemon._local_member import local_member
+from fennelfork_daemon._observer import Observer, observer
+from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
-from fennelfork_daemon._peer_server import PeerServer, peer_server
-from fennelfork_daemon._platform_poll import platform_poll
+from fennelfork_daemon._peer_server import peer_server
 from fennelfork_daemon._root_service import root_service
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_server import (
-    Application,
-    listening_address,
-    serve_http,
-)
+from fennelfork_daemon._wsgi_server import serve_http
 
 
 @attrs.define(kw_only=True)
@@ -46,7 +37,8 @@
     _board: Blackboard
     _listeners: Listeners
     _home: HomeService
-    _metrics: DaemonMetrics
+    _observer: Observer
+    _config: ConfigService
     _fleet: Fleet
     _execute: ExecuteParts
 
@@ -57,48 +49,54 @@
             The exit status.
         """
         self._fleet.start()
-        eventlet.spawn_n(self._peers().serve)
+        self._serve_peers()
         eventlet.spawn_n(self._home.poll_forever)
-        eventlet.spawn_n(platform_poll(self._board, self._settings).run)
-        self._serve_http(self._listeners.operator, self._operator())
-        callers = self._serve_http(
-            self._listeners.caller,
-            self._fleet.counted(self._caller()),
+        eventlet.spawn_n(self._observer.watch.run)
+        self._config.start()
+        eventlet.spawn_n(
+            serve_http,
+            self._listeners.operator,
+            self._operator(),
+            self._settings,
         )
-        sys.stdout.write(f'{self._listeners.ready_line}\n')
-        sys.stdout.flush()
-        return self._fleet.see_through(callers)
-
-    def _serve_http(
-        self,
-        listener: socket,
-        application: Application,
-    ) -> GreenThread:
-        return eventlet.spawn(
+        callers = eventlet.spawn(
             serve_http,
-            listener,
-            application,
+            self._listeners.caller,
+            self._fleet.counted(self._caller()),
             self._settings,
         )
+        self._announce()
+        return self._fleet.see_through(callers)
 
-    def _peers(self) -> PeerServer:
+    def _serve_peers(self) -> None:
         handler = PeerHandler(
             home=self._home,
+            config=self._config.exchange,
             execute=self._execute.peer,
             members=self._fleet.members,
             in_progress=self._fleet.in_progress,
         )
-        return peer_server(self._listeners.peer, handler)
+        eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
+
+    def _announce(self) -> None:
+        sys.stdout.write(f'{self._listeners.ready_line}\n')
+        sys.stdout.flush()
 
     def _operator(self) -> Router:
-        face = OperatorFace(board=self._board, metrics=self._metrics)
-        return router((*face.routes, *self._fleet.operator_routes))
+        return operator_router(
+            self._board,
+            self._observer,
+            self._config,
+            self._settings,
+            self._fleet.operator_routes,
+        )
 
     def _caller(self) -> Router:
         caller = CallerFace(
             root=root_service(self._board, self._clock, self._home),
             clock=self._clock,
             settings=self._settings,
+            observer=self._observer,
         )
         return router(
             (
@@ -109,17 +107,12 @@
         )
 
 
-def daemon(settings: Settings) -> Daemon:
-    """Open the faces of a daemon and build what serves them.
-
-    Raises:
-        OSError: if an address cannot be bound.
-    """
-    listeners = open_listeners(settings.listen)
+def daemon(settings: Settings, listeners: Listeners) -> Daemon:
+    """Build a daemon that serves on open sockets."""
     clock = system_clock()
-    board = blackboard(_local_member(settings, listeners))
-    metrics = daemon_metrics(settings.limits.label_values)
+    board = blackboard(local_member(settings, listeners))
     board.routing = settings.routing.mode
+    seen = observer(board, clock, settings.limits)
     home = home_service(board, clock)
     return Daemon(
         settings=settings,
@@ -127,20 +120,8 @@
         board=board,
         listeners=listeners,
         home=home,
+        observer=seen,
+        config=config_service(board, clock, settings),
+        fleet=fleet(settings, clock, board, seen.metrics),
         execute=execute_parts(board, clock, home, settings),
-        metrics=metrics,
-        fleet=fleet(settings, clock, board, metrics),
-    )
-
-
-def _local_member(settings: Settings, listeners: Listeners) -> Member:
-    return Member(
-        name=settings.daemon.name,
-        incarnation=first_incarnation(wall_clock().now_ms()),
-        state=MemberStatus.ALIVE,
-        region=settings.daemon.region,
-        data_centre=settings.daemon.data_centre,
-        caller=str(listening_address(listeners.caller)),
-        operator=str(listening_address(listeners.operator)),
-        peer=str(listening_address(listeners.peer)),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
@@ -15,7 +15,6 @@
     InProgress,
 )
 from fennelfork_daemon._logs import state_log
-from fennelfork_daemon._members_face import MembersFace
 from fennelfork_daemon._membership_metrics import membership_metrics
 from fennelfork_daemon._membership_service import (
     MembershipService,
@@ -88,7 +87,6 @@
         board,
         clock,
         membership_metrics(metrics),
-        log,
     )
     stop = stop_service(settings, clock, members, in_progress, log)
     return Fleet(
@@ -96,7 +94,7 @@
         board=board,
         members=members,
         in_progress=in_progress,
-        operator_routes=(*MembersFace(board=board).routes, *stop.routes),
+        operator_routes=stop.routes,
         vm_list=vm_list_reader(
             board,
             settings,
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_local_member.py
@@ -0,0 +1,25 @@
+"""This daemon, as it announces itself to the fleet."""
+
+from fennelfork import (
+    Member,
+    MemberStatus,
+    first_incarnation,
+    wall_clock,
+)
+from fennelfork_daemon._listeners import Listeners
+from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._wsgi_server import listening_address
+
+
+def local_member(settings: Settings, listeners: Listeners) -> Member:
+    """Build the member; its incarnation is the time of this start."""
+    return Member(
+        name=settings.daemon.name,
+        incarnation=first_incarnation(wall_clock().now_ms()),
+        state=MemberStatus.ALIVE,
+        region=settings.daemon.region,
+        data_centre=settings.daemon.data_centre,
+        caller=str(listening_address(listeners.caller)),
+        operator=str(listening_address(listeners.operator)),
+        peer=str(listening_address(listeners.peer)),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
@@ -19,7 +19,6 @@
     leave_is_told,
     membership,
 )
-from fennelfork_daemon._logs import StateLog
 from fennelfork_daemon._membership_metrics import MembershipMetrics
 from fennelfork_daemon._probe_client import ProbeClient, ProbeFailure
 from fennelfork_daemon._probe_codec import (
@@ -45,7 +44,6 @@
     _clock: Clock
     _client: ProbeClient
     _metrics: MembershipMetrics
-    _log: StateLog
     _epoch: int = -1
 
     @property
@@ -131,17 +129,18 @@
             eventlet.spawn_n(self._carry_out, order)
         for change in self.fleet.view.take_changes():
             self._metrics.count_change(change)
-            self._log.change(
-                f'member {change.after.name}',
-                change.after.state.value,
-                incarnation=change.after.incarnation,
-            )
         self._publish()
 
     def _publish(self) -> None:
         view = self.fleet.view
         self._board.local = view.me
-        if view.table.epoch != self._epoch:
+        reconfigured = view.table.take_reconfigured()
+        if view.table.epoch == self._epoch:
+            # The same members: the homes worked out by them stay right.
+            self._board.members.update(
+                (member.name, member) for member in reconfigured
+            )
+        else:
             self._epoch = view.table.epoch
             self._board.members = {member.name: member for member in view.table}
             self._metrics.show_members(view.table)
@@ -155,7 +154,6 @@
     board: Blackboard,
     clock: Clock,
     metrics: MembershipMetrics,
-    log: StateLog,
 ) -> MembershipService:
     """Build the membership of the daemon that `board` describes."""
     return MembershipService(
@@ -164,5 +162,4 @@
         clock=clock,
         client=ProbeClient(),
         metrics=metrics,
-        log=log,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fennelfork_daemon._config_exchange import ConfigExchange
 from fennelfork_daemon._execute_build import ExecutePeer
 from fennelfork_daemon._home_calls import Home
 from fennelfork_daemon._in_progress import InProgress
@@ -18,6 +19,7 @@
     """A method for each call of `peer.thrift`."""
 
     _home: Home
+    _config: ConfigExchange
     _execute: ExecutePeer
     _members: MembershipService
     _in_progress: InProgress
@@ -33,6 +35,10 @@
         views = self._home.describe(request.front, tuple(request.shards))
         return peer.DescribeReply(shards=views_to_peer(views))
 
+    def fetch_config(self, request: Any) -> Any:
+        """Give the configuration to a peer that has an older one."""
+        return self._config.answer(request)
+
     def execute(self, request: Any) -> Any:
         """Answer a non-idempotent request under a ticket of this daemon."""
         with self._in_progress.one():
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
@@ -116,13 +116,21 @@
   4: optional bool more
 }
 
+// `sender` is the peer address of a daemon that tells of its own version: one
+// that has an older version asks it in turn. `document` is there only if
+// `version` is above `have_version`: canonical JSON, compressed by zlib.
 struct ConfigRequest {
   1: required i64 have_version
+  2: optional string sender
 }
 
 struct ConfigReply {
   1: required i64 version
-  2: optional string document
+  2: optional binary document
+  3: optional string config_hash
+  4: optional i64 age_ms
+  5: optional i64 confirmed_age_ms
+  6: optional string anomaly
 }
 
 service Peer {
--- a/packages/fennelfork/src/fennelfork/_member_table.py
+++ b/packages/fennelfork/src/fennelfork/_member_table.py
@@ -36,6 +36,7 @@
     epoch: int = 0
     live_count: int = 0
     _by_name: dict[str, Member] = attrs.field(factory=dict)
+    _reconfigured: set[str] = attrs.field(factory=set)
     _digests: list[int] = attrs.field(factory=_no_digests)
 
     @property
@@ -63,9 +64,17 @@
         self._by_name[member.name] = member
         if known is None or _matters(known) != _matters(member):
             self.epoch += 1
+        elif known != member:
+            self._reconfigured.add(member.name)
         self._toggle(known, -1)
         self._toggle(member, 1)
 
+    def take_reconfigured(self) -> tuple[Member, ...]:
+        """Give members of which only the configuration changed since."""
+        names = sorted(self._reconfigured & self._by_name.keys())
+        self._reconfigured.clear()
+        return tuple(self._by_name[name] for name in names)
+
     def forget(self, name: str) -> None:
         """Drop all that is known of `name`."""
         known = self._by_name.pop(name, None)
--- a/packages/fennelfork/tests/test_member_table.py
+++ b/packages/fennelfork/tests/test_member_table.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 from core_builders_fleet import a_member, fleets
 from hypothesis import given
 
@@ -70,6 +71,10 @@
         table = _table([a_member('vm-1')])
         epoch = table.epoch
         table.put(a_member('vm-1'))
+        newer = attrs.evolve(a_member('vm-1'), config_version=7)
+        table.put(newer)
         assert table.epoch == epoch
+        assert table.take_reconfigured() == (newer,)
+        assert table.take_reconfigured() == ()
         table.put(a_member('vm-1', state=MemberStatus.SUSPECT))
         assert table.epoch > epoch
