--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
@@ -57,8 +57,8 @@
         fleet = start_front(own, _SIZE, seed)
         for turn in range(_ROUNDS):
             for each, share in _ARMS:
-                rng = random.Random(f'{seed}/{turn}/{each}')
-                _round(fleet, measured[each], _load(fleet, share, rng))
+                load = _load(fleet, share, f'{seed}/{turn}/{each}')
+                _round(fleet, measured[each], load)
         started = _started(fleet)
     return Report(
         experiment='once',
@@ -71,12 +71,12 @@
     )
 
 
-def _load(fleet: Fleet, share: float, rng: random.Random) -> OnceLoad:
+def _load(fleet: Fleet, share: float, seed: str) -> OnceLoad:
     return OnceLoad(
         addresses=fleet.callers,
         claims=Claims(address=fleet.platform.key_value_address),
         claim_share=share,
-        rng=rng,
+        rng=random.Random(seed),
     )
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_fleet.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_fleet.py
@@ -5,8 +5,9 @@
 
 import attrs
 
+from fennelfork_bench import _rig_http as http
 from fennelfork_bench._rig_platform import Platform, start_platform
-from fennelfork_bench._rig_process import Process, Rig
+from fennelfork_bench._rig_process import Process, Rig, wait_until
 from fennelfork_bench._rig_settings import settings_toml
 from fennelfork_bench._rig_specs import BackendSpec, DaemonSpec, FleetSpec
 
@@ -52,7 +53,7 @@
         return self
 
     def start_daemons(self, specs: Iterable[DaemonSpec] = ()) -> Self:
-        """Start daemons, wait until they serve, and list them.
+        """Start daemons, list them, and wait until they know each other.
 
         Args:
             specs: which; all of the fleet if none are named.
@@ -63,6 +64,7 @@
             self.daemons[process.name] = process.await_ready(_START_CAP_S)
             self._leaving.discard(process.name)
         self.list_vms()
+        self._await_members(started)
         return self
 
     def daemon_spec(self, name: str) -> DaemonSpec:
@@ -79,6 +81,22 @@
         specs = [self.daemon_spec(each.name) for each in self.living]
         self.platform.list_vms([self._vm(spec) for spec in specs])
 
+    def _await_members(self, started: list[Process]) -> None:
+        """Wait until started daemons know each other, or one that ran."""
+        names = {process.name for process in started}
+        least = len(names)
+        if len(self.living) > least:
+            least += 1
+        wait_until(
+            lambda: all(
+                names <= _known(process) and len(_known(process)) >= least
+                for process in started
+            ),
+            _START_CAP_S,
+            'daemons to know each other',
+            lambda: str({each.name: _known(each) for each in started}),
+        )
+
     def _launch_backend(self, spec: BackendSpec) -> Process:
         options = attrs.asdict(spec)
         options.pop('data_centre')
@@ -110,6 +128,11 @@
         }
 
 
+def _known(process: Process) -> set[str]:
+    reply = http.get(process.ready['operator'], '/v1/members')
+    return {row['name'] for row in reply.body.get('members', ())}
+
+
 def empty_fleet(rig: Rig, spec: FleetSpec) -> Fleet:
     """Start the platform's stand-ins of a fleet and nothing else yet.
 
