--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
@@ -56,9 +56,7 @@
     with rig() as own:
         fleet = start_front(own, _SIZE, seed)
         for turn in range(_ROUNDS):
-            for each, share in _ARMS:
-                load = _load(fleet, share, f'{seed}/{turn}/{each}')
-                _round(fleet, measured[each], load)
+            _turn(fleet, measured, f'{seed}/{turn}')
         started = _started(fleet)
     return Report(
         experiment='once',
@@ -71,6 +69,12 @@
     )
 
 
+def _turn(fleet: Fleet, measured: dict[str, _Measured], seed: str) -> None:
+    for name, share in _ARMS:
+        load = _load(fleet, share, f'{seed}/{name}')
+        _round(fleet, measured[name], load)
+
+
 def _load(fleet: Fleet, share: float, seed: str) -> OnceLoad:
     return OnceLoad(
         addresses=fleet.callers,
