--- a/packages/fennelfork-bench/tests/bench_builders_proof.py
+++ b/packages/fennelfork-bench/tests/bench_builders_proof.py
@@ -18,7 +18,7 @@
     Refused,
 )
 from fennelfork_bench._history_event import Event
-from fennelfork_bench._history_server import ExecuteRan, QueryRan
+from fennelfork_bench._history_server import ExecuteRan, QueryRan, WorkReceived
 
 KEYS = 10
 ALL_KEYS = tuple(range(KEYS))
@@ -146,6 +146,17 @@
     return attrs.evolve(run, **changes)
 
 
+def received(**changes: object) -> WorkReceived:
+    """Build the arrival of `query_asked` at one server."""
+    arrival = WorkReceived(
+        at_ms=119,
+        server='raft-a',
+        request_id='req-1',
+        sub_query='s0',
+    )
+    return attrs.evolve(arrival, **changes)
+
+
 def refused(**changes: object) -> Refused:
     """Build a refusal that says that nothing ran."""
     refusal = Refused(
