Answer a patch before its author gives up on a slow platform

Cause: six tries of two seconds each kept an operator waiting for 12 s and more, so the command saw a lost reply where the daemon knew "not run". Ruled out: fewer tries (a quick refusal by rate deserves them all). Change: after 2.5 s a failed call is the last; the verdict is what is certain.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
@@ -31,6 +31,7 @@
 
 _MS: Final = 1000
 _TRIES: Final = 6
+_PATIENCE_MS: Final = 2500
 _PATCHES_AT_ONCE: Final = 16
 _RETRY_AFTER_MS: Final = 1000
 
@@ -43,6 +44,7 @@
     _holder: ConfigHolder
     _key: ConfigKey
     _clock: Clock
+    _civil: Clock
     _jitter: random.Random
     _ask_fleet: Callable[[], int]
     _slots: Semaphore = attrs.field(
@@ -81,8 +83,10 @@
             request=request,
             known_version=self._known_version(),
             known=self._holder.state.known,
-            now_ms=int(self._clock.now_ms()),
+            now_ms=int(self._civil.now_ms()),
             tries_left=_TRIES,
+            give_up_at_ms=self._clock.now_ms() + _PATIENCE_MS,
+            clock=self._clock,
             jitter=self._jitter,
         )
 
--- a/packages/fennelfork-daemon/tests/test_config_patcher.py
+++ b/packages/fennelfork-daemon/tests/test_config_patcher.py
@@ -61,6 +61,7 @@
         holder=config_holder(board, system_clock()),
         key=scripted_key(platform),
         clock=system_clock(),
+        civil=system_clock(),
         jitter=random.Random(1),
         ask_fleet=lambda: fleet_version,
     )
--- a/packages/fennelfork/src/fennelfork/_patch_writer.py
+++ b/packages/fennelfork/src/fennelfork/_patch_writer.py
@@ -14,6 +14,7 @@
 import attrs
 from returns.result import Failure, Success
 
+from fennelfork._clock import Clock
 from fennelfork._config_backoff import Backoff
 from fennelfork._document import Document, PatchRecord
 from fennelfork._document_known import KnownDocument, known_document
@@ -62,6 +63,8 @@
         known: the document in force here when the patch came.
         now_ms: civil time, for the history.
         tries_left: failed calls that are still allowed.
+        give_up_at_ms: reading of the clock after which a failed call is the
+            last, so that the author is answered before going away.
         jitter: spreads the retries of racing writers.
         step: what to do next.
         failures: failed calls so far.
@@ -74,7 +77,9 @@
     known: KnownDocument
     now_ms: int
     tries_left: int
+    give_up_at_ms: float
     jitter: random.Random
+    _clock: Clock
     step: PatchStep = ReadDocument()
     failures: int = 0
     write: PreparedWrite | None = None
@@ -99,7 +104,8 @@
         """Read again after a wait, or give up when the tries are spent."""
         self.failures += 1
         self.tries_left -= 1
-        if self.tries_left <= 0:
+        late = self._clock.now_ms() >= self.give_up_at_ms
+        if late or self.tries_left <= 0:
             self.give_up(detail)
             return
         delay_ms = _BACKOFF.delay_ms(self.failures, self.jitter)
--- a/packages/fennelfork/tests/core_builders_config.py
+++ b/packages/fennelfork/tests/core_builders_config.py
@@ -8,11 +8,13 @@
 
 from fennelfork import (
     Document,
+    ManualTime,
     PatchRequest,
     PatchWriter,
     PreparedWrite,
     StoredDocument,
     known_document,
+    manual_clock,
 )
 
 
@@ -93,14 +95,20 @@
     )
 
 
-def patch_writer(request: PatchRequest, known_version: int = 0) -> PatchWriter:
-    """Build a writer with a few tries."""
+def patch_writer(
+    request: PatchRequest,
+    known_version: int = 0,
+    manual: ManualTime | None = None,
+) -> PatchWriter:
+    """Build a writer with a few tries and a second."""
     return PatchWriter(
         request=request,
         known_version=known_version,
         known=known_document(Document()),
         now_ms=1000,
         tries_left=4,
+        give_up_at_ms=1000,
+        clock=manual_clock(manual or ManualTime()),
         jitter=random.Random(7),
     )
 
--- a/packages/fennelfork/tests/test_patch_writer.py
+++ b/packages/fennelfork/tests/test_patch_writer.py
@@ -248,6 +248,27 @@
         assert outcome.failure().failure.verdict is Verdict.NOT_RUN
         assert outcome.failure().failure.retry_after_ms
 
+    @pytest.mark.parametrize(
+        ('faults', 'verdict'),
+        [
+            (('down',), Verdict.NOT_RUN),
+            (('none', 'lost'), Verdict.MAY_HAVE_RUN),
+        ],
+    )
+    def test_late_failure_is_the_last(
+        self,
+        faults: tuple[str, ...],
+        verdict: Verdict,
+    ) -> None:
+        """Once its time is over, a writer answers with what is certain."""
+        manual = ManualTime()
+        writer = patch_writer(patch_request(), manual=manual)
+        manual.advance(1000)
+        for fault in faults:
+            _step(writer, FakeStore(), fault, 1)
+        assert isinstance(writer.step, PatchDone)
+        assert writer.step.outcome.failure().failure.verdict is verdict
+
     def test_emptied_platform_settles_nothing(self) -> None:
         """An absent key after a lost write does not prove it did not run."""
         store = FakeStore(past=[StoredDocument(raw=None, revision=4)])
