Stop a writer by SIGSTOP between its read and its write

Cause: the issue asks that a paused holder does no harm when it wakes; the configuration has no lease, so its writer must stand the same pause. Ruled out: a lease adapter without a user (no lane calls leases). Change: a test pauses the daemon that writes, lets another win the version and wakes it; one version results and both verdicts are true.

--- a/packages/fennelfork-bench/tests/test_config_fleet.py
+++ b/packages/fennelfork-bench/tests/test_config_fleet.py
@@ -196,6 +196,29 @@
         history = _page(fleet, '/v1/config/history')['patches']
         assert [record['version'] for record in history] == list(range(1, 7))
 
+    def test_paused_writer_does_no_harm_when_it_wakes(
+        self,
+        fleet: Fleet,
+    ) -> None:
+        """A writer stopped between read and write makes no second version."""
+        fleet.platform.switch(slow_ms=300)
+        began_ms = fleet.platform.log()['now_ms']
+        with futures.ThreadPoolExecutor(1) as operator:
+            paused = operator.submit(_patch, fleet, 1, 0, 'paused', 9)
+            _await(lambda: _calls(fleet, began_ms), 'the writer to read')
+            fleet.daemons['vm-1'].pause()
+            fleet.platform.switch(slow_ms=0)
+            other = _patch(fleet, 1, which=1, patch_id='other', weight=8)
+            fleet.daemons['vm-1'].resume()
+            late = paused.result()
+        settled = _patch(fleet, 1, which=2, patch_id='paused', weight=9)
+        assert {other.status, settled.status} == {200, 409}
+        assert (late.status, settled.status) != (200, 409)
+        assert (late.body.get('verdict'), settled.status) != ('not_run', 200)
+        await_version(fleet, 2)
+        history = _page(fleet, '/v1/config/history')['patches']
+        assert [record['version'] for record in history] == [1, 2]
+
 
 @pytest.mark.process
 class TestWrongValue:
