--- a/packages/fennelfork-bench/tests/test_openapi.py
+++ b/packages/fennelfork-bench/tests/test_openapi.py
@@ -9,7 +9,7 @@
 
 from fennelfork_bench._rig_config import start_fleet
 from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
+from fennelfork_bench._rig_process import rig, wait_until
 from fennelfork_bench._rig_specs import (
     BackendSpec,
     FleetSpec,
@@ -21,6 +21,7 @@
 pytestmark = pytest.mark.process
 
 _KEYS = 40
+_PATIENCE_S = 20
 _QUERY = '/v1/fronts/{front}/query'
 _LIMITS = {
     'limits': {'body_bytes': 2048, 'header_bytes': 2048},
@@ -76,6 +77,33 @@
     )
 
 
+def _order(fleet: Fleet, **changes: Any) -> dict[str, Any]:
+    path = '/v1/entries'
+    asked = Asked(address=fleet.callers[0], path=path, template=path)
+    issued = ask(asked).tree
+    return {
+        'request_id': f'x@{issued["ticket_serial"]}',
+        'deadline_ms': 10_000,
+        'tenant': 'salvare',
+        'class': 'counter',
+        'key': 7,
+        'action': 'issue',
+        'ticket': issued['ticket'],
+        **changes,
+    }
+
+
+def _execute(fleet: Fleet, body: dict[str, Any]) -> Answer:
+    return ask(
+        Asked(
+            address=fleet.callers[0],
+            path='/v1/fronts/raft-search/execute',
+            template='/v1/fronts/{front}/execute',
+            body=json.dumps(body).encode(),
+        ),
+    )
+
+
 def _page(fleet: Fleet, path: str, template: str = '') -> Answer:
     return ask(
         Asked(
@@ -105,6 +133,11 @@
     )
 
 
+def _member_names(fleet: Fleet) -> list[str]:
+    members = _page(fleet, '/v1/members').tree['members']
+    return [member['name'] for member in members]
+
+
 class TestCallerFace:
     """Answers and refusals to callers."""
 
@@ -180,6 +213,34 @@
         assert _post(fleet, b'{}', padding='x' * 4000).status == 431
 
 
+class TestExecute:
+    """Requests that must not run twice."""
+
+    def test_runs_once(self, fleet: Fleet) -> None:
+        """Asked twice under one id and ticket, it has one outcome."""
+        body = _order(fleet)
+        first = _execute(fleet, body)
+        assert first.status == 200
+        assert _execute(fleet, body).tree['outcome'] == first.tree['outcome']
+
+    @pytest.mark.parametrize(
+        'changes',
+        [{'key': -1}, {'ticket': ''}, {'action': 7}, {'deadline_ms': 10**9}],
+        ids=str,
+    )
+    def test_bad_member(self, fleet: Fleet, changes: dict[str, Any]) -> None:
+        """A wrong member is named; the id may have run before."""
+        found = _execute(fleet, _order(fleet, **changes))
+        assert found.status == 400
+        assert found.tree['verdict'] == 'may_have_run'
+        assert next(iter(changes)) in found.tree['detail']
+
+    def test_foreign_ticket(self, fleet: Fleet) -> None:
+        """A ticket that nobody issued is refused as documented."""
+        body = _order(fleet, ticket='made-up')
+        assert _execute(fleet, body).status == 409
+
+
 class TestOperatorFace:
     """Pages for operators."""
 
@@ -197,9 +258,12 @@
         assert _page(fleet, path).status == 200
 
     def test_members(self, fleet: Fleet) -> None:
-        """The daemons know of each other."""
-        members = _page(fleet, '/v1/members').tree['members']
-        assert [member['name'] for member in members] == ['vm-1', 'vm-2']
+        """The daemons come to know of each other; the list lags."""
+        wait_until(
+            lambda: _member_names(fleet) == ['vm-1', 'vm-2'],
+            _PATIENCE_S,
+            'two members',
+        )
 
     def test_fronts(self, fleet: Fleet) -> None:
         """Each shard has a home, which sees its servers."""
@@ -250,9 +314,14 @@
 
     def test_status(self, fleet: Fleet) -> None:
         """Every daemon is asked for its version."""
+        wait_until(
+            lambda: _member_names(fleet) == ['vm-1', 'vm-2'],
+            _PATIENCE_S,
+            'two members',
+        )
         status = _page(fleet, '/v1/config/status').tree
         assert [daemon['name'] for daemon in status['daemons']] == [
             'vm-1',
             'vm-2',
         ]
-        assert status['unreached'] == []
+        assert not status['unreached']
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -1,6 +1,5 @@
 """One daemon: its facts, services and faces, put together."""
 
-import random
 import sys
 
 import attrs
@@ -12,17 +11,16 @@
     blackboard,
     system_clock,
 )
-from fennelfork_daemon._caller_face import CallerFace
+from fennelfork_daemon._caller_router import caller_router
 from fennelfork_daemon._config_service import ConfigService, config_service
-from fennelfork_daemon._entries_face import EntriesFace
+from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
 from fennelfork_daemon._home_service import HomeService, home_service
-from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners
 from fennelfork_daemon._local_member import local_member
 from fennelfork_daemon._observer import Observer, observer
 from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
-from fennelfork_daemon._peer_server import peer_server
+from fennelfork_daemon._peer_server import PeerServer, peer_server
 from fennelfork_daemon._platform_poll import platform_poll
 from fennelfork_daemon._root_service import root_service
 from fennelfork_daemon._settings_tables import Settings
@@ -43,48 +41,49 @@
 
     def serve(self) -> None:
         """Serve until the process is told to stop."""
-        handler = PeerHandler(
-            board=self._board,
-            home=self._home,
-            config=self._config.exchange,
+        execute = execute_parts(
+            self._board,
+            self._clock,
+            self._home,
+            self._settings,
         )
-        eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
+        eventlet.spawn_n(self._peers(execute).serve)
         eventlet.spawn_n(self._home.poll_forever)
         eventlet.spawn_n(self._observer.watch.run)
         eventlet.spawn_n(platform_poll(self._board, self._settings).run)
         self._config.start()
-        operator = operator_router(
+        eventlet.spawn_n(self._serve_operators)
+        self._serve_callers(execute)
+
+    def _peers(self, execute: ExecuteParts) -> PeerServer:
+        handler = PeerHandler(
+            board=self._board,
+            home=self._home,
+            config=self._config.exchange,
+            execute=execute.peer,
+        )
+        return peer_server(self._listeners.peer, handler)
+
+    def _serve_operators(self) -> None:
+        application = operator_router(
             self._board,
             self._observer,
             self._config,
             self._settings,
         )
-        eventlet.spawn_n(
-            serve_http,
-            self._listeners.operator,
-            operator,
+        serve_http(self._listeners.operator, application, self._settings)
+
+    def _serve_callers(self, execute: ExecuteParts) -> None:
+        root = root_service(self._board, self._clock, self._home)
+        application = caller_router(
+            root,
+            self._observer,
+            execute,
             self._settings,
         )
-        self._announce()
-        serve_http(self._listeners.caller, self._caller(), self._settings)
-
-    def _announce(self) -> None:
         sys.stdout.write(f'{self._listeners.ready_line}\n')
         sys.stdout.flush()
-
-    def _caller(self) -> Router:
-        caller = CallerFace(
-            root=root_service(self._board, self._clock, self._home),
-            clock=self._clock,
-            settings=self._settings,
-            observer=self._observer,
-        )
-        entries = EntriesFace(
-            board=self._board,
-            rng=random.Random(),
-            ttl_ms=self._settings.timeouts.entry_ttl_ms,
-        )
-        return router((*caller.routes, *entries.routes))
+        serve_http(self._listeners.caller, application, self._settings)
 
 
 def daemon(settings: Settings, listeners: Listeners) -> Daemon:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -32,17 +32,19 @@
         metrics: what operators scrape.
         ring: what `explain` reads.
         watch: logs changes of facts.
+        board: the facts of the daemon.
+        clock: its clock.
     """
 
     metrics: DaemonMetrics
     ring: ExplainRing
     watch: StateWatch
-    _board: Blackboard
-    _clock: Clock
+    board: Blackboard
+    clock: Clock
 
     def began(self) -> RequestTrace:
         """Begin the trace of a request that was just read."""
-        return request_trace(self._clock)
+        return request_trace(self.clock)
 
     def answered(
         self,
@@ -102,7 +104,7 @@
 
     def _labels(self, query: QueryRequest) -> Labels:
         # A front may be asked before anything else looked at its patch.
-        self.metrics.follow(self._board.document)
+        self.metrics.follow(self.board.document)
         return self.metrics.labels(
             query.front,
             query.tenant,
