Executions are counted and explained; shorter tables of history and explain

Change: the observer takes executions too; history shows three paths and how many more, explain says that nothing unusual was noted.

--- a/packages/fennelfork-cli/src/fennelfork_cli/_config_texts.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_config_texts.py
@@ -2,7 +2,7 @@
 
 import datetime as dt
 import json
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any, Final
 
 from fennelfork_cli._call import Tree
@@ -11,6 +11,7 @@
 from fennelfork_cli._text_table import text_table
 
 _MS_PER_SECOND: Final = 1000
+_SHOWN_PATHS: Final = 3
 _HISTORY: Final = ('version', 'author', 'at', 'id', 'paths')
 _CHANGES: Final = ('path', 'in_force', 'patched')
 _STATUS: Final = (
@@ -95,7 +96,16 @@
         patch.get('at_ms', 0) / _MS_PER_SECOND,
         tz=dt.UTC,
     )
-    return patch | {'at': at.strftime('%Y-%m-%d %H:%M:%S')}
+    return patch | {
+        'at': at.strftime('%Y-%m-%d %H:%M:%S'),
+        'paths': _some_paths(patch.get('paths', ())),
+    }
+
+
+def _some_paths(paths: Sequence[str]) -> list[str]:
+    left = len(paths) - _SHOWN_PATHS
+    shown = list(paths[:_SHOWN_PATHS])
+    return [*shown, f'and {left} more'] if left > 0 else shown
 
 
 def _value_text(value: Any) -> str:
--- a/packages/fennelfork-cli/src/fennelfork_cli/_explain.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_explain.py
@@ -11,6 +11,7 @@
 from fennelfork_cli._text_table import text_table
 
 _HERE: Final = OperatorOptions()
+_NO_EVENTS: Final = 'nothing unusual was noted'
 _EVENTS: Final = ('at_ms', 'event', 'details')
 _COLUMNS_SHOWN: Final = frozenset(('at_ms', 'event'))
 
@@ -39,10 +40,8 @@
         for name, found in tree.items()
         if name != 'events'
     ]
-    return Report(
-        tree=tree,
-        text='\n'.join((*facts, text_table(_EVENTS, rows))),
-    )
+    events = text_table(_EVENTS, rows) if rows else _NO_EVENTS
+    return Report(tree=tree, text='\n'.join((*facts, events)))
 
 
 def _event_row(event: Tree) -> Tree:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -45,6 +45,7 @@
             self._board,
             self._clock,
             self._home,
+            self._observer,
             self._settings,
         )
         eventlet.spawn_n(self._peers(execute).serve)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -21,6 +21,7 @@
 from fennelfork_daemon._execute_service import ExecuteService
 from fennelfork_daemon._execute_targets import ExecuteTargets
 from fennelfork_daemon._home_calls import Home, HomeCalls
+from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._ticket_issuer import TicketIssuer
@@ -64,6 +65,7 @@
     board: Blackboard,
     clock: Clock,
     home: Home,
+    seen: Observer,
     settings: Settings,
 ) -> ExecuteParts:
     """Build the parts of a new incarnation.
@@ -72,6 +74,7 @@
         board: the facts of the daemon.
         clock: its monotonic clock.
         home: the home side of the same daemon.
+        seen: counts and remembers requests.
         settings: of the daemon.
     """
     gate = _new_gate(board.local.name, clock)
@@ -97,6 +100,7 @@
             board=board,
             clock=clock,
             settings=settings,
+            observer=seen,
         ),
         issuer=TicketIssuer(
             gate=gate,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -1,6 +1,6 @@
 """Counts and remembers finished requests."""
 
-from typing import Any
+from typing import Any, Final, Protocol
 
 import attrs
 
@@ -23,6 +23,28 @@
 from fennelfork_daemon._state_watch import StateWatch, state_watch
 from fennelfork_daemon._trace import ExplainRing, RequestTrace, request_trace
 
+_EXECUTED: Final = 'executed'
+
+
+class CallerRequest(Protocol):
+    """What queries and executions have in common."""
+
+    @property
+    def request_id(self) -> str:
+        """Chosen by the caller."""
+
+    @property
+    def front(self) -> str:
+        """As the caller named it."""
+
+    @property
+    def tenant(self) -> str:
+        """As the caller named it."""
+
+    @property
+    def traffic_class(self) -> str:
+        """As the caller named it."""
+
 
 @attrs.frozen(kw_only=True)
 class Observer:
@@ -53,12 +75,10 @@
         trace: RequestTrace,
     ) -> None:
         """Count and remember a query that was answered, whole or partly."""
-        self._count_work(query, trace)
-        labels = self._labels(query)
         coverage = answered.answer.coverage
         work = answered.work
         code = 'complete' if coverage.complete else 'partial'
-        self.metrics.count_answer(labels, Verdict.RAN, code)
+        labels = self._count(query, trace, Verdict.RAN, code)
         self.metrics.observe_query(
             QueryFacts(
                 labels=labels,
@@ -82,18 +102,23 @@
             },
         )
 
+    def executed(self, asked: CallerRequest, trace: RequestTrace) -> None:
+        """Count and remember a non-idempotent request that ran."""
+        self._count(asked, trace, Verdict.RAN, _EXECUTED)
+        outcome = {'outcome': _EXECUTED, 'verdict': Verdict.RAN.value}
+        self._remember(asked, trace, outcome)
+
     def refused(
         self,
-        query: QueryRequest,
+        asked: CallerRequest,
         failure: Failure,
         trace: RequestTrace,
     ) -> None:
-        """Count and remember a query that failed."""
-        self._count_work(query, trace)
+        """Count and remember a request that failed."""
         code = failure.code.value
-        self.metrics.count_answer(self._labels(query), failure.verdict, code)
+        self._count(asked, trace, failure.verdict, code)
         self._remember(
-            query,
+            asked,
             trace,
             {
                 'outcome': code,
@@ -102,35 +127,40 @@
             },
         )
 
-    def _labels(self, query: QueryRequest) -> Labels:
+    def _count(
+        self,
+        asked: CallerRequest,
+        trace: RequestTrace,
+        verdict: Verdict,
+        code: str,
+    ) -> Labels:
         # A front may be asked before anything else looked at its patch.
         self.metrics.follow(self.board.document)
-        return self.metrics.labels(
-            query.front,
-            query.tenant,
-            query.traffic_class,
+        labels = self.metrics.labels(
+            asked.front,
+            asked.tenant,
+            asked.traffic_class,
         )
-
-    def _count_work(self, query: QueryRequest, trace: RequestTrace) -> None:
-        self.metrics.count_work(
-            FrontWork(
-                front=query.front,
-                hedges=trace.hedges,
-                retries=trace.retries,
-            ),
+        self.metrics.count_answer(labels, verdict, code)
+        work = FrontWork(
+            front=asked.front,
+            hedges=trace.hedges,
+            retries=trace.retries,
         )
+        self.metrics.count_work(work)
+        return labels
 
     def _remember(
         self,
-        query: QueryRequest,
+        asked: CallerRequest,
         trace: RequestTrace,
         outcome: dict[str, Any],
     ) -> None:
         story = {
-            'request_id': query.request_id,
-            'front': query.front,
-            'tenant': query.tenant,
-            'class': query.traffic_class,
+            'request_id': asked.request_id,
+            'front': asked.front,
+            'tenant': asked.tenant,
+            'class': asked.traffic_class,
             **outcome,
             'took_ms': round(trace.took_ms, 1),
             'queue_ms': round(trace.longest_queue_ms, 1),
@@ -138,7 +168,7 @@
             'events': trace.events,
             'events_left_out': trace.left_out,
         }
-        self.ring.remember(query.request_id, story)
+        self.ring.remember(asked.request_id, story)
 
 
 def observer(
