--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := fennelfork fennelfork-daemon fennelfork-cli fennelfork-bench
 WORKERS ?= 6
 
-.PHONY: demo test lint format unit clean
+.PHONY: demo test lint format unit modules clean
 
 demo: .venv/.installed
 	$(PY) -m fennelfork_bench demo
@@ -24,6 +24,9 @@
 	$(PY) -m ruff format packages
 	$(PY) -m ruff check --fix packages
 
+modules: .venv/.installed
+	$(PY) -m fennelfork_bench.modules
+
 .venv/.installed: constraints.txt dev-requirements.txt packages/fennelfork/pyproject.toml packages/fennelfork-daemon/pyproject.toml packages/fennelfork-cli/pyproject.toml packages/fennelfork-bench/pyproject.toml
 	python3 -m venv .venv
 	.venv/bin/python -m pip install --quiet --disable-pip-version-check -c constraints.txt -r dev-requirements.txt $(foreach name,$(PACKAGES),-e packages/$(name))
