--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -6,6 +6,7 @@
 
 from fennelfork import Blackboard, FailureCode, not_run
 from fennelfork_daemon._config_face import config_face
+from fennelfork_daemon._config_reader import ConfigReader
 from fennelfork_daemon._config_service import ConfigService
 from fennelfork_daemon._http_router import (
     HttpReply,
@@ -32,6 +33,7 @@
 
     _board: Blackboard
     _observer: Observer
+    _reader: ConfigReader
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -55,7 +57,7 @@
 
     def readiness(self, request: HttpRequest) -> HttpReply:
         """Tell whether callers should come, and why not."""
-        reasons = unready_reasons(self._board)
+        reasons = unready_reasons(self._board, self._reader.failure)
         return json_reply(
             {'ready': not reasons, 'reasons': reasons},
             status=(
@@ -113,6 +115,6 @@
         config: follows and changes the configuration.
         settings: what bounds requests.
     """
-    face = OperatorFace(board=board, observer=seen)
+    face = OperatorFace(board=board, observer=seen, reader=config.reader)
     config_routes = config_face(board, config, settings).routes
     return router((*face.routes, *config_routes))
--- a/packages/fennelfork-daemon/tests/daemon_builders_product.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_product.py
@@ -104,3 +104,22 @@
         tenants=dict.fromkeys(tenants, Tenant(weight=1)),
         classes={'counter': TrafficClass(weight=1)},
     )
+
+
+def settings_toml(caller: str = '127.0.0.1:0') -> str:
+    """Write settings whose platform is not there."""
+    return '\n'.join(
+        (
+            '[daemon]',
+            'name = "vm-1"',
+            'region = "region-1"',
+            'data_centre = "dc-1"',
+            '[listen]',
+            f'caller = "{caller}"',
+            'operator = "127.0.0.1:0"',
+            'peer = "127.0.0.1:0"',
+            '[platform]',
+            'key_value = ["127.0.0.1:1"]',
+            'vm_list = "127.0.0.1:1"',
+        ),
+    )
--- a/packages/fennelfork-daemon/tests/test_state_watch.py
+++ b/packages/fennelfork-daemon/tests/test_state_watch.py
@@ -40,6 +40,13 @@
         board.document = labelled_document(fronts=('f',), tenants=())
         assert unready_reasons(board) == ()
 
+    def test_platform_failure(self) -> None:
+        """An unreachable platform counts only without a configuration."""
+        board = _board()
+        assert unready_reasons(board, 'at 127.0.0.1:1')[1].endswith(':1')
+        board.document = labelled_document(fronts=('f',), tenants=())
+        assert unready_reasons(board, 'at 127.0.0.1:1') == ()
+
     def test_leaving(self) -> None:
         """A daemon that is about to stop is not ready."""
         board = _board()
--- a/packages/fennelfork-daemon/tests/test_wsgi_server.py
+++ b/packages/fennelfork-daemon/tests/test_wsgi_server.py
@@ -1,5 +1,6 @@
 """The HTTP faces under clients that send too much or too slowly."""
 
+import contextlib
 import json
 from collections.abc import Iterator
 from typing import Any
@@ -23,6 +24,7 @@
 )
 
 _PATIENCE_S = 20
+_CONNECTIONS = 3
 _HEAD = b'POST / HTTP/1.1\r\nHost: x\r\n'
 
 
@@ -41,7 +43,7 @@
 def _served(application: Any) -> Iterator[int]:
     settings = read_settings(
         settings_document(
-            limits={'header_bytes': 1024},
+            limits={'header_bytes': 1024, 'connections': _CONNECTIONS},
             timeouts={'request_read_ms': 100, 'idle_ms': 300},
         ),
     ).unwrap()
@@ -109,6 +111,19 @@
         assert b'{"b": 2}' in answer
 
 
+class TestConnections:
+    """How many connections are served at once."""
+
+    def test_more_wait_for_idle_ones_to_end(self, port: int) -> None:
+        """Idle connections above the limit delay a request, not for ever."""
+        with contextlib.ExitStack() as idle:
+            for _ in range(_CONNECTIONS):
+                place = ('127.0.0.1', port)
+                idle.enter_context(socket.create_connection(place))
+            answer = _talk(port, _posted(b'{"a": 1}'))
+        assert b'200 OK' in answer
+
+
 class TestRefusals:
     """Requests that cost too much are answered and end the connection."""
 
