The operators' command against real daemons; explain asks the others

Ruled out: naming the daemon in the answer alone, which a caller's log may not keep. Change: explain asks all members, 16 at a time, if the first has no story; a story names its daemon; every documented path is held to be served.

--- a/packages/fennelfork-bench/tests/bench_builders_openapi.py
+++ b/packages/fennelfork-bench/tests/bench_builders_openapi.py
@@ -33,13 +33,46 @@
     headers: dict[str, str] = attrs.field(factory=dict)
 
 
-def documented_paths(tag: str) -> set[str]:
-    """List the paths of a face."""
-    return {
-        path
+@attrs.frozen(kw_only=True)
+class Operation:
+    """A path and method of the file."""
+
+    tag: str
+    method: str
+    path: str
+
+    def __str__(self) -> str:
+        """Name it in the output of tests."""
+        return f'{self.method} {self.path}'
+
+
+def documented() -> list[Operation]:
+    """List all operations of the file."""
+    return [
+        Operation(tag=found['tags'][0], method=method.upper(), path=path)
         for path, methods in _SPEC['paths'].items()
-        if any(tag in operation['tags'] for operation in methods.values())
-    }
+        for method, found in methods.items()
+    ]
+
+
+def touch(address: str, operation: Operation) -> tuple[int, str]:
+    """Call an operation with names that stand for nothing.
+
+    Returns:
+        The status, and the detail of the problem if there is one.
+    """
+    path = operation.path.replace('{', '').replace('}', '')
+    response = urllib3.request(
+        operation.method,
+        f'http://{address}{path}',
+        body=b'{}' if operation.method == 'POST' else None,
+        timeout=_TIMEOUT_S,
+        retries=False,
+    )
+    kind = response.headers['Content-Type']
+    if 'problem' not in kind:
+        return response.status, ''
+    return response.status, response.json()['detail']
 
 
 def ask(asked: Asked) -> Answer:
--- a/packages/fennelfork-bench/tests/test_openapi.py
+++ b/packages/fennelfork-bench/tests/test_openapi.py
@@ -5,7 +5,14 @@
 from typing import Any
 
 import pytest
-from bench_builders_openapi import Answer, Asked, ask
+from bench_builders_openapi import (
+    Answer,
+    Asked,
+    Operation,
+    ask,
+    documented,
+    touch,
+)
 
 from fennelfork_bench._rig_config import start_fleet
 from fennelfork_bench._rig_fleet import Fleet
@@ -138,6 +145,18 @@
     return [member['name'] for member in members]
 
 
+class TestPaths:
+    """The paths of the file against the routes of a daemon."""
+
+    @pytest.mark.parametrize('operation', documented(), ids=str)
+    def test_is_served(self, fleet: Fleet, operation: Operation) -> None:
+        """Each documented path and method has a route."""
+        faces = {'caller': fleet.callers[0], 'operator': fleet.operators[0]}
+        status, detail = touch(faces[operation.tag], operation)
+        assert status != 405
+        assert 'there is no path' not in detail
+
+
 class TestCallerFace:
     """Answers and refusals to callers."""
 
--- a/packages/fennelfork-cli/src/fennelfork_cli/_explain.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_explain.py
@@ -4,9 +4,11 @@
 from typing import Final
 from urllib.parse import quote
 
+from returns.result import Failure
+
 from fennelfork_cli._call import Tree
 from fennelfork_cli._options import OperatorOptions
-from fennelfork_cli._page import show_page
+from fennelfork_cli._page import fetch, fetch_elsewhere, show_result
 from fennelfork_cli._report import Report
 from fennelfork_cli._text_table import text_table
 
@@ -22,15 +24,20 @@
     *,
     options: OperatorOptions = _HERE,
 ) -> int:
-    """Show what was done for a request; ask the daemon that answered it.
+    """Show what was done for one of the latest requests.
+
+    If the daemon that is asked did not answer it, all others are asked.
 
     Example: fennelfork explain 6f1c2a --operator 127.0.0.1:8081
 
     Args:
         request_id: as in the answer or the refusal.
     """
-    quoted = quote(request_id, safe='')
-    return show_page(f'/v1/explain/{quoted}', options, _explain_report)
+    path = f'/v1/explain/{quote(request_id, safe="")}'
+    outcome = fetch(path, options)
+    if isinstance(outcome, Failure):
+        outcome = fetch_elsewhere(path, options).lash(lambda _: outcome)
+    return show_result(outcome.map(_explain_report), options.json)
 
 
 def _explain_report(tree: Tree) -> Report:
--- a/packages/fennelfork-cli/src/fennelfork_cli/_page.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_page.py
@@ -1,13 +1,24 @@
 """Pages of the operator face, read and printed."""
 
+import functools
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
 
-from returns.result import Result, Success
+import attrs
+from returns.result import Failure, Result, Success
 
+from fennelfork import Verdict
 from fennelfork_cli._call import Call, CallFailure, Tree, send
 from fennelfork_cli._options import OperatorOptions
 from fennelfork_cli._report import Report, failure_report, show
 
+_CALLS_AT_ONCE: Final = 16
+_NOWHERE: Final = CallFailure(
+    verdict=Verdict.NOT_RUN,
+    detail='no daemon that could be reached has it',
+)
+
 
 def fetch(path: str, options: OperatorOptions) -> Result[Tree, CallFailure]:
     """Read a page of the operator face."""
@@ -20,6 +31,32 @@
     )
 
 
+def fetch_elsewhere(
+    path: str,
+    options: OperatorOptions,
+) -> Result[Tree, CallFailure]:
+    """Read a page that only one daemon has, from whichever it is.
+
+    Args:
+        path: of the operator face.
+        options: names the daemon that knows the others.
+
+    Returns:
+        The page of the first daemon that has it.
+    """
+    members = fetch('/v1/members', options).value_or({'members': ()})
+    others = [
+        attrs.evolve(options, operator=member['operator'])
+        for member in members['members']
+        if member['operator'] != options.operator
+    ]
+    read = functools.partial(fetch, path)
+    with ThreadPoolExecutor(_CALLS_AT_ONCE) as pool:
+        outcomes = pool.map(read, others)
+    found = (each for each in outcomes if isinstance(each, Success))
+    return next(found, Failure(_NOWHERE))
+
+
 def show_page(
     path: str,
     options: OperatorOptions,
--- a/packages/fennelfork-cli/tests/test_app.py
+++ b/packages/fennelfork-cli/tests/test_app.py
@@ -201,6 +201,20 @@
         assert code == 5
         assert out.endswith('not known to be in force on: vm-2\n')
 
+    def test_explains_from_another_daemon(self, command: Any) -> None:
+        """A story that the daemon asked lacks is found at its peer."""
+        path = '/v1/explain/r1'
+        story = Answer(tree={'request_id': 'r1', 'daemon': 'vm-2'})
+        with scripted_daemon({path: [story]}) as other:
+            members = [{'operator': _NOWHERE}, {'operator': other.address}]
+            page = Answer(tree={'members': members})
+            with scripted_daemon({'/v1/members': [page]}) as daemon:
+                code, out, _ = command(
+                    'explain', 'r1', '--operator', daemon.address
+                )
+        assert code == 0
+        assert 'daemon: vm-2' in out
+
     def test_unreachable(self, command: Any) -> None:
         """A daemon that is not there exits 3: nothing ran."""
         code, _, err = command('members', '--operator', _NOWHERE)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -158,6 +158,7 @@
     ) -> None:
         story = {
             'request_id': asked.request_id,
+            'daemon': self.board.local.name,
             'front': asked.front,
             'tenant': asked.tenant,
             'class': asked.traffic_class,
