--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -11,17 +11,18 @@
     blackboard,
     system_clock,
 )
-from fennelfork_daemon._caller_router import caller_router
+from fennelfork_daemon._caller_face import CallerFace
 from fennelfork_daemon._config_service import ConfigService, config_service
 from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
+from fennelfork_daemon._fleet import Fleet, fleet
 from fennelfork_daemon._home_service import HomeService, home_service
+from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners
 from fennelfork_daemon._local_member import local_member
 from fennelfork_daemon._observer import Observer, observer
 from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
-from fennelfork_daemon._peer_server import PeerServer, peer_server
-from fennelfork_daemon._platform_poll import platform_poll
+from fennelfork_daemon._peer_server import peer_server
 from fennelfork_daemon._root_service import root_service
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._wsgi_server import serve_http
@@ -38,53 +39,72 @@
     _home: HomeService
     _observer: Observer
     _config: ConfigService
+    _fleet: Fleet
+    _execute: ExecuteParts
 
-    def serve(self) -> None:
-        """Serve until the process is told to stop."""
-        execute = execute_parts(
-            self._board,
-            self._clock,
-            self._home,
-            self._observer,
-            self._settings,
-        )
-        eventlet.spawn_n(self._peers(execute).serve)
+    def serve(self) -> int:
+        """Serve until the process is told to stop.
+
+        Returns:
+            The exit status.
+        """
+        self._fleet.start()
+        self._serve_peers()
         eventlet.spawn_n(self._home.poll_forever)
         eventlet.spawn_n(self._observer.watch.run)
-        eventlet.spawn_n(platform_poll(self._board, self._settings).run)
         self._config.start()
-        eventlet.spawn_n(self._serve_operators)
-        self._serve_callers(execute)
+        eventlet.spawn_n(
+            serve_http,
+            self._listeners.operator,
+            self._operator(),
+            self._settings,
+        )
+        callers = eventlet.spawn(
+            serve_http,
+            self._listeners.caller,
+            self._fleet.counted(self._caller()),
+            self._settings,
+        )
+        self._announce()
+        return self._fleet.see_through(callers)
 
-    def _peers(self, execute: ExecuteParts) -> PeerServer:
+    def _serve_peers(self) -> None:
         handler = PeerHandler(
-            board=self._board,
             home=self._home,
             config=self._config.exchange,
-            execute=execute.peer,
+            execute=self._execute.peer,
+            members=self._fleet.members,
+            in_progress=self._fleet.in_progress,
         )
-        return peer_server(self._listeners.peer, handler)
+        eventlet.spawn_n(peer_server(self._listeners.peer, handler).serve)
 
-    def _serve_operators(self) -> None:
-        application = operator_router(
+    def _announce(self) -> None:
+        sys.stdout.write(f'{self._listeners.ready_line}\n')
+        sys.stdout.flush()
+
+    def _operator(self) -> Router:
+        return operator_router(
             self._board,
             self._observer,
             self._config,
             self._settings,
+            self._fleet.operator_routes,
         )
-        serve_http(self._listeners.operator, application, self._settings)
 
-    def _serve_callers(self, execute: ExecuteParts) -> None:
-        root = root_service(self._board, self._clock, self._home)
-        application = caller_router(
-            root,
-            self._observer,
-            execute,
-            self._settings,
+    def _caller(self) -> Router:
+        caller = CallerFace(
+            root=root_service(self._board, self._clock, self._home),
+            clock=self._clock,
+            settings=self._settings,
+            observer=self._observer,
+        )
+        return router(
+            (
+                *caller.routes,
+                *self._fleet.entry_routes(self._execute.issuer),
+                *self._execute.face.routes,
+            ),
         )
-        sys.stdout.write(f'{self._listeners.ready_line}\n')
-        sys.stdout.flush()
-        serve_http(self._listeners.caller, application, self._settings)
 
 
 def daemon(settings: Settings, listeners: Listeners) -> Daemon:
@@ -93,12 +113,15 @@
     board = blackboard(local_member(settings, listeners))
     board.routing = settings.routing.mode
     seen = observer(board, clock, settings.limits)
+    home = home_service(board, clock, settings.limits)
     return Daemon(
         settings=settings,
         clock=clock,
         board=board,
         listeners=listeners,
-        home=home_service(board, clock),
+        home=home,
         observer=seen,
         config=config_service(board, clock, settings),
+        fleet=fleet(settings, clock, board, seen.metrics),
+        execute=execute_parts(board, clock, home, seen, settings),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_local_member.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_local_member.py
@@ -1,21 +1,21 @@
 """This daemon, as it announces itself to the fleet."""
 
-import time
-from typing import Final
-
-from fennelfork import Member, MemberStatus
+from fennelfork import (
+    Member,
+    MemberStatus,
+    first_incarnation,
+    wall_clock,
+)
 from fennelfork_daemon._listeners import Listeners
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._wsgi_server import listening_address
 
-_NS_PER_MS: Final = 1_000_000
-
 
 def local_member(settings: Settings, listeners: Listeners) -> Member:
     """Build the member; its incarnation is the time of this start."""
     return Member(
         name=settings.daemon.name,
-        incarnation=time.time_ns() // _NS_PER_MS,
+        incarnation=first_incarnation(wall_clock().now_ms()),
         state=MemberStatus.ALIVE,
         region=settings.daemon.region,
         data_centre=settings.daemon.data_centre,
