--- a/packages/fennelfork-bench/tests/test_openapi.py
+++ b/packages/fennelfork-bench/tests/test_openapi.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import pytest
 from bench_builders_openapi import (
     Answer,
@@ -14,6 +15,7 @@
     touch,
 )
 
+from fennelfork_bench import _rig_http as http
 from fennelfork_bench._rig_config import start_fleet
 from fennelfork_bench._rig_fleet import Fleet
 from fennelfork_bench._rig_process import rig, wait_until
@@ -28,6 +30,7 @@
 pytestmark = pytest.mark.process
 
 _KEYS = 40
+_METRICS = '/metrics'
 _PATIENCE_S = 20
 _QUERY = '/v1/fronts/{front}/query'
 _LIMITS = {
@@ -140,6 +143,25 @@
     )
 
 
+def _dropped(fleet: Fleet, reason: str) -> float:
+    """Sum a counter over the daemons."""
+    line = f'dropped_replies_total{{front="raft-search",reason="{reason}"}} '
+    total = 0.0
+    for address in fleet.operators:
+        page = ask(Asked(address=address, path=_METRICS, template=_METRICS))
+        _, _, rest = page.tree.partition(line)
+        total += float(rest.split('\n')[0] or 0)
+    return total
+
+
+def _shards(operator: str) -> list[dict[str, Any]]:
+    """Read the shards of the one front, as a daemon sees them."""
+    path = '/v1/fronts'
+    page = ask(Asked(address=operator, path=path, template=path)).tree
+    shards: list[dict[str, Any]] = page['fronts'][0]['shards']
+    return shards
+
+
 def _member_names(fleet: Fleet) -> list[str]:
     members = _page(fleet, '/v1/members').tree['members']
     return [member['name'] for member in members]
@@ -148,7 +170,12 @@
 class TestPaths:
     """The paths of the file against the routes of a daemon."""
 
-    @pytest.mark.parametrize('operation', documented(), ids=str)
+    @pytest.mark.parametrize(
+        'operation',
+        # The fleet of this module is needed; TestDrain has its own.
+        [each for each in documented() if each.path != '/v1/drain'],
+        ids=str,
+    )
     def test_is_served(self, fleet: Fleet, operation: Operation) -> None:
         """Each documented path and method has a route."""
         faces = {'caller': fleet.callers[0], 'operator': fleet.operators[0]}
@@ -288,11 +315,13 @@
         )
 
     def test_fronts(self, fleet: Fleet) -> None:
-        """Each shard has a home, which sees its servers."""
+        """Each shard has a home, and that daemon sees its servers."""
         _query(fleet)
-        fronts = _page(fleet, '/v1/fronts').tree['fronts']
-        homes = {shard['home'] for shard in fronts[0]['shards']}
-        assert homes <= {'vm-1', 'vm-2'}
+        operators = dict(zip(fleet.daemons, fleet.operators, strict=True))
+        for at, shard in enumerate(_shards(fleet.operators[0])):
+            of_home = _shards(operators[shard['home']])[at]
+            server = of_home['servers'][0]
+            assert (server['state'], server['snapshots']) == ('serving', [1])
 
     def test_explain(self, fleet: Fleet) -> None:
         """A request is explained by the daemon that answered it."""
@@ -315,6 +344,48 @@
         assert 'no-such' not in page
 
 
+class TestDroppedReplies:
+    """What servers answer wrongly, in the metrics of the homes."""
+
+    @pytest.mark.parametrize(
+        ('kind', 'reason'),
+        [('truncate', 'incomplete'), ('double', 'incomplete')],
+    )
+    def test_is_counted(self, fleet: Fleet, kind: str, reason: str) -> None:
+        """A reply that lies is asked for again, and counted with its reason."""
+        order = {'rules': [{'kind': kind, 'limit': 1, 'call': 'search'}]}
+        before = _dropped(fleet, reason)
+        for server in fleet.backends.values():
+            http.post(server.ready['address'], '/control/faults', order)
+        # Some servers may be ejected for what they did; then it is partial.
+        found = _query(fleet, coverage={'mode': 'partial'})
+        assert found.status == 200
+        assert _dropped(fleet, reason) > before
+
+
+class TestDrain:
+    """Sending callers elsewhere."""
+
+    def test_is_as_documented(self) -> None:
+        """The daemon says how far it is, and is no longer ready."""
+        spec = attrs.evolve(_spec(), daemons=daemon_specs(1))
+        with rig() as own:
+            alone = start_fleet(own, spec)
+            path = '/v1/drain'
+            asked = Asked(
+                address=alone.operators[0],
+                path=path,
+                template=path,
+                body=b'{}',
+            )
+            assert ask(asked).tree['phase'] != 'ended'
+            wait_until(
+                lambda: _page(alone, '/readyz').status == 503,
+                _PATIENCE_S,
+                'not ready',
+            )
+
+
 class TestConfiguration:
     """Patches and who runs them."""
 
--- a/packages/fennelfork-cli/src/fennelfork_cli/_fleet_commands.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_fleet_commands.py
@@ -73,7 +73,7 @@
 
 
 def drain(*, options: OperatorOptions = _HERE) -> int:
-    """Let a daemon leave: no new callers, then a graceful stop.
+    """Send callers elsewhere; the daemon serves on until SIGTERM.
 
     Example: fennelfork drain --operator 127.0.0.1:8081
     """
@@ -87,4 +87,6 @@
 
 
 def _drain_report(tree: Tree) -> Report:
-    return Report(tree=tree, text='the daemon is draining')
+    running = tree.get('running')
+    text = f'{tree.get("phase")}, {running} requests running'
+    return Report(tree=tree, text=text)
--- a/packages/fennelfork-cli/tests/test_app.py
+++ b/packages/fennelfork-cli/tests/test_app.py
@@ -241,9 +241,11 @@
 
     def test_asks_once(self, command: Any) -> None:
         """The daemon is asked once, and its word is passed on."""
-        script = {'/v1/drain': [Answer(tree={'draining': True}, status=202)]}
+        tree = {'phase': 'announcing', 'running': 2}
+        script = {'/v1/drain': [Answer(tree=tree)]}
         with scripted_daemon(script) as daemon:
-            assert command('drain', '--operator', daemon.address)[0] == 0
+            code, out, _ = command('drain', '--operator', daemon.address)
+            assert (code, out) == (0, 'announcing, 2 requests running\n')
             assert daemon.posted == [('/v1/drain', {})]
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_cli_app.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_cli_app.py
@@ -11,8 +11,8 @@
 
 _HELP: Final = """Serve queries of fennelfork as one daemon of a fleet.
 
-Exit codes: 0 stopped gracefully; 1 could not serve; 2 bad usage or settings,
-nothing was started.
+Exit codes: 0 stopped gracefully; 1 could not serve, or a stop cut requests;
+2 bad usage or settings, nothing was started.
 
 Example: fennelforkd --config fennelforkd.toml
 """
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -85,6 +85,7 @@
     def _operator(self) -> Router:
         return operator_router(
             self._board,
+            self._home,
             self._observer,
             self._config,
             self._settings,
@@ -113,7 +114,7 @@
     board = blackboard(local_member(settings, listeners))
     board.routing = settings.routing.mode
     seen = observer(board, clock, settings.limits)
-    home = home_service(board, clock, settings.limits)
+    home = home_service(board, clock, settings.limits, seen.metrics)
     return Daemon(
         settings=settings,
         clock=clock,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_runners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_runners.py
@@ -1,14 +1,16 @@
 """The runners of the shards that this daemon is asked for as a home."""
 
+import functools
 from typing import Final
 
 import attrs
 import eventlet
 
-from fennelfork import Blackboard, Clock
+from fennelfork import Blackboard, Clock, ServerSight
 from fennelfork_daemon._backend_client import BackendClient
 from fennelfork_daemon._home_settings import home_settings, server_facts
 from fennelfork_daemon._home_shard import ShardRunner, shard_runner
+from fennelfork_daemon._metrics import DaemonMetrics
 from fennelfork_daemon._settings_tables import LimitSettings
 
 _POLL_MS: Final = 500
@@ -45,6 +47,7 @@
     _board: Blackboard
     _clock: Clock
     _limits: LimitSettings
+    _metrics: DaemonMetrics
     _kept: dict[ShardName, _Kept] = attrs.field(factory=dict)
 
     def of(self, name: ShardName) -> ShardRunner | None:
@@ -62,6 +65,14 @@
                 _poll_all(kept.runner)
         return kept.runner
 
+    @property
+    def sights(self) -> dict[tuple[str, str], tuple[ServerSight, ...]]:
+        """The servers of each shard asked for here, by front and shard."""
+        return {
+            (name.front, name.shard): kept.runner.scheduler.sights
+            for name, kept in self._kept.items()
+        }
+
     def poll_forever(self) -> None:
         """Read the health endpoints of the servers in use, again and again."""
         while True:  # noqa: WPS457  # as long as the daemon runs
@@ -91,7 +102,7 @@
             return None
         kept = self._kept.get(name)
         if kept is None:
-            kept = _Kept(runner=self._new_runner())
+            kept = _Kept(runner=self._new_runner(name.front))
             self._kept[name] = kept
         facts = (self._board.config_version, len(self._board.members))
         if kept.configured != facts:
@@ -113,11 +124,12 @@
         runner.connect(dict(servers))
         runner.carry_out(actions)
 
-    def _new_runner(self) -> ShardRunner:
+    def _new_runner(self, front: str) -> ShardRunner:
         return shard_runner(
             self._clock,
             self._board.local.name,
             self._limits.reply_bytes,
+            functools.partial(self._metrics.count_failure, front),
         )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
@@ -18,12 +18,14 @@
     Planned,
     ScatterOrder,
     ScatterOutcome,
+    ServerSight,
     ShardView,
     Task,
     not_run,
 )
 from fennelfork_daemon._home_orders import Errand, Outcome, SearchOrder
 from fennelfork_daemon._home_runners import HomeRunners, ShardName
+from fennelfork_daemon._metrics import DaemonMetrics
 from fennelfork_daemon._settings_tables import LimitSettings
 
 _UNKNOWN: Final = not_run(
@@ -64,6 +66,11 @@
     _runners: HomeRunners
     _serials: Iterator[int] = attrs.field(factory=itertools.count)
 
+    @property
+    def sights(self) -> dict[tuple[str, str], tuple[ServerSight, ...]]:
+        """The servers of each shard that this daemon is the home of."""
+        return self._runners.sights
+
     def scatter(self, order: ScatterOrder) -> ScatterOutcome:
         """Run the sub-queries of `order`, within its deadline."""
         deadline_ms = self._clock.now_ms() + order.deadline_ms
@@ -152,6 +159,7 @@
     board: Blackboard,
     clock: Clock,
     limits: LimitSettings,
+    metrics: DaemonMetrics,
 ) -> HomeService:
     """Build the home side of a daemon.
 
@@ -159,8 +167,14 @@
         board: the facts of the daemon.
         clock: its clock.
         limits: what bounds its memory.
+        metrics: counts what servers shed or answered wrongly.
     """
-    runners = HomeRunners(board=board, clock=clock, limits=limits)
+    runners = HomeRunners(
+        board=board,
+        clock=clock,
+        limits=limits,
+        metrics=metrics,
+    )
     return HomeService(board=board, clock=clock, runners=runners)
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_shard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_shard.py
@@ -1,7 +1,7 @@
 """Carries out what the scheduler of one shard decides."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import attrs
@@ -64,6 +64,7 @@
     _clock: Clock
     _label: str
     _most_bytes: int
+    _notice: Callable[[Failure], None]
     _clients: dict[str, BackendClient] = attrs.field(factory=dict)
     _addresses: dict[str, str] = attrs.field(factory=dict)
     _errands: dict[str, Errand] = attrs.field(factory=dict)
@@ -149,6 +150,7 @@
             self.carry_out(self.scheduler.on_reply(send.attempt))
             self._settled.pop(send.attempt, None)
             return
+        self._notice(result.failure())
         failed = self.scheduler.on_failure(send.attempt, result.failure())
         self.carry_out(failed)
 
@@ -208,19 +210,26 @@
         self.carry_out(self.scheduler.tick())
 
 
-def shard_runner(clock: Clock, label: str, most_bytes: int) -> ShardRunner:
+def shard_runner(
+    clock: Clock,
+    label: str,
+    most_bytes: int,
+    notice: Callable[[Failure], None],
+) -> ShardRunner:
     """Build the runner of a shard without servers.
 
     Args:
         clock: of the daemon.
         label: tells the copies of this daemon from those of another home.
         most_bytes: the largest reply that is read from a server.
+        notice: told of each copy that failed, for counting.
     """
     return ShardRunner(
         scheduler=home_scheduler(clock, random.Random()),
         clock=clock,
         label=label,
         most_bytes=most_bytes,
+        notice=notice,
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -8,6 +8,7 @@
 from fennelfork_daemon._config_face import config_face
 from fennelfork_daemon._config_reader import ConfigReader
 from fennelfork_daemon._config_service import ConfigService
+from fennelfork_daemon._home_service import HomeService
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -32,6 +33,7 @@
     """Answers operators."""
 
     _board: Blackboard
+    _home: HomeService
     _observer: Observer
     _reader: ConfigReader
 
@@ -81,7 +83,7 @@
 
     def fronts(self, request: HttpRequest) -> HttpReply:
         """Give the fronts with homes and servers."""
-        return json_reply(fronts_page(self._board, ()))
+        return json_reply(fronts_page(self._board, self._home.sights))
 
     def explain(self, request: HttpRequest) -> HttpReply:
         """Give what was done for one request of the latest."""
@@ -103,6 +105,7 @@
 
 def operator_router(
     board: Blackboard,
+    home: HomeService,
     seen: Observer,
     config: ConfigService,
     settings: Settings,
@@ -112,11 +115,17 @@
 
     Args:
         board: the facts of this daemon.
+        home: what it does as the home of shards.
         seen: what was counted and remembered here.
         config: follows and changes the configuration.
         settings: what bounds requests.
         further: routes of other parts of the daemon.
     """
-    face = OperatorFace(board=board, observer=seen, reader=config.reader)
+    face = OperatorFace(
+        board=board,
+        home=home,
+        observer=seen,
+        reader=config.reader,
+    )
     config_routes = config_face(board, config, settings).routes
     return router((*face.routes, *config_routes, *further))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_pages.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_pages.py
@@ -9,31 +9,15 @@
     Blackboard,
     Front,
     Member,
+    ServerSight,
     Shard,
     route_homes,
 )
 
 Tree = dict[str, Any]
-Seen = Mapping[tuple[str, str], 'ServerSight']
-
-
-@attrs.frozen(kw_only=True)
-class ServerSight:
-    """A backend server as its home sees it.
-
-    Attributes:
-        name: as configured.
-        address: as configured.
-        state: in a word.
-        busy: slots in use.
-        snapshots: versions that it holds.
-    """
-
-    name: str
-    address: str
-    state: str
-    busy: int
-    snapshots: tuple[int, ...]
+# By front and shard.
+ShardKey = tuple[str, str]
+Sights = Mapping[ShardKey, tuple[ServerSight, ...]]
 
 
 def members_page(board: Blackboard) -> Tree:
@@ -44,20 +28,20 @@
 
 def fronts_page(
     board: Blackboard,
-    servers: tuple[ServerSight, ...],
+    sights: Sights,
 ) -> Tree:
     """List the fronts with their shards, homes and backend servers.
 
     Args:
         board: configuration and members.
-        servers: what this daemon sees as their home; of other servers only
-            the configuration is told.
+        sights: what this daemon sees of servers as their home; of others
+            only the configuration is told.
     """
-    seen = {(sight.name, sight.address): sight for sight in servers}
     return {
         'config_version': board.config_version,
         'fronts': [
-            _front(board, seen, name) for name in sorted(board.document.fronts)
+            _front(board, sights, name)
+            for name in sorted(board.document.fronts)
         ],
     }
 
@@ -66,7 +50,7 @@
     return attrs.asdict(member) | {'state': member.state.value}
 
 
-def _front(board: Blackboard, seen: Seen, name: str) -> Tree:
+def _front(board: Blackboard, sights: Sights, name: str) -> Tree:
     front = board.document.fronts[name]
     homes = _homes(board, name, front)
     return {
@@ -77,7 +61,10 @@
             {
                 'name': shard_name,
                 'home': homes.get(shard_name),
-                'servers': _servers(shard, seen),
+                'servers': _servers(
+                    shard,
+                    sights.get((name, shard_name), ()),
+                ),
             }
             for shard_name, shard in sorted(front.shards.items())
         ],
@@ -92,14 +79,15 @@
     }
 
 
-def _servers(shard: Shard, seen: Seen) -> list[Tree]:
+def _servers(shard: Shard, sights: tuple[ServerSight, ...]) -> list[Tree]:
+    seen = {sight.name: sight for sight in sights}
     return [
         {
             'name': name,
             'address': server.address,
             'data_centre': server.data_centre,
             'slots': server.slots,
-            **_sight(seen.get((name, server.address))),
+            **_sight(seen.get(name)),
         }
         for name, server in sorted(shard.servers.items())
     ]
@@ -109,7 +97,7 @@
     if sight is None:
         return {'state': None, 'busy': None, 'snapshots': None}
     return {
-        'state': sight.state,
+        'state': sight.condition.value,
         'busy': sight.busy,
         'snapshots': sight.snapshots,
     }
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -83,6 +83,8 @@
 from fennelfork._home_route import data_centres_of as data_centres_of
 from fennelfork._home_route import homes_of as homes_of
 from fennelfork._home_route import route_homes as route_homes
+from fennelfork._home_sight import ServerCondition as ServerCondition
+from fennelfork._home_sight import ServerSight as ServerSight
 from fennelfork._member import Member as Member
 from fennelfork._member import MemberStatus as MemberStatus
 from fennelfork._member import first_incarnation as first_incarnation
--- a/packages/fennelfork/src/fennelfork/_home.py
+++ b/packages/fennelfork/src/fennelfork/_home.py
@@ -22,6 +22,7 @@
     replied,
 )
 from fennelfork._home_servers import HomeServers
+from fennelfork._home_sight import ServerSight, server_sights
 from fennelfork._verdict import Failure, FailureCode, not_run
 
 
@@ -51,6 +52,11 @@
         """How many slots are held."""
         return self._board.slots.total
 
+    @property
+    def sights(self) -> tuple[ServerSight, ...]:
+        """The servers, as operators are shown them."""
+        return server_sights(self._board)
+
     def offer(self, task: Task) -> list[Action]:
         """Take in a piece of work, or refuse it at once.
 
