Leave the resolver of host names out of the daemon: 7 MB less

Cause: 209 of 894 loaded modules are dnspython, twice, for the cooperative resolver of eventlet; every address of the product is an IP number. Ruled out: rich and cyclopts, which are not loaded any more. Change: the switch that eventlet offers, set before it is imported; a test lists libraries that must not be loaded (failed before with dns).

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
@@ -2,10 +2,16 @@
 
 eventlet announces its own deprecation when it is imported. The users ask for
 eventlet (docs/STYLE.md), so that one warning is quieted and no other.
+
+Its cooperative resolver of names is left out: every address here is an IP
+number, and the resolver's library takes 7 MB of memory.
 """
 
+import os
 import warnings
 
+os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
+
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
 import eventlet  # noqa: E402  # after the filter above, which it needs
--- a/packages/fennelfork-daemon/tests/test_serve.py
+++ b/packages/fennelfork-daemon/tests/test_serve.py
@@ -108,3 +108,20 @@
         assert found.returncode == 2
         assert found.stderr.decode().startswith(f'{path}: cannot be read')
         assert found.stderr.count(b'\n') == 1
+
+
+class TestImports:
+    """What a serving process keeps in memory."""
+
+    def test_no_resolver_no_rich_no_command_line(self) -> None:
+        """Libraries that a daemon never needs are not loaded."""
+        code = (
+            'import sys, fennelfork_daemon.__main__; '
+            'print({"dns", "rich", "cyclopts", "numpy"} & set(sys.modules))'
+        )
+        found = subprocess.run(
+            [sys.executable, '-c', code],
+            capture_output=True,
+            timeout=_PATIENCE_S,
+        )
+        assert found.stdout == b'set()\n'
