Leave the counting of executions to the lane of tickets

Cause: lane/tickets counts and explains executions itself, with a latency histogram and the ids it remembers; two observers would count twice.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -124,5 +124,5 @@
         observer=seen,
         config=config_service(board, clock, settings),
         fleet=fleet(settings, clock, board, seen.metrics),
-        execute=execute_parts(board, clock, home, seen, settings),
+        execute=execute_parts(board, clock, home, settings),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -21,7 +21,6 @@
 from fennelfork_daemon._execute_service import ExecuteService
 from fennelfork_daemon._execute_targets import ExecuteTargets
 from fennelfork_daemon._home_calls import Home, HomeCalls
-from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._ticket_issuer import TicketIssuer
@@ -65,7 +64,6 @@
     board: Blackboard,
     clock: Clock,
     home: Home,
-    seen: Observer,
     settings: Settings,
 ) -> ExecuteParts:
     """Build the parts of a new incarnation.
@@ -74,7 +72,6 @@
         board: the facts of the daemon.
         clock: its monotonic clock.
         home: the home side of the same daemon.
-        seen: counts and remembers requests.
         settings: of the daemon.
     """
     gate = _new_gate(board.local.name, clock)
@@ -100,7 +97,6 @@
             board=board,
             clock=clock,
             settings=settings,
-            observer=seen,
         ),
         issuer=TicketIssuer(
             gate=gate,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
@@ -18,7 +18,6 @@
     failure_reply,
     json_reply,
 )
-from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
 from fennelfork_daemon._wsgi_request import (
@@ -36,7 +35,6 @@
     _board: Blackboard
     _clock: Clock
     _settings: Settings
-    _observer: Observer
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -70,20 +68,18 @@
         return failure_reply(order.failure(), str(tree.get('request_id')))
 
     def _answer(self, order: ExecuteOrder) -> HttpReply:
-        trace = self._observer.began()
+        started_ms = self._clock.now_ms()
         result = self._service.answer(order)
         request = order.request
         if isinstance(result, Failed):
-            self._observer.refused(order, result.failure(), trace)
             return failure_reply(result.failure(), request.request_id)
-        self._observer.executed(order, trace)
         return json_reply(
             {
                 'request_id': request.request_id,
                 'key': request.key,
                 'outcome': result.unwrap(),
                 'config_version': self._board.config_version,
-                'took_ms': round(trace.took_ms, 3),
+                'took_ms': round(self._clock.now_ms() - started_ms, 3),
             },
         )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_order.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_order.py
@@ -42,21 +42,6 @@
     traffic_class: str
     deadline_at_ms: float
 
-    @property
-    def request_id(self) -> str:
-        """The caller's id, bound to its ticket."""
-        return self.request.request_id
-
-    @property
-    def front(self) -> str:
-        """The front that the caller named."""
-        return self.request.front
-
-    @property
-    def tenant(self) -> str:
-        """The tenant that the caller named."""
-        return self.request.tenant
-
 
 def read_execute(
     front: str,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -1,6 +1,6 @@
 """Counts and remembers finished requests."""
 
-from typing import Any, Final, Protocol
+from typing import Any
 
 import attrs
 
@@ -23,28 +23,6 @@
 from fennelfork_daemon._state_watch import StateWatch, state_watch
 from fennelfork_daemon._trace import ExplainRing, RequestTrace, request_trace
 
-_EXECUTED: Final = 'executed'
-
-
-class CallerRequest(Protocol):
-    """What queries and executions have in common."""
-
-    @property
-    def request_id(self) -> str:
-        """Chosen by the caller."""
-
-    @property
-    def front(self) -> str:
-        """As the caller named it."""
-
-    @property
-    def tenant(self) -> str:
-        """As the caller named it."""
-
-    @property
-    def traffic_class(self) -> str:
-        """As the caller named it."""
-
 
 @attrs.frozen(kw_only=True)
 class Observer:
@@ -102,23 +80,17 @@
             },
         )
 
-    def executed(self, asked: CallerRequest, trace: RequestTrace) -> None:
-        """Count and remember a non-idempotent request that ran."""
-        self._count(asked, trace, Verdict.RAN, _EXECUTED)
-        outcome = {'outcome': _EXECUTED, 'verdict': Verdict.RAN.value}
-        self._remember(asked, trace, outcome)
-
     def refused(
         self,
-        asked: CallerRequest,
+        query: QueryRequest,
         failure: Failure,
         trace: RequestTrace,
     ) -> None:
-        """Count and remember a request that failed."""
+        """Count and remember a query that failed."""
         code = failure.code.value
-        self._count(asked, trace, failure.verdict, code)
+        self._count(query, trace, failure.verdict, code)
         self._remember(
-            asked,
+            query,
             trace,
             {
                 'outcome': code,
@@ -129,7 +101,7 @@
 
     def _count(
         self,
-        asked: CallerRequest,
+        query: QueryRequest,
         trace: RequestTrace,
         verdict: Verdict,
         code: str,
@@ -137,13 +109,13 @@
         # A front may be asked before anything else looked at its patch.
         self.metrics.follow(self.board.document)
         labels = self.metrics.labels(
-            asked.front,
-            asked.tenant,
-            asked.traffic_class,
+            query.front,
+            query.tenant,
+            query.traffic_class,
         )
         self.metrics.count_answer(labels, verdict, code)
         work = FrontWork(
-            front=asked.front,
+            front=query.front,
             hedges=trace.hedges,
             retries=trace.retries,
         )
@@ -152,16 +124,16 @@
 
     def _remember(
         self,
-        asked: CallerRequest,
+        query: QueryRequest,
         trace: RequestTrace,
         outcome: dict[str, Any],
     ) -> None:
         story = {
-            'request_id': asked.request_id,
+            'request_id': query.request_id,
             'daemon': self.board.local.name,
-            'front': asked.front,
-            'tenant': asked.tenant,
-            'class': asked.traffic_class,
+            'front': query.front,
+            'tenant': query.tenant,
+            'class': query.traffic_class,
             **outcome,
             'took_ms': round(trace.took_ms, 1),
             'queue_ms': round(trace.longest_queue_ms, 1),
@@ -169,7 +141,7 @@
             'events': trace.events,
             'events_left_out': trace.left_out,
         }
-        self.ring.remember(asked.request_id, story)
+        self.ring.remember(query.request_id, story)
 
 
 def observer(
