--- a/packages/fennelfork-cli/tests/cli_builders.py
+++ b/packages/fennelfork-cli/tests/cli_builders.py
@@ -125,6 +125,9 @@
             ],
             'ttl_ms': 5000,
             'ticket': 't1',
+            'ticket_serial': 3,
+            'ticket_address': addresses[0],
+            'ticket_ms': 5000,
             'config_version': 4,
         },
     )
--- a/packages/fennelfork-cli/tests/test_app.py
+++ b/packages/fennelfork-cli/tests/test_app.py
@@ -201,6 +201,20 @@
         assert code == 5
         assert out.endswith('not known to be in force on: vm-2\n')
 
+    def test_explains_from_another_daemon(self, command: Any) -> None:
+        """A story that the daemon asked lacks is found at its peer."""
+        path = '/v1/explain/r1'
+        story = Answer(tree={'request_id': 'r1', 'daemon': 'vm-2'})
+        with scripted_daemon({path: [story]}) as other:
+            members = [{'operator': _NOWHERE}, {'operator': other.address}]
+            page = Answer(tree={'members': members})
+            with scripted_daemon({'/v1/members': [page]}) as daemon:
+                code, out, _ = command(
+                    'explain', 'r1', '--operator', daemon.address
+                )
+        assert code == 0
+        assert 'daemon: vm-2' in out
+
     def test_unreachable(self, command: Any) -> None:
         """A daemon that is not there exits 3: nothing ran."""
         code, _, err = command('members', '--operator', _NOWHERE)
@@ -227,9 +241,11 @@
 
     def test_asks_once(self, command: Any) -> None:
         """The daemon is asked once, and its word is passed on."""
-        script = {'/v1/drain': [Answer(tree={'draining': True}, status=202)]}
+        tree = {'phase': 'announcing', 'running': 2}
+        script = {'/v1/drain': [Answer(tree=tree)]}
         with scripted_daemon(script) as daemon:
-            assert command('drain', '--operator', daemon.address)[0] == 0
+            code, out, _ = command('drain', '--operator', daemon.address)
+            assert (code, out) == (0, 'announcing, 2 requests running\n')
             assert daemon.posted == [('/v1/drain', {})]
 
 
