--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_fanout.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_fanout.py
@@ -69,7 +69,7 @@
         name=name,
         metrics={
             **latency_metrics(measured.tally),
-            **outcome_metrics(measured.tally),
+            **outcome_metrics(measured),
             'daemon_us_per_query': _us_per_query(measured),
             'daemon_us_per_sub_query': measured.busy_us / measured.needed,
             'idle_us_per_s': measured.idle_us_per_s,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_load.py
@@ -1,6 +1,7 @@
 """One measured load on a fleet: tally, server counts, processor time."""
 
 import itertools
+import os
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any, Final
@@ -29,6 +30,7 @@
         counts: what the backend servers counted for it.
         daemon_us: processor time of all daemons.
         server_us: processor time of all backend servers.
+        load_average: of the whole machine, of the last minute, at the end.
         idle_us_per_s: what all daemons use in a second without queries.
     """
 
@@ -37,6 +39,7 @@
     counts: Counter[str]
     daemon_us: float
     server_us: float
+    load_average: float
     idle_us_per_s: float = 0
 
     @property
@@ -104,6 +107,7 @@
         counts=server_counts(fleet) - counts,
         daemon_us=processor_us(fleet.living) - daemon_us,
         server_us=processor_us(fleet.backends.values()) - server_us,
+        load_average=os.getloadavg()[0],
     )
 
 
@@ -119,6 +123,7 @@
         counts=counts,
         daemon_us=sum(part.daemon_us for part in parts),
         server_us=sum(part.server_us for part in parts),
+        load_average=max(part.load_average for part in parts),
     )
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_metrics.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_metrics.py
@@ -3,6 +3,7 @@
 from typing import Any, Final, TypeAlias
 
 from fennelfork_bench._caller_tally import Tally
+from fennelfork_bench._exp_load import Measured
 
 Hedge: TypeAlias = dict[str, Any]
 
@@ -41,8 +42,9 @@
     return tally.refusal_ms(_P99)
 
 
-def outcome_metrics(tally: Tally) -> dict[str, float]:
-    """Give how many requests met each outcome."""
+def outcome_metrics(measured: Measured) -> dict[str, float]:
+    """Give how many requests met each outcome, and how busy it all was."""
+    tally = measured.tally
     return {
         'queries': tally.counts['offered'],
         'answered': tally.counts['answered'],
@@ -50,4 +52,5 @@
         'refused': tally.counts['refused'],
         'lost': tally.counts['lost'] + tally.counts['given_up'],
         'coverage': tally.fractions / max(tally.counts['answered'], 1),
+        'load_average': measured.load_average,
     }
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_silent.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_silent.py
@@ -94,7 +94,7 @@
         name=case.name,
         metrics={
             **latency_metrics(tally),
-            **outcome_metrics(tally),
+            **outcome_metrics(measured),
             'not_complete': tally.counts['offered'] - tally.counts['complete'],
             'extra_load': measured.extra_load,
         },
