Mend the registry of experiments that a merge left unreadable

Cause: two merges each kept the line that opens the registry, so python -m fennelfork_bench ended with a SyntaxError in main. Change: one line.

--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -12,8 +12,7 @@
 from fennelfork_bench._rig_process import RigError
 
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
-_EXPERIMENTS: Final[dict[str, str]] = {
-_EXPERIMENTS: Final[dict[str, str]] = {
+_EXPERIMENTS: Final = {
     'config': 'fennelfork_bench._exp_config',
     'control': 'fennelfork_bench._exp_control',
     'demo': 'fennelfork_bench._demo',
