--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
@@ -56,9 +56,7 @@
     with rig() as own:
         fleet = start_front(own, _SIZE, seed)
         for turn in range(_ROUNDS):
-            for each, share in _ARMS:
-                rng = random.Random(f'{seed}/{turn}/{each}')
-                _round(fleet, measured[each], _load(fleet, share, rng))
+            _turn(fleet, measured, f'{seed}/{turn}')
         started = _started(fleet)
     return Report(
         experiment='once',
@@ -71,12 +69,18 @@
     )
 
 
-def _load(fleet: Fleet, share: float, rng: random.Random) -> OnceLoad:
+def _turn(fleet: Fleet, measured: dict[str, _Measured], seed: str) -> None:
+    for name, share in _ARMS:
+        load = _load(fleet, share, f'{seed}/{name}')
+        _round(fleet, measured[name], load)
+
+
+def _load(fleet: Fleet, share: float, seed: str) -> OnceLoad:
     return OnceLoad(
         addresses=fleet.callers,
         claims=Claims(address=fleet.platform.key_value_address),
         claim_share=share,
-        rng=rng,
+        rng=random.Random(seed),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -104,6 +104,7 @@
     seen: Observer,
     config: ConfigService,
     settings: Settings,
+    further: tuple[Route, ...],
 ) -> Router:
     """Build the application of the operator face.
 
@@ -112,7 +113,8 @@
         seen: what was counted and remembered here.
         config: follows and changes the configuration.
         settings: what bounds requests.
+        further: routes of other parts of the daemon.
     """
     face = OperatorFace(board=board, observer=seen)
     config_routes = config_face(board, config, settings).routes
-    return router((*face.routes, *config_routes))
+    return router((*face.routes, *config_routes, *further))
--- a/packages/fennelfork/src/fennelfork/_once.py
+++ b/packages/fennelfork/src/fennelfork/_once.py
@@ -14,7 +14,7 @@
 from sortedcontainers import SortedList
 
 from fennelfork._clock import Clock
-from fennelfork._once_admission import Admission, RunIt, repeat_admission
+from fennelfork._once_admission import OnceAdmission, RunIt, repeat_admission
 from fennelfork._once_state import (
     Accepted,
     Done,
@@ -97,7 +97,7 @@
         self,
         ticket: Ticket,
         request: OnceRequest,
-    ) -> Result[Admission, Failure]:
+    ) -> Result[OnceAdmission, Failure]:
         """Decide on a request that came with a genuine ticket of its id.
 
         Args:
@@ -189,7 +189,7 @@
         self,
         ticket: Ticket,
         request: OnceRequest,
-    ) -> Result[Admission, Failure]:
+    ) -> Result[OnceAdmission, Failure]:
         now_ms = self._clock.now_ms()
         if now_ms >= self._end_ms(ticket):
             return Failed(unsettled('the ticket ended long ago'))
