Experiments: wait until the news of the start is told; taking a next version

Change: 75 s of waiting before the rest is measured, 40 s in control; the document experiment measures a daemon that takes a version of which one front changed.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_control.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_control.py
@@ -18,7 +18,7 @@
 from fennelfork_bench._rig_report import Arm, Report
 
 _CLOCK: Final = system_clock()
-_SETTLE_S: Final = 10
+_NEWS_S: Final = 40  # news of the start is told for a while
 _WINDOW_S: Final = 60
 _PATCH_EVERY_S: Final = 2
 _MS_PER_S: Final = 1000
@@ -40,7 +40,7 @@
     """
     with rig() as started:
         fleet = start_fleet(started, small_fleet(TODAY, seed))
-        time.sleep(_SETTLE_S)
+        time.sleep(_NEWS_S)
         rest = cost_metrics(costs_over(fleet.living, _WINDOW_S))
         patched = cost_metrics(_patched_costs(fleet))
     arms = (
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_document.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_document.py
@@ -9,10 +9,13 @@
 from typing import Any, Final
 
 from fennelfork import (
+    ConfigSource,
+    config_state,
     digest,
     parse_document,
     render_document,
     structure_document,
+    system_clock,
 )
 from fennelfork_bench._rig_report import Arm, Report
 from fennelfork_bench._rig_usage import usage
@@ -53,11 +56,26 @@
             'parse_and_check_ms': _median_ms(lambda: parse_document(raw)),
             'render_ms': _median_ms(lambda: render_document(held)),
             'digest_ms': _median_ms(lambda: digest(raw)),
+            'take_next_ms': _take_next_ms(document_tree(servers)),
             'resident_growth_mb': after_mb - before_mb,
         },
     )
 
 
+def _take_next_ms(tree: dict[str, Any]) -> float:
+    """Measure a daemon that takes versions with one front changed."""
+    state = config_state(system_clock())
+    times_ms = []
+    for number in range(_REPEATS + 1):
+        tree['version'] = _PATCHES + number
+        tree['fronts']['front-0']['hedge'] = {'delay_ms': number}
+        raw = render_document(structure_document(tree).unwrap())
+        started_s = time.process_time()
+        state.offer(raw, ConfigSource.PEER)
+        times_ms.append((time.process_time() - started_s) * _MS_PER_S)
+    return statistics.median(times_ms[1:])
+
+
 def document_tree(servers: int) -> dict[str, Any]:
     """Build a document with that many servers and a full history.
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_membership.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_membership.py
@@ -15,6 +15,7 @@
 from fennelfork_bench._rig_report import Arm, Report, percentile
 
 _CLOCK: Final = system_clock()
+_NEWS_S: Final = 75  # news of the start is told for a while
 _SETTLE_S: Final = 10
 _REST_S: Final = 30
 _BUSY_S: Final = 20
@@ -37,7 +38,7 @@
 def _arm(size: int, seed: int) -> Arm:
     with rig() as started:
         fleet = start_fleet(started, small_fleet(size, seed))
-        time.sleep(_SETTLE_S)
+        time.sleep(_NEWS_S)
         metrics = {
             'daemons': size,
             **_rest(fleet),
