Soak by one command, and the failures of a report in its JSON

Cause: the soak could only be called from Python, and the JSON of a report left out what was broken.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := fennelfork fennelfork-daemon fennelfork-cli fennelfork-bench
 WORKERS ?= 6
 
-.PHONY: demo test lint format unit clean
+.PHONY: demo test lint format unit long soak clean
 
 demo: .venv/.installed
 	$(PY) -m fennelfork_bench demo
@@ -20,6 +20,15 @@
 unit: .venv/.installed
 	$(PY) -m pytest -q -n $(WORKERS)
 
+# State machines and properties with 2,000 random examples each.
+long: .venv/.installed
+	HYPOTHESIS_PROFILE=long $(PY) -m pytest -q -n $(WORKERS) packages/fennelfork
+
+SEED ?= 1
+MINUTES ?= 5
+soak: .venv/.installed
+	$(PY) -m fennelfork_bench soak --seed $(SEED) --minutes $(MINUTES)
+
 format: .venv/.installed
 	$(PY) -m ruff format packages
 	$(PY) -m ruff check --fix packages
--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -24,18 +24,26 @@
     'overload': 'fennelfork_bench._exp_overload',
     'silent': 'fennelfork_bench._exp_silent',
     'slots': 'fennelfork_bench._exp_slots',
+    'soak': 'fennelfork_bench._exp_soak',
     'stop': 'fennelfork_bench._exp_stop',
     'tail': 'fennelfork_bench._exp_tail',
 }
 _USAGE: Final = 2
 
 
-def main(name: str, *, seed: int = 1, json: bool = False) -> int:
+def main(
+    name: str,
+    *,
+    seed: int = 1,
+    minutes: float | None = None,
+    json: bool = False,
+) -> int:
     """Run one experiment on real processes over loopback.
 
     Args:
         name: the experiment, or `demo`.
         seed: of every random choice of the load and the stand-ins.
+        minutes: of the soak only; the others have a length of their own.
         json: print one JSON object in place of a table.
 
     Returns:
@@ -48,7 +56,9 @@
         return _USAGE
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     try:
-        report = import_module(_EXPERIMENTS[name]).run(seed)
+        report = import_module(_EXPERIMENTS[name]).run(
+            seed, **_options(minutes)
+        )
     except RigError as error:
         sys.stderr.write(f'{error}\n')
         return 1
@@ -57,5 +67,9 @@
     return 1 if report.failures else 0
 
 
+def _options(minutes: float | None) -> dict[str, float]:
+    return {} if minutes is None else {'minutes': minutes}
+
+
 if __name__ == '__main__':
     sys.exit(cyclopts.run(main))
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_report.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_report.py
@@ -36,6 +36,7 @@
                 'experiment': self.experiment,
                 'seed': self.seed,
                 'arms': [attrs.asdict(arm) for arm in self.arms],
+                'failures': self.failures,
             },
         )
 
--- a/packages/fennelfork-bench/tests/test_exp_parts.py
+++ b/packages/fennelfork-bench/tests/test_exp_parts.py
@@ -70,13 +70,14 @@
     """Results for people and machines."""
 
     def test_json_has_the_agreed_members(self) -> None:
-        """Experiment, seed and arms with their metrics, and no more."""
+        """Experiment, seed, arms with their metrics, failures, and no more."""
         arms = (Arm(name='a', metrics={'p50_ms': 1.5}),)
         report = Report(experiment='x', seed=3, arms=arms)
         assert json.loads(report.to_json()) == {
             'experiment': 'x',
             'seed': 3,
             'arms': [{'name': 'a', 'metrics': {'p50_ms': 1.5}}],
+            'failures': [],
         }
 
     def test_table_shows_a_dash_for_what_an_arm_lacks(self) -> None:
