--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
@@ -56,10 +56,18 @@
     with rig() as own:
         fleet = start_front(own, _SIZE, seed)
         for turn in range(_ROUNDS):
-            for each, share in _ARMS:
-                rng = random.Random(f'{seed}/{turn}/{each}')
-                _round(fleet, measured[each], _load(fleet, share, rng))
+            for arm, share in _ARMS:
+                rng = random.Random(f'{seed}/{turn}/{arm}')
+                _round(fleet, measured[arm], _load(fleet, share, rng))
         started = _started(fleet)
+    return _report(seed, measured, started)
+
+
+def _report(
+    seed: int,
+    measured: dict[str, _Measured],
+    started: Counter[str],
+) -> Report:
     return Report(
         experiment='once',
         seed=seed,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -17,10 +17,12 @@
 from fennelfork_daemon._execute_codec import order_from_peer, reply_to_peer
 from fennelfork_daemon._execute_connection import ExecutePatience
 from fennelfork_daemon._execute_face import ExecuteFace
+from fennelfork_daemon._execute_observer import ExecuteObserver
 from fennelfork_daemon._execute_runner import ExecuteRunner
 from fennelfork_daemon._execute_service import ExecuteService
 from fennelfork_daemon._execute_targets import ExecuteTargets
 from fennelfork_daemon._home_calls import Home, HomeCalls
+from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._ticket_issuer import TicketIssuer
@@ -65,6 +67,7 @@
     clock: Clock,
     home: Home,
     settings: Settings,
+    observer: Observer,
 ) -> ExecuteParts:
     """Build the parts of a new incarnation.
 
@@ -73,6 +76,7 @@
         clock: its monotonic clock.
         home: the home side of the same daemon.
         settings: of the daemon.
+        observer: counts and remembers the answers.
     """
     gate = _new_gate(board.local.name, clock)
     service = ExecuteService(
@@ -97,6 +101,12 @@
             board=board,
             clock=clock,
             settings=settings,
+            observer=ExecuteObserver(
+                board=board,
+                metrics=observer.metrics,
+                ring=observer.ring,
+                table=gate.table,
+            ),
         ),
         issuer=TicketIssuer(
             gate=gate,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
@@ -11,18 +11,22 @@
     generate_latest,
 )
 
-from fennelfork import Document, Verdict
+from fennelfork import Document, Failure, FailureCode, Verdict
 from fennelfork_daemon._metrics_families import (
     CounterFamilies,
+    ExecuteFamilies,
     QueryFamilies,
     config_gauge,
     counter_families,
+    execute_families,
     query_families,
 )
 from fennelfork_daemon._metrics_labels import LabelGuard, Labels, label_guard
 
 METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 _MS_PER_SECOND: Final = 1000
+# How the check of replies begins what it says of a crossed one.
+_CROSSED: Final = 'crossed'
 
 
 @enum.unique
@@ -38,7 +42,7 @@
     """What was wrong with a reply of a backend server."""
 
     CROSSED = 'crossed'
-    TRUNCATED = 'truncated'
+    INCOMPLETE = 'incomplete'
     UNREADABLE = 'unreadable'
 
 
@@ -70,7 +74,6 @@
     front: str
     hedges: int = 0
     retries: int = 0
-    sheds: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -99,6 +102,7 @@
     _queries: QueryFamilies
     _counters: CounterFamilies
     _config_version: Gauge
+    _execute: ExecuteFamilies
 
     def labels(self, front: str, tenant: str, traffic_class: str) -> Labels:
         """Give the labels for names as a caller sent them."""
@@ -106,10 +110,8 @@
 
     def follow(self, document: Document) -> None:
         """Take the known names and the version from a configuration."""
-        self._guard.fronts.allow(document.fronts)
-        self._guard.tenants.allow(document.tenants)
-        self._guard.classes.allow(document.classes)
-        self._config_version.set(document.version)
+        if self._guard.follow(document):
+            self._config_version.set(document.version)
 
     def observe_query(self, facts: QueryFacts) -> None:
         """Count one finished query in the four histograms."""
@@ -134,17 +136,29 @@
         words = labels.words
         self._counters.verdicts.labels(*words, verdict.value, code).inc()
 
+    def observe_execute(self, labels: Labels, took_ms: float) -> None:
+        """Count a non-idempotent request that was answered, in any way."""
+        latency = self._execute.latency.labels(*labels.words)
+        latency.observe(took_ms / _MS_PER_SECOND)
+
+    def show_remembered(self, count: int) -> None:
+        """Show how many ids of non-idempotent requests are kept."""
+        self._execute.remembered.set(count)
+
     def count_work(self, work: FrontWork) -> None:
         """Add to the counters of a front."""
         front = self._guard.fronts.label(work.front)
         self._counters.hedges.labels(front).inc(work.hedges)
         self._counters.retries.labels(front).inc(work.retries)
-        self._counters.sheds.labels(front).inc(work.sheds)
 
-    def count_dropped(self, front: str, reason: DropReason) -> None:
-        """Count one reply that was thrown away."""
+    def count_failure(self, front: str, failure: Failure) -> None:
+        """Count a sub-query that a server shed or answered wrongly."""
         label = self._guard.fronts.label(front)
-        self._counters.dropped_replies.labels(label, reason.value).inc()
+        if failure.code is FailureCode.SHED:
+            self._counters.sheds.labels(label).inc()
+        elif failure.code is FailureCode.BAD_REPLY:
+            reason = drop_reason(failure).value
+            self._counters.dropped_replies.labels(label, reason).inc()
 
     def count_control(self, cost: ControlCost) -> None:
         """Add the cost of one exchange of control."""
@@ -161,6 +175,19 @@
         return generate_latest(self._registry)
 
 
+def drop_reason(failure: Failure) -> DropReason:
+    """Tell what was wrong with a reply from the failure that says so.
+
+    A reply of this very sub-query whose content does not fit it has the
+    verdict that it ran: truncated, doubled, or of another range or snapshot.
+    """
+    if failure.verdict is Verdict.RAN:
+        return DropReason.INCOMPLETE
+    if failure.detail.startswith(_CROSSED):
+        return DropReason.CROSSED
+    return DropReason.UNREADABLE
+
+
 def daemon_metrics(most_names: int) -> DaemonMetrics:
     """Build the metrics of one daemon, in a registry of their own.
 
@@ -176,4 +203,5 @@
         queries=query_families(registry),
         counters=counter_families(registry),
         config_version=config_gauge(registry),
+        execute=execute_families(registry),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fennelfork import Blackboard, Member
+from fennelfork_daemon._config_exchange import ConfigExchange
 from fennelfork_daemon._execute_build import ExecutePeer
 from fennelfork_daemon._home_calls import Home
 from fennelfork_daemon._peer_codec import order_from_peer, outcome_to_peer
@@ -19,6 +20,7 @@
     _board: Blackboard
     _home: Home
     _execute: ExecutePeer
+    _config: ConfigExchange
 
     def scatter(self, request: Any) -> Any:
         """Run sub-queries as the home of their shards."""
@@ -34,6 +36,10 @@
         """Answer a non-idempotent request under a ticket of this daemon."""
         return self._execute.execute(request)
 
+    def fetch_config(self, request: Any) -> Any:
+        """Give the configuration to a peer that has an older one."""
+        return self._config.answer(request)
+
     def probe(self, request: Any) -> Any:
         """Answer that this daemon lives."""
         return peer.ProbeReply(
