--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_answer.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_check_answer.py
@@ -14,6 +14,7 @@
     Ended,
     ExecuteAnswered,
     ExecuteAsked,
+    Malformed,
     QueryAnswered,
     QueryAsked,
     Refused,
@@ -66,6 +67,8 @@
 
 
 def _addressed(attempt: Try, end: Ended) -> Iterator[str]:
+    if isinstance(end, Malformed):
+        yield f'a malformed reply: {end.detail}'
     if not isinstance(end, QueryAnswered | ExecuteAnswered | Refused):
         return
     if end.reply_to != attempt.asked.request_id:
--- a/packages/fennelfork-bench/tests/test_once_process.py
+++ b/packages/fennelfork-bench/tests/test_once_process.py
@@ -211,3 +211,21 @@
                 'the outcome',
             )
             assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_leaving(self) -> None:
+        """A leaving daemon keeps its word on tickets, and gives no more."""
+        caller = Caller()
+        with rig() as own:
+            fleet = start_once_fleet(own, once_spec())
+            here, there = fleet.callers
+            request = caller.request(caller.ticket(here))
+            drained = http.post(fleet.operators[0], '/v1/drain', {})
+            assert drained.fine, drained
+            wait_until(
+                lambda: http.get(here, '/v1/entries').body['ticket'] is None,
+                _CAP_S,
+                'no more tickets',
+            )
+            replies = [caller.send(each, request) for each in (there, here)]
+            assert [reply.status for reply in replies] == [200, 200], replies
+            assert assert_once(fleet, caller)[request['request_id']] == 1
--- a/packages/fennelfork/src/fennelfork/_once_caller.py
+++ b/packages/fennelfork/src/fennelfork/_once_caller.py
@@ -38,7 +38,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Answered:
+class OnceAnswered:
     """The system answered; without an outcome, it gave a verdict.
 
     Attributes:
@@ -50,7 +50,7 @@
     has_outcome: bool = False
 
 
-CallerEvent = NothingSent | NoAnswer | Answered
+CallerEvent = NothingSent | NoAnswer | OnceAnswered
 
 
 @attrs.define(kw_only=True)
@@ -94,7 +94,7 @@
 
 
 @_after.register
-def _after_answer(event: Answered, in_doubt: bool) -> CallerStep:
+def _after_answer(event: OnceAnswered, in_doubt: bool) -> CallerStep:
     if event.has_outcome:
         return CallerStep.STOP
     if event.verdict is Verdict.NOT_RUN:
