--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
@@ -8,7 +8,15 @@
 
 import attrs
 
-from fennelfork import Verdict
+from fennelfork import (
+    Answered,
+    CallerEvent,
+    CallerStep,
+    NoAnswer,
+    NothingSent,
+    OnceCaller,
+    Verdict,
+)
 from fennelfork_bench import _rig_http as http
 from fennelfork_bench._exp_soak_entry import Entry, EntryBook
 from fennelfork_bench._exp_soak_replies import ended
@@ -18,6 +26,7 @@
     ConnectionCut,
     ConnectRefused,
     Ended,
+    ExecuteAnswered,
     ExecuteAsked,
     QueryAsked,
     Refused,
@@ -95,6 +104,7 @@
     def _execute(self, entry: Entry) -> None:
         name = self._next_id()
         key = self._randomness.randrange(self.habits.keys)
+        once = OnceCaller()
         for _ in range(self._randomness.choice((1, _TRIES))):
             asked = ExecuteAsked(
                 **self._common(entry, f'{name}@{entry.serial}'),
@@ -103,23 +113,24 @@
             )
             body = {'key': key, 'action': 'issue', 'ticket': entry.ticket}
             end = self._send(asked, 'execute', body)
-            fresh = self._entry_for_retry(entry, end)
+            step = once.after(_caller_event(end), self._left_ms(entry))
+            fresh = self._entry_for_retry(entry, step)
             if fresh is None:
                 return
             entry = fresh
 
-    def _entry_for_retry(self, entry: Entry, end: Ended) -> Entry | None:
-        """Give what to use for another try, none if there is to be none.
-
-        A request that may have run goes on under its own ticket, and so its
-        own id; one that surely did not may take a new ticket.
-        """
-        if isinstance(end, ConnectionCut):
+    def _entry_for_retry(
+        self,
+        entry: Entry,
+        step: CallerStep,
+    ) -> Entry | None:
+        """Give what to use for another try, none if there is to be none."""
+        if step is CallerStep.ASK_AGAIN:
             return entry
-        if isinstance(end, Refused):
-            unsure = end.verdict is not Verdict.NOT_RUN
-            return entry if unsure else self._renewed()
-        return self._renewed() if isinstance(end, ConnectRefused) else None
+        return self._renewed() if step is CallerStep.RENEW else None
+
+    def _left_ms(self, entry: Entry) -> float:
+        return entry.until_ms - self.recorder.now_ms()
 
     def _renewed(self) -> Entry | None:
         self.entries.forget()
@@ -167,3 +178,14 @@
             return {'text': self._randomness.choice(_TEXTS)}
         wanted = range(self.habits.keys)
         return {'keys': self._randomness.sample(wanted, _FEW_KEYS)}
+
+
+def _caller_event(end: Ended) -> CallerEvent:
+    """Put the end of a try in the words of `OnceCaller`."""
+    if isinstance(end, ConnectRefused):
+        return NothingSent()
+    if isinstance(end, Refused):
+        return Answered(verdict=end.verdict)
+    if isinstance(end, ExecuteAnswered):
+        return Answered(verdict=Verdict.RAN, has_outcome=True)
+    return NoAnswer()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_codec.py
@@ -5,7 +5,7 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import ExecuteRequest, Failure
+from fennelfork import ExecuteRequest, Failure, unsettled
 from fennelfork_daemon._execute_order import ExecuteOrder
 from fennelfork_daemon._peer_codec_fault import fault_from_peer, fault_to_peer
 from fennelfork_daemon._peer_idl import peer
@@ -56,4 +56,6 @@
     """Read the outcome or the failure."""
     if message.fault is not None:
         return Failed(fault_from_peer(message.fault))
+    if message.outcome is None:
+        return Failed(unsettled('the daemon of the ticket gave no outcome'))
     return Success(message.outcome)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_order.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_order.py
@@ -86,8 +86,7 @@
     if unknown:
         return f'unknown member {unknown[0]!r}'
     for member, longest in _TEXTS:
-        text = body.get(member)
-        if not isinstance(text, str) or not 0 < len(text) <= longest:
+        if not _is_text(body.get(member), longest):
             return f'{member}: must be a text of 1 to {longest} characters'
     if not _is_whole(body.get('key'), 0, _LARGEST_KEY):
         return 'key: must be a whole number from 0'
@@ -96,6 +95,13 @@
     return None
 
 
+def _is_text(text: Any, longest: int) -> bool:
+    if not isinstance(text, str) or not 0 < len(text) <= longest:
+        return False
+    # A lone surrogate, which JSON can spell, cannot be sent on.
+    return text.encode(errors='ignore').decode() == text
+
+
 def _is_whole(number: Any, least: int, most: int) -> bool:
     whole = isinstance(number, int) and not isinstance(number, bool)
     return whole and least <= number <= most
--- a/packages/fennelfork/src/fennelfork/_ticket.py
+++ b/packages/fennelfork/src/fennelfork/_ticket.py
@@ -138,7 +138,8 @@
         ticket was damaged may have run under the genuine one.
     """
     parts = text.split(_FIELD_MARK)
-    if len(text) > MAX_TICKET_CHARS or len(parts) != _FIELDS:
+    wrong_form = not text.isascii() or len(parts) != _FIELDS
+    if wrong_form or len(text) > MAX_TICKET_CHARS:
         return Failed(unsettled('the ticket cannot be read'))
     serial, payload, mac = parts
     try:
--- a/packages/fennelfork/tests/test_ticket.py
+++ b/packages/fennelfork/tests/test_ticket.py
@@ -109,6 +109,12 @@
         assert isinstance(refused, Failed)
         assert refused.failure().verdict is Verdict.MAY_HAVE_RUN
 
+    def test_refuses_what_cannot_be_encoded(self) -> None:
+        """A lone surrogate in a ticket fails as a value, too."""
+        forged = _issue().text[:-1] + '\ud800'
+        refused = parse_ticket(forged).bind(_check)
+        assert isinstance(refused, Failed)
+
 
 class TestCheckBinding:
     """Request ids and the ticket they belong to."""
