Pass over a draining server at the probe; a stop waits for an execute

Cause: the probe ignored what a server says of its state, so a leaving one was still sent work, and no test held that a planned stop keeps a request in progress. Change: a draining server is passed over before the send; a process test stops a daemon while its server answers late.

--- a/packages/fennelfork-bench/tests/test_once_process.py
+++ b/packages/fennelfork-bench/tests/test_once_process.py
@@ -229,3 +229,20 @@
             replies = [caller.send(each, request) for each in (there, here)]
             assert [reply.status for reply in replies] == [200, 200], replies
             assert assert_once(fleet, caller)[request['request_id']] == 1
+
+    def test_stopped_in_the_middle(self) -> None:
+        """A planned stop waits for a request in progress and its outcome."""
+        caller = Caller()
+        with rig() as own, ThreadPoolExecutor(1) as pool:
+            fleet = start_once_fleet(own, once_spec(ttl_ms=_TTL_MS))
+            here, _ = fleet.callers
+            request = caller.request(caller.ticket(here))
+            request['deadline_ms'] = 10_000
+            late = {'kind': 'late', 'delay_ms': 2 * _TTL_MS}
+            faults(fleet, 'reg-0', rules=[late])
+            first = pool.submit(caller.send, here, request)
+            wait_until(lambda: events(fleet, 'started'), _CAP_S, 'the run')
+            fleet.daemons['vm-1'].terminate()
+            assert first.result().status == 200, first.result()
+            assert fleet.daemons['vm-1'].wait(_CAP_S) == 0
+            assert assert_once(fleet, caller)[request['request_id']] == 1
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
@@ -29,6 +29,7 @@
 
 _MS: Final = 1000
 _OK: Final = 200
+_DRAINING: Final = 'draining'
 _REPLY_BYTES: Final = 65_536
 _ERRORS: Final = (HTTPError, HTTPException, OSError, eventlet.Timeout)
 
@@ -150,16 +151,21 @@
     if not usable or connection.sock is None:
         detail = f'the probe was answered with status {response.status}'
         return Failed(not_run(FailureCode.UNREACHABLE, detail))
-    return Success(_read_clock(content))
+    return _read_health(content)
 
 
-def _read_clock(content: bytes) -> float | None:
+def _read_health(content: bytes) -> Result[float | None, Failure]:
     try:
         health = json.loads(content)
     except ValueError:
-        return None
-    told = health.get('now_ms') if isinstance(health, dict) else None
-    return told if isinstance(told, int | float) else None
+        health = None
+    if not isinstance(health, dict):
+        detail = 'the probe was answered with something else'
+        return Failed(not_run(FailureCode.UNREACHABLE, detail))
+    if health.get('state') == _DRAINING:
+        return Failed(not_run(FailureCode.DRAINING, 'the server is draining'))
+    told = health.get('now_ms')
+    return Success(told if isinstance(told, int | float) else None)
 
 
 def _send(
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -42,6 +42,7 @@
         sick: fail the probe.
         now_ms: reading of its clock, which it tells if not none.
         hang_up: close the connection after the probe.
+        state: what the probe is told of it.
     """
 
     port: int = 0
@@ -54,6 +55,7 @@
     sick: bool = False
     now_ms: float | None = None
     hang_up: bool = False
+    state: str = 'serving'
 
     @property
     def target(self) -> ExecuteTarget:
@@ -103,7 +105,7 @@
     def do_GET(self) -> None:
         """Answer the probe."""
         self.close_connection = self.fake.hang_up
-        health = {'now_ms': self.fake.now_ms}
+        health = {'now_ms': self.fake.now_ms, 'state': self.fake.state}
         self._answer(503 if self.fake.sick else 200, health)
 
     def do_POST(self) -> None:
--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -152,6 +152,16 @@
         result = attempt_execute(server.target, _CALL, _no_leave, PATIENCE)
         assert result.failure().verdict is Verdict.NOT_RUN
 
+    def test_sends_nothing_to_a_draining_server(
+        self,
+        server: FakeServer,
+    ) -> None:
+        """A server that says that it leaves gets no new work."""
+        server.state = 'draining'
+        result = attempt_execute(server.target, _CALL, _no_leave, PATIENCE)
+        assert result.failure().code is FailureCode.DRAINING
+        assert result.failure().verdict is Verdict.NOT_RUN
+
 
 class TestRunner:
     """A request from admission to its end."""
--- a/packages/fennelfork/tests/test_ticket.py
+++ b/packages/fennelfork/tests/test_ticket.py
@@ -111,7 +111,7 @@
 
     def test_refuses_what_cannot_be_encoded(self) -> None:
         """A lone surrogate in a ticket fails as a value, too."""
-        forged = _issue().text[:-1] + '\ud800'
+        forged = f'{_issue().text[:-1]}\ud800'
         refused = parse_ticket(forged).bind(_check)
         assert isinstance(refused, Failed)
 
