--- a/packages/fennelfork-bench/tests/bench_builders_caller.py
+++ b/packages/fennelfork-bench/tests/bench_builders_caller.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 from collections.abc import Callable, Iterator
+
 # Not `from http import server`: see test_sources.py.
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
--- a/packages/fennelfork-bench/tests/bench_builders_once.py
+++ b/packages/fennelfork-bench/tests/bench_builders_once.py
@@ -10,7 +10,7 @@
 from fennelfork_bench import _rig_http as http
 from fennelfork_bench._rig_config import await_version, first_patch
 from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import Rig
+from fennelfork_bench._rig_process import Rig, wait_until
 from fennelfork_bench._rig_specs import (
     BackendSpec,
     FleetSpec,
@@ -23,6 +23,7 @@
 FRONT: Final = 'registry'
 _PATH: Final = f'/v1/fronts/{FRONT}/execute'
 _PATIENCE_MS: Final = 30_000
+_KNOWN_CAP_S: Final = 30
 
 
 def once_spec(
@@ -56,9 +57,17 @@
     document = {'version': 1, 'patches': [], **first_patch(fleet)}
     fleet.platform.write_document(document)
     await_version(fleet, 1)
+    wait_until(lambda: _all_known(fleet), _KNOWN_CAP_S, 'daemons to know all')
     return fleet
 
 
+def _all_known(fleet: Fleet) -> bool:
+    """Tell whether each daemon names all of them, so that it can pass on."""
+    found = [http.get(each, '/v1/entries').body for each in fleet.callers]
+    wanted = len(fleet.callers)
+    return all(len(body.get('entries', ())) == wanted for body in found)
+
+
 @attrs.define(kw_only=True)
 class Caller:
     """A caller that keeps what it was told of each request id."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -129,5 +129,5 @@
             seen.metrics.count_control,
         ),
         fleet=fleet(settings, clock, board, seen.metrics),
-        execute=execute_parts(board, clock, home, settings),
+        execute=execute_parts(board, clock, home, settings, seen),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
@@ -9,7 +9,7 @@
 import json
 from collections.abc import Callable
 from http.client import HTTPException
-from typing import Any, Final
+from typing import Final
 
 import attrs
 import eventlet
@@ -152,20 +152,21 @@
     if not usable or connection.sock is None:
         detail = f'the probe was answered with status {response.status}'
         return Failed(not_run(FailureCode.UNREACHABLE, detail))
-    health = _read_health(content)
-    if health.get('state') == _DRAINING:
-        detail = 'the probe was answered as draining'
-        return Failed(not_run(FailureCode.DRAINING, detail))
-    told = health.get('now_ms')
-    return Success(told if isinstance(told, int | float) else None)
+    return _read_health(content)
 
 
-def _read_health(content: bytes) -> dict[str, Any]:
+def _read_health(content: bytes) -> Result[float | None, Failure]:
     try:
         health = json.loads(content)
     except ValueError:
-        return {}
-    return health if isinstance(health, dict) else {}
+        health = None
+    if not isinstance(health, dict):
+        detail = 'the probe was answered with something else'
+        return Failed(not_run(FailureCode.UNREACHABLE, detail))
+    if health.get('state') == _DRAINING:
+        return Failed(not_run(FailureCode.DRAINING, 'the server is draining'))
+    told = health.get('now_ms')
+    return Success(told if isinstance(told, int | float) else None)
 
 
 def _send(
--- a/packages/fennelfork-daemon/tests/daemon_builders_config.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_config.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 from collections.abc import Iterator
+
 # Not `from http import server`: see test_sources.py.
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Final
