--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -113,7 +113,7 @@
     board = blackboard(local_member(settings, listeners))
     board.routing = settings.routing.mode
     seen = observer(board, clock, settings.limits)
-    home = home_service(board, clock)
+    home = home_service(board, clock, settings.limits)
     return Daemon(
         settings=settings,
         clock=clock,
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -1,7 +1,12 @@
 """Decisions of the fennelfork query tier, without input or output."""
 
+from fennelfork._admission import Admission as Admission
+from fennelfork._admission import Pressure as Pressure
+from fennelfork._admission import draw as draw
 from fennelfork._blackboard import Blackboard as Blackboard
 from fennelfork._blackboard import blackboard as blackboard
+from fennelfork._budget import Budget as Budget
+from fennelfork._budget import budget as budget
 from fennelfork._clock import Clock as Clock
 from fennelfork._clock import ManualTime as ManualTime
 from fennelfork._clock import manual_clock as manual_clock
@@ -19,6 +24,8 @@
 from fennelfork._config_state import HeldDocument as HeldDocument
 from fennelfork._config_state import OfferOutcome as OfferOutcome
 from fennelfork._config_state import config_state as config_state
+from fennelfork._connection import ConnectionLedger as ConnectionLedger
+from fennelfork._connection import ConnectionUse as ConnectionUse
 from fennelfork._coverage import Coverage as Coverage
 from fennelfork._coverage import MissingRange as MissingRange
 from fennelfork._coverage import PartialCoverage as PartialCoverage
@@ -45,9 +52,33 @@
     unstructure_document as unstructure_document,
 )
 from fennelfork._document_problem import Problem as Problem
+from fennelfork._ejection import Standing as Standing
+from fennelfork._ejection import may_eject as may_eject
 from fennelfork._entries import choose_entries as choose_entries
+from fennelfork._fair import Flow as Flow
+from fennelfork._fair import Shares as Shares
+from fennelfork._fair import fair_rates as fair_rates
+from fennelfork._hedge import FixedHedge as FixedHedge
+from fennelfork._hedge import HedgePolicy as HedgePolicy
+from fennelfork._hedge import Latencies as Latencies
+from fennelfork._hedge import NoHedge as NoHedge
+from fennelfork._hedge import QuantileHedge as QuantileHedge
+from fennelfork._hedge import hedge_delay_ms as hedge_delay_ms
+from fennelfork._hedge import latencies as latencies
+from fennelfork._home import HomeScheduler as HomeScheduler
+from fennelfork._home import home_scheduler as home_scheduler
 from fennelfork._home_index import HomeIndex as HomeIndex
 from fennelfork._home_index import home_index as home_index
+from fennelfork._home_messages import Action as Action
+from fennelfork._home_messages import Answered as Answered
+from fennelfork._home_messages import Cancel as Cancel
+from fennelfork._home_messages import Effort as Effort
+from fennelfork._home_messages import HomeSettings as HomeSettings
+from fennelfork._home_messages import Refused as Refused
+from fennelfork._home_messages import Send as Send
+from fennelfork._home_messages import ServerFacts as ServerFacts
+from fennelfork._home_messages import ServerReport as ServerReport
+from fennelfork._home_messages import Task as Task
 from fennelfork._home_route import HomeGroup as HomeGroup
 from fennelfork._home_route import data_centres_of as data_centres_of
 from fennelfork._home_route import homes_of as homes_of
@@ -82,15 +113,15 @@
 from fennelfork._once import OnceTable as OnceTable
 from fennelfork._once import once_request as once_request
 from fennelfork._once import once_table as once_table
-from fennelfork._once_admission import Admission as Admission
 from fennelfork._once_admission import AnswerIt as AnswerIt
 from fennelfork._once_admission import AwaitIt as AwaitIt
+from fennelfork._once_admission import OnceAdmission as OnceAdmission
 from fennelfork._once_admission import RunIt as RunIt
-from fennelfork._once_caller import Answered as Answered
 from fennelfork._once_caller import CallerEvent as CallerEvent
 from fennelfork._once_caller import CallerStep as CallerStep
 from fennelfork._once_caller import NoAnswer as NoAnswer
 from fennelfork._once_caller import NothingSent as NothingSent
+from fennelfork._once_caller import OnceAnswered as OnceAnswered
 from fennelfork._once_caller import OnceCaller as OnceCaller
 from fennelfork._once_gate import ExecuteRequest as ExecuteRequest
 from fennelfork._once_gate import OnceGate as OnceGate
@@ -138,9 +169,13 @@
 from fennelfork._query import QueryAnswer as QueryAnswer
 from fennelfork._query import QueryRequest as QueryRequest
 from fennelfork._query import Work as Work
+from fennelfork._queue import FairQueue as FairQueue
 from fennelfork._range import KeyRange as KeyRange
 from fennelfork._range import key_range as key_range
 from fennelfork._range import missing_ranges as missing_ranges
+from fennelfork._rank import Candidate as Candidate
+from fennelfork._rank import ObservedLatency as ObservedLatency
+from fennelfork._rank import best as best
 from fennelfork._rendezvous import home_of as home_of
 from fennelfork._rendezvous import watchers as watchers
 from fennelfork._reply import Expected as Expected
@@ -152,6 +187,7 @@
 from fennelfork._scatter import Part as Part
 from fennelfork._scatter import ScatterOrder as ScatterOrder
 from fennelfork._scatter import ScatterOutcome as ScatterOutcome
+from fennelfork._slots import SlotTable as SlotTable
 from fennelfork._stop import GracefulStop as GracefulStop
 from fennelfork._stop import StopFacts as StopFacts
 from fennelfork._stop import StopPhase as StopPhase
--- a/packages/fennelfork/src/fennelfork/_once_admission.py
+++ b/packages/fennelfork/src/fennelfork/_once_admission.py
@@ -27,25 +27,25 @@
     answer: Result[str, Failure]
 
 
-Admission = RunIt | AwaitIt | AnswerIt
+OnceAdmission = RunIt | AwaitIt | AnswerIt
 
 
 @functools.singledispatch
-def repeat_admission(state: OnceState) -> Admission:
+def repeat_admission(state: OnceState) -> OnceAdmission:
     """Decide on a repeat by the state of the first."""
     raise TypeError(f'not a state: {state!r}')
 
 
 @repeat_admission.register
-def _repeat_open(state: Accepted | Sent) -> Admission:
+def _repeat_open(state: Accepted | Sent) -> OnceAdmission:
     return AwaitIt()
 
 
 @repeat_admission.register
-def _repeat_done(state: Done) -> Admission:
+def _repeat_done(state: Done) -> OnceAdmission:
     return AnswerIt(answer=Success(state.outcome))
 
 
 @repeat_admission.register
-def _repeat_ended(state: Ended) -> Admission:
+def _repeat_ended(state: Ended) -> OnceAdmission:
     return AnswerIt(answer=Failed(state.failure))
--- a/packages/fennelfork/tests/core_builders_once_naive.py
+++ b/packages/fennelfork/tests/core_builders_once_naive.py
@@ -7,11 +7,11 @@
 from returns.result import Result, Success
 
 from fennelfork import (
-    Admission,
     Done,
     ExecuteRequest,
     Failure,
     FailureCode,
+    OnceAdmission,
     OnceRequest,
     OnceTable,
     Sent,
@@ -28,7 +28,7 @@
         self,
         ticket: Ticket,
         request: OnceRequest,
-    ) -> Result[Admission, Failure]:
+    ) -> Result[OnceAdmission, Failure]:
         """Decide without the memory of what is done."""
         if isinstance(self.state(request.request_id), Done):
             _drop(self, request.request_id)
@@ -43,7 +43,7 @@
         self,
         ticket: Ticket,
         request: OnceRequest,
-    ) -> Result[Admission, Failure]:
+    ) -> Result[OnceAdmission, Failure]:
         """Decide after making room."""
         known = self.state(request.request_id) is not None
         if not known and self.size >= self._limits.entries:
--- a/packages/fennelfork/tests/test_once_caller.py
+++ b/packages/fennelfork/tests/test_once_caller.py
@@ -3,17 +3,17 @@
 import pytest
 
 from fennelfork import (
-    Answered,
     CallerEvent,
     CallerStep,
     NoAnswer,
     NothingSent,
+    OnceAnswered,
     OnceCaller,
     Verdict,
 )
 
-_DOUBT = Answered(verdict=Verdict.MAY_HAVE_RUN)
-_REFUSED = Answered(verdict=Verdict.NOT_RUN)
+_DOUBT = OnceAnswered(verdict=Verdict.MAY_HAVE_RUN)
+_REFUSED = OnceAnswered(verdict=Verdict.NOT_RUN)
 
 
 class TestOnceCaller:
@@ -22,8 +22,11 @@
     @pytest.mark.parametrize(
         ('event', 'step'),
         [
-            (Answered(verdict=Verdict.RAN, has_outcome=True), CallerStep.STOP),
-            (Answered(verdict=Verdict.RAN), CallerStep.LOOK_UP),
+            (
+                OnceAnswered(verdict=Verdict.RAN, has_outcome=True),
+                CallerStep.STOP,
+            ),
+            (OnceAnswered(verdict=Verdict.RAN), CallerStep.LOOK_UP),
             (_REFUSED, CallerStep.RENEW),
             (_DOUBT, CallerStep.ASK_AGAIN),
             (NoAnswer(), CallerStep.ASK_AGAIN),
