Refuse at the root what some home would refuse; wait for a busy home

The root also asked the next home after 0.5 s although the first was only busy: two homes, one load twice. Ruled out: homes that agree among themselves; that needs another protocol. Change: homes tell their level with each reply, roots refuse by the lowest and weigh what they let in; a root asks the next home only if the first fails or answers no call. A third copy when both are overdue (both replicas mute).

--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -12,7 +12,6 @@
 from fennelfork_bench._rig_process import RigError
 
 # One line an experiment: a module whose `run(seed)` gives a `Report`.
-_EXPERIMENTS: Final[dict[str, str]] = {
 _EXPERIMENTS: Final[dict[str, str]] = {
     'config': 'fennelfork_bench._exp_config',
     'control': 'fennelfork_bench._exp_control',
--- a/packages/fennelfork-bench/tests/test_answers.py
+++ b/packages/fennelfork-bench/tests/test_answers.py
@@ -84,6 +84,19 @@
 class TestHomes:
     """Daemons that die, pause, or both think they are home."""
 
+    def test_a_busy_home_is_waited_for(self, fleet: Small) -> None:
+        """Work that takes long is not handed to a second home as well."""
+        fleet.faults(rules=[{'kind': 'straggle', 'factor': 700}])
+        request_id = fleet.whole()['request_id']
+        fleet.faults()
+        homes = {
+            (event['sub_query'][:2], event['sub_query'].split('#')[1][:4])
+            for server in fleet.servers
+            for event in fleet.events(server)
+            if event['request_id'] == request_id
+        }
+        assert len(homes) == 2
+
     def test_a_paused_home_is_gone_around(self, fleet: Small) -> None:
         """Answers stay whole while it stands still and after it wakes."""
         for paused in fleet.fleet.daemons.values():
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_calls.py
@@ -3,15 +3,22 @@
 from typing import Protocol
 
 import attrs
+from returns.pipeline import is_successful
 from returns.result import Result, Success
 
 from fennelfork import (
+    EntryGate,
     Failure,
+    Flow,
+    HomeLevel,
     Member,
     PeerHealth,
+    QueryRequest,
     ScatterOrder,
     ScatterOutcome,
     ShardView,
+    entry_gate,
+    system_clock,
 )
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._peer_codec import order_to_peer, outcome_from_peer
@@ -33,6 +40,10 @@
         """Tell which snapshots and ranges the shards hold."""
 
 
+def _gate_of_system() -> EntryGate:
+    return entry_gate(system_clock())
+
+
 @attrs.define(kw_only=True)
 class HomeCalls:
     """Reaches a home: in this process by a call, elsewhere by thrift."""
@@ -41,6 +52,16 @@
     _local: Home
     _peers: PeerClient
     _health: PeerHealth
+    _gate: EntryGate = attrs.field(factory=_gate_of_system)
+
+    def let_in(self, request: QueryRequest) -> Result[float, Failure]:
+        """Refuse a query at once if some home would refuse its part.
+
+        Returns:
+            The part of such queries that is let in, or a refusal.
+        """
+        flow = Flow(tenant=request.tenant, traffic_class=request.traffic_class)
+        return self._gate.judge(request.front, flow, request.request_id)
 
     def scatter(
         self,
@@ -50,7 +71,9 @@
     ) -> Result[ScatterOutcome, Failure]:
         """Have a home run sub-queries."""
         if home.name == self._local_name:
-            return Success(self._local.scatter(order))
+            outcome = self._local.scatter(order)
+            self._learn_level(home, order, outcome)
+            return Success(outcome)
         reply = self._peers.call(
             home.peer,
             'scatter',
@@ -58,7 +81,11 @@
             timeout_ms,
         )
         self._note(home, reply)
-        return reply.map(lambda message: outcome_from_peer(message, order))
+        return reply.map(
+            lambda message: outcome_from_peer(message, order),
+        ).map(
+            lambda outcome: self._learn_level(home, order, outcome),
+        )
 
     def describe(
         self,
@@ -76,6 +103,29 @@
         self._note(home, reply)
         return reply.map(lambda message: views_from_peer(message.shards))
 
+    def lives(self, home: Member, front: str, timeout_ms: float) -> bool:
+        """Tell whether a home answers at all, however busy it is.
+
+        Asked to describe no shard, it answers at once.
+        """
+        described = self.describe(home, front, frozenset(), timeout_ms)
+        return is_successful(described)
+
+    def _learn_level(
+        self,
+        home: Member,
+        order: ScatterOrder,
+        outcome: ScatterOutcome,
+    ) -> ScatterOutcome:
+        told = HomeLevel(
+            front=order.front,
+            flow=Flow(tenant=order.tenant, traffic_class=order.traffic_class),
+            home=home.name,
+            level=outcome.level,
+        )
+        self._gate.learn(told)
+        return outcome
+
     def _note(self, home: Member, reply: Result[object, Failure]) -> None:
         reply.map(lambda _: self._health.note_reply(home.name))
         reply.alt(lambda _: self._health.note_silence(home.name))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
@@ -79,6 +79,7 @@
             parts=parts,
             shards=self._views(order.front, shards),
             config_version=self._board.config_version,
+            level=self._level(order, shards),
         )
 
     def describe(
@@ -121,10 +122,18 @@
             span=planned.expected.span,
             snapshot=order.snapshot,
             deadline_ms=deadline_ms,
-            flow=Flow(
-                tenant=order.tenant,
-                traffic_class=order.traffic_class,
-            ),
+            flow=flow_of(order),
+            weight=1 / order.level,
+        )
+
+    def _level(self, order: ScatterOrder, shards: list[str]) -> float:
+        """Give the lowest level of the shards that were asked."""
+        names = [ShardName(front=order.front, shard=each) for each in shards]
+        runners = [self._runners.of(name) for name in names]
+        flow = flow_of(order)
+        return min(
+            (runner.scheduler.level(flow) for runner in runners if runner),
+            default=1,
         )
 
     def _start(
@@ -148,6 +157,11 @@
         runner.run(errand)
 
 
+def flow_of(order: ScatterOrder) -> Flow:
+    """Tell whose share of the slots an order counts towards."""
+    return Flow(tenant=order.tenant, traffic_class=order.traffic_class)
+
+
 def home_service(
     board: Blackboard,
     clock: Clock,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_shard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_shard.py
@@ -13,16 +13,16 @@
 
 from fennelfork import (
     Action,
-    Answered,
     Cancel,
     Clock,
     Failure,
     FailureCode,
     HomeScheduler,
-    Refused,
     Reply,
     Send,
     Server,
+    TaskAnswered,
+    TaskRefused,
     home_scheduler,
     not_run,
 )
@@ -98,9 +98,9 @@
                     self._start(action)
                 case Cancel():
                     eventlet.spawn_n(self._cancel, action)
-                case Answered():
+                case TaskAnswered():
                     self._answer(action)
-                case Refused():
+                case TaskRefused():
                     self._refuse(action)
         self._set_alarm()
 
@@ -152,7 +152,7 @@
         failed = self.scheduler.on_failure(send.attempt, result.failure())
         self.carry_out(failed)
 
-    def _answer(self, answered: Answered) -> None:
+    def _answer(self, answered: TaskAnswered) -> None:
         copy = self._settled[answered.attempt]
         outcome = Outcome(
             result=copy.result,
@@ -162,7 +162,7 @@
         )
         self._errands.pop(answered.task.job).done(outcome)
 
-    def _refuse(self, refused: Refused) -> None:
+    def _refuse(self, refused: TaskRefused) -> None:
         outcome = Outcome(result=Bad(refused.failure), effort=refused.effort)
         self._errands.pop(refused.task.job).done(outcome)
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_codec.py
@@ -30,6 +30,7 @@
         tenant=order.tenant,
         traffic_class=order.traffic_class,
         config_version=order.config_version,
+        level=order.level,
     )
 
 
@@ -57,6 +58,7 @@
         tenant=message.tenant,
         traffic_class=message.traffic_class,
         config_version=message.config_version,
+        level=_level(message),
     )
 
 
@@ -66,6 +68,7 @@
         parts=[_part_to_peer(part) for part in outcome.parts],
         shards=views_to_peer(outcome.shards),
         config_version=outcome.config_version,
+        level=outcome.level,
     )
 
 
@@ -80,9 +83,15 @@
         ),
         shards=views_from_peer(message.shards),
         config_version=message.config_version,
+        level=_level(message),
     )
 
 
+def _level(message: Any) -> float:
+    """Read a level; a daemon that sends none lets everything in."""
+    return message.level or 1
+
+
 def _sub_query(planned: Planned) -> Any:
     return peer.SubQuery(
         sub_query=planned.expected.sub_query,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
@@ -1,10 +1,12 @@
 """One round of a query: all sub-queries at one snapshot, to their homes."""
 
-import functools
+import itertools
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
 import eventlet
+from returns.pipeline import is_successful
 
 from fennelfork import (
     Blackboard,
@@ -28,9 +30,12 @@
 from fennelfork_daemon._view_cache import ViewCache
 
 _MS: Final = 1000
-# How long a home may be silent before another one is asked as well.
+# How long a home may be silent before it is asked whether it lives.
 _PATIENCE_SHARE: Final = 0.4
 _LONGEST_PATIENCE_MS: Final = 500
+_LEAST_PATIENCE_MS: Final = 20
+# How soon a home that lives answers a call that asks for nothing.
+_PROBE_MS: Final = 300
 # What a home leaves of the deadline for its message and the merge.
 _MERGE_MARGIN_MS: Final = 4
 _MOST_WAVES: Final = 3
@@ -54,8 +59,11 @@
     _health: PeerHealth
     _views: ViewCache
     _clock: Clock
+    _level: float = 1
     _arrivals: eventlet.Queue = attrs.field(factory=eventlet.Queue)
-    _waiting: int = 0
+    _asked: dict[int, HomeGroup] = attrs.field(factory=dict)
+    _lost: list[HomeGroup] = attrs.field(factory=list)
+    _serials: Iterator[int] = attrs.field(factory=itertools.count)
 
     @property
     def left_ms(self) -> float:
@@ -64,50 +72,73 @@
 
     def run(self, merge: Merge) -> None:
         """Fill `merge` until nothing is pending or no time is left."""
+        self._send(merge, _shards(merge), frozenset())
         silent: frozenset[str] = frozenset()
-        for _ in range(_MOST_WAVES):
-            if not merge.pending or self.left_ms <= _MERGE_MARGIN_MS:
-                return
-            asked = self._send_wave(merge, silent)
-            silent |= asked
-            self._collect(merge, self._patience_ms())
-        self._collect(merge, self.left_ms)
-
-    def _patience_ms(self) -> float:
-        return min(self.left_ms * _PATIENCE_SHARE, _LONGEST_PATIENCE_MS)
-
-    def _send_wave(
+        waves = 1
+        while self._goes_on(merge):
+            self._collect(merge, _patience_ms(self.left_ms))
+            lost = self._take_lost(merge)
+            if lost and waves < _MOST_WAVES:
+                waves += 1
+                silent |= homes_of(lost)
+                shards = frozenset().union(*(group.shards for group in lost))
+                self._send(merge, _shards(merge) & shards, silent)
+
+    def _goes_on(self, merge: Merge) -> bool:
+        waits = bool(self._asked or self._lost)
+        return bool(merge.pending) and waits and self.left_ms > 0
+
+    def _send(
         self,
         merge: Merge,
+        shards: frozenset[str],
         silent: frozenset[str],
-    ) -> frozenset[str]:
-        pending = merge.pending
+    ) -> None:
+        """Ask the homes of some shards for what is pending of them."""
         groups = route_homes(
             self._board,
             self._request.front,
-            {planned.shard for planned in pending},
+            shards,
             silent | self._health.avoided,
         )
         for group in groups:
-            self._note_group(group, silent)
-            self._waiting += 1
+            _note_group(self.trace, group, silent)
             order = self._order(merge, group)
-            eventlet.spawn_n(self._ask, group.home, order)
-        self.work = attrs.evolve(
-            self.work,
-            sub_queries=self.work.sub_queries + len(pending),
-        )
-        return homes_of(groups)
-
-    def _note_group(self, group: HomeGroup, silent: frozenset[str]) -> None:
-        if silent:
-            self.trace.note(
-                'asked the next home',
-                home=group.home.name,
-                shards=sorted(group.shards),
-                silent=sorted(silent),
+            number = next(self._serials)
+            self._asked[number] = group
+            eventlet.spawn_n(self._ask, number, group.home, order)
+            self.work = attrs.evolve(
+                self.work,
+                sub_queries=self.work.sub_queries + len(order.planned),
             )
 
+    def _take_lost(self, merge: Merge) -> list[HomeGroup]:
+        """Give the groups whose home failed, or answers nothing at all.
+
+        A home that is only busy is waited for: a second home would hand out
+        the same servers' slots again.
+        """
+        lost = self._lost
+        self._lost = []
+        awaited = _shards(merge)
+        overdue = {
+            number: group
+            for number, group in self._asked.items()
+            if group.shards & awaited
+        }
+        if not lost and overdue:
+            pool = eventlet.GreenPool(len(overdue))
+            for number in tuple(pool.imap(self._unless_alive, overdue)):
+                if number is not None:
+                    lost.append(self._asked.pop(number))
+        return lost
+
+    def _unless_alive(self, number: int) -> int | None:
+        home = self._asked[number].home
+        timeout_ms = min(self.left_ms, _PROBE_MS)
+        front = self._request.front
+        return None if self._calls.lives(home, front, timeout_ms) else number
+
     def _order(self, merge: Merge, group: HomeGroup) -> ScatterOrder:
         return ScatterOrder(
             request_id=self._request.request_id,
@@ -119,27 +150,29 @@
             tenant=self._request.tenant,
             traffic_class=self._request.traffic_class,
             config_version=self._board.config_version,
+            level=self._level,
         )
 
-    def _ask(self, home: Member, order: ScatterOrder) -> None:
+    def _ask(self, number: int, home: Member, order: ScatterOrder) -> None:
         outcome = self._calls.scatter(home, order, self.left_ms)
-        self._arrivals.put(outcome)
+        self._arrivals.put((number, outcome))
 
     def _collect(self, merge: Merge, wait_ms: float) -> None:
-        """Take what arrives until nothing is pending or the wait is over."""
-        until_ms = self._clock.now_ms() + wait_ms
-        while merge.pending and self._waiting:
+        """Take what arrives until nothing is awaited or the wait is over."""
+        until_ms = self._clock.now_ms() + min(wait_ms, self.left_ms)
+        while merge.pending and self._asked and not self._lost:
             wait_s = (until_ms - self._clock.now_ms()) / _MS
             if wait_s <= 0:
                 return
             try:
-                outcome = self._arrivals.get(timeout=wait_s)
+                number, outcome = self._arrivals.get(timeout=wait_s)
             except eventlet.queue.Empty:
                 return
-            self._waiting -= 1
-            # A home that gave no reply leaves its sub-queries pending: the
-            # next wave asks another one.
-            outcome.map(functools.partial(self._take_outcome, merge))
+            group = self._asked.pop(number, None)
+            if is_successful(outcome):
+                self._take_outcome(merge, outcome.unwrap())
+            elif group is not None:
+                self._lost.append(group)
 
     def _take_outcome(self, merge: Merge, outcome: ScatterOutcome) -> None:
         self._views.learn(self._request.front, outcome.shards)
@@ -160,6 +193,29 @@
             _fail(merge, part, part.failure)
 
 
+def _patience_ms(left_ms: float) -> float:
+    patience_ms = min(left_ms * _PATIENCE_SHARE, _LONGEST_PATIENCE_MS)
+    return max(patience_ms, _LEAST_PATIENCE_MS)
+
+
+def _note_group(
+    trace: RequestTrace,
+    group: HomeGroup,
+    silent: frozenset[str],
+) -> None:
+    if silent:
+        trace.note(
+            'asked the next home',
+            home=group.home.name,
+            shards=sorted(group.shards),
+            silent=sorted(silent),
+        )
+
+
+def _shards(merge: Merge) -> frozenset[str]:
+    return frozenset(planned.shard for planned in merge.pending)
+
+
 def _of_group(merge: Merge, group: HomeGroup) -> tuple[Planned, ...]:
     return tuple(
         planned for planned in merge.pending if planned.shard in group.shards
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -67,9 +67,12 @@
         if front is None:
             detail = f'there is no front {request.front!r}'
             return Bad(not_run(FailureCode.UNKNOWN_FRONT, detail))
+        level = self._calls.let_in(request)
+        if not is_successful(level):
+            return Bad(level.failure())
         config_version = self._board.config_version
         self._describer.learn(request.front, front, request.deadline_at_ms)
-        scatter = self._scatter(request, trace)
+        scatter = self._scatter(request, trace, level.unwrap())
         merged = self._rounds(scatter, request, KeyRange(lo=0, hi=front.keys))
         return merged.bind(
             lambda merge: _finish(request, merge, config_version, scatter),
@@ -79,8 +82,10 @@
         self,
         request: QueryRequest,
         trace: RequestTrace,
+        level: float,
     ) -> RootScatter:
         return RootScatter(
+            level=level,
             trace=trace,
             request=request,
             query_text=json.dumps(request.query),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
@@ -40,6 +40,7 @@
   7: required string tenant
   8: required string traffic_class
   9: required i64 config_version
+  10: optional double level
 }
 
 struct Part {
@@ -62,6 +63,7 @@
   1: required list<Part> parts
   2: required list<ShardView> shards
   3: required i64 config_version
+  4: optional double level
 }
 
 struct DescribeRequest {
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -1,8 +1,10 @@
 """Decisions of the fennelfork query tier, without input or output."""
 
-from fennelfork._admission import Admission as Admission
+from fennelfork._admission import Arrival as Arrival
+from fennelfork._admission import HomeAdmission as HomeAdmission
 from fennelfork._admission import Pressure as Pressure
 from fennelfork._admission import draw as draw
+from fennelfork._admission import overloaded as overloaded
 from fennelfork._blackboard import Blackboard as Blackboard
 from fennelfork._blackboard import blackboard as blackboard
 from fennelfork._budget import Budget as Budget
@@ -58,6 +60,9 @@
 from fennelfork._fair import Flow as Flow
 from fennelfork._fair import Shares as Shares
 from fennelfork._fair import fair_rates as fair_rates
+from fennelfork._gate import EntryGate as EntryGate
+from fennelfork._gate import HomeLevel as HomeLevel
+from fennelfork._gate import entry_gate as entry_gate
 from fennelfork._hedge import FixedHedge as FixedHedge
 from fennelfork._hedge import HedgePolicy as HedgePolicy
 from fennelfork._hedge import Latencies as Latencies
@@ -68,15 +73,15 @@
 from fennelfork._home import HomeScheduler as HomeScheduler
 from fennelfork._home import home_scheduler as home_scheduler
 from fennelfork._home_messages import Action as Action
-from fennelfork._home_messages import Answered as Answered
 from fennelfork._home_messages import Cancel as Cancel
 from fennelfork._home_messages import Effort as Effort
 from fennelfork._home_messages import HomeSettings as HomeSettings
-from fennelfork._home_messages import Refused as Refused
 from fennelfork._home_messages import Send as Send
 from fennelfork._home_messages import ServerFacts as ServerFacts
 from fennelfork._home_messages import ServerReport as ServerReport
 from fennelfork._home_messages import Task as Task
+from fennelfork._home_messages import TaskAnswered as TaskAnswered
+from fennelfork._home_messages import TaskRefused as TaskRefused
 from fennelfork._home_route import HomeGroup as HomeGroup
 from fennelfork._home_route import data_centres_of as data_centres_of
 from fennelfork._home_route import homes_of as homes_of
--- a/packages/fennelfork/src/fennelfork/_admission.py
+++ b/packages/fennelfork/src/fennelfork/_admission.py
@@ -20,6 +20,9 @@
 # Slightly more than the slots can run, so that they never idle; what has
 # queued up for it comes off again.
 _HIGHEST_USE: Final = 1.05
+# A home lets through somewhat more than its level: roots refuse by the lowest
+# level of all homes, and a part refused by one home wastes those of the others.
+_SLACK: Final = 1.15
 _SERVICE_GAIN: Final = 0.02
 _RETRY_MS: Final = 1000
 
@@ -32,10 +35,10 @@
     _at_ms: float
     _count: float = 0
 
-    def note(self, now_ms: float) -> None:
-        """Count one event."""
+    def note(self, now_ms: float, weight: float) -> None:
+        """Count one event, which stands for `weight` of them."""
         self._fade(now_ms)
-        self._count += 1
+        self._count += weight
 
     def per_ms(self, now_ms: float) -> float:
         """Give the rate of the last window or so."""
@@ -69,13 +72,31 @@
     left_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class Arrival:
+    """A new sub-query, as admission sees it.
+
+    Attributes:
+        flow: whose it is.
+        request_id: of the caller's request.
+        weight: how many requests it stands for: its root let one in this
+            many in, and refused the others.
+    """
+
+    flow: Flow
+    request_id: str
+    weight: float = 1
+
+
 @attrs.define(kw_only=True)
-class Admission:
+class HomeAdmission:
     """Measured arrivals and service times of one shard."""
 
     shares: Shares
     service_ms: float = 0
     _arrivals: dict[Flow, Rate] = attrs.field(factory=dict)
+    _levels: dict[Flow, float] = attrs.field(factory=dict)
+    _crowded_until_ms: float = -math.inf
 
     def note_service(self, held_ms: float) -> None:
         """Note for how long a slot was held."""
@@ -89,10 +110,15 @@
             return 0
         return (pressure.ahead + 1) * self.service_ms / pressure.slots
 
+    def level(self, flow: Flow, now_ms: float) -> float:
+        """Tell which part of a flow's requests is taken at present."""
+        if now_ms >= self._crowded_until_ms:
+            return 1
+        return self._levels.get(flow, 1)
+
     def judge(
         self,
-        flow: Flow,
-        request_id: str,
+        arrival: Arrival,
         pressure: Pressure,
         now_ms: float,
     ) -> Result[float, Failure]:
@@ -101,43 +127,42 @@
         Returns:
             The predicted wait, or a refusal that says when to ask again.
         """
-        arrivals = self._arrivals.get(flow)
-        if arrivals is None:
-            arrivals = Rate(since_ms=now_ms, at_ms=now_ms)
-            self._arrivals[flow] = arrivals
-        arrivals.note(now_ms)
+        self._note(arrival, now_ms)
         wait_ms = self.wait_ms(pressure)
+        if 0 < self.service_ms <= wait_ms:
+            self._crowded_until_ms = now_ms + _WINDOW_MS
+        if now_ms < self._crowded_until_ms:
+            self._set_levels(pressure, now_ms)
         if wait_ms + pressure.least_ms > pressure.left_ms:
             return _refuse(
                 FailureCode.DEADLINE,
                 f'a slot is free in {wait_ms:.0f} ms, the deadline is nearer',
                 wait_ms,
             )
-        crowded = 0 < self.service_ms <= wait_ms
-        if crowded and draw(request_id) >= self._fraction(
-            flow, pressure, now_ms
-        ):
-            return _refuse(
-                FailureCode.SHED,
-                'more is offered than this share of the servers can run',
-                _RETRY_MS * (1 + draw(request_id)),
-            )
+        limit = _SLACK * self.level(arrival.flow, now_ms)
+        if draw(arrival.request_id) >= limit:
+            return overloaded(arrival.request_id)
         return Success(wait_ms)
 
-    def _fraction(
-        self,
-        flow: Flow,
-        pressure: Pressure,
-        now_ms: float,
-    ) -> float:
-        """Give the part of a flow that its fair share can carry."""
+    def _note(self, arrival: Arrival, now_ms: float) -> None:
+        rate = self._arrivals.get(arrival.flow)
+        if rate is None:
+            rate = Rate(since_ms=now_ms, at_ms=now_ms)
+            self._arrivals[arrival.flow] = rate
+        rate.note(now_ms, arrival.weight)
+
+    def _set_levels(self, pressure: Pressure, now_ms: float) -> None:
+        """Work out which part of each flow its fair share can carry."""
         offered = {
-            found: rate.per_ms(now_ms) for found, rate in self._arrivals.items()
+            flow: rate.per_ms(now_ms) for flow, rate in self._arrivals.items()
         }
-        self._forget(offered)
         able = _HIGHEST_USE * pressure.slots / self.service_ms
         capacity = max(0, able - pressure.ahead / _WINDOW_MS)
-        return fair_rates(offered, self.shares, capacity)[flow] / offered[flow]
+        granted = fair_rates(offered, self.shares, capacity)
+        self._levels = {
+            flow: granted[flow] / per_ms for flow, per_ms in offered.items()
+        }
+        self._forget(offered)
 
     def _forget(self, offered: dict[Flow, float]) -> None:
         for flow, per_ms in offered.items():
@@ -155,6 +180,15 @@
     return xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE
 
 
+def overloaded(request_id: str) -> Result[float, Failure]:
+    """Refuse a request that its flow's fair share does not carry."""
+    return _refuse(
+        FailureCode.SHED,
+        'more is offered than this share of the servers can run',
+        _RETRY_MS * (1 + draw(request_id)),
+    )
+
+
 def _refuse(
     code: FailureCode,
     detail: str,
--- a/packages/fennelfork/src/fennelfork/_home.py
+++ b/packages/fennelfork/src/fennelfork/_home.py
@@ -10,6 +10,7 @@
 import attrs
 
 from fennelfork._clock import Clock
+from fennelfork._fair import Flow
 from fennelfork._home_board import Board, board
 from fennelfork._home_dispatch import dispatch
 from fennelfork._home_intake import look, take_in
@@ -51,6 +52,11 @@
         """How many slots are held."""
         return self._board.slots.total
 
+    def level(self, flow: Flow) -> float:
+        """Tell which part of a flow's requests is taken at present."""
+        now_ms = self._board.clock.now_ms()
+        return self._board.admission.level(flow, now_ms)
+
     def offer(self, task: Task) -> list[Action]:
         """Take in a piece of work, or refuse it at once.
 
--- a/packages/fennelfork/src/fennelfork/_home_board.py
+++ b/packages/fennelfork/src/fennelfork/_home_board.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fennelfork._admission import Admission
+from fennelfork._admission import HomeAdmission
 from fennelfork._budget import Budget, budget
 from fennelfork._clock import Clock
 from fennelfork._connection import ConnectionLedger
@@ -159,7 +159,7 @@
     rng: random.Random
     settings: HomeSettings
     queue: FairQueue
-    admission: Admission
+    admission: HomeAdmission
     hedge_budget: Budget
     retry_budget: Budget
     servers: dict[str, ServerState] = attrs.field(factory=dict)
@@ -206,7 +206,7 @@
         rng=rng,
         settings=settings,
         queue=FairQueue(limit=settings.queue_limit, shares=settings.shares),
-        admission=Admission(shares=settings.shares),
+        admission=HomeAdmission(shares=settings.shares),
         hedge_budget=budget(settings.hedge_ratio, _BUDGET_LIMIT),
         retry_budget=budget(
             settings.retry_ratio,
--- a/packages/fennelfork/src/fennelfork/_home_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/_home_dispatch.py
@@ -10,8 +10,9 @@
 from fennelfork._rank import Candidate, best
 from fennelfork._verdict import FailureCode
 
-# Copies of one sub-query that may run at the same time.
-_COPIES: Final = 2
+# Copies of one sub-query that may run at the same time: a third only when the
+# second is overdue as well.
+_COPIES: Final = 3
 
 
 def dispatch(board: Board) -> list[Action]:
--- a/packages/fennelfork/src/fennelfork/_home_intake.py
+++ b/packages/fennelfork/src/fennelfork/_home_intake.py
@@ -4,7 +4,7 @@
 from returns.result import Failure as Err
 from returns.result import Result
 
-from fennelfork._admission import Pressure
+from fennelfork._admission import Arrival, Pressure
 from fennelfork._home_board import Board, Job, Timer
 from fennelfork._home_dispatch import (
     free_slots,
@@ -69,8 +69,11 @@
     if code is not None:
         return Err(not_run(code, 'no server of the shard can run it'))
     return board.admission.judge(
-        task.flow,
-        task.request_id,
+        Arrival(
+            flow=task.flow,
+            request_id=task.request_id,
+            weight=task.weight,
+        ),
         _pressure(board, task),
         board.clock.now_ms(),
     )
--- a/packages/fennelfork/src/fennelfork/_home_messages.py
+++ b/packages/fennelfork/src/fennelfork/_home_messages.py
@@ -26,6 +26,7 @@
         deadline_ms: on the home's clock.
         flow: tenant and class.
         idempotent: whether running it twice does no harm.
+        weight: how many offered requests it stands for.
     """
 
     job: str
@@ -35,6 +36,7 @@
     deadline_ms: float
     flow: Flow
     idempotent: bool = True
+    weight: float = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -124,7 +126,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Answered:
+class TaskAnswered:
     """The reply of an attempt is the answer of the work."""
 
     task: Task
@@ -134,7 +136,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class Refused:
+class TaskRefused:
     """The work ends without an answer."""
 
     task: Task
@@ -142,5 +144,5 @@
     effort: Effort
 
 
-Action = Send | Cancel | Answered | Refused
+Action = Send | Cancel | TaskAnswered | TaskRefused
 Servers = Mapping[str, ServerFacts]
--- a/packages/fennelfork/src/fennelfork/_home_outcome.py
+++ b/packages/fennelfork/src/fennelfork/_home_outcome.py
@@ -5,7 +5,7 @@
 from fennelfork._home_blame import blame, is_slow, note_slow, praise
 from fennelfork._home_board import Attempt, Board, Job, Timer
 from fennelfork._home_dispatch import holders
-from fennelfork._home_messages import Action, Answered, Cancel, Refused
+from fennelfork._home_messages import Action, Cancel, TaskAnswered, TaskRefused
 from fennelfork._verdict import Failure, FailureCode, Verdict, not_run
 
 # A server that confirms no cancel is not waited for any longer than this.
@@ -31,7 +31,7 @@
         return []
     job.active.discard(number)
     board.queue.remove(job.task.job)
-    answered = Answered(
+    answered = TaskAnswered(
         task=job.task,
         attempt=number,
         server=attempt.server,
@@ -98,11 +98,11 @@
     return [refuse(board, board.jobs[victim], full)]
 
 
-def refuse(board: Board, job: Job, failure: Failure) -> Refused:
+def refuse(board: Board, job: Job, failure: Failure) -> TaskRefused:
     """End a job without an answer, with the verdict on all its copies."""
     board.jobs.pop(job.task.job)
     board.queue.remove(job.task.job)
-    return Refused(
+    return TaskRefused(
         task=job.task,
         failure=failure.with_verdict(job.verdict),
         effort=job.effort,
--- a/packages/fennelfork/src/fennelfork/_scatter.py
+++ b/packages/fennelfork/src/fennelfork/_scatter.py
@@ -17,6 +17,7 @@
         query: the caller's query as JSON text.
         deadline_ms: what remains of the deadline.
         config_version: the configuration that the root works under.
+        level: the part of such requests that the root lets in.
     """
 
     request_id: str
@@ -28,6 +29,7 @@
     tenant: str
     traffic_class: str
     config_version: int
+    level: float = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -63,8 +65,10 @@
         parts: one for each sub-query of the order.
         shards: what the home knows of the snapshots of the shards asked.
         config_version: the configuration that the home works under.
+        level: the part of such requests that the home takes.
     """
 
     parts: tuple[Part, ...]
     shards: tuple[ShardView, ...]
     config_version: int
+    level: float = 1
--- a/packages/fennelfork/tests/core_builders_home.py
+++ b/packages/fennelfork/tests/core_builders_home.py
@@ -8,19 +8,19 @@
 
 from fennelfork import (
     Action,
-    Answered,
     Cancel,
     FixedHedge,
     Flow,
     HomeScheduler,
     HomeSettings,
     ManualTime,
-    Refused,
     Send,
     ServerFacts,
     ServerReport,
     SnapshotView,
     Task,
+    TaskAnswered,
+    TaskRefused,
     home_scheduler,
     key_range,
     manual_clock,
@@ -55,6 +55,7 @@
         idempotent: bool = True,
         version: int | None = 7,
         request_id: str = '',
+        weight: float = 1,
     ) -> list[Action]:
         """Offer one piece of work."""
         self._jobs += 1
@@ -67,6 +68,7 @@
             deadline_ms=self.time.at_ms + within_ms,
             flow=flow,
             idempotent=idempotent,
+            weight=weight,
         )
         return self.home.offer(task)
 
@@ -107,14 +109,14 @@
     return [action for action in actions if isinstance(action, Cancel)]
 
 
-def refusals(actions: Iterable[Action]) -> list[Refused]:
+def refusals(actions: Iterable[Action]) -> list[TaskRefused]:
     """Pick what is refused."""
-    return [action for action in actions if isinstance(action, Refused)]
+    return [action for action in actions if isinstance(action, TaskRefused)]
 
 
-def answers(actions: Iterable[Action]) -> list[Answered]:
+def answers(actions: Iterable[Action]) -> list[TaskAnswered]:
     """Pick what is answered."""
-    return [action for action in actions if isinstance(action, Answered)]
+    return [action for action in actions if isinstance(action, TaskAnswered)]
 
 
 def warm(shard: Rig, *, runs: int = 60, took_ms: float = 10) -> None:
