--- a/packages/fennelfork-bench/tests/bench_builders_once_chaos.py
+++ b/packages/fennelfork-bench/tests/bench_builders_once_chaos.py
@@ -9,11 +9,11 @@
 from bench_builders_once import Caller, faults
 
 from fennelfork import (
-    Answered,
     CallerEvent,
     CallerStep,
     NoAnswer,
     NothingSent,
+    OnceAnswered,
     OnceCaller,
     Verdict,
 )
@@ -100,8 +100,8 @@
         opened = reply.fault != 'NewConnectionError'
         return NoAnswer() if opened else NothingSent()
     if reply.fine:
-        return Answered(verdict=Verdict.RAN, has_outcome=True)
-    return Answered(verdict=Verdict(reply.body['verdict']))
+        return OnceAnswered(verdict=Verdict.RAN, has_outcome=True)
+    return OnceAnswered(verdict=Verdict(reply.body['verdict']))
 
 
 def _kill(fleet: Fleet, rng: random.Random) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_serve.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_serve.py
@@ -22,5 +22,4 @@
     if isinstance(opened, Failure):
         sys.stderr.write(f'{opened.failure()}\n')
         return int(ExitCode.CANNOT_SERVE)
-    daemon(settings, opened.unwrap()).serve()
-    return int(ExitCode.DONE)
+    return daemon(settings, opened.unwrap()).serve()
--- a/packages/fennelfork/src/fennelfork/_once_gate.py
+++ b/packages/fennelfork/src/fennelfork/_once_gate.py
@@ -14,7 +14,7 @@
     once_request,
     once_table,
 )
-from fennelfork._once_admission import Admission
+from fennelfork._once_admission import OnceAdmission
 from fennelfork._ticket import (
     Ticket,
     TicketKey,
@@ -106,7 +106,7 @@
             self._route
         )
 
-    def admit(self, request: ExecuteRequest) -> Result[Admission, Failure]:
+    def admit(self, request: ExecuteRequest) -> Result[OnceAdmission, Failure]:
         """Decide on a request that came here, directly or passed on.
 
         Returns:
