--- a/packages/fennelfork-bench/tests/test_backend_faults.py
+++ b/packages/fennelfork-bench/tests/test_backend_faults.py
@@ -1,6 +1,6 @@
 """Faults of single requests of the stand-in: each is seen on the wire."""
 
-from http import client
+from http.client import HTTPConnection, IncompleteRead
 
 import pytest
 import urllib3
@@ -86,11 +86,11 @@
         with backend() as server:
             server.faults({'kind': 'cut'})
             host, port = server.address.split(':')
-            connection = client.HTTPConnection(host, int(port), timeout=9)
+            connection = HTTPConnection(host, int(port), timeout=9)
             connection.request('POST', '/v1/search', _TEN_KEYS)
             response = connection.getresponse()
             announced = int(response.headers['Content-Length'])
-            with pytest.raises(client.IncompleteRead) as cut:
+            with pytest.raises(IncompleteRead) as cut:
                 response.read()
             connection.close()
         assert len(cut.value.partial) == announced // 2
--- a/packages/fennelfork-bench/tests/test_backend_server_faults.py
+++ b/packages/fennelfork-bench/tests/test_backend_server_faults.py
@@ -2,7 +2,7 @@
 
 import json
 import socket
-from http import client
+from http.client import HTTPConnection
 
 import pytest
 import urllib3
@@ -20,14 +20,14 @@
 _SHORT_S = 0.3
 
 
-def _connect(server: Backend) -> client.HTTPConnection:
+def _connect(server: Backend) -> HTTPConnection:
     host, port = server.address.split(':')
-    connection = client.HTTPConnection(host, int(port), timeout=9)
+    connection = HTTPConnection(host, int(port), timeout=9)
     connection.connect()
     return connection
 
 
-def _search_on(connection: client.HTTPConnection, request_id: str) -> Answer:
+def _search_on(connection: HTTPConnection, request_id: str) -> Answer:
     connection.request(
         'POST', '/v1/search', json.dumps(search_body(request_id))
     )
@@ -67,7 +67,7 @@
         assert 'replied' not in steps
 
 
-def _reply_of(connection: client.HTTPConnection) -> str:
+def _reply_of(connection: HTTPConnection) -> str:
     try:
         return str(_search_on(connection, 'r1').status)
     except TimeoutError as error:
