--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
@@ -12,6 +12,11 @@
     read_execute,
 )
 from fennelfork_daemon._execute_service import ExecuteService
+from fennelfork_daemon._http_body import (
+    body_limits,
+    read_body,
+    refusal_reply,
+)
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -20,12 +25,6 @@
     json_reply,
 )
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
-from fennelfork_daemon._wsgi_request import (
-    BodyLimits,
-    Refusal,
-    read_json_object,
-)
 
 
 @attrs.frozen(kw_only=True)
@@ -51,13 +50,10 @@
 
     def execute(self, request: HttpRequest) -> HttpReply:
         """Answer one request."""
-        limits = BodyLimits(
-            body_bytes=self._settings.limits.body_bytes,
-            read_ms=self._settings.timeouts.request_read_ms,
-        )
-        body = read_json_object(request.environ, limits)
+        body = read_body(request, body_limits(self._settings))
         if isinstance(body, Failed):
-            return _unread(request, body.failure())
+            refusal = body.failure()
+            return refusal_reply(refusal, doubted(refusal.failure))
         tree = body.unwrap()
         order = read_execute(
             request.names['front'],
@@ -86,9 +82,3 @@
                 'took_ms': round(took_ms, 3),
             },
         )
-
-
-def _unread(request: HttpRequest, refusal: Refusal) -> HttpReply:
-    if refusal.close:
-        request.environ[CLOSE_KEY]()
-    return failure_reply(doubted(refusal.failure), status=refusal.status)
