Build the reader and the survey of the configuration where they stand

Change: config_reader and config_survey are factories of their own modules, as the house style has it; no behaviour changed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
@@ -15,7 +15,7 @@
 )
 from fennelfork_daemon._config_holder import ConfigHolder
 from fennelfork_daemon._kv_client import ConfigKey
-from fennelfork_daemon._logs import StateLog
+from fennelfork_daemon._logs import StateLog, state_log
 
 _TICK_S: Final = 0.1
 _PLATFORM: Final = 'key-value service'
@@ -104,3 +104,19 @@
         self._seen = stored.revision
         self._watched = stored.revision
         self._holder.offer(stored.raw, ConfigSource.PLATFORM)
+
+
+def config_reader(
+    board: Blackboard,
+    holder: ConfigHolder,
+    key: ConfigKey,
+    follower: ConfigFollower,
+) -> ConfigReader:
+    """Build the reader of a daemon that has read nothing yet."""
+    return ConfigReader(
+        board=board,
+        holder=holder,
+        key=key,
+        follower=follower,
+        log=state_log(daemon=board.local.name),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
@@ -9,10 +9,9 @@
 from fennelfork_daemon._config_exchange import ConfigExchange
 from fennelfork_daemon._config_holder import ConfigHolder, config_holder
 from fennelfork_daemon._config_patcher import ConfigPatcher
-from fennelfork_daemon._config_reader import ConfigReader
-from fennelfork_daemon._config_status import ConfigSurvey
+from fennelfork_daemon._config_reader import ConfigReader, config_reader
+from fennelfork_daemon._config_status import ConfigSurvey, config_survey
 from fennelfork_daemon._kv_client import config_key
-from fennelfork_daemon._logs import state_log
 from fennelfork_daemon._metrics import CountCost
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._settings_tables import Settings
@@ -63,20 +62,10 @@
     follower = config_follower(clock, jitter)
     key = config_key(settings, clock, count_cost)
     peers = PeerClient()
-    survey = ConfigSurvey(
-        board=board,
-        peers=peers,
-        timeout_ms=settings.timeouts.peer_ms,
-    )
+    survey = config_survey(board, peers, settings)
     return ConfigService(
         holder=holder,
-        reader=ConfigReader(
-            board=board,
-            holder=holder,
-            key=key,
-            follower=follower,
-            log=state_log(daemon=board.local.name),
-        ),
+        reader=config_reader(board, holder, key, follower),
         exchange=ConfigExchange(
             board=board,
             holder=holder,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_status.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_status.py
@@ -10,6 +10,7 @@
 from fennelfork import Blackboard, Member, MemberStatus
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._peer_idl import peer
+from fennelfork_daemon._settings_tables import Settings
 
 _CALLS_AT_ONCE: Final = 64
 _NO_DOCUMENT: Final = 9_007_199_254_740_991
@@ -91,6 +92,19 @@
         return attrs.evolve(known, failure=reply.failure().detail)
 
 
+def config_survey(
+    board: Blackboard,
+    peers: PeerClient,
+    settings: Settings,
+) -> ConfigSurvey:
+    """Build the survey of a daemon."""
+    return ConfigSurvey(
+        board=board,
+        peers=peers,
+        timeout_ms=settings.timeouts.peer_ms,
+    )
+
+
 def _with_answer(known: DaemonConfig, reply: Any) -> DaemonConfig:
     return attrs.evolve(
         known,
