--- a/packages/fennelfork-bench/tests/bench_builders_caller.py
+++ b/packages/fennelfork-bench/tests/bench_builders_caller.py
@@ -6,7 +6,9 @@
 import sys
 import threading
 from collections.abc import Callable, Iterator
-from http import server
+
+# Not `from http import server`: see test_sources.py.
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
 from fennelfork_bench._backend_records import record_at
@@ -19,7 +21,7 @@
 @contextlib.contextmanager
 def entry(script: Script) -> Iterator[str]:
     """Serve one entry that answers after a script; gives its address."""
-    with server.ThreadingHTTPServer(('127.0.0.1', 0), _Exchange) as listening:
+    with ThreadingHTTPServer(('127.0.0.1', 0), _Exchange) as listening:
         listening.script = script
         thread = threading.Thread(target=listening.serve_forever)
         thread.start()
@@ -72,7 +74,7 @@
     }
 
 
-class _Exchange(server.BaseHTTPRequestHandler):
+class _Exchange(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
 
     def do_POST(self) -> None:
--- a/packages/fennelfork-bench/tests/test_openapi.py
+++ b/packages/fennelfork-bench/tests/test_openapi.py
@@ -4,12 +4,21 @@
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import pytest
-from bench_builders_openapi import Answer, Asked, ask
+from bench_builders_openapi import (
+    Answer,
+    Asked,
+    Operation,
+    ask,
+    documented,
+    touch,
+)
 
+from fennelfork_bench import _rig_http as http
 from fennelfork_bench._rig_config import start_fleet
 from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
+from fennelfork_bench._rig_process import rig, wait_until
 from fennelfork_bench._rig_specs import (
     BackendSpec,
     FleetSpec,
@@ -21,6 +30,8 @@
 pytestmark = pytest.mark.process
 
 _KEYS = 40
+_METRICS = '/metrics'
+_PATIENCE_S = 20
 _QUERY = '/v1/fronts/{front}/query'
 _LIMITS = {
     'limits': {'body_bytes': 2048, 'header_bytes': 2048},
@@ -76,6 +87,33 @@
     )
 
 
+def _order(fleet: Fleet, **changes: Any) -> dict[str, Any]:
+    path = '/v1/entries'
+    asked = Asked(address=fleet.callers[0], path=path, template=path)
+    issued = ask(asked).tree
+    return {
+        'request_id': f'x@{issued["ticket_serial"]}',
+        'deadline_ms': 10_000,
+        'tenant': 'salvare',
+        'class': 'counter',
+        'key': 7,
+        'action': 'issue',
+        'ticket': issued['ticket'],
+        **changes,
+    }
+
+
+def _execute(fleet: Fleet, body: dict[str, Any]) -> Answer:
+    return ask(
+        Asked(
+            address=fleet.callers[0],
+            path='/v1/fronts/raft-search/execute',
+            template='/v1/fronts/{front}/execute',
+            body=json.dumps(body).encode(),
+        ),
+    )
+
+
 def _page(fleet: Fleet, path: str, template: str = '') -> Answer:
     return ask(
         Asked(
@@ -105,6 +143,47 @@
     )
 
 
+def _dropped(fleet: Fleet, reason: str) -> float:
+    """Sum a counter over the daemons."""
+    line = f'dropped_replies_total{{front="raft-search",reason="{reason}"}} '
+    total = 0.0
+    for address in fleet.operators:
+        page = ask(Asked(address=address, path=_METRICS, template=_METRICS))
+        _, _, rest = page.tree.partition(line)
+        total += float(rest.split('\n')[0] or 0)
+    return total
+
+
+def _shards(operator: str) -> list[dict[str, Any]]:
+    """Read the shards of the one front, as a daemon sees them."""
+    path = '/v1/fronts'
+    page = ask(Asked(address=operator, path=path, template=path)).tree
+    shards: list[dict[str, Any]] = page['fronts'][0]['shards']
+    return shards
+
+
+def _member_names(fleet: Fleet) -> list[str]:
+    members = _page(fleet, '/v1/members').tree['members']
+    return [member['name'] for member in members]
+
+
+class TestPaths:
+    """The paths of the file against the routes of a daemon."""
+
+    @pytest.mark.parametrize(
+        'operation',
+        # The fleet of this module is needed; TestDrain has its own.
+        [each for each in documented() if each.path != '/v1/drain'],
+        ids=str,
+    )
+    def test_is_served(self, fleet: Fleet, operation: Operation) -> None:
+        """Each documented path and method has a route."""
+        faces = {'caller': fleet.callers[0], 'operator': fleet.operators[0]}
+        status, detail = touch(faces[operation.tag], operation)
+        assert status != 405
+        assert 'there is no path' not in detail
+
+
 class TestCallerFace:
     """Answers and refusals to callers."""
 
@@ -180,6 +259,34 @@
         assert _post(fleet, b'{}', padding='x' * 4000).status == 431
 
 
+class TestExecute:
+    """Requests that must not run twice."""
+
+    def test_runs_once(self, fleet: Fleet) -> None:
+        """Asked twice under one id and ticket, it has one outcome."""
+        body = _order(fleet)
+        first = _execute(fleet, body)
+        assert first.status == 200
+        assert _execute(fleet, body).tree['outcome'] == first.tree['outcome']
+
+    @pytest.mark.parametrize(
+        'changes',
+        [{'key': -1}, {'ticket': ''}, {'action': 7}, {'deadline_ms': 10**9}],
+        ids=str,
+    )
+    def test_bad_member(self, fleet: Fleet, changes: dict[str, Any]) -> None:
+        """A wrong member is named; the id may have run before."""
+        found = _execute(fleet, _order(fleet, **changes))
+        assert found.status == 400
+        assert found.tree['verdict'] == 'may_have_run'
+        assert next(iter(changes)) in found.tree['detail']
+
+    def test_foreign_ticket(self, fleet: Fleet) -> None:
+        """A ticket that nobody issued is refused as documented."""
+        body = _order(fleet, ticket='made-up')
+        assert _execute(fleet, body).status == 409
+
+
 class TestOperatorFace:
     """Pages for operators."""
 
@@ -197,16 +304,21 @@
         assert _page(fleet, path).status == 200
 
     def test_members(self, fleet: Fleet) -> None:
-        """The daemons know of each other."""
-        members = _page(fleet, '/v1/members').tree['members']
-        assert [member['name'] for member in members] == ['vm-1', 'vm-2']
+        """The daemons come to know of each other; the list lags."""
+        wait_until(
+            lambda: _member_names(fleet) == ['vm-1', 'vm-2'],
+            _PATIENCE_S,
+            'two members',
+        )
 
     def test_fronts(self, fleet: Fleet) -> None:
-        """Each shard has a home, which sees its servers."""
+        """Each shard has a home, and that daemon sees its servers."""
         _query(fleet)
-        fronts = _page(fleet, '/v1/fronts').tree['fronts']
-        homes = {shard['home'] for shard in fronts[0]['shards']}
-        assert homes <= {'vm-1', 'vm-2'}
+        operators = dict(zip(fleet.daemons, fleet.operators, strict=True))
+        for at, shard in enumerate(_shards(fleet.operators[0])):
+            of_home = _shards(operators[shard['home']])[at]
+            server = of_home['servers'][0]
+            assert (server['state'], server['snapshots']) == ('serving', [1])
 
     def test_explain(self, fleet: Fleet) -> None:
         """A request is explained by the daemon that answered it."""
@@ -229,6 +341,48 @@
         assert 'no-such' not in page
 
 
+class TestDroppedReplies:
+    """What servers answer wrongly, in the metrics of the homes."""
+
+    @pytest.mark.parametrize(
+        ('kind', 'reason'),
+        [('truncate', 'incomplete'), ('double', 'incomplete')],
+    )
+    def test_is_counted(self, fleet: Fleet, kind: str, reason: str) -> None:
+        """A reply that lies is asked for again, and counted with its reason."""
+        order = {'rules': [{'kind': kind, 'limit': 1, 'call': 'search'}]}
+        before = _dropped(fleet, reason)
+        for server in fleet.backends.values():
+            http.post(server.ready['address'], '/control/faults', order)
+        # Some servers may be ejected for what they did; then it is partial.
+        found = _query(fleet, coverage={'mode': 'partial'})
+        assert found.status == 200
+        assert _dropped(fleet, reason) > before
+
+
+class TestDrain:
+    """Sending callers elsewhere."""
+
+    def test_is_as_documented(self) -> None:
+        """The daemon says how far it is, and is no longer ready."""
+        spec = attrs.evolve(_spec(), daemons=daemon_specs(1))
+        with rig() as own:
+            alone = start_fleet(own, spec)
+            path = '/v1/drain'
+            asked = Asked(
+                address=alone.operators[0],
+                path=path,
+                template=path,
+                body=b'{}',
+            )
+            assert ask(asked).tree['phase'] != 'ended'
+            wait_until(
+                lambda: _page(alone, '/readyz').status == 503,
+                _PATIENCE_S,
+                'not ready',
+            )
+
+
 class TestConfiguration:
     """Patches and who runs them."""
 
@@ -250,9 +404,14 @@
 
     def test_status(self, fleet: Fleet) -> None:
         """Every daemon is asked for its version."""
+        wait_until(
+            lambda: _member_names(fleet) == ['vm-1', 'vm-2'],
+            _PATIENCE_S,
+            'two members',
+        )
         status = _page(fleet, '/v1/config/status').tree
         assert [daemon['name'] for daemon in status['daemons']] == [
             'vm-1',
             'vm-2',
         ]
-        assert status['unreached'] == []
+        assert not status['unreached']
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
@@ -18,12 +18,14 @@
     Planned,
     ScatterOrder,
     ScatterOutcome,
+    ServerSight,
     ShardView,
     Task,
     not_run,
 )
 from fennelfork_daemon._home_orders import Errand, Outcome, SearchOrder
 from fennelfork_daemon._home_runners import HomeRunners, ShardName
+from fennelfork_daemon._metrics import DaemonMetrics
 from fennelfork_daemon._settings_tables import LimitSettings
 
 _UNKNOWN: Final = not_run(
@@ -64,6 +66,11 @@
     _runners: HomeRunners
     _serials: Iterator[int] = attrs.field(factory=itertools.count)
 
+    @property
+    def sights(self) -> dict[tuple[str, str], tuple[ServerSight, ...]]:
+        """The servers of each shard that this daemon is the home of."""
+        return self._runners.sights
+
     def scatter(self, order: ScatterOrder) -> ScatterOutcome:
         """Run the sub-queries of `order`, within its deadline."""
         deadline_ms = self._clock.now_ms() + order.deadline_ms
@@ -79,6 +86,7 @@
             parts=parts,
             shards=self._views(order.front, shards),
             config_version=self._board.config_version,
+            level=self._level(order, shards),
         )
 
     def describe(
@@ -121,10 +129,18 @@
             span=planned.expected.span,
             snapshot=order.snapshot,
             deadline_ms=deadline_ms,
-            flow=Flow(
-                tenant=order.tenant,
-                traffic_class=order.traffic_class,
-            ),
+            flow=flow_of(order),
+            weight=1 / order.level,
+        )
+
+    def _level(self, order: ScatterOrder, shards: list[str]) -> float:
+        """Give the lowest level of the shards that were asked."""
+        names = [ShardName(front=order.front, shard=each) for each in shards]
+        runners = [self._runners.of(name) for name in names]
+        flow = flow_of(order)
+        return min(
+            (runner.scheduler.level(flow) for runner in runners if runner),
+            default=1,
         )
 
     def _start(
@@ -148,10 +164,16 @@
         runner.run(errand)
 
 
+def flow_of(order: ScatterOrder) -> Flow:
+    """Tell whose share of the slots an order counts towards."""
+    return Flow(tenant=order.tenant, traffic_class=order.traffic_class)
+
+
 def home_service(
     board: Blackboard,
     clock: Clock,
     limits: LimitSettings,
+    metrics: DaemonMetrics,
 ) -> HomeService:
     """Build the home side of a daemon.
 
@@ -159,8 +181,14 @@
         board: the facts of the daemon.
         clock: its clock.
         limits: what bounds its memory.
+        metrics: counts what servers shed or answered wrongly.
     """
-    runners = HomeRunners(board=board, clock=clock, limits=limits)
+    runners = HomeRunners(
+        board=board,
+        clock=clock,
+        limits=limits,
+        metrics=metrics,
+    )
     return HomeService(board=board, clock=clock, runners=runners)
 
 
--- a/packages/fennelfork-daemon/tests/daemon_builders_config.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_config.py
@@ -6,7 +6,9 @@
 import socket
 import threading
 from collections.abc import Iterator
-from http import server as http_server
+
+# Not `from http import server`: see test_sources.py.
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Final
 
 import attrs
@@ -67,7 +69,7 @@
     """Serve a script on loopback."""
     platform = ScriptedPlatform(script=list(script))
     handler = type('_Handler', (_ScriptHandler,), {'platform': platform})
-    server = http_server.ThreadingHTTPServer(('127.0.0.1', 0), handler)
+    server = ThreadingHTTPServer(('127.0.0.1', 0), handler)
     server.daemon_threads = True
     platform.address = f'127.0.0.1:{server.server_port}'
     thread = threading.Thread(target=server.serve_forever, args=(0.01,))
@@ -135,7 +137,7 @@
     return ConfigKey(key='/config', http=key_value_calls(platform.address))
 
 
-class _ScriptHandler(http_server.BaseHTTPRequestHandler):
+class _ScriptHandler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     platform: ScriptedPlatform
 
