Stand-in: several servers in a process tested; refused connections counted

Ruled out: reading the peak (it does not add up over arms). Change: test with three servers in one process, connections_refused in the counts of a server and in every arm.

--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
@@ -25,7 +25,7 @@
 
 @attrs.frozen(kw_only=True)
 class LogCounts:
-    """The counts of a log without its events."""
+    """The counts of a log without its events, and of refused connections."""
 
     name: str
     counts: dict[str, int]
@@ -46,7 +46,11 @@
 
 def log_counts(state: ServerState) -> LogCounts:
     """Give the counts of a server's log as a message."""
-    return LogCounts(name=state.settings.name, counts=dict(state.log.counts))
+    refused = {'connections_refused': state.connections_refused}
+    return LogCounts(
+        name=state.settings.name,
+        counts={**state.log.counts, **refused},
+    )
 
 
 def log_page(state: ServerState) -> LogPage:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_metrics.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_metrics.py
@@ -52,5 +52,6 @@
         'refused': tally.counts['refused'],
         'lost': tally.counts['lost'] + tally.counts['given_up'],
         'coverage': tally.fractions / max(tally.counts['answered'], 1),
+        'connections_refused': measured.counts['connections_refused'],
         'load_average': measured.load_average,
     }
--- a/packages/fennelfork-bench/tests/bench_builders_backend.py
+++ b/packages/fennelfork-bench/tests/bench_builders_backend.py
@@ -4,6 +4,7 @@
 import json
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -93,11 +94,31 @@
         f'--{name.replace("_", "-")}={value}'
         for name, value in {'connect_ms': 0, 'mean_ms': 1, **settings}.items()
     ]
+    with _process(options) as ready:
+        yield Backend(address=ready['address'], control=ready['control'])
+
+
+@contextlib.contextmanager
+def backends(*settings: dict[str, Any]) -> Iterator[dict[str, Backend]]:
+    """Run one process with several stand-ins, given by name."""
+    with tempfile.NamedTemporaryFile('w', suffix='.json') as servers:
+        json.dump(settings, servers)
+        servers.flush()
+        with _process([f'--servers={servers.name}']) as ready:
+            yield {
+                one['name']: Backend(
+                    address=one['address'], control=one['control']
+                )
+                for one in ready['servers']
+            }
+
+
+@contextlib.contextmanager
+def _process(options: list[str]) -> Iterator[dict[str, Any]]:
     command = [sys.executable, '-m', 'fennelfork_bench.backend', *options]
     with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
         try:
-            ready = json.loads(process.stdout.readline())['ready']
-            yield Backend(address=ready['address'], control=ready['control'])
+            yield json.loads(process.stdout.readline())['ready']
         finally:
             process.kill()
 
--- a/packages/fennelfork-bench/tests/test_backend.py
+++ b/packages/fennelfork-bench/tests/test_backend.py
@@ -3,6 +3,7 @@
 import pytest
 from bench_builders_backend import (
     backend,
+    backends,
     execute_body,
     in_thread,
     search_body,
@@ -13,6 +14,31 @@
 pytestmark = pytest.mark.process
 
 
+class TestManyServers:
+    """Several stand-ins in one process."""
+
+    def test_each_has_its_own_state(self) -> None:
+        """A drained server leaves the others of its process serving."""
+        wanted = [
+            {'name': f'raft-{lo}', 'lo': lo, 'hi': lo + 10}
+            for lo in (0, 10, 20)
+        ]
+        with backends(*wanted) as servers:
+            servers['raft-10'].order('drain')
+            found = {
+                name: server.get('/v1/health').body
+                for name, server in servers.items()
+            }
+        states = {name: health['state'] for name, health in found.items()}
+        held = found['raft-20']['snapshots'][0]
+        assert states == {
+            'raft-0': 'serving',
+            'raft-10': 'draining',
+            'raft-20': 'serving',
+        }
+        assert held['ranges'] == [[20, 30]]
+
+
 class TestSearch:
     """Searches of a range at a snapshot."""
 
