--- a/packages/fennelfork/src/fennelfork/_home.py
+++ b/packages/fennelfork/src/fennelfork/_home.py
@@ -10,6 +10,7 @@
 import attrs
 
 from fennelfork._clock import Clock
+from fennelfork._fair import Flow
 from fennelfork._home_board import Board, board
 from fennelfork._home_dispatch import dispatch
 from fennelfork._home_intake import look, take_in
@@ -22,6 +23,7 @@
     replied,
 )
 from fennelfork._home_servers import HomeServers
+from fennelfork._home_sight import ServerSight, server_sights
 from fennelfork._verdict import Failure, FailureCode, not_run
 
 
@@ -51,6 +53,16 @@
         """How many slots are held."""
         return self._board.slots.total
 
+    @property
+    def sights(self) -> tuple[ServerSight, ...]:
+        """The servers, as operators are shown them."""
+        return server_sights(self._board)
+
+    def level(self, flow: Flow) -> float:
+        """Tell which part of a flow's requests is taken at present."""
+        now_ms = self._board.clock.now_ms()
+        return self._board.admission.level(flow, now_ms)
+
     def offer(self, task: Task) -> list[Action]:
         """Take in a piece of work, or refuse it at once.
 
