--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
@@ -32,17 +32,19 @@
         metrics: what operators scrape.
         ring: what `explain` reads.
         watch: logs changes of facts.
+        board: the facts of the daemon.
+        clock: its clock.
     """
 
     metrics: DaemonMetrics
     ring: ExplainRing
     watch: StateWatch
-    _board: Blackboard
-    _clock: Clock
+    board: Blackboard
+    clock: Clock
 
     def began(self) -> RequestTrace:
         """Begin the trace of a request that was just read."""
-        return request_trace(self._clock)
+        return request_trace(self.clock)
 
     def answered(
         self,
@@ -51,12 +53,10 @@
         trace: RequestTrace,
     ) -> None:
         """Count and remember a query that was answered, whole or partly."""
-        self._count_work(query, trace)
-        labels = self._labels(query)
         coverage = answered.answer.coverage
         work = answered.work
         code = 'complete' if coverage.complete else 'partial'
-        self.metrics.count_answer(labels, Verdict.RAN, code)
+        labels = self._count(query, trace, Verdict.RAN, code)
         self.metrics.observe_query(
             QueryFacts(
                 labels=labels,
@@ -87,9 +87,8 @@
         trace: RequestTrace,
     ) -> None:
         """Count and remember a query that failed."""
-        self._count_work(query, trace)
         code = failure.code.value
-        self.metrics.count_answer(self._labels(query), failure.verdict, code)
+        self._count(query, trace, failure.verdict, code)
         self._remember(
             query,
             trace,
@@ -100,23 +99,28 @@
             },
         )
 
-    def _labels(self, query: QueryRequest) -> Labels:
+    def _count(
+        self,
+        query: QueryRequest,
+        trace: RequestTrace,
+        verdict: Verdict,
+        code: str,
+    ) -> Labels:
         # A front may be asked before anything else looked at its patch.
-        self.metrics.follow(self._board.document)
-        return self.metrics.labels(
+        self.metrics.follow(self.board.document)
+        labels = self.metrics.labels(
             query.front,
             query.tenant,
             query.traffic_class,
         )
-
-    def _count_work(self, query: QueryRequest, trace: RequestTrace) -> None:
-        self.metrics.count_work(
-            FrontWork(
-                front=query.front,
-                hedges=trace.hedges,
-                retries=trace.retries,
-            ),
+        self.metrics.count_answer(labels, verdict, code)
+        work = FrontWork(
+            front=query.front,
+            hedges=trace.hedges,
+            retries=trace.retries,
         )
+        self.metrics.count_work(work)
+        return labels
 
     def _remember(
         self,
@@ -126,6 +130,7 @@
     ) -> None:
         story = {
             'request_id': query.request_id,
+            'daemon': self.board.local.name,
             'front': query.front,
             'tenant': query.tenant,
             'class': query.traffic_class,
