--- a/packages/fennelfork/src/fennelfork/_membership.py
+++ b/packages/fennelfork/src/fennelfork/_membership.py
@@ -79,7 +79,11 @@
             self.policy.sync_limit,
             self._rng,
         )
-        news = self.view.news_for(message.sender, message.gossip)
+        news = self.view.news_for(
+            message.sender,
+            message.gossip,
+            message.digests,
+        )
         answer = ProbeAnswer(
             sender=self.view.me,
             gossip=(*news, *differing),
--- a/packages/fennelfork/src/fennelfork/_membership_gossip.py
+++ b/packages/fennelfork/src/fennelfork/_membership_gossip.py
@@ -19,6 +19,23 @@
         """Tell about `name` from now on, as a fresh change."""
         self._told[name] = 0
 
+    def agree(self, names: AbstractSet[str], weight: int, most: int) -> None:
+        """Count changes that another daemon evidently knows as told.
+
+        Args:
+            names: of the members it agrees on.
+            weight: how many tellings one agreement counts for.
+            most: after how many tellings a name is dropped.
+        """
+        for name in tuple(names & self._told.keys()):
+            self._told[name] += weight
+            if self._told[name] >= most:
+                self._told.pop(name)
+
+    def agree_on_all(self, weight: int, most: int) -> None:
+        """Count all changes so, after meeting a daemon with an equal table."""
+        self.agree(self._told.keys(), weight, most)
+
     def take(
         self,
         limit: int,
--- a/packages/fennelfork/src/fennelfork/_membership_policy.py
+++ b/packages/fennelfork/src/fennelfork/_membership_policy.py
@@ -22,6 +22,8 @@
         gossip_limit: members told of in one message.
         gossip_repeats: how often a change is told, for each doubling of the
             fleet.
+        agreement_weight: tellings that one daemon which evidently knows a
+            change counts for; news that all know dies out fast.
         sync_limit: members given in one answer to differing digests.
         reconnect_periods: how often a dead or unheard-of member is tried.
         extra_a_second: rate of probes outside the period.
@@ -42,6 +44,7 @@
     forget_ms: float = 900_000
     gossip_limit: int = 8
     gossip_repeats: int = 3
+    agreement_weight: int = 3
     sync_limit: int = 12
     reconnect_periods: int = 4
     extra_a_second: float = 4
--- a/packages/fennelfork/src/fennelfork/_membership_view.py
+++ b/packages/fennelfork/src/fennelfork/_membership_view.py
@@ -120,24 +120,29 @@
         self,
         peer: Member,
         heard: Iterable[Member] = (),
+        digests: bytes = b'',
     ) -> tuple[Member, ...]:
         """Give what `peer` should hear, first of all what is said of it.
 
         Args:
             peer: who will hear it.
             heard: what it has just told, not to be told back.
+            digests: of its table; if equal to this one's, it knows all news.
         """
+        agreed = _agreed(self.table, heard)
+        most = self.policy.tellings(self.table.live_count)
+        if digests == self.table.digests:
+            self._news.agree_on_all(self.policy.agreement_weight, most)
+            return _said_of(self.table, peer)
+        self._news.agree(agreed, self.policy.agreement_weight, most)
         names = self._news.take(
             self.policy.gossip_limit,
-            self.policy.tellings(self.table.live_count),
-            {peer.name} | _agreed(self.table, heard),
+            most,
+            {peer.name} | agreed,
         )
         records = [self.table.get(name) for name in names]
         news = [record for record in records if record is not None]
-        known = self.table.get(peer.name)
-        if known is not None and _concerns(known, peer):
-            news.insert(0, known)
-        return tuple(news)
+        return (*_said_of(self.table, peer), *news)
 
     def take_changes(self) -> tuple[MemberChange, ...]:
         """Give the changes since the last time."""
@@ -180,8 +185,14 @@
     return attrs.evolve(member, config_version=0, config_hash='')
 
 
-def _concerns(known: Member, peer: Member) -> bool:
-    return known.is_doubted or known.incarnation > peer.incarnation
+def _said_of(table: MemberTable, peer: Member) -> tuple[Member, ...]:
+    """Give what a member should hear of itself, if anything."""
+    known = table.get(peer.name)
+    if known is None:
+        return ()
+    if known.is_doubted or known.incarnation > peer.incarnation:
+        return (known,)
+    return ()
 
 
 def _agreed(table: MemberTable, heard: Iterable[Member]) -> set[str]:
--- a/packages/fennelfork/tests/core_builders_network.py
+++ b/packages/fennelfork/tests/core_builders_network.py
@@ -66,6 +66,7 @@
     nodes: dict[str, Node] = attrs.field(factory=dict)
     is_cut: Callable[[str, str], bool] = lambda _from, _to: False
     sent: int = 0
+    told: int = 0
     _events: list = attrs.field(factory=list)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -111,6 +112,7 @@
         """Carry out the orders of a daemon's controller."""
         for order in sends:
             self.sent += 1
+            self.told += len(order.message.gossip)
             self._call(node, order)
 
     def _step(self, node: Node) -> None:
--- a/packages/fennelfork/tests/test_membership.py
+++ b/packages/fennelfork/tests/test_membership.py
@@ -52,6 +52,15 @@
         network.run(_MINUTE_MS)
         assert 55 <= network.sent / size <= 65
 
+    @pytest.mark.parametrize('size', [9, 60])
+    def test_news_of_a_start_dies_out(self, size: int) -> None:
+        """Half a minute after all started, probes carry no news."""
+        network = a_network(size)
+        network.run(30_000)
+        network.told = 0
+        network.run(10_000)
+        assert network.told == 0
+
 
 class TestJoin:
     """A daemon that starts."""
--- a/packages/fennelfork/tests/test_membership_parts.py
+++ b/packages/fennelfork/tests/test_membership_parts.py
@@ -43,6 +43,17 @@
         assert queue.take(5, 1, {'vm-1'}) == ()
         assert queue.take(5, 1, _NOBODY) == ('vm-1',)
 
+    def test_what_others_know_dies_out_sooner(self) -> None:
+        """Meeting a daemon that knows a change counts for several tellings."""
+        queue = GossipQueue()
+        for name in ('vm-1', 'vm-2'):
+            queue.add(name)
+        queue.agree({'vm-1', 'vm-9'}, 3, 4)
+        assert queue.take(5, 4, _NOBODY) == ('vm-2', 'vm-1')
+        assert queue.take(5, 4, _NOBODY) == ('vm-2',)
+        queue.agree_on_all(3, 4)
+        assert not len(queue)
+
 
 class TestLocalHealth:
     """How far a daemon stretches its own timeouts."""
