--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_observer.py
@@ -0,0 +1,66 @@
+"""Counts and remembers answers to non-idempotent requests."""
+
+from typing import Any, Final
+
+import attrs
+from returns.result import Failure as Failed
+from returns.result import Result
+
+from fennelfork import Blackboard, Failure, OnceTable, Verdict
+from fennelfork_daemon._execute_order import ExecuteOrder
+from fennelfork_daemon._metrics import DaemonMetrics
+from fennelfork_daemon._trace import ExplainRing
+
+_DONE: Final = 'executed'
+
+
+@attrs.frozen(kw_only=True)
+class ExecuteObserver:
+    """Sees each answer to a non-idempotent request."""
+
+    _board: Blackboard
+    _metrics: DaemonMetrics
+    _ring: ExplainRing
+    _table: OnceTable
+
+    def answered(
+        self,
+        order: ExecuteOrder,
+        result: Result[str, Failure],
+        took_ms: float,
+    ) -> None:
+        """Count and remember one answer."""
+        request = order.request
+        self._metrics.follow(self._board.document)
+        labels = self._metrics.labels(
+            request.front,
+            request.tenant,
+            order.traffic_class,
+        )
+        told = _told(result)
+        verdict = Verdict(told['verdict'])
+        self._metrics.count_answer(labels, verdict, told['outcome'])
+        self._metrics.observe_execute(labels, took_ms)
+        self._metrics.show_remembered(self._table.size)
+        story = {
+            'request_id': request.request_id,
+            'front': request.front,
+            'tenant': request.tenant,
+            'class': order.traffic_class,
+            'key': request.key,
+            **told,
+            'took_ms': round(took_ms, 1),
+            'events': (),
+        }
+        self._ring.remember(request.request_id, story)
+
+
+def _told(result: Result[str, Failure]) -> dict[str, Any]:
+    if isinstance(result, Failed):
+        failure = result.failure()
+        return {
+            'outcome': failure.code.value,
+            'verdict': failure.verdict.value,
+            'detail': failure.detail,
+        }
+    return {'outcome': _DONE, 'verdict': Verdict.RAN.value}
--- a/packages/fennelfork-daemon/tests/daemon_builders_config.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_config.py
@@ -6,7 +6,9 @@
 import socket
 import threading
 from collections.abc import Iterator
-from http import server as http_server
+
+# Not `from http import server`: see test_sources.py.
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Final
 
 import attrs
@@ -20,6 +22,7 @@
 from fennelfork_daemon._address import address
 from fennelfork_daemon._kv_client import ConfigKey
 from fennelfork_daemon._kv_http import KeyValueHttp, key_value_http
+from fennelfork_daemon._metrics import ControlCost
 from fennelfork_daemon._settings_tables import (
     DaemonSettings,
     ListenSettings,
@@ -66,7 +69,7 @@
     """Serve a script on loopback."""
     platform = ScriptedPlatform(script=list(script))
     handler = type('_Handler', (_ScriptHandler,), {'platform': platform})
-    server = http_server.ThreadingHTTPServer(('127.0.0.1', 0), handler)
+    server = ThreadingHTTPServer(('127.0.0.1', 0), handler)
     server.daemon_threads = True
     platform.address = f'127.0.0.1:{server.server_port}'
     thread = threading.Thread(target=server.serve_forever, args=(0.01,))
@@ -116,11 +119,17 @@
 def key_value_calls(
     *endpoints: str,
     budget: CallBudget | None = None,
+    costs: list[ControlCost] | None = None,
 ) -> KeyValueHttp:
     """Build the calls of a daemon to these endpoints."""
     clock = system_clock()
     plenty = call_budget(clock, per_second=1000, burst=1000)
-    return key_value_http(key_value_settings(*endpoints), budget or plenty)
+    count_cost = [] if costs is None else costs
+    return key_value_http(
+        key_value_settings(*endpoints),
+        budget or plenty,
+        count_cost.append,
+    )
 
 
 def scripted_key(platform: ScriptedPlatform) -> ConfigKey:
@@ -128,7 +137,7 @@
     return ConfigKey(key='/config', http=key_value_calls(platform.address))
 
 
-class _ScriptHandler(http_server.BaseHTTPRequestHandler):
+class _ScriptHandler(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
     platform: ScriptedPlatform
 
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -24,6 +24,8 @@
     call_budget,
     manual_clock,
 )
+from fennelfork_daemon._kv_codec import watch_body
+from fennelfork_daemon._metrics import Channel, ControlCost
 
 _WRITE = PreparedWrite(
     raw='{"version":2}',
@@ -100,6 +102,20 @@
         assert platform.paths == ['/found']
 
 
+class TestCost:
+    """What the calls cost, as it is counted."""
+
+    def test_counts_bodies_both_ways(self) -> None:
+        """Each body sent and received is counted towards the platform."""
+        costs: list[ControlCost] = []
+        with scripted_platform(Scripted(body={'a': 1})) as platform:
+            calls = key_value_calls(platform.address, costs=costs)
+            calls.call('/', {'key': 'x'})
+        assert {cost.channel for cost in costs} == {Channel.PLATFORM}
+        assert [cost.sent for cost in costs] == [len('{"key": "x"}'), 0]
+        assert [cost.received for cost in costs] == [0, len('{"a": 1}')]
+
+
 class TestWatch:
     """The stream of changes."""
 
@@ -119,3 +135,13 @@
         with scripted_platform(scripted) as platform:
             with pytest.raises(OSError, match='.'):
                 list(scripted_key(platform).changes(3))
+
+    @pytest.mark.parametrize(('known', 'start'), [(0, None), (7, '8')])
+    def test_of_an_absent_key_asks_for_no_past(
+        self,
+        known: int,
+        start: str | None,
+    ) -> None:
+        """Only a known revision asks for what came after it."""
+        request = watch_body('/config', known)['create_request']
+        assert request.get('start_revision') == start
