A refusal is true of every home and round that was asked

Cause: found by reading: a home that gave no reply may still run its part when it wakes, yet the next home's NOT_RUN stood; a rerun hid that the first round ran. Ruled out: calling the lost home off; it cannot hear it. Change: shards asked of a lost home stay in doubt, MAY_HAVE_RUN joins their failures; a rerun carries the verdict of the round before it. Conclusion: NOT_RUN now needs the word of all that were asked.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
@@ -21,6 +21,7 @@
     QueryRequest,
     ScatterOrder,
     ScatterOutcome,
+    Verdict,
     Work,
     homes_of,
     route_homes,
@@ -63,6 +64,8 @@
     _arrivals: eventlet.Queue = attrs.field(factory=eventlet.Queue)
     _asked: dict[int, HomeGroup] = attrs.field(factory=dict)
     _lost: list[HomeGroup] = attrs.field(factory=list)
+    # Shards whose work a home that gave no reply may still run.
+    _in_doubt: set[str] = attrs.field(factory=set)
     _serials: Iterator[int] = attrs.field(factory=itertools.count)
 
     @property
@@ -131,6 +134,7 @@
             for number in tuple(pool.imap(self._unless_alive, overdue)):
                 if number is not None:
                     lost.append(self._asked.pop(number))
+                    self._in_doubt |= lost[-1].shards
         return lost
 
     def _unless_alive(self, number: int) -> int | None:
@@ -172,7 +176,12 @@
             if is_successful(outcome):
                 self._take_outcome(merge, outcome.unwrap())
             elif group is not None:
-                self._lost.append(group)
+                self._lose(group, outcome.failure())
+
+    def _lose(self, group: HomeGroup, failure: Failure) -> None:
+        self._lost.append(group)
+        if failure.verdict is not Verdict.NOT_RUN:
+            self._in_doubt |= group.shards
 
     def _take_outcome(self, merge: Merge, outcome: ScatterOutcome) -> None:
         self._views.learn(self._request.front, outcome.shards)
@@ -188,9 +197,16 @@
         )
         if part.reply is not None:
             accepted = merge.accept(part.reply)
-            accepted.alt(lambda failure: _fail(merge, part, failure))
+            accepted.alt(lambda failure: self._fail(merge, part, failure))
         elif part.failure is not None:
-            _fail(merge, part, part.failure)
+            self._fail(merge, part, part.failure)
+
+    def _fail(self, merge: Merge, part: Part, failure: Failure) -> None:
+        verdict = failure.verdict
+        if part.planned.shard in self._in_doubt:
+            verdict = verdict.join(Verdict.MAY_HAVE_RUN)
+        sub_query = part.planned.expected.sub_query
+        merge.fail(sub_query, failure.with_verdict(verdict))
 
 
 def _patience_ms(left_ms: float) -> float:
@@ -220,7 +236,3 @@
     return tuple(
         planned for planned in merge.pending if planned.shard in group.shards
     )
-
-
-def _fail(merge: Merge, part: Part, failure: Failure) -> None:
-    merge.fail(part.planned.expected.sub_query, failure)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -184,6 +184,7 @@
 
 
 def _better(first: Merge, rerun: Merge) -> Merge:
+    rerun.earlier = first.verdict
     before = first.answer().coverage.fraction
     after = rerun.answer().coverage.fraction
     return rerun if after >= before else first
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/daemon_builders_answers.py
@@ -0,0 +1,144 @@
+"""Builders of a root whose homes do what a test says."""
+
+import json
+
+import attrs
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from fennelfork import (
+    Assignment,
+    Blackboard,
+    Document,
+    Failure,
+    FailureCode,
+    Front,
+    Member,
+    MemberStatus,
+    Merge,
+    Part,
+    PartitionMap,
+    QueryRequest,
+    ScatterOrder,
+    ScatterOutcome,
+    Server,
+    Shard,
+    WholeCoverage,
+    blackboard,
+    key_range,
+    may_have_run,
+    merge_of,
+    not_run,
+    peer_health,
+    system_clock,
+)
+from fennelfork_daemon._root_scatter import RootScatter
+from fennelfork_daemon._trace import RequestTrace
+from fennelfork_daemon._view_cache import ViewCache
+
+SHED = not_run(FailureCode.SHED, 'all slots busy')
+NO_REPLY = may_have_run(FailureCode.UNREACHABLE, 'no reply')
+NO_CONNECT = not_run(FailureCode.UNREACHABLE, 'refused')
+_WHOLE = key_range(0, 10)
+_SERVER = Server(
+    address='127.0.0.1:1',
+    data_centre='dc-1',
+    slots=1,
+    connections=1,
+    connect_ms=1,
+)
+
+
+@attrs.define(kw_only=True)
+class FakeCalls:
+    """Homes in the order in which they are asked.
+
+    Attributes:
+        answers: what each home asked in turn replies; none never replies.
+        asked: the names of the homes that were asked.
+    """
+
+    answers: list[Failure | None]
+    asked: list[str] = attrs.field(factory=list)
+
+    def scatter(
+        self,
+        home: Member,
+        order: ScatterOrder,
+        timeout_ms: float,
+    ) -> Result[ScatterOutcome, Failure]:
+        """Refuse each part, or the whole call."""
+        self.asked.append(home.name)
+        answer = self.answers[len(self.asked) - 1]
+        if answer is not SHED:
+            return Bad(answer or NO_REPLY)
+        parts = tuple(
+            Part(planned=planned, failure=answer) for planned in order.planned
+        )
+        return Success(
+            ScatterOutcome(parts=parts, shards=(), config_version=1),
+        )
+
+    def lives(self, home: Member, front: str, timeout_ms: float) -> bool:
+        """Give no sign of life."""
+        return False
+
+
+def scattered(answers: list[Failure | None]) -> tuple[FakeCalls, Merge]:
+    """Run one round over homes that answer so."""
+    calls = FakeCalls(answers=answers)
+    partition = PartitionMap(
+        snapshot=1,
+        assignments=(Assignment(shard='s0', span=_WHOLE),),
+    )
+    merge = merge_of('r1', partition, _WHOLE)
+    _root(calls).run(merge)
+    return calls, merge
+
+
+def _root(calls: FakeCalls) -> RootScatter:
+    clock = system_clock()
+    now_ms = clock.now_ms()
+    request = QueryRequest(
+        request_id='r1',
+        front='raft',
+        deadline_at_ms=now_ms + 5000,
+        tenant='salvare',
+        traffic_class='counter',
+        query={},
+        demand=WholeCoverage(),
+    )
+    return RootScatter(
+        trace=RequestTrace(clock=clock, started_ms=now_ms),
+        request=request,
+        query_text=json.dumps(request.query),
+        board=_board(),
+        calls=calls,
+        health=peer_health(clock),
+        views=ViewCache(),
+        clock=clock,
+    )
+
+
+def _board() -> Blackboard:
+    members = [_member(f'vm-{number}') for number in range(3)]
+    board = blackboard(members[0])
+    board.members = {member.name: member for member in members}
+    shard = Shard(servers={'raft-a': _SERVER})
+    board.document = Document(
+        fronts={'raft': Front(keys=10, shards={'s0': shard})},
+    )
+    return board
+
+
+def _member(name: str) -> Member:
+    return Member(
+        name=name,
+        incarnation=1,
+        state=MemberStatus.ALIVE,
+        region='region-1',
+        data_centre='dc-1',
+        caller='127.0.0.1:1',
+        operator='127.0.0.1:2',
+        peer='127.0.0.1:3',
+    )
--- a/packages/fennelfork/src/fennelfork/_merge.py
+++ b/packages/fennelfork/src/fennelfork/_merge.py
@@ -39,11 +39,13 @@
         whole: all keys of the front.
         snapshot: the one snapshot of all parts.
         plan: the sub-queries, by name.
+        earlier: whether a round at another snapshot ran before.
     """
 
     whole: KeyRange
     snapshot: int
     plan: dict[str, Planned]
+    earlier: Verdict = Verdict.NOT_RUN
     _parts: dict[str, Reply] = attrs.field(factory=dict)
     _failures: dict[str, Failure] = attrs.field(factory=dict)
 
@@ -78,11 +80,7 @@
             verdicts.append(Verdict.RAN)
         if self.pending:
             verdicts.append(Verdict.MAY_HAVE_RUN)
-        return functools.reduce(
-            Verdict.join,
-            verdicts,
-            verdicts[0] if verdicts else Verdict.NOT_RUN,
-        )
+        return functools.reduce(Verdict.join, verdicts, self.earlier)
 
     def accept(self, reply: Reply) -> Result[Reply, Failure]:
         """Take one part, if it is whole, expected and not yet in.
--- a/packages/fennelfork/tests/test_merge.py
+++ b/packages/fennelfork/tests/test_merge.py
@@ -107,6 +107,14 @@
         merge.accept(reply_to(planned[1].expected, []))
         assert merge.verdict is Verdict.RAN
 
+    def test_a_rerun_does_not_hide_what_ran(self) -> None:
+        """A rerun that is refused whole leaves the first round's verdict."""
+        rerun = _merge()
+        rerun.earlier = Verdict.RAN
+        for part in rerun.pending:
+            rerun.fail(part.expected.sub_query, _SHED)
+        assert rerun.verdict is Verdict.RAN
+
     def test_notes_a_lost_snapshot(self) -> None:
         """A lost snapshot calls for a rerun of the whole query."""
         merge = _merge()
