--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
@@ -78,7 +78,9 @@
         self._send(merge, _shards(merge), frozenset())
         silent: frozenset[str] = frozenset()
         waves = 1
-        while self._goes_on(merge):
+        while (
+            merge.pending and (self._asked or self._lost) and self.left_ms > 0
+        ):
             self._collect(merge, _patience_ms(self.left_ms))
             lost = self._take_lost(merge)
             if lost and waves < _MOST_WAVES:
@@ -87,10 +89,6 @@
                 shards = frozenset().union(*(group.shards for group in lost))
                 self._send(merge, _shards(merge) & shards, silent)
 
-    def _goes_on(self, merge: Merge) -> bool:
-        waits = bool(self._asked or self._lost)
-        return bool(merge.pending) and waits and self.left_ms > 0
-
     def _send(
         self,
         merge: Merge,
