--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_runners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_runners.py
@@ -57,9 +57,8 @@
         if kept is None:
             return None
         kept.used_ms = self._clock.now_ms()
-        with kept.learning:
-            if not kept.runner.scheduler.servers.view(name.shard).snapshots:
-                _poll_all(kept.runner)
+        if not kept.runner.scheduler.servers.known:
+            self._learn(kept)
         return kept.runner
 
     def poll_forever(self) -> None:
@@ -68,6 +67,12 @@
             eventlet.spawn_n(self._poll_round)
             eventlet.sleep(_POLL_MS / _MS)
 
+    def _learn(self, kept: _Kept) -> None:
+        """Ask the servers of a new runner, once for all who wait for it."""
+        with kept.learning:
+            if not kept.runner.scheduler.servers.known:
+                _poll_all(kept.runner)
+
     def _poll_round(self) -> None:
         self._drop_unused()
         pool = eventlet.GreenPool()
--- a/packages/fennelfork/src/fennelfork/_home_servers.py
+++ b/packages/fennelfork/src/fennelfork/_home_servers.py
@@ -22,6 +22,15 @@
 
     _board: Board
 
+    @property
+    def known(self) -> bool:
+        """Whether any server that stays said what it holds."""
+        return any(
+            server.snapshots
+            for server in self._board.servers.values()
+            if server.staying
+        )
+
     def view(self, shard: str) -> ShardView:
         """Tell what the servers that stay hold."""
         held: dict[int, list[SnapshotView]] = {}
