--- a/packages/fennelfork/src/fennelfork/_home.py
+++ b/packages/fennelfork/src/fennelfork/_home.py
@@ -23,6 +23,7 @@
     replied,
 )
 from fennelfork._home_servers import HomeServers
+from fennelfork._home_sight import ServerSight, server_sights
 from fennelfork._verdict import Failure, FailureCode, not_run
 
 
@@ -52,6 +53,11 @@
         """How many slots are held."""
         return self._board.slots.total
 
+    @property
+    def sights(self) -> tuple[ServerSight, ...]:
+        """The servers, as operators are shown them."""
+        return server_sights(self._board)
+
     def level(self, flow: Flow) -> float:
         """Tell which part of a flow's requests is taken at present."""
         now_ms = self._board.clock.now_ms()
