--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
@@ -7,6 +7,7 @@
 
 from fennelfork import Clock, MissingRange, QueryAnswer, QueryRequest
 from fennelfork_daemon._caller_request import read_query
+from fennelfork_daemon._http_body import body_limits, refused_body
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -17,12 +18,7 @@
 from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._root_service import RootService
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
-from fennelfork_daemon._wsgi_request import (
-    BodyLimits,
-    Refusal,
-    read_json_object,
-)
+from fennelfork_daemon._wsgi_request import read_json_object
 
 
 @attrs.frozen(kw_only=True)
@@ -47,13 +43,10 @@
 
     def query(self, request: HttpRequest) -> HttpReply:
         """Answer one query."""
-        limits = BodyLimits(
-            body_bytes=self._settings.limits.body_bytes,
-            read_ms=self._settings.timeouts.request_read_ms,
-        )
+        limits = body_limits(self._settings)
         body = read_json_object(request.environ, limits)
         if not is_successful(body):
-            return _refused(request, body.failure())
+            return refused_body(request, body.failure())
         tree = body.unwrap()
         read = read_query(
             request.names['front'],
@@ -109,9 +102,3 @@
 def _request_id(tree: dict[str, Any]) -> str | None:
     given = tree.get('request_id')
     return given if isinstance(given, str) else None
-
-
-def _refused(request: HttpRequest, refusal: Refusal) -> HttpReply:
-    if refusal.close:
-        request.environ[CLOSE_KEY]()
-    return failure_reply(refusal.failure, status=refusal.status)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_face.py
@@ -17,21 +17,16 @@
     unstructure_document,
 )
 from fennelfork_daemon._config_service import ConfigService
+from fennelfork_daemon._http_body import body_limits, refused_body
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
     Route,
-    failure_reply,
     json_reply,
 )
 from fennelfork_daemon._problem import problem_reply
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
-from fennelfork_daemon._wsgi_request import (
-    BodyLimits,
-    Refusal,
-    read_json_object,
-)
+from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
 
 
 @attrs.frozen(kw_only=True)
@@ -87,7 +82,7 @@
         """Bring a patch into force, or say why it is not."""
         body = read_json_object(request.environ, self._limits)
         if not is_successful(body):
-            return _unread(request, body.failure())
+            return refused_body(request, body.failure())
         checked = structure_request(body.unwrap())
         if not is_successful(checked):
             return _refused(_malformed(checked.failure()))
@@ -103,11 +98,11 @@
     settings: Settings,
 ) -> ConfigFace:
     """Build the handlers of a daemon."""
-    limits = BodyLimits(
-        body_bytes=settings.limits.body_bytes,
-        read_ms=settings.timeouts.request_read_ms,
+    return ConfigFace(
+        board=board,
+        service=service,
+        limits=body_limits(settings),
     )
-    return ConfigFace(board=board, service=service, limits=limits)
 
 
 def _accepted(accepted: PatchAccepted) -> HttpReply:
@@ -143,9 +138,3 @@
         headers=reply.headers,
         body=json.dumps(document).encode(),
     )
-
-
-def _unread(request: HttpRequest, refusal: Refusal) -> HttpReply:
-    if refusal.close:
-        request.environ[CLOSE_KEY]()
-    return failure_reply(refusal.failure, status=refusal.status)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
@@ -11,6 +11,7 @@
     read_execute,
 )
 from fennelfork_daemon._execute_service import ExecuteService
+from fennelfork_daemon._http_body import body_limits, refused_body
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -19,12 +20,7 @@
     json_reply,
 )
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
-from fennelfork_daemon._wsgi_request import (
-    BodyLimits,
-    Refusal,
-    read_json_object,
-)
+from fennelfork_daemon._wsgi_request import read_json_object
 
 
 @attrs.frozen(kw_only=True)
@@ -49,13 +45,15 @@
 
     def execute(self, request: HttpRequest) -> HttpReply:
         """Answer one request."""
-        limits = BodyLimits(
-            body_bytes=self._settings.limits.body_bytes,
-            read_ms=self._settings.timeouts.request_read_ms,
-        )
+        limits = body_limits(self._settings)
         body = read_json_object(request.environ, limits)
         if isinstance(body, Failed):
-            return _unread(request, body.failure())
+            refusal = body.failure()
+            doubt = doubted(refusal.failure)
+            return refused_body(
+                request,
+                attrs.evolve(refusal, failure=doubt),
+            )
         tree = body.unwrap()
         order = read_execute(
             request.names['front'],
@@ -82,9 +80,3 @@
                 'took_ms': round(self._clock.now_ms() - started_ms, 3),
             },
         )
-
-
-def _unread(request: HttpRequest, refusal: Refusal) -> HttpReply:
-    if refusal.close:
-        request.environ[CLOSE_KEY]()
-    return failure_reply(doubted(refusal.failure), status=refusal.status)
