--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -122,7 +122,12 @@
         listeners=listeners,
         home=home,
         observer=seen,
-        config=config_service(board, clock, settings),
+        config=config_service(
+            board,
+            clock,
+            settings,
+            seen.metrics.count_control,
+        ),
         fleet=fleet(settings, clock, board, seen.metrics),
-        execute=execute_parts(board, clock, home, settings),
+        execute=execute_parts(board, clock, home, settings, seen),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
@@ -5,6 +5,7 @@
 from returns.result import Success
 
 from fennelfork import Blackboard, Clock
+from fennelfork_daemon._execute_observer import ExecuteObserver
 from fennelfork_daemon._execute_order import (
     ExecuteOrder,
     doubted,
@@ -31,6 +32,7 @@
     _board: Blackboard
     _clock: Clock
     _settings: Settings
+    _observer: ExecuteObserver
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -68,6 +70,8 @@
     def _answer(self, order: ExecuteOrder) -> HttpReply:
         started_ms = self._clock.now_ms()
         result = self._service.answer(order)
+        took_ms = self._clock.now_ms() - started_ms
+        self._observer.answered(order, result, took_ms)
         request = order.request
         if isinstance(result, Failed):
             return failure_reply(result.failure(), request.request_id)
@@ -77,6 +81,6 @@
                 'key': request.key,
                 'outcome': result.unwrap(),
                 'config_version': self._board.config_version,
-                'took_ms': round(self._clock.now_ms() - started_ms, 3),
+                'took_ms': round(took_ms, 3),
             },
         )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a daemon, through prometheus_client."""
 
 import enum
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -14,9 +15,11 @@
 from fennelfork import Document, Failure, FailureCode, Verdict
 from fennelfork_daemon._metrics_families import (
     CounterFamilies,
+    ExecuteFamilies,
     QueryFamilies,
     config_gauge,
     counter_families,
+    execute_families,
     query_families,
 )
 from fennelfork_daemon._metrics_labels import LabelGuard, Labels, label_guard
@@ -91,6 +94,9 @@
     processor_ms: float = 0
 
 
+CountCost = Callable[[ControlCost], None]
+
+
 @attrs.frozen(kw_only=True)
 class DaemonMetrics:
     """All metrics of one daemon, with bounded labels."""
@@ -100,6 +106,7 @@
     _queries: QueryFamilies
     _counters: CounterFamilies
     _config_version: Gauge
+    _execute: ExecuteFamilies
 
     @property
     def registry(self) -> CollectorRegistry:
@@ -138,6 +145,15 @@
         words = labels.words
         self._counters.verdicts.labels(*words, verdict.value, code).inc()
 
+    def observe_execute(self, labels: Labels, took_ms: float) -> None:
+        """Count a non-idempotent request that was answered, in any way."""
+        latency = self._execute.latency.labels(*labels.words)
+        latency.observe(took_ms / _MS_PER_SECOND)
+
+    def show_remembered(self, count: int) -> None:
+        """Show how many ids of non-idempotent requests are kept."""
+        self._execute.remembered.set(count)
+
     def count_work(self, work: FrontWork) -> None:
         """Add to the counters of a front."""
         front = self._guard.fronts.label(work.front)
@@ -196,4 +212,5 @@
         queries=query_families(registry),
         counters=counter_families(registry),
         config_version=config_gauge(registry),
+        execute=execute_families(registry),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics_families.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics_families.py
@@ -48,6 +48,32 @@
     control_processor: Counter
 
 
+@attrs.frozen(kw_only=True)
+class ExecuteFamilies:
+    """What is told of non-idempotent requests."""
+
+    latency: Histogram
+    remembered: Gauge
+
+
+def execute_families(registry: CollectorRegistry) -> ExecuteFamilies:
+    """Build the families of non-idempotent requests."""
+    return ExecuteFamilies(
+        latency=Histogram(
+            'fennelfork_execute_latency_seconds',
+            'From reading a non-idempotent request to its answer.',
+            _BY_QUERY,
+            registry=registry,
+            buckets=_SECONDS,
+        ),
+        remembered=Gauge(
+            'fennelfork_execute_remembered',
+            'Ids of non-idempotent requests kept in memory.',
+            registry=registry,
+        ),
+    )
+
+
 def query_families(registry: CollectorRegistry) -> QueryFamilies:
     """Build the histograms of queries."""
     return QueryFamilies(
