Every metric family is explained on the page, and a test holds it

Cause: the families of executions and membership came with other lanes, and nothing said when the page lacked one (the new test named two).

--- a/packages/fennelfork-bench/tests/bench_builders_openapi.py
+++ b/packages/fennelfork-bench/tests/bench_builders_openapi.py
@@ -55,6 +55,11 @@
     ]
 
 
+def metrics_page() -> str:
+    """Read the operators' page on metrics."""
+    return (_ROOT / 'docs/operators/metrics.md').read_text()
+
+
 def touch(address: str, operation: Operation) -> tuple[int, str]:
     """Call an operation with names that stand for nothing.
 
--- a/packages/fennelfork-bench/tests/test_openapi.py
+++ b/packages/fennelfork-bench/tests/test_openapi.py
@@ -12,6 +12,7 @@
     Operation,
     ask,
     documented,
+    metrics_page,
     touch,
 )
 
@@ -268,6 +269,9 @@
         first = _execute(fleet, body)
         assert first.status == 200
         assert _execute(fleet, body).tree['outcome'] == first.tree['outcome']
+        template = '/v1/explain/{request_id}'
+        path = template.format(request_id=body['request_id'])
+        assert _page(fleet, path, template).tree['outcome'] == 'executed'
 
     @pytest.mark.parametrize(
         'changes',
@@ -340,6 +344,22 @@
         assert f'{start}front="raft-search",tenant="other"' in page
         assert 'no-such' not in page
 
+    def test_metrics_page(self, fleet: Fleet) -> None:
+        """Each family of ours is explained on the operators' page."""
+        text = metrics_page()
+        page = _page(fleet, _METRICS).tree
+        families = {
+            line.split()[2]
+            for line in page.splitlines()
+            if line.startswith('# TYPE fennelfork_')
+        }
+        unexplained = {
+            family
+            for family in families
+            if not family.endswith('_created') and family not in text
+        }
+        assert not unexplained
+
 
 class TestDroppedReplies:
     """What servers answer wrongly, in the metrics of the homes."""
