--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
@@ -7,11 +7,7 @@
 
 from fennelfork import Clock, MissingRange, QueryAnswer, QueryRequest
 from fennelfork_daemon._caller_request import read_query
-from fennelfork_daemon._http_body import (
-    body_limits,
-    read_body,
-    refusal_reply,
-)
+from fennelfork_daemon._http_body import body_limits, refused_body
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -22,6 +18,7 @@
 from fennelfork_daemon._observer import Observer
 from fennelfork_daemon._root_service import RootService
 from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._wsgi_request import read_json_object
 
 
 @attrs.frozen(kw_only=True)
@@ -46,9 +43,10 @@
 
     def query(self, request: HttpRequest) -> HttpReply:
         """Answer one query."""
-        body = read_body(request, body_limits(self._settings))
+        limits = body_limits(self._settings)
+        body = read_json_object(request.environ, limits)
         if not is_successful(body):
-            return refusal_reply(body.failure())
+            return refused_body(request, body.failure())
         tree = body.unwrap()
         read = read_query(
             request.names['front'],
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_face.py
@@ -17,11 +17,7 @@
     unstructure_document,
 )
 from fennelfork_daemon._config_service import ConfigService
-from fennelfork_daemon._http_body import (
-    body_limits,
-    read_body,
-    refusal_reply,
-)
+from fennelfork_daemon._http_body import body_limits, refused_body
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -30,7 +26,7 @@
 )
 from fennelfork_daemon._problem import problem_reply
 from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_request import BodyLimits
+from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
 
 
 @attrs.frozen(kw_only=True)
@@ -84,9 +80,9 @@
 
     def patch(self, request: HttpRequest) -> HttpReply:
         """Bring a patch into force, or say why it is not."""
-        body = read_body(request, self._limits)
+        body = read_json_object(request.environ, self._limits)
         if not is_successful(body):
-            return refusal_reply(body.failure())
+            return refused_body(request, body.failure())
         checked = structure_request(body.unwrap())
         if not is_successful(checked):
             return _refused(_malformed(checked.failure()))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
@@ -12,11 +12,7 @@
     read_execute,
 )
 from fennelfork_daemon._execute_service import ExecuteService
-from fennelfork_daemon._http_body import (
-    body_limits,
-    read_body,
-    refusal_reply,
-)
+from fennelfork_daemon._http_body import body_limits, refused_body
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -25,6 +21,7 @@
     json_reply,
 )
 from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon._wsgi_request import read_json_object
 
 
 @attrs.frozen(kw_only=True)
@@ -50,10 +47,15 @@
 
     def execute(self, request: HttpRequest) -> HttpReply:
         """Answer one request."""
-        body = read_body(request, body_limits(self._settings))
+        limits = body_limits(self._settings)
+        body = read_json_object(request.environ, limits)
         if isinstance(body, Failed):
             refusal = body.failure()
-            return refusal_reply(refusal, doubted(refusal.failure))
+            doubt = doubted(refusal.failure)
+            return refused_body(
+                request,
+                attrs.evolve(refusal, failure=doubt),
+            )
         tree = body.unwrap()
         order = read_execute(
             request.names['front'],
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_body.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_body.py
@@ -1,10 +1,5 @@
-"""Bodies of the HTTP faces: read, or refused with an answer."""
+"""What the HTTP faces have in common when they read bodies."""
 
-from typing import Any
-
-from returns.result import Result
-
-from fennelfork import Failure
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -12,49 +7,25 @@
 )
 from fennelfork_daemon._settings_tables import Settings
 from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
-from fennelfork_daemon._wsgi_request import (
-    BodyLimits,
-    Refusal,
-    read_json_object,
-)
+from fennelfork_daemon._wsgi_request import BodyLimits, Refusal
 
 
 def body_limits(settings: Settings) -> BodyLimits:
-    """Give what bounds the bodies of every face."""
+    """Take the limits of bodies from the settings."""
     return BodyLimits(
         body_bytes=settings.limits.body_bytes,
         read_ms=settings.timeouts.request_read_ms,
     )
 
 
-def read_body(
-    request: HttpRequest,
-    limits: BodyLimits,
-) -> Result[dict[str, Any], Refusal]:
-    """Read the body of a request as a JSON object.
-
-    Where the rest of a refused request can no longer be told from the next
-    one, the connection ends after the answer.
-    """
-    return read_json_object(request.environ, limits).alt(
-        lambda refusal: _ended(request, refusal),
-    )
-
-
-def refusal_reply(
-    refusal: Refusal,
-    failure: Failure | None = None,
-) -> HttpReply:
-    """Answer a request whose body was refused.
+def refused_body(request: HttpRequest, refusal: Refusal) -> HttpReply:
+    """Answer a request whose body was not taken.
 
     Args:
+        request: the request; its connection ends if the rest of the body
+            cannot be read any more.
         refusal: why.
-        failure: told in its place, where the face knows more of the request.
     """
-    return failure_reply(failure or refusal.failure, status=refusal.status)
-
-
-def _ended(request: HttpRequest, refusal: Refusal) -> Refusal:
     if refusal.close:
         request.environ[CLOSE_KEY]()
-    return refusal
+    return failure_reply(refusal.failure, status=refusal.status)
