Failed calls between daemons bring the discovery of a loss forward

Cause: measured at 9 daemons one kill in three was first noticed after 4.0 s (load average 44): at rest only the one probe a period finds it, while roots meet the dead home at once. Roots now note the member on the blackboard, and membership verifies it by one probe, out of the same token bucket. Ruled out: suspecting on the failed call itself, a slow shard fails it too. Notice times after the change are not measured yet.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -134,6 +134,7 @@
         local=home,
         peers=PeerClient(),
         health=health,
+        doubted=board.doubted,
     )
     describer = Describer(
         board=board,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_home_calls.py
@@ -52,6 +52,7 @@
     _local: Home
     _peers: PeerClient
     _health: PeerHealth
+    _doubted: set[str]
     _gate: EntryGate = attrs.field(factory=_gate_of_system)
 
     def let_in(self, request: QueryRequest) -> Result[float, Failure]:
@@ -128,4 +129,8 @@
 
     def _note(self, home: Member, reply: Result[object, Failure]) -> None:
         reply.map(lambda _: self._health.note_reply(home.name))
-        reply.alt(lambda _: self._health.note_silence(home.name))
+        reply.alt(lambda _: self._note_silence(home.name))
+
+    def _note_silence(self, name: str) -> None:
+        self._health.note_silence(name)
+        self._doubted.add(name)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
@@ -61,6 +61,8 @@
         """Let the controller move on to now."""
         with self._metrics.processor():
             self._announce_config()
+            while self._board.doubted:
+                self.fleet.on_unreachable(self._board.doubted.pop())
             sends = self.fleet.step(self._clock.now_ms())
             self._follow(sends)
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -146,6 +146,7 @@
         local=home,
         peers=PeerClient(),
         health=health,
+        doubted=board.doubted,
     )
     views = ViewCache()
     describer = Describer(
--- a/packages/fennelfork/src/fennelfork/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/_blackboard.py
@@ -20,6 +20,8 @@
         local: this daemon, as it announces itself.
         members: what is known of the fleet, this daemon included, by name;
             replaced as a whole when a member comes, goes or changes state.
+        doubted: names of members that failed a call; membership verifies
+            them and takes them out.
         document: the configuration in force here.
         config_hash: digest of that configuration.
         routing: how sub-queries reach the backend servers.
@@ -30,6 +32,7 @@
     document: Document
     config_hash: str = ''
     routing: RoutingMode = RoutingMode.HOME
+    doubted: set[str] = attrs.field(factory=set)
     _homes: HomeIndex = attrs.field(factory=_no_homes, eq=False)
     _homes_of: dict[str, Member] | None = attrs.field(default=None, eq=False)
 
