Answer under another name is no answer; suspects hear of a leave in person

Found by reading, each test failed first: a lost daemon whose address a successor of another name took over stayed alive for good, since any answer counted; now an answer must come from the member that was probed, through relays too. A leaver told only members it did not doubt, and a slow one could go on naming it.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
@@ -119,7 +119,8 @@
             if is_successful(reply):
                 answer = answer_from_peer(reply.unwrap())
                 self._follow(self.fleet.on_answer(order.call, answer, now_ms))
-                return True
+                # Another daemon may have the address by now.
+                return answer.sender.name == order.to.name
             refused = reply.failure() is ProbeFailure.REFUSED
             sends = self.fleet.on_failure(order.call, now_ms, refused=refused)
             self._follow(sends)
@@ -136,6 +137,7 @@
     def _publish(self) -> None:
         view = self.fleet.view
         self._board.local = view.me
+        self._board.superseded = view.standing.superseded
         reconfigured = view.table.take_reconfigured()
         if view.table.epoch == self._epoch:
             # The same members: the homes worked out by them stay right.
--- a/packages/fennelfork/src/fennelfork/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/_blackboard.py
@@ -22,6 +22,7 @@
             replaced as a whole when a member comes, goes or changes state.
         doubted: names of members that failed a call; membership verifies
             them and takes them out.
+        superseded: whether a later daemon runs under this one's name.
         document: the configuration in force here.
         config_hash: digest of that configuration.
         routing: how sub-queries reach the backend servers.
@@ -33,6 +34,7 @@
     config_hash: str = ''
     routing: RoutingMode = RoutingMode.HOME
     doubted: set[str] = attrs.field(factory=set)
+    superseded: bool = False
     _homes: HomeIndex = attrs.field(factory=_no_homes, eq=False)
     _homes_of: dict[str, Member] | None = attrs.field(default=None, eq=False)
 
--- a/packages/fennelfork/src/fennelfork/_membership_prober.py
+++ b/packages/fennelfork/src/fennelfork/_membership_prober.py
@@ -115,6 +115,8 @@
         if settled is None:
             return Outcome()
         self.health.better()
+        if _is_other(settled, answer):
+            return self._direct_failed(settled.probe_round, now_ms, True)
         if settled.kind is _Kind.RELAYED and not answer.reached:
             return self._relay_failed(settled.probe_round, now_ms)
         return Outcome()
@@ -205,6 +207,13 @@
     return _Round(target=target.name, incarnation=target.incarnation)
 
 
+def _is_other(call: _Call, answer: ProbeAnswer) -> bool:
+    """Tell whether another daemon now has the address that was probed."""
+    if call.kind is not _Kind.DIRECT:
+        return False
+    return answer.sender.name != call.probe_round.target
+
+
 def _relays(view: FleetView, target: str) -> list[Member]:
     return [
         member
--- a/packages/fennelfork/src/fennelfork/_membership_schedule.py
+++ b/packages/fennelfork/src/fennelfork/_membership_schedule.py
@@ -66,7 +66,12 @@
 
     def tell_all(self) -> None:
         """Have each member told in person what this daemon says of itself."""
-        self.errands.to_tell = [member.name for member in self._others()]
+        own_name = self._view.me.name
+        self.errands.to_tell = [
+            member.name
+            for member in self._view.table
+            if member.state is not MemberStatus.DEAD and member.name != own_name
+        ]
 
     def some_others(self, count: int) -> list[Member]:
         """Give up to `count` random members that are not doubted."""
--- a/packages/fennelfork/tests/test_membership.py
+++ b/packages/fennelfork/tests/test_membership.py
@@ -145,6 +145,19 @@
             assert runs == {1, 9}
 
 
+class TestReusedAddress:
+    """An address that another daemon now has."""
+
+    def test_answer_under_another_name_is_no_answer(self) -> None:
+        """A lost daemon whose address is taken over does not stay alive."""
+        network = a_network(9)
+        network.run(5000)
+        network.nodes['vm-1'].up = False
+        network.nodes['vm-1'] = network.nodes['vm-2']
+        network.run(_MINUTE_MS)
+        assert _all_believe(network, 'vm-1', _DEAD)
+
+
 class TestPause:
     """A daemon that stops running for a while and wakes."""
 
@@ -285,6 +298,16 @@
         network.run_until(lambda: leave_is_told(leaver.fleet), 5000)
         assert _all_believe(network, 'vm-1', MemberStatus.LEAVING)
 
+    def test_suspects_are_told_too(self) -> None:
+        """One that is only slow may name the leaver in entry answers."""
+        network = a_network(2)
+        network.run(5000)
+        leaver = network.nodes['vm-1']
+        leaver.fleet.view.accuse('vm-0', 1024, network.now_ms)
+        announce_leave(leaver.fleet)
+        network.run_until(lambda: leave_is_told(leaver.fleet), 5000)
+        assert network.nodes['vm-0'].believes('vm-1') is MemberStatus.LEAVING
+
     def test_end_is_told_without_suspicion(self) -> None:
         """A daemon that says that it is gone is dead to all at once."""
         network = a_network(9)
