--- a/packages/fennelfork/src/fennelfork/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/_blackboard.py
@@ -20,6 +20,9 @@
         local: this daemon, as it announces itself.
         members: what is known of the fleet, this daemon included, by name;
             replaced as a whole when a member comes, goes or changes state.
+        doubted: names of members that failed a call; membership verifies
+            them and takes them out.
+        superseded: whether a later daemon runs under this one's name.
         document: the configuration in force here.
         config_hash: digest of that configuration.
         routing: how sub-queries reach the backend servers.
@@ -30,6 +33,8 @@
     document: Document
     config_hash: str = ''
     routing: RoutingMode = RoutingMode.HOME
+    doubted: set[str] = attrs.field(factory=set)
+    superseded: bool = False
     _homes: HomeIndex = attrs.field(factory=_no_homes, eq=False)
     _homes_of: dict[str, Member] | None = attrs.field(default=None, eq=False)
 
