--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
@@ -9,11 +9,11 @@
 import attrs
 
 from fennelfork import (
-    Answered,
     CallerEvent,
     CallerStep,
     NoAnswer,
     NothingSent,
+    OnceAnswered,
     OnceCaller,
     Verdict,
 )
@@ -113,7 +113,7 @@
             )
             body = {'key': key, 'action': 'issue', 'ticket': entry.ticket}
             end = self._send(asked, 'execute', body)
-            step = once.after(_caller_event(end), self._left_ms(entry))
+            step = once.after(caller_event(end), self._left_ms(entry))
             fresh = self._entry_for_retry(entry, step)
             if fresh is None:
                 return
@@ -180,12 +180,12 @@
         return {'keys': self._randomness.sample(wanted, _FEW_KEYS)}
 
 
-def _caller_event(end: Ended) -> CallerEvent:
+def caller_event(end: Ended) -> CallerEvent:
     """Put the end of a try in the words of `OnceCaller`."""
     if isinstance(end, ConnectRefused):
         return NothingSent()
     if isinstance(end, Refused):
-        return Answered(verdict=end.verdict)
+        return OnceAnswered(verdict=end.verdict)
     if isinstance(end, ExecuteAnswered):
-        return Answered(verdict=Verdict.RAN, has_outcome=True)
+        return OnceAnswered(verdict=Verdict.RAN, has_outcome=True)
     return NoAnswer()
--- a/packages/fennelfork-bench/tests/test_once_process.py
+++ b/packages/fennelfork-bench/tests/test_once_process.py
@@ -32,7 +32,8 @@
 @pytest.fixture(autouse=True)
 def _no_faults(fleet: Fleet) -> Iterator[None]:
     yield
-    faults(fleet, 'reg-0')
+    for server in fleet.backends:
+        faults(fleet, server)
 
 
 @pytest.mark.process
@@ -110,6 +111,27 @@
         assert again.body['verdict'] == 'not_run', again
         assert request['request_id'] not in assert_once(fleet, caller)
 
+    def test_a_draining_server_is_left_alone(self, fleet: Fleet) -> None:
+        """A server whose health lies is asked once, and then no more."""
+        caller = Caller()
+        here, _ = fleet.callers
+        address = fleet.backends['reg-20'].ready['control']
+        http.post(address, '/control/drain', {'draining': True})
+        faults(fleet, 'reg-20', health={'state': 'serving'})
+        ticket = caller.ticket(here)
+        refused = [
+            caller.send(here, caller.request(ticket, 25)) for _ in range(4)
+        ]
+        http.post(address, '/control/drain', {'draining': False})
+        verdicts = {reply.body.get('verdict') for reply in refused}
+        assert verdicts == {'not_run'}, refused
+        codes = {reply.body['code'] for reply in refused}
+        assert codes == {'draining'}, refused
+        sent = events(fleet, 'received')
+        asked = {reply.body['request_id'] for reply in refused}
+        assert sum(sent[each] for each in asked) == 1
+        assert_once(fleet, caller)
+
     def test_platform_down(self, fleet: Fleet) -> None:
         """Tickets are issued and used while the platform is away."""
         caller = Caller()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -9,6 +9,7 @@
     Blackboard,
     Clock,
     OnceGate,
+    drain_memory,
     once_gate,
     peer_health,
     ticket_key,
@@ -145,5 +146,6 @@
         board=board,
         describer=describer,
         views=views,
+        drains=drain_memory(clock),
         rng=random.Random(),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
@@ -39,6 +39,7 @@
     """A backend server that may run the request."""
 
     name: str
+    address: str
     host: str
     port: int
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
@@ -48,6 +48,9 @@
     def forget(self, request: ExecuteRequest) -> None:
         """Ask anew the next time."""
 
+    def note(self, target: ExecuteTarget, failure: Failure) -> None:
+        """Learn from a server that did not run a request."""
+
 
 @attrs.define(kw_only=True)
 class ExecuteRunner:
@@ -141,6 +144,7 @@
             failure = result.failure()
             if failure.verdict is not Verdict.NOT_RUN:
                 return failure
+            self._targets.note(target, failure)
             self._table.take_back(request.request_id)
         return failure
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_targets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_targets.py
@@ -1,6 +1,7 @@
 """Finds the backend servers of a record through the homes of its front."""
 
 import random
+from typing import Final
 
 import attrs
 from returns.result import Failure as Failed
@@ -8,6 +9,7 @@
 
 from fennelfork import (
     Blackboard,
+    DrainMemory,
     ExecuteRequest,
     Failure,
     FailureCode,
@@ -20,6 +22,8 @@
 from fennelfork_daemon._execute_connection import ExecuteTarget
 from fennelfork_daemon._view_cache import ViewCache
 
+_RETRY_MS: Final = 1000
+
 
 @attrs.define(kw_only=True)
 class ExecuteTargets:
@@ -28,6 +32,7 @@
     _board: Blackboard
     _describer: Describer
     _views: ViewCache
+    _drains: DrainMemory
     _rng: random.Random
 
     def find(
@@ -53,13 +58,38 @@
             self._board.local.data_centre,
             self._rng,
         )
-        return Success(tuple(_target(named) for named in servers))
+        staying = tuple(
+            _target(named)
+            for named in servers
+            if not self._drains.holds(named.server.address)
+        )
+        if servers and not staying:
+            return Failed(_all_drain())
+        return Success(staying)
 
     def forget(self, request: ExecuteRequest) -> None:
         """Ask anew, as the servers that were named do not hold the record."""
         self._views.keep_only(request.front, ())
 
+    def note(self, target: ExecuteTarget, failure: Failure) -> None:
+        """Pass over a server that says that it drains, for a while."""
+        if failure.code is FailureCode.DRAINING:
+            self._drains.note(target.address)
+
 
 def _target(named: NamedServer) -> ExecuteTarget:
     place = address(named.server.address)
-    return ExecuteTarget(name=named.name, host=place.host, port=place.port)
+    return ExecuteTarget(
+        name=named.name,
+        address=named.server.address,
+        host=place.host,
+        port=place.port,
+    )
+
+
+def _all_drain() -> Failure:
+    return not_run(
+        FailureCode.DRAINING,
+        'every server that holds the record is draining',
+        _RETRY_MS,
+    )
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -31,6 +31,16 @@
 PATIENCE: Final = ExecutePatience(probe_ms=1000, settle_ms=3000)
 
 
+def execute_target(name: str, port: int) -> ExecuteTarget:
+    """Build the address of a server on loopback."""
+    return ExecuteTarget(
+        name=name,
+        address=f'127.0.0.1:{port}',
+        host='127.0.0.1',
+        port=port,
+    )
+
+
 @attrs.define(kw_only=True)
 class FakeServer:
     """What the server does, and what it ran.
@@ -60,7 +70,7 @@
     @property
     def target(self) -> ExecuteTarget:
         """The server as the daemon addresses it."""
-        return ExecuteTarget(name='s', host='127.0.0.1', port=self.port)
+        return execute_target('s', self.port)
 
     def execute(self, request: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Give status and body of the answer; status 0 closes instead."""
@@ -82,6 +92,7 @@
 
     targets: tuple[ExecuteTarget, ...] | None
     forgotten: int = 0
+    learnt: list[Any] = attrs.field(factory=list)
 
     def find(
         self,
@@ -97,6 +108,10 @@
         """Count the calls."""
         self.forgotten += 1
 
+    def note(self, target: ExecuteTarget, failure: Failure) -> None:
+        """Keep what was learnt."""
+        self.learnt.append((target.name, failure.code))
+
 
 class _FakeCalls(BaseHTTPRequestHandler):
     protocol_version = 'HTTP/1.1'
--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -10,6 +10,7 @@
     FixedTargets,
     build_gate,
     execute_request,
+    execute_target,
     fake_server,
     free_port,
 )
@@ -45,7 +46,7 @@
 
 
 def _gone() -> ExecuteTarget:
-    return ExecuteTarget(name='gone', host='127.0.0.1', port=free_port())
+    return execute_target('gone', free_port())
 
 
 def _no_leave() -> Result[float, Failure]:
@@ -192,6 +193,24 @@
         assert state.failure.verdict is Verdict.NOT_RUN
         assert not server.runs
 
+    def test_learns_who_did_not_run_it(self, server: FakeServer) -> None:
+        """What a server refused with is told to who finds servers."""
+        server.state = 'draining'
+        targets = FixedTargets(targets=(server.target,))
+        gate = build_gate()
+        request = execute_request(gate)
+        gate.admit(request)
+        runner = ExecuteRunner(
+            table=gate.table,
+            clock=system_clock(),
+            targets=targets,
+            patience=PATIENCE,
+            limit=1,
+        )
+        runner.start(request, system_clock().now_ms() + _CAP_MS)
+        assert runner.wait(request.request_id, _CAP_MS)
+        assert targets.learnt == [('s', FailureCode.DRAINING)]
+
     def test_sends_nothing_too_late(self, server: FakeServer) -> None:
         """A request whose deadline has passed is not sent."""
         state = _run(build_gate(), server.target, left_ms=1)
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -123,6 +123,8 @@
 from fennelfork._once_caller import NothingSent as NothingSent
 from fennelfork._once_caller import OnceAnswered as OnceAnswered
 from fennelfork._once_caller import OnceCaller as OnceCaller
+from fennelfork._once_drain import DrainMemory as DrainMemory
+from fennelfork._once_drain import drain_memory as drain_memory
 from fennelfork._once_gate import ExecuteRequest as ExecuteRequest
 from fennelfork._once_gate import OnceGate as OnceGate
 from fennelfork._once_gate import PassOn as PassOn
