Merge lane/tickets: one memory of leaving servers for executions

Two lanes mended the same fault. The owner's DrainMemory stands; LeavingServers and its module go. Their tests stand: the lying health case is kept, the doubled draining case is the same as the one beside it, and the case of a second refusal moved to test_once_drain.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -9,7 +9,7 @@
     Blackboard,
     Clock,
     OnceGate,
-    leaving_servers,
+    drain_memory,
     once_gate,
     peer_health,
     ticket_key,
@@ -134,7 +134,6 @@
         local=home,
         peers=PeerClient(),
         health=health,
-        doubted=board.doubted,
     )
     describer = Describer(
         board=board,
@@ -147,6 +146,6 @@
         board=board,
         describer=describer,
         views=views,
+        drains=drain_memory(clock),
         rng=random.Random(),
-        leaving=leaving_servers(clock),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
@@ -48,8 +48,8 @@
     def forget(self, request: ExecuteRequest) -> None:
         """Ask anew the next time."""
 
-    def note_leaving(self, target: ExecuteTarget) -> None:
-        """Leave a server out for a while, as it refuses as draining."""
+    def note(self, target: ExecuteTarget, failure: Failure) -> None:
+        """Learn from a server that did not run a request."""
 
 
 @attrs.define(kw_only=True)
@@ -144,8 +144,7 @@
             failure = result.failure()
             if failure.verdict is not Verdict.NOT_RUN:
                 return failure
-            if failure.code is FailureCode.DRAINING:
-                self._targets.note_leaving(target)
+            self._targets.note(target, failure)
             self._table.take_back(request.request_id)
         return failure
 
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -31,13 +31,22 @@
 PATIENCE: Final = ExecutePatience(probe_ms=1000, settle_ms=3000)
 
 
+def execute_target(name: str, port: int) -> ExecuteTarget:
+    """Build the address of a server on loopback."""
+    return ExecuteTarget(
+        name=name,
+        address=f'127.0.0.1:{port}',
+        host='127.0.0.1',
+        port=port,
+    )
+
+
 @attrs.define(kw_only=True)
 class FakeServer:
     """What the server does, and what it ran.
 
     Attributes:
         refuse: answer that nothing ran, with the code `refuse_as`.
-        state: what its health says.
         lose: run, then close the connection without an answer.
         cross: answer about another request.
         sick: fail the probe.
@@ -52,7 +61,6 @@
     limits: list[float | None] = attrs.field(factory=list)
     refuse: bool = False
     refuse_as: str = 'shed'
-    state: str = 'serving'
     lose: bool = False
     cross: bool = False
     sick: bool = False
@@ -63,7 +71,7 @@
     @property
     def target(self) -> ExecuteTarget:
         """The server as the daemon addresses it."""
-        return ExecuteTarget(name='s', host='127.0.0.1', port=self.port)
+        return execute_target('s', self.port)
 
     def execute(self, request: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Give status and body of the answer; status 0 closes instead."""
@@ -85,7 +93,7 @@
 
     targets: tuple[ExecuteTarget, ...] | None
     forgotten: int = 0
-    leaving: list[ExecuteTarget] = attrs.field(factory=list)
+    learnt: list[Any] = attrs.field(factory=list)
 
     def find(
         self,
@@ -101,9 +109,9 @@
         """Count the calls."""
         self.forgotten += 1
 
-    def note_leaving(self, target: ExecuteTarget) -> None:
-        """Keep what was noted."""
-        self.leaving.append(target)
+    def note(self, target: ExecuteTarget, failure: Failure) -> None:
+        """Keep what was learnt."""
+        self.learnt.append((target.name, failure.code))
 
 
 class _FakeCalls(BaseHTTPRequestHandler):
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -90,8 +90,6 @@
 from fennelfork._home_route import route_homes as route_homes
 from fennelfork._home_sight import ServerCondition as ServerCondition
 from fennelfork._home_sight import ServerSight as ServerSight
-from fennelfork._leaving import LeavingServers as LeavingServers
-from fennelfork._leaving import leaving_servers as leaving_servers
 from fennelfork._member import Member as Member
 from fennelfork._member import MemberStatus as MemberStatus
 from fennelfork._member import first_incarnation as first_incarnation
@@ -132,6 +130,8 @@
 from fennelfork._once_caller import NothingSent as NothingSent
 from fennelfork._once_caller import OnceAnswered as OnceAnswered
 from fennelfork._once_caller import OnceCaller as OnceCaller
+from fennelfork._once_drain import DrainMemory as DrainMemory
+from fennelfork._once_drain import drain_memory as drain_memory
 from fennelfork._once_gate import ExecuteRequest as ExecuteRequest
 from fennelfork._once_gate import OnceGate as OnceGate
 from fennelfork._once_gate import PassOn as PassOn
