--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
@@ -9,11 +9,11 @@
 import attrs
 
 from fennelfork import (
-    Answered,
     CallerEvent,
     CallerStep,
     NoAnswer,
     NothingSent,
+    OnceAnswered,
     OnceCaller,
     Verdict,
 )
@@ -185,7 +185,7 @@
     if isinstance(end, ConnectRefused):
         return NothingSent()
     if isinstance(end, Refused):
-        return Answered(verdict=end.verdict)
+        return OnceAnswered(verdict=end.verdict)
     if isinstance(end, ExecuteAnswered):
-        return Answered(verdict=Verdict.RAN, has_outcome=True)
+        return OnceAnswered(verdict=Verdict.RAN, has_outcome=True)
     return NoAnswer()
