Two homes at once: sheds cost no budget, bursts are no overload

Cause: a test with a rival home (40 searches at once, 8 s of time) ended in partial answers: sheds used up the retry budget, shed copies lowered the measured service time, and the rate alone counted the burst as overload. Ruled out: a lease for the home. Change: a shed is tried again without cost, its server left alone for a service time that doubles; service times only of copies that ran; levels fall when the queue takes a quarter of the time left; ejection after 5 bad outcomes in a row, as a good server loses 1 hedge in 25. Conclusion: the rival-home test fails before, passes after.

--- a/packages/fennelfork-bench/tests/test_answers.py
+++ b/packages/fennelfork-bench/tests/test_answers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from bench_builders_answers import KEYS, Small, small
@@ -17,6 +18,12 @@
     yield from small()
 
 
+@pytest.fixture
+def rivals() -> Iterator[Small]:
+    """Give a fleet in which two daemons hand out the same slots."""
+    yield from small(rival=True)
+
+
 class TestReplies:
     """Replies that lie, cross, break off or never come."""
 
@@ -114,6 +121,24 @@
             fleet.whole(at=at)
 
 
+class TestTwoHomes:
+    """Two daemons that both think they are home."""
+
+    def test_servers_shed_and_answers_stay_whole(self, rivals: Small) -> None:
+        """More than all slots through both: sheds, and no other harm."""
+        rivals.faults(rules=[{'kind': 'straggle', 'factor': 20}])
+        with ThreadPoolExecutor(max_workers=40) as pool:
+            bodies = list(pool.map(lambda at: rivals.whole(at=at), range(80)))
+        assert len(bodies) == 80
+        sheds = [
+            event
+            for server in rivals.servers
+            for event in rivals.events(server)
+            if event['detail'] == 'shed'
+        ]
+        assert sheds
+
+
 def _ask_others(fleet: Small, paused: Process) -> None:
     for at, process in enumerate(fleet.fleet.living):
         if process is not paused:
--- a/packages/fennelfork/src/fennelfork/_admission.py
+++ b/packages/fennelfork/src/fennelfork/_admission.py
@@ -23,6 +23,9 @@
 # A home lets through somewhat more than its level: roots refuse by the lowest
 # level of all homes, and a part refused by one home wastes those of the others.
 _SLACK: Final = 1.15
+# A queue may take this part of the time that is left: a burst whose deadlines
+# can be met is no overload.
+_PATIENCE: Final = 0.25
 _SERVICE_GAIN: Final = 0.02
 _RETRY_MS: Final = 1000
 
@@ -129,7 +132,8 @@
         """
         self._note(arrival, now_ms)
         wait_ms = self.wait_ms(pressure)
-        if 0 < self.service_ms <= wait_ms:
+        patience_ms = max(self.service_ms, _PATIENCE * pressure.left_ms)
+        if 0 < patience_ms <= wait_ms:
             self._crowded_until_ms = now_ms + _WINDOW_MS
         if now_ms < self._crowded_until_ms:
             self._set_levels(pressure, now_ms)
@@ -156,8 +160,9 @@
         offered = {
             flow: rate.per_ms(now_ms) for flow, rate in self._arrivals.items()
         }
-        able = _HIGHEST_USE * pressure.slots / self.service_ms
-        capacity = max(0, able - pressure.ahead / _WINDOW_MS)
+        able = pressure.slots / self.service_ms
+        too_many = max(0, pressure.ahead - able * _PATIENCE * pressure.left_ms)
+        capacity = max(0, _HIGHEST_USE * able - too_many / _WINDOW_MS)
         granted = fair_rates(offered, self.shares, capacity)
         self._levels = {
             flow: granted[flow] / per_ms for flow, per_ms in offered.items()
--- a/packages/fennelfork/src/fennelfork/_ejection.py
+++ b/packages/fennelfork/src/fennelfork/_ejection.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-_BAD_IN_ROW: Final = 3
+# With a hedge at the 95th percentile, a good server loses one in 25 by chance.
+_BAD_IN_ROW: Final = 5
 _FIRST_EJECTION_MS: Final = 500.0
 _LONGEST_EJECTION_MS: Final = 30_000.0
 _DOUBLE: Final = 2
--- a/packages/fennelfork/src/fennelfork/_home_blame.py
+++ b/packages/fennelfork/src/fennelfork/_home_blame.py
@@ -26,6 +26,7 @@
     server = board.servers.get(attempt.server)
     if server is not None:
         server.standing.note_good(server.facts.slots)
+        server.sheds_in_row = 0
 
 
 def blame(board: Board, attempt: Attempt, failure: Failure) -> None:
@@ -79,8 +80,7 @@
 ) -> None:
     """Take a refusing server at its word."""
     if code is FailureCode.SHED:
-        wait_ms = max(1, board.admission.service_ms)
-        server.full_until_ms = board.clock.now_ms() + wait_ms
+        server.shed(board.clock.now_ms(), board.admission.service_ms)
         board.set_timer(Timer(at_ms=server.full_until_ms))
     elif code is FailureCode.DRAINING:
         server.refuse_until(board.clock.now_ms() + _DRAIN_TRUSTED_MS)
--- a/packages/fennelfork/src/fennelfork/_home_board.py
+++ b/packages/fennelfork/src/fennelfork/_home_board.py
@@ -26,6 +26,8 @@
 from fennelfork._verdict import Verdict
 
 _BUDGET_LIMIT: Final = 10.0
+_LONGEST_FULL_MS: Final = 200.0
+_MOST_DOUBLED: Final = 8
 
 
 @attrs.define(kw_only=True)
@@ -40,6 +42,7 @@
         cold: whether it reported that it warms up.
         leaving: whether another source said that it leaves.
         full_until_ms: it shed work although a slot counted as free.
+        sheds_in_row: how often it did, without a reply in between.
     """
 
     facts: ServerFacts
@@ -49,6 +52,7 @@
     cold: bool = False
     leaving: bool = False
     full_until_ms: float = 0
+    sheds_in_row: int = 0
     standing: Standing = attrs.field(factory=Standing)
     latency: ObservedLatency = attrs.field(factory=ObservedLatency)
     _refuses_until_ms: float = 0
@@ -59,6 +63,18 @@
         """Whether it may get new work at all."""
         return not (self.draining or self.leaving)
 
+    def shed(self, now_ms: float, service_ms: float) -> None:
+        """Leave it alone for a service time, longer if it goes on so.
+
+        Copies sent together are shed together and count once.
+        """
+        if now_ms < self.full_until_ms:
+            return
+        doubled = 2 ** min(self.sheds_in_row, _MOST_DOUBLED)
+        wait_ms = min(_LONGEST_FULL_MS, max(1, service_ms) * doubled)
+        self.full_until_ms = now_ms + wait_ms
+        self.sheds_in_row += 1
+
     def refuse_until(self, at_ms: float) -> None:
         """Note that it refuses work as it drains, whatever it reports."""
         self.draining = True
--- a/packages/fennelfork/src/fennelfork/_home_outcome.py
+++ b/packages/fennelfork/src/fennelfork/_home_outcome.py
@@ -24,6 +24,7 @@
     attempt = end_attempt(board, number)
     if attempt is None:
         return []
+    _note_service(board, attempt)
     board.retry_budget.deposit()
     praise(board, attempt)
     job = board.jobs.pop(attempt.task.job, None)
@@ -45,6 +46,8 @@
     attempt = end_attempt(board, number)
     if attempt is None:
         return []
+    if failure.verdict is not Verdict.NOT_RUN:
+        _note_service(board, attempt)
     blame(board, attempt, failure)
     job = board.jobs.get(attempt.task.job)
     if job is None:
@@ -65,11 +68,14 @@
     if attempt is not None:
         board.slots.release(number)
         board.overdue.pop(number, None)
-        held_ms = board.clock.now_ms() - attempt.sent_ms
-        board.admission.note_service(held_ms)
     return attempt
 
 
+def _note_service(board: Board, attempt: Attempt) -> None:
+    held_ms = board.clock.now_ms() - attempt.sent_ms
+    board.admission.note_service(held_ms)
+
+
 def cancel_copies(board: Board, job: Job, *, lost: bool) -> list[Action]:
     """Order the cancel of all copies of a job that has ended.
 
@@ -134,5 +140,8 @@
     if not any(holders(board, job.task)):
         return False
     least_ms = board.seen.median_ms
-    in_time = board.clock.now_ms() + least_ms < job.task.deadline_ms
-    return in_time and board.retry_budget.withdraw()
+    if board.clock.now_ms() + least_ms >= job.task.deadline_ms:
+        return False
+    # A shed costs its server next to nothing, and that server is left alone
+    # for a while; with a second home about, sheds are part of the work.
+    return failure.code is FailureCode.SHED or board.retry_budget.withdraw()
