--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
@@ -61,6 +61,8 @@
         """Let the controller move on to now."""
         with self._metrics.processor():
             self._announce_config()
+            while self._board.doubted:
+                self.fleet.on_unreachable(self._board.doubted.pop())
             sends = self.fleet.step(self._clock.now_ms())
             self._follow(sends)
 
@@ -117,7 +119,8 @@
             if is_successful(reply):
                 answer = answer_from_peer(reply.unwrap())
                 self._follow(self.fleet.on_answer(order.call, answer, now_ms))
-                return True
+                # Another daemon may have the address by now.
+                return answer.sender.name == order.to.name
             refused = reply.failure() is ProbeFailure.REFUSED
             sends = self.fleet.on_failure(order.call, now_ms, refused=refused)
             self._follow(sends)
@@ -134,6 +137,7 @@
     def _publish(self) -> None:
         view = self.fleet.view
         self._board.local = view.me
+        self._board.superseded = view.standing.superseded
         reconfigured = view.table.take_reconfigured()
         if view.table.epoch == self._epoch:
             # The same members: the homes worked out by them stay right.
