--- a/packages/fennelfork-cli/src/fennelfork_cli/_caller_commands.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_caller_commands.py
@@ -5,7 +5,7 @@
 
 import attrs
 from cyclopts import Parameter
-from returns.result import Result
+from returns.result import Failure, Result
 
 from fennelfork import Verdict, bound_request_id
 from fennelfork_cli._call import CallFailure, Tree
@@ -19,6 +19,10 @@
 from fennelfork_cli._page import show_result
 
 _HERE: Final = CallerOptions()
+_NO_TICKET: Final = CallFailure(
+    verdict=Verdict.NOT_RUN,
+    detail='the daemon asked is leaving and gives no ticket; ask another',
+)
 
 
 def entries(*, options: CallerOptions = _HERE) -> int:
@@ -98,14 +102,25 @@
     ticket: str | None,
     found: Tree,
 ) -> Result[Tree, CallFailure]:
-    ticketed = body | {'ticket': ticket or found.get('ticket')}
-    if ticket is None:
-        ticketed['request_id'] = bound_request_id(
-            body['request_id'],
-            str(ticketed['ticket']),
-        )
-    return ask(path, ticketed, found).alt(
-        lambda failure: _with_way_back(failure, ticketed),
+    if ticket is not None:
+        return _ask_once(path, body | {'ticket': ticket}, found)
+    issued = found.get('ticket')
+    if issued is None:
+        return Failure(_NO_TICKET)
+    request_id = bound_request_id(body['request_id'], issued)
+    ticketed = body | {'ticket': issued, 'request_id': request_id}
+    # Only the daemon that issued the ticket runs requests under it.
+    issuer = {'address': found['ticket_address']}
+    return _ask_once(path, ticketed, {'entries': [issuer]})
+
+
+def _ask_once(
+    path: str,
+    body: Tree,
+    found: Tree,
+) -> Result[Tree, CallFailure]:
+    return ask(path, body, found).alt(
+        lambda failure: _with_way_back(failure, body),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
@@ -15,6 +15,7 @@
 )
 from fennelfork_daemon._config_codec import pack_document, unpack_document
 from fennelfork_daemon._config_holder import ConfigHolder
+from fennelfork_daemon._metrics import Channel, ControlCost, CountCost
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._peer_idl import peer
 
@@ -33,6 +34,7 @@
     _peers: PeerClient
     _clock: Clock
     _timeout_ms: float
+    _count_cost: CountCost
     _pool: eventlet.GreenPool = attrs.field(
         factory=lambda: eventlet.GreenPool(_CALLS_AT_ONCE),
     )
@@ -43,7 +45,7 @@
     def ask_forever(self) -> None:
         """Ask a peer whenever it is due."""
         while True:  # noqa: WPS457  # as long as the daemon runs
-            local = self._board.local
+            local = self._current()
             members = tuple(self._board.members.values())
             if self._follower.ask_is_due(local, members):
                 self._ask(self._follower.peer_to_ask(local, members))
@@ -52,7 +54,7 @@
     def tell_peers(self) -> None:
         """Tell a few peers that this daemon has a new version."""
         members = self._board.members.values()
-        for told in self._follower.peers_to_tell(self._board.local, members):
+        for told in self._follower.peers_to_tell(self._current(), members):
             self._spawn(told.peer, self._board.local.peer)
 
     def answer(self, request: Any) -> Any:
@@ -71,6 +73,11 @@
             anomaly=next((seen.outcome.value for seen in anomalies), None),
         )
 
+    def _current(self) -> Member:
+        """This daemon with the version in force, announced already or not."""
+        version = self._holder.state.version
+        return attrs.evolve(self._board.local, config_version=version)
+
     def _fetch(self, address: str, version: int) -> None:
         if version > self._fetching:
             self._fetching = version
@@ -101,6 +108,9 @@
         if told.document is None:
             self._holder.hear(told.version, told.config_hash or '')
             return
+        self._count_cost(
+            ControlCost(channel=Channel.PEER, received=len(told.document)),
+        )
         unpacked = unpack_document(told.document)
         if is_successful(unpacked):
             self._holder.offer(unpacked.unwrap(), ConfigSource.PEER)
@@ -110,7 +120,9 @@
         if held is not None and self._packed_hash != held.digest:
             self._packed_hash = held.digest
             self._packed_document = pack_document(held.raw)
-        return self._packed_document
+        packed = self._packed_document
+        self._count_cost(ControlCost(channel=Channel.PEER, sent=len(packed)))
+        return packed
 
     def _age_ms(self, since_ms: float | None) -> int | None:
         if since_ms is None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
@@ -15,7 +15,7 @@
 )
 from fennelfork_daemon._config_holder import ConfigHolder
 from fennelfork_daemon._kv_client import ConfigKey
-from fennelfork_daemon._logs import StateLog
+from fennelfork_daemon._logs import StateLog, state_log
 
 _TICK_S: Final = 0.1
 _PLATFORM: Final = 'key-value service'
@@ -44,8 +44,8 @@
     def read_forever(self) -> None:
         """Read the key whenever it is due here."""
         while True:  # noqa: WPS457  # as long as the daemon runs
-            if self._follower.read_is_due() and self._is_reader():
-                self._read()
+            if self._follower.read_is_due():
+                self._read_if_reader()
             eventlet.sleep(_TICK_S)
 
     def watch_forever(self) -> None:
@@ -55,6 +55,12 @@
                 self._watch(self._watched)
             eventlet.sleep(_TICK_S)
 
+    def _read_if_reader(self) -> None:
+        if self._is_reader():
+            self._read()
+        else:
+            self._follower.note_no_reader()
+
     def _is_reader(self) -> bool:
         board = self._board
         return self._follower.reads_platform(board.local, board.members)
@@ -98,3 +104,19 @@
         self._seen = stored.revision
         self._watched = stored.revision
         self._holder.offer(stored.raw, ConfigSource.PLATFORM)
+
+
+def config_reader(
+    board: Blackboard,
+    holder: ConfigHolder,
+    key: ConfigKey,
+    follower: ConfigFollower,
+) -> ConfigReader:
+    """Build the reader of a daemon that has read nothing yet."""
+    return ConfigReader(
+        board=board,
+        holder=holder,
+        key=key,
+        follower=follower,
+        log=state_log(daemon=board.local.name),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_status.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_config_status.py
@@ -10,6 +10,7 @@
 from fennelfork import Blackboard, Member, MemberStatus
 from fennelfork_daemon._peer_client import PeerClient
 from fennelfork_daemon._peer_idl import peer
+from fennelfork_daemon._settings_tables import Settings
 
 _CALLS_AT_ONCE: Final = 64
 _NO_DOCUMENT: Final = 9_007_199_254_740_991
@@ -61,6 +62,11 @@
         pool = eventlet.GreenPool(_CALLS_AT_ONCE)
         return tuple(pool.imap(self._ask, members))
 
+    def newest_version(self) -> int:
+        """Give the highest version that any reachable daemon holds."""
+        versions = [daemon.config_version or 0 for daemon in self.ask_all()]
+        return max(versions, default=0)
+
     def _asked(self) -> Iterable[Member]:
         return [
             member
@@ -86,6 +92,19 @@
         return attrs.evolve(known, failure=reply.failure().detail)
 
 
+def config_survey(
+    board: Blackboard,
+    peers: PeerClient,
+    settings: Settings,
+) -> ConfigSurvey:
+    """Build the survey of a daemon."""
+    return ConfigSurvey(
+        board=board,
+        peers=peers,
+        timeout_ms=settings.timeouts.peer_ms,
+    )
+
+
 def _with_answer(known: DaemonConfig, reply: Any) -> DaemonConfig:
     return attrs.evolve(
         known,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
@@ -9,7 +9,7 @@
     Blackboard,
     Clock,
     OnceGate,
-    drain_memory,
+    leaving_servers,
     once_gate,
     peer_health,
     ticket_key,
@@ -146,6 +146,6 @@
         board=board,
         describer=describer,
         views=views,
-        drains=drain_memory(clock),
         rng=random.Random(),
+        leaving=leaving_servers(clock),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
@@ -39,7 +39,6 @@
     """A backend server that may run the request."""
 
     name: str
-    address: str
     host: str
     port: int
 
@@ -145,6 +144,7 @@
 
 
 def _ask_health(connection: HTTPConnection) -> Result[float | None, Failure]:
+    """Ask a server that may be leaving, which must get no new work."""
     connection.request('GET', '/v1/health', preload_content=False)
     response = connection.getresponse()
     content = response.read(_REPLY_BYTES)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
@@ -2,6 +2,7 @@
 
 import errno
 import json
+import sys
 from typing import Final
 
 import attrs
@@ -37,6 +38,11 @@
         }
         return json.dumps({'ready': addresses})
 
+    def announce(self) -> None:
+        """Write the ready line to standard output."""
+        sys.stdout.write(f'{self.ready_line}\n')
+        sys.stdout.flush()
+
 
 def open_listeners(settings: ListenSettings) -> Result[Listeners, str]:
     """Open the sockets of all three faces, or none.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
@@ -6,7 +6,9 @@
 
 from fennelfork import Blackboard, FailureCode, not_run
 from fennelfork_daemon._config_face import config_face
+from fennelfork_daemon._config_reader import ConfigReader
 from fennelfork_daemon._config_service import ConfigService
+from fennelfork_daemon._home_service import HomeService
 from fennelfork_daemon._http_router import (
     HttpReply,
     HttpRequest,
@@ -31,7 +33,9 @@
     """Answers operators."""
 
     _board: Blackboard
+    _home: HomeService
     _observer: Observer
+    _reader: ConfigReader
 
     @property
     def routes(self) -> tuple[Route, ...]:
@@ -55,7 +59,7 @@
 
     def readiness(self, request: HttpRequest) -> HttpReply:
         """Tell whether callers should come, and why not."""
-        reasons = unready_reasons(self._board)
+        reasons = unready_reasons(self._board, self._reader.failure)
         return json_reply(
             {'ready': not reasons, 'reasons': reasons},
             status=(
@@ -79,7 +83,7 @@
 
     def fronts(self, request: HttpRequest) -> HttpReply:
         """Give the fronts with homes and servers."""
-        return json_reply(fronts_page(self._board, ()))
+        return json_reply(fronts_page(self._board, self._home.sights))
 
     def explain(self, request: HttpRequest) -> HttpReply:
         """Give what was done for one request of the latest."""
@@ -101,6 +105,7 @@
 
 def operator_router(
     board: Blackboard,
+    home: HomeService,
     seen: Observer,
     config: ConfigService,
     settings: Settings,
@@ -110,11 +115,17 @@
 
     Args:
         board: the facts of this daemon.
+        home: what it does as the home of shards.
         seen: what was counted and remembered here.
         config: follows and changes the configuration.
         settings: what bounds requests.
         further: routes of other parts of the daemon.
     """
-    face = OperatorFace(board=board, observer=seen)
+    face = OperatorFace(
+        board=board,
+        home=home,
+        observer=seen,
+        reader=config.reader,
+    )
     config_routes = config_face(board, config, settings).routes
     return router((*face.routes, *config_routes, *further))
