--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
@@ -39,7 +39,6 @@
     """A backend server that may run the request."""
 
     name: str
-    address: str
     host: str
     port: int
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_targets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_targets.py
@@ -9,10 +9,10 @@
 
 from fennelfork import (
     Blackboard,
-    DrainMemory,
     ExecuteRequest,
     Failure,
     FailureCode,
+    LeavingServers,
     NamedServer,
     execute_servers,
     not_run,
@@ -32,8 +32,8 @@
     _board: Blackboard
     _describer: Describer
     _views: ViewCache
-    _drains: DrainMemory
     _rng: random.Random
+    _leaving: LeavingServers
 
     def find(
         self,
@@ -58,38 +58,21 @@
             self._board.local.data_centre,
             self._rng,
         )
-        staying = tuple(
-            _target(named)
-            for named in servers
-            if not self._drains.holds(named.server.address)
-        )
+        staying = self._leaving.without(servers)
         if servers and not staying:
-            return Failed(_all_drain())
-        return Success(staying)
+            detail = 'every server of the record is leaving'
+            return Failed(not_run(FailureCode.DRAINING, detail, _RETRY_MS))
+        return Success(tuple(_target(named) for named in staying))
 
     def forget(self, request: ExecuteRequest) -> None:
         """Ask anew, as the servers that were named do not hold the record."""
         self._views.keep_only(request.front, ())
 
-    def note(self, target: ExecuteTarget, failure: Failure) -> None:
-        """Pass over a server that says that it drains, for a while."""
-        if failure.code is FailureCode.DRAINING:
-            self._drains.note(target.address)
+    def note_leaving(self, target: ExecuteTarget) -> None:
+        """Leave a server out for a while, as it refuses as draining."""
+        self._leaving.note(f'{target.host}:{target.port}')
 
 
 def _target(named: NamedServer) -> ExecuteTarget:
     place = address(named.server.address)
-    return ExecuteTarget(
-        name=named.name,
-        address=named.server.address,
-        host=place.host,
-        port=place.port,
-    )
-
-
-def _all_drain() -> Failure:
-    return not_run(
-        FailureCode.DRAINING,
-        'every server that holds the record is draining',
-        _RETRY_MS,
-    )
+    return ExecuteTarget(name=named.name, host=place.host, port=place.port)
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -31,22 +31,13 @@
 PATIENCE: Final = ExecutePatience(probe_ms=1000, settle_ms=3000)
 
 
-def execute_target(name: str, port: int) -> ExecuteTarget:
-    """Build the address of a server on loopback."""
-    return ExecuteTarget(
-        name=name,
-        address=f'127.0.0.1:{port}',
-        host='127.0.0.1',
-        port=port,
-    )
-
-
 @attrs.define(kw_only=True)
 class FakeServer:
     """What the server does, and what it ran.
 
     Attributes:
         refuse: answer that nothing ran, with the code `refuse_as`.
+        state: what its health says.
         lose: run, then close the connection without an answer.
         cross: answer about another request.
         sick: fail the probe.
@@ -61,6 +52,7 @@
     limits: list[float | None] = attrs.field(factory=list)
     refuse: bool = False
     refuse_as: str = 'shed'
+    state: str = 'serving'
     lose: bool = False
     cross: bool = False
     sick: bool = False
@@ -71,7 +63,7 @@
     @property
     def target(self) -> ExecuteTarget:
         """The server as the daemon addresses it."""
-        return execute_target('s', self.port)
+        return ExecuteTarget(name='s', host='127.0.0.1', port=self.port)
 
     def execute(self, request: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Give status and body of the answer; status 0 closes instead."""
@@ -93,7 +85,7 @@
 
     targets: tuple[ExecuteTarget, ...] | None
     forgotten: int = 0
-    learnt: list[Any] = attrs.field(factory=list)
+    leaving: list[ExecuteTarget] = attrs.field(factory=list)
 
     def find(
         self,
@@ -109,9 +101,9 @@
         """Count the calls."""
         self.forgotten += 1
 
-    def note(self, target: ExecuteTarget, failure: Failure) -> None:
-        """Keep what was learnt."""
-        self.learnt.append((target.name, failure.code))
+    def note_leaving(self, target: ExecuteTarget) -> None:
+        """Keep what was noted."""
+        self.leaving.append(target)
 
 
 class _FakeCalls(BaseHTTPRequestHandler):
