--- a/packages/fennelfork-bench/tests/test_fuzz_caller.py
+++ b/packages/fennelfork-bench/tests/test_fuzz_caller.py
@@ -15,6 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fennelfork_bench import _rig_http as http
 from fennelfork_bench._rig_process import rig
 
 pytestmark = pytest.mark.process
@@ -102,6 +103,35 @@
         assert caller_face.resident_kib() - before_kib < _MOST_GROWTH_KIB
 
 
+class TestExecutions:
+    """Executions with bad members are refused."""
+
+    @patient
+    @given(
+        member=st.sampled_from(('request_id', 'action', 'tenant', 'class')),
+        text=st.sampled_from(('\ud800', '', 'a' * 500, '\x00')),
+    )
+    def test_texts(self, caller_face, member, text) -> None:
+        """No text leaves the daemon without an answer."""
+        caller = caller_face.daemon.ready['caller']
+        entry = http.get(caller, '/v1/entries').body
+        body = {
+            'request_id': f'name@{entry["ticket_serial"]}',
+            'deadline_ms': 400,
+            'tenant': 'salvare',
+            'class': 'counter',
+            'key': 1,
+            'action': 'issue',
+            'ticket': entry['ticket'],
+            member: text,
+        }
+        path = '/v1/fronts/raft-search/execute'
+        reply = caller_face.send(json.dumps(body).encode(), path)
+        if reply.status != 200:
+            assert_problem(reply, body['request_id'])
+        caller_face.assert_calm()
+
+
 def _send_bad(caller_face: Target, count: int) -> None:
     for number in range(count):
         body = {**_QUERY, 'tenant': f't-{number}' * 60}
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_request.py
@@ -87,9 +87,20 @@
         raise _Invalid(
             f'{member}: must be a text of 1 to {_LONGEST_NAME} characters',
         )
+    if not _is_unicode(text):
+        raise _Invalid(f'{member}: must not hold half of a character')
     return text
 
 
+def _is_unicode(text: str) -> bool:
+    """Tell whether a text can be sent on; JSON also writes lone surrogates."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _deadline(body: dict[str, Any], longest_ms: int) -> int:
     wanted = body.get('deadline_ms')
     if not _is_whole(wanted) or not 0 < wanted <= longest_ms:
