--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -146,6 +146,7 @@
         local=home,
         peers=PeerClient(),
         health=health,
+        doubted=board.doubted,
     )
     views = ViewCache()
     describer = Describer(
@@ -184,6 +185,7 @@
 
 
 def _better(first: Merge, rerun: Merge) -> Merge:
+    rerun.earlier = first.verdict
     before = first.answer().coverage.fraction
     after = rerun.answer().coverage.fraction
     return rerun if after >= before else first
