A daemon without a configuration is no home and in no entry answer

Found by reading: a restarted daemon is alive to all before it has its configuration, and a caller sent there is refused, the front is unknown there. Ruled out: joining only when configured, in an outage the configuration comes from peers. To be ready is now news to all, as later versions are not. The builder's members have a configuration by default.

--- a/packages/fennelfork-bench/tests/bench_builders_fleet.py
+++ b/packages/fennelfork-bench/tests/bench_builders_fleet.py
@@ -183,7 +183,7 @@
         if reply.fine and len(reply.body['records']) == KEYS:
             self.answered += 1
         else:
-            self.failures.append(f'{address}: {reply}')
+            self.failures.append(f'{time.monotonic():.2f} {address}: {reply}')
 
 
 @contextmanager
@@ -207,3 +207,8 @@
             caller.stopping = True
         for ended in threads:
             ended.join(CAP_S)
+
+
+def failures_of(running: list[Caller]) -> list[str]:
+    """Give what went wrong at any caller."""
+    return [failure for caller in running for failure in caller.failures]
--- a/packages/fennelfork-bench/tests/test_fleet_process.py
+++ b/packages/fennelfork-bench/tests/test_fleet_process.py
@@ -13,6 +13,7 @@
     await_leaving,
     await_states,
     callers,
+    failures_of,
     members,
     states,
     stop_and_restart,
@@ -78,7 +79,7 @@
                     CAP_S,
                     'answers',
                 )
-            assert not any(each.failures for each in running)
+            assert not failures_of(running)
 
 
 class TestGracefulStop:
@@ -91,7 +92,7 @@
             with callers(fleet, 6) as running:
                 for name in list(fleet.daemons):
                     assert stop_and_restart(fleet, name) == 0
-            assert not any(each.failures for each in running)
+            assert not failures_of(running)
             assert all(each.answered > 50 for each in running)
 
     def test_leaver_vanishes_from_entries_at_once(self) -> None:
--- a/packages/fennelfork/src/fennelfork/_entries.py
+++ b/packages/fennelfork/src/fennelfork/_entries.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Iterable
-from itertools import groupby
 
 from fennelfork._member import Member, MemberStatus
 from fennelfork._weight import member_weight, weight_key
@@ -37,8 +36,9 @@
         rng: source of that order.
 
     Returns:
-        Alive members, nearest first; suspect ones only if no member is
-        alive; never a leaving or dead one.
+        Alive members, nearest first; those that have no configuration yet
+        only if none has, suspect ones only if no member is alive; never a
+        leaving or dead one.
     """
     usable = _usable(members)
     usable.sort(key=lambda member: member.name)
@@ -57,13 +57,13 @@
 
 
 def _usable(members: Iterable[Member]) -> list[Member]:
-    by_state = sorted(members, key=lambda member: member.state.value)
-    groups = {
-        state: list(group)
-        for state, group in groupby(by_state, lambda member: member.state)
-    }
-    alive = groups.get(MemberStatus.ALIVE, [])
-    return alive or groups.get(MemberStatus.SUSPECT, [])
+    known = list(members)
+    alive = [member for member in known if member.state is MemberStatus.ALIVE]
+    ready = [member for member in alive if member.is_ready]
+    suspect = [
+        member for member in known if member.state is MemberStatus.SUSPECT
+    ]
+    return ready or alive or suspect
 
 
 def _distance(member: Member, region: str, data_centre: str) -> int:
--- a/packages/fennelfork/src/fennelfork/_home_index.py
+++ b/packages/fennelfork/src/fennelfork/_home_index.py
@@ -1,6 +1,7 @@
 """Homes of shards, found fast for a fleet of some hundred members."""
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
+from itertools import product
 from typing import Final
 
 import attrs
@@ -18,6 +19,7 @@
 _MOST_REMEMBERED: Final = 65_536
 _NOBODY: Final[frozenset[str]] = frozenset()
 
+_Group = tuple[bool, MemberStatus, str]
 _Asked = tuple[str, str, tuple[str, ...]]
 
 
@@ -30,7 +32,7 @@
     one look-up after that.
     """
 
-    _groups: Mapping[tuple[MemberStatus, str], list[Member]]
+    _groups: Mapping[_Group, list[Member]]
     _remembered: dict[_Asked, Member | None] = attrs.field(factory=dict)
 
     def home(
@@ -51,8 +53,8 @@
         Returns:
             Of the alive members in the first data centre that has any, the
             one with the highest weight; failing that any alive member
-            elsewhere, then a leaving one, then a suspect one; none if all
-            are dead.
+            elsewhere, then a leaving one, then a suspect one; those without
+            a configuration come last; none if all are dead.
         """
         asked = (front, shard, tuple(data_centres))
         best = self._remember(asked)
@@ -80,21 +82,21 @@
         self,
         data_centres: tuple[str, ...],
     ) -> Iterator[list[Member]]:
-        for state in _PREFERENCE:
+        for ready, state in product((True, False), _PREFERENCE):
             for data_centre in data_centres:
-                yield self._groups.get((state, data_centre), [])
+                yield self._groups.get((ready, state, data_centre), [])
             yield [
                 member
-                for (held, centre), group in self._groups.items()
-                if held is state and centre not in data_centres
+                for (*held, centre), group in self._groups.items()
+                if held == [ready, state] and centre not in data_centres
                 for member in group
             ]
 
 
 def home_index(members: Iterable[Member]) -> HomeIndex:
     """Build the index of members as they are now."""
-    groups: dict[tuple[MemberStatus, str], list[Member]] = {}
+    groups: dict[_Group, list[Member]] = {}
     for member in members:
-        group = groups.setdefault((member.state, member.data_centre), [])
-        group.append(member)
+        key = (member.is_ready, member.state, member.data_centre)
+        groups.setdefault(key, []).append(member)
     return HomeIndex(groups=groups)
--- a/packages/fennelfork/src/fennelfork/_member.py
+++ b/packages/fennelfork/src/fennelfork/_member.py
@@ -57,6 +57,20 @@
         """Which run of the daemon this is, the same for all refutations."""
         return self.incarnation >> _REFUTATION_BITS
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether it has a configuration to answer by."""
+        return self.config_version > 0
+
+    @property
+    def essence(self) -> 'Member':
+        """The same member with all versions of a configuration alike."""
+        return attrs.evolve(
+            self,
+            config_version=min(self.config_version, 1),
+            config_hash='',
+        )
+
     @property
     def is_doubted(self) -> bool:
         """Whether it is held for dead or may be."""
--- a/packages/fennelfork/src/fennelfork/_member_table.py
+++ b/packages/fennelfork/src/fennelfork/_member_table.py
@@ -62,7 +62,7 @@
         """Store `member` in place of what was known of that name."""
         known = self._by_name.get(member.name)
         self._by_name[member.name] = member
-        if known is None or _matters(known) != _matters(member):
+        if known is None or known.essence != member.essence:
             self.epoch += 1
         elif known != member:
             self._reconfigured.add(member.name)
@@ -117,14 +117,11 @@
         if member is None or member.state is MemberStatus.DEAD:
             return
         self.live_count += count
-        text = f'{member.name}\0{member.incarnation}\0{member.state.value}'
+        facts = (member.name, member.incarnation, member.state.value)
+        text = f'{facts}{member.is_ready}'
         digest = xxhash.xxh32_intdigest(text.encode())
         self._digests[_bucket(member.name)] ^= digest
 
 
 def _bucket(name: str) -> int:
     return xxhash.xxh32_intdigest(name.encode()) % _BUCKETS
-
-
-def _matters(member: Member) -> Member:
-    return attrs.evolve(member, config_version=0, config_hash='')
--- a/packages/fennelfork/src/fennelfork/_membership_view.py
+++ b/packages/fennelfork/src/fennelfork/_membership_view.py
@@ -42,7 +42,7 @@
         known = self.table.get(me.name)
         self.standing.me = me
         self.table.put(me)
-        if known is None or _essence(known) != _essence(me):
+        if known is None or known.essence != me.essence:
             self._news.add(me.name)
 
     def hear_claims(
@@ -156,7 +156,7 @@
             return
         self.table.put(member)
         self._set_timer(member, now_ms)
-        if known is None or _essence(known) != _essence(member):
+        if known is None or known.essence != member.essence:
             self._news.add(member.name)
             self._changes.append(MemberChange(before=known, after=member))
 
@@ -181,10 +181,6 @@
     return view
 
 
-def _essence(member: Member) -> Member:
-    return attrs.evolve(member, config_version=0, config_hash='')
-
-
 def _said_of(table: MemberTable, peer: Member) -> tuple[Member, ...]:
     """Give what a member should hear of itself, if anything."""
     known = table.get(peer.name)
@@ -199,6 +195,6 @@
     agreed = set()
     for claim in heard:
         known = table.get(claim.name)
-        if known is not None and _essence(known) == _essence(claim):
+        if known is not None and known.essence == claim.essence:
             agreed.add(claim.name)
     return agreed
--- a/packages/fennelfork/tests/core_builders_fleet.py
+++ b/packages/fennelfork/tests/core_builders_fleet.py
@@ -13,6 +13,7 @@
     state: MemberStatus = MemberStatus.ALIVE,
     region: str = 'region-1',
     incarnation: int = 1,
+    config_version: int = 1,
 ) -> Member:
     """Build a member whose addresses follow from its name."""
     return Member(
@@ -24,6 +25,7 @@
         caller=f'{name}:1',
         operator=f'{name}:2',
         peer=f'{name}:3',
+        config_version=config_version,
     )
 
 
--- a/packages/fennelfork/tests/test_entries.py
+++ b/packages/fennelfork/tests/test_entries.py
@@ -48,6 +48,13 @@
             assert set(chosen) <= set(alive)
             assert len(set(chosen)) == min(count, len(alive))
 
+    def test_leaves_out_those_without_configuration(self) -> None:
+        """A daemon that just started is named once it can answer."""
+        started = a_member('vm-1', config_version=0)
+        far = a_member('vm-2', 'dc-3', region='region-2')
+        assert _choose([started, far]) == (far,)
+        assert _choose([started]) == (started,)
+
     def test_nearest_data_centre_first(self) -> None:
         """The order is own data centre, own region, elsewhere."""
         far = a_member('vm-1', 'dc-3', region='region-2')
--- a/packages/fennelfork/tests/test_membership.py
+++ b/packages/fennelfork/tests/test_membership.py
@@ -7,7 +7,13 @@
 from core_builders_fleet import a_member
 from core_builders_network import Network, Node, a_network
 
-from fennelfork import MemberStatus, announce_end, announce_leave, leave_is_told
+from fennelfork import (
+    MemberStatus,
+    announce,
+    announce_end,
+    announce_leave,
+    leave_is_told,
+)
 
 _ALIVE = MemberStatus.ALIVE
 _DEAD = MemberStatus.DEAD
@@ -88,6 +94,30 @@
         assert _settled(network)
 
 
+class TestConfigured:
+    """A daemon that started without a configuration gets one."""
+
+    def test_all_hear_of_it(self) -> None:
+        """That it is ready now is news to all, unlike later versions."""
+        network = a_network(30)
+        network.run(30_000)
+        node = network.nodes['vm-1']
+        blank = attrs.evolve(
+            node.me,
+            config_version=0,
+            incarnation=node.me.incarnation + 1,
+        )
+        announce(node.fleet, blank)
+        network.run(30_000)
+        announce(node.fleet, attrs.evolve(blank, config_version=5))
+        network.run_until(
+            lambda: all(
+                other.table.get('vm-1').is_ready for other in _up(network)
+            ),
+            10_000,
+        )
+
+
 class TestKill:
     """A daemon that ends without a word."""
 
--- a/packages/fennelfork/tests/test_rendezvous.py
+++ b/packages/fennelfork/tests/test_rendezvous.py
@@ -83,6 +83,13 @@
         suspect = a_member('vm-2', 'dc-1', MemberStatus.SUSPECT)
         assert home_of('f', 's', DATA_CENTRES, [suspect, leaving]) == leaving
 
+    def test_prefers_any_with_a_configuration(self) -> None:
+        """A daemon that just started knows no front to be a home of."""
+        started = a_member('vm-1', 'dc-1', config_version=0)
+        far = a_member('vm-2', 'dc-9')
+        assert home_of('f', 's', DATA_CENTRES, [started, far]) == far
+        assert home_of('f', 's', DATA_CENTRES, [started]) == started
+
     def test_falls_back_outside_the_listed_data_centres(self) -> None:
         """A shard whose data centres have no daemon still gets a home."""
         far = a_member('vm-1', 'dc-9')
