--- a/packages/fennelfork/src/fennelfork/_once.py
+++ b/packages/fennelfork/src/fennelfork/_once.py
@@ -23,14 +23,14 @@
     Sent,
     conflict,
     is_open,
+    outcome_too_long,
+    ticket_closed,
+    ticket_expired,
 )
 from fennelfork._ticket import Ticket, unsettled
 from fennelfork._verdict import (
     Failure,
-    FailureCode,
     Verdict,
-    may_have_run,
-    not_run,
 )
 
 _NEVER_MS: Final = -1
@@ -132,8 +132,8 @@
             raise ValueError(f'sent already: {request_id}')
         left_ms = entry.expires_ms - self._clock.now_ms()
         if left_ms <= 0:
-            entry.state = Ended(failure=_expired())
-            return Failed(_expired())
+            entry.state = Ended(failure=ticket_expired())
+            return Failed(ticket_expired())
         entry.state = Sent()
         return Success(left_ms)
 
@@ -153,7 +153,7 @@
         if not isinstance(entry.state, Sent):
             raise ValueError(f'not sent: {request_id}')
         if len(outcome) > self._limits.outcome_chars:
-            entry.state = Ended(failure=_outcome_too_long())
+            entry.state = Ended(failure=outcome_too_long())
             return
         entry.state = Done(outcome=outcome)
 
@@ -194,12 +194,12 @@
         if now_ms >= self._end_ms(ticket):
             return Failed(unsettled('the ticket ended long ago'))
         if ticket.expired(now_ms):
-            return Failed(_expired())
+            return Failed(ticket_expired())
         if ticket.terms.issued_ms <= self._closed_ms:
-            return Failed(_closed())
+            return Failed(ticket_closed())
         if len(self._entries) >= self._limits.entries:
             self.close()
-            return Failed(_closed())
+            return Failed(ticket_closed())
         self._entries[request.request_id] = _Entry(
             expires_ms=ticket.terms.expires_ms,
             content_hash=request.content_hash,
@@ -241,19 +241,3 @@
     """
     digest = xxhash.xxh3_128_intdigest(repr(content).encode())
     return OnceRequest(request_id=request_id, content_hash=digest)
-
-
-def _expired() -> Failure:
-    return not_run(FailureCode.TICKET, 'the ticket expired; take a new one')
-
-
-def _closed() -> Failure:
-    return not_run(
-        FailureCode.QUEUE_FULL,
-        'the ticket takes no new requests; take a new one',
-    )
-
-
-def _outcome_too_long() -> Failure:
-    failure = may_have_run(FailureCode.BAD_REPLY, 'it ran; outcome too long')
-    return failure.with_verdict(Verdict.RAN)
--- a/packages/fennelfork/src/fennelfork/_once_state.py
+++ b/packages/fennelfork/src/fennelfork/_once_state.py
@@ -2,7 +2,13 @@
 
 import attrs
 
-from fennelfork._verdict import Failure, FailureCode, Verdict, may_have_run
+from fennelfork._verdict import (
+    Failure,
+    FailureCode,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -48,3 +54,22 @@
     if isinstance(state, Ended):
         return failure.with_verdict(state.failure.verdict)
     return failure
+
+
+def ticket_expired() -> Failure:
+    """Build the failure of a request that came after its ticket ended."""
+    return not_run(FailureCode.TICKET, 'the ticket expired; take a new one')
+
+
+def ticket_closed() -> Failure:
+    """Build the failure of a new request under a closed ticket."""
+    return not_run(
+        FailureCode.QUEUE_FULL,
+        'the ticket takes no new requests; take a new one',
+    )
+
+
+def outcome_too_long() -> Failure:
+    """Build what a repeat is told when the outcome could not be kept."""
+    failure = may_have_run(FailureCode.BAD_REPLY, 'it ran; outcome too long')
+    return failure.with_verdict(Verdict.RAN)
