A home forgets tenants that went away: they no longer add up in memory

The queue kept every flow that had had a turn, and admission every rate, a shard. Ruled out: the ring of explain and the metrics (bounded; tracemalloc named the queue and admission); one flow for all unknown tenants, which would change the shares of tenants that are not configured. Conclusion: under a lasting backlog with ever new names the queue still keeps a flow for each; a bound on unknown names there is open.

--- a/packages/fennelfork/src/fennelfork/_admission.py
+++ b/packages/fennelfork/src/fennelfork/_admission.py
@@ -15,6 +15,8 @@
 # A rate read sooner than this after the first event says nothing.
 _YOUNGEST_MS: Final = 50.0
 _FORGOTTEN: Final = 0.01
+# Below so many flows none is looked for to be forgotten.
+_FEW_FLOWS: Final = 64
 _HASH_BITS: Final = 64
 _HASH_RANGE: Final = 2**_HASH_BITS
 # Slightly more than the slots can run, so that they never idle; what has
@@ -100,6 +102,7 @@
     _arrivals: dict[Flow, Rate] = attrs.field(factory=dict)
     _levels: dict[Flow, float] = attrs.field(factory=dict)
     _crowded_until_ms: float = -math.inf
+    _next_sweep: int = _FEW_FLOWS
 
     def note_service(self, held_ms: float) -> None:
         """Note for how long a slot was held."""
@@ -151,15 +154,26 @@
     def _note(self, arrival: Arrival, now_ms: float) -> None:
         rate = self._arrivals.get(arrival.flow)
         if rate is None:
+            self._sweep(now_ms)
             rate = Rate(since_ms=now_ms, at_ms=now_ms)
             self._arrivals[arrival.flow] = rate
         rate.note(now_ms, arrival.weight)
 
-    def _set_levels(self, pressure: Pressure, now_ms: float) -> None:
-        """Work out which part of each flow its fair share can carry."""
-        offered = {
+    def _sweep(self, now_ms: float) -> None:
+        """Forget flows that went away, each time that they have doubled."""
+        if len(self._arrivals) < self._next_sweep:
+            return
+        self._forget(self._offered(now_ms))
+        self._next_sweep = max(_FEW_FLOWS, 2 * len(self._arrivals))
+
+    def _offered(self, now_ms: float) -> dict[Flow, float]:
+        return {
             flow: rate.per_ms(now_ms) for flow, rate in self._arrivals.items()
         }
+
+    def _set_levels(self, pressure: Pressure, now_ms: float) -> None:
+        """Work out which part of each flow its fair share can carry."""
+        offered = self._offered(now_ms)
         able = pressure.slots / self.service_ms
         too_many = max(0, pressure.ahead - able * _PATIENCE * pressure.left_ms)
         capacity = max(0, _HIGHEST_USE * able - too_many / _WINDOW_MS)
--- a/packages/fennelfork/src/fennelfork/_queue.py
+++ b/packages/fennelfork/src/fennelfork/_queue.py
@@ -101,7 +101,9 @@
             return
         flow_queue = self._flows[entry.flow]
         flow_queue.entries.remove(entry)
-        if not flow_queue.entries and flow_queue.turn <= self._now:
+        if not self._entries:
+            self._begin_anew()
+        elif not flow_queue.entries and flow_queue.turn <= self._now:
             self._flows.pop(entry.flow)
 
     def in_order(self) -> Iterator[str]:
@@ -138,6 +140,14 @@
         )
         return float(before + others)
 
+    def _begin_anew(self) -> None:
+        """Forget all flows when nothing waits: nobody is behind another.
+
+        Callers choose the names of tenants, so they must not add up.
+        """
+        self._now = max(found.turn for found in self._flows.values())
+        self._flows.clear()
+
     def _flow_queue(self, flow: Flow) -> _FlowQueue:
         found = self._flows.get(flow)
         if found is None:
