A reply that is no HTTP ends its copy at once

Cause: found by reading: http.client's own exceptions are neither urllib3's nor OSError; the copy's green thread died and its job waited for the deadline. Ruled out: catching everything, which would hide defects. Conclusion: such a reply is retried like any other lost one.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_connection.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from http.client import HTTPException
 from typing import Any, Final
 
 import attrs
@@ -102,7 +103,7 @@
         self._http.timeout = call.timeout_ms / _MS
         try:
             return self._exchange(call)
-        except (HTTPError, OSError) as error:
+        except (HTTPError, HTTPException, OSError) as error:
             return Bad(may_have_run(FailureCode.UNREACHABLE, _says(error)))
 
     def close(self) -> None:
