A query that servers call invalid is refused as invalid

Ruled out: checking the query at the root, which passes it on unread. Change: the last word on a query is a decision of its own, _refusal, with tests; a server's bad_request goes before coverage and before any demand of a partial.

--- a/packages/fennelfork-bench/tests/test_thin_path.py
+++ b/packages/fennelfork-bench/tests/test_thin_path.py
@@ -1,5 +1,7 @@
 """A query over separate processes: caller, daemons, backend servers."""
 
+from typing import Any
+
 import pytest
 
 from fennelfork_bench import _rig_http as http
@@ -33,31 +35,40 @@
     return FleetSpec(fronts=(front,), daemons=daemon_specs(3))
 
 
+def _ask(address: str, content: dict[str, Any]) -> http.HttpReply:
+    return http.post(
+        address,
+        '/v1/fronts/raft-search/query',
+        {
+            'request_id': f'q-{address}',
+            'deadline_ms': 5000,
+            'tenant': 'salvare',
+            'class': 'counter',
+            'query': content,
+        },
+    )
+
+
 @pytest.mark.process
 class TestThinPath:
     """One query through a fleet of three daemons."""
 
     def test_each_daemon_answers_whole(self) -> None:
-        """Every daemon gives each record once, of one snapshot, complete."""
+        """Every daemon gives each record once; a bad query is named so."""
         with rig() as own:
             fleet = empty_fleet(own, _spec()).start_backends().start_daemons()
             document = {'version': 1, 'patches': [], **first_patch(fleet)}
             fleet.platform.write_document(document)
             await_version(fleet, 1)
             for address in fleet.callers:
-                reply = http.post(
-                    address,
-                    '/v1/fronts/raft-search/query',
-                    {
-                        'request_id': f'q-{address}',
-                        'deadline_ms': 5000,
-                        'tenant': 'salvare',
-                        'class': 'counter',
-                        'query': {},
-                    },
-                )
+                reply = _ask(address, {})
                 assert reply.status == 200, reply.body
                 keys = [record['key'] for record in reply.body['records']]
                 assert keys == list(range(_KEYS))
                 assert reply.body['coverage']['complete'] is True
                 assert reply.body['config_version'] == 1
+            invalid = _ask(fleet.callers[0], {'keys': 'abc'})
+            assert (invalid.status, invalid.body['code']) == (
+                400,
+                'bad_request',
+            )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
@@ -1,7 +1,6 @@
 """The root of a query: pins a snapshot, scatters, merges, answers."""
 
 import json
-from typing import Final
 
 import attrs
 from returns.pipeline import is_successful
@@ -9,7 +8,6 @@
 from returns.result import Result, Success
 
 from fennelfork import (
-    Answer,
     Blackboard,
     Clock,
     Failure,
@@ -19,12 +17,11 @@
     PeerHealth,
     QueryAnswer,
     QueryRequest,
-    Verdict,
-    allows,
     merge_of,
     not_run,
     peer_health,
     pin,
+    refusal_of,
 )
 from fennelfork_daemon._describer import Describer
 from fennelfork_daemon._home_calls import Home, HomeCalls
@@ -33,9 +30,6 @@
 from fennelfork_daemon._trace import RequestTrace
 from fennelfork_daemon._view_cache import ViewCache
 
-_RETRY_PARTIAL_MS: Final = 1000
-_RETRY_SHED_MS: Final = 200
-
 
 @attrs.define(kw_only=True)
 class RootService:
@@ -172,12 +166,12 @@
     config_version: int,
     scatter: RootScatter,
 ) -> Result[QueryAnswer, Failure]:
-    answer = merge.answer()
-    if not allows(request.demand, answer.coverage):
-        return Bad(_refusal(merge, answer))
+    refusal = refusal_of(merge, request.demand)
+    if refusal is not None:
+        return Bad(refusal)
     return Success(
         QueryAnswer(
-            answer=answer,
+            answer=merge.answer(),
             config_version=config_version,
             work=scatter.work,
         ),
@@ -189,20 +183,3 @@
     before = first.answer().coverage.fraction
     after = rerun.answer().coverage.fraction
     return rerun if after >= before else first
-
-
-def _refusal(merge: Merge, answer: Answer) -> Failure:
-    """Say why the coverage is refused; the verdict joins all parts."""
-    coverage = answer.coverage
-    reasons = sorted({gap.reason.value for gap in coverage.missing})
-    named = ', '.join(reasons)
-    nothing_ran = merge.verdict is Verdict.NOT_RUN
-    return Failure(
-        code=FailureCode.SHED if nothing_ran else FailureCode.PARTIAL,
-        verdict=merge.verdict,
-        detail=(
-            f'answered for {coverage.fraction:.4f} of the keys '
-            f'at snapshot {answer.snapshot}; missing: {named}'
-        ),
-        retry_after_ms=_RETRY_SHED_MS if nothing_ran else _RETRY_PARTIAL_MS,
-    )
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/_refusal.py
@@ -0,0 +1,50 @@
+"""Whether a merged query goes out as an answer, or as what failure."""
+
+from typing import Final
+
+from fennelfork._coverage import PartialCoverage, WholeCoverage, allows
+from fennelfork._merge import Answer, Merge
+from fennelfork._verdict import Failure, FailureCode, Verdict
+
+_RETRY_PARTIAL_MS: Final = 1000
+_RETRY_SHED_MS: Final = 200
+
+
+def refusal_of(
+    merge: Merge,
+    demand: WholeCoverage | PartialCoverage,
+) -> Failure | None:
+    """Judge a query of which nothing more is awaited.
+
+    Args:
+        merge: the parts and failures of its sub-queries.
+        demand: how much coverage the caller needs.
+
+    Returns:
+        None if the answer may go out; else the failure, whose verdict joins
+        all parts. A query that a backend server calls invalid is refused as
+        such whatever the demand: asked again it fails again.
+    """
+    for failure in merge.failures:
+        if failure.code is FailureCode.BAD_REQUEST:
+            return failure.with_verdict(merge.verdict)
+    answer = merge.answer()
+    if allows(demand, answer.coverage):
+        return None
+    return _uncovered(merge.verdict, answer)
+
+
+def _uncovered(verdict: Verdict, answer: Answer) -> Failure:
+    coverage = answer.coverage
+    reasons = sorted({gap.reason.value for gap in coverage.missing})
+    named = ', '.join(reasons)
+    nothing_ran = verdict is Verdict.NOT_RUN
+    return Failure(
+        code=FailureCode.SHED if nothing_ran else FailureCode.PARTIAL,
+        verdict=verdict,
+        detail=(
+            f'answered for {coverage.fraction:.4f} of the keys '
+            f'at snapshot {answer.snapshot}; missing: {named}'
+        ),
+        retry_after_ms=_RETRY_SHED_MS if nothing_ran else _RETRY_PARTIAL_MS,
+    )
--- /dev/null
+++ b/packages/fennelfork/tests/test_refusal.py
@@ -0,0 +1,79 @@
+"""Whether a merged query goes out as an answer."""
+
+import pytest
+from core_builders_answers import reply_to
+
+from fennelfork import (
+    Assignment,
+    FailureCode,
+    Merge,
+    PartialCoverage,
+    PartitionMap,
+    Verdict,
+    WholeCoverage,
+    key_range,
+    merge_of,
+    not_run,
+    refusal_of,
+)
+
+_WHOLE = key_range(0, 20)
+_INVALID = not_run(FailureCode.BAD_REQUEST, 'keys: must be a list')
+_SHED = not_run(FailureCode.SHED, 'all slots busy')
+
+
+def _merge() -> Merge:
+    halves = (key_range(0, 10), key_range(10, 20))
+    partition = PartitionMap(
+        snapshot=3,
+        assignments=tuple(
+            Assignment(shard=f's{half.lo}', span=half) for half in halves
+        ),
+    )
+    return merge_of('r-1', partition, _WHOLE)
+
+
+class TestRefusalOf:
+    """The last word on a query."""
+
+    @pytest.mark.parametrize(
+        'demand',
+        [WholeCoverage(), PartialCoverage(floor=0)],
+    )
+    def test_invalid_query_is_told(self, demand) -> None:
+        """What servers call invalid is no shed and is not to be repeated."""
+        merge = _merge()
+        for name in merge.plan:
+            merge.fail(name, _INVALID)
+        assert refusal_of(merge, demand) == _INVALID
+
+    def test_invalid_keeps_the_verdict_of_all_parts(self) -> None:
+        """If another server ran its part, the refusal says so."""
+        merge = _merge()
+        first, second = merge.plan.values()
+        merge.accept(reply_to(first.expected, [1]))
+        merge.fail(second.expected.sub_query, _INVALID)
+        refusal = refusal_of(merge, WholeCoverage())
+        assert refusal.code is FailureCode.BAD_REQUEST
+        assert refusal.verdict is Verdict.RAN
+
+    def test_shed_by_all(self) -> None:
+        """Where nothing ran the caller hears so, and when to come back."""
+        merge = _merge()
+        for name in merge.plan:
+            merge.fail(name, _SHED)
+        refusal = refusal_of(merge, WholeCoverage())
+        assert refusal.code is FailureCode.SHED
+        assert refusal.verdict is Verdict.NOT_RUN
+        assert refusal.retry_after_ms == 200
+
+    def test_half_goes_out_if_allowed(self) -> None:
+        """A demand of half is met by half."""
+        merge = _merge()
+        first, second = merge.plan.values()
+        merge.accept(reply_to(first.expected, [1]))
+        merge.fail(second.expected.sub_query, _SHED)
+        assert refusal_of(merge, PartialCoverage(floor=0.5)) is None
+        refusal = refusal_of(merge, PartialCoverage(floor=0.6))
+        assert refusal.code is FailureCode.PARTIAL
+        assert refusal.verdict is Verdict.RAN
