--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
@@ -17,7 +17,6 @@
     Merge,
     Part,
     PeerHealth,
-    Planned,
     QueryRequest,
     ScatterOrder,
     ScatterOutcome,
@@ -27,14 +26,17 @@
     route_homes,
 )
 from fennelfork_daemon._home_calls import HomeCalls
+from fennelfork_daemon._root_wave import (
+    is_awaited,
+    note_group,
+    patience_ms,
+    pending_of,
+    pending_shards,
+)
 from fennelfork_daemon._trace import RequestTrace
 from fennelfork_daemon._view_cache import ViewCache
 
 _MS: Final = 1000
-# How long a home may be silent before it is asked whether it lives.
-_PATIENCE_SHARE: Final = 0.4
-_LONGEST_PATIENCE_MS: Final = 500
-_LEAST_PATIENCE_MS: Final = 20
 # How soon a home that lives answers a call that asks for nothing.
 _PROBE_MS: Final = 300
 # What a home leaves of the deadline for its message and the merge.
@@ -75,19 +77,22 @@
 
     def run(self, merge: Merge) -> None:
         """Fill `merge` until nothing is pending or no time is left."""
-        self._send(merge, _shards(merge), frozenset())
+        self._send(merge, pending_shards(merge), frozenset())
         silent: frozenset[str] = frozenset()
         waves = 1
-        while (
-            merge.pending and (self._asked or self._lost) and self.left_ms > 0
+        demand = self._request.demand
+        while is_awaited(merge, demand, self.left_ms) and (
+            self._asked or self._lost
         ):
-            self._collect(merge, _patience_ms(self.left_ms))
+            self._collect(merge, patience_ms(self.left_ms))
+            if not is_awaited(merge, demand, self.left_ms):
+                return
             lost = self._take_lost(merge)
             if lost and waves < _MOST_WAVES:
                 waves += 1
                 silent |= homes_of(lost)
                 shards = frozenset().union(*(group.shards for group in lost))
-                self._send(merge, _shards(merge) & shards, silent)
+                self._send(merge, pending_shards(merge) & shards, silent)
 
     def _send(
         self,
@@ -103,7 +108,7 @@
             silent | self._health.avoided,
         )
         for group in groups:
-            _note_group(self.trace, group, silent)
+            note_group(self.trace, group, silent)
             order = self._order(merge, group)
             number = next(self._serials)
             self._asked[number] = group
@@ -121,7 +126,7 @@
         """
         lost = self._lost
         self._lost = []
-        awaited = _shards(merge)
+        awaited = pending_shards(merge)
         overdue = {
             number: group
             for number, group in self._asked.items()
@@ -146,7 +151,7 @@
             request_id=self._request.request_id,
             front=self._request.front,
             snapshot=merge.snapshot,
-            planned=_of_group(merge, group),
+            planned=pending_of(merge, group),
             query=self._query_text,
             deadline_ms=self.left_ms - _MERGE_MARGIN_MS,
             tenant=self._request.tenant,
@@ -163,11 +168,11 @@
         """Take what arrives until nothing is awaited or the wait is over."""
         until_ms = self._clock.now_ms() + min(wait_ms, self.left_ms)
         while merge.pending and self._asked and not self._lost:
-            wait_s = (until_ms - self._clock.now_ms()) / _MS
-            if wait_s <= 0:
+            wait_ms = until_ms - self._clock.now_ms()
+            if not is_awaited(merge, self._request.demand, wait_ms):
                 return
             try:
-                number, outcome = self._arrivals.get(timeout=wait_s)
+                number, outcome = self._arrivals.get(timeout=wait_ms / _MS)
             except eventlet.queue.Empty:
                 return
             group = self._asked.pop(number, None)
@@ -205,32 +210,3 @@
             verdict = verdict.join(Verdict.MAY_HAVE_RUN)
         sub_query = part.planned.expected.sub_query
         merge.fail(sub_query, failure.with_verdict(verdict))
-
-
-def _patience_ms(left_ms: float) -> float:
-    patience_ms = min(left_ms * _PATIENCE_SHARE, _LONGEST_PATIENCE_MS)
-    return max(patience_ms, _LEAST_PATIENCE_MS)
-
-
-def _note_group(
-    trace: RequestTrace,
-    group: HomeGroup,
-    silent: frozenset[str],
-) -> None:
-    if silent:
-        trace.note(
-            'asked the next home',
-            home=group.home.name,
-            shards=sorted(group.shards),
-            silent=sorted(silent),
-        )
-
-
-def _shards(merge: Merge) -> frozenset[str]:
-    return frozenset(planned.shard for planned in merge.pending)
-
-
-def _of_group(merge: Merge, group: HomeGroup) -> tuple[Planned, ...]:
-    return tuple(
-        planned for planned in merge.pending if planned.shard in group.shards
-    )
--- a/packages/fennelfork-daemon/tests/daemon_builders_answers.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_answers.py
@@ -3,12 +3,14 @@
 import json
 
 import attrs
+import eventlet
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
 from fennelfork import (
     Assignment,
     Blackboard,
+    CoverageDemand,
     Document,
     Failure,
     FailureCode,
@@ -40,6 +42,7 @@
 NO_REPLY = may_have_run(FailureCode.UNREACHABLE, 'no reply')
 NO_CONNECT = not_run(FailureCode.UNREACHABLE, 'refused')
 _WHOLE = key_range(0, 10)
+_WHOLE_DEMAND = WholeCoverage()
 _SERVER = Server(
     address='127.0.0.1:1',
     data_centre='dc-1',
@@ -84,6 +87,44 @@
         return False
 
 
+@attrs.define(kw_only=True)
+class HalfShed(FakeCalls):
+    """Homes of which one sheds, and the others stay busy for ever."""
+
+    def scatter(
+        self,
+        home: Member,
+        order: ScatterOrder,
+        timeout_ms: float,
+    ) -> Result[ScatterOutcome, Failure]:
+        """Refuse the parts of `s0`, work on all others."""
+        if order.planned[0].shard != 's0':
+            self.asked.append(home.name)
+            eventlet.sleep(timeout_ms)
+        return FakeCalls.scatter(self, home, order, timeout_ms)
+
+    def lives(self, home: Member, front: str, timeout_ms: float) -> bool:
+        """Note that a sign of life was asked for."""
+        self.asked.append(f'{home.name} lives?')
+        return True
+
+
+def half_shed(demand: CoverageDemand) -> tuple[HalfShed, Merge]:
+    """Run one round in which one of two shards is shed at once."""
+    calls = HalfShed(answers=[SHED, SHED])
+    halves = {'s0': key_range(0, 5), 's1': key_range(5, 10)}
+    partition = PartitionMap(
+        snapshot=1,
+        assignments=tuple(
+            Assignment(shard=name, span=span) for name, span in halves.items()
+        ),
+    )
+    merge = merge_of('r1', partition, _WHOLE)
+    root = _root(calls, demand, tuple(halves))
+    root.run(merge)
+    return calls, merge
+
+
 def scattered(answers: list[Failure | None]) -> tuple[FakeCalls, Merge]:
     """Run one round over homes that answer so."""
     calls = FakeCalls(answers=answers)
@@ -96,7 +137,11 @@
     return calls, merge
 
 
-def _root(calls: FakeCalls) -> RootScatter:
+def _root(
+    calls: FakeCalls,
+    demand: CoverageDemand = _WHOLE_DEMAND,
+    shards: tuple[str, ...] = ('s0',),
+) -> RootScatter:
     clock = system_clock()
     now_ms = clock.now_ms()
     request = QueryRequest(
@@ -106,13 +151,13 @@
         tenant='salvare',
         traffic_class='counter',
         query={},
-        demand=WholeCoverage(),
+        demand=demand,
     )
     return RootScatter(
         trace=RequestTrace(clock=clock, started_ms=now_ms),
         request=request,
         query_text=json.dumps(request.query),
-        board=_board(),
+        board=_board(shards),
         calls=calls,
         health=peer_health(clock),
         views=ViewCache(),
@@ -120,13 +165,13 @@
     )
 
 
-def _board() -> Blackboard:
+def _board(shards: tuple[str, ...]) -> Blackboard:
     members = [_member(f'vm-{number}') for number in range(3)]
     board = blackboard(members[0])
     board.members = {member.name: member for member in members}
     shard = Shard(servers={'raft-a': _SERVER})
     board.document = Document(
-        fronts={'raft': Front(keys=10, shards={'s0': shard})},
+        fronts={'raft': Front(keys=10, shards=dict.fromkeys(shards, shard))},
     )
     return board
 
--- a/packages/fennelfork-daemon/tests/test_root_scatter.py
+++ b/packages/fennelfork-daemon/tests/test_root_scatter.py
@@ -5,10 +5,11 @@
     NO_CONNECT,
     NO_REPLY,
     SHED,
+    half_shed,
     scattered,
 )
 
-from fennelfork import Failure, Verdict
+from fennelfork import Failure, PartialCoverage, Verdict, WholeCoverage
 
 
 class TestLostHomes:
@@ -36,3 +37,20 @@
         calls, merge = scattered([NO_REPLY, NO_REPLY, NO_REPLY])
         assert len(calls.asked) == 3
         assert merge.verdict is Verdict.MAY_HAVE_RUN
+
+
+class TestGivenUp:
+    """A query whose demand can no longer be met."""
+
+    def test_is_answered_at_once(self) -> None:
+        """No home is waited for, or asked for a sign of life, after that."""
+        calls, merge = half_shed(WholeCoverage())
+        assert len(calls.asked) == 2
+        assert len(merge.pending) == 1
+        assert merge.verdict is Verdict.MAY_HAVE_RUN
+
+    def test_half_is_waited_for_if_wanted(self) -> None:
+        """Where half is enough, the busy home is waited for and asked."""
+        calls, merge = half_shed(PartialCoverage(floor=0.5))
+        assert any(asked.endswith('lives?') for asked in calls.asked)
+        assert len(merge.pending) == 1
--- a/packages/fennelfork/src/fennelfork/__init__.py
+++ b/packages/fennelfork/src/fennelfork/__init__.py
@@ -185,6 +185,7 @@
 from fennelfork._rank import Candidate as Candidate
 from fennelfork._rank import ObservedLatency as ObservedLatency
 from fennelfork._rank import best as best
+from fennelfork._refusal import is_hopeless as is_hopeless
 from fennelfork._refusal import refusal_of as refusal_of
 from fennelfork._rendezvous import home_of as home_of
 from fennelfork._rendezvous import watchers as watchers
--- a/packages/fennelfork/src/fennelfork/_merge.py
+++ b/packages/fennelfork/src/fennelfork/_merge.py
@@ -59,6 +59,15 @@
             if name not in settled
         )
 
+    @property
+    def hoped(self) -> tuple[KeyRange, ...]:
+        """The ranges that are in or may still come."""
+        return tuple(
+            planned.expected.span
+            for name, planned in self.plan.items()
+            if name not in self._failures
+        )
+
     @property
     def failures(self) -> tuple[Failure, ...]:
         """The failures of sub-queries that have no part."""
--- a/packages/fennelfork/src/fennelfork/_refusal.py
+++ b/packages/fennelfork/src/fennelfork/_refusal.py
@@ -2,7 +2,12 @@
 
 from typing import Final
 
-from fennelfork._coverage import PartialCoverage, WholeCoverage, allows
+from fennelfork._coverage import (
+    PartialCoverage,
+    WholeCoverage,
+    allows,
+    coverage_of,
+)
 from fennelfork._merge import Answer, Merge
 from fennelfork._verdict import Failure, FailureCode, Verdict
 
@@ -10,6 +15,26 @@
 _RETRY_SHED_MS: Final = 200
 
 
+def is_hopeless(
+    merge: Merge,
+    demand: WholeCoverage | PartialCoverage,
+) -> bool:
+    """Tell whether what failed already rules out the coverage demanded.
+
+    Such a query gets its final answer at once: waiting for its other parts
+    would only hold that back. A lost snapshot does not count, as the whole
+    query may run again on another one.
+
+    Args:
+        merge: the parts and failures so far.
+        demand: how much coverage the caller needs.
+    """
+    if not merge.failures or merge.snapshot_gone:
+        return False
+    at_best = coverage_of(merge.whole, merge.hoped, ())
+    return not allows(demand, at_best)
+
+
 def refusal_of(
     merge: Merge,
     demand: WholeCoverage | PartialCoverage,
--- a/packages/fennelfork/tests/test_refusal.py
+++ b/packages/fennelfork/tests/test_refusal.py
@@ -11,6 +11,7 @@
     PartitionMap,
     Verdict,
     WholeCoverage,
+    is_hopeless,
     key_range,
     merge_of,
     not_run,
@@ -77,3 +78,32 @@
         refusal = refusal_of(merge, PartialCoverage(floor=0.6))
         assert refusal.code is FailureCode.PARTIAL
         assert refusal.verdict is Verdict.RAN
+
+
+class TestIsHopeless:
+    """A query that is given up on is not waited for."""
+
+    def test_one_refused_part_ends_a_whole_demand(self) -> None:
+        """The other part may not hold the refusal back; its doubt stays."""
+        merge = _merge()
+        first, second = merge.plan
+        assert not is_hopeless(merge, WholeCoverage())
+        merge.fail(first, _SHED)
+        assert is_hopeless(merge, WholeCoverage())
+        assert [left.expected.sub_query for left in merge.pending] == [second]
+        refusal = refusal_of(merge, WholeCoverage())
+        assert refusal.verdict is Verdict.MAY_HAVE_RUN
+
+    def test_a_floor_that_can_be_reached_goes_on(self) -> None:
+        """Half may still come in; more than half cannot."""
+        merge = _merge()
+        merge.fail(next(iter(merge.plan)), _SHED)
+        assert not is_hopeless(merge, PartialCoverage(floor=0.5))
+        assert is_hopeless(merge, PartialCoverage(floor=0.6))
+
+    def test_a_lost_snapshot_goes_on(self) -> None:
+        """The query may run again on another snapshot."""
+        merge = _merge()
+        gone = not_run(FailureCode.SNAPSHOT_GONE, 'dropped')
+        merge.fail(next(iter(merge.plan)), gone)
+        assert not is_hopeless(merge, WholeCoverage())
