Tests hold in a folder with a space and once all daemons are known as ready

Two split a command line that held the clone's path, which has a space. Two asked for entries before every daemon had heard that the others have a configuration: since a daemon is named only then, and the rig waited for each daemon's own version only. Ruled out: the entries themselves, the missing daemon comes with the next news. Change: words are built before the path goes in; await_version waits for both; xdist steals work, as the long process tests stood behind one worker.

--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,11 @@
 	.venv/bin/lint-imports
 
 unit: .venv/.installed
-	$(PY) -m pytest -q -n $(WORKERS)
+	$(PY) -m pytest -q -n $(WORKERS) --dist worksteal
 
 # State machines and properties with 2,000 random examples each.
 long: .venv/.installed
-	HYPOTHESIS_PROFILE=long $(PY) -m pytest -q -n $(WORKERS) packages/fennelfork
+	HYPOTHESIS_PROFILE=long $(PY) -m pytest -q -n $(WORKERS) --dist worksteal packages/fennelfork
 
 SEED ?= 1
 MINUTES ?= 5
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_config.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_rig_config.py
@@ -82,6 +82,9 @@
 def await_version(fleet: Fleet, wanted: int) -> None:
     """Wait until every living daemon has at least this version.
 
+    A daemon is named to callers once the others heard that it has a
+    configuration at all, so that is awaited as well.
+
     Raises:
         RigError: if that does not come within 30 s.
     """
@@ -91,3 +94,20 @@
         f'version {wanted} on all',
         lambda: str(list(map(version, fleet.operators))),
     )
+    living = {process.name for process in fleet.living}
+    wait_until(
+        lambda: all(living <= _ready(each) for each in fleet.operators),
+        _FORCE_CAP_S,
+        'all to hear that all are configured',
+        lambda: str(list(map(_ready, fleet.operators))),
+    )
+
+
+def _ready(operator: str) -> set[str]:
+    """Name the daemons that one daemon knows to be configured."""
+    reply = http.get(operator, '/v1/members')
+    return {
+        row['name']
+        for row in reply.body.get('members', ())
+        if row['config_version']
+    }
--- a/packages/fennelfork-daemon/tests/test_cli.py
+++ b/packages/fennelfork-daemon/tests/test_cli.py
@@ -46,7 +46,8 @@
     @pytest.mark.parametrize('line', ['--config {}', '--config={}'])
     def test_serves(self, line: str, server: _Server) -> None:
         """Good settings are served."""
-        words = line.format(_EXAMPLE).split()
+        # The path of the checkout may hold a space.
+        words = [word.format(_EXAMPLE) for word in line.split()]
         assert run_command(words, server) == 0
         assert server.served[0].daemon.name == 'vm-1'
 
