--- a/packages/fennelfork/tests/test_exports.py
+++ b/packages/fennelfork/tests/test_exports.py
@@ -1,22 +1,40 @@
-"""The names that the package offers."""
+"""The names that the packages offer."""
 
 import ast
+import importlib
 import pathlib
+import types
 from collections import Counter
 
-import fennelfork
+import pytest
 
+_PACKAGES = ['fennelfork', 'fennelfork.routes']
 
+
+@pytest.mark.parametrize('name', _PACKAGES)
 class TestExports:
-    """The list of `__init__`."""
+    """The list of each package, in the stub beside its `__init__`."""
 
-    def test_no_name_twice(self) -> None:
+    def test_no_name_twice(self, name: str) -> None:
         """No name is taken from two modules, where the last would win."""
-        source = pathlib.Path(fennelfork.__file__).read_text()
-        names = Counter(
-            alias.asname or alias.name
-            for statement in ast.parse(source).body
-            if isinstance(statement, ast.ImportFrom)
-            for alias in statement.names
-        )
+        package = importlib.import_module(name)
+        names = Counter(listed for _module, listed in _listed(package))
+        assert names
         assert sorted(names) == sorted(names.elements())
+
+    def test_each_name_is_there(self, name: str) -> None:
+        """Each listed name is the one of its module."""
+        package = importlib.import_module(name)
+        for module, listed in _listed(package):
+            owner = importlib.import_module(f'{name}.{module}')
+            assert getattr(package, listed) is getattr(owner, listed)
+
+
+def _listed(package: types.ModuleType) -> list[tuple[str, str]]:
+    source = pathlib.Path(package.__file__).with_suffix('.pyi').read_text()
+    return [
+        (statement.module, alias.asname or alias.name)
+        for statement in ast.parse(source).body
+        if isinstance(statement, ast.ImportFrom)
+        for alias in statement.names
+    ]
