A reset is told from the end of an answer, and calls can be forwarded

Cause: eventlet's own reads turn ECONNRESET into an orderly end, so an answer without a length whose server crashed in the middle passed for whole. Change: connections to servers read through a socket that reports a reset. Calls are typed apart from the connection that carries them: JSON ones as before, and forwarded ones with method, headers, body and a check of whose answer it is, whose connection is closed where the check fails. Keep-alive probes find a connection that went silent; an idle one is not used in the last fifth of the time that its other end keeps it.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
@@ -6,7 +6,7 @@
 from returns.result import Result
 
 from fennelfork import Expected, Failure, Reply, ServerReport
-from fennelfork_daemon._backend_connection import BackendCall
+from fennelfork_daemon._backend_call import BackendCall
 from fennelfork_daemon._backend_pool import BackendPool, Trace
 from fennelfork_daemon._backend_reply import (
     read_health,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_connection.py
@@ -1,6 +1,6 @@
-"""One HTTP connection to a backend server."""
+"""One HTTP connection to a backend server or to the platform."""
 
-import json
+import functools
 import socket
 from http.client import HTTPException
 from typing import Any, Final
@@ -13,40 +13,31 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import Address
+from fennelfork_daemon._backend_call import (
+    BackendResponse,
+    Call,
+    ForwardCall,
+    send_call,
+)
+from fennelfork_daemon._sockets import reset_aware
 
 _MS: Final = 1000
 # The system gives a connection up whose bytes nobody has acknowledged.
 _USER_TIMEOUT_MS: Final = 3000
+# A connection that went silent is found out after two probes, a second apart:
+# a waiting watch has no other way to tell.
 _OPTIONS: Final = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
-_HEADERS: Final = {'Content-Type': 'application/json'}
-
-
-@attrs.frozen(kw_only=True)
-class BackendCall:
-    """One call of a backend server.
 
-    Attributes:
-        path: of the call; a call without a body is a GET.
-        body: what to send as JSON.
-        timeout_ms: how long to wait for the whole reply.
-        fresh: open a new connection for it.
-    """
 
-    path: str
-    body: dict[str, Any] | None
-    timeout_ms: float
-    fresh: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class BackendResponse:
-    """What came back, unread."""
-
-    status: int
-    body: bytes
+# What ends a call whose bytes were sent.
+_BROKEN: Final = (HTTPError, HTTPException, OSError, EOFError)
 
 
 class _OneWriteConnection(HTTPConnection):
@@ -57,6 +48,11 @@
 
     _held: list[bytes] | None = None
 
+    def connect(self) -> None:
+        """Connect with a socket that tells a reset from an end."""
+        super().connect()
+        self.sock = reset_aware(self.sock)
+
     def request(self, *args: Any, **options: Any) -> None:
         """Send a request whose body is bytes."""
         self._held = []
@@ -75,8 +71,14 @@
 
 @attrs.define(kw_only=True)
 class BackendConnection:
-    """Carries one call at a time."""
+    """Carries one call at a time.
 
+    Attributes:
+        keep_ms: for how long the other end keeps it open while it idles, if
+            it said so.
+    """
+
+    keep_ms: float | None = None
     _http: HTTPConnection
     _most_bytes: int
 
@@ -94,41 +96,40 @@
             return Bad(not_run(FailureCode.UNREACHABLE, _says(error)))
         return Success(None)
 
-    def carry(self, call: BackendCall) -> Result[BackendResponse, Failure]:
+    def carry(self, call: Call) -> Result[BackendResponse, Failure]:
         """Make one call and read its reply.
 
         Returns:
             The response, or a failure that may have run: bytes were sent.
         """
         self._http.timeout = call.timeout_ms / _MS
+        if self._http.sock is not None:
+            self._http.sock.settimeout(call.timeout_ms / _MS)
         try:
-            return self._exchange(call)
-        except (HTTPError, HTTPException, OSError) as error:
+            return self._exchange(call).bind(functools.partial(_checked, call))
+        except _BROKEN as error:
             return Bad(may_have_run(FailureCode.UNREACHABLE, _says(error)))
 
     def close(self) -> None:
         """Close it; what still arrives is lost."""
         self._http.close()
 
-    def _exchange(
-        self,
-        call: BackendCall,
-    ) -> Result[BackendResponse, Failure]:
-        has_body = call.body is not None
-        self._http.request(
-            'POST' if has_body else 'GET',
-            call.path,
-            body=json.dumps(call.body).encode() if has_body else None,
-            headers=_HEADERS,
-            preload_content=False,
-        )
+    def _exchange(self, call: Call) -> Result[BackendResponse, Failure]:
+        send_call(call, self._http)
         response = self._http.getresponse()
         body = response.read(self._most_bytes + 1)
         if len(body) > self._most_bytes:
             detail = f'the reply is longer than {self._most_bytes} bytes'
             return Bad(may_have_run(FailureCode.BAD_REPLY, detail))
         response.release_conn()
-        return Success(BackendResponse(status=response.status, body=body))
+        self.keep_ms = _keep_ms(response.headers.get('Keep-Alive', ''))
+        return Success(
+            BackendResponse(
+                status=response.status,
+                body=body,
+                headers=tuple(response.headers.items()),
+            ),
+        )
 
 
 def backend_connection(
@@ -151,3 +152,21 @@
 
 def _says(error: Exception) -> str:
     return f'{type(error).__name__}: {error}'
+
+
+def _checked(
+    call: Call,
+    response: BackendResponse,
+) -> Result[BackendResponse, Failure]:
+    if isinstance(call, ForwardCall):
+        return call.check(response)
+    return Success(response)
+
+
+def _keep_ms(text: str) -> float | None:
+    """Read the timeout of a Keep-Alive header such as `timeout=5, max=9`."""
+    for word in text.split(','):
+        name, _, seconds = word.strip().partition('=')
+        if name.lower() == 'timeout' and seconds.isdecimal():
+            return float(seconds) * _MS
+    return None
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_pool.py
@@ -17,15 +17,27 @@
     not_run,
 )
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._backend_connection import (
+from fennelfork_daemon._backend_call import (
     BackendCall,
-    BackendConnection,
     BackendResponse,
+    Call,
+    ForwardCall,
+)
+from fennelfork_daemon._backend_connection import (
+    BackendConnection,
     backend_connection,
 )
 
-_PROBE: Final = '/v1/health'
 _PROBE_MS: Final = 50.0
+# Asks a backend server for a sign of life on an idle connection.
+HEALTH_PROBE: Final = BackendCall(
+    path='/v1/health',
+    body=None,
+    timeout_ms=_PROBE_MS,
+)
+# The other end closes an idle connection about when it said; a request sent
+# within the last fifth of that time may cross the close.
+_KEPT_SHARE: Final = 0.8
 
 
 @attrs.define(kw_only=True)
@@ -47,11 +59,12 @@
     _ledger: ConnectionLedger
     _clock: Clock
     _most_bytes: int
+    _probe: BackendCall | None
     _open: dict[int, BackendConnection] = attrs.field(factory=dict)
 
     def carry(
         self,
-        call: BackendCall,
+        call: Call,
         trace: Trace,
     ) -> Result[BackendResponse, Failure]:
         """Make one call on a connection that can be trusted.
@@ -80,22 +93,25 @@
         """Close what idled for long."""
         self._close(self._ledger.retire(self._clock.now_ms()))
 
+    def retire_all(self) -> None:
+        """Close what idles now; calls under way end first."""
+        self._close(self._ledger.distrust_all())
+
     def close(self) -> None:
         """Close all connections; calls under way on them fail."""
         self._close(tuple(self._open))
 
-    def _use(self, call: BackendCall) -> ConnectionUse | None:
+    def _use(self, call: Call) -> ConnectionUse | None:
         return self._ledger.use(self._clock.now_ms(), fresh=call.fresh)
 
     def _trusted(self, use: ConnectionUse) -> bool:
         """Tell whether an idle connection still carries bytes."""
         connection = self._open[use.connection]
-        if not connection.alive:
+        if not connection.alive or _outlived(connection, use.idle_ms):
             return False
-        if not use.probe:
+        if self._probe is None or not use.probe:
             return True
-        probe = BackendCall(path=_PROBE, body=None, timeout_ms=_PROBE_MS)
-        answers = is_successful(connection.carry(probe))
+        answers = is_successful(connection.carry(self._probe))
         if not answers:
             self._close(self._ledger.silent(use.connection))
         return answers
@@ -103,12 +119,12 @@
     def _carry_on_new(
         self,
         number: int,
-        call: BackendCall,
+        call: Call,
         trace: Trace,
     ) -> Result[BackendResponse, Failure]:
         connection = backend_connection(self._address, self._most_bytes)
         self._open[number] = connection
-        opened = connection.open(call.timeout_ms)
+        opened = connection.open(_connect_ms(call))
         if is_successful(opened):
             return self._carry_on(number, call, trace)
         self._give_back(number, usable=False)
@@ -117,7 +133,7 @@
     def _carry_on(
         self,
         number: int,
-        call: BackendCall,
+        call: Call,
         trace: Trace,
     ) -> Result[BackendResponse, Failure]:
         trace.connection = number
@@ -147,6 +163,7 @@
     ledger: ConnectionLedger,
     clock: Clock,
     most_bytes: int,
+    probe: BackendCall | None = HEALTH_PROBE,
 ) -> BackendPool:
     """Build the connections to one server.
 
@@ -155,10 +172,25 @@
         ledger: decides which connection carries a call.
         clock: of the daemon.
         most_bytes: the largest reply that is read.
+        probe: made on a connection that idled for long before it is used; if
+            none, such a connection is used as it is.
     """
     return BackendPool(
         address=address,
         ledger=ledger,
         clock=clock,
         most_bytes=most_bytes,
+        probe=probe,
     )
+
+
+def _connect_ms(call: Call) -> float:
+    if isinstance(call, ForwardCall):
+        return min(call.connect_ms, call.timeout_ms)
+    return call.timeout_ms
+
+
+def _outlived(connection: BackendConnection, idle_ms: float) -> bool:
+    if connection.keep_ms is None:
+        return False
+    return idle_ms > _KEPT_SHARE * connection.keep_ms
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_reply.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_reply.py
@@ -21,7 +21,7 @@
     key_range,
     may_have_run,
 )
-from fennelfork_daemon._backend_connection import BackendResponse
+from fennelfork_daemon._backend_call import BackendResponse
 
 _OK: Final = 200
 
--- a/packages/fennelfork/src/fennelfork/_connection.py
+++ b/packages/fennelfork/src/fennelfork/_connection.py
@@ -18,12 +18,14 @@
         opened: whether it is to be opened now.
         probe: whether it idled too long to be trusted without a probe.
         close: idle connections to close first, to stay below the limit.
+        idle_ms: for how long it was not used.
     """
 
     connection: int
     opened: bool
     probe: bool = False
     close: tuple[int, ...] = ()
+    idle_ms: float = 0
 
 
 @attrs.define(kw_only=True)
@@ -110,6 +112,12 @@
         self._distrusted |= peers - close
         return tuple(self._forget(number) for number in sorted(close))
 
+    def distrust_all(self) -> tuple[int, ...]:
+        """Have every connection closed: the idle ones, given here, now."""
+        idle = tuple(self._idle_since_ms)
+        self._distrusted |= self._opened_ms.keys() - self._idle_since_ms.keys()
+        return tuple(self._forget(number) for number in idle)
+
     def retire(self, now_ms: float) -> tuple[int, ...]:
         """Give the connections that idled too long, to be closed."""
         old = [
@@ -127,6 +135,7 @@
             connection=number,
             opened=False,
             probe=idle_ms > _TRUSTED_IDLE_MS,
+            idle_ms=idle_ms,
         )
 
     def _forget(self, connection: int) -> int:
