--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,11 @@
 test: lint unit
 
 lint: .venv/.installed
-	$(PY) -m ruff format --check packages
-	$(PY) -m ruff check packages
-	$(PY) -m flake8 packages
+	$(PY) -m ruff format --check packages platform
+	$(PY) -m ruff check packages platform
+	$(PY) -m flake8 packages platform
 	$(PY) -m mypy packages/fennelfork/src
-	.venv/bin/lint-imports
+	PYTHONPATH=platform .venv/bin/lint-imports
 
 unit: .venv/.installed
 	$(PY) -m pytest -q -n $(WORKERS) --dist worksteal
@@ -30,8 +30,8 @@
 	$(PY) -m fennelfork_bench soak --seed $(SEED) --minutes $(MINUTES)
 
 format: .venv/.installed
-	$(PY) -m ruff format packages
-	$(PY) -m ruff check --fix packages
+	$(PY) -m ruff format packages platform
+	$(PY) -m ruff check --fix packages platform
 
 modules: .venv/.installed
 	$(PY) -m fennelfork_bench.modules
--- a/packages/fennelfork-bench/src/fennelfork_bench/modules.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/modules.py
@@ -52,11 +52,12 @@
 
 
 def _rows(folder: pathlib.Path) -> Iterator[str]:
-    for path in sorted(folder.glob('*.py')):
+    for path in sorted(folder.rglob('*.py')):
+        module = '/'.join(path.relative_to(folder).with_suffix('').parts)
         source = path.read_text(encoding='utf-8')
         docstring = ast.get_docstring(ast.parse(source)) or ''
         first, _, _ = docstring.partition('\n')
-        yield f'| `{path.stem}` | {first} |'
+        yield f'| `{module}` | {first} |'
 
 
 if __name__ == '__main__':
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
-from fennelfork import Blackboard, Clock, ListSchedule
+from fennelfork import Blackboard, Clock, ListSchedule, StopPolicy
 from fennelfork_daemon._entries_face import EntriesFace
 from fennelfork_daemon._http_router import Route
 from fennelfork_daemon._in_progress import (
@@ -88,7 +88,11 @@
         clock,
         membership_metrics(metrics),
     )
-    stop = stop_service(settings, clock, members, in_progress, log)
+    policy = StopPolicy(
+        entry_ttl_ms=settings.timeouts.entry_ttl_ms,
+        stop_ms=settings.timeouts.stop_ms,
+    )
+    stop = stop_service(policy, clock, members, in_progress, log)
     return Fleet(
         settings=settings,
         board=board,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -2,7 +2,7 @@
 
 import signal
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import attrs
 import eventlet
@@ -24,13 +24,25 @@
 )
 from fennelfork_daemon._in_progress import InProgress
 from fennelfork_daemon._logs import StateLog
-from fennelfork_daemon._membership_service import MembershipService
-from fennelfork_daemon._settings_tables import Settings
 
 _STEP_S: Final = 0.05
 _SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
 
+class Membership(Protocol):
+    """What tells the other daemons of a leave."""
+
+    @property
+    def leave_is_told(self) -> bool:
+        """Whether nobody is left who should know and does not."""
+
+    def leave(self) -> None:
+        """Tell that this daemon leaves; asked again, do nothing more."""
+
+    def say_goodbye(self) -> None:
+        """Tell that it ends now."""
+
+
 @attrs.define(kw_only=True)
 class StopService:
     """Takes requests to stop and sees them through.
@@ -42,7 +54,7 @@
     on_leave: list[Callable[[], None]] = attrs.field(factory=list)
     _stop: GracefulStop
     _clock: Clock
-    _members: MembershipService
+    _members: Membership
     _in_progress: InProgress
     _log: StateLog
     _closed: bool = False
@@ -123,17 +135,13 @@
 
 
 def stop_service(
-    settings: Settings,
+    policy: StopPolicy,
     clock: Clock,
-    members: MembershipService,
+    members: Membership,
     in_progress: InProgress,
     log: StateLog,
 ) -> StopService:
     """Build the stop of a daemon that was not asked to stop."""
-    policy = StopPolicy(
-        entry_ttl_ms=settings.timeouts.entry_ttl_ms,
-        stop_ms=settings.timeouts.stop_ms,
-    )
     return StopService(
         stop=graceful_stop(policy),
         clock=clock,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_protocol.py
@@ -12,15 +12,17 @@
 from fennelfork_daemon._wsgi_writer import BoundedWriter
 
 CLOSE_KEY: Final = 'fennelfork.close_connection'
+CONNECTION_KEY: Final = 'fennelfork.connection'
+TARGET_KEY: Final = 'fennelfork.target'
 _MS_PER_SECOND: Final = 1000
 _LINGER_MS: Final = 500
 _LINGER_BYTES: Final = 1_048_576
 _CHUNK_BYTES: Final = 65_536
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class ConnectionLimits:
-    """What one connection may cost.
+    """What one connection may cost; a change holds for open ones as well.
 
     Attributes:
         header_bytes: request line aside, all headers of a request.
@@ -38,7 +40,9 @@
     """Serves one connection and gives up on clients that stall.
 
     An application ends the connection after its answer by calling what it
-    finds under `CLOSE_KEY` in the WSGI environment.
+    finds under `CLOSE_KEY` in the WSGI environment. Under `CONNECTION_KEY` it
+    finds the socket, to see the client leave, and under `TARGET_KEY` path and
+    query as they were sent.
     """
 
     limits: ConnectionLimits
@@ -62,7 +66,7 @@
         parsed = False
         with Timeout(seconds, exception=False):
             try:
-                return super().parse_request()
+                return super().parse_request() and self._is_framed()
             except wsgi.HeadersTooLarge:
                 self.send_error(
                     http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -91,7 +95,11 @@
 
     def get_environ(self) -> dict[str, Any]:
         """Build the WSGI environment with a way to end the connection."""
-        return super().get_environ() | {CLOSE_KEY: self._end}
+        return super().get_environ() | {
+            CLOSE_KEY: self._end,
+            CONNECTION_KEY: self.connection,
+            TARGET_KEY: self.path,
+        }
 
     def finish(self) -> None:
         """Close; what a refused client still sends is read for a moment.
@@ -104,6 +112,21 @@
                 _drain_input(self.connection)
         super().finish()
 
+    def _is_framed(self) -> bool:
+        """Refuse a request whose end can be read in two ways."""
+        lengths = set(self.headers.get_all('Content-Length', ()))
+        codings = self.headers.get_all('Transfer-Encoding', ())
+        digits = all(text.isascii() and text.isdigit() for text in lengths)
+        chunked = [text.strip().lower() for text in codings]
+        if digits and len(lengths) + len(codings) <= 1:
+            if chunked in ([], ['chunked']):
+                return True
+        self.send_error(
+            http.HTTPStatus.BAD_REQUEST,
+            'the length of the body is not clear',
+        )
+        return False
+
     def _read_request_line(self) -> bytes:
         seconds = self.limits.idle_ms / _MS_PER_SECOND
         with Timeout(seconds, exception=False):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_server.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_server.py
@@ -38,10 +38,11 @@
     return Address(host=host, port=port)
 
 
-def serve_http(
+def serve_face(
     listener: socket.socket,
     application: Application,
-    settings: Settings,
+    limits: ConnectionLimits,
+    connections: int,
 ) -> None:
     """Serve an HTTP face until the calling green thread is killed.
 
@@ -51,22 +52,37 @@
     Args:
         listener: the listening socket.
         application: the WSGI application.
-        settings: what bounds connections, headers and time.
+        limits: what one connection may cost.
+        connections: the most that are open at a time.
     """
-    read_ms = settings.timeouts.request_read_ms
-    limits = ConnectionLimits(
-        header_bytes=settings.limits.header_bytes,
-        request_read_ms=read_ms,
-        idle_ms=settings.timeouts.idle_ms,
-    )
     wsgi.server(
         listener,
         application,
-        max_size=settings.limits.connections,
+        max_size=connections,
         protocol=bounded_protocol(limits),
-        keepalive=settings.timeouts.idle_ms / _MS_PER_SECOND,
-        socket_timeout=read_ms / _MS_PER_SECOND,
+        keepalive=limits.idle_ms / _MS_PER_SECOND,
+        socket_timeout=limits.request_read_ms / _MS_PER_SECOND,
         url_length_limit=_URL_BYTES,
         log_output=False,
         debug=False,
     )
+
+
+def serve_http(
+    listener: socket.socket,
+    application: Application,
+    settings: Settings,
+) -> None:
+    """Serve an HTTP face by the settings of a daemon; see `serve_face`.
+
+    Args:
+        listener: the listening socket.
+        application: the WSGI application.
+        settings: what bounds connections, headers and time.
+    """
+    limits = ConnectionLimits(
+        header_bytes=settings.limits.header_bytes,
+        request_read_ms=settings.timeouts.request_read_ms,
+        idle_ms=settings.timeouts.idle_ms,
+    )
+    serve_face(listener, application, limits, settings.limits.connections)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
@@ -0,0 +1,32 @@
+"""Serving of routes: requests forwarded to services that register themselves."""
+
+from ._answer import Answer as Answer
+from ._answer import Forwarded as Forwarded
+from ._answer import Merged as Merged
+from ._answer import Refused as Refused
+from ._ask import Ask as Ask
+from ._ask import BackendAnswer as BackendAnswer
+from ._ask import end_to_end as end_to_end
+from ._board import RouteBoard as RouteBoard
+from ._body import read_body as read_body
+from ._build import route_service as route_service
+from ._entries import EntryAnswer as EntryAnswer
+from ._entries import EntryAsk as EntryAsk
+from ._entries import RouteEntries as RouteEntries
+from ._facts import ConfigFact as ConfigFact
+from ._facts import Fact as Fact
+from ._facts import MemberFact as MemberFact
+from ._facts import MemberGoneFact as MemberGoneFact
+from ._facts import ServerFact as ServerFact
+from ._facts import ServerGoneFact as ServerGoneFact
+from ._facts import UnreadableFact as UnreadableFact
+from ._ports import BackendCodec as BackendCodec
+from ._ports import CallerCodec as CallerCodec
+from ._ports import Changes as Changes
+from ._ports import HistoryGone as HistoryGone
+from ._ports import Listing as Listing
+from ._ports import Ports as Ports
+from ._ports import Store as Store
+from ._service import FaceApplications as FaceApplications
+from ._service import RouteService as RouteService
+from ._settings import RouteSettings as RouteSettings
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
@@ -0,0 +1,111 @@
+"""Takes facts from the store to the board."""
+
+import functools
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._facts import (
+    ConfigFact,
+    Fact,
+    MemberFact,
+    MemberGoneFact,
+    ServerFact,
+    ServerGoneFact,
+    UnreadableFact,
+)
+from fennelfork_daemon.routes._pools import ServerPools
+from fennelfork_daemon.routes._telling import StoreTelling
+
+
+@attrs.frozen(kw_only=True)
+class FactTaker:
+    """Writes what the store tells onto the board."""
+
+    board: RouteBoard
+    telling: StoreTelling
+    _pools: ServerPools
+
+    def take_all(self, facts: Iterable[Fact]) -> None:
+        """Take all facts there are; what is not among them is gone."""
+        known = tuple(facts)
+        servers = [
+            fact.server.instance
+            for fact in known
+            if isinstance(fact, ServerFact)
+        ]
+        members = [
+            fact.member.name for fact in known if isinstance(fact, MemberFact)
+        ]
+        for instance in self.board.roster.keep(servers):
+            self.telling.server_gone(instance)
+        for name in self.board.members.keep(members):
+            self.telling.member_gone(name)
+        self.take(known)
+
+    def take(self, facts: Iterable[Fact]) -> None:
+        """Take facts in their order."""
+        for fact in facts:
+            _take(fact, self)
+        self.board.fleet.note(len(self.board.members.entries))
+        instances = set(self.board.roster.registry.entries)
+        self.board.states.keep(instances)
+        self._pools.keep(instances)
+
+
+@functools.singledispatch
+def _take(fact: Any, taker: FactTaker) -> None:
+    """Take one fact.
+
+    Raises:
+        TypeError: for a fact of another type.
+    """
+    raise TypeError(f'not a fact: {fact!r}')
+
+
+@_take.register
+def _take_config(fact: ConfigFact, taker: FactTaker) -> None:
+    board = taker.board
+    before = 0 if board.table is None else board.table.version
+    if fact.table.version <= before:
+        # Versions only rise: an older one may come late from the store.
+        return
+    board.table = fact.table
+    board.shares.services = fact.table.services
+    limits = fact.table.limits
+    board.limits.header_bytes = limits.header_bytes
+    board.limits.request_read_ms = limits.header_ms
+    board.limits.idle_ms = limits.idle_ms
+    taker.telling.config_taken(fact.table, before)
+
+
+@_take.register
+def _take_server(fact: ServerFact, taker: FactTaker) -> None:
+    before = taker.board.roster.put(fact.server)
+    taker.telling.server_seen(fact.server, before)
+
+
+@_take.register
+def _take_server_gone(fact: ServerGoneFact, taker: FactTaker) -> None:
+    if taker.board.roster.remove(fact.instance):
+        taker.telling.server_gone(fact.instance)
+
+
+@_take.register
+def _take_member(fact: MemberFact, taker: FactTaker) -> None:
+    name = fact.member.name
+    if taker.board.members.put(name, fact.member) is None:
+        taker.telling.member_seen(fact.member)
+
+
+@_take.register
+def _take_member_gone(fact: MemberGoneFact, taker: FactTaker) -> None:
+    if taker.board.members.remove(fact.name):
+        taker.telling.member_gone(fact.name)
+
+
+@_take.register
+def _take_unreadable(fact: UnreadableFact, taker: FactTaker) -> None:
+    taker.telling.unreadable(fact)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ask.py
@@ -0,0 +1,86 @@
+"""A caller's request to a route, and what a backend server answered."""
+
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from fennelfork_daemon._backend_call import HeaderPairs
+
+# Headers that concern only one connection (RFC 9110, 7.6.1), and the length,
+# which is told anew for the body as it is passed on.
+_ONE_CONNECTION: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Ask:
+    """A request of a caller.
+
+    Attributes:
+        method: of the request.
+        target: path and query, as sent.
+        host: the host that it names, without a port.
+        headers: those that are passed on.
+        body: its bytes, or none if it has no body.
+        request_id: names this one try of the caller.
+        left_ms: how long the caller waits, if it said so.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: HeaderPairs
+    body: bytes | None
+    request_id: str
+    left_ms: float | None
+
+    @property
+    def path(self) -> str:
+        """The path without the query."""
+        return self.target.partition('?')[0]
+
+
+@attrs.frozen(kw_only=True)
+class BackendAnswer:
+    """A whole answer of a backend server to one request.
+
+    Attributes:
+        status: the HTTP status.
+        headers: those that are passed on.
+        body: its bytes.
+        signature: by which the caller knows the server's answer.
+    """
+
+    status: int
+    headers: HeaderPairs
+    body: bytes
+    signature: str
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> HeaderPairs:
+    """Leave out the headers that concern only one connection."""
+    given = tuple(headers)
+    named = {
+        word.strip().lower()
+        for name, text in given
+        if name.lower() == 'connection'
+        for word in text.split(',')
+    }
+    dropped = _ONE_CONNECTION | named
+    return tuple(
+        (name, text) for name, text in given if name.lower() not in dropped
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
@@ -0,0 +1,77 @@
+"""The facts that the parts of a daemon that serves routes share."""
+
+from typing import Final
+
+import attrs
+
+from fennelfork import Clock, Member
+from fennelfork.routes import (
+    ConnectionShares,
+    FleetSize,
+    Registry,
+    Roster,
+    RouteTable,
+    ServerStates,
+)
+from fennelfork_daemon._wsgi_protocol import ConnectionLimits
+
+# Until the limits of the first configuration are known.
+_HEADER_BYTES: Final = 16_384
+_READ_MS: Final = 3000
+_IDLE_MS: Final = 15_000
+
+
+@attrs.define(kw_only=True)
+class RouteBoard:
+    """What one daemon knows, read and written by its parts.
+
+    Attributes:
+        local: this daemon, as it registers itself.
+        members: the daemons that are registered, by name.
+        fleet: how many daemons to share limits with.
+        roster: the backend servers.
+        states: what was seen of each of them.
+        shares: connections to each of them.
+        limits: what connections of callers may cost.
+        table: the routes in force, once there are any.
+        leaving: whether this daemon is stopping.
+    """
+
+    local: Member
+    members: Registry[Member]
+    fleet: FleetSize
+    roster: Roster
+    states: ServerStates
+    shares: ConnectionShares
+    limits: ConnectionLimits
+    table: RouteTable | None = None
+    leaving: bool = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should come here."""
+        return self.table is not None and not self.leaving
+
+
+def route_board(local: Member, clock: Clock, window_ms: float) -> RouteBoard:
+    """Build the board of a daemon that knows nothing yet.
+
+    Args:
+        local: this daemon.
+        clock: of the daemon.
+        window_ms: how long a daemon that left still counts.
+    """
+    fleet = FleetSize(clock=clock, window_ms=window_ms)
+    return RouteBoard(
+        local=local,
+        members=Registry(clock=clock),
+        fleet=fleet,
+        roster=Roster(registry=Registry(clock=clock)),
+        states=ServerStates(),
+        shares=ConnectionShares(fleet=fleet),
+        limits=ConnectionLimits(
+            header_bytes=_HEADER_BYTES,
+            request_read_ms=_READ_MS,
+            idle_ms=_IDLE_MS,
+        ),
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -0,0 +1,125 @@
+"""The calls of backend servers that one request makes."""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import eventlet
+from eventlet.greenthread import GreenThread
+from greenlet import GreenletExit
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from fennelfork import Clock, Failure
+from fennelfork.routes import (
+    Answered,
+    CallEnd,
+    CallRecord,
+    Dropped,
+    Failed,
+    Pace,
+    Selector,
+    Send,
+    Silent,
+    note_end,
+)
+from fennelfork_daemon._backend_pool import Trace
+from fennelfork_daemon.routes._ask import Ask, BackendAnswer
+from fennelfork_daemon.routes._pools import ServerPools
+from fennelfork_daemon.routes._ports import BackendCodec
+
+_MS_PER_SECOND: Final = 1000
+_LEAST_MS: Final = 1.0
+# Calls that are not needed any more may end by themselves within this time:
+# that tells how the server is and saves a new connection. Servers pause for
+# some 300 ms.
+_LINGER_MS: Final = 400.0
+
+
+@attrs.frozen(kw_only=True)
+class CallParts:
+    """What the calls of all requests share."""
+
+    clock: Clock
+    pools: ServerPools
+    selector: Selector
+    codec: BackendCodec
+
+
+CallOutcome = Result[BackendAnswer, Failure]
+
+
+@attrs.define(kw_only=True)
+class RequestCalls:
+    """Runs the calls of one request, each in a green thread of its own."""
+
+    _parts: CallParts
+    _ask: Ask
+    _pace: Pace
+    _end_ms: float
+    _fresh: bool
+    _tell: Callable[[int, CallOutcome], None]
+    _running: dict[int, GreenThread] = attrs.field(factory=dict)
+    _ending: CallEnd = Dropped()
+
+    def launch(self, sends: list[Send]) -> None:
+        """Start calls."""
+        for send in sends:
+            state = self._parts.selector.states.of(send.server.instance)
+            state.sent(send.attempt, send.sent_ms)
+            self._running[send.attempt] = eventlet.spawn(self._run, send)
+
+    def linger(self) -> None:
+        """Let the calls that still run end by themselves, for a while."""
+        if self._running:
+            self._ending = Silent()
+            eventlet.spawn_after(
+                _LINGER_MS / _MS_PER_SECOND,
+                self.cancel,
+            )
+
+    def cancel(self) -> None:
+        """End all calls now, so that their servers stop working."""
+        for thread in tuple(self._running.values()):
+            thread.kill()
+
+    def _run(self, send: Send) -> None:
+        try:
+            outcome = self._carry(send)
+        except GreenletExit:
+            self._ended(send, self._ending)
+            return
+        self._ended(send, _end_of(outcome))
+        self._tell(send.attempt, outcome)
+
+    def _carry(self, send: Send) -> CallOutcome:
+        left_ms = self._end_ms - self._parts.clock.now_ms()
+        call = self._parts.codec.write_call(
+            self._ask,
+            send.server,
+            max(_LEAST_MS, left_ms),
+        )
+        if self._fresh:
+            call = attrs.evolve(call, fresh=True)
+        pool = self._parts.pools.of(send.server)
+        response = pool.carry(call, Trace())
+        return response.bind(self._parts.codec.read_answer)
+
+    def _ended(self, send: Send, end: CallEnd) -> None:
+        self._running.pop(send.attempt, None)
+        record = CallRecord(
+            send=send,
+            now_ms=self._parts.clock.now_ms(),
+            pace=self._pace,
+            nearby=self._parts.selector.distances.nearby(
+                send.server.data_centre,
+            ),
+        )
+        state = self._parts.selector.states.of(send.server.instance)
+        note_end(end, record, state)
+
+
+def _end_of(outcome: CallOutcome) -> CallEnd:
+    if is_successful(outcome):
+        return Answered()
+    return Failed(failure=outcome.failure())
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -0,0 +1,143 @@
+"""The caller face of routes, as a WSGI application."""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import attrs
+from eventlet.queue import LightQueue
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from fennelfork import Clock, Failure, FailureCode, may_have_run, not_run
+from fennelfork.routes import (
+    Dispatch,
+    DispatchParts,
+    Paces,
+    Route,
+    RouteTable,
+    dispatch,
+    draw_services,
+)
+from fennelfork_daemon._wsgi_protocol import CONNECTION_KEY
+from fennelfork_daemon.routes._answer import Answer, Refused
+from fennelfork_daemon.routes._ask import Ask, BackendAnswer
+from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._body import read_body
+from fennelfork_daemon.routes._caller_calls import CallParts, RequestCalls
+from fennelfork_daemon.routes._caller_watch import CallerWatch
+from fennelfork_daemon.routes._ports import CallerCodec
+from fennelfork_daemon.routes._request import RunningRequest
+from fennelfork_daemon.routes._telling import RequestTelling
+
+# A daemon that has no routes yet gets them as soon as the store answers,
+# which it asks some times a second.
+_NO_ROUTES_RETRY_MS: Final = 300
+_NO_ROUTES_YET: Final = not_run(
+    FailureCode.PLATFORM,
+    'no configuration is known yet',
+    retry_after_ms=_NO_ROUTES_RETRY_MS,
+)
+_DEFECT: Final = may_have_run(FailureCode.INTERNAL, 'a defect; see the log')
+
+
+@attrs.frozen(kw_only=True)
+class RouteFace:
+    """Answers the requests of callers."""
+
+    _board: RouteBoard
+    _clock: Clock
+    _codec: CallerCodec
+    _calls: CallParts
+    _dispatch_parts: DispatchParts
+    _paces: Paces
+    _rng: random.Random
+    _telling: RequestTelling
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: Callable[..., Any],
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        reply = self._codec.write_answer(self._answer_or_own_up(environ))
+        length = ('Content-Length', str(len(reply.body)))
+        start_response(reply.status_line, [*reply.headers, length])
+        return [reply.body]
+
+    def _answer_or_own_up(self, environ: dict[str, Any]) -> Answer:
+        """Answer, also where a defect of our own is in the way."""
+        try:
+            return self._answer(environ)
+        except Exception as error:
+            self._telling.defect(error)
+            return Refused(failure=_DEFECT, request_id=None)
+
+    def _answer(self, environ: dict[str, Any]) -> Answer:
+        came_ms = self._clock.now_ms()
+        table = self._board.table
+        if table is None:
+            return self._refuse(_NO_ROUTES_YET, None)
+        ask = self._read(environ, table)
+        if not is_successful(ask):
+            return self._refuse(ask.failure(), None)
+        known = ask.unwrap()
+        route = table.find(known.host, known.path)
+        if route is None:
+            return self._refuse(_no_route(known), known.request_id)
+        request = self._request(known, route, came_ms)
+        watch = CallerWatch(connection=environ[CONNECTION_KEY])
+        with watch.leaving(request.leave):
+            answer = request.run()
+        self._telling.ended(known, request, answer, came_ms)
+        return answer
+
+    def _refuse(self, failure: Failure, request_id: str | None) -> Refused:
+        refused = Refused(failure=failure, request_id=request_id)
+        self._telling.refused(refused)
+        return refused
+
+    def _read(
+        self,
+        environ: dict[str, Any],
+        table: RouteTable,
+    ) -> Result[Ask, Failure]:
+        limits = table.limits
+        body = read_body(environ, limits.body_bytes, limits.header_ms)
+        return body.bind(lambda found: self._codec.read_ask(environ, found))
+
+    def _request(
+        self,
+        ask: Ask,
+        route: Route,
+        came_ms: float,
+    ) -> RunningRequest:
+        left_ms = route.timeout_ms if ask.left_ms is None else ask.left_ms
+        running: Dispatch[BackendAnswer] = dispatch(
+            route,
+            draw_services(route.target, self._rng),
+            self._dispatch_parts,
+            self._paces.of(route),
+            (came_ms, left_ms),
+        )
+        inbox = LightQueue()
+        calls = RequestCalls(
+            parts=self._calls,
+            ask=ask,
+            pace=self._paces.of(route),
+            end_ms=running.end_ms,
+            fresh=not route.idempotent,
+            tell=lambda attempt, outcome: inbox.put((attempt, outcome)),
+        )
+        return RunningRequest(
+            dispatch=running,
+            ask=ask,
+            clock=self._clock,
+            calls=calls,
+            inbox=inbox,
+        )
+
+
+def _no_route(ask: Ask) -> Failure:
+    detail = f'no route of {ask.host} begins {ask.path}'
+    return not_run(FailureCode.UNKNOWN_FRONT, detail)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_facts.py
@@ -0,0 +1,64 @@
+"""What the store tells, one fact an item."""
+
+import attrs
+
+from fennelfork import Member
+from fennelfork.routes import BackendServer, RouteTable
+
+
+@attrs.frozen(kw_only=True)
+class ConfigFact:
+    """The newest configuration."""
+
+    table: RouteTable
+
+
+@attrs.frozen(kw_only=True)
+class ServerFact:
+    """A backend server registered itself, or changed what it registered."""
+
+    server: BackendServer
+
+
+@attrs.frozen(kw_only=True)
+class ServerGoneFact:
+    """The registration of a backend server is gone."""
+
+    instance: str
+
+
+@attrs.frozen(kw_only=True)
+class MemberFact:
+    """A daemon registered itself."""
+
+    member: Member
+
+
+@attrs.frozen(kw_only=True)
+class MemberGoneFact:
+    """The registration of a daemon is gone."""
+
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class UnreadableFact:
+    """An item that could not be read.
+
+    Attributes:
+        key: of the item.
+        problem: what is wrong with it.
+    """
+
+    key: str
+    problem: str
+
+
+Fact = (
+    ConfigFact
+    | ServerFact
+    | ServerGoneFact
+    | MemberFact
+    | MemberGoneFact
+    | UnreadableFact
+)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -0,0 +1,54 @@
+"""The connections to all backend servers."""
+
+import attrs
+
+from fennelfork import Clock, ConnectionLedger
+from fennelfork.routes import BackendServer, ConnectionShares
+from fennelfork_daemon._address import address
+from fennelfork_daemon._backend_pool import BackendPool, backend_pool
+
+# The largest answer of a backend server that is read.
+_MOST_BYTES = 8_388_608
+
+
+@attrs.define(kw_only=True)
+class ServerPools:
+    """A pool of connections for each run of a backend server."""
+
+    _clock: Clock
+    _shares: ConnectionShares
+    _pools: dict[str, BackendPool] = attrs.field(factory=dict)
+    _ledgers: dict[str, ConnectionLedger] = attrs.field(factory=dict)
+
+    def of(self, server: BackendServer) -> BackendPool:
+        """Give the connections to a server, within its present limit."""
+        pool = self._pools.get(server.instance)
+        if pool is None:
+            pool = self._open(server)
+        ledger = self._ledgers[server.instance]
+        ledger.limit = self._shares.of(server.service)
+        return pool
+
+    def keep(self, instances: set[str]) -> None:
+        """Close the connections to all other servers once they are idle."""
+        for instance in self._pools.keys() - instances:
+            self._ledgers.pop(instance)
+            self._pools.pop(instance).retire_all()
+
+    def retire(self) -> None:
+        """Close what idled for long."""
+        for pool in self._pools.values():
+            pool.retire()
+
+    def _open(self, server: BackendServer) -> BackendPool:
+        ledger = ConnectionLedger(limit=self._shares.of(server.service))
+        pool = backend_pool(
+            address(server.address),
+            ledger,
+            self._clock,
+            _MOST_BYTES,
+            probe=None,
+        )
+        self._ledgers[server.instance] = ledger
+        self._pools[server.instance] = pool
+        return pool
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -0,0 +1,86 @@
+"""Keeps this daemon registered in the store while it is ready."""
+
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import eventlet
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from fennelfork import Failure
+from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._ports import Store
+
+_MS_PER_SECOND: Final = 1000
+# A daemon that died is named to callers for at most this long; they try it
+# in vain once and take another.
+_LEASE_MS: Final = 2500.0
+# A lost renewal or two do not end the lease.
+_RENEW_MS: Final = 700.0
+
+
+@attrs.define(kw_only=True)
+class Registration:
+    """This daemon's entry in the store."""
+
+    _store: Store
+    _board: RouteBoard
+    _least_lease_ms: float
+    _on_miss: Callable[[], None]
+    _lease: int | None = None
+    _ended: bool = False
+
+    @property
+    def leave_is_told(self) -> bool:
+        """Whether the store knows that this daemon leaves."""
+        return self._ended
+
+    def run(self) -> None:
+        """Stay registered until the daemon leaves."""
+        while not self._ended:
+            self.step()
+            eventlet.sleep(_RENEW_MS / _MS_PER_SECOND)
+
+    def step(self) -> None:
+        """Renew the registration, or make it."""
+        if not self._board.ready:
+            return
+        if self._lease is None:
+            self._register()
+        elif not self._reached(self._store.renew(self._lease)):
+            self._lease = None
+            self._register()
+
+    def leave(self) -> None:
+        """End the registration; asked again, do nothing."""
+        if self._board.leaving:
+            return
+        self._board.leaving = True
+        eventlet.spawn_n(self._end)
+
+    def say_goodbye(self) -> None:
+        """Do nothing more: the store has been told."""
+
+    def _register(self) -> None:
+        ttl_ms = max(self._least_lease_ms, _LEASE_MS)
+        opened = self._store.open_lease(ttl_ms)
+        if not is_successful(opened):
+            self._on_miss()
+            return
+        lease = opened.unwrap()
+        made = self._store.register(self._board.local, lease)
+        if is_successful(made) and made.unwrap():
+            self._lease = lease
+
+    def _reached(self, renewed: Result[bool, Failure]) -> bool:
+        """Tell whether the lease may still run."""
+        if is_successful(renewed):
+            return bool(renewed.unwrap())
+        self._on_miss()
+        return True
+
+    def _end(self) -> None:
+        if self._lease is not None:
+            self._store.end_lease(self._lease)
+        self._ended = True
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -0,0 +1,96 @@
+"""A daemon that serves routes."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+import eventlet
+
+from fennelfork_daemon._address import Address
+from fennelfork_daemon._in_progress import CountedApplication, InProgress
+from fennelfork_daemon._log_budget import DecisionLog
+from fennelfork_daemon._stop_service import StopService
+from fennelfork_daemon._wsgi_server import open_listener, serve_face
+from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._entries import RouteEntries
+from fennelfork_daemon.routes._face import RouteFace
+from fennelfork_daemon.routes._follower import StoreFollower
+from fennelfork_daemon.routes._pools import ServerPools
+from fennelfork_daemon.routes._registration import Registration
+from fennelfork_daemon.routes._settings import RouteSettings
+
+_MS_PER_SECOND: Final = 1000
+_RETIRE_MS: Final = 5000.0
+# Of 4,100 descriptors 200 are kept for files; a third of the rest for callers.
+_CONNECTIONS: Final = 1300
+
+
+@attrs.frozen(kw_only=True)
+class FaceApplications:
+    """The WSGI applications that an adapter to a platform builds."""
+
+    readiness: Callable[..., Any]
+    entries: Callable[..., Any]
+
+
+@attrs.define(kw_only=True)
+class RouteService:
+    """Everything that one process runs.
+
+    Attributes:
+        board: what it knows.
+        entries: answers callers that ask where to connect.
+    """
+
+    board: RouteBoard
+    entries: RouteEntries
+    _settings: RouteSettings
+    _face: RouteFace
+    _follower: StoreFollower
+    _registration: Registration
+    _pools: ServerPools
+    _stop: StopService
+    _in_progress: InProgress
+    _log: DecisionLog
+
+    def serve(self, faces: FaceApplications) -> int:
+        """Serve until the process is told to stop.
+
+        Args:
+            faces: what else is answered beside the requests of callers.
+
+        Returns:
+            The exit status.
+        """
+        self._stop.listen_to_signals()
+        self._log.tell('started', **attrs.asdict(self._settings))
+        eventlet.spawn_n(self._follower.run)
+        eventlet.spawn_n(self._registration.run)
+        eventlet.spawn_n(self._retire)
+        self._listen(self._settings.readiness, faces.readiness)
+        self._listen(self._settings.entries, faces.entries)
+        callers = self._listen(self._settings.caller, self._counted())
+        status = self._stop.see_through(callers)
+        self._log.tell('stopped', status=status)
+        return status
+
+    def _listen(self, at: Address, application: Callable[..., Any]) -> Any:
+        return eventlet.spawn(
+            serve_face,
+            open_listener(at),
+            application,
+            self.board.limits,
+            _CONNECTIONS,
+        )
+
+    def _counted(self) -> CountedApplication:
+        return CountedApplication(
+            application=self._face,
+            in_progress=self._in_progress,
+            is_leaving=self._stop.is_leaving,
+        )
+
+    def _retire(self) -> None:
+        while True:  # noqa: WPS457  # as long as the daemon runs
+            eventlet.sleep(_RETIRE_MS / _MS_PER_SECOND)
+            self._pools.retire()
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
@@ -0,0 +1,43 @@
+"""What a daemon that serves routes is told at its start."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from fennelfork.routes import RepeatPolicy
+from fennelfork_daemon._address import Address
+
+
+@attrs.frozen(kw_only=True)
+class RouteSettings:
+    """Settings of one daemon that serves routes.
+
+    Attributes:
+        name: of this daemon, unique in the fleet.
+        region: where it runs.
+        data_centre: where it runs, within the region.
+        region_of: the region of each data centre.
+        caller: where it listens for callers.
+        readiness: where it tells whether it is ready.
+        entries: where it tells callers which daemons to use.
+        operator: where it serves its metrics.
+        store: where the platform's store listens.
+        repeats: what all daemons together may repeat.
+        stop_ms: how long a stop may take until the process is killed.
+        longest_ttl_ms: the longest that callers keep an entry answer.
+        least_lease_ms: the shortest lease that the store grants.
+    """
+
+    name: str
+    region: str
+    data_centre: str
+    region_of: Mapping[str, str]
+    caller: Address
+    readiness: Address
+    entries: Address
+    operator: Address | None
+    store: Address
+    repeats: RepeatPolicy
+    stop_ms: float
+    longest_ttl_ms: float
+    least_lease_ms: float
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
@@ -0,0 +1,159 @@
+"""What a daemon that serves routes logs."""
+
+import traceback
+from typing import Any, Final
+
+import attrs
+
+from fennelfork import Clock, Failure, Member
+from fennelfork.routes import BackendServer, RouteTable
+from fennelfork_daemon._log_budget import DecisionLog
+from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
+from fennelfork_daemon.routes._ask import Ask
+from fennelfork_daemon.routes._facts import UnreadableFact
+
+_CLIENT_ERROR: Final = 400
+
+
+@attrs.define(kw_only=True)
+class StoreTelling:
+    """Logs what changes in what the daemon believes."""
+
+    _log: DecisionLog
+    _is_lost: bool = False
+
+    def lost(self, failure: Failure) -> None:
+        """The store was not reached; told once."""
+        if not self._is_lost:
+            self._is_lost = True
+            self._log.tell('store_lost', reason=failure.detail)
+
+    def regained(self, away_ms: float) -> None:
+        """The store is reached again."""
+        self._is_lost = False
+        self._log.tell('store_regained', away_ms=round(away_ms))
+
+    def config_taken(self, table: RouteTable, before: int) -> None:
+        """A version is in force from now on."""
+        self._log.tell(
+            'config_taken',
+            version=table.version,
+            before=before,
+            routes=len(table.routes),
+        )
+
+    def server_seen(
+        self,
+        server: BackendServer,
+        before: BackendServer | None,
+    ) -> None:
+        """A backend server is new, or changed what it says of itself."""
+        if before is not None and before.draining == server.draining:
+            return
+        self._log.tell(
+            'server_seen',
+            server=server.instance,
+            service=server.service,
+            address=server.address,
+            data_centre=server.data_centre,
+            draining=server.draining,
+        )
+
+    def server_gone(self, instance: str) -> None:
+        """A backend server is not used any more."""
+        self._log.tell('server_gone', server=instance)
+
+    def member_seen(self, member: Member) -> None:
+        """Another daemon registered itself."""
+        self._log.tell('daemon_seen', daemon=member.name, at=member.caller)
+
+    def member_gone(self, name: str) -> None:
+        """A daemon is no longer registered."""
+        self._log.tell('daemon_gone', daemon=name)
+
+    def unreadable(self, fact: UnreadableFact) -> None:
+        """An item of the store could not be read; what was known stays."""
+        self._log.tell('item_refused', key=fact.key, reason=fact.problem)
+
+
+@attrs.frozen(kw_only=True)
+class RequestTelling:
+    """Logs what became of requests that did not go as usual."""
+
+    _log: DecisionLog
+    _clock: Clock
+
+    def refused(self, refused: Refused) -> None:
+        """A request was refused before anything was sent."""
+        failure = refused.failure
+        self._log.tell(
+            'request_refused',
+            request=refused.request_id,
+            code=failure.code.value,
+            reason=failure.detail,
+        )
+
+    def defect(self, error: Exception) -> None:
+        """A defect of this program ended a request."""
+        trace = ''.join(traceback.format_exception(error))
+        self._log.tell('defect', error=repr(error), trace=trace)
+
+    def ended(
+        self,
+        ask: Ask,
+        request: Any,
+        answer: Answer,
+        came_ms: float,
+    ) -> None:
+        """A request was answered; told unless all went as usual."""
+        dispatch = request.dispatch
+        took_ms = self._clock.now_ms() - came_ms
+        in_time = took_ms <= dispatch.route.aim_ms
+        usual = not dispatch.hedges and not dispatch.retries and in_time
+        if usual and _is_whole(answer):
+            return
+        self._log.tell(
+            'request_ended',
+            request=ask.request_id,
+            route=dispatch.route.name,
+            took_ms=round(took_ms),
+            aim_ms=dispatch.route.aim_ms,
+            ending=getattr(request.ending, 'value', 'caller_left'),
+            parts=f'{dispatch.included}/{len(dispatch.legs)}',
+            hedges=dispatch.hedges,
+            retries=dispatch.retries,
+            answer=_outcome(answer),
+            missing=_missing(dispatch),
+        )
+
+
+def _is_whole(answer: Answer) -> bool:
+    if isinstance(answer, Merged):
+        return not answer.missing
+    return isinstance(answer, Forwarded) and _is_good(answer)
+
+
+def _is_good(answer: Forwarded) -> bool:
+    return answer.answer.status < _CLIENT_ERROR
+
+
+def _outcome(answer: Answer) -> str:
+    if isinstance(answer, Refused):
+        failure = answer.failure
+        return f'{failure.code.value}, {failure.verdict.value}'
+    if isinstance(answer, Forwarded):
+        return str(answer.answer.status)
+    return 'partial' if answer.missing else 'whole'
+
+
+def _missing(dispatch: Any) -> dict[str, Any]:
+    """Tell of each part that is not in which servers were tried and why."""
+    return {
+        leg.service: {
+            'tried': sorted(leg.tried),
+            'waiting': len(leg.running),
+            'reason': leg.failure.detail,
+        }
+        for leg in dispatch.legs.values()
+        if leg.part is None
+    }
--- a/packages/fennelfork/src/fennelfork/_entries.py
+++ b/packages/fennelfork/src/fennelfork/_entries.py
@@ -56,6 +56,38 @@
     return _with_spare(usable, count)
 
 
+def nearest_entries(
+    caller_region: str,
+    caller_data_centre: str,
+    members: Iterable[Member],
+    most: int,
+    rng: random.Random,
+) -> tuple[Member, ...]:
+    """Choose the daemons that a caller may use in any order.
+
+    A caller that draws among them shall not be sent far away, so farther
+    ones are named only where the nearest distance has a single daemon, whose
+    loss would leave the caller with none.
+
+    Args:
+        caller_region: where the caller is, empty if unknown.
+        caller_data_centre: where the caller is, empty if unknown.
+        members: what is known of the fleet.
+        most: how many to choose at most.
+        rng: draws among them if there are more.
+    """
+    by_distance: dict[int, list[Member]] = {}
+    for member in _usable(members):
+        distance = _distance(member, caller_region, caller_data_centre)
+        by_distance.setdefault(distance, []).append(member)
+    chosen: list[Member] = []
+    for distance in sorted(by_distance):
+        if len(chosen) < _FEWEST_WITH_SPARE:
+            chosen.extend(by_distance[distance])
+    rng.shuffle(chosen)
+    return tuple(chosen[:most])
+
+
 def _usable(members: Iterable[Member]) -> list[Member]:
     known = list(members)
     alive = [member for member in known if member.state is MemberStatus.ALIVE]
--- a/packages/fennelfork/src/fennelfork/_rank.py
+++ b/packages/fennelfork/src/fennelfork/_rank.py
@@ -38,6 +38,7 @@
         slots: slots it has.
         warming: whether it is cold or returns from ejection.
         tried: whether the sub-query was already sent to it.
+        distance_ms: by how much it has to be faster than one nearby.
     """
 
     server: str
@@ -46,6 +47,7 @@
     slots: int
     warming: bool
     tried: bool
+    distance_ms: float = 0
 
 
 def best(
@@ -71,5 +73,5 @@
     A warming server is ranked as if one more sub-query waited there.
     """
     load = (candidate.outstanding + candidate.warming) / candidate.slots
-    expected_ms = candidate.latency_ms * (1 + load)
+    expected_ms = candidate.latency_ms * (1 + load) + candidate.distance_ms
     return (candidate.tried, expected_ms, load)
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -0,0 +1,179 @@
+"""One request on its way: what is sent when, and when to stop waiting."""
+
+import enum
+import math
+from typing import Final, Generic, TypeVar
+
+import attrs
+
+from fennelfork._verdict import Failure, Verdict
+from fennelfork.routes._leg import Leg
+from fennelfork.routes._pace import Pace
+from fennelfork.routes._route import Route, least_parts
+from fennelfork.routes._send import Send
+from fennelfork.routes._sender import DispatchParts, Sender
+
+_Part = TypeVar('_Part')
+
+# The answer travels to the caller for some 3 ms, the request did so as well,
+# and the merge takes some more.
+_ANSWER_MS: Final = 14.0
+# Before the deadline, so that the answer still finds its caller.
+_DEADLINE_MS: Final = 30.0
+
+
+@enum.unique
+class Ending(enum.Enum):
+    """Why a request is not waited for any longer.
+
+    `SETTLED`: every part is in or lost. `PARTIAL`: the aim is reached and the
+    parts that are in suffice. `TIMEOUT`: its time is over.
+    """
+
+    SETTLED = 'settled'
+    PARTIAL = 'partial'
+    TIMEOUT = 'timeout'
+
+
+@attrs.define(kw_only=True)
+class Dispatch(Generic[_Part]):
+    """Drives one request; told what happens, it says what to send.
+
+    Attributes:
+        route: of the request, as it was when the request came.
+        legs: one for each service that it goes to.
+        hedges: copies that were sent because an answer was late.
+        retries: copies that were sent after a failure.
+    """
+
+    route: Route
+    legs: dict[str, Leg[_Part]]
+    hedges: int = 0
+    retries: int = 0
+    _sender: Sender
+    _cut_ms: float
+    _end_ms: float
+
+    @property
+    def included(self) -> int:
+        """How many parts are in."""
+        return sum(leg.part is not None for leg in self.legs.values())
+
+    @property
+    def suffices(self) -> bool:
+        """Whether the parts that are in make a success."""
+        return self.included >= least_parts(self.route.target)
+
+    @property
+    def end_ms(self) -> float:
+        """When its time is over."""
+        return self._end_ms
+
+    def start(self, now_ms: float) -> list[Send]:
+        """Send the first copy to each service."""
+        sends = []
+        for leg in self.legs.values():
+            self._sender.note_request(leg)
+            sends.extend(self._sender.send(leg, now_ms))
+        return sends
+
+    def answered(self, attempt: int, part: _Part) -> None:
+        """Take the answer to a copy; only the first of a service counts."""
+        leg = self._leg_of(attempt)
+        if leg is None:
+            return
+        leg.running.pop(attempt)
+        if leg.part is None:
+            leg.part = part
+
+    def failed(
+        self, attempt: int, failure: Failure, now_ms: float
+    ) -> list[Send]:
+        """Take the failure of a copy, and send another where that is allowed."""
+        leg = self._leg_of(attempt)
+        if leg is None:
+            return []
+        leg.failed(attempt, failure)
+        if leg.part is not None:
+            return []
+        sends = self._resend(leg, failure, now_ms)
+        self.retries += len(sends)
+        leg.abandoned = not sends and not leg.running
+        return sends
+
+    def late(self, now_ms: float) -> list[Send]:
+        """Send second copies where the first is late."""
+        sends = []
+        for leg in self.legs.values():
+            if leg.waiting and now_ms >= leg.hedge_ms:
+                leg.hedge_ms = math.inf
+                sends.extend(self._hedge(leg, now_ms))
+        self.hedges += len(sends)
+        return sends
+
+    def ending(self, now_ms: float) -> Ending | None:
+        """Tell whether and why to stop waiting."""
+        if all(leg.settled for leg in self.legs.values()):
+            return Ending.SETTLED
+        if now_ms >= self._end_ms:
+            return Ending.TIMEOUT
+        if now_ms >= self._cut_ms and self.suffices:
+            return Ending.PARTIAL
+        return None
+
+    def wake_ms(self, now_ms: float) -> float:
+        """Give the next time at which something is due."""
+        due = [leg.hedge_ms for leg in self.legs.values() if leg.waiting]
+        if now_ms < self._cut_ms:
+            due.append(self._cut_ms)
+        return min(self._end_ms, *due) if due else self._end_ms
+
+    def _leg_of(self, attempt: int) -> Leg[_Part] | None:
+        for leg in self.legs.values():
+            if attempt in leg.running:
+                return leg
+        return None
+
+    def _resend(
+        self,
+        leg: Leg[_Part],
+        failure: Failure,
+        now_ms: float,
+    ) -> list[Send]:
+        safe = self.route.idempotent or failure.verdict is Verdict.NOT_RUN
+        if not safe or now_ms >= self._end_ms:
+            return []
+        return self._sender.send(leg, now_ms)
+
+    def _hedge(self, leg: Leg[_Part], now_ms: float) -> list[Send]:
+        if not self.route.idempotent:
+            return []
+        return self._sender.send(leg, now_ms, only_healthy=True)
+
+
+def dispatch(
+    route: Route,
+    services: tuple[str, ...],
+    parts: DispatchParts,
+    pace: Pace,
+    times: tuple[float, float],
+) -> Dispatch[_Part]:
+    """Build the dispatch of one request.
+
+    Args:
+        route: of the request.
+        services: that it goes to.
+        parts: what every dispatch shares.
+        pace: of the route.
+        times: when the request came and how long its caller waits, in
+            milliseconds.
+    """
+    came_ms, left_ms = times
+    kept_ms = min(left_ms, route.timeout_ms)
+    return Dispatch(
+        route=route,
+        legs={service: Leg(service=service) for service in services},
+        sender=Sender(parts=parts, pace=pace, attempts=route.attempts),
+        cut_ms=came_ms + route.aim_ms - _ANSWER_MS,
+        end_ms=came_ms + max(kept_ms - _DEADLINE_MS, 0),
+    )
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -0,0 +1,79 @@
+"""One service's part of one request."""
+
+import math
+from typing import Generic, TypeVar
+
+import attrs
+
+from fennelfork._verdict import Failure, FailureCode, Verdict, not_run
+from fennelfork.routes._send import Send
+
+_Part = TypeVar('_Part')
+
+
+@attrs.define(kw_only=True)
+class Leg(Generic[_Part]):
+    """What was sent to a service, and what came of it.
+
+    Attributes:
+        service: which one.
+        part: the answer that counts, once there is one.
+        running: sends that were not answered, by attempt.
+        tried: instances that the request was sent to.
+        hedge_ms: when to send a second copy.
+        abandoned: whether nothing more is sent.
+        failure: the last failure.
+        runs: backend servers that may have run the request.
+        arrivals: sends that may have reached a backend server.
+    """
+
+    service: str
+    part: _Part | None = None
+    running: dict[int, Send] = attrs.field(factory=dict)
+    tried: set[str] = attrs.field(factory=set)
+    hedge_ms: float = math.inf
+    abandoned: bool = False
+    failure: Failure = not_run(FailureCode.NO_SERVER, 'no server is known')
+    runs: int = 0
+    arrivals: int = 0
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing more is to be expected."""
+        return self.part is not None or (self.abandoned and not self.running)
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it waits for an answer that would count."""
+        return self.part is None and bool(self.running)
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether a server may have run the request."""
+        if self.part is not None:
+            return Verdict.RAN
+        if self.runs:
+            return Verdict.MAY_HAVE_RUN
+        return Verdict.NOT_RUN
+
+    def sent(self, send: Send) -> None:
+        """Note a copy that goes out."""
+        self.running[send.attempt] = send
+        self.tried.add(send.server.instance)
+        self.runs += 1
+        self.arrivals += 1
+
+    def failed(self, attempt: int, failure: Failure) -> None:
+        """Note that a copy was not answered well."""
+        self.running.pop(attempt, None)
+        self.failure = failure
+        if failure.verdict is Verdict.NOT_RUN:
+            self.runs -= 1
+        if failure.code is FailureCode.UNREACHABLE and not self.may_run(
+            failure
+        ):
+            self.arrivals -= 1
+
+    def may_run(self, failure: Failure) -> bool:
+        """Tell whether a failed copy may run all the same."""
+        return failure.verdict is not Verdict.NOT_RUN
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/routes/_send.py
@@ -0,0 +1,22 @@
+"""The order to send one copy of a request to a backend server."""
+
+import attrs
+
+from fennelfork.routes._roster import BackendServer
+
+
+@attrs.frozen(kw_only=True)
+class Send:
+    """What is to be sent now.
+
+    Attributes:
+        attempt: numbers the sends of one daemon.
+        server: where to.
+        repeat: whether the service may have got the request before.
+        sent_ms: the time of the order.
+    """
+
+    attempt: int
+    server: BackendServer
+    repeat: bool
+    sent_ms: float
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -0,0 +1,83 @@
+"""Sends copies of a request within what its route and the budget allow."""
+
+import itertools
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+
+from fennelfork.routes._allowance import Allowances
+from fennelfork.routes._leg import Leg
+from fennelfork.routes._pace import Pace
+from fennelfork.routes._selection import Selection, Selector
+from fennelfork.routes._send import Send
+
+# Copies that surely did not run are sent again at most this often.
+_MOST_SENDS: Final = 6
+
+
+@attrs.frozen(kw_only=True)
+class DispatchParts:
+    """What every dispatch of a daemon shares."""
+
+    selector: Selector
+    allowances: Allowances
+    attempts: Iterator[int] = attrs.field(factory=itertools.count)
+
+
+@attrs.frozen(kw_only=True)
+class Sender:
+    """Decides on the copies of one request.
+
+    Attributes:
+        pace: of its route.
+        attempts: the most servers, of each service, that may run it.
+    """
+
+    pace: Pace
+    attempts: int
+    _parts: DispatchParts
+
+    def note_request(self, leg: Leg[Any]) -> None:
+        """Note the first send to a service."""
+        self._parts.allowances.note_request(leg.service)
+
+    def send(
+        self,
+        leg: Leg[Any],
+        now_ms: float,
+        *,
+        only_healthy: bool = False,
+    ) -> list[Send]:
+        """Send one copy, if a run, a server and the allowance are left.
+
+        Args:
+            leg: the part of the request that the copy is for.
+            now_ms: the time.
+            only_healthy: rather send none than to a server in doubt.
+        """
+        if leg.runs >= self.attempts or len(leg.tried) >= _MOST_SENDS:
+            return []
+        wanted = Selection(
+            service=leg.service,
+            tried=leg.tried,
+            pace=self.pace,
+            only_healthy=only_healthy,
+        )
+        server = self._parts.selector.choose(wanted)
+        repeat = leg.arrivals > 0
+        if server is None or (repeat and not self._paid(leg)):
+            leg.abandoned = not leg.running
+            return []
+        send = Send(
+            attempt=next(self._parts.attempts),
+            server=server,
+            repeat=repeat,
+            sent_ms=now_ms,
+        )
+        leg.sent(send)
+        leg.hedge_ms = now_ms + self.pace.hedge_ms
+        return [send]
+
+    def _paid(self, leg: Leg[Any]) -> bool:
+        return self._parts.allowances.take(leg.service)
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -0,0 +1,91 @@
+"""What this daemon has seen of each backend server."""
+
+import math
+from typing import Final
+
+import attrs
+
+from fennelfork._ejection import Standing
+from fennelfork._rank import ObservedLatency
+
+# A server that got no work is believed to be half way back to the usual
+# speed after this: slow spells of some seconds are the common case.
+_FORGIVE_MS: Final = 2000.0
+_HALF: Final = 0.5
+_LEAST_RATIO: Final = 0.1
+
+
+@attrs.define(kw_only=True)
+class ServerState:
+    """Own observations of one server.
+
+    Attributes:
+        standing: how far it is trusted after failures.
+    """
+
+    standing: Standing = attrs.field(factory=Standing)
+    _sent_ms: dict[int, float] = attrs.field(factory=dict)
+    _busy_since_ms: float = math.inf
+    _heard_ms: float = -math.inf
+    _sampled_ms: float = -math.inf
+    _slowness: ObservedLatency = attrs.field(
+        factory=lambda: ObservedLatency(mean_ms=1),
+    )
+
+    @property
+    def outstanding(self) -> int:
+        """How many requests of this daemon it has not answered."""
+        return len(self._sent_ms)
+
+    def sent(self, attempt: int, now_ms: float) -> None:
+        """Note a request."""
+        if not self._sent_ms:
+            self._busy_since_ms = now_ms
+        self._sent_ms[attempt] = now_ms
+
+    def heard(self, attempt: int, now_ms: float) -> None:
+        """Note the answer to a request, good or bad."""
+        self._sent_ms.pop(attempt, None)
+        self._heard_ms = now_ms
+
+    def lost(self, attempt: int) -> None:
+        """Note that a request is no longer waited for."""
+        self._sent_ms.pop(attempt, None)
+
+    def silent_ms(self, now_ms: float) -> float:
+        """Tell for how long it has answered nothing while it had work."""
+        if not self._sent_ms:
+            return 0
+        return now_ms - max(self._busy_since_ms, self._heard_ms)
+
+    def sample(self, ratio: float, now_ms: float) -> None:
+        """Note how long a request took, as a multiple of the usual time."""
+        self._slowness.mean_ms = self.slowness(now_ms)
+        self._slowness.record(max(_LEAST_RATIO, ratio))
+        self._sampled_ms = now_ms
+
+    def slowness(self, now_ms: float) -> float:
+        """Give how slow it is as a multiple of the usual, 1 if unknown."""
+        age = (now_ms - self._sampled_ms) / _FORGIVE_MS
+        left: float = _HALF**age
+        return 1 + (self._slowness.mean_ms - 1) * left
+
+
+@attrs.define(kw_only=True)
+class ServerStates:
+    """The states of all servers, by their instance."""
+
+    _states: dict[str, ServerState] = attrs.field(factory=dict)
+
+    def of(self, instance: str) -> ServerState:
+        """Give the state of a server, a fresh one if it is new."""
+        state = self._states.get(instance)
+        if state is None:
+            state = ServerState()
+            self._states[instance] = state
+        return state
+
+    def keep(self, instances: set[str]) -> None:
+        """Forget all other servers."""
+        for instance in self._states.keys() - instances:
+            self._states.pop(instance)
