Reload on SIGHUP, metrics, bounded logs that never block, less memory

Change: the settings file is read again after SIGHUP, what may change while running changes and the log names the rest; counters and a latency histogram a route under /metrics of the operators' address, and a counter beside each kind of log line; lines are dropped rather than waited for, and counted. asyncio (4.6 MB, imported by eventlet.patcher and structlog for hubs and methods that are never used) and docstrings (1.6 MB, -OO) stay out of the process.

--- a/Makefile
+++ b/Makefile
@@ -11,9 +11,9 @@
 test: lint unit
 
 lint: .venv/.installed
-	$(PY) -m ruff format --check packages platform
-	$(PY) -m ruff check packages platform
-	$(PY) -m flake8 packages platform
+	$(PY) -m ruff format --check packages platform tests
+	$(PY) -m ruff check packages platform tests
+	$(PY) -m flake8 packages platform tests
 	$(PY) -m mypy packages/fennelfork/src
 	PYTHONPATH=platform .venv/bin/lint-imports
 
@@ -30,8 +30,8 @@
 	$(PY) -m fennelfork_bench soak --seed $(SEED) --minutes $(MINUTES)
 
 format: .venv/.installed
-	$(PY) -m ruff format packages platform
-	$(PY) -m ruff check --fix packages platform
+	$(PY) -m ruff format packages platform tests
+	$(PY) -m ruff check --fix packages platform tests
 
 modules: .venv/.installed
 	$(PY) -m fennelfork_bench.modules
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,8 +13,12 @@
 for source in packages/fennelfork/src/fennelfork \
     packages/fennelfork-daemon/src/fennelfork_daemon \
     platform/fennelfork_platform; do
-    rm -rf "$deps/$(basename "$source")"
-    cp -R "$source" "$deps/"
+    # What is the same stays in place: daemons of another run may start from it.
+    if ! diff -rq -x __pycache__ "$source" "$deps/$(basename "$source")" \
+        >/dev/null 2>&1; then
+        rm -rf "$deps/$(basename "$source")"
+        cp -R "$source" "$deps/"
+    fi
 done
 # The run may not write there, so everything is compiled now.
-python3 -m compileall -q "$deps" || true
+python3 -m compileall -q -o 2 "$deps" || true
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
@@ -14,6 +14,11 @@
 
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
-import eventlet  # noqa: E402  # after the filter above, which it needs
+from fennelfork_daemon._left_out import (  # noqa: E402  # after the filter
+    asyncio_left_out,
+)
+
+with asyncio_left_out():
+    import eventlet
 
 eventlet.monkey_patch()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_log_budget.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_log_budget.py
@@ -1,5 +1,6 @@
 """A log of decisions whose volume is bounded."""
 
+from collections.abc import Callable
 from typing import Any, Final
 
 import attrs
@@ -19,6 +20,7 @@
 
     _logger: Any
     _clock: Clock
+    _count: Callable[[str, bool], None]
     _budgets: dict[str, CallBudget] = attrs.field(factory=dict)
     _dropped: dict[str, int] = attrs.field(factory=dict)
 
@@ -36,7 +38,9 @@
         if budget is None:
             budget = call_budget(self._clock, _PER_SECOND, _BURST)
             self._budgets[event] = budget
-        if not budget.take():
+        logged = budget.take()
+        self._count(event, logged)
+        if not logged:
             self._dropped[event] = self._dropped.get(event, 0) + 1
             return False
         dropped = self._dropped.pop(event, 0)
@@ -46,11 +50,20 @@
         return True
 
 
-def decision_log(clock: Clock, **facts: Any) -> DecisionLog:
+def decision_log(
+    clock: Clock,
+    count: Callable[[str, bool], None],
+    **facts: Any,
+) -> DecisionLog:
     """Build a log of decisions.
 
     Args:
         clock: bounds the rate.
+        count: told the kind of each decision, and whether it was logged.
         facts: what stands in each line, such as the daemon's name.
     """
-    return DecisionLog(logger=structlog.get_logger(**facts), clock=clock)
+    return DecisionLog(
+        logger=structlog.get_logger(**facts),
+        clock=clock,
+        count=count,
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_logs.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_logs.py
@@ -1,32 +1,17 @@
 """Log lines, written only where a state changes."""
 
-import sys
-from collections.abc import Iterator
-from contextlib import contextmanager
 from typing import Any, Final, TextIO
 
 import attrs
 
+from fennelfork_daemon._left_out import asyncio_left_out, left_out
 from fennelfork_daemon._settings_tables import LogFormat, LogSettings
 
-_RICH: Final = 'rich'
 _MOST_SUBJECTS: Final = 1024
 
 
-@contextmanager
-def _without_rich() -> Iterator[None]:
-    """Let structlog find no rich, which would cost 3.5 MB of memory."""
-    loaded = sys.modules.get(_RICH)
-    sys.modules[_RICH] = None  # type: ignore[assignment]
-    try:
-        yield
-    finally:
-        sys.modules.pop(_RICH)
-        if loaded is not None:
-            sys.modules[_RICH] = loaded
-
-
-with _without_rich():
+# rich would cost 3.5 MB of memory.
+with left_out('rich'), asyncio_left_out():
     import structlog
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork import Clock, Member
+from fennelfork import Clock, Member, MemberStatus, wall_clock
 from fennelfork.routes import (
     ConnectionShares,
     FleetSize,
@@ -14,6 +14,7 @@
     ServerStates,
 )
 from fennelfork_daemon._wsgi_protocol import ConnectionLimits
+from fennelfork_daemon.routes._settings import RouteSettings
 
 # Until the limits of the first configuration are known.
 _HEADER_BYTES: Final = 16_384
@@ -53,17 +54,11 @@
         return self.table is not None and not self.leaving
 
 
-def route_board(local: Member, clock: Clock, window_ms: float) -> RouteBoard:
-    """Build the board of a daemon that knows nothing yet.
-
-    Args:
-        local: this daemon.
-        clock: of the daemon.
-        window_ms: how long a daemon that left still counts.
-    """
-    fleet = FleetSize(clock=clock, window_ms=window_ms)
+def route_board(settings: RouteSettings, clock: Clock) -> RouteBoard:
+    """Build the board of a daemon that knows nothing yet."""
+    fleet = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
     return RouteBoard(
-        local=local,
+        local=_local(settings),
         members=Registry(clock=clock),
         fleet=fleet,
         roster=Roster(registry=Registry(clock=clock)),
@@ -75,3 +70,17 @@
             idle_ms=_IDLE_MS,
         ),
     )
+
+
+def _local(settings: RouteSettings) -> Member:
+    return Member(
+        name=settings.name,
+        incarnation=int(wall_clock().now_ms()),
+        state=MemberStatus.ALIVE,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        caller=str(settings.caller),
+        operator='',
+        peer='',
+        config_version=1,
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_foundation.py
@@ -0,0 +1,43 @@
+"""What the parts of a daemon that serves routes are built on."""
+
+import attrs
+
+from fennelfork import Clock, system_clock
+from fennelfork.routes import Allowances, allowances
+from fennelfork_daemon._log_budget import DecisionLog, decision_log
+from fennelfork_daemon.routes._board import RouteBoard, route_board
+from fennelfork_daemon.routes._metrics import RouteMetrics, route_metrics
+from fennelfork_daemon.routes._pools import ServerPools
+from fennelfork_daemon.routes._ports import Ports
+from fennelfork_daemon.routes._settings import RouteSettings
+
+
+@attrs.frozen(kw_only=True)
+class Foundation:
+    """What the parts of one daemon are built on."""
+
+    settings: RouteSettings
+    ports: Ports
+    clock: Clock
+    board: RouteBoard
+    pools: ServerPools
+    allowed: Allowances
+    metrics: RouteMetrics
+    log: DecisionLog
+
+
+def foundation(settings: RouteSettings, ports: Ports) -> Foundation:
+    """Build it for a daemon that knows nothing yet."""
+    clock = system_clock()
+    board = route_board(settings, clock)
+    metrics = route_metrics()
+    return Foundation(
+        settings=settings,
+        ports=ports,
+        clock=clock,
+        board=board,
+        pools=ServerPools(clock=clock, shares=board.shares),
+        allowed=allowances(settings.repeats, clock, board.fleet),
+        metrics=metrics,
+        log=decision_log(clock, metrics.count_decision, daemon=settings.name),
+    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -0,0 +1,147 @@
+"""Metrics of a daemon that serves routes."""
+
+from typing import Final
+
+import attrs
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from fennelfork.routes import RouteTable
+from fennelfork_daemon._http_router import (
+    HttpReply,
+    HttpRequest,
+    Route,
+    Router,
+    router,
+)
+from fennelfork_daemon._metrics_labels import KnownNames
+
+_METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
+_MS_PER_SECOND: Final = 1000
+_OK: Final = 200
+# Routes and services with series of their own; one child takes 3.7 KB.
+_MOST_NAMES: Final = 64
+# Around the aims of 0.1 to 1 s and the timeouts of 2 to 15 s.
+_SECONDS: Final = (0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1, 2, 4, 15)
+
+
+@attrs.frozen(kw_only=True)
+class RequestFacts:
+    """One request that was answered, as it is counted.
+
+    Attributes:
+        route: its name.
+        outcome: what the caller got: `whole`, `partial` or a failure code.
+        took_ms: from reading the request to its answer.
+        hedges: second copies of late calls.
+        retries: calls made again after a failure.
+        missing: services whose part is not in.
+    """
+
+    route: str
+    outcome: str
+    took_ms: float
+    hedges: int
+    retries: int
+    missing: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class RouteMetrics:
+    """All metrics, with bounded labels."""
+
+    _registry: CollectorRegistry
+    _routes: KnownNames
+    _services: KnownNames
+    _latency: Histogram
+    _answers: Counter
+    _extra: Counter
+    _missing: Counter
+    _decisions: Counter
+
+    def follow(self, table: RouteTable) -> None:
+        """Take the names that may be labels from the routes in force."""
+        self._routes.allow(route.name for route in table.routes)
+        self._services.allow(table.services)
+
+    def observe(self, facts: RequestFacts) -> None:
+        """Count one answered request."""
+        route = self._routes.label(facts.route)
+        self._latency.labels(route).observe(facts.took_ms / _MS_PER_SECOND)
+        self._answers.labels(route, facts.outcome).inc()
+        self._extra.labels(route, 'hedge').inc(facts.hedges)
+        self._extra.labels(route, 'retry').inc(facts.retries)
+        for service in facts.missing:
+            self._missing.labels(self._services.label(service)).inc()
+
+    def count_decision(self, event: str, logged: bool) -> None:
+        """Count a decision of the log, whether its line was written or not."""
+        self._decisions.labels(event, 'yes' if logged else 'no').inc()
+
+    def face(self) -> Router:
+        """Build the face that serves these metrics."""
+        handler = self._page
+        return router((Route(method='GET', path='/metrics', handler=handler),))
+
+    def _page(self, request: HttpRequest) -> HttpReply:
+        return HttpReply(
+            status=_OK,
+            headers=(('Content-Type', _METRICS_TYPE),),
+            body=generate_latest(self._registry),
+        )
+
+
+def route_metrics() -> RouteMetrics:
+    """Build the metrics of one daemon, in a registry of their own."""
+    registry = CollectorRegistry()
+    ProcessCollector(registry=registry)
+    return RouteMetrics(
+        registry=registry,
+        routes=KnownNames(most=_MOST_NAMES),
+        services=KnownNames(most=_MOST_NAMES),
+        latency=Histogram(
+            'fennelfork_route_latency_seconds',
+            'From reading a request to its answer.',
+            ('route',),
+            buckets=_SECONDS,
+            registry=registry,
+        ),
+        answers=_counter(
+            registry,
+            'fennelfork_route_answers',
+            'Answered requests by what their caller got.',
+            ('route', 'outcome'),
+        ),
+        extra=_counter(
+            registry,
+            'fennelfork_route_extra_calls',
+            'Calls of backend servers beyond the first of each service.',
+            ('route', 'reason'),
+        ),
+        missing=_counter(
+            registry,
+            'fennelfork_missing_parts',
+            'Parts that an answer went out without.',
+            ('service',),
+        ),
+        decisions=_counter(
+            registry,
+            'fennelfork_decisions',
+            'Decisions by kind, and whether a log line was written.',
+            ('event', 'logged'),
+        ),
+    )
+
+
+def _counter(
+    registry: CollectorRegistry,
+    name: str,
+    text: str,
+    labels: tuple[str, ...],
+) -> Counter:
+    return Counter(name, text, labels, registry=registry)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
@@ -0,0 +1,65 @@
+"""Takes changed settings while the daemon runs."""
+
+import signal
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import eventlet
+from returns.result import Result, Success
+
+from fennelfork.routes import Allowances
+from fennelfork_daemon._log_budget import DecisionLog
+from fennelfork_daemon.routes._settings import RouteSettings
+
+# How soon after the signal the file is read.
+_LOOK_S = 0.5
+
+ReadSettings = Callable[[], Result[RouteSettings, str]]
+
+
+@attrs.define(kw_only=True)
+class SettingsReload:
+    """Reads the settings file again when it is told to.
+
+    The budget of repeats changes at once. Addresses and places of a running
+    daemon stay as they are until it starts again, which the log says.
+    """
+
+    _settings: RouteSettings
+    _allowances: Allowances
+    _read: ReadSettings
+    _log: DecisionLog
+    _asked: bool = False
+
+    def listen_to_signal(self) -> None:
+        """Read the file again after each SIGHUP."""
+        signal.signal(signal.SIGHUP, self._on_signal)
+
+    def run(self) -> None:
+        """Wait for signals until the process ends."""
+        while True:  # noqa: WPS457  # as long as the daemon runs
+            eventlet.sleep(_LOOK_S)
+            if self._asked:
+                self._asked = False
+                self.reload()
+
+    def reload(self) -> None:
+        """Read the file and take what may change while running."""
+        read = self._read()
+        if not isinstance(read, Success):
+            self._log.tell('reload_refused', reason=read.failure())
+            return
+        found = read.unwrap()
+        changed = [
+            field.name
+            for field in attrs.fields(RouteSettings)
+            if getattr(found, field.name) != getattr(self._settings, field.name)
+        ]
+        self._allowances.policy = found.repeats
+        self._settings = found
+        self._log.tell('reloaded', changed=changed)
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        # The file is read by the green thread: nothing else is safe here.
+        self._asked = True
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -15,8 +15,10 @@
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._face import RouteFace
 from fennelfork_daemon.routes._follower import StoreFollower
+from fennelfork_daemon.routes._metrics import RouteMetrics
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._registration import Registration
+from fennelfork_daemon.routes._reload import SettingsReload
 from fennelfork_daemon.routes._settings import RouteSettings
 
 _MS_PER_SECOND: Final = 1000
@@ -46,10 +48,12 @@
     entries: RouteEntries
     _settings: RouteSettings
     _face: RouteFace
+    _metrics: RouteMetrics
     _follower: StoreFollower
     _registration: Registration
     _pools: ServerPools
     _stop: StopService
+    _reload: SettingsReload
     _in_progress: InProgress
     _log: DecisionLog
 
@@ -63,17 +67,28 @@
             The exit status.
         """
         self._stop.listen_to_signals()
+        self._reload.listen_to_signal()
         self._log.tell('started', **attrs.asdict(self._settings))
-        eventlet.spawn_n(self._follower.run)
-        eventlet.spawn_n(self._registration.run)
-        eventlet.spawn_n(self._retire)
+        self._follow()
         self._listen(self._settings.readiness, faces.readiness)
         self._listen(self._settings.entries, faces.entries)
+        if self._settings.operator is not None:
+            self._listen(self._settings.operator, self._metrics.face())
         callers = self._listen(self._settings.caller, self._counted())
         status = self._stop.see_through(callers)
         self._log.tell('stopped', status=status)
         return status
 
+    def _follow(self) -> None:
+        """Start what keeps the daemon up to date."""
+        for run in (
+            self._follower.run,
+            self._registration.run,
+            self._reload.run,
+            self._retire,
+        ):
+            eventlet.spawn_n(run)
+
     def _listen(self, at: Address, application: Callable[..., Any]) -> Any:
         return eventlet.spawn(
             serve_face,
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -0,0 +1,34 @@
+"""The graceful stop of a daemon that serves routes."""
+
+from typing import Final
+
+from fennelfork import Clock, StopPolicy
+from fennelfork_daemon._in_progress import InProgress
+from fennelfork_daemon._logs import state_log
+from fennelfork_daemon._stop_service import StopService, stop_service
+from fennelfork_daemon.routes._entries import ENTRY_TTL_MS
+from fennelfork_daemon.routes._registration import Registration
+from fennelfork_daemon.routes._settings import RouteSettings
+
+# Some callers keep an entry answer three times as long as it says.
+_TTL_FACTOR: Final = 3
+# Telling the store takes some ms; while it is away, others notice by the lease.
+_ANNOUNCE_MS: Final = 700.0
+# Before the process would be killed, so that it ends by itself.
+_STOP_MARGIN_MS: Final = 500.0
+
+
+def route_stop(
+    settings: RouteSettings,
+    clock: Clock,
+    registration: Registration,
+    in_progress: InProgress,
+) -> StopService:
+    """Build the stop: leave the store, serve on for a while, then end."""
+    policy = StopPolicy(
+        entry_ttl_ms=_TTL_FACTOR * ENTRY_TTL_MS,
+        stop_ms=settings.stop_ms - _STOP_MARGIN_MS,
+        announce_ms=_ANNOUNCE_MS,
+    )
+    log = state_log(daemon=settings.name)
+    return stop_service(policy, clock, registration, in_progress, log)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
@@ -11,6 +11,7 @@
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._ask import Ask
 from fennelfork_daemon.routes._facts import UnreadableFact
+from fennelfork_daemon.routes._metrics import RequestFacts, RouteMetrics
 
 _CLIENT_ERROR: Final = 400
 
@@ -20,6 +21,7 @@
     """Logs what changes in what the daemon believes."""
 
     _log: DecisionLog
+    _metrics: RouteMetrics
     _is_lost: bool = False
 
     def lost(self, failure: Failure) -> None:
@@ -35,6 +37,7 @@
 
     def config_taken(self, table: RouteTable, before: int) -> None:
         """A version is in force from now on."""
+        self._metrics.follow(table)
         self._log.tell(
             'config_taken',
             version=table.version,
@@ -78,10 +81,11 @@
 
 @attrs.frozen(kw_only=True)
 class RequestTelling:
-    """Logs what became of requests that did not go as usual."""
+    """Counts requests, and logs those that did not go as usual."""
 
     _log: DecisionLog
     _clock: Clock
+    _metrics: RouteMetrics
 
     def refused(self, refused: Refused) -> None:
         """A request was refused before anything was sent."""
@@ -108,6 +112,16 @@
         """A request was answered; told unless all went as usual."""
         dispatch = request.dispatch
         took_ms = self._clock.now_ms() - came_ms
+        self._metrics.observe(
+            RequestFacts(
+                route=dispatch.route.name,
+                outcome=_outcome(answer),
+                took_ms=took_ms,
+                hedges=dispatch.hedges,
+                retries=dispatch.retries,
+                missing=tuple(_missing(dispatch)),
+            ),
+        )
         in_time = took_ms <= dispatch.route.aim_ms
         usual = not dispatch.hedges and not dispatch.retries and in_time
         if usual and _is_whole(answer):
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_decision_log.py
@@ -0,0 +1,76 @@
+"""Log lines of decisions: bounded, and never waited for."""
+
+import io
+import json
+import os
+
+import structlog
+
+from fennelfork import ManualTime, manual_clock
+from fennelfork_daemon._log_budget import decision_log
+from fennelfork_daemon._log_sink import non_blocking_sink
+from fennelfork_daemon._logs import configure_logs
+from fennelfork_daemon._settings_tables import LogSettings
+
+
+class TestDecisionLog:
+    """One line a decision, up to a rate for each kind."""
+
+    def test_bounded(self) -> None:
+        """What is dropped is counted, and said in the next line."""
+        stream = io.StringIO()
+        configure_logs(LogSettings(), stream)
+        time = ManualTime()
+        counted: list[bool] = []
+        log = decision_log(
+            manual_clock(time),
+            lambda event, logged: counted.append(logged),
+            daemon='vm-1',
+        )
+        for _ in range(60):
+            log.tell('hedged', request='r')
+        log.tell('refused')
+        time.advance(1000)
+        log.tell('hedged', request='r')
+        structlog.reset_defaults()
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        assert len(lines) == 52
+        assert lines[-1]['dropped_before'] == 10
+        assert lines[-1]['daemon'] == 'vm-1'
+        assert (counted.count(True), counted.count(False)) == (52, 10)
+
+
+class TestNonBlockingSink:
+    """A reader that stalls or goes away stops nothing."""
+
+    def test_full_pipe(self) -> None:
+        """Lines wait, then are dropped; what is read is whole lines."""
+        reader, writer = os.pipe()
+        sink = non_blocking_sink(writer)
+        line = f'{"x" * 1023}\n'
+        for _ in range(1000):
+            sink.write(line)
+            sink.flush()
+        assert sink.dropped > 500
+        received = b''
+        os.set_blocking(reader, False)
+        while chunk := _read(reader):
+            received += chunk
+            sink.flush()
+        assert received == line.encode() * (1000 - sink.dropped)
+
+    def test_closed_pipe(self) -> None:
+        """A closed pipe drops lines and raises nothing."""
+        reader, writer = os.pipe()
+        os.close(reader)
+        sink = non_blocking_sink(writer)
+        sink.write('a line\n')
+        sink.flush()
+        assert sink.dropped == 1
+
+
+def _read(descriptor: int) -> bytes:
+    try:
+        return os.read(descriptor, 65_536)
+    except BlockingIOError:
+        return b''
--- a/packages/fennelfork/src/fennelfork/routes/_allowance.py
+++ b/packages/fennelfork/src/fennelfork/routes/_allowance.py
@@ -50,9 +50,13 @@
 
 @attrs.define(kw_only=True)
 class Allowances:
-    """Counts requests and repeats of each service."""
+    """Counts requests and repeats of each service.
 
-    _policy: RepeatPolicy
+    Attributes:
+        policy: what all daemons together may repeat.
+    """
+
+    policy: RepeatPolicy
     _clock: Clock
     _fleet: FleetSize
     _began_ms: float
@@ -71,7 +75,7 @@
         return True
 
     def _allowed(self, tally: _Tally) -> float:
-        return self._policy.ratio * len(tally.requests) + self._fixed()
+        return self.policy.ratio * len(tally.requests) + self._fixed()
 
     def _fixed(self) -> float:
         """Give this daemon's part of the fixed number.
@@ -80,13 +84,13 @@
         used its part before it was started again.
         """
         age_ms = self._clock.now_ms() - self._began_ms
-        if age_ms < self._policy.window_ms or not self._fleet.known:
+        if age_ms < self.policy.window_ms or not self._fleet.known:
             return 0
-        return _MARGIN * self._policy.fixed / self._fleet.most
+        return _MARGIN * self.policy.fixed / self._fleet.most
 
     def _tally(self, service: str) -> _Tally:
         tally = self._tallies.setdefault(service, _Tally())
-        tally.forget(self._clock.now_ms() - self._policy.window_ms)
+        tally.forget(self._clock.now_ms() - self.policy.window_ms)
         return tally
 
 
--- a/platform/tests/test_shadow.py
+++ b/tests/test_platform_shadow.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 
-_ROOT = pathlib.Path(__file__).parents[2]
+_ROOT = pathlib.Path(__file__).parents[1]
 _NAMES = re.compile(
     r'X-(Request-Id|Deadline-Ms|Server-Stamp|Part-Stamps|Parts-Missing'
     '|Expect-Instance|Not-Executed)|/-/|FENNELFORK_NODE_FILE'
