A daemon that starts while the store is silent asks again sooner

The absence was also counted from the failure and not from the last contact, so entries that lapsed during such a silence were not kept. Contact with the store is noted by all calls together, and only two missed renewals count as an absence: a watch whose connection broke alone does not hold back the news that a server is gone.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -6,6 +6,7 @@
 from fennelfork_daemon._in_progress import InProgress
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._caller_calls import CallParts
+from fennelfork_daemon.routes._contact import StoreContact, store_contact
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._face import RouteFace
 from fennelfork_daemon.routes._follower import StoreFollower
@@ -32,12 +33,13 @@
         read_settings: reads them again when they have changed.
     """
     base = foundation(settings, ports)
-    follower = _follower(base)
+    telling = StoreTelling(log=base.log, metrics=base.metrics)
+    contact = store_contact(base.board, base.clock, telling)
     registration = Registration(
         store=ports.store,
         board=base.board,
         least_lease_ms=settings.least_lease_ms,
-        on_miss=follower.missed,
+        contact=contact,
     )
     in_progress = InProgress()
     return RouteService(
@@ -46,7 +48,7 @@
         settings=settings,
         face=_face(base, _calls(base)),
         metrics=base.metrics,
-        follower=follower,
+        follower=_follower(base, telling, contact),
         registration=registration,
         pools=base.pools,
         stop=route_stop(settings, base.clock, registration, in_progress),
@@ -61,14 +63,15 @@
     )
 
 
-def _follower(base: Foundation) -> StoreFollower:
-    telling = StoreTelling(log=base.log, metrics=base.metrics)
+def _follower(
+    base: Foundation,
+    telling: StoreTelling,
+    contact: StoreContact,
+) -> StoreFollower:
     return StoreFollower(
         store=base.ports.store,
-        board=base.board,
-        clock=base.clock,
+        contact=contact,
         taker=FactTaker(board=base.board, telling=telling, pools=base.pools),
-        telling=telling,
         rng=random.Random(),
     )
 
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
@@ -0,0 +1,57 @@
+"""Whether the store is reached, by all calls of this daemon together."""
+
+from typing import Final
+
+import attrs
+
+from fennelfork import Clock, Failure
+from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._telling import StoreTelling
+
+# Two renewals missed: registrations may have lapsed meanwhile. A watch whose
+# connection broke alone is no absence.
+_ABSENCE_MS: Final = 1500.0
+
+
+@attrs.define(kw_only=True)
+class StoreContact:
+    """Notes calls that reached the store, and those that did not."""
+
+    _board: RouteBoard
+    _clock: Clock
+    _telling: StoreTelling
+    _reached_ms: float
+    _lost: bool = False
+
+    def missed(self, failure: Failure) -> None:
+        """Note a call that did not reach the store, or was turned away."""
+        if not self._lost:
+            self._lost = True
+            self._telling.lost(failure)
+
+    def reached(self) -> None:
+        """Note a call that was answered."""
+        now_ms = self._clock.now_ms()
+        away_ms = now_ms - self._reached_ms
+        self._reached_ms = now_ms
+        if not self._lost:
+            return
+        self._lost = False
+        self._telling.regained(away_ms)
+        if away_ms >= _ABSENCE_MS:
+            self._board.roster.registry.hold()
+            self._board.members.hold()
+
+
+def store_contact(
+    board: RouteBoard,
+    clock: Clock,
+    telling: StoreTelling,
+) -> StoreContact:
+    """Build the contact of a daemon that starts now."""
+    return StoreContact(
+        board=board,
+        clock=clock,
+        telling=telling,
+        reached_ms=clock.now_ms(),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -7,19 +7,22 @@
 import attrs
 import eventlet
 from returns.pipeline import is_successful
+from returns.result import Result
 
-from fennelfork import Backoff, Clock, Failure
+from fennelfork import Backoff, Failure
 from fennelfork_daemon.routes._apply import FactTaker
-from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._contact import StoreContact
 from fennelfork_daemon.routes._ports import Changes, HistoryGone, Listing, Store
-from fennelfork_daemon.routes._telling import StoreTelling
 
 _MS_PER_SECOND: Final = 1000
 # Changes that come within this time are fetched by one call; far below the
 # seconds in which a change has to be in force.
 _GATHER_MS: Final = 300.0
-# After an absence of this length leases may have lapsed meanwhile.
-_ABSENCE_MS: Final = 800.0
+# The store answers a read within some 10 ms, and sixty times that when slow;
+# a read that began while it was silent is not waited for. Each failure doubles
+# the time, up to one at which any list has arrived.
+_FIRST_READ_MS: Final = 400.0
+_LAST_READ_MS: Final = 4000.0
 # The store is back within seconds, and every refused call costs.
 _BACKOFF_BASE_MS: Final = 150.0
 _BACKOFF_CAP_MS: Final = 800.0
@@ -34,14 +37,11 @@
     """Reads the store once, then waits for its changes."""
 
     _store: Store
-    _board: RouteBoard
-    _clock: Clock
+    _contact: StoreContact
     _taker: FactTaker
-    _telling: StoreTelling
     _rng: random.Random
     _revision: int | None = None
     _failures: int = 0
-    _away_since_ms: float | None = None
 
     def run(self) -> None:
         """Follow the store until the process ends."""
@@ -55,19 +55,14 @@
         Returns:
             How long to wait before the next.
         """
-        if self._revision is None:
-            called = self._store.read_all()
-        else:
-            called = self._store.changes(self._revision)
+        called = self._call()
         if not is_successful(called):
-            return self._missed(called.failure())
-        self._reached()
-        return self._take(called.unwrap())
-
-    def missed(self) -> None:
-        """Note that another call of this daemon did not reach the store."""
-        if self._away_since_ms is None:
-            self._away_since_ms = self._clock.now_ms()
+            self._failures += 1
+            self._contact.missed(called.failure())
+            return _BACKOFF.delay_ms(self._failures, self._rng)
+        self._failures = 0
+        self._contact.reached()
+        return _taken(called.unwrap(), self)
 
     def take_all(self, listing: Listing) -> None:
         """Take a whole listing in place of what was known."""
@@ -83,25 +78,11 @@
         """Read everything again at the next step."""
         self._revision = None
 
-    def _missed(self, failure: Failure) -> float:
-        self._failures += 1
-        self.missed()
-        self._telling.lost(failure)
-        return _BACKOFF.delay_ms(self._failures, self._rng)
-
-    def _reached(self) -> None:
-        self._failures = 0
-        if self._away_since_ms is None:
-            return
-        away_ms = self._clock.now_ms() - self._away_since_ms
-        self._away_since_ms = None
-        self._telling.regained(away_ms)
-        if away_ms >= _ABSENCE_MS:
-            self._board.roster.registry.hold()
-            self._board.members.hold()
-
-    def _take(self, found: Listing | Changes | HistoryGone) -> float:
-        return _taken(found, self)
+    def _call(self) -> Result[Listing | Changes | HistoryGone, Failure]:
+        if self._revision is not None:
+            return self._store.changes(self._revision)
+        patience_ms = _FIRST_READ_MS * 2**self._failures
+        return self._store.read_all(min(_LAST_READ_MS, patience_ms))
 
 
 @functools.singledispatch
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -43,8 +43,8 @@
 class Store(Protocol):
     """The platform's store, as far as this daemon uses it."""
 
-    def read_all(self) -> Result[Listing, Failure]:
-        """Read everything, linearizably."""
+    def read_all(self, timeout_ms: float) -> Result[Listing, Failure]:
+        """Read everything, linearizably; each page within a time."""
 
     def changes(self, after: int) -> Result[Changes | HistoryGone, Failure]:
         """Wait for changes after a revision; none may come in time."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -1,7 +1,6 @@
 """Keeps this daemon registered in the store while it is ready."""
 
-from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeVar
 
 import attrs
 import eventlet
@@ -10,6 +9,7 @@
 
 from fennelfork import Failure
 from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._contact import StoreContact
 from fennelfork_daemon.routes._ports import Store
 
 _MS_PER_SECOND: Final = 1000
@@ -19,6 +19,8 @@
 # A lost renewal or two do not end the lease.
 _RENEW_MS: Final = 700.0
 
+_Got = TypeVar('_Got')
+
 
 @attrs.define(kw_only=True)
 class Registration:
@@ -27,7 +29,7 @@
     _store: Store
     _board: RouteBoard
     _least_lease_ms: float
-    _on_miss: Callable[[], None]
+    _contact: StoreContact
     _lease: int | None = None
     _ended: bool = False
 
@@ -48,7 +50,7 @@
             return
         if self._lease is None:
             self._register()
-        elif not self._reached(self._store.renew(self._lease)):
+        elif not self._still_runs(self._lease):
             self._lease = None
             self._register()
 
@@ -64,21 +66,25 @@
 
     def _register(self) -> None:
         ttl_ms = max(self._least_lease_ms, _LEASE_MS)
-        opened = self._store.open_lease(ttl_ms)
+        opened = self._noted(self._store.open_lease(ttl_ms))
         if not is_successful(opened):
-            self._on_miss()
             return
         lease = opened.unwrap()
-        made = self._store.register(self._board.local, lease)
+        made = self._noted(self._store.register(self._board.local, lease))
         if is_successful(made) and made.unwrap():
             self._lease = lease
 
-    def _reached(self, renewed: Result[bool, Failure]) -> bool:
-        """Tell whether the lease may still run."""
-        if is_successful(renewed):
-            return bool(renewed.unwrap())
-        self._on_miss()
-        return True
+    def _still_runs(self, lease: int) -> bool:
+        """Renew a lease; tell whether it may still run."""
+        renewed = self._noted(self._store.renew(lease))
+        return not is_successful(renewed) or renewed.unwrap()
+
+    def _noted(self, called: Result[_Got, Failure]) -> Result[_Got, Failure]:
+        if is_successful(called):
+            self._contact.reached()
+        else:
+            self._contact.missed(called.failure())
+        return called
 
     def _end(self) -> None:
         if self._lease is not None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
@@ -22,17 +22,13 @@
 
     _log: DecisionLog
     _metrics: RouteMetrics
-    _is_lost: bool = False
 
     def lost(self, failure: Failure) -> None:
-        """The store was not reached; told once."""
-        if not self._is_lost:
-            self._is_lost = True
-            self._log.tell('store_lost', reason=failure.detail)
+        """The store is not reached."""
+        self._log.tell('store_lost', reason=failure.detail)
 
     def regained(self, away_ms: float) -> None:
         """The store is reached again."""
-        self._is_lost = False
         self._log.tell('store_regained', away_ms=round(away_ms))
 
     def config_taken(self, table: RouteTable, before: int) -> None:
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -0,0 +1,228 @@
+"""Stand-ins for the parts of a daemon that serves routes, for tests."""
+
+import io
+import json
+import random
+from typing import Any
+
+import attrs
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from fennelfork import (
+    Failure,
+    FailureCode,
+    ManualTime,
+    Member,
+    MemberStatus,
+    manual_clock,
+    not_run,
+)
+from fennelfork.routes import (
+    BackendServer,
+    CallerLimits,
+    RepeatPolicy,
+    Route,
+    RouteTable,
+    Service,
+    Single,
+    route_table,
+)
+from fennelfork_daemon._address import Address
+from fennelfork_daemon._log_budget import decision_log
+from fennelfork_daemon._logs import configure_logs
+from fennelfork_daemon._settings_tables import LogSettings
+from fennelfork_daemon.routes import (
+    Changes,
+    Fact,
+    HistoryGone,
+    Listing,
+    RouteSettings,
+)
+from fennelfork_daemon.routes._apply import FactTaker
+from fennelfork_daemon.routes._board import route_board
+from fennelfork_daemon.routes._contact import store_contact
+from fennelfork_daemon.routes._follower import StoreFollower
+from fennelfork_daemon.routes._metrics import route_metrics
+from fennelfork_daemon.routes._pools import ServerPools
+from fennelfork_daemon.routes._registration import Registration
+from fennelfork_daemon.routes._telling import StoreTelling
+
+AWAY = not_run(FailureCode.PLATFORM, 'the store answered 503')
+_ANYWHERE = Address(host='127.0.0.1', port=0)
+
+
+def settings(**changes: Any) -> RouteSettings:
+    """Build the settings of a daemon on loopback."""
+    fields: dict[str, Any] = {
+        'name': 'vm-1',
+        'region': 'east',
+        'data_centre': 'here',
+        'region_of': {'here': 'east', 'far': 'west'},
+        'caller': _ANYWHERE,
+        'readiness': _ANYWHERE,
+        'entries': _ANYWHERE,
+        'operator': None,
+        'store': _ANYWHERE,
+        'repeats': RepeatPolicy(ratio=0.2, fixed=58, window_ms=10_000),
+        'stop_ms': 6000,
+        'longest_ttl_ms': 5000,
+        'least_lease_ms': 1000,
+    }
+    return RouteSettings(**(fields | changes))
+
+
+def server(instance: str, **changes: Any) -> BackendServer:
+    """Build a backend server."""
+    fields: dict[str, Any] = {
+        'instance': instance,
+        'service': 'archive',
+        'address': '127.0.0.1:1',
+        'data_centre': 'here',
+        'slots': 5,
+    }
+    return BackendServer(**(fields | changes))
+
+
+def member(name: str, data_centre: str = 'here') -> Member:
+    """Build another daemon."""
+    return Member(
+        name=name,
+        incarnation=1,
+        state=MemberStatus.ALIVE,
+        region='east' if data_centre == 'here' else 'west',
+        data_centre=data_centre,
+        caller=f'10.0.0.1:{len(name)}',
+        operator='',
+        peer='',
+        config_version=1,
+    )
+
+
+def table(version: int, *routes: Route) -> RouteTable:
+    """Build the routes of one version, by default one to one service."""
+    known = routes or (route('/rafts/', Single(service='archive')),)
+    limits = CallerLimits(
+        header_bytes=16_384,
+        body_bytes=1000,
+        header_ms=2000,
+        idle_ms=9000,
+    )
+    services = [Service(name='archive', connections=41)]
+    return route_table(version, known, services, limits)
+
+
+def route(prefix: str, target: Any, **changes: Any) -> Route:
+    """Build an idempotent route."""
+    fields: dict[str, Any] = {
+        'name': f'r{prefix}',
+        'host': 'rafts.example',
+        'prefix': prefix,
+        'target': target,
+        'idempotent': True,
+        'timeout_ms': 2000,
+        'aim_ms': 300,
+        'attempts': 2,
+    }
+    return Route(**(fields | changes))
+
+
+@attrs.define(kw_only=True)
+class FakeStore:
+    """A store that answers what a test says, and notes what it was asked."""
+
+    listed: list[Any] = attrs.field(factory=list)
+    changed: list[Any] = attrs.field(factory=list)
+    renewals: list[Any] = attrs.field(factory=list)
+    calls: list[tuple[Any, ...]] = attrs.field(factory=list)
+    leases: int = 0
+
+    def read_all(self, timeout_ms: float) -> Result[Listing, Failure]:
+        """Give the next listing, a failure if there is none."""
+        self.calls.append(('read_all', timeout_ms))
+        if not self.listed:
+            return Bad(AWAY)
+        return Success(Listing(facts=tuple(self.listed.pop(0)), revision=5))
+
+    def changes(self, after: int) -> Result[Changes | HistoryGone, Failure]:
+        """Give the next changes, a failure if there are none."""
+        self.calls.append(('changes', after))
+        if not self.changed:
+            return Bad(AWAY)
+        facts = self.changed.pop(0)
+        if isinstance(facts, HistoryGone):
+            return Success(facts)
+        return Success(Changes(facts=tuple(facts), revision=after + 1))
+
+    def open_lease(self, ttl_ms: float) -> Result[int, Failure]:
+        """Open a lease."""
+        self.calls.append(('open_lease', ttl_ms))
+        self.leases += 1
+        return Success(self.leases)
+
+    def renew(self, lease: int) -> Result[bool, Failure]:
+        """Give the next answer to a renewal."""
+        self.calls.append(('renew', lease))
+        return self.renewals.pop(0)
+
+    def register(self, member: Member, lease: int) -> Result[bool, Failure]:
+        """Take a registration."""
+        self.calls.append(('register', member.name, lease))
+        return Success(True)
+
+    def end_lease(self, lease: int) -> Result[bool, Failure]:
+        """End a lease."""
+        self.calls.append(('end_lease', lease))
+        return Success(True)
+
+
+@attrs.define(kw_only=True)
+class Following:
+    """A daemon that follows a stand-in of the store, in manual time."""
+
+    time: ManualTime = attrs.field(factory=ManualTime)
+    store: FakeStore = attrs.field(factory=FakeStore)
+    log: io.StringIO = attrs.field(factory=io.StringIO)
+    board: Any = attrs.field(init=False)
+    follower: StoreFollower = attrs.field(init=False)
+    registration: Registration = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Put the parts together."""
+        clock = manual_clock(self.time)
+        configure_logs(LogSettings(), self.log)
+        self.board = route_board(settings(), clock)
+        metrics = route_metrics()
+        telling = StoreTelling(
+            log=decision_log(clock, metrics.count_decision, daemon='vm-1'),
+            metrics=metrics,
+        )
+        contact = store_contact(self.board, clock, telling)
+        pools = ServerPools(clock=clock, shares=self.board.shares)
+        self.follower = StoreFollower(
+            store=self.store,
+            contact=contact,
+            taker=FactTaker(board=self.board, telling=telling, pools=pools),
+            rng=random.Random(1),
+        )
+        self.registration = Registration(
+            store=self.store,
+            board=self.board,
+            least_lease_ms=1000,
+            contact=contact,
+        )
+
+    def take_list(self, *facts: Fact) -> None:
+        """Have the store list facts, and take them."""
+        self.store.listed.append(facts)
+        self.follower.step()
+
+    def change(self, *facts: Fact) -> float:
+        """Have the store tell changes, and take them."""
+        self.store.changed.append(facts)
+        return self.follower.step()
+
+    def events(self) -> list[str]:
+        """Give the kinds of the lines that were logged."""
+        lines = self.log.getvalue().splitlines()
+        return [json.loads(line)['event'] for line in lines]
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -0,0 +1,225 @@
+"""What a daemon that serves routes takes from the store, and when."""
+
+import random
+
+import pytest
+import structlog
+from daemon_builders_routes import (
+    AWAY,
+    Following,
+    member,
+    server,
+    table,
+)
+from returns.result import Failure as Bad
+from returns.result import Success
+
+from fennelfork_daemon.routes import (
+    ConfigFact,
+    EntryAsk,
+    HistoryGone,
+    MemberFact,
+    MemberGoneFact,
+    RouteEntries,
+    ServerFact,
+    ServerGoneFact,
+    UnreadableFact,
+)
+
+
+@pytest.fixture
+def following() -> Following:
+    """Give a daemon that has read the store once."""
+    built = Following()
+    built.take_list(
+        ConfigFact(table=table(3)),
+        ServerFact(server=server('i-1')),
+        ServerFact(server=server('i-2')),
+    )
+    yield built
+    structlog.reset_defaults()
+
+
+class TestConfiguration:
+    """Versions only rise."""
+
+    def test_newer(self, following: Following) -> None:
+        """A newer version is in force at once, with its limits."""
+        following.change(ConfigFact(table=table(8)))
+        assert following.board.table.version == 8
+        assert following.board.limits.idle_ms == 9000
+
+    def test_older(self, following: Following) -> None:
+        """An older one that comes late is left alone."""
+        following.change(ConfigFact(table=table(2)))
+        assert following.board.table.version == 3
+
+    def test_unreadable(self, following: Following) -> None:
+        """What cannot be read is logged, and what was known stays."""
+        following.change(UnreadableFact(key='op/config', problem='no JSON'))
+        assert following.board.table.version == 3
+        assert 'item_refused' in following.events()
+
+
+class TestServers:
+    """Backend servers come and go by themselves."""
+
+    def test_draining(self, following: Following) -> None:
+        """One that drains gets no new work."""
+        following.change(ServerFact(server=server('i-1', draining=True)))
+        usable = following.board.roster.usable('archive')
+        assert [one.instance for one in usable] == ['i-2']
+
+    def test_gone(self, following: Following) -> None:
+        """So does one that is gone."""
+        following.change(ServerGoneFact(instance='i-1'))
+        assert len(following.board.roster.usable('archive')) == 1
+        assert following.events().count('server_gone') == 1
+
+    def test_lapsed_while_the_store_was_away(
+        self,
+        following: Following,
+    ) -> None:
+        """One that goes missing right after is kept for a while."""
+        following.follower.step()
+        following.time.advance(4000)
+        following.change()
+        following.change(ServerGoneFact(instance='i-1'))
+        assert len(following.board.roster.usable('archive')) == 2
+        following.time.advance(2300)
+        assert len(following.board.roster.usable('archive')) == 1
+
+    def test_broken_watch_is_no_absence(self, following: Following) -> None:
+        """While renewals reach the store, a missing entry is gone."""
+        following.registration.step()
+        following.store.renewals = [Success(True) for _ in range(9)]
+        for _ in range(6):
+            following.time.advance(700)
+            following.registration.step()
+        following.follower.step()
+        following.change()
+        following.change(ServerGoneFact(instance='i-1'))
+        assert len(following.board.roster.usable('archive')) == 1
+
+    def test_history_gone(self, following: Following) -> None:
+        """All is read again; what is not listed is gone."""
+        following.store.changed.append(HistoryGone())
+        following.follower.step()
+        following.take_list(
+            ConfigFact(table=table(3)),
+            ServerFact(server=server('i-2')),
+        )
+        usable = following.board.roster.usable('archive')
+        assert [one.instance for one in usable] == ['i-2']
+
+
+class TestPace:
+    """How often, and how patiently, the store is asked."""
+
+    def test_changes_are_gathered(self, following: Following) -> None:
+        """Changes that come together cost one call."""
+        assert following.change(ServerGoneFact(instance='i-1')) > 100
+        assert following.change() == 0
+
+    def test_first_read_is_not_waited_for(self) -> None:
+        """A read that began while the store was silent is soon given up."""
+        built = Following()
+        waits = [built.follower.step() for _ in range(6)]
+        patience = [call[1] for call in built.store.calls]
+        assert patience == [400, 800, 1600, 3200, 4000, 4000]
+        assert all(100 < wait < 900 for wait in waits)
+        structlog.reset_defaults()
+
+    def test_told_once(self, following: Following) -> None:
+        """An outage is one line, and its end another."""
+        for _ in range(5):
+            following.follower.step()
+        following.change()
+        events = following.events()
+        assert events.count('store_lost') == 1
+        assert events.count('store_regained') == 1
+
+
+class TestRegistration:
+    """This daemon's own entry."""
+
+    def test_only_when_ready(self) -> None:
+        """A daemon without routes is named to nobody."""
+        built = Following()
+        built.registration.step()
+        assert not built.store.calls
+        structlog.reset_defaults()
+
+    def test_lapsed(self, following: Following) -> None:
+        """A lease that ended is opened anew; a lost reply changes nothing."""
+        following.registration.step()
+        following.store.renewals = [Bad(AWAY), Success(False), Success(True)]
+        for _ in range(3):
+            following.registration.step()
+        kinds = [
+            call[0] for call in following.store.calls if call[0] != 'read_all'
+        ]
+        assert kinds == [
+            'open_lease',
+            'register',
+            'renew',
+            'renew',
+            'open_lease',
+            'register',
+            'renew',
+        ]
+
+    def test_leave(self, following: Following) -> None:
+        """A daemon that leaves is not ready and does not register again."""
+        following.registration.leave()
+        following.registration.step()
+        assert not following.board.ready
+        assert following.store.calls == [('read_all', 400)]
+
+
+class TestEntries:
+    """Which daemons callers are told to use."""
+
+    def test_nearest(self, following: Following) -> None:
+        """Those of the caller's data centre, this one among them."""
+        following.change(
+            MemberFact(member=member('vm-22')),
+            MemberFact(member=member('vm-333', 'far')),
+        )
+        own = following.board.local.caller
+        assert set(_addresses(following)) == {own, '10.0.0.1:5'}
+
+    def test_one_daemon_left_nearby(self, following: Following) -> None:
+        """Farther ones are named as well, so that its loss leaves some."""
+        following.change(MemberFact(member=member('vm-333', 'far')))
+        own = following.board.local.caller
+        assert set(_addresses(following)) == {own, '10.0.0.1:6'}
+
+    def test_leaving(self, following: Following) -> None:
+        """A daemon that leaves does not name itself."""
+        following.change(
+            MemberFact(member=member('vm-1')),
+            MemberFact(member=member('vm-22')),
+        )
+        following.board.leaving = True
+        assert _addresses(following) == ('10.0.0.1:5',)
+
+    def test_gone(self, following: Following) -> None:
+        """One whose lease ended is not named any more."""
+        following.change(MemberFact(member=member('vm-22')))
+        following.change(MemberGoneFact(name='vm-22'))
+        assert _addresses(following) == (following.board.local.caller,)
+
+    def test_nobody(self) -> None:
+        """Without a ready daemon there is no answer."""
+        built = Following()
+        entries = RouteEntries(board=built.board, rng=random.Random(1))
+        assert entries.answer(EntryAsk(region='', data_centre='')) is None
+        structlog.reset_defaults()
+
+
+def _addresses(following: Following) -> tuple[str, ...]:
+    entries = RouteEntries(board=following.board, rng=random.Random(1))
+    found = entries.answer(EntryAsk(region='east', data_centre='here'))
+    assert found is not None
+    return found.addresses
