--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
@@ -20,9 +20,9 @@
 # callers a second each while it is named.
 _MEMBER_LAPSE_MS: Final = 1200.0
 # Until the limits of the first configuration are known.
-_HEADER_BYTES: Final = 16_384
-_READ_MS: Final = 3000
-_IDLE_MS: Final = 15_000
+HEADER_BYTES: Final = 16_384
+READ_MS: Final = 3000
+IDLE_MS: Final = 15_000
 
 
 @attrs.define(kw_only=True)
@@ -68,9 +68,9 @@
         states=ServerStates(),
         shares=ConnectionShares(fleet=fleet),
         limits=ConnectionLimits(
-            header_bytes=_HEADER_BYTES,
-            request_read_ms=_READ_MS,
-            idle_ms=_IDLE_MS,
+            header_bytes=HEADER_BYTES,
+            request_read_ms=READ_MS,
+            idle_ms=IDLE_MS,
         ),
     )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -93,6 +93,11 @@
         pools=base.pools,
         selector=selector,
         codec=base.ports.backends,
+        telling=RequestTelling(
+            log=base.log,
+            clock=base.clock,
+            metrics=base.metrics,
+        ),
     )
 
 
@@ -108,9 +113,5 @@
         ),
         paces=Paces(),
         rng=random.Random(),
-        telling=RequestTelling(
-            log=base.log,
-            clock=base.clock,
-            metrics=base.metrics,
-        ),
+        telling=calls.telling,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -27,6 +27,7 @@
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._ports import BackendCodec
+from fennelfork_daemon.routes._telling import RequestTelling
 
 _MS_PER_SECOND: Final = 1000
 _LEAST_MS: Final = 1.0
@@ -44,6 +45,7 @@
     pools: ServerPools
     selector: Selector
     codec: BackendCodec
+    telling: RequestTelling
 
 
 CallOutcome = Result[BackendAnswer, Failure]
@@ -116,7 +118,11 @@
             ),
         )
         state = self._parts.selector.states.of(send.server.instance)
+        trusted = not state.standing.ejected(record.now_ms)
         note_end(end, record, state)
+        if trusted and state.standing.ejected(record.now_ms):
+            until_ms = state.standing.ejected_until_ms - record.now_ms
+            self._parts.telling.ejected(send, end, until_ms)
 
 
 def _end_of(outcome: CallOutcome) -> CallEnd:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -11,6 +11,7 @@
 
 from fennelfork import Clock, Failure, FailureCode, may_have_run, not_run
 from fennelfork.routes import (
+    CallerLimits,
     Dispatch,
     DispatchParts,
     Paces,
@@ -22,7 +23,12 @@
 from fennelfork_daemon._wsgi_protocol import CONNECTION_KEY
 from fennelfork_daemon.routes._answer import Answer, Refused
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
-from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._board import (
+    HEADER_BYTES,
+    IDLE_MS,
+    READ_MS,
+    RouteBoard,
+)
 from fennelfork_daemon.routes._body import read_body
 from fennelfork_daemon.routes._caller_calls import CallParts, RequestCalls
 from fennelfork_daemon.routes._caller_watch import CallerWatch
@@ -38,6 +44,13 @@
     'no configuration is known yet',
     retry_after_ms=_NO_ROUTES_RETRY_MS,
 )
+# What is read of a request while no configuration says how much.
+_FIRST_LIMITS: Final = CallerLimits(
+    header_bytes=HEADER_BYTES,
+    body_bytes=HEADER_BYTES,
+    header_ms=READ_MS,
+    idle_ms=IDLE_MS,
+)
 _DEFECT: Final = may_have_run(FailureCode.INTERNAL, 'a defect; see the log')
 
 
@@ -76,16 +89,18 @@
     def _answer(self, environ: dict[str, Any]) -> Answer:
         came_ms = self._clock.now_ms()
         table = self._board.table
-        if table is None:
-            return self._refuse(_NO_ROUTES_YET, None)
-        ask = self._read(environ, table)
+        ask = self._read(
+            environ, _FIRST_LIMITS if table is None else table.limits
+        )
         if not is_successful(ask):
             return self._refuse(ask.failure(), None)
         known = ask.unwrap()
+        if table is None:
+            return self._refuse(_NO_ROUTES_YET, known.request_id)
         route = table.find(known.host, known.path)
         if route is None:
             return self._refuse(_no_route(known), known.request_id)
-        request = self._request(known, route, came_ms)
+        request = self._request(known, table, route, came_ms)
         watch = CallerWatch(connection=environ[CONNECTION_KEY])
         with watch.leaving(request.leave):
             answer = request.run()
@@ -94,21 +109,22 @@
 
     def _refuse(self, failure: Failure, request_id: str | None) -> Refused:
         refused = Refused(failure=failure, request_id=request_id)
-        self._telling.refused(refused)
+        table = self._board.table
+        self._telling.refused(refused, 0 if table is None else table.version)
         return refused
 
     def _read(
         self,
         environ: dict[str, Any],
-        table: RouteTable,
+        limits: CallerLimits,
     ) -> Result[Ask, Failure]:
-        limits = table.limits
         body = read_body(environ, limits.body_bytes, limits.header_ms)
         return body.bind(lambda found: self._codec.read_ask(environ, found))
 
     def _request(
         self,
         ask: Ask,
+        table: RouteTable,
         route: Route,
         came_ms: float,
     ) -> RunningRequest:
@@ -131,6 +147,7 @@
         )
         return RunningRequest(
             dispatch=running,
+            version=table.version,
             ask=ask,
             clock=self._clock,
             calls=calls,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -2,6 +2,7 @@
 
 import functools
 import random
+from collections.abc import Iterable
 from typing import Any, Final
 
 import attrs
@@ -12,6 +13,7 @@
 from fennelfork import Backoff, Failure
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._contact import StoreContact
+from fennelfork_daemon.routes._facts import Fact
 from fennelfork_daemon.routes._ports import Changes, HistoryGone, Listing, Store
 
 _MS_PER_SECOND: Final = 1000
@@ -64,6 +66,10 @@
         self._contact.reached()
         return _taken(called.unwrap(), self)
 
+    def take_facts(self, facts: Iterable[Fact]) -> None:
+        """Take facts that are new."""
+        self._taker.take(facts)
+
     def take_all(self, listing: Listing) -> None:
         """Take a whole listing in place of what was known."""
         self._taker.take_all(listing.facts)
@@ -71,7 +77,7 @@
 
     def take_changes(self, changes: Changes) -> None:
         """Take changes."""
-        self._taker.take(changes.facts)
+        self.take_facts(changes.facts)
         self._revision = changes.revision
 
     def forget_history(self) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -40,10 +40,12 @@
 
     Attributes:
         dispatch: decides what is sent.
+        version: of the configuration that it came under.
         ending: why it is over, once it is; none if its caller left.
     """
 
     dispatch: Dispatch[BackendAnswer]
+    version: int
     ending: Ending | None = None
     _ask: Ask
     _clock: Clock
@@ -89,7 +91,8 @@
             self._bad_answer = answer
             self._fail(attempt, _server_error(answer))
         else:
-            self.dispatch.answered(attempt, answer)
+            now_ms = self._clock.now_ms()
+            self.dispatch.answered(attempt, answer, now_ms)
 
     def _fail(self, attempt: int, failure: Failure) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -42,14 +42,16 @@
     Attributes:
         board: what it knows.
         entries: answers callers that ask where to connect.
+        face: answers the requests of callers.
+        follower: keeps what it knows up to date.
     """
 
     board: RouteBoard
     entries: RouteEntries
+    face: RouteFace
+    follower: StoreFollower
     _settings: RouteSettings
-    _face: RouteFace
     _metrics: RouteMetrics
-    _follower: StoreFollower
     _registration: Registration
     _pools: ServerPools
     _stop: StopService
@@ -82,7 +84,7 @@
     def _follow(self) -> None:
         """Start what keeps the daemon up to date."""
         for run in (
-            self._follower.run,
+            self.follower.run,
             self._registration.run,
             self._reload.run,
             self._retire,
@@ -100,7 +102,7 @@
 
     def _counted(self) -> CountedApplication:
         return CountedApplication(
-            application=self._face,
+            application=self.face,
             in_progress=self._in_progress,
             is_leaving=self._stop.is_leaving,
         )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -29,6 +29,8 @@
         entry_ttl_ms=_TTL_FACTOR * ENTRY_TTL_MS,
         stop_ms=settings.stop_ms - _STOP_MARGIN_MS,
         announce_ms=_ANNOUNCE_MS,
+        # A supervisor may repeat its signal, and kills in the end by itself.
+        asked_twice_ends=False,
     )
     log = state_log(daemon=settings.name)
     return stop_service(policy, clock, registration, in_progress, log)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
@@ -6,7 +6,13 @@
 import attrs
 
 from fennelfork import Clock, Failure, Member
-from fennelfork.routes import BackendServer, RouteTable
+from fennelfork.routes import (
+    BackendServer,
+    CallEnd,
+    Failed,
+    RouteTable,
+    Send,
+)
 from fennelfork_daemon._log_budget import DecisionLog
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._ask import Ask
@@ -14,6 +20,8 @@
 from fennelfork_daemon.routes._metrics import RequestFacts, RouteMetrics
 
 _CLIENT_ERROR: Final = 400
+# Sent and answered.
+_USUAL_EVENTS: Final = 2
 
 
 @attrs.define(kw_only=True)
@@ -83,14 +91,30 @@
     _clock: Clock
     _metrics: RouteMetrics
 
-    def refused(self, refused: Refused) -> None:
-        """A request was refused before anything was sent."""
+    def refused(self, refused: Refused, version: int) -> None:
+        """A request was refused before anything was sent.
+
+        Args:
+            refused: what its caller is answered.
+            version: of the configuration in force, zero for none.
+        """
         failure = refused.failure
         self._log.tell(
             'request_refused',
             request=refused.request_id,
             code=failure.code.value,
             reason=failure.detail,
+            version=version,
+        )
+
+    def ejected(self, send: Send, end: CallEnd, length_ms: float) -> None:
+        """A backend server gets no work for a while."""
+        self._log.tell(
+            'server_ejected',
+            server=send.server.instance,
+            service=send.server.service,
+            for_ms=round(length_ms),
+            reason=_reason(end),
         )
 
     def defect(self, error: Exception) -> None:
@@ -133,10 +157,17 @@
             hedges=dispatch.hedges,
             retries=dispatch.retries,
             answer=_outcome(answer),
-            missing=_missing(dispatch),
+            version=request.version,
+            steps=_steps(dispatch, came_ms),
         )
 
 
+def _reason(end: CallEnd) -> str:
+    if isinstance(end, Failed):
+        return end.failure.detail
+    return 'it answered nothing while it was waited for'
+
+
 def _is_whole(answer: Answer) -> bool:
     if isinstance(answer, Merged):
         return not answer.missing
@@ -156,14 +187,21 @@
     return 'partial' if answer.missing else 'whole'
 
 
-def _missing(dispatch: Any) -> dict[str, Any]:
-    """Tell of each part that is not in which servers were tried and why."""
+def _missing(dispatch: Any) -> list[str]:
+    """Give the services whose part is not in."""
+    return [leg.service for leg in dispatch.legs.values() if leg.part is None]
+
+
+def _steps(dispatch: Any, came_ms: float) -> dict[str, list[str]]:
+    """Tell what was done for each part that did not go as usual.
+
+    Each step is the server, the ms after the request came, and what it was.
+    """
     return {
-        leg.service: {
-            'tried': sorted(leg.tried),
-            'waiting': len(leg.running),
-            'reason': leg.failure.detail,
-        }
+        leg.service: [
+            f'{event.instance} {event.at_ms - came_ms:.0f} {event.what}'
+            for event in leg.events
+        ]
         for leg in dispatch.legs.values()
-        if leg.part is None
+        if leg.part is None or len(leg.events) > _USUAL_EVENTS
     }
--- a/packages/fennelfork/src/fennelfork/_stop.py
+++ b/packages/fennelfork/src/fennelfork/_stop.py
@@ -34,12 +34,15 @@
     Attributes:
         entry_ttl_ms: how long callers may keep an entry answer.
         announce_ms: how long telling the members may take.
+        asked_twice_ends: whether to end at once if asked to end again, as a
+            person does who will not wait.
         stop_ms: the whole stop, after which what runs is cut.
     """
 
     entry_ttl_ms: float
     stop_ms: float
     announce_ms: float = 5000
+    asked_twice_ends: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -92,9 +95,9 @@
             self._asked_ms = now_ms
 
     def end(self, now_ms: float) -> None:
-        """Have the daemon end gracefully; asked twice, end at once."""
+        """Have the daemon end gracefully; see the policy for asking again."""
         self.drain(now_ms)
-        self._forced = self._ending
+        self._forced = self._ending and self._policy.asked_twice_ends
         if not self._ending:
             self._ending = True
             self._ending_ms = now_ms
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -18,6 +18,7 @@
 from ._failure import failure_of as failure_of
 from ._fleet_size import FleetSize as FleetSize
 from ._leg import Leg as Leg
+from ._leg import LegEvent as LegEvent
 from ._pace import Pace as Pace
 from ._pace import Paces as Paces
 from ._pace import pace as pace
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -79,14 +79,11 @@
             sends.extend(self._sender.send(leg, now_ms))
         return sends
 
-    def answered(self, attempt: int, part: _Part) -> None:
+    def answered(self, attempt: int, part: _Part, now_ms: float) -> None:
         """Take the answer to a copy; only the first of a service counts."""
         leg = self._leg_of(attempt)
-        if leg is None:
-            return
-        leg.running.pop(attempt)
-        if leg.part is None:
-            leg.part = part
+        if leg is not None:
+            leg.answered(attempt, part, now_ms)
 
     def failed(
         self, attempt: int, failure: Failure, now_ms: float
@@ -95,7 +92,7 @@
         leg = self._leg_of(attempt)
         if leg is None:
             return []
-        leg.failed(attempt, failure)
+        leg.failed(attempt, failure, now_ms)
         if leg.part is not None:
             return []
         sends = self._resend(leg, failure, now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_leg.py
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -11,6 +11,21 @@
 _Part = TypeVar('_Part')
 
 
+@attrs.frozen(kw_only=True)
+class LegEvent:
+    """One step of a leg, to tell afterwards what was done.
+
+    Attributes:
+        at_ms: when.
+        instance: the backend server.
+        what: `sent`, `sent again`, `answered`, or why the copy failed.
+    """
+
+    at_ms: float
+    instance: str
+    what: str
+
+
 @attrs.define(kw_only=True)
 class Leg(Generic[_Part]):
     """What was sent to a service, and what came of it.
@@ -25,6 +40,7 @@
         failure: the last failure.
         runs: backend servers that may have run the request.
         arrivals: sends that may have reached a backend server.
+        events: what was done, in order.
     """
 
     service: str
@@ -36,6 +52,7 @@
     failure: Failure = not_run(FailureCode.NO_SERVER, 'no server is known')
     runs: int = 0
     arrivals: int = 0
+    events: list[LegEvent] = attrs.field(factory=list)
 
     @property
     def settled(self) -> bool:
@@ -62,10 +79,17 @@
         self.tried.add(send.server.instance)
         self.runs += 1
         self.arrivals += 1
+        self._note(send, send.sent_ms, 'sent again' if send.repeat else 'sent')
 
-    def failed(self, attempt: int, failure: Failure) -> None:
+    def answered(self, attempt: int, part: _Part, now_ms: float) -> None:
+        """Take the answer to a copy; only the first counts."""
+        self._note(self.running.pop(attempt), now_ms, 'answered')
+        if self.part is None:
+            self.part = part
+
+    def failed(self, attempt: int, failure: Failure, now_ms: float) -> None:
         """Note that a copy was not answered well."""
-        self.running.pop(attempt, None)
+        self._note(self.running.pop(attempt), now_ms, failure.detail)
         self.failure = failure
         if failure.verdict is Verdict.NOT_RUN:
             self.runs -= 1
@@ -77,3 +101,7 @@
     def may_run(self, failure: Failure) -> bool:
         """Tell whether a failed copy may run all the same."""
         return failure.verdict is not Verdict.NOT_RUN
+
+    def _note(self, send: Send, at_ms: float, what: str) -> None:
+        instance = send.server.instance
+        self.events.append(LegEvent(at_ms=at_ms, instance=instance, what=what))
--- a/packages/fennelfork/tests/test_routes_dispatch.py
+++ b/packages/fennelfork/tests/test_routes_dispatch.py
@@ -158,7 +158,7 @@
         """Below the least share it waits on, until there is enough."""
         self._answer(2)
         assert self.request.ending(AIM_MS) is None
-        self.request.answered(self.sends[3].attempt, b'late')
+        self.request.answered(self.sends[3].attempt, b'late', AIM_MS)
         assert self.request.ending(AIM_MS + 5) is Ending.PARTIAL
 
     def test_timeout(self) -> None:
@@ -168,7 +168,7 @@
 
     def _answer(self, count: int) -> None:
         for send in self.sends[:count]:
-            self.request.answered(send.attempt, b'part')
+            self.request.answered(send.attempt, b'part', 1)
 
 
 class DispatchMachine(RuleBasedStateMachine):
@@ -215,7 +215,11 @@
         """A copy is answered."""
         send = self._take(data)
         if send is not None:
-            self.request.answered(send.attempt, send.server.service)
+            self.request.answered(
+                send.attempt,
+                send.server.service,
+                self.now_ms,
+            )
 
     @invariant()
     def attempts_are_bounded(self) -> None:
--- a/packages/fennelfork/tests/test_stop.py
+++ b/packages/fennelfork/tests/test_stop.py
@@ -1,5 +1,6 @@
 """The phases of a graceful stop."""
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -43,6 +44,19 @@
         assert stop.step(_facts(8200)) is StopPhase.ENDED
         assert stop.exit_status == 0
 
+    def test_a_repeated_signal_may_count_once(self) -> None:
+        """Where a supervisor repeats its signal, no request is cut by it."""
+        policy = attrs.evolve(_POLICY, asked_twice_ends=False)
+        stop = graceful_stop(policy)
+        stop.end(1000)
+        stop.end(1500)
+        assert stop.step(_facts(2000, running=1)) is StopPhase.LINGERING
+        forced = graceful_stop(_POLICY)
+        forced.end(1000)
+        forced.end(1500)
+        assert forced.step(_facts(2000, running=1)) is StopPhase.ENDED
+        assert forced.cut == 1
+
     def test_members_that_do_not_answer_delay_it_by_a_bound(self) -> None:
         """An announcement that cannot be finished ends after its time."""
         stop = graceful_stop(_POLICY)
