A daemon starts sooner: threads and os are not made cooperative

Of some 230 ms from exec to serving, eventlet.monkey_patch() took 50 to 78 (on a busy machine), nearly all of it to replace every lock there is; the daemon has no threads. Its cooperative os.write would also have waited for a stalled reader of the log, which the sink promises not to do. Change: only socket, select and time are patched (1 ms). A daemon registers as soon as it is ready, not at the next renewal.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
@@ -21,4 +21,7 @@
 with asyncio_left_out():
     import eventlet
 
-eventlet.monkey_patch()
+# Threads stay as they are: the daemon has none, and to replace every lock there
+# is takes 50 ms of each start. So does `os`, whose cooperative write would wait
+# for the reader of the log.
+eventlet.monkey_patch(socket=True, select=True, time=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -18,6 +18,8 @@
 _LEASE_MS: Final = 2500.0
 # A lost renewal or two do not end the lease.
 _RENEW_MS: Final = 700.0
+# A daemon that has just become ready is named to callers by others soon.
+_LOOK_MS: Final = 50.0
 
 _Got = TypeVar('_Got')
 
@@ -38,11 +40,18 @@
         """Whether the store knows that this daemon leaves."""
         return self._ended
 
+    @property
+    def wait_ms(self) -> float:
+        """How long until the next step."""
+        if self._board.ready or self._board.leaving:
+            return _RENEW_MS
+        return _LOOK_MS
+
     def run(self) -> None:
         """Stay registered until the daemon leaves."""
         while not self._ended:
             self.step()
-            eventlet.sleep(_RENEW_MS / _MS_PER_SECOND)
+            eventlet.sleep(self.wait_ms / _MS_PER_SECOND)
 
     def step(self) -> None:
         """Renew the registration, or make it."""
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -148,6 +148,9 @@
         built = Following()
         built.registration.step()
         assert not built.store.calls
+        assert built.registration.wait_ms < 100
+        built.take_list(ConfigFact(table=table(3)))
+        assert built.registration.wait_ms == 700
         structlog.reset_defaults()
 
     def test_lapsed(self, following: Following) -> None:
