--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
@@ -17,7 +17,7 @@
     UnreadableFact,
 )
 from fennelfork_daemon.routes._pools import ServerPools
-from fennelfork_daemon.routes._telling import StoreTelling
+from fennelfork_daemon.routes._reporters import StoreReporter
 
 
 @attrs.frozen(kw_only=True)
@@ -25,7 +25,7 @@
     """Writes what the store tells onto the board."""
 
     board: RouteBoard
-    telling: StoreTelling
+    reporter: StoreReporter
     _pools: ServerPools
 
     def take_all(self, facts: Iterable[Fact]) -> None:
@@ -40,9 +40,9 @@
             fact.member.name for fact in known if isinstance(fact, MemberFact)
         ]
         for instance in self.board.roster.keep(servers):
-            self.telling.server_gone(instance)
+            self.reporter.server_gone(instance)
         for name in self.board.members.keep(members):
-            self.telling.member_gone(name)
+            self.reporter.member_gone(name)
         self.take(known)
 
     def take(self, facts: Iterable[Fact]) -> None:
@@ -78,34 +78,34 @@
     board.limits.header_bytes = limits.header_bytes
     board.limits.request_read_ms = limits.header_ms
     board.limits.idle_ms = limits.idle_ms
-    taker.telling.config_taken(fact.table, before)
+    taker.reporter.config_taken(fact.table, before)
 
 
 @_take.register
 def _take_server(fact: ServerFact, taker: FactTaker) -> None:
     before = taker.board.roster.put(fact.server)
-    taker.telling.server_seen(fact.server, before)
+    taker.reporter.server_seen(fact.server, before)
 
 
 @_take.register
 def _take_server_gone(fact: ServerGoneFact, taker: FactTaker) -> None:
     if taker.board.roster.remove(fact.instance):
-        taker.telling.server_gone(fact.instance)
+        taker.reporter.server_gone(fact.instance)
 
 
 @_take.register
 def _take_member(fact: MemberFact, taker: FactTaker) -> None:
     name = fact.member.name
     if taker.board.members.put(name, fact.member) is None:
-        taker.telling.member_seen(fact.member)
+        taker.reporter.member_seen(fact.member)
 
 
 @_take.register
 def _take_member_gone(fact: MemberGoneFact, taker: FactTaker) -> None:
     if taker.board.members.remove(fact.name):
-        taker.telling.member_gone(fact.name)
+        taker.reporter.member_gone(fact.name)
 
 
 @_take.register
 def _take_unreadable(fact: UnreadableFact, taker: FactTaker) -> None:
-    taker.telling.unreadable(fact)
+    taker.reporter.unreadable(fact)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -14,10 +14,10 @@
 from fennelfork_daemon.routes._ports import Ports
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._reload import ReadSettings, SettingsReload
+from fennelfork_daemon.routes._reporters import RequestReporter, StoreReporter
 from fennelfork_daemon.routes._service import RouteService
 from fennelfork_daemon.routes._settings import RouteSettings
 from fennelfork_daemon.routes._stop import route_stop
-from fennelfork_daemon.routes._telling import RequestTelling, StoreTelling
 
 
 def route_service(
@@ -33,8 +33,8 @@
         read_settings: reads them again when they have changed.
     """
     base = foundation(settings, ports)
-    telling = StoreTelling(log=base.log, metrics=base.metrics)
-    contact = store_contact(base.board, base.clock, telling)
+    reporter = StoreReporter(log=base.log, metrics=base.metrics)
+    contact = store_contact(base.board, base.clock, reporter)
     registration = Registration(
         store=ports.store,
         board=base.board,
@@ -48,7 +48,7 @@
         settings=settings,
         face=_face(base, _calls(base)),
         metrics=base.metrics,
-        follower=_follower(base, telling, contact),
+        follower=_follower(base, reporter, contact),
         registration=registration,
         pools=base.pools,
         stop=route_stop(settings, base.clock, registration, in_progress),
@@ -65,13 +65,13 @@
 
 def _follower(
     base: Foundation,
-    telling: StoreTelling,
+    reporter: StoreReporter,
     contact: StoreContact,
 ) -> StoreFollower:
     return StoreFollower(
         store=base.ports.store,
         contact=contact,
-        taker=FactTaker(board=base.board, telling=telling, pools=base.pools),
+        taker=FactTaker(board=base.board, reporter=reporter, pools=base.pools),
         rng=random.Random(),
     )
 
@@ -93,7 +93,7 @@
         pools=base.pools,
         selector=selector,
         codec=base.ports.backends,
-        telling=RequestTelling(
+        reporter=RequestReporter(
             log=base.log,
             clock=base.clock,
             metrics=base.metrics,
@@ -113,5 +113,5 @@
         ),
         paces=Paces(),
         rng=random.Random(),
-        telling=calls.telling,
+        reporter=calls.reporter,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -27,7 +27,7 @@
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._ports import BackendCodec
-from fennelfork_daemon.routes._telling import RequestTelling
+from fennelfork_daemon.routes._reporters import RequestReporter
 
 _MS_PER_SECOND: Final = 1000
 _LEAST_MS: Final = 1.0
@@ -45,7 +45,7 @@
     pools: ServerPools
     selector: Selector
     codec: BackendCodec
-    telling: RequestTelling
+    reporter: RequestReporter
 
 
 CallOutcome = Result[BackendAnswer, Failure]
@@ -128,4 +128,4 @@
         note_end(end, record, state)
         if trusted and state.standing.ejected(record.now_ms):
             until_ms = state.standing.ejected_until_ms - record.now_ms
-            self._parts.telling.ejected(send, end, until_ms)
+            self._parts.reporter.ejected(send, end, until_ms)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
@@ -6,7 +6,7 @@
 
 from fennelfork import Clock, Failure
 from fennelfork_daemon.routes._board import RouteBoard
-from fennelfork_daemon.routes._telling import StoreTelling
+from fennelfork_daemon.routes._reporters import StoreReporter
 
 # Two renewals missed: registrations may have lapsed meanwhile. A watch whose
 # connection broke alone is no absence.
@@ -19,7 +19,7 @@
 
     _board: RouteBoard
     _clock: Clock
-    _telling: StoreTelling
+    _reporter: StoreReporter
     _reached_ms: float
     _lost: bool = False
 
@@ -27,7 +27,7 @@
         """Note a call that did not reach the store, or was turned away."""
         if not self._lost:
             self._lost = True
-            self._telling.lost(failure)
+            self._reporter.lost(failure)
 
     def reached(self) -> None:
         """Note a call that was answered."""
@@ -37,7 +37,7 @@
         if not self._lost:
             return
         self._lost = False
-        self._telling.regained(away_ms)
+        self._reporter.regained(away_ms)
         if away_ms >= _ABSENCE_MS:
             self._board.roster.registry.hold()
             self._board.members.hold()
@@ -46,12 +46,12 @@
 def store_contact(
     board: RouteBoard,
     clock: Clock,
-    telling: StoreTelling,
+    reporter: StoreReporter,
 ) -> StoreContact:
     """Build the contact of a daemon that starts now."""
     return StoreContact(
         board=board,
         clock=clock,
-        telling=telling,
+        reporter=reporter,
         reached_ms=clock.now_ms(),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -33,8 +33,8 @@
 from fennelfork_daemon.routes._caller_calls import CallParts, RequestCalls
 from fennelfork_daemon.routes._caller_watch import CallerWatch
 from fennelfork_daemon.routes._ports import CallerCodec
+from fennelfork_daemon.routes._reporters import RequestReporter
 from fennelfork_daemon.routes._request import RunningRequest
-from fennelfork_daemon.routes._telling import RequestTelling
 
 # A daemon that has no routes yet gets them as soon as the store answers,
 # which it asks some times a second.
@@ -65,7 +65,7 @@
     _dispatch_parts: DispatchParts
     _paces: Paces
     _rng: random.Random
-    _telling: RequestTelling
+    _reporter: RequestReporter
 
     def __call__(
         self,
@@ -73,17 +73,17 @@
         start_response: Callable[..., Any],
     ) -> Iterable[bytes]:
         """Answer one request."""
-        reply = self._codec.write_answer(self._answer_or_own_up(environ))
+        reply = self._codec.write_answer(self._answer_or_report(environ))
         length = ('Content-Length', str(len(reply.body)))
         start_response(reply.status_line, [*reply.headers, length])
         return [reply.body]
 
-    def _answer_or_own_up(self, environ: dict[str, Any]) -> Answer:
+    def _answer_or_report(self, environ: dict[str, Any]) -> Answer:
         """Answer, also where a defect of our own is in the way."""
         try:
             return self._answer(environ)
         except Exception as error:
-            self._telling.defect(error)
+            self._reporter.defect(error)
             return Refused(failure=_DEFECT, request_id=None)
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
@@ -104,13 +104,13 @@
         watch = CallerWatch(connection=environ[CONNECTION_KEY])
         with watch.leaving(request.leave):
             answer = request.run()
-        self._telling.ended(known, request, answer, came_ms)
+        self._reporter.ended(known, request, answer, came_ms)
         return answer
 
     def _refuse(self, failure: Failure, request_id: str | None) -> Refused:
         refused = Refused(failure=failure, request_id=request_id)
         table = self._board.table
-        self._telling.refused(refused, 0 if table is None else table.version)
+        self._reporter.refused(refused, 0 if table is None else table.version)
         return refused
 
     def _read(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_telling.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
@@ -25,7 +25,7 @@
 
 
 @attrs.define(kw_only=True)
-class StoreTelling:
+class StoreReporter:
     """Logs what changes in what the daemon believes."""
 
     _log: DecisionLog
@@ -84,7 +84,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class RequestTelling:
+class RequestReporter:
     """Counts requests, and logs those that did not go as usual."""
 
     _log: DecisionLog
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -46,7 +46,7 @@
 from fennelfork_daemon.routes._metrics import route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._registration import Registration
-from fennelfork_daemon.routes._telling import StoreTelling
+from fennelfork_daemon.routes._reporters import StoreReporter
 
 AWAY = not_run(FailureCode.PLATFORM, 'the store answered 503')
 _ANYWHERE = Address(host='127.0.0.1', port=0)
@@ -193,16 +193,16 @@
         configure_logs(LogSettings(), self.log)
         self.board = route_board(settings(), clock)
         metrics = route_metrics()
-        telling = StoreTelling(
+        reporter = StoreReporter(
             log=decision_log(clock, metrics.count_decision, daemon='vm-1'),
             metrics=metrics,
         )
-        contact = store_contact(self.board, clock, telling)
+        contact = store_contact(self.board, clock, reporter)
         pools = ServerPools(clock=clock, shares=self.board.shares)
         self.follower = StoreFollower(
             store=self.store,
             contact=contact,
-            taker=FactTaker(board=self.board, telling=telling, pools=pools),
+            taker=FactTaker(board=self.board, reporter=reporter, pools=pools),
             rng=random.Random(1),
         )
         self.registration = Registration(
