A request whose length is given twice is refused

Cause: the check on framing let two equal lengths pass; no caller of ours sends them, and what follows the body is then a request of its own. Tests: nine forms of an unclear length, chunked, too large and short bodies; the first failed before on two equal lengths.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_protocol.py
@@ -114,7 +114,7 @@
 
     def _is_framed(self) -> bool:
         """Refuse a request whose end can be read in two ways."""
-        lengths = set(self.headers.get_all('Content-Length', ()))
+        lengths = self.headers.get_all('Content-Length', ())
         codings = self.headers.get_all('Transfer-Encoding', ())
         digits = all(text.isascii() and text.isdigit() for text in lengths)
         chunked = [text.strip().lower() for text in codings]
--- a/packages/fennelfork-daemon/tests/test_wsgi_server.py
+++ b/packages/fennelfork-daemon/tests/test_wsgi_server.py
@@ -160,6 +160,33 @@
         answer = _talk(port, _request(b'2\r\n{}\r\n0\r\n\r\n', chunked))
         assert _problem(answer)[0] == 411
 
+    @pytest.mark.parametrize(
+        'headers',
+        [
+            (b'Content-Length: 2', b'Content-Length: 7'),
+            (b'Content-Length: 2', b'Content-Length: 2'),
+            (b'Content-Length: 2', b'Transfer-Encoding: chunked'),
+            (b'Transfer-Encoding: chunked', b'Transfer-Encoding: chunked'),
+            (b'Transfer-Encoding: gzip, chunked',),
+            (b'Transfer-Encoding: xchunked',),
+            (b'Content-Length: -2',),
+            (b'Content-Length: 2, 2',),
+            (b'Content-Length: +2',),
+        ],
+    )
+    def test_unclear_length(
+        self,
+        port: int,
+        headers: tuple[bytes, ...],
+    ) -> None:
+        """A request whose end can be read in two ways; nothing follows it."""
+        smuggled = b'{}GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n'
+        answer = _talk(port, _request(smuggled, *headers))
+        status, detail = _problem(answer)
+        assert status == 400
+        assert 'length' in detail
+        assert answer.count(b'HTTP/1.1 ') == 1
+
     def test_not_http(self, port: int) -> None:
         """Bytes that are no HTTP request get a problem document."""
         assert _problem(_talk(port, b'what is this\r\n\r\n'))[0] == 400
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -59,9 +59,14 @@
         )
         self._take(ServerFact(server=built))
 
-    def ask(self, **changes: Any) -> tuple[int, dict[str, str], bytes]:
+    def ask(
+        self,
+        sent: bytes = b'',
+        **changes: Any,
+    ) -> tuple[int, dict[str, str], bytes]:
         """Make one request and give status, headers and body."""
         asked = environ(**changes)
+        asked['wsgi.input'] = io.BytesIO(sent)
         asked['fennelfork.connection'] = self.near
         asked['fennelfork.close_connection'] = lambda: None
         body = self.service.face(asked, self._start_response)
@@ -159,6 +164,28 @@
         assert daemon.lines()[-1]['event'] == 'defect'
 
 
+class TestBodies:
+    """Bodies that are passed on, and those that are not."""
+
+    def test_chunked(self, daemon: Daemon) -> None:
+        """A body in chunks is passed on as a whole."""
+        daemon.know(route())
+        daemon.add(b'whole', 'archive')
+        status, _, _ = daemon.ask(b'{}', HTTP_TRANSFER_ENCODING='chunked')
+        assert status == 200
+
+    @pytest.mark.parametrize(
+        ('length', 'body'),
+        [('300000', b'x' * 300_000), ('9', b'short')],
+    )
+    def test_refused(self, daemon: Daemon, length: str, body: bytes) -> None:
+        """Too large, or not whole: nothing is sent."""
+        daemon.know(route())
+        status, _, _ = daemon.ask(body, CONTENT_LENGTH=length)
+        assert status == 400
+        assert daemon.lines()[-1]['code'] == 'bad_request'
+
+
 class TestCallerWatch:
     """A caller that closes its connection while its request runs."""
 
