--- a/packages/fennelfork-daemon/tests/test_backend_connection.py
+++ b/packages/fennelfork-daemon/tests/test_backend_connection.py
@@ -86,6 +86,21 @@
         assert failure.code is (code or FailureCode.BAD_REPLY)
         assert failure.verdict is Verdict.MAY_HAVE_RUN
 
+    def test_extra_bytes_spoil_the_connection(self) -> None:
+        """What follows a whole reply belongs to no call of ours."""
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            host, port = listener.getsockname()
+            connection = backend_connection(Address(host=host, port=port), 1000)
+            connection.open(_CALL.timeout_ms)
+            far = listener.accept()[0]
+        with closing(far):
+            far.sendall(_FINE)
+            assert connection.carry(_CALL).unwrap().body == b'{}'
+            assert connection.alive
+            far.sendall(_FINE)
+            assert not connection.alive
+        connection.close()
+
     def test_a_refused_connection_is_not_run(self) -> None:
         """No byte was sent where nobody listens."""
         with closing(socket.create_server(('127.0.0.1', 0))) as closed:
