A leg's failure and the settings lose what nothing used

Found on reading the change: Leg.may_run had one caller and made its nesting deep; longest_ttl_ms was read and checked, and used by nothing. Behaviour stays.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
@@ -24,7 +24,6 @@
         store: where the platform's store listens.
         repeats: what all daemons together may repeat.
         stop_ms: how long a stop may take until the process is killed.
-        longest_ttl_ms: the longest that callers keep an entry answer.
         least_lease_ms: the shortest lease that the store grants.
     """
 
@@ -39,5 +38,4 @@
     store: Address
     repeats: RepeatPolicy
     stop_ms: float
-    longest_ttl_ms: float
     least_lease_ms: float
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -66,7 +66,6 @@
         'store': _ANYWHERE,
         'repeats': RepeatPolicy(ratio=0.2, fixed=58, window_ms=10_000),
         'stop_ms': 6000,
-        'longest_ttl_ms': 5000,
         'least_lease_ms': 1000,
     }
     return RouteSettings(**(fields | changes))
--- a/packages/fennelfork/src/fennelfork/routes/_leg.py
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -91,17 +91,12 @@
         """Note that a copy was not answered well."""
         self._note(self.running.pop(attempt), now_ms, failure.detail)
         self.failure = failure
-        if failure.verdict is Verdict.NOT_RUN:
-            self.runs -= 1
-        if failure.code is FailureCode.UNREACHABLE and not self.may_run(
-            failure
-        ):
+        if failure.verdict is not Verdict.NOT_RUN:
+            return
+        self.runs -= 1
+        if failure.code is FailureCode.UNREACHABLE:
             self.arrivals -= 1
 
-    def may_run(self, failure: Failure) -> bool:
-        """Tell whether a failed copy may run all the same."""
-        return failure.verdict is not Verdict.NOT_RUN
-
     def _note(self, send: Send, at_ms: float, what: str) -> None:
         instance = send.server.instance
         self.events.append(LegEvent(at_ms=at_ms, instance=instance, what=what))
