--- a/packages/fennelfork-daemon/tests/daemon_builders_answers.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_answers.py
@@ -8,35 +8,33 @@
 from returns.result import Result, Success
 
 from fennelfork import (
-    Assignment,
     Blackboard,
-    CoverageDemand,
-    Document,
     Failure,
     FailureCode,
-    Front,
-    Member,
-    MemberStatus,
+    blackboard,
+    may_have_run,
+    not_run,
+    system_clock,
+)
+from fennelfork.config import Document, Front, Server, Shard
+from fennelfork.gather import (
+    Assignment,
+    CoverageDemand,
     Merge,
     Part,
     PartitionMap,
     QueryRequest,
     ScatterOrder,
     ScatterOutcome,
-    Server,
-    Shard,
     WholeCoverage,
-    blackboard,
     key_range,
-    may_have_run,
     merge_of,
-    not_run,
-    peer_health,
-    system_clock,
 )
-from fennelfork_daemon._root_scatter import RootScatter
-from fennelfork_daemon._trace import RequestTrace
-from fennelfork_daemon._view_cache import ViewCache
+from fennelfork.membership import Member, MemberStatus
+from fennelfork.placement import peer_health
+from fennelfork_daemon.root._scatter import RootScatter
+from fennelfork_daemon.root._view_cache import ViewCache
+from fennelfork_daemon.tracing._trace import RequestTrace
 
 SHED = not_run(FailureCode.SHED, 'all slots busy')
 NO_REPLY = may_have_run(FailureCode.UNREACHABLE, 'no reply')
--- a/packages/fennelfork-daemon/tests/daemon_builders_config.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_config.py
@@ -13,17 +13,13 @@
 
 import attrs
 
-from fennelfork import (
-    CallBudget,
-    StoredDocument,
-    call_budget,
-    system_clock,
-)
+from fennelfork import system_clock
+from fennelfork.config import CallBudget, StoredDocument, call_budget
 from fennelfork_daemon._address import address
-from fennelfork_daemon._kv_client import ConfigKey
-from fennelfork_daemon._kv_http import KeyValueHttp, key_value_http
-from fennelfork_daemon._metrics import ControlCost
-from fennelfork_daemon._settings_tables import (
+from fennelfork_daemon.kv._client import ConfigKey
+from fennelfork_daemon.kv._http import KeyValueHttp, key_value_http
+from fennelfork_daemon.metrics._metrics import ControlCost
+from fennelfork_daemon.settings._tables import (
     DaemonSettings,
     ListenSettings,
     PlatformSettings,
--- a/packages/fennelfork-daemon/tests/daemon_builders_fleet.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_fleet.py
@@ -7,9 +7,9 @@
 
 from daemon_builders_product import settings_document
 
-from fennelfork import Member, MemberStatus
-from fennelfork_daemon._settings import read_settings
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork.membership import Member, MemberStatus
+from fennelfork_daemon.settings._settings import read_settings
+from fennelfork_daemon.settings._tables import Settings
 
 
 def a_member(name: str = 'vm-1', peer: str = '127.0.0.1:1') -> Member:
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -13,17 +13,16 @@
 import attrs
 from returns.result import Result, Success
 
-from fennelfork import (
+from fennelfork import Failure, system_clock
+from fennelfork.once import (
     ExecuteRequest,
-    Failure,
     OnceGate,
     OnceLimits,
     bound_request_id,
     once_gate,
-    system_clock,
     ticket_key,
 )
-from fennelfork_daemon._execute_connection import (
+from fennelfork_daemon.execute._connection import (
     ExecutePatience,
     ExecuteTarget,
 )
--- a/packages/fennelfork-daemon/tests/daemon_builders_product.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_product.py
@@ -7,10 +7,10 @@
 
 from returns.pipeline import is_successful
 
-from fennelfork import Document, Front, Tenant, TrafficClass
-from fennelfork_daemon._problem import problem_reply
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
-from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
+from fennelfork.config import Document, Front, Tenant, TrafficClass
+from fennelfork_daemon.http._problem import problem_reply
+from fennelfork_daemon.http._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon.http._wsgi_request import BodyLimits, read_json_object
 
 LARGE_BYTES = 32_000_000
 _DOCUMENT = {
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -9,15 +9,8 @@
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
-from fennelfork import (
-    Failure,
-    FailureCode,
-    ManualTime,
-    Member,
-    MemberStatus,
-    manual_clock,
-    not_run,
-)
+from fennelfork import Failure, FailureCode, ManualTime, manual_clock, not_run
+from fennelfork.membership import Member, MemberStatus
 from fennelfork.routes import (
     BackendServer,
     CallerLimits,
@@ -29,9 +22,8 @@
     route_table,
 )
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._log_budget import decision_log
-from fennelfork_daemon._logs import configure_logs
-from fennelfork_daemon._settings_tables import LogSettings
+from fennelfork_daemon.logs._budget import decision_log
+from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.routes import (
     Changes,
     Fact,
@@ -47,6 +39,7 @@
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._reporters import StoreReporter
+from fennelfork_daemon.settings._tables import LogSettings
 
 AWAY = not_run(FailureCode.PLATFORM, 'the store answered 503')
 _ANYWHERE = Address(host='127.0.0.1', port=0)
--- a/packages/fennelfork-daemon/tests/test_backend_connection.py
+++ b/packages/fennelfork-daemon/tests/test_backend_connection.py
@@ -9,8 +9,8 @@
 
 from fennelfork import FailureCode, Verdict
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._backend_call import BackendCall
-from fennelfork_daemon._backend_connection import backend_connection
+from fennelfork_daemon.backend._call import BackendCall
+from fennelfork_daemon.backend._connection import backend_connection
 
 _CAP_S = 20
 _CALL = BackendCall(path='/v1/search', body={'keys': [1]}, timeout_ms=20_000)
--- a/packages/fennelfork-daemon/tests/test_cli.py
+++ b/packages/fennelfork-daemon/tests/test_cli.py
@@ -9,7 +9,7 @@
 import pytest
 
 from fennelfork_daemon._cli import run_command
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon.settings._tables import Settings
 
 _EXAMPLE = pathlib.Path(__file__).parents[3] / 'examples/fennelforkd.toml'
 
--- a/packages/fennelfork-daemon/tests/test_config_codec.py
+++ b/packages/fennelfork-daemon/tests/test_config_codec.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fennelfork import FailureCode
-from fennelfork_daemon._config_codec import pack_document, unpack_document
+from fennelfork_daemon.config._codec import pack_document, unpack_document
 
 
 class TestUnpack:
--- a/packages/fennelfork-daemon/tests/test_config_patcher.py
+++ b/packages/fennelfork-daemon/tests/test_config_patcher.py
@@ -15,17 +15,11 @@
     swapped,
 )
 
-from fennelfork import (
-    Member,
-    MemberStatus,
-    PatchRequest,
-    StoredDocument,
-    Verdict,
-    blackboard,
-    system_clock,
-)
-from fennelfork_daemon._config_holder import config_holder
-from fennelfork_daemon._config_patcher import ConfigPatcher
+from fennelfork import Verdict, blackboard, system_clock
+from fennelfork.config import PatchRequest, StoredDocument
+from fennelfork.membership import Member, MemberStatus
+from fennelfork_daemon.config._holder import config_holder
+from fennelfork_daemon.config._patcher import ConfigPatcher
 
 _REQUEST = PatchRequest(
     base=1,
--- a/packages/fennelfork-daemon/tests/test_decision_log.py
+++ b/packages/fennelfork-daemon/tests/test_decision_log.py
@@ -7,10 +7,10 @@
 import structlog
 
 from fennelfork import ManualTime, manual_clock
-from fennelfork_daemon._log_budget import decision_log
-from fennelfork_daemon._log_sink import non_blocking_sink
-from fennelfork_daemon._logs import configure_logs
-from fennelfork_daemon._settings_tables import LogSettings
+from fennelfork_daemon.logs._budget import decision_log
+from fennelfork_daemon.logs._logs import configure_logs
+from fennelfork_daemon.logs._sink import non_blocking_sink
+from fennelfork_daemon.settings._tables import LogSettings
 
 
 class TestDecisionLog:
--- a/packages/fennelfork-daemon/tests/test_execute_order.py
+++ b/packages/fennelfork-daemon/tests/test_execute_order.py
@@ -7,15 +7,16 @@
 from returns.result import Failure as Failed
 from returns.result import Success
 
-from fennelfork import Verdict, bound_request_id, unsettled
-from fennelfork_daemon._execute_codec import (
+from fennelfork import Verdict
+from fennelfork.once import bound_request_id, unsettled
+from fennelfork_daemon.execute._codec import (
     order_from_peer,
     order_to_peer,
     reply_from_peer,
     reply_to_peer,
 )
-from fennelfork_daemon._execute_order import doubted, read_execute
-from fennelfork_daemon._peer_idl import peer
+from fennelfork_daemon.execute._order import doubted, read_execute
+from fennelfork_daemon.peer._idl import peer
 
 _LONGEST_MS = 60_000
 
--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -16,22 +16,13 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import (
-    Done,
-    Ended,
-    ExecuteCall,
-    Failure,
-    FailureCode,
-    OnceGate,
-    Verdict,
-    not_run,
-    system_clock,
-)
-from fennelfork_daemon._execute_connection import (
+from fennelfork import Failure, FailureCode, Verdict, not_run, system_clock
+from fennelfork.once import Done, Ended, ExecuteCall, OnceGate
+from fennelfork_daemon.execute._connection import (
     ExecuteTarget,
     attempt_execute,
 )
-from fennelfork_daemon._execute_runner import ExecuteRunner
+from fennelfork_daemon.execute._runner import ExecuteRunner
 
 _CALL = ExecuteCall(request_id='a@s', sub_query='x0', key=7, action='issue')
 _CAP_MS = 20_000
--- a/packages/fennelfork-daemon/tests/test_problem.py
+++ b/packages/fennelfork-daemon/tests/test_http_problem.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fennelfork import FailureCode, Verdict, may_have_run, not_run
-from fennelfork_daemon._problem import (
+from fennelfork_daemon.http._problem import (
     problem_body,
     problem_reply,
     problem_status,
--- a/packages/fennelfork-daemon/tests/test_wsgi_request.py
+++ b/packages/fennelfork-daemon/tests/test_http_wsgi_request.py
@@ -7,7 +7,7 @@
 from daemon_builders_product import wsgi_post
 
 from fennelfork import Verdict
-from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
+from fennelfork_daemon.http._wsgi_request import BodyLimits, read_json_object
 
 _LIMITS = BodyLimits(body_bytes=64, read_ms=50)
 
--- a/packages/fennelfork-daemon/tests/test_wsgi_server.py
+++ b/packages/fennelfork-daemon/tests/test_http_wsgi_server.py
@@ -16,12 +16,12 @@
 from eventlet.green import socket
 
 from fennelfork_daemon._address import address
-from fennelfork_daemon._settings import read_settings
-from fennelfork_daemon._wsgi_server import (
+from fennelfork_daemon.http._wsgi_server import (
     listening_address,
     open_listener,
     serve_http,
 )
+from fennelfork_daemon.settings._settings import read_settings
 
 _PATIENCE_S = 20
 _CONNECTIONS = 3
--- a/packages/fennelfork-daemon/tests/test_in_progress.py
+++ b/packages/fennelfork-daemon/tests/test_in_progress.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fennelfork_daemon._in_progress import CountedApplication, InProgress
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon.http._wsgi_protocol import CLOSE_KEY
 
 
 class _CountingApplication:
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -15,17 +15,15 @@
     unused_address,
 )
 
-from fennelfork import (
-    ManualTime,
+from fennelfork import ManualTime, Verdict, manual_clock
+from fennelfork.config import (
     PatchRecord,
     PreparedWrite,
     StoredDocument,
-    Verdict,
     call_budget,
-    manual_clock,
 )
-from fennelfork_daemon._kv_codec import watch_body
-from fennelfork_daemon._metrics import Channel, ControlCost
+from fennelfork_daemon.kv._codec import watch_body
+from fennelfork_daemon.metrics._metrics import Channel, ControlCost
 
 _WRITE = PreparedWrite(
     raw='{"version":2}',
--- a/packages/fennelfork-daemon/tests/test_listeners.py
+++ b/packages/fennelfork-daemon/tests/test_listeners.py
@@ -5,8 +5,8 @@
 
 from fennelfork_daemon._address import address
 from fennelfork_daemon._listeners import open_listeners
-from fennelfork_daemon._settings import read_settings
-from fennelfork_daemon._wsgi_server import listening_address, open_listener
+from fennelfork_daemon.http._wsgi_server import listening_address, open_listener
+from fennelfork_daemon.settings._settings import read_settings
 
 _LISTEN = read_settings(settings_document()).unwrap().listen
 
--- a/packages/fennelfork-daemon/tests/test_logs.py
+++ b/packages/fennelfork-daemon/tests/test_logs.py
@@ -8,8 +8,8 @@
 import pytest
 import structlog
 
-from fennelfork_daemon._logs import configure_logs, state_log
-from fennelfork_daemon._settings_tables import (
+from fennelfork_daemon.logs._logs import configure_logs, state_log
+from fennelfork_daemon.settings._tables import (
     LogFormat,
     LogLevel,
     LogSettings,
@@ -74,7 +74,7 @@
     def test_brings_no_rich(self) -> None:
         """The daemon's log does not load rich, which costs memory."""
         code = (
-            'import fennelfork_daemon._logs, sys; '
+            'import fennelfork_daemon.logs._logs, sys; '
             'sys.exit("rich" in sys.modules)'
         )
         assert subprocess.run([sys.executable, '-c', code]).returncode == 0
--- a/packages/fennelfork-daemon/tests/test_probe_codec.py
+++ b/packages/fennelfork-daemon/tests/test_membership_probe_codec.py
@@ -5,9 +5,8 @@
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
-from fennelfork import MemberStatus, ProbeAnswer, ProbeMessage
-from fennelfork_daemon._peer_idl import peer
-from fennelfork_daemon._probe_codec import (
+from fennelfork.membership import MemberStatus, ProbeAnswer, ProbeMessage
+from fennelfork_daemon.membership._probe_codec import (
     answer_from_peer,
     answer_to_peer,
     member_to_peer,
@@ -15,6 +14,7 @@
     probe_to_peer,
     wire_bytes,
 )
+from fennelfork_daemon.peer._idl import peer
 
 _FACTORY = TCyBinaryProtocolFactory()
 _MESSAGE_LIMIT = 3000
--- a/packages/fennelfork-daemon/tests/test_membership_service.py
+++ b/packages/fennelfork-daemon/tests/test_membership_service.py
@@ -7,18 +7,12 @@
 from daemon_builders_fleet import a_member
 from returns.result import Failure as Bad
 
-from fennelfork import (
-    ManualTime,
-    MembershipPolicy,
-    MemberStatus,
-    blackboard,
-    manual_clock,
-    membership,
-)
-from fennelfork_daemon._membership_metrics import membership_metrics
-from fennelfork_daemon._membership_service import MembershipService
-from fennelfork_daemon._metrics import daemon_metrics
-from fennelfork_daemon._probe_client import ProbeFailure
+from fennelfork import ManualTime, blackboard, manual_clock
+from fennelfork.membership import MembershipPolicy, MemberStatus, membership
+from fennelfork_daemon.membership._metrics import membership_metrics
+from fennelfork_daemon.membership._probe_client import ProbeFailure
+from fennelfork_daemon.membership._service import MembershipService
+from fennelfork_daemon.metrics._metrics import daemon_metrics
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/tests/test_vm_list.py
+++ b/packages/fennelfork-daemon/tests/test_membership_vm_list.py
@@ -6,14 +6,14 @@
 import pytest
 from daemon_builders_fleet import a_member, answering, settings_of
 
-from fennelfork import (
+from fennelfork import blackboard
+from fennelfork.membership import (
     ListSchedule,
     MembershipPolicy,
     MemberStatus,
-    blackboard,
     membership,
 )
-from fennelfork_daemon._vm_list import VmListReader, vm_list_reader
+from fennelfork_daemon.membership._vm_list import VmListReader, vm_list_reader
 
 _VM = {
     'name': 'vm-2',
--- a/packages/fennelfork-daemon/tests/test_metrics.py
+++ b/packages/fennelfork-daemon/tests/test_metrics.py
@@ -6,17 +6,10 @@
 import pytest
 from daemon_builders_product import labelled_document
 
-from fennelfork import (
-    Expected,
-    FailureCode,
-    KeyRange,
-    Reply,
-    Verdict,
-    check_reply,
-    may_have_run,
-    not_run,
-)
-from fennelfork_daemon._metrics import (
+from fennelfork import FailureCode, Verdict, may_have_run, not_run
+from fennelfork.gather import Expected, KeyRange, Reply, check_reply
+from fennelfork_daemon.metrics._labels import OTHER
+from fennelfork_daemon.metrics._metrics import (
     Channel,
     ControlCost,
     DaemonMetrics,
@@ -26,7 +19,6 @@
     daemon_metrics,
     drop_reason,
 )
-from fennelfork_daemon._metrics_labels import OTHER
 
 
 def _metrics(most_names: int = 8) -> DaemonMetrics:
--- a/packages/fennelfork-daemon/tests/test_root_scatter.py
+++ b/packages/fennelfork-daemon/tests/test_root_scatter.py
@@ -9,7 +9,8 @@
     scattered,
 )
 
-from fennelfork import Failure, PartialCoverage, Verdict, WholeCoverage
+from fennelfork import Failure, Verdict
+from fennelfork.gather import PartialCoverage, WholeCoverage
 
 
 class TestLostHomes:
--- a/packages/fennelfork-daemon/tests/test_settings.py
+++ b/packages/fennelfork-daemon/tests/test_settings.py
@@ -9,10 +9,10 @@
 from daemon_builders_product import settings_document
 from returns.result import Success
 
-from fennelfork import RoutingMode
+from fennelfork.placement import RoutingMode
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._settings import load_settings, read_settings
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon.settings._settings import load_settings, read_settings
+from fennelfork_daemon.settings._tables import Settings
 
 _EXAMPLE = pathlib.Path(__file__).parents[3] / 'examples/fennelforkd.toml'
 
--- a/packages/fennelfork-daemon/tests/test_state_watch.py
+++ b/packages/fennelfork-daemon/tests/test_state_watch.py
@@ -7,12 +7,13 @@
 import structlog
 from daemon_builders_product import labelled_document
 
-from fennelfork import Blackboard, Member, MemberStatus, blackboard
-from fennelfork_daemon._logs import configure_logs
-from fennelfork_daemon._metrics import daemon_metrics
+from fennelfork import Blackboard, blackboard
+from fennelfork.membership import Member, MemberStatus
 from fennelfork_daemon._readiness import unready_reasons
-from fennelfork_daemon._settings_tables import LogSettings
 from fennelfork_daemon._state_watch import state_watch
+from fennelfork_daemon.logs._logs import configure_logs
+from fennelfork_daemon.metrics._metrics import daemon_metrics
+from fennelfork_daemon.settings._tables import LogSettings
 
 
 def _board() -> Blackboard:
--- a/packages/fennelfork-daemon/tests/test_trace.py
+++ b/packages/fennelfork-daemon/tests/test_tracing_trace.py
@@ -1,16 +1,8 @@
 """Traces of requests, and the ring that keeps them."""
 
-from fennelfork import (
-    Expected,
-    FailureCode,
-    KeyRange,
-    ManualTime,
-    Part,
-    Planned,
-    manual_clock,
-    not_run,
-)
-from fennelfork_daemon._trace import ExplainRing, request_trace
+from fennelfork import FailureCode, ManualTime, manual_clock, not_run
+from fennelfork.gather import Expected, KeyRange, Part, Planned
+from fennelfork_daemon.tracing._trace import ExplainRing, request_trace
 
 
 def _part(**changes: object) -> Part:
--- a/packages/fennelfork/src/fennelfork/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/_blackboard.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from fennelfork._document import Document, Front
-from fennelfork._home_index import HomeIndex, home_index
-from fennelfork._member import Member
-from fennelfork._routing_mode import RoutingMode
+from fennelfork.config._document import Document, Front
+from fennelfork.membership._member import Member
+from fennelfork.placement._home_index import HomeIndex, home_index
+from fennelfork.placement._routing_mode import RoutingMode
 
 
 def _no_homes() -> HomeIndex:
--- a/packages/fennelfork/src/fennelfork/_entries.py
+++ b/packages/fennelfork/src/fennelfork/_entries.py
@@ -3,8 +3,8 @@
 import random
 from collections.abc import Iterable
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._weight import member_weight, weight_key
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.placement._weight import member_weight, weight_key
 
 _SAME_DATA_CENTRE = 0
 _SAME_REGION = 1
--- a/packages/fennelfork/src/fennelfork/_document.py
+++ b/packages/fennelfork/src/fennelfork/config/_document.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fennelfork._document_rule import (
+from fennelfork.config._document_rule import (
     Filled,
     Fraction,
     OneOf,
--- a/packages/fennelfork/src/fennelfork/_document_check.py
+++ b/packages/fennelfork/src/fennelfork/config/_document_check.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any, Final
 
-from fennelfork._document_rule import (
+from fennelfork.config._document_rule import (
     Filled,
     Fraction,
     OneOf,
--- a/packages/fennelfork/src/fennelfork/_document_converter.py
+++ b/packages/fennelfork/src/fennelfork/config/_document_converter.py
@@ -13,8 +13,8 @@
 import cattrs
 from returns.result import Failure, Result, Success
 
-from fennelfork._document_check import accepts
-from fennelfork._document_problem import (
+from fennelfork.config._document_check import accepts
+from fennelfork.config._document_problem import (
     Problem,
     RuleBroken,
     allowed_by,
--- a/packages/fennelfork/src/fennelfork/_document_known.py
+++ b/packages/fennelfork/src/fennelfork/config/_document_known.py
@@ -11,13 +11,13 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from fennelfork._document import Document, Front
-from fennelfork._document_parse import (
+from fennelfork.config._document import Document, Front
+from fennelfork.config._document_parse import (
     read_json,
     structure_document,
     unstructure_document,
 )
-from fennelfork._document_problem import Problem
+from fennelfork.config._document_problem import Problem
 
 _FRONTS: Final = 'fronts'
 
--- a/packages/fennelfork/src/fennelfork/_document_parse.py
+++ b/packages/fennelfork/src/fennelfork/config/_document_parse.py
@@ -6,9 +6,12 @@
 import xxhash
 from returns.result import Failure, Result, Success
 
-from fennelfork._document import Document
-from fennelfork._document_converter import checked_structure, document_converter
-from fennelfork._document_problem import Problem
+from fennelfork.config._document import Document
+from fennelfork.config._document_converter import (
+    checked_structure,
+    document_converter,
+)
+from fennelfork.config._document_problem import Problem
 
 _CONVERTER: Final = document_converter()
 
--- a/packages/fennelfork/src/fennelfork/_patch.py
+++ b/packages/fennelfork/src/fennelfork/config/_patch.py
@@ -5,10 +5,10 @@
 import attrs
 from returns.result import Result
 
-from fennelfork._document import Author, PatchId, PatchRecord, Version
-from fennelfork._document_problem import Problem
-from fennelfork._merge_patch import Change
 from fennelfork._verdict import Failure
+from fennelfork.config._document import Author, PatchId, PatchRecord, Version
+from fennelfork.config._document_problem import Problem
+from fennelfork.config._merge_patch import Change
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_patch_decision.py
+++ b/packages/fennelfork/src/fennelfork/config/_patch_decision.py
@@ -9,29 +9,29 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from fennelfork._document import Document, PatchRecord
-from fennelfork._document_known import (
+from fennelfork.config._document import Document, PatchRecord
+from fennelfork.config._document_known import (
     KnownDocument,
     known_document,
     parse_again,
     structure_again,
 )
-from fennelfork._document_parse import unstructure_document
-from fennelfork._document_problem import Problem
-from fennelfork._merge_patch import Change, merge_patch, tree_changes
-from fennelfork._patch import (
+from fennelfork.config._document_parse import unstructure_document
+from fennelfork.config._document_problem import Problem
+from fennelfork.config._merge_patch import Change, merge_patch, tree_changes
+from fennelfork.config._patch import (
     PatchAccepted,
     PatchRefused,
     PatchRequest,
     PreparedWrite,
     StoredDocument,
 )
-from fennelfork._patch_history import (
+from fennelfork.config._patch_history import (
     history_paths,
     record_of_patch,
     with_record,
 )
-from fennelfork._patch_refusal import (
+from fennelfork.config._patch_refusal import (
     conflicting,
     duplicate,
     faulty,
--- a/packages/fennelfork/src/fennelfork/_patch_event.py
+++ b/packages/fennelfork/src/fennelfork/config/_patch_event.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork._patch import PatchOutcome, PreparedWrite, StoredDocument
+from fennelfork.config._patch import PatchOutcome, PreparedWrite, StoredDocument
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_patch_history.py
+++ b/packages/fennelfork/src/fennelfork/config/_patch_history.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from fennelfork._document import Document, PatchRecord
-from fennelfork._merge_patch import Change
+from fennelfork.config._document import Document, PatchRecord
+from fennelfork.config._merge_patch import Change
 
 _MAX_RECORDS: Final = 256
 # 256 records of the longest texts need a third of the platform's megabyte.
--- a/packages/fennelfork/src/fennelfork/_patch_refusal.py
+++ b/packages/fennelfork/src/fennelfork/config/_patch_refusal.py
@@ -2,11 +2,6 @@
 
 from collections.abc import Iterable
 
-from fennelfork._document import Document, PatchRecord
-from fennelfork._document_problem import Problem
-from fennelfork._merge_patch import Change
-from fennelfork._patch import PatchRefused, PatchRequest
-from fennelfork._patch_history import records_since
 from fennelfork._verdict import (
     Failure,
     FailureCode,
@@ -14,6 +9,11 @@
     may_have_run,
     not_run,
 )
+from fennelfork.config._document import Document, PatchRecord
+from fennelfork.config._document_problem import Problem
+from fennelfork.config._merge_patch import Change
+from fennelfork.config._patch import PatchRefused, PatchRequest
+from fennelfork.config._patch_history import records_since
 
 
 def unreadable(problems: tuple[Problem, ...]) -> PatchRefused:
--- a/packages/fennelfork/src/fennelfork/_patch_request.py
+++ b/packages/fennelfork/src/fennelfork/config/_patch_request.py
@@ -4,9 +4,12 @@
 
 from returns.result import Result
 
-from fennelfork._document_converter import checked_structure, document_converter
-from fennelfork._document_problem import Problem
-from fennelfork._patch import PatchRequest
+from fennelfork.config._document_converter import (
+    checked_structure,
+    document_converter,
+)
+from fennelfork.config._document_problem import Problem
+from fennelfork.config._patch import PatchRequest
 
 _CONVERTER: Final = document_converter()
 
--- a/packages/fennelfork/src/fennelfork/_patch_writer.py
+++ b/packages/fennelfork/src/fennelfork/config/_patch_writer.py
@@ -15,24 +15,24 @@
 from returns.result import Failure, Success
 
 from fennelfork._clock import Clock
-from fennelfork._config_backoff import Backoff
-from fennelfork._document import Document, PatchRecord
-from fennelfork._document_known import KnownDocument, known_document
-from fennelfork._patch import (
+from fennelfork.config._backoff import Backoff
+from fennelfork.config._document import Document, PatchRecord
+from fennelfork.config._document_known import KnownDocument, known_document
+from fennelfork.config._patch import (
     PatchAccepted,
     PatchOutcome,
     PatchRequest,
     PreparedWrite,
     StoredDocument,
 )
-from fennelfork._patch_decision import (
+from fennelfork.config._patch_decision import (
     PatchContext,
     decide_patch,
     earlier_outcome,
     lost_race,
     read_stored,
 )
-from fennelfork._patch_event import (
+from fennelfork.config._patch_event import (
     DocumentRead,
     PatchDone,
     PatchEvent,
@@ -45,8 +45,8 @@
     WriteNotSent,
     WriteRefused,
 )
-from fennelfork._patch_history import record_of_version
-from fennelfork._patch_refusal import unavailable, uncertain
+from fennelfork.config._patch_history import record_of_version
+from fennelfork.config._patch_refusal import unavailable, uncertain
 
 _BACKOFF: Final = Backoff(base_ms=10, cap_ms=1000)
 _RETRY_AFTER_MS: Final = 5000
--- a/packages/fennelfork/src/fennelfork/_config_state.py
+++ b/packages/fennelfork/src/fennelfork/config/_state.py
@@ -7,14 +7,14 @@
 from returns.result import Success
 
 from fennelfork._clock import Clock
-from fennelfork._document import Document
-from fennelfork._document_known import (
+from fennelfork.config._document import Document
+from fennelfork.config._document_known import (
     KnownDocument,
     known_document,
     parse_again,
 )
-from fennelfork._document_parse import digest
-from fennelfork._document_problem import Problem
+from fennelfork.config._document_parse import digest
+from fennelfork.config._document_problem import Problem
 
 _EMPTY: Final = known_document(Document())
 
--- a/packages/fennelfork/src/fennelfork/_coverage.py
+++ b/packages/fennelfork/src/fennelfork/gather/_coverage.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from fennelfork._range import KeyRange, missing_ranges
 from fennelfork._verdict import FailureCode
+from fennelfork.gather._range import KeyRange, missing_ranges
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_merge.py
+++ b/packages/fennelfork/src/fennelfork/gather/_merge.py
@@ -7,11 +7,11 @@
 from returns.result import Failure as Err
 from returns.result import Result
 
-from fennelfork._coverage import Coverage, MissingRange, coverage_of
-from fennelfork._partition import Assignment, PartitionMap
-from fennelfork._range import KeyRange
-from fennelfork._reply import Expected, Record, Reply, check_reply
 from fennelfork._verdict import Failure, FailureCode, Verdict
+from fennelfork.gather._coverage import Coverage, MissingRange, coverage_of
+from fennelfork.gather._partition import Assignment, PartitionMap
+from fennelfork.gather._range import KeyRange
+from fennelfork.gather._reply import Expected, Record, Reply, check_reply
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_partition.py
+++ b/packages/fennelfork/src/fennelfork/gather/_partition.py
@@ -7,8 +7,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from fennelfork._range import KeyRange
 from fennelfork._verdict import Failure, FailureCode, not_run
+from fennelfork.gather._range import KeyRange
 
 _NONE_EXCLUDED: Final[frozenset[int]] = frozenset()
 
--- a/packages/fennelfork/src/fennelfork/_query.py
+++ b/packages/fennelfork/src/fennelfork/gather/_query.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from fennelfork._coverage import PartialCoverage, WholeCoverage
-from fennelfork._merge import Answer
+from fennelfork.gather._coverage import PartialCoverage, WholeCoverage
+from fennelfork.gather._merge import Answer
 
 CoverageDemand = WholeCoverage | PartialCoverage
 
--- a/packages/fennelfork/src/fennelfork/_refusal.py
+++ b/packages/fennelfork/src/fennelfork/gather/_refusal.py
@@ -2,14 +2,14 @@
 
 from typing import Final
 
-from fennelfork._coverage import (
+from fennelfork._verdict import Failure, FailureCode, Verdict
+from fennelfork.gather._coverage import (
     PartialCoverage,
     WholeCoverage,
     allows,
     coverage_of,
 )
-from fennelfork._merge import Answer, Merge
-from fennelfork._verdict import Failure, FailureCode, Verdict
+from fennelfork.gather._merge import Answer, Merge
 
 _RETRY_PARTIAL_MS: Final = 1000
 _RETRY_SHED_MS: Final = 200
--- a/packages/fennelfork/src/fennelfork/_reply.py
+++ b/packages/fennelfork/src/fennelfork/gather/_reply.py
@@ -6,8 +6,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from fennelfork._range import KeyRange
 from fennelfork._verdict import Failure, FailureCode, Verdict
+from fennelfork.gather._range import KeyRange
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_scatter.py
+++ b/packages/fennelfork/src/fennelfork/gather/_scatter.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from fennelfork._merge import Planned
-from fennelfork._partition import ShardView
-from fennelfork._reply import Reply
 from fennelfork._verdict import Failure
+from fennelfork.gather._merge import Planned
+from fennelfork.gather._partition import ShardView
+from fennelfork.gather._reply import Reply
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/home/__init__.pyi
@@ -0,0 +1,35 @@
+"""The home of a shard: hands out the slots of its backend servers."""
+
+from ._admission import Arrival as Arrival
+from ._admission import HomeAdmission as HomeAdmission
+from ._admission import Pressure as Pressure
+from ._admission import draw as draw
+from ._admission import overloaded as overloaded
+from ._fair import Flow as Flow
+from ._fair import Shares as Shares
+from ._fair import fair_rates as fair_rates
+from ._gate import EntryGate as EntryGate
+from ._gate import HomeLevel as HomeLevel
+from ._gate import entry_gate as entry_gate
+from ._leaving import LeavingServers as LeavingServers
+from ._leaving import leaving_servers as leaving_servers
+from ._messages import Action as Action
+from ._messages import Cancel as Cancel
+from ._messages import Effort as Effort
+from ._messages import HomeSettings as HomeSettings
+from ._messages import Send as Send
+from ._messages import ServerFacts as ServerFacts
+from ._messages import ServerReport as ServerReport
+from ._messages import Task as Task
+from ._messages import TaskAnswered as TaskAnswered
+from ._messages import TaskRefused as TaskRefused
+from ._queue import FairQueue as FairQueue
+from ._route import HomeGroup as HomeGroup
+from ._route import data_centres_of as data_centres_of
+from ._route import homes_of as homes_of
+from ._route import route_homes as route_homes
+from ._scheduler import HomeScheduler as HomeScheduler
+from ._scheduler import home_scheduler as home_scheduler
+from ._sight import ServerCondition as ServerCondition
+from ._sight import ServerSight as ServerSight
+from ._slots import SlotTable as SlotTable
--- a/packages/fennelfork/src/fennelfork/_admission.py
+++ b/packages/fennelfork/src/fennelfork/home/_admission.py
@@ -8,8 +8,8 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from fennelfork._fair import Flow, Shares, fair_rates
 from fennelfork._verdict import Failure, FailureCode, not_run
+from fennelfork.home._fair import Flow, Shares, fair_rates
 
 _WINDOW_MS: Final = 300.0
 # A rate read sooner than this after the first event says nothing.
--- a/packages/fennelfork/src/fennelfork/_home_blame.py
+++ b/packages/fennelfork/src/fennelfork/home/_blame.py
@@ -3,9 +3,9 @@
 import functools
 from typing import Final
 
-from fennelfork._ejection import may_eject
-from fennelfork._home_board import Attempt, Board, ServerState, Timer
 from fennelfork._verdict import Failure, FailureCode, Verdict
+from fennelfork.home._board import Attempt, Board, ServerState, Timer
+from fennelfork.servers._ejection import may_eject
 
 _TAIL: Final = 0.99
 # A health endpoint that lags does not undo a server's own refusal.
--- a/packages/fennelfork/src/fennelfork/_home_board.py
+++ b/packages/fennelfork/src/fennelfork/home/_board.py
@@ -6,24 +6,24 @@
 
 import attrs
 
-from fennelfork._admission import HomeAdmission
-from fennelfork._budget import Budget, budget
 from fennelfork._clock import Clock
-from fennelfork._connection import ConnectionLedger
-from fennelfork._ejection import Standing
-from fennelfork._hedge import Latencies, latencies
-from fennelfork._home_messages import (
+from fennelfork._verdict import Verdict
+from fennelfork.gather._partition import SnapshotView
+from fennelfork.home._admission import HomeAdmission
+from fennelfork.home._messages import (
     Effort,
     HomeSettings,
     ServerFacts,
     ServerReport,
     Task,
 )
-from fennelfork._partition import SnapshotView
-from fennelfork._queue import FairQueue
-from fennelfork._rank import ObservedLatency
-from fennelfork._slots import SlotTable
-from fennelfork._verdict import Verdict
+from fennelfork.home._queue import FairQueue
+from fennelfork.home._slots import SlotTable
+from fennelfork.servers._budget import Budget, budget
+from fennelfork.servers._connection import ConnectionLedger
+from fennelfork.servers._ejection import Standing
+from fennelfork.servers._hedge import Latencies, latencies
+from fennelfork.servers._rank import ObservedLatency
 
 _BUDGET_LIMIT: Final = 10.0
 _LONGEST_FULL_MS: Final = 200.0
--- a/packages/fennelfork/src/fennelfork/_home_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/home/_dispatch.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterator
 from typing import Final
 
-from fennelfork._hedge import hedge_delay_ms
-from fennelfork._home_board import Attempt, Board, Job, ServerState, Timer
-from fennelfork._home_messages import Action, Send, Task
-from fennelfork._range import missing_ranges
-from fennelfork._rank import Candidate, best
 from fennelfork._verdict import FailureCode
+from fennelfork.gather._range import missing_ranges
+from fennelfork.home._board import Attempt, Board, Job, ServerState, Timer
+from fennelfork.home._messages import Action, Send, Task
+from fennelfork.servers._hedge import hedge_delay_ms
+from fennelfork.servers._rank import Candidate, best
 
 # Copies of one sub-query that may run at the same time: a third only when the
 # second is overdue as well.
--- a/packages/fennelfork/src/fennelfork/_gate.py
+++ b/packages/fennelfork/src/fennelfork/home/_gate.py
@@ -5,10 +5,10 @@
 import attrs
 from returns.result import Result, Success
 
-from fennelfork._admission import draw, overloaded
 from fennelfork._clock import Clock
-from fennelfork._fair import Flow
 from fennelfork._verdict import Failure
+from fennelfork.home._admission import draw, overloaded
+from fennelfork.home._fair import Flow
 
 # A level that no home has confirmed for so long says nothing any more.
 _TRUSTED_MS: Final = 1000.0
--- a/packages/fennelfork/src/fennelfork/_home_intake.py
+++ b/packages/fennelfork/src/fennelfork/home/_intake.py
@@ -4,17 +4,17 @@
 from returns.result import Failure as Err
 from returns.result import Result
 
-from fennelfork._admission import Arrival, Pressure
-from fennelfork._home_board import Board, Job, Timer
-from fennelfork._home_dispatch import (
+from fennelfork._verdict import Failure, FailureCode, not_run
+from fennelfork.home._admission import Arrival, Pressure
+from fennelfork.home._board import Board, Job, Timer
+from fennelfork.home._dispatch import (
     free_slots,
     holders,
     obstacle,
     usable_slots,
 )
-from fennelfork._home_messages import Action, Task
-from fennelfork._home_outcome import cancel_copies, failed, refuse, requeue
-from fennelfork._verdict import Failure, FailureCode, not_run
+from fennelfork.home._messages import Action, Task
+from fennelfork.home._outcome import cancel_copies, failed, refuse, requeue
 
 
 def take_in(board: Board, task: Task) -> list[Action]:
--- a/packages/fennelfork/src/fennelfork/_leaving.py
+++ b/packages/fennelfork/src/fennelfork/home/_leaving.py
@@ -6,7 +6,7 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork._once_target import NamedServer
+from fennelfork.once._target import NamedServer
 
 # A server that came back is used again this long after its last refusal.
 _LEFT_OUT_MS: Final = 30_000
--- a/packages/fennelfork/src/fennelfork/_home_messages.py
+++ b/packages/fennelfork/src/fennelfork/home/_messages.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from fennelfork._fair import Flow, Shares
-from fennelfork._hedge import HedgePolicy, NoHedge
-from fennelfork._partition import SnapshotView
-from fennelfork._range import KeyRange
 from fennelfork._verdict import Failure
+from fennelfork.gather._partition import SnapshotView
+from fennelfork.gather._range import KeyRange
+from fennelfork.home._fair import Flow, Shares
+from fennelfork.servers._hedge import HedgePolicy, NoHedge
 
 _QUEUE_LIMIT: Final = 1000
 
--- a/packages/fennelfork/src/fennelfork/_home_outcome.py
+++ b/packages/fennelfork/src/fennelfork/home/_outcome.py
@@ -2,11 +2,11 @@
 
 from typing import Final
 
-from fennelfork._home_blame import blame, is_slow, note_slow, praise
-from fennelfork._home_board import Attempt, Board, Job, Timer
-from fennelfork._home_dispatch import holders
-from fennelfork._home_messages import Action, Cancel, TaskAnswered, TaskRefused
 from fennelfork._verdict import Failure, FailureCode, Verdict, not_run
+from fennelfork.home._blame import blame, is_slow, note_slow, praise
+from fennelfork.home._board import Attempt, Board, Job, Timer
+from fennelfork.home._dispatch import holders
+from fennelfork.home._messages import Action, Cancel, TaskAnswered, TaskRefused
 
 # A server that confirms no cancel is not waited for any longer than this.
 _ABANDON_MS: Final = 2000.0
--- a/packages/fennelfork/src/fennelfork/_queue.py
+++ b/packages/fennelfork/src/fennelfork/home/_queue.py
@@ -6,7 +6,7 @@
 import attrs
 from sortedcontainers import SortedList
 
-from fennelfork._fair import Flow, Shares
+from fennelfork.home._fair import Flow, Shares
 
 # How many jobs of one flow are looked at when the first finds no server.
 _LOOK_AHEAD: Final = 8
--- a/packages/fennelfork/src/fennelfork/_home_route.py
+++ b/packages/fennelfork/src/fennelfork/home/_route.py
@@ -6,9 +6,9 @@
 import attrs
 
 from fennelfork._blackboard import Blackboard
-from fennelfork._document import Shard
-from fennelfork._member import Member
-from fennelfork._routing_mode import RoutingMode
+from fennelfork.config._document import Shard
+from fennelfork.membership._member import Member
+from fennelfork.placement._routing_mode import RoutingMode
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_home.py
+++ b/packages/fennelfork/src/fennelfork/home/_scheduler.py
@@ -10,21 +10,21 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork._fair import Flow
-from fennelfork._home_board import Board, board
-from fennelfork._home_dispatch import dispatch
-from fennelfork._home_intake import look, take_in
-from fennelfork._home_messages import Action, HomeSettings, Task
-from fennelfork._home_outcome import (
+from fennelfork._verdict import Failure, FailureCode, not_run
+from fennelfork.home._board import Board, board
+from fennelfork.home._dispatch import dispatch
+from fennelfork.home._fair import Flow
+from fennelfork.home._intake import look, take_in
+from fennelfork.home._messages import Action, HomeSettings, Task
+from fennelfork.home._outcome import (
     cancel_copies,
     end_attempt,
     failed,
     refuse,
     replied,
 )
-from fennelfork._home_servers import HomeServers
-from fennelfork._home_sight import ServerSight, server_sights
-from fennelfork._verdict import Failure, FailureCode, not_run
+from fennelfork.home._servers import HomeServers
+from fennelfork.home._sight import ServerSight, server_sights
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_home_servers.py
+++ b/packages/fennelfork/src/fennelfork/home/_servers.py
@@ -4,16 +4,16 @@
 
 import attrs
 
-from fennelfork._connection import ConnectionLedger
-from fennelfork._home_board import Board, ServerState
-from fennelfork._home_dispatch import dispatch
-from fennelfork._home_messages import (
+from fennelfork.gather._partition import ShardView, SnapshotView
+from fennelfork.home._board import Board, ServerState
+from fennelfork.home._dispatch import dispatch
+from fennelfork.home._messages import (
     Action,
     HomeSettings,
     ServerFacts,
     ServerReport,
 )
-from fennelfork._partition import ShardView, SnapshotView
+from fennelfork.servers._connection import ConnectionLedger
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_home_sight.py
+++ b/packages/fennelfork/src/fennelfork/home/_sight.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork._home_board import Board, ServerState
+from fennelfork.home._board import Board, ServerState
 
 
 @enum.unique
--- a/packages/fennelfork/src/fennelfork/_membership_announce.py
+++ b/packages/fennelfork/src/fennelfork/membership/_announce.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._membership import Membership
-from fennelfork._membership_messages import SendProbe
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.membership._membership import Membership
+from fennelfork.membership._messages import SendProbe
 
 
 def announce(fleet: Membership, me: Member) -> None:
--- a/packages/fennelfork/src/fennelfork/_membership_belief.py
+++ b/packages/fennelfork/src/fennelfork/membership/_belief.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
+from fennelfork.membership._member import Member, MemberStatus
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_membership_errands.py
+++ b/packages/fennelfork/src/fennelfork/membership/_errands.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from fennelfork._member import Member
-from fennelfork._membership_policy import MembershipPolicy
+from fennelfork.membership._member import Member
+from fennelfork.membership._policy import MembershipPolicy
 
 _MS_PER_S: Final = 1000
 _MOST_CLAIMS: Final = 512
--- a/packages/fennelfork/src/fennelfork/_member_table.py
+++ b/packages/fennelfork/src/fennelfork/membership/_member_table.py
@@ -7,7 +7,7 @@
 import attrs
 import xxhash
 
-from fennelfork._member import Member, MemberStatus
+from fennelfork.membership._member import Member, MemberStatus
 
 _BUCKETS: Final = 32
 _DIGEST_BYTES: Final = 4
--- a/packages/fennelfork/src/fennelfork/_membership.py
+++ b/packages/fennelfork/src/fennelfork/membership/_membership.py
@@ -11,19 +11,19 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._membership_errands import Errands
-from fennelfork._membership_health import LocalHealth
-from fennelfork._membership_messages import (
+from fennelfork.membership._errands import Errands
+from fennelfork.membership._health import LocalHealth
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.membership._messages import (
     ProbeAnswer,
     ProbeMessage,
     SendProbe,
 )
-from fennelfork._membership_order import ProbeOrder
-from fennelfork._membership_policy import MembershipPolicy
-from fennelfork._membership_prober import Outcome, Prober
-from fennelfork._membership_schedule import ProbeSchedule
-from fennelfork._membership_view import FleetView, fleet_view
+from fennelfork.membership._order import ProbeOrder
+from fennelfork.membership._policy import MembershipPolicy
+from fennelfork.membership._prober import Outcome, Prober
+from fennelfork.membership._schedule import ProbeSchedule
+from fennelfork.membership._view import FleetView, fleet_view
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_membership_messages.py
+++ b/packages/fennelfork/src/fennelfork/membership/_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork._member import Member
+from fennelfork.membership._member import Member
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_membership_order.py
+++ b/packages/fennelfork/src/fennelfork/membership/_order.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from fennelfork._member import MemberStatus
-from fennelfork._member_table import MemberTable
+from fennelfork.membership._member import MemberStatus
+from fennelfork.membership._member_table import MemberTable
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_membership_self.py
+++ b/packages/fennelfork/src/fennelfork/membership/_own_standing.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._membership_policy import MembershipPolicy
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.membership._policy import MembershipPolicy
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_membership_prober.py
+++ b/packages/fennelfork/src/fennelfork/membership/_prober.py
@@ -5,15 +5,15 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._membership_health import LocalHealth
-from fennelfork._membership_messages import (
+from fennelfork.membership._health import LocalHealth
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.membership._messages import (
     ProbeAnswer,
     ProbeMessage,
     SendProbe,
 )
-from fennelfork._membership_policy import MembershipPolicy
-from fennelfork._membership_view import FleetView
+from fennelfork.membership._policy import MembershipPolicy
+from fennelfork.membership._view import FleetView
 
 
 @enum.unique
--- a/packages/fennelfork/src/fennelfork/_membership_schedule.py
+++ b/packages/fennelfork/src/fennelfork/membership/_schedule.py
@@ -6,14 +6,14 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._member_table import MemberTable
-from fennelfork._membership_errands import Errands
-from fennelfork._membership_messages import SendProbe
-from fennelfork._membership_order import ProbeOrder
-from fennelfork._membership_policy import MembershipPolicy
-from fennelfork._membership_prober import Prober
-from fennelfork._membership_view import FleetView
+from fennelfork.membership._errands import Errands
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.membership._member_table import MemberTable
+from fennelfork.membership._messages import SendProbe
+from fennelfork.membership._order import ProbeOrder
+from fennelfork.membership._policy import MembershipPolicy
+from fennelfork.membership._prober import Prober
+from fennelfork.membership._view import FleetView
 
 _MOST_STRETCH: Final = 2
 
--- a/packages/fennelfork/src/fennelfork/_membership_view.py
+++ b/packages/fennelfork/src/fennelfork/membership/_view.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._member_table import MemberTable
-from fennelfork._membership_belief import weigh_claim
-from fennelfork._membership_gossip import GossipQueue
-from fennelfork._membership_messages import MemberChange
-from fennelfork._membership_policy import MembershipPolicy
-from fennelfork._membership_self import OwnStanding
-from fennelfork._membership_timers import SuspicionTimers
+from fennelfork.membership._belief import weigh_claim
+from fennelfork.membership._gossip import GossipQueue
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.membership._member_table import MemberTable
+from fennelfork.membership._messages import MemberChange
+from fennelfork.membership._own_standing import OwnStanding
+from fennelfork.membership._policy import MembershipPolicy
+from fennelfork.membership._timers import SuspicionTimers
 
 
 @attrs.define(kw_only=True)
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/once/__init__.py
@@ -0,0 +1,8 @@
+"""Non-idempotent requests: run at most once, and a true word on whether.
+
+The public names stand in `__init__.pyi`; each is loaded when first used.
+"""
+
+import lazy_loader
+
+__getattr__, __dir__, _names = lazy_loader.attach_stub(__name__, __file__)
--- a/packages/fennelfork/src/fennelfork/_once_admission.py
+++ b/packages/fennelfork/src/fennelfork/once/_admission.py
@@ -6,8 +6,8 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork._once_state import Accepted, Done, Ended, OnceState, Sent
 from fennelfork._verdict import Failure
+from fennelfork.once._state import Accepted, Done, Ended, OnceState, Sent
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_once_gate.py
+++ b/packages/fennelfork/src/fennelfork/once/_gate.py
@@ -7,15 +7,16 @@
 from returns.result import Result, Success
 
 from fennelfork._clock import Clock
-from fennelfork._once import (
+from fennelfork._verdict import Failure
+from fennelfork.once._admission import OnceAdmission
+from fennelfork.once._memory import (
     OnceLimits,
     OnceRequest,
     OnceTable,
     once_request,
     once_table,
 )
-from fennelfork._once_admission import OnceAdmission
-from fennelfork._ticket import (
+from fennelfork.once._ticket import (
     Ticket,
     TicketKey,
     check_binding,
@@ -23,7 +24,6 @@
     issue_ticket,
     unsettled,
 )
-from fennelfork._verdict import Failure
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/_once.py
+++ b/packages/fennelfork/src/fennelfork/once/_memory.py
@@ -14,8 +14,12 @@
 from sortedcontainers import SortedList
 
 from fennelfork._clock import Clock
-from fennelfork._once_admission import OnceAdmission, RunIt, repeat_admission
-from fennelfork._once_state import (
+from fennelfork._verdict import (
+    Failure,
+    Verdict,
+)
+from fennelfork.once._admission import OnceAdmission, RunIt, repeat_admission
+from fennelfork.once._state import (
     Accepted,
     Done,
     Ended,
@@ -27,11 +31,7 @@
     ticket_closed,
     ticket_expired,
 )
-from fennelfork._ticket import Ticket, unsettled
-from fennelfork._verdict import (
-    Failure,
-    Verdict,
-)
+from fennelfork.once._ticket import Ticket, unsettled
 
 _NEVER_MS: Final = -1
 
--- a/packages/fennelfork/src/fennelfork/_once_target.py
+++ b/packages/fennelfork/src/fennelfork/once/_target.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from fennelfork._document import Front, Server
-from fennelfork._partition import ShardView
+from fennelfork.config._document import Front, Server
+from fennelfork.gather._partition import ShardView
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/placement/__init__.pyi
@@ -0,0 +1,13 @@
+"""Which daemon does what: homes of shards, readers of the configuration."""
+
+from ._config_follow import ConfigFollower as ConfigFollower
+from ._config_follow import FollowPolicy as FollowPolicy
+from ._config_follow import config_follower as config_follower
+from ._home_index import HomeIndex as HomeIndex
+from ._home_index import home_index as home_index
+from ._peer_health import PeerHealth as PeerHealth
+from ._peer_health import peer_health as peer_health
+from ._rendezvous import home_of as home_of
+from ._rendezvous import watchers as watchers
+from ._routing_mode import RoutingMode as RoutingMode
+from ._routing_mode import slot_share as slot_share
--- a/packages/fennelfork/src/fennelfork/_config_follow.py
+++ b/packages/fennelfork/src/fennelfork/placement/_config_follow.py
@@ -14,9 +14,9 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork._config_backoff import Backoff
-from fennelfork._member import Member, MemberStatus
-from fennelfork._rendezvous import watchers
+from fennelfork.config._backoff import Backoff
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.placement._rendezvous import watchers
 
 _SLOWEST_MS: Final = 5000
 _READ_BACKOFF: Final = Backoff(base_ms=100, cap_ms=_SLOWEST_MS)
--- a/packages/fennelfork/src/fennelfork/_home_index.py
+++ b/packages/fennelfork/src/fennelfork/placement/_home_index.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from fennelfork._member import Member, MemberStatus
-from fennelfork._weight import heaviest, weight_key
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.placement._weight import heaviest, weight_key
 
 # A leaving member still serves, a suspect one may not: it comes last.
 _PREFERENCE: Final = (
--- a/packages/fennelfork/src/fennelfork/_rendezvous.py
+++ b/packages/fennelfork/src/fennelfork/placement/_rendezvous.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
-from fennelfork._home_index import home_index
-from fennelfork._member import Member, MemberStatus
-from fennelfork._weight import member_weight, weight_key
+from fennelfork.membership._member import Member, MemberStatus
+from fennelfork.placement._home_index import home_index
+from fennelfork.placement._weight import member_weight, weight_key
 
 _PREFERENCE: Final = (
     MemberStatus.ALIVE,
--- a/packages/fennelfork/src/fennelfork/_routing_mode.py
+++ b/packages/fennelfork/src/fennelfork/placement/_routing_mode.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork._document import Server
+from fennelfork.config._document import Server
 
 
 @enum.unique
--- a/packages/fennelfork/src/fennelfork/_weight.py
+++ b/packages/fennelfork/src/fennelfork/placement/_weight.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from fennelfork._member import Member
+from fennelfork.membership._member import Member
 
 
 def weight_key(*parts: str) -> int:
--- a/packages/fennelfork/src/fennelfork/routes/_pace.py
+++ b/packages/fennelfork/src/fennelfork/routes/_pace.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from fennelfork._hedge import (
+from fennelfork.routes._route import Route
+from fennelfork.servers._hedge import (
     Latencies,
     QuantileHedge,
     hedge_delay_ms,
     latencies,
 )
-from fennelfork._rank import ObservedLatency
-from fennelfork.routes._route import Route
+from fennelfork.servers._rank import ObservedLatency
 
 # A second copy goes out after this quantile of the route's latencies, within
 # these shares of its aim: earlier ones cost more than they bring (worth 0.776
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -8,11 +8,11 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork._rank import Candidate, best
 from fennelfork.routes._connection_share import ConnectionShares
 from fennelfork.routes._pace import Pace
 from fennelfork.routes._roster import BackendServer, Roster
 from fennelfork.routes._server_state import ServerState, ServerStates
+from fennelfork.servers._rank import Candidate, best
 
 # An answer from another region comes 24 ms later and its bytes are dear: a
 # server there has to be faster by that and a share of the aim. At an aim of
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from fennelfork._ejection import Standing
-from fennelfork._rank import ObservedLatency
+from fennelfork.servers._ejection import Standing
+from fennelfork.servers._rank import ObservedLatency
 
 # A server that got no work is believed to be half way back to the usual
 # speed after this: slow spells of some seconds are the common case.
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/servers/__init__.py
@@ -0,0 +1,8 @@
+"""Choice and judgement of backend servers: rank, hedges, budgets, ejection.
+
+The public names stand in `__init__.pyi`; each is loaded when first used.
+"""
+
+import lazy_loader
+
+__getattr__, __dir__, _names = lazy_loader.attach_stub(__name__, __file__)
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/servers/__init__.pyi
@@ -0,0 +1,18 @@
+"""Choice and judgement of backend servers: rank, hedges, budgets, ejection."""
+
+from ._budget import Budget as Budget
+from ._budget import budget as budget
+from ._connection import ConnectionLedger as ConnectionLedger
+from ._connection import ConnectionUse as ConnectionUse
+from ._ejection import Standing as Standing
+from ._ejection import may_eject as may_eject
+from ._hedge import FixedHedge as FixedHedge
+from ._hedge import HedgePolicy as HedgePolicy
+from ._hedge import Latencies as Latencies
+from ._hedge import NoHedge as NoHedge
+from ._hedge import QuantileHedge as QuantileHedge
+from ._hedge import hedge_delay_ms as hedge_delay_ms
+from ._hedge import latencies as latencies
+from ._rank import Candidate as Candidate
+from ._rank import ObservedLatency as ObservedLatency
+from ._rank import best as best
--- a/packages/fennelfork/tests/core_builders_answers.py
+++ b/packages/fennelfork/tests/core_builders_answers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from fennelfork import (
+from fennelfork.gather import (
     Expected,
     Record,
     Reply,
--- a/packages/fennelfork/tests/core_builders_config.py
+++ b/packages/fennelfork/tests/core_builders_config.py
@@ -6,15 +6,14 @@
 
 import attrs
 
-from fennelfork import (
+from fennelfork import ManualTime, manual_clock
+from fennelfork.config import (
     Document,
-    ManualTime,
     PatchRequest,
     PatchWriter,
     PreparedWrite,
     StoredDocument,
     known_document,
-    manual_clock,
 )
 
 
--- a/packages/fennelfork/tests/core_builders_fleet.py
+++ b/packages/fennelfork/tests/core_builders_fleet.py
@@ -2,7 +2,7 @@
 
 from hypothesis import strategies as st
 
-from fennelfork import Member, MemberStatus
+from fennelfork.membership import Member, MemberStatus
 
 DATA_CENTRES = ('dc-1', 'dc-2', 'dc-3')
 
--- a/packages/fennelfork/tests/core_builders_home.py
+++ b/packages/fennelfork/tests/core_builders_home.py
@@ -6,25 +6,23 @@
 import attrs
 from core_builders_answers import snapshot
 
-from fennelfork import (
+from fennelfork import ManualTime, manual_clock
+from fennelfork.gather import SnapshotView, key_range
+from fennelfork.home import (
     Action,
     Cancel,
-    FixedHedge,
     Flow,
     HomeScheduler,
     HomeSettings,
-    ManualTime,
     Send,
     ServerFacts,
     ServerReport,
-    SnapshotView,
     Task,
     TaskAnswered,
     TaskRefused,
     home_scheduler,
-    key_range,
-    manual_clock,
 )
+from fennelfork.servers import FixedHedge
 
 WHOLE = key_range(0, 100)
 SERVING = ServerReport(
--- a/packages/fennelfork/tests/core_builders_network.py
+++ b/packages/fennelfork/tests/core_builders_network.py
@@ -14,7 +14,7 @@
 import attrs
 from core_builders_fleet import a_member
 
-from fennelfork import (
+from fennelfork.membership import (
     Member,
     MembershipPolicy,
     MemberStatus,
@@ -23,7 +23,7 @@
     SendProbe,
     membership,
 )
-from fennelfork import Membership as Controller
+from fennelfork.membership import Membership as Controller
 
 _STEP_MS = 100
 _LATENCY_MS = 2
--- a/packages/fennelfork/tests/core_builders_once.py
+++ b/packages/fennelfork/tests/core_builders_once.py
@@ -8,21 +8,16 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import (
+from fennelfork import Clock, Failure, FailureCode, ManualTime, Verdict, not_run
+from fennelfork.once import (
     AnswerIt,
-    Clock,
     ExecuteRequest,
-    Failure,
-    FailureCode,
-    ManualTime,
     OnceGate,
     OnceLimits,
     OnceTable,
     PassOn,
     RunIt,
-    Verdict,
     bound_request_id,
-    not_run,
     ticket_key,
     unsettled,
 )
--- a/packages/fennelfork/tests/core_builders_once_naive.py
+++ b/packages/fennelfork/tests/core_builders_once_naive.py
@@ -6,17 +6,15 @@
 from core_builders_once import Fleet
 from returns.result import Result, Success
 
-from fennelfork import (
+from fennelfork import Failure, FailureCode, not_run
+from fennelfork.once import (
     Done,
     ExecuteRequest,
-    Failure,
-    FailureCode,
     OnceAdmission,
     OnceRequest,
     OnceTable,
     Sent,
     Ticket,
-    not_run,
 )
 
 
--- a/packages/fennelfork/tests/test_config_backoff.py
+++ b/packages/fennelfork/tests/test_config_backoff.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import Backoff, ManualTime, call_budget, manual_clock
+from fennelfork import ManualTime, manual_clock
+from fennelfork.config import Backoff, call_budget
 
 
 class TestBackoff:
--- a/packages/fennelfork/tests/test_document_known.py
+++ b/packages/fennelfork/tests/test_config_document_known.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import (
+from fennelfork.config import (
     KnownDocument,
     known_document,
     merge_patch,
--- a/packages/fennelfork/tests/test_document_parse.py
+++ b/packages/fennelfork/tests/test_config_document_parse.py
@@ -7,7 +7,7 @@
 from core_builders_config import document_tree, server_tree, servers_of
 from returns.result import Success
 
-from fennelfork import (
+from fennelfork.config import (
     HedgePolicyName,
     Problem,
     digest,
--- a/packages/fennelfork/tests/test_merge_patch.py
+++ b/packages/fennelfork/tests/test_config_merge_patch.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import Change, merge_patch, tree_changes
+from fennelfork.config import Change, merge_patch, tree_changes
 
 # The cases of RFC 7396, appendix A: original, patch, result.
 _RFC_CASES = (
--- a/packages/fennelfork/tests/test_patch_decision.py
+++ b/packages/fennelfork/tests/test_config_patch_decision.py
@@ -12,15 +12,14 @@
     stored_document,
 )
 
-from fennelfork import (
+from fennelfork import FailureCode, Verdict
+from fennelfork.config import (
     Document,
-    FailureCode,
     PatchContext,
     PatchRefused,
     PatchRequest,
     PreparedWrite,
     StoredDocument,
-    Verdict,
     decide_patch,
     known_document,
     parse_document,
--- a/packages/fennelfork/tests/test_patch_writer.py
+++ b/packages/fennelfork/tests/test_config_patch_writer.py
@@ -22,17 +22,15 @@
 )
 from returns.result import Success
 
-from fennelfork import (
+from fennelfork import FailureCode, ManualTime, Verdict, manual_clock
+from fennelfork.config import (
     ConfigSource,
     DocumentRead,
-    FailureCode,
-    ManualTime,
     PatchDone,
     PatchWriter,
     ReadDocument,
     ReadFailed,
     StoredDocument,
-    Verdict,
     WriteApplied,
     WriteDocument,
     WriteLost,
@@ -40,7 +38,6 @@
     WriteRefused,
     advance_patch,
     config_state,
-    manual_clock,
     merge_patch,
 )
 
--- a/packages/fennelfork/tests/test_config_state.py
+++ b/packages/fennelfork/tests/test_config_state.py
@@ -6,13 +6,12 @@
 import pytest
 from core_builders_config import document_tree
 
-from fennelfork import (
+from fennelfork import ManualTime, manual_clock
+from fennelfork.config import (
     ConfigSource,
     ConfigState,
-    ManualTime,
     OfferOutcome,
     config_state,
-    manual_clock,
 )
 
 _PLATFORM = ConfigSource.PLATFORM
--- a/packages/fennelfork/tests/test_entries.py
+++ b/packages/fennelfork/tests/test_entries.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import Member, MemberStatus, choose_entries
+from fennelfork import choose_entries
+from fennelfork.membership import Member, MemberStatus
 
 
 def _choose(
--- a/packages/fennelfork/tests/test_exports.py
+++ b/packages/fennelfork/tests/test_exports.py
@@ -8,7 +8,17 @@
 
 import pytest
 
-_PACKAGES = ['fennelfork', 'fennelfork.routes']
+_PACKAGES = [
+    'fennelfork',
+    'fennelfork.config',
+    'fennelfork.gather',
+    'fennelfork.home',
+    'fennelfork.membership',
+    'fennelfork.once',
+    'fennelfork.placement',
+    'fennelfork.routes',
+    'fennelfork.servers',
+]
 
 
 @pytest.mark.parametrize('name', _PACKAGES)
--- a/packages/fennelfork/tests/test_flow_bounds.py
+++ b/packages/fennelfork/tests/test_flow_bounds.py
@@ -1,8 +1,8 @@
 """Memory of a home under callers that invent tenants."""
 
-from fennelfork import Flow, Shares
-from fennelfork._admission import Arrival, HomeAdmission, Pressure
-from fennelfork._queue import FairQueue
+from fennelfork.home import Flow, Shares
+from fennelfork.home._admission import Arrival, HomeAdmission, Pressure
+from fennelfork.home._queue import FairQueue
 
 _FREE = Pressure(slots=5, free=5, ahead=0, least_ms=5, left_ms=1000)
 
--- a/packages/fennelfork/tests/test_merge.py
+++ b/packages/fennelfork/tests/test_gather_merge.py
@@ -7,16 +7,14 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    FailureCode,
+from fennelfork import FailureCode, Verdict, not_run
+from fennelfork.gather import (
     Merge,
     PartialCoverage,
-    Verdict,
     WholeCoverage,
     allows,
     key_range,
     merge_of,
-    not_run,
     pin,
 )
 
--- a/packages/fennelfork/tests/test_partition.py
+++ b/packages/fennelfork/tests/test_gather_partition.py
@@ -7,15 +7,8 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    FailureCode,
-    KeyRange,
-    PartitionMap,
-    ShardView,
-    Verdict,
-    key_range,
-    pin,
-)
+from fennelfork import FailureCode, Verdict
+from fennelfork.gather import KeyRange, PartitionMap, ShardView, key_range, pin
 
 _WHOLE = key_range(0, 30)
 _BOUNDS = st.builds(
--- a/packages/fennelfork/tests/test_range.py
+++ b/packages/fennelfork/tests/test_gather_range.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import KeyRange, key_range, missing_ranges
+from fennelfork.gather import KeyRange, key_range, missing_ranges
 
 _RANGES = st.builds(
     lambda lo, width: key_range(lo, lo + width),
--- a/packages/fennelfork/tests/test_refusal.py
+++ b/packages/fennelfork/tests/test_gather_refusal.py
@@ -3,18 +3,16 @@
 import pytest
 from core_builders_answers import reply_to
 
-from fennelfork import (
+from fennelfork import FailureCode, Verdict, not_run
+from fennelfork.gather import (
     Assignment,
-    FailureCode,
     Merge,
     PartialCoverage,
     PartitionMap,
-    Verdict,
     WholeCoverage,
     is_hopeless,
     key_range,
     merge_of,
-    not_run,
     refusal_of,
 )
 
--- a/packages/fennelfork/tests/test_reply.py
+++ b/packages/fennelfork/tests/test_gather_reply.py
@@ -5,13 +5,8 @@
 from core_builders_answers import records, reply_to
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    Expected,
-    FailureCode,
-    Verdict,
-    check_reply,
-    key_range,
-)
+from fennelfork import FailureCode, Verdict
+from fennelfork.gather import Expected, check_reply, key_range
 
 _EXPECTED = Expected(
     request_id='r1',
--- a/packages/fennelfork/tests/test_gate.py
+++ b/packages/fennelfork/tests/test_home_gate.py
@@ -4,15 +4,8 @@
 from core_builders_home import AUDIT, COUNTER, refusals, rig, sends, warm
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    EntryGate,
-    HomeLevel,
-    ManualTime,
-    Verdict,
-    draw,
-    entry_gate,
-    manual_clock,
-)
+from fennelfork import ManualTime, Verdict, manual_clock
+from fennelfork.home import EntryGate, HomeLevel, draw, entry_gate
 
 _NAMES = [f'request-{number}' for number in range(200)]
 
--- a/packages/fennelfork/tests/test_leaving.py
+++ b/packages/fennelfork/tests/test_home_leaving.py
@@ -2,13 +2,10 @@
 
 import attrs
 
-from fennelfork import (
-    ManualTime,
-    NamedServer,
-    Server,
-    leaving_servers,
-    manual_clock,
-)
+from fennelfork import ManualTime, manual_clock
+from fennelfork.config import Server
+from fennelfork.home import leaving_servers
+from fennelfork.once import NamedServer
 
 _SERVER = Server(
     address='127.0.0.1:1',
--- a/packages/fennelfork/tests/test_home_machine.py
+++ b/packages/fennelfork/tests/test_home_machine.py
@@ -23,17 +23,9 @@
     rule,
 )
 
-from fennelfork import (
-    Action,
-    Cancel,
-    FailureCode,
-    FixedHedge,
-    HomeSettings,
-    Send,
-    Verdict,
-    may_have_run,
-    not_run,
-)
+from fennelfork import FailureCode, Verdict, may_have_run, not_run
+from fennelfork.home import Action, Cancel, HomeSettings, Send
+from fennelfork.servers import FixedHedge
 
 _SLOTS = 2
 # Where the books count what servers shed.
--- a/packages/fennelfork/tests/test_home.py
+++ b/packages/fennelfork/tests/test_home_scheduler.py
@@ -19,14 +19,8 @@
     warm,
 )
 
-from fennelfork import (
-    FailureCode,
-    HomeSettings,
-    Send,
-    Verdict,
-    may_have_run,
-    not_run,
-)
+from fennelfork import FailureCode, Verdict, may_have_run, not_run
+from fennelfork.home import HomeSettings, Send
 
 _SHED = not_run(FailureCode.SHED, 'all slots busy')
 _LOST = may_have_run(FailureCode.UNREACHABLE, 'reset')
--- a/packages/fennelfork/tests/test_home_sight.py
+++ b/packages/fennelfork/tests/test_home_sight.py
@@ -3,12 +3,8 @@
 import pytest
 from core_builders_home import COLD, DRAINING, SERVING, rig
 
-from fennelfork import (
-    FailureCode,
-    ServerCondition,
-    ServerReport,
-    may_have_run,
-)
+from fennelfork import FailureCode, may_have_run
+from fennelfork.home import ServerCondition, ServerReport
 
 
 class TestSights:
--- a/packages/fennelfork/tests/test_membership.py
+++ b/packages/fennelfork/tests/test_membership.py
@@ -7,7 +7,7 @@
 from core_builders_fleet import a_member
 from core_builders_network import Network, Node, a_network
 
-from fennelfork import (
+from fennelfork.membership import (
     MemberStatus,
     announce,
     announce_end,
--- a/packages/fennelfork/tests/test_membership_belief.py
+++ b/packages/fennelfork/tests/test_membership_belief.py
@@ -3,8 +3,8 @@
 import pytest
 from core_builders_fleet import a_member
 
-from fennelfork import MemberStatus
-from fennelfork._membership_belief import Belief, weigh_claim
+from fennelfork.membership import MemberStatus
+from fennelfork.membership._belief import Belief, weigh_claim
 
 _ALIVE = MemberStatus.ALIVE
 _SUSPECT = MemberStatus.SUSPECT
--- a/packages/fennelfork/tests/test_membership_machine.py
+++ b/packages/fennelfork/tests/test_membership_machine.py
@@ -11,7 +11,7 @@
     rule,
 )
 
-from fennelfork import MemberStatus, MemberTable, announce_leave
+from fennelfork.membership import MemberStatus, MemberTable, announce_leave
 
 _NAMES = [f'vm-{number}' for number in range(6)]
 _NAME = st.sampled_from(_NAMES)
--- a/packages/fennelfork/tests/test_member_table.py
+++ b/packages/fennelfork/tests/test_membership_member_table.py
@@ -6,7 +6,7 @@
 from core_builders_fleet import a_member, fleets
 from hypothesis import given
 
-from fennelfork import MemberStatus, MemberTable
+from fennelfork.membership import MemberStatus, MemberTable
 
 _RNG = random.Random(0)
 
--- a/packages/fennelfork/tests/test_membership_parts.py
+++ b/packages/fennelfork/tests/test_membership_parts.py
@@ -7,12 +7,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import ListSchedule, MembershipPolicy, MemberStatus, MemberTable
-from fennelfork._membership_errands import Errands
-from fennelfork._membership_gossip import GossipQueue
-from fennelfork._membership_health import LocalHealth
-from fennelfork._membership_order import ProbeOrder
-from fennelfork._membership_self import OwnStanding
+from fennelfork.membership import (
+    ListSchedule,
+    MembershipPolicy,
+    MemberStatus,
+    MemberTable,
+)
+from fennelfork.membership._errands import Errands
+from fennelfork.membership._gossip import GossipQueue
+from fennelfork.membership._health import LocalHealth
+from fennelfork.membership._order import ProbeOrder
+from fennelfork.membership._own_standing import OwnStanding
 
 _NOBODY: frozenset[str] = frozenset()
 _POLICY = MembershipPolicy()
--- a/packages/fennelfork/tests/test_once_caller.py
+++ b/packages/fennelfork/tests/test_once_caller.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from fennelfork import (
+from fennelfork import Verdict
+from fennelfork.once import (
     CallerEvent,
     CallerStep,
     NoAnswer,
     NothingSent,
     OnceAnswered,
     OnceCaller,
-    Verdict,
 )
 
 _DOUBT = OnceAnswered(verdict=Verdict.MAY_HAVE_RUN)
--- a/packages/fennelfork/tests/test_once_machine.py
+++ b/packages/fennelfork/tests/test_once_machine.py
@@ -24,7 +24,7 @@
     run_state_machine_as_test,
 )
 
-from fennelfork import ExecuteRequest
+from fennelfork.once import ExecuteRequest
 
 _NAMES = st.sampled_from(NAMES)
 _POSITIONS = st.integers(0, 5)
--- a/packages/fennelfork/tests/test_once.py
+++ b/packages/fennelfork/tests/test_once_memory.py
@@ -13,20 +13,17 @@
 from returns.result import Failure as Failed
 from returns.result import Success
 
-from fennelfork import (
+from fennelfork import FailureCode, ManualTime, Verdict, not_run
+from fennelfork.once import (
     AnswerIt,
     AwaitIt,
     Ended,
     ExecuteRequest,
-    FailureCode,
-    ManualTime,
     OnceGate,
     OnceTable,
     PassOn,
     RunHere,
     RunIt,
-    Verdict,
-    not_run,
 )
 
 _REASON = not_run(FailureCode.UNREACHABLE, 'no reply')
--- a/packages/fennelfork/tests/test_once_reply.py
+++ b/packages/fennelfork/tests/test_once_reply.py
@@ -6,12 +6,8 @@
 import pytest
 from returns.result import Success
 
-from fennelfork import (
-    ExecuteCall,
-    FailureCode,
-    Verdict,
-    judge_execute_reply,
-)
+from fennelfork import FailureCode, Verdict
+from fennelfork.once import ExecuteCall, judge_execute_reply
 
 _CALL = ExecuteCall(
     request_id='cert-1@s',
--- a/packages/fennelfork/tests/test_once_target.py
+++ b/packages/fennelfork/tests/test_once_target.py
@@ -2,15 +2,9 @@
 
 import random
 
-from fennelfork import (
-    Front,
-    Server,
-    Shard,
-    ShardView,
-    SnapshotView,
-    execute_servers,
-    key_range,
-)
+from fennelfork.config import Front, Server, Shard
+from fennelfork.gather import ShardView, SnapshotView, key_range
+from fennelfork.once import execute_servers
 
 
 def _server(centre: str) -> Server:
--- a/packages/fennelfork/tests/test_ticket.py
+++ b/packages/fennelfork/tests/test_once_ticket.py
@@ -7,18 +7,14 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import (
-    Failure,
-    FailureCode,
-    ManualTime,
+from fennelfork import Failure, FailureCode, ManualTime, Verdict, manual_clock
+from fennelfork.once import (
     Ticket,
     TicketKey,
-    Verdict,
     bound_request_id,
     check_binding,
     check_ticket,
     issue_ticket,
-    manual_clock,
     parse_ticket,
     ticket_key,
 )
--- a/packages/fennelfork/tests/test_config_follow.py
+++ b/packages/fennelfork/tests/test_placement_config_follow.py
@@ -6,14 +6,9 @@
 import attrs
 from core_builders_fleet import DATA_CENTRES, a_data_centre, a_member
 
-from fennelfork import (
-    ConfigFollower,
-    ManualTime,
-    Member,
-    MemberStatus,
-    config_follower,
-    manual_clock,
-)
+from fennelfork import ManualTime, manual_clock
+from fennelfork.membership import Member, MemberStatus
+from fennelfork.placement import ConfigFollower, config_follower
 
 
 def _follower(manual: ManualTime, seed: int = 1) -> ConfigFollower:
--- a/packages/fennelfork/tests/test_home_index.py
+++ b/packages/fennelfork/tests/test_placement_home_index.py
@@ -4,12 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import (
-    MemberStatus,
-    blackboard,
-    home_index,
-    home_of,
-)
+from fennelfork import blackboard
+from fennelfork.membership import MemberStatus
+from fennelfork.placement import home_index, home_of
 
 _NAMES = st.frozensets(
     st.integers(0, 40).map('vm-{0}'.format),
--- a/packages/fennelfork/tests/test_rendezvous.py
+++ b/packages/fennelfork/tests/test_placement_rendezvous.py
@@ -11,7 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import Member, MemberStatus, home_of, watchers
+from fennelfork.membership import Member, MemberStatus
+from fennelfork.placement import home_of, watchers
 
 _SHARDS = [f's{number}' for number in range(60)]
 
--- a/packages/fennelfork/tests/test_routing_mode.py
+++ b/packages/fennelfork/tests/test_placement_routing_mode.py
@@ -3,17 +3,11 @@
 import pytest
 from core_builders_fleet import a_member
 
-from fennelfork import (
-    Document,
-    Front,
-    RoutingMode,
-    Server,
-    Shard,
-    blackboard,
-    route_homes,
-    slot_share,
-)
+from fennelfork import blackboard
 from fennelfork._blackboard import Blackboard
+from fennelfork.config import Document, Front, Server, Shard
+from fennelfork.home import route_homes
+from fennelfork.placement import RoutingMode, slot_share
 
 _SERVER = Server(
     address='127.0.0.1:9',
--- a/packages/fennelfork/tests/test_connection.py
+++ b/packages/fennelfork/tests/test_servers_connection.py
@@ -1,6 +1,6 @@
 """Connections to a server: limit, reuse and silence."""
 
-from fennelfork import ConnectionLedger
+from fennelfork.servers import ConnectionLedger
 
 
 class TestLedger:
--- a/packages/fennelfork/tests/test_hedge.py
+++ b/packages/fennelfork/tests/test_servers_hedge.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fennelfork import (
+from fennelfork.servers import (
     FixedHedge,
     NoHedge,
     QuantileHedge,
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -18,10 +18,10 @@
 from returns.result import Failure
 
 from fennelfork import system_clock
-from fennelfork_daemon._logs import configure_logs
-from fennelfork_daemon._settings_tables import LogSettings
+from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.routes import Ports, ServerFact, route_service
 from fennelfork_daemon.routes._caller_watch import CallerWatch
+from fennelfork_daemon.settings._tables import LogSettings
 from fennelfork_platform._backends import PlatformBackends
 from fennelfork_platform._callers import PlatformCallers
 from fennelfork_platform._items import read_item
