--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_cli.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_cli.py
@@ -1,31 +1,14 @@
 """The command line of `fennelforkd`."""
 
-import enum
 import importlib
 import pathlib
-import sys
-from collections.abc import Callable, Sequence
-from typing import Any, Final
+from collections.abc import Sequence
+from typing import Final
 
-from returns.result import Failure, Result
-
-from fennelfork_daemon.settings._problems import SettingProblem
-from fennelfork_daemon.settings._settings import load_settings
-from fennelfork_daemon.settings._tables import Settings
+from fennelfork_daemon._settings_file import Serve, serve_file
 
 _CONFIG: Final = '--config'
 
-Serve = Callable[[Settings], int]
-
-
-@enum.unique
-class ExitCode(enum.IntEnum):
-    """How the process ends."""
-
-    DONE = 0
-    CANNOT_SERVE = 1
-    BAD_SETTINGS = 2
-
 
 def run_command(tokens: Sequence[str], serve: Serve) -> int:
     """Run `fennelforkd` with the words after its name.
@@ -47,26 +30,3 @@
     if isinstance(found, pathlib.Path):
         return serve_file(found, serve)
     return int(found)
-
-
-def serve_file(path: pathlib.Path, serve: Serve) -> int:
-    """Serve by a settings file, or say all that is wrong with it."""
-    settings = load_settings(path)
-    if isinstance(settings, Failure):
-        return _refuse(settings)
-    return serve(settings.unwrap())
-
-
-def check_file(path: pathlib.Path) -> int:
-    """Check a settings file and start nothing."""
-    settings = load_settings(path)
-    if isinstance(settings, Failure):
-        return _refuse(settings)
-    sys.stdout.write(f'{path}: good\n')
-    return int(ExitCode.DONE)
-
-
-def _refuse(settings: Result[Any, tuple[SettingProblem, ...]]) -> int:
-    for problem in settings.failure():
-        sys.stderr.write(f'{problem}\n')
-    return int(ExitCode.BAD_SETTINGS)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_cli_app.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_cli_app.py
@@ -7,7 +7,8 @@
 
 from cyclopts import App, CycloptsError
 
-from fennelfork_daemon._cli import ExitCode, check_file
+from fennelfork_daemon._exit_code import ExitCode
+from fennelfork_daemon._settings_file import check_file
 
 _HELP: Final = """Serve queries of fennelfork as one daemon of a fleet.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_serve.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_serve.py
@@ -4,8 +4,8 @@
 
 from returns.result import Failure
 
-from fennelfork_daemon._cli import ExitCode
 from fennelfork_daemon._daemon import daemon
+from fennelfork_daemon._exit_code import ExitCode
 from fennelfork_daemon._listeners import open_listeners
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.settings._tables import Settings
