Log lines are a closed list of typed events, with what decided them

Cause: event names and facts stood where they were logged; nothing held a line to a list, an ordinary request left no line at all, a lapsed lease and a returned server were not told, and lines lost to a slow reader were counted nowhere. One usual request in 64 is told, drawn by id. request_ended has the time left, the usual time and the hedge delay of its route; steps say why no further copy was sent. lines_dropped tells and counts what found no room.

Ruled out: sampling by chance (daemons would tell different requests); a lock or a thread for the log (a write never waits as it is).

--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -18,6 +18,7 @@
     'demo': 'fennelfork_bench.demo._run',
     'document': 'fennelfork_bench.experiments._document',
     'fanout': 'fennelfork_bench.experiments._fanout',
+    'footprint': 'fennelfork_platform_bench.footprint',
     'membership': 'fennelfork_bench.experiments._membership',
     'once': 'fennelfork_bench.experiments._once',
     'outage': 'fennelfork_bench.experiments._outage',
--- a/packages/fennelfork-bench/src/fennelfork_bench/rig/_usage.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_usage.py
@@ -21,10 +21,13 @@
     Attributes:
         cpu_ms: processor time since its start.
         resident_mb: memory that it holds now.
+        private_mb: the part of it that is not pages of files, such as
+            libraries, which processes share.
     """
 
     cpu_ms: float
     resident_mb: float
+    private_mb: float = 0
 
 
 def usage(pid: int) -> Usage:
@@ -39,7 +42,8 @@
     ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
     return Usage(
         cpu_ms=ticks * _MS_PER_S / _TICKS_PER_S,
-        resident_mb=_resident_kb(proc) / _KIB_PER_MIB,
+        resident_mb=_status_kb(proc, 'VmRSS') / _KIB_PER_MIB,
+        private_mb=_status_kb(proc, 'RssAnon') / _KIB_PER_MIB,
     )
 
 
@@ -48,9 +52,9 @@
     return (after.cpu_ms - before.cpu_ms) / elapsed_ms * _PERCENT
 
 
-def _resident_kb(proc: Path) -> int:
+def _status_kb(proc: Path, wanted: str) -> int:
     for line in proc.joinpath('status').read_text().splitlines():
         name, _, amount = line.partition(':')
-        if name == 'VmRSS':
+        if name == wanted:
             return int(amount.split()[0])
     return 0
--- a/packages/fennelfork-bench/tests/test_rig_usage.py
+++ b/packages/fennelfork-bench/tests/test_rig_usage.py
@@ -14,6 +14,7 @@
         while usage(os.getpid()).cpu_ms < before.cpu_ms + 50:
             sum(range(10_000))
         assert before.resident_mb > 1
+        assert 1 < before.private_mb < before.resident_mb
 
     def test_percent_of_a_core(self) -> None:
         """Half a second of work in one second is half a core."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -59,6 +59,11 @@
     _log: StateLog
     _closed: bool = False
 
+    @property
+    def cut(self) -> int:
+        """How many requests the end of the time for a stop has cut."""
+        return self._stop.cut
+
     @property
     def routes(self) -> tuple[Route, ...]:
         """The routes on the operator face."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_build.py
@@ -6,21 +6,17 @@
 import attrs
 
 from fennelfork import Blackboard, Clock
-from fennelfork.home import leaving_servers
 from fennelfork.once import OnceGate, once_gate, ticket_key
-from fennelfork.placement import peer_health
 from fennelfork_daemon.execute._connection import ExecutePatience
 from fennelfork_daemon.execute._face import ExecuteFace
 from fennelfork_daemon.execute._observer import ExecuteObserver
 from fennelfork_daemon.execute._peer import ExecutePeer
 from fennelfork_daemon.execute._runner import ExecuteRunner
 from fennelfork_daemon.execute._service import ExecuteService
-from fennelfork_daemon.execute._targets import ExecuteTargets
+from fennelfork_daemon.execute._targets import execute_targets
 from fennelfork_daemon.execute._ticket_issuer import TicketIssuer
-from fennelfork_daemon.home._calls import Home, HomeCalls
+from fennelfork_daemon.home._calls import Home
 from fennelfork_daemon.peer._client import PeerClient
-from fennelfork_daemon.root._describer import Describer
-from fennelfork_daemon.root._view_cache import ViewCache
 from fennelfork_daemon.settings._tables import Settings
 from fennelfork_daemon.tracing._observer import Observer
 
@@ -67,7 +63,7 @@
         runner=ExecuteRunner(
             table=gate.table,
             clock=clock,
-            targets=_targets(board, clock, home),
+            targets=execute_targets(board, clock, home),
             patience=ExecutePatience(
                 probe_ms=settings.timeouts.connect_ms,
                 settle_ms=_SETTLE_MS,
@@ -106,29 +102,3 @@
     incarnation = rng.getrandbits(_INCARNATION_BITS)
     key = ticket_key(name, incarnation, rng.randbytes(_SECRET_BYTES))
     return once_gate(key, clock, rng)
-
-
-def _targets(board: Blackboard, clock: Clock, home: Home) -> ExecuteTargets:
-    health = peer_health(clock)
-    views = ViewCache()
-    calls = HomeCalls(
-        local_name=board.local.name,
-        local=home,
-        peers=PeerClient(),
-        health=health,
-        doubted=board.doubted,
-    )
-    describer = Describer(
-        board=board,
-        calls=calls,
-        health=health,
-        views=views,
-        clock=clock,
-    )
-    return ExecuteTargets(
-        board=board,
-        describer=describer,
-        views=views,
-        rng=random.Random(),
-        leaving=leaving_servers(clock),
-    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
@@ -7,11 +7,14 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import Blackboard, Failure, FailureCode, not_run
-from fennelfork.home import LeavingServers
+from fennelfork import Blackboard, Clock, Failure, FailureCode, not_run
+from fennelfork.home import LeavingServers, leaving_servers
 from fennelfork.once import ExecuteRequest, NamedServer, execute_servers
+from fennelfork.placement import peer_health
 from fennelfork_daemon._address import address
 from fennelfork_daemon.execute._connection import ExecuteTarget
+from fennelfork_daemon.home._calls import Home, HomeCalls
+from fennelfork_daemon.peer._client import PeerClient
 from fennelfork_daemon.root._describer import Describer
 from fennelfork_daemon.root._view_cache import ViewCache
 
@@ -66,6 +69,37 @@
         self._leaving.note(f'{target.host}:{target.port}')
 
 
+def execute_targets(
+    board: Blackboard,
+    clock: Clock,
+    home: Home,
+) -> ExecuteTargets:
+    """Build the search for servers, which asks homes and knows none yet."""
+    health = peer_health(clock)
+    views = ViewCache()
+    calls = HomeCalls(
+        local_name=board.local.name,
+        local=home,
+        peers=PeerClient(),
+        health=health,
+        doubted=board.doubted,
+    )
+    describer = Describer(
+        board=board,
+        calls=calls,
+        health=health,
+        views=views,
+        clock=clock,
+    )
+    return ExecuteTargets(
+        board=board,
+        describer=describer,
+        views=views,
+        rng=random.Random(),
+        leaving=leaving_servers(clock),
+    )
+
+
 def _target(named: NamedServer) -> ExecuteTarget:
     place = address(named.server.address)
     return ExecuteTarget(name=named.name, host=place.host, port=place.port)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_budget.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_budget.py
@@ -1,7 +1,7 @@
 """A log of decisions whose volume is bounded."""
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, ClassVar, Final, Protocol
 
 import attrs
 
@@ -13,6 +13,23 @@
 # requests a second, of which a tenth or so is hedged, late or partial.
 _PER_SECOND: Final = 10
 _BURST: Final = 50
+_LINES_DROPPED: Final = 'lines_dropped'
+
+
+class Decision(Protocol):
+    """An attrs class whose fields are the facts of one kind of line."""
+
+    event: ClassVar[str]
+
+
+class LogOutput(Protocol):
+    """Where the lines go.
+
+    Attributes:
+        dropped: lines that found no room, since the start.
+    """
+
+    dropped: int
 
 
 @attrs.define(kw_only=True)
@@ -21,50 +38,72 @@
 
     _logger: Any
     _clock: Clock
-    _count: Callable[[str, bool], None]
+    _count: Callable[[str, bool, int], None]
+    _output: LogOutput
+    _told_dropped: int = 0
     _budgets: dict[str, CallBudget] = attrs.field(factory=dict)
-    _dropped: dict[str, int] = attrs.field(factory=dict)
+    _held_back: dict[str, int] = attrs.field(factory=dict)
 
-    def tell(self, event: str, **facts: Any) -> bool:
-        """Write a line, or count it as dropped.
+    def tell(self, decision: Decision) -> bool:
+        """Write a line, or count it as held back.
 
         Args:
-            event: the kind of the decision.
-            facts: what decided it, and what came of it.
+            decision: what was decided, by which facts.
 
         Returns:
             Whether the line was written.
         """
-        budget = self._budgets.get(event)
-        if budget is None:
-            budget = call_budget(self._clock, _PER_SECOND, _BURST)
-            self._budgets[event] = budget
-        logged = budget.take()
-        self._count(event, logged)
+        event = decision.event
+        logged = self._budget(event).take()
+        self._count(event, logged, 1)
         if not logged:
-            self._dropped[event] = self._dropped.get(event, 0) + 1
+            self._held_back[event] = self._held_back.get(event, 0) + 1
             return False
-        dropped = self._dropped.pop(event, 0)
-        if dropped:
-            facts['dropped_before'] = dropped
+        facts = attrs.asdict(decision, recurse=False)
+        held_back = self._held_back.pop(event, 0)
+        if held_back:
+            facts['dropped_before'] = held_back
+        dropped = self._output.dropped
         self._logger.info(event, **facts)
+        if self._output.dropped == dropped:
+            self._tell_dropped(dropped)
         return True
 
+    def _budget(self, event: str) -> CallBudget:
+        budget = self._budgets.get(event)
+        if budget is None:
+            budget = call_budget(self._clock, _PER_SECOND, _BURST)
+            self._budgets[event] = budget
+        return budget
+
+    def _tell_dropped(self, dropped: int) -> None:
+        """Say how many lines found no room, now that there is room again."""
+        lines = dropped - self._told_dropped
+        if not lines:
+            return
+        self._told_dropped = dropped
+        self._count(_LINES_DROPPED, True, lines)  # noqa: WPS425
+        self._logger.info(_LINES_DROPPED, lines=lines)
+
 
 def decision_log(
     clock: Clock,
-    count: Callable[[str, bool], None],
+    count: Callable[[str, bool, int], None],
+    output: LogOutput,
     **facts: Any,
 ) -> DecisionLog:
     """Build a log of decisions.
 
     Args:
         clock: bounds the rate.
-        count: told the kind of each decision, and whether it was logged.
+        count: told the kind of a decision, whether it was logged, and how
+            many there are.
+        output: where the lines go.
         facts: what stands in each line, such as the daemon's name.
     """
     return DecisionLog(
         logger=structlog.get_logger(**facts),
         clock=clock,
         count=count,
+        output=output,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
@@ -13,6 +13,7 @@
 from ._entries import EntryAnswer as EntryAnswer
 from ._entries import EntryAsk as EntryAsk
 from ._entries import RouteEntries as RouteEntries
+from ._events import EVENTS as EVENTS
 from ._facts import ConfigFact as ConfigFact
 from ._facts import Fact as Fact
 from ._facts import MemberFact as MemberFact
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -4,6 +4,7 @@
 
 from fennelfork.routes import DispatchParts, Distances, Paces, Selector
 from fennelfork_daemon._in_progress import InProgress
+from fennelfork_daemon.logs._budget import LogOutput
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._caller_calls import CallParts
 from fennelfork_daemon.routes._contact import StoreContact, store_contact
@@ -24,6 +25,7 @@
     settings: RouteSettings,
     ports: Ports,
     read_settings: ReadSettings,
+    log_output: LogOutput,
 ) -> RouteService:
     """Build a daemon that serves routes on a platform.
 
@@ -31,8 +33,9 @@
         settings: of the daemon.
         ports: the adapter to the platform.
         read_settings: reads them again when they have changed.
+        log_output: where log lines go.
     """
-    base = foundation(settings, ports)
+    base = foundation(settings, ports, log_output)
     reporter = StoreReporter(log=base.log, metrics=base.metrics)
     contact = store_contact(base.board, base.clock, reporter)
     registration = Registration(
@@ -40,6 +43,8 @@
         board=base.board,
         least_lease_ms=settings.least_lease_ms,
         contact=contact,
+        clock=base.clock,
+        reporter=reporter,
     )
     in_progress = InProgress()
     return RouteService(
@@ -51,7 +56,13 @@
         follower=_follower(base, reporter, contact),
         registration=registration,
         pools=base.pools,
-        stop=route_stop(settings, base.clock, registration, in_progress),
+        stop=route_stop(
+            settings,
+            base.clock,
+            registration,
+            in_progress,
+            base.log,
+        ),
         reload=SettingsReload(
             settings=settings,
             allowances=base.allowed,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -124,8 +124,15 @@
             ),
         )
         state = self._parts.selector.states.of(send.server.instance)
-        trusted = not state.standing.ejected(record.now_ms)
+        before = state.standing.ejected(record.now_ms)
+        returning = state.standing.returning
         note_end(end, record, state)
-        if trusted and state.standing.ejected(record.now_ms):
-            until_ms = state.standing.ejected_until_ms - record.now_ms
-            self._parts.reporter.ejected(send, end, until_ms)
+        if returning and not state.standing.returning:
+            self._parts.reporter.back(send)
+        if not before and state.standing.ejected(record.now_ms):
+            self._parts.reporter.ejected(
+                send,
+                end,
+                state.standing.ejected_until_ms - record.now_ms,
+                state.outstanding,
+            )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_foundation.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_foundation.py
@@ -4,7 +4,7 @@
 
 from fennelfork import Clock, system_clock
 from fennelfork.routes import Allowances, allowances
-from fennelfork_daemon.logs._budget import DecisionLog, decision_log
+from fennelfork_daemon.logs._budget import DecisionLog, LogOutput, decision_log
 from fennelfork_daemon.routes._board import RouteBoard, route_board
 from fennelfork_daemon.routes._metrics import RouteMetrics, route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
@@ -26,7 +26,11 @@
     log: DecisionLog
 
 
-def foundation(settings: RouteSettings, ports: Ports) -> Foundation:
+def foundation(
+    settings: RouteSettings,
+    ports: Ports,
+    log_output: LogOutput,
+) -> Foundation:
     """Build it for a daemon that knows nothing yet."""
     clock = system_clock()
     board = route_board(settings, clock)
@@ -39,5 +43,10 @@
         pools=ServerPools(clock=clock, shares=board.shares),
         allowed=allowances(settings.repeats, clock, board.fleet),
         metrics=metrics,
-        log=decision_log(clock, metrics.count_decision, daemon=settings.name),
+        log=decision_log(
+            clock,
+            metrics.count_decision,
+            log_output,
+            daemon=settings.name,
+        ),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -79,9 +79,9 @@
         for service in facts.missing:
             self._missing.labels(self._services.label(service)).inc()
 
-    def count_decision(self, event: str, logged: bool) -> None:
-        """Count a decision of the log, whether its line was written or not."""
-        self._decisions.labels(event, 'yes' if logged else 'no').inc()
+    def count_decision(self, event: str, logged: bool, times: int) -> None:
+        """Count decisions of the log, whether their line was written or not."""
+        self._decisions.labels(event, 'yes' if logged else 'no').inc(times)
 
     def face(self) -> Router:
         """Build the face that serves these metrics."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -7,10 +7,11 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from fennelfork import Failure
+from fennelfork import Clock, Failure
 from fennelfork_daemon.routes._board import RouteBoard
 from fennelfork_daemon.routes._contact import StoreContact
 from fennelfork_daemon.routes._ports import Store
+from fennelfork_daemon.routes._reporters import StoreReporter
 
 _MS_PER_SECOND: Final = 1000
 # A daemon that died is named to callers for at most this long; they try it
@@ -32,6 +33,9 @@
     _board: RouteBoard
     _least_lease_ms: float
     _contact: StoreContact
+    _clock: Clock
+    _reporter: StoreReporter
+    _renewed_ms: float = 0
     _lease: int | None = None
     _ended: bool = False
 
@@ -60,7 +64,7 @@
         if self._lease is None:
             self._register()
         elif not self._still_runs(self._lease):
-            self._lease = None
+            self._lapsed(self._lease)
             self._register()
 
     def leave(self) -> None:
@@ -82,11 +86,22 @@
         made = self._noted(self._store.register(self._board.local, lease))
         if is_successful(made) and made.unwrap():
             self._lease = lease
+            self._renewed_ms = self._clock.now_ms()
+            self._reporter.registered(lease, ttl_ms)
 
     def _still_runs(self, lease: int) -> bool:
         """Renew a lease; tell whether it may still run."""
         renewed = self._noted(self._store.renew(lease))
-        return not is_successful(renewed) or renewed.unwrap()
+        if not is_successful(renewed):
+            return True
+        if renewed.unwrap():
+            self._renewed_ms = self._clock.now_ms()
+        return renewed.unwrap()
+
+    def _lapsed(self, lease: int) -> None:
+        self._lease = None
+        age_ms = self._clock.now_ms() - self._renewed_ms
+        self._reporter.lapsed(lease, age_ms)
 
     def _noted(self, called: Result[_Got, Failure]) -> Result[_Got, Failure]:
         if is_successful(called):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
@@ -10,12 +10,14 @@
 
 from fennelfork.routes import Allowances
 from fennelfork_daemon.logs._budget import DecisionLog
+from fennelfork_daemon.routes._events import Reloaded, ReloadRefused
 from fennelfork_daemon.routes._settings import RouteSettings
 
 # How soon after the signal the file is read.
 _LOOK_S = 0.5
 
-ReadSettings = Callable[[], Result[RouteSettings, str]]
+_Problems = tuple[str, ...]
+ReadSettings = Callable[[], Result[RouteSettings, _Problems]]
 
 
 @attrs.define(kw_only=True)
@@ -48,7 +50,7 @@
         """Read the file and take what may change while running."""
         read = self._read()
         if not isinstance(read, Success):
-            self._log.tell('reload_refused', reason=read.failure())
+            self._log.tell(ReloadRefused(reason=read.failure()))
             return
         found = read.unwrap()
         changed = [
@@ -58,7 +60,7 @@
         ]
         self._allowances.policy = found.repeats
         self._settings = found
-        self._log.tell('reloaded', changed=changed)
+        self._log.tell(Reloaded(changed=changed))
 
     def _on_signal(self, number: int, frame: Any) -> None:
         # The file is read by the green thread: nothing else is safe here.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
@@ -1,6 +1,7 @@
 """What a daemon that serves routes logs."""
 
 import traceback
+import zlib
 from typing import Any, Final
 
 import attrs
@@ -15,6 +16,7 @@
     Send,
 )
 from fennelfork_daemon.logs._budget import DecisionLog
+from fennelfork_daemon.routes import _events as events
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._ask import Ask
 from fennelfork_daemon.routes._facts import UnreadableFact
@@ -23,6 +25,9 @@
 _CLIENT_ERROR: Final = 400
 # Sent and answered.
 _USUAL_EVENTS: Final = 2
+# Of the requests that went as usual, one in so many is told: at the 60 a
+# second of a busy daemon, one a second.
+_SAMPLE: Final = 64
 
 
 @attrs.define(kw_only=True)
@@ -34,20 +39,34 @@
 
     def lost(self, failure: Failure) -> None:
         """The store is not reached."""
-        self._log.tell('store_lost', reason=failure.detail)
+        self._log.tell(events.StoreLost(reason=failure.detail))
 
     def regained(self, away_ms: float) -> None:
         """The store is reached again."""
-        self._log.tell('store_regained', away_ms=round(away_ms))
+        self._log.tell(events.StoreRegained(away_ms=round(away_ms)))
+
+    def registered(self, lease: int, ttl_ms: float) -> None:
+        """This daemon is registered."""
+        self._log.tell(events.LeaseGranted(lease=lease, ttl_ms=round(ttl_ms)))
+
+    def lapsed(self, lease: int, renewed_ms_ago: float) -> None:
+        """The store ended this daemon's registration."""
+        self._log.tell(
+            events.LeaseLapsed(
+                lease=lease,
+                renewed_ms_ago=round(renewed_ms_ago),
+            ),
+        )
 
     def config_taken(self, table: RouteTable, before: int) -> None:
         """A version is in force from now on."""
         self._metrics.follow(table)
         self._log.tell(
-            'config_taken',
-            version=table.version,
-            before=before,
-            routes=len(table.routes),
+            events.ConfigTaken(
+                version=table.version,
+                before=before,
+                routes=len(table.routes),
+            ),
         )
 
     def server_seen(
@@ -59,29 +78,30 @@
         if before is not None and before.draining == server.draining:
             return
         self._log.tell(
-            'server_seen',
-            server=server.instance,
-            service=server.service,
-            address=server.address,
-            data_centre=server.data_centre,
-            draining=server.draining,
+            events.ServerSeen(
+                server=server.instance,
+                service=server.service,
+                address=server.address,
+                data_centre=server.data_centre,
+                draining=server.draining,
+            ),
         )
 
     def server_gone(self, instance: str) -> None:
         """A backend server is not used any more."""
-        self._log.tell('server_gone', server=instance)
+        self._log.tell(events.ServerGone(server=instance))
 
     def member_seen(self, member: Member) -> None:
         """Another daemon registered itself."""
-        self._log.tell('daemon_seen', daemon=member.name, at=member.caller)
+        self._log.tell(events.DaemonSeen(peer=member.name, at=member.caller))
 
     def member_gone(self, name: str) -> None:
         """A daemon is no longer registered."""
-        self._log.tell('daemon_gone', daemon=name)
+        self._log.tell(events.DaemonGone(peer=name))
 
     def unreadable(self, fact: UnreadableFact) -> None:
         """An item of the store could not be read; what was known stays."""
-        self._log.tell('item_refused', key=fact.key, reason=fact.problem)
+        self._log.tell(events.ItemRefused(key=fact.key, reason=fact.problem))
 
 
 @attrs.frozen(kw_only=True)
@@ -101,27 +121,45 @@
         """
         failure = refused.failure
         self._log.tell(
-            'request_refused',
-            request=refused.request_id,
-            code=failure.code.value,
-            reason=failure.detail,
-            version=version,
+            events.RequestRefused(
+                request=refused.request_id,
+                code=failure.code.value,
+                reason=failure.detail,
+                version=version,
+            ),
         )
 
-    def ejected(self, send: Send, end: CallEnd, length_ms: float) -> None:
+    def ejected(
+        self,
+        send: Send,
+        end: CallEnd,
+        length_ms: float,
+        outstanding: int,
+    ) -> None:
         """A backend server gets no work for a while."""
         self._log.tell(
-            'server_ejected',
-            server=send.server.instance,
-            service=send.server.service,
-            for_ms=round(length_ms),
-            reason=_reason(end),
+            events.ServerEjected(
+                server=send.server.instance,
+                service=send.server.service,
+                for_ms=round(length_ms),
+                reason=_reason(end),
+                outstanding=outstanding,
+            ),
+        )
+
+    def back(self, send: Send) -> None:
+        """A backend server that was ejected answered well again."""
+        self._log.tell(
+            events.ServerBack(
+                server=send.server.instance,
+                service=send.server.service,
+            ),
         )
 
     def defect(self, error: Exception) -> None:
         """A defect of this program ended a request."""
         trace = ''.join(traceback.format_exception(error))
-        self._log.tell('defect', error=repr(error), trace=trace)
+        self._log.tell(events.Defect(error=repr(error), trace=trace))
 
     def ended(
         self,
@@ -132,7 +170,8 @@
     ) -> None:
         """A request was answered; told unless all went as usual."""
         dispatch = request.dispatch
-        took_ms = self._clock.now_ms() - came_ms
+        now_ms = self._clock.now_ms()
+        took_ms = now_ms - came_ms
         self._metrics.observe(
             RequestFacts(
                 route=dispatch.route.name,
@@ -144,25 +183,39 @@
             ),
         )
         in_time = took_ms <= dispatch.route.aim_ms
-        usual = not dispatch.hedges and not dispatch.retries and in_time
-        if usual and _is_whole(answer):
+        extra = dispatch.hedges or dispatch.retries
+        usual = in_time and not extra and _is_whole(answer)
+        if usual and not is_sampled(ask.request_id):
             return
         self._log.tell(
-            'request_ended',
-            request=ask.request_id,
-            route=dispatch.route.name,
-            took_ms=round(took_ms),
-            aim_ms=dispatch.route.aim_ms,
-            ending=getattr(request.ending, 'value', 'caller_left'),
-            parts=f'{dispatch.included}/{len(dispatch.legs)}',
-            hedges=dispatch.hedges,
-            retries=dispatch.retries,
-            answer=_outcome(answer),
-            version=request.version,
-            steps=_steps(dispatch, came_ms),
+            events.RequestEnded(
+                request=ask.request_id,
+                route=dispatch.route.name,
+                took_ms=round(took_ms),
+                aim_ms=dispatch.route.aim_ms,
+                left_ms=round(dispatch.end_ms - now_ms),
+                usual_ms=round(dispatch.pace.usual_ms),
+                hedge_ms=round(dispatch.pace.hedge_ms),
+                ending=getattr(request.ending, 'value', 'caller_left'),
+                parts=f'{dispatch.included}/{len(dispatch.legs)}',
+                hedges=dispatch.hedges,
+                retries=dispatch.retries,
+                answer=_outcome(answer),
+                version=request.version,
+                sampled=usual,
+                steps=_steps(dispatch, came_ms, whole=usual),
+            ),
         )
 
 
+def is_sampled(request_id: str) -> bool:
+    """Tell whether a request is told although all went as usual.
+
+    The same ids are drawn in every daemon, whatever they look like.
+    """
+    return zlib.crc32(request_id.encode(errors='replace')) % _SAMPLE == 0
+
+
 def _reason(end: CallEnd) -> str:
     if isinstance(end, Failed):
         return end.failure.detail
@@ -193,10 +246,20 @@
     return [leg.service for leg in dispatch.legs.values() if leg.part is None]
 
 
-def _steps(dispatch: Any, came_ms: float) -> dict[str, list[str]]:
+def _steps(
+    dispatch: Any,
+    came_ms: float,
+    *,
+    whole: bool,
+) -> dict[str, list[str]]:
     """Tell what was done for each part that did not go as usual.
 
     Each step is the server, the ms after the request came, and what it was.
+
+    Args:
+        dispatch: of the request.
+        came_ms: when the request came.
+        whole: tell of all parts.
     """
     return {
         leg.service: [
@@ -204,5 +267,5 @@
             for event in leg.events
         ]
         for leg in dispatch.legs.values()
-        if leg.part is None or len(leg.events) > _USUAL_EVENTS
+        if whole or leg.part is None or len(leg.events) > _USUAL_EVENTS
     }
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -9,10 +9,12 @@
 from fennelfork_daemon._address import Address
 from fennelfork_daemon._in_progress import CountedApplication, InProgress
 from fennelfork_daemon._stop_service import StopService
+from fennelfork_daemon._version import VERSION
 from fennelfork_daemon.http._wsgi_server import open_listener, serve_face
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._board import RouteBoard
 from fennelfork_daemon.routes._entries import RouteEntries
+from fennelfork_daemon.routes._events import Started, Stopped
 from fennelfork_daemon.routes._face import RouteFace
 from fennelfork_daemon.routes._follower import StoreFollower
 from fennelfork_daemon.routes._metrics import RouteMetrics
@@ -70,7 +72,9 @@
         """
         self._stop.listen_to_signals()
         self._reload.listen_to_signal()
-        self._log.tell('started', **attrs.asdict(self._settings))
+        self._log.tell(
+            Started(version=VERSION, settings=attrs.asdict(self._settings)),
+        )
         self._follow()
         self._listen(self._settings.readiness, faces.readiness)
         self._listen(self._settings.entries, faces.entries)
@@ -78,7 +82,7 @@
             self._listen(self._settings.operator, self._metrics.face())
         callers = self._listen(self._settings.caller, self._counted())
         status = self._stop.see_through(callers)
-        self._log.tell('stopped', status=status)
+        self._log.tell(Stopped(status=status, cut=self._stop.cut))
         return status
 
     def _follow(self) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -2,11 +2,14 @@
 
 from typing import Final
 
+import attrs
+
 from fennelfork import Clock, StopPolicy
 from fennelfork_daemon._in_progress import InProgress
 from fennelfork_daemon._stop_service import StopService, stop_service
-from fennelfork_daemon.logs._logs import state_log
+from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._entries import ENTRY_TTL_MS
+from fennelfork_daemon.routes._events import StateChanged
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._settings import RouteSettings
 
@@ -18,11 +21,37 @@
 _STOP_MARGIN_MS: Final = 500.0
 
 
+@attrs.frozen(kw_only=True)
+class StopLog:
+    """Tells each step of the stop as one of this daemon's decisions."""
+
+    _log: DecisionLog
+
+    def change(
+        self,
+        subject: str,
+        state: str,
+        *,
+        running: int,
+        cut: int,
+    ) -> bool:
+        """Tell a step; see `StateChanged`."""
+        return self._log.tell(
+            StateChanged(
+                subject=subject,
+                state=state,
+                running=running,
+                cut=cut,
+            ),
+        )
+
+
 def route_stop(
     settings: RouteSettings,
     clock: Clock,
     registration: Registration,
     in_progress: InProgress,
+    log: DecisionLog,
 ) -> StopService:
     """Build the stop: leave the store, serve on for a while, then end."""
     policy = StopPolicy(
@@ -32,5 +61,5 @@
         # A supervisor may repeat its signal, and kills in the end by itself.
         asked_twice_ends=False,
     )
-    log = state_log(daemon=settings.name)
-    return stop_service(policy, clock, registration, in_progress, log)
+    steps = StopLog(log=log)
+    return stop_service(policy, clock, registration, in_progress, steps)
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -168,6 +168,13 @@
         return Success(True)
 
 
+@attrs.define(kw_only=True)
+class EndlessOutput:
+    """Somewhere log lines go that always has room."""
+
+    dropped: int = 0
+
+
 @attrs.define(kw_only=True)
 class Following:
     """A daemon that follows a stand-in of the store, in manual time."""
@@ -186,7 +193,12 @@
         self.board = route_board(settings(), clock)
         metrics = route_metrics()
         reporter = StoreReporter(
-            log=decision_log(clock, metrics.count_decision, daemon='vm-1'),
+            log=decision_log(
+                clock,
+                metrics.count_decision,
+                EndlessOutput(),
+                daemon='vm-1',
+            ),
             metrics=metrics,
         )
         contact = store_contact(self.board, clock, reporter)
@@ -202,6 +214,8 @@
             board=self.board,
             least_lease_ms=1000,
             contact=contact,
+            clock=clock,
+            reporter=reporter,
         )
 
     def take_list(self, *facts: Fact) -> None:
--- a/packages/fennelfork-daemon/tests/test_decision_log.py
+++ b/packages/fennelfork-daemon/tests/test_decision_log.py
@@ -5,11 +5,13 @@
 import os
 
 import structlog
+from daemon_builders_routes import EndlessOutput
 
 from fennelfork import ManualTime, manual_clock
 from fennelfork_daemon.logs._budget import decision_log
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.logs._sink import non_blocking_sink
+from fennelfork_daemon.routes._events import ServerGone, StoreLost
 from fennelfork_daemon.settings._tables import LogSettings
 
 
@@ -24,14 +26,15 @@
         counted: list[bool] = []
         log = decision_log(
             manual_clock(time),
-            lambda event, logged: counted.append(logged),
+            lambda event, logged, times: counted.append(logged),
+            EndlessOutput(),
             daemon='vm-1',
         )
         for _ in range(60):
-            log.tell('hedged', request='r')
-        log.tell('refused')
+            log.tell(StoreLost(reason='r'))
+        log.tell(ServerGone(server='s'))
         time.advance(1000)
-        log.tell('hedged', request='r')
+        log.tell(StoreLost(reason='r'))
         structlog.reset_defaults()
         lines = [json.loads(line) for line in stream.getvalue().splitlines()]
         assert len(lines) == 52
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -43,12 +43,14 @@
 
     Attributes:
         route: of the request, as it was when the request came.
+        pace: of the route.
         legs: one for each service that it goes to.
         hedges: copies that were sent because an answer was late.
         retries: copies that were sent after a failure.
     """
 
     route: Route
+    pace: Pace
     legs: dict[str, Leg[_Part]]
     hedges: int = 0
     retries: int = 0
@@ -171,6 +173,7 @@
     kept_ms = min(left_ms, route.timeout_ms)
     return Dispatch(
         route=route,
+        pace=pace,
         legs={service: Leg(service=service) for service in services},
         sender=Sender(parts=parts, pace=pace, attempts=route.attempts),
         cut_ms=came_ms + route.aim_ms - _ANSWER_MS,
--- a/packages/fennelfork/src/fennelfork/routes/_leg.py
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -1,7 +1,7 @@
 """One service's part of one request."""
 
 import math
-from typing import Generic, TypeVar
+from typing import Final, Generic, TypeVar
 
 import attrs
 
@@ -9,6 +9,7 @@
 from fennelfork.routes._send import Send
 
 _Part = TypeVar('_Part')
+_NO_SERVER: Final = '-'
 
 
 @attrs.frozen(kw_only=True)
@@ -17,8 +18,9 @@
 
     Attributes:
         at_ms: when.
-        instance: the backend server.
-        what: `sent`, `sent again`, `answered`, or why the copy failed.
+        instance: the backend server, `-` if none was chosen.
+        what: `sent`, `sent again`, `answered`, why the copy failed, or why
+            no further one was sent.
     """
 
     at_ms: float
@@ -97,6 +99,12 @@
         if failure.code is FailureCode.UNREACHABLE:
             self.arrivals -= 1
 
+    def denied(self, reason: str, now_ms: float) -> None:
+        """Note why no copy goes out, although one was due."""
+        self.events.append(
+            LegEvent(at_ms=now_ms, instance=_NO_SERVER, what=reason),
+        )
+
     def _note(self, send: Send, at_ms: float, what: str) -> None:
         instance = send.server.instance
         self.events.append(LegEvent(at_ms=at_ms, instance=instance, what=what))
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -57,6 +57,7 @@
             only_healthy: rather send none than to a server in doubt.
         """
         if leg.runs >= self.attempts or len(leg.tried) >= _MOST_SENDS:
+            leg.denied('no further attempt is left', now_ms)
             return []
         wanted = Selection(
             service=leg.service,
@@ -66,9 +67,10 @@
         )
         server = self._parts.selector.choose(wanted)
         repeat = leg.arrivals > 0
-        if server is None or (repeat and not self._paid(leg)):
-            leg.abandoned = not leg.running
-            return []
+        if server is None:
+            return self._deny(leg, 'no other server is fit', now_ms)
+        if repeat and not self._parts.allowances.take(leg.service):
+            return self._deny(leg, 'no repeat is allowed now', now_ms)
         send = Send(
             attempt=next(self._parts.attempts),
             server=server,
@@ -79,5 +81,7 @@
         leg.hedge_ms = now_ms + self.pace.hedge_ms
         return [send]
 
-    def _paid(self, leg: Leg[Any]) -> bool:
-        return self._parts.allowances.take(leg.service)
+    def _deny(self, leg: Leg[Any], reason: str, now_ms: float) -> list[Send]:
+        leg.abandoned = not leg.running
+        leg.denied(reason, now_ms)
+        return []
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -11,7 +11,7 @@
 import attrs
 import pytest
 import structlog
-from daemon_builders_routes import FakeStore, server, settings
+from daemon_builders_routes import EndlessOutput, FakeStore, server, settings
 from eventlet import sleep
 from eventlet.green import socket
 from platform_builders import config, environ, item, route
@@ -95,7 +95,12 @@
         callers=PlatformCallers(),
         backends=PlatformBackends(),
     )
-    built = route_service(settings(), ports, lambda: Failure('none'))
+    built = route_service(
+        settings(),
+        ports,
+        lambda: Failure(('none',)),
+        EndlessOutput(),
+    )
     found = Daemon(log=log, service=built, near=near, far=far)
     yield found
     for listener in found.servers:
--- a/tests/test_platform_settings_file.py
+++ b/tests/test_platform_settings_file.py
@@ -1,6 +1,9 @@
 """The settings file of a process on the platform."""
 
+import os
 import pathlib
+import subprocess
+import sys
 
 import pytest
 from platform_builders import SETTINGS
@@ -11,7 +14,7 @@
 
 
 class TestSettings:
-    """What is read, and one line for what cannot be."""
+    """What is read, and a line for each thing that cannot be."""
 
     def test_read(self, tmp_path: pathlib.Path) -> None:
         """Names are turned into ours; unknown fields are left alone."""
@@ -32,6 +35,10 @@
             ('[Listen]', '[Listens]', 'Listen'),
             ('Zone = "tulcea"', 'Zone = ""', 'Zone'),
             ('RetrySlack = 58', 'RetrySlack = true', 'RetrySlack'),
+            ('RetrySlack = 58', 'RetrySlack = -1', 'RetrySlack'),
+            ('GraceS = 6', 'GraceS = nan', 'GraceS'),
+            ('GraceS = 6', 'GraceS = inf', 'GraceS'),
+            ('Zone = "tulcea"', 'Zone = 5', 'Zone'),
             ('[Zones]', '[Zones', 'TOML'),
         ],
     )
@@ -45,13 +52,74 @@
         """One line names the setting."""
         read = load_file(_written(tmp_path, SETTINGS.replace(old, new)))
         assert isinstance(read, Failure)
-        line = read.failure()
-        assert '\n' not in line
-        assert said in line or said == 'TOML'
+        lines = read.failure()
+        assert len(lines) == 1
+        assert '\n' not in lines[0]
+        assert said in lines[0]
+
+    def test_all_faults(self, tmp_path: pathlib.Path) -> None:
+        """One reading names every fault, each with its table."""
+        text = (
+            SETTINGS.replace('GraceS = 6', '')
+            .replace('10.0.0.1:8226', 'front:8226')
+            .replace('Zone = "tulcea"', 'Zone = 5')
+        )
+        lines = load_file(_written(tmp_path, text)).failure()
+        assert len(lines) == 3
+        assert 'Bounds.GraceS: is missing' in lines
+        assert any(line.startswith('Listen.Front: ') for line in lines)
+        assert 'Zone: 5 is not a text' in lines
 
     def test_no_file(self, tmp_path: pathlib.Path) -> None:
         """A missing file is told by its path."""
-        assert 'none' in load_file(tmp_path / 'none').failure()
+        lines = load_file(tmp_path / 'none').failure()
+        assert len(lines) == 1
+        assert 'none' in lines[0]
+
+
+class TestCommand:
+    """The command line of the program."""
+
+    def test_check(self, tmp_path: pathlib.Path) -> None:
+        """`check` says good or names the faults, and starts nothing."""
+        good = _run('check', str(_written(tmp_path, SETTINGS)))
+        assert good.returncode == 0
+        assert good.stdout.endswith(': good\n')
+        bad_text = SETTINGS.replace('GraceS = 6', 'GraceS = "6"')
+        bad = _run('check', str(_written(tmp_path, bad_text)))
+        assert bad.returncode == 2
+        assert 'Bounds.GraceS' in bad.stderr
+
+    def test_help(self) -> None:
+        """Help names the variable and the exit codes."""
+        found = _run('--help')
+        assert found.returncode == 0
+        assert 'FENNELFORK_NODE_FILE' in found.stdout
+        assert 'Exit codes' in found.stdout
+
+    @pytest.mark.parametrize('words', [(), ('serve',), ('--confg', 'x')])
+    def test_usage(self, words: tuple[str, ...]) -> None:
+        """Words that it does not know exit 2, as does no file at all."""
+        assert _run(*words).returncode == 2
+
+    def test_bad_file_by_variable(self, tmp_path: pathlib.Path) -> None:
+        """The file that the variable names is refused with its faults."""
+        path = _written(tmp_path, SETTINGS.replace('GraceS = 6', ''))
+        found = _run(FENNELFORK_NODE_FILE=str(path))
+        assert found.returncode == 2
+        assert found.stderr == 'Bounds.GraceS: is missing\n'
+
+
+def _run(*words: str, **variables: str) -> 'subprocess.CompletedProcess[str]':
+    environment = dict(os.environ, **variables)
+    if not variables:
+        environment.pop('FENNELFORK_NODE_FILE', None)
+    return subprocess.run(
+        [sys.executable, '-m', 'fennelfork_platform', *words],
+        capture_output=True,
+        text=True,
+        env=environment,
+    )
 
 
 def _written(folder: pathlib.Path, text: str) -> pathlib.Path:
