The program on the platform imports only what the build brings

What only fennelforkd needs now stands in _fennelforkd.

Ruled out: adding cattrs to the build (memory).

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/__main__.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/__main__.py
@@ -3,7 +3,7 @@
 import sys
 
 from fennelfork_daemon import _green  # noqa: F401  # before all else
-from fennelfork_daemon._cli import run_command
+from fennelfork_daemon._fennelforkd import run_command
 from fennelfork_daemon._serve import serve
 
 
--- a/packages/fennelfork-daemon/tests/test_cli.py
+++ b/packages/fennelfork-daemon/tests/test_cli.py
@@ -8,7 +8,7 @@
 import attrs
 import pytest
 
-from fennelfork_daemon._cli import run_command
+from fennelfork_daemon._fennelforkd import run_command
 from fennelfork_daemon.settings._tables import Settings
 
 _EXAMPLE = pathlib.Path(__file__).parents[3] / 'examples/fennelforkd.toml'
@@ -99,7 +99,7 @@
     def test_usual_start_loads_no_command_line_library(self) -> None:
         """A serving daemon does not keep cyclopts in memory."""
         code = (
-            'import sys; from fennelfork_daemon._cli import run_command; '
+            'import sys; from fennelfork_daemon._fennelforkd import run_command; '
             'run_command(sys.argv[1:], lambda settings: 0); '
             'sys.exit("cyclopts" in sys.modules)'
         )
