A daemon that has just started leaves connections to those it does not see yet

Cause: of ten drawn requests two ended 502 a second after a loss of all power. explain showed why: every server 'no connection is free' with 10 to 18 calls outstanding, then 'no repeat is allowed now', and all servers ejected after ECONNRESET. The first daemons back saw a fleet of one or two, took 20 connections a server, and had what went over the server's limit reset; a copy that found no connection counted as arrived, so the next one was a repeat, of which a young daemon has none. Now the share is that of ten daemons until the fleet was seen for 3 s, a call waits 100 ms for a connection, and a copy without one has arrived nowhere and blames nobody.

Ruled out: waiting without limit (a hedge goes elsewhere after 90 to 120 ms).

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -21,6 +21,7 @@
     BackendConnection,
     backend_connection,
 )
+from fennelfork_daemon.backend._turns import Turns
 
 _PROBE_MS: Final = 50.0
 # Asks a backend server for a sign of life on an idle connection.
@@ -45,6 +46,22 @@
     connection: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class WhenFull:
+    """What follows if all connections are in use.
+
+    Attributes:
+        code: of the failure.
+        wait_ms: how long to wait for one of them before.
+    """
+
+    code: FailureCode = FailureCode.SHED
+    wait_ms: float = 0
+
+
+_FAIL_AT_ONCE: Final = WhenFull()
+
+
 @attrs.define(kw_only=True)
 class BackendPool:
     """Opens, reuses, probes and closes; the ledger says which."""
@@ -54,6 +71,8 @@
     _clock: Clock
     _most_bytes: int
     _probe: BackendCall | None
+    _when_full: WhenFull
+    _turns: Turns = attrs.field(factory=Turns)
     _open: dict[int, BackendConnection] = attrs.field(factory=dict)
 
     def carry(
@@ -67,9 +86,9 @@
             call: the call.
             trace: where to note the connection that carries it.
         """
-        use = self._use(call)
+        use = self._use(call) or self._use_freed(call)
         if use is None:
-            return Bad(not_run(FailureCode.SHED, 'no connection is free'))
+            return Bad(not_run(self._when_full.code, 'no connection is free'))
         self._close(use.close)
         if use.opened:
             return self._carry_on_new(use.connection, call, trace)
@@ -98,6 +117,20 @@
     def _use(self, call: Call) -> ConnectionUse | None:
         return self._ledger.use(self._clock.now_ms(), fresh=call.fresh)
 
+    def _use_freed(self, call: Call) -> ConnectionUse | None:
+        """Wait for a connection that another call gives back."""
+        until_ms = self._clock.now_ms() + min(
+            self._when_full.wait_ms, call.timeout_ms
+        )
+        use = None
+        while use is None:
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return None
+            self._turns.wait(left_ms)
+            use = self._use(call)
+        return use
+
     def _trusted(self, use: ConnectionUse) -> bool:
         """Tell whether an idle connection still carries bytes."""
         connection = self._open[use.connection]
@@ -144,6 +177,7 @@
         now_ms = self._clock.now_ms()
         if not self._ledger.done(number, now_ms, usable=usable):
             self._close((number,))
+        self._turns.wake()
 
     def _close(self, numbers: tuple[int, ...]) -> None:
         for number in numbers:
@@ -158,6 +192,7 @@
     clock: Clock,
     most_bytes: int,
     probe: BackendCall | None = HEALTH_PROBE,
+    when_full: WhenFull = _FAIL_AT_ONCE,
 ) -> BackendPool:
     """Build the connections to one server.
 
@@ -168,6 +203,7 @@
         most_bytes: the largest reply that is read.
         probe: made on a connection that idled for long before it is used; if
             none, such a connection is used as it is.
+        when_full: what follows if all connections are in use.
     """
     return BackendPool(
         address=address,
@@ -175,6 +211,7 @@
         clock=clock,
         most_bytes=most_bytes,
         probe=probe,
+        when_full=when_full,
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -2,14 +2,17 @@
 
 import attrs
 
-from fennelfork import Clock
+from fennelfork import Clock, FailureCode
 from fennelfork.routes import BackendServer, ConnectionShares
 from fennelfork.servers import ConnectionLedger
 from fennelfork_daemon._address import address
-from fennelfork_daemon.backend._pool import BackendPool, backend_pool
+from fennelfork_daemon.backend._pool import BackendPool, WhenFull, backend_pool
 
 # The largest answer of a backend server that is read.
 _MOST_BYTES = 8_388_608
+# For a connection that another call gives back: calls take some 50 ms, and
+# failing at once ends a request that comes in a burst.
+_WHEN_FULL = WhenFull(code=FailureCode.QUEUE_FULL, wait_ms=100)
 
 
 @attrs.define(kw_only=True)
@@ -49,6 +52,7 @@
             self._clock,
             _MOST_BYTES,
             probe=None,
+            when_full=_WHEN_FULL,
         )
         self._ledgers[server.instance] = ledger
         self._pools[server.instance] = pool
--- a/packages/fennelfork/src/fennelfork/routes/_blame.py
+++ b/packages/fennelfork/src/fennelfork/routes/_blame.py
@@ -102,6 +102,10 @@
 
 @note_end.register
 def _note_failure(end: Failed, record: CallRecord, state: ServerState) -> None:
+    if end.failure.code is FailureCode.QUEUE_FULL:
+        # It never had the call.
+        state.lost(record.send.attempt)
+        return
     state.heard(record.send.attempt, record.now_ms)
     if end.failure.code is FailureCode.SHED:
         return
--- a/packages/fennelfork/src/fennelfork/routes/_connection_share.py
+++ b/packages/fennelfork/src/fennelfork/routes/_connection_share.py
@@ -11,6 +11,10 @@
 # Fewer could not carry a request and the second copy of another.
 _FEWEST: Final = 2
 _UNKNOWN: Final = 8
+# Daemons to share with until the fleet was seen for a while: one that took the
+# share of a fleet of one or two after a loss of all power had connections
+# reset and all servers ejected for 500 ms.
+_UNSEEN: Final = 10
 
 
 @attrs.define(kw_only=True)
@@ -28,4 +32,7 @@
         """Give the limit for each server of a service."""
         known = self.services.get(service)
         limit = _UNKNOWN if known is None else known.connections
-        return max(_FEWEST, limit // self._fleet.most)
+        daemons = self._fleet.most
+        if not self._fleet.settled:
+            daemons = max(daemons, _UNSEEN)
+        return max(_FEWEST, limit // daemons)
--- a/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
+++ b/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
@@ -1,9 +1,15 @@
 """How many daemons to share a limit with."""
 
+from typing import Final
+
 import attrs
 
 from fennelfork._clock import Clock
 
+# After a loss of all power the first daemon back sees itself alone; the others
+# register within a second or two.
+_SETTLED_MS: Final = 3000.0
+
 
 @attrs.define(kw_only=True)
 class FleetSize:
@@ -16,12 +22,20 @@
     _clock: Clock
     _window_ms: float
     _seen: list[tuple[float, int]] = attrs.field(factory=list)
+    _first_ms: float | None = None
 
     @property
     def known(self) -> bool:
         """Whether the fleet was seen at all."""
         return bool(self._seen)
 
+    @property
+    def settled(self) -> bool:
+        """Whether others that started with this daemon had time to be seen."""
+        if self._first_ms is None:
+            return False
+        return self._clock.now_ms() - self._first_ms >= _SETTLED_MS
+
     @property
     def most(self) -> int:
         """The most daemons seen within the window, at least one."""
@@ -31,7 +45,10 @@
     def note(self, count: int) -> None:
         """Note how many daemons there are now, this one included."""
         self._forget()
-        self._seen.append((self._clock.now_ms(), max(1, count)))
+        now_ms = self._clock.now_ms()
+        if self._first_ms is None:
+            self._first_ms = now_ms
+        self._seen.append((now_ms, max(1, count)))
 
     def _forget(self) -> None:
         """Drop counts that were replaced before the window began."""
--- a/packages/fennelfork/src/fennelfork/routes/_leg.py
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -10,6 +10,12 @@
 
 _Part = TypeVar('_Part')
 _NO_SERVER: Final = '-'
+# The server is full, or this daemon's connections to it are in use.
+_TURNED_AWAY: Final = frozenset((FailureCode.SHED, FailureCode.QUEUE_FULL))
+# The copy did not get as far as to a server.
+_NOT_SENT: Final = frozenset(
+    (FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL),
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -64,8 +70,7 @@
     @property
     def shed(self) -> bool:
         """Whether it has no answer and was turned away last."""
-        turned_away = self.failure.code is FailureCode.SHED
-        return self.part is None and turned_away
+        return self.part is None and self.failure.code in _TURNED_AWAY
 
     @property
     def waiting(self) -> bool:
@@ -102,7 +107,7 @@
         if failure.verdict is not Verdict.NOT_RUN:
             return
         self.runs -= 1
-        if failure.code is FailureCode.UNREACHABLE:
+        if failure.code in _NOT_SENT:
             self.arrivals -= 1
 
     def denied(self, reason: str, now_ms: float) -> None:
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -49,6 +49,7 @@
     idle_ms=15_000,
 )
 SHED = not_run(FailureCode.SHED, 'full')
+NO_CONNECTION = not_run(FailureCode.QUEUE_FULL, 'no connection is free')
 UNREACHED = not_run(FailureCode.UNREACHABLE, 'refused')
 BROKEN = may_have_run(FailureCode.UNREACHABLE, 'reset')
 
--- a/packages/fennelfork/tests/test_routes_blame.py
+++ b/packages/fennelfork/tests/test_routes_blame.py
@@ -1,7 +1,14 @@
 """What the end of a call says of the server that was called."""
 
 import pytest
-from core_builders_routes import AIM_MS, BROKEN, SHED, UNREACHED, server
+from core_builders_routes import (
+    AIM_MS,
+    BROKEN,
+    NO_CONNECTION,
+    SHED,
+    UNREACHED,
+    server,
+)
 
 from fennelfork.routes import (
     Answered,
@@ -34,6 +41,7 @@
             (Failed(failure=UNREACHED), True),
             (Failed(failure=BROKEN), False),
             (Failed(failure=SHED), False),
+            (Failed(failure=NO_CONNECTION), False),
             (Silent(), False),
             (Dropped(), False),
             (Answered(), False),
--- a/packages/fennelfork/tests/test_routes_dispatch.py
+++ b/packages/fennelfork/tests/test_routes_dispatch.py
@@ -5,6 +5,7 @@
 from core_builders_routes import (
     AIM_MS,
     BROKEN,
+    NO_CONNECTION,
     SHED,
     TIMEOUT_MS,
     UNREACHED,
@@ -122,6 +123,15 @@
         sends = request.failed(first[0].attempt, UNREACHED, 1)
         assert [send.repeat for send in sends] == [False]
 
+    def test_no_connection_costs_no_budget(self) -> None:
+        """A copy that found no connection has not arrived anywhere."""
+        self.world = World(ratio=0)
+        request = self.world.dispatch(route())
+        first = request.start(0)
+        sends = request.failed(first[0].attempt, NO_CONNECTION, 10)
+        assert len(sends) == 1
+        assert not sends[0].repeat
+
     def test_no_server(self) -> None:
         """Nothing ran where no server is known, and asking again may help."""
         request = self.world.dispatch(route())
