Overload is told: a process that falls behind, a limit that falls

Cause: a lowered limit changes what a daemon believes and had no line; in one of twelve drawn requests a daemon had stood still for 3.7 s, which only a gap in its lines showed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -48,6 +48,7 @@
         reporter=reporter,
     )
     in_progress = InProgress()
+    calls = _calls(base)
     follower = _follower(base, reporter, contact)
     reload = SettingsReload(
         settings=settings,
@@ -59,14 +60,14 @@
         board=base.board,
         entries=RouteEntries(board=base.board, rng=random.Random()),
         settings=settings,
-        face=_face(base, _calls(base)),
+        face=_face(base, calls),
         metrics=base.metrics,
         follower=follower,
         upkeep=(
             follower.run,
             registration.run,
             reload.run,
-            LagWatch(clock=base.clock, note=base.limits.note_lag).run,
+            LagWatch(clock=base.clock, note=calls.reporter.fell_behind).run,
         ),
         pools=base.pools,
         stop=route_stop(
@@ -116,6 +117,7 @@
             log=base.log,
             clock=base.clock,
             metrics=base.metrics,
+            limits=base.limits,
         ),
     )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -280,6 +280,34 @@
     steps: Mapping[str, Sequence[str]]
 
 
+@attrs.frozen(kw_only=True)
+class FellBehind:
+    """This process woke late; limits of requests under way fall.
+
+    Attributes:
+        late_ms: by how much.
+    """
+
+    event: ClassVar[str] = 'fell_behind'
+    late_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class LimitFell:
+    """Fewer requests to the services of a route are worked on at once.
+
+    Attributes:
+        route: whose request ended as servers turned it away, or late.
+        limit: how many from now on.
+        under_way: how many there are.
+    """
+
+    event: ClassVar[str] = 'limit_fell'
+    route: str
+    limit: int
+    under_way: int
+
+
 @attrs.frozen(kw_only=True)
 class Defect:
     """A defect of this program ended a request."""
@@ -321,6 +349,8 @@
     DaemonGone,
     RequestRefused,
     RequestEnded,
+    FellBehind,
+    LimitFell,
     Defect,
     LinesDropped,
 )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -128,7 +128,8 @@
             answer = request.run()
         self._reporter.ended(known, request, answer, came_ms)
         took_ms = self._clock.now_ms() - came_ms
-        self.limits.note_end(request.dispatch, took_ms)
+        if self.limits.note_end(request.dispatch, took_ms):
+            self._reporter.limit_fell(request.dispatch.route)
         return answer
 
     def _too_many(self, route: Route) -> Failure:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lag.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lag.py
@@ -20,12 +20,13 @@
     """Wakes at fixed times and notes when it wakes late."""
 
     _clock: Clock
-    _note: Callable[[], None]
+    _note: Callable[[float], None]
 
     def run(self) -> None:
         """Look until the process ends."""
         while True:  # noqa: WPS457  # as long as the daemon runs
             began_ms = self._clock.now_ms()
             eventlet.sleep(_LOOK_MS / _MS_PER_SECOND)
-            if self._clock.now_ms() - began_ms > _LOOK_MS + _LATE_MS:
-                self._note()
+            late_ms = self._clock.now_ms() - began_ms - _LOOK_MS
+            if late_ms > _LATE_MS:
+                self._note(late_ms)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
@@ -11,7 +11,9 @@
 from fennelfork.routes import (
     BackendServer,
     CallEnd,
+    ConcurrencyLimits,
     Failed,
+    Route,
     RouteTable,
     Send,
 )
@@ -111,6 +113,7 @@
     _log: DecisionLog
     _clock: Clock
     _metrics: RouteMetrics
+    _limits: ConcurrencyLimits
 
     def refused(self, refused: Refused, version: int) -> None:
         """A request was refused before anything was sent.
@@ -156,6 +159,22 @@
             ),
         )
 
+    def fell_behind(self, late_ms: float) -> None:
+        """This process woke late, which is a sign of overload."""
+        self._limits.note_lag()
+        self._log.tell(events.FellBehind(late_ms=round(late_ms)))
+
+    def limit_fell(self, route: Route) -> None:
+        """Fewer requests to the services of a route are worked on at once."""
+        limit = self._limits.of(route)
+        self._log.tell(
+            events.LimitFell(
+                route=route.name,
+                limit=round(limit.limit),
+                under_way=limit.under_way,
+            ),
+        )
+
     def defect(self, error: Exception) -> None:
         """A defect of this program ended a request."""
         trace = ''.join(traceback.format_exception(error))
--- a/packages/fennelfork-daemon/tests/test_routes_lag.py
+++ b/packages/fennelfork-daemon/tests/test_routes_lag.py
@@ -13,14 +13,15 @@
 
     def test_busy_process(self) -> None:
         """Work that lets nothing else run for a while is a lag."""
-        noted: list[bool] = []
+        noted: list[float] = []
         watch = LagWatch(
             clock=system_clock(),
-            note=lambda: noted.append(True),
+            note=noted.append,
         )
         running = eventlet.spawn(watch.run)
         eventlet.sleep(0.01)
         time.sleep(0.3)
         eventlet.sleep(0.02)
         running.kill()
-        assert noted == [True]
+        assert len(noted) == 1
+        assert 200 < noted[0] < 400
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -69,25 +69,27 @@
         gain = _CALM_GAIN if calm else _GAIN
         self.limit += gain / self.limit
 
-    def note_late(self, now_ms: float) -> None:
-        """Note a request that was answered late.
+    def note_late(self, now_ms: float) -> bool:
+        """Note a request that was answered late; tell if the limit fell.
 
         That has many causes; it is a sign only while others come as well.
         """
-        if now_ms - self._other_sign_ms < _CALM_MS:
-            self._decrease(now_ms)
+        if now_ms - self._other_sign_ms >= _CALM_MS:
+            return False
+        return self._decrease(now_ms)
 
-    def note_overload(self, now_ms: float) -> None:
-        """Note a sign that there is too much under way."""
+    def note_overload(self, now_ms: float) -> bool:
+        """Note a sign of too much under way; tell if the limit fell."""
         self._other_sign_ms = now_ms
-        self._decrease(now_ms)
+        return self._decrease(now_ms)
 
-    def _decrease(self, now_ms: float) -> None:
+    def _decrease(self, now_ms: float) -> bool:
         if now_ms - self._sign_ms < _ONE_SIGN_MS:
-            return
+            return False
         self._sign_ms = now_ms
         used = min(self.limit, self.under_way)
         self.limit = max(_LEAST, used * _DECREASE)
+        return True
 
 
 @attrs.define(kw_only=True)
@@ -114,8 +116,8 @@
         if not limit.under_way and limit.limit >= _NO_LIMIT:
             self._limits.pop(services_of(route.target), None)
 
-    def note_end(self, ended: Dispatch[Any], took_ms: float) -> None:
-        """Note what came of a request.
+    def note_end(self, ended: Dispatch[Any], took_ms: float) -> bool:
+        """Note what came of a request; tell if its limit fell.
 
         Args:
             ended: the request.
@@ -125,10 +127,12 @@
         now_ms = self._clock.now_ms()
         if ended.suffices and took_ms <= ended.route.aim_ms:
             limit.note_good(now_ms)
-        elif ended.suffices:
-            limit.note_late(now_ms)
-        elif any(leg.shed for leg in ended.legs.values()):
-            limit.note_overload(now_ms)
+            return False
+        if ended.suffices:
+            return limit.note_late(now_ms)
+        if any(leg.shed for leg in ended.legs.values()):
+            return limit.note_overload(now_ms)
+        return False
 
     def note_lag(self) -> None:
         """Note that this process falls behind with all that it does."""
--- a/packages/fennelfork/tests/test_routes_concurrency.py
+++ b/packages/fennelfork/tests/test_routes_concurrency.py
@@ -130,7 +130,7 @@
             while pending:
                 sends = self.request.failed(pending.pop(), SHED, 10)
                 pending.extend(send.attempt for send in sends)
-        self.limits.note_end(self.request, 10)
+        assert self.limits.note_end(self.request, 10) is limited
         assert self.limits.enter(self.route) is not limited
 
     def test_late(self) -> None:
