--- a/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_app.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_app.py
@@ -1,12 +1,15 @@
 """The calls of the stand-in backend server, as a WSGI application."""
 
+import functools
 from collections.abc import Callable, Iterable
 from typing import Any, Final, TypeAlias
 
 import attrs
 from eventlet import sleep, wsgi
 from returns.pipeline import is_successful
+from returns.result import Result
 
+from fennelfork import Failure
 from fennelfork_bench.backend_server._codec import parse_message
 from fennelfork_bench.backend_server._connection import LINK_KEY, Link
 from fennelfork_bench.backend_server._control import ControlApp
@@ -116,14 +119,8 @@
 
 def _search(app: BackendApp, link: Link, body: bytes) -> Response | None:
     request = parse_message(body, SearchRequest)
-    subject = search_subject(request)
-    app.state.log.add(EventKind.RECEIVED, subject)
-    faults = app.state.faults.draw(subject.call)
-    outcome = search(app.state, request, faults)
-    if is_successful(outcome):
-        return app.deliver(link, subject, outcome.unwrap(), faults)
-    held = app.state.holdings.held
-    return failure_response(subject, outcome.failure(), held)
+    run = functools.partial(search, app.state, request)
+    return _carry_out(app, link, search_subject(request), run)
 
 
 def _multi_search(app: BackendApp, link: Link, body: bytes) -> Response:
@@ -135,10 +132,20 @@
 
 def _execute(app: BackendApp, link: Link, body: bytes) -> Response | None:
     request = parse_message(body, ExecuteRequest)
-    subject = execute_subject(request)
+    run = functools.partial(execute, app.state, request)
+    return _carry_out(app, link, execute_subject(request), run)
+
+
+def _carry_out(
+    app: BackendApp,
+    link: Link,
+    subject: Subject,
+    run: Callable[[Iterable[FaultRule]], Result[Any, Failure]],
+) -> Response | None:
+    """Run a request under the faults that meet it, and deliver the reply."""
     app.state.log.add(EventKind.RECEIVED, subject)
     faults = app.state.faults.draw(subject.call)
-    outcome = execute(app.state, request, faults)
+    outcome = run(faults)
     if is_successful(outcome):
         return app.deliver(link, subject, outcome.unwrap(), faults)
     held = app.state.holdings.held
--- a/packages/fennelfork-bench/src/fennelfork_bench/checks/_base.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_base.py
@@ -1,7 +1,7 @@
 """What the checkers of a history share: promises, violations, the truth."""
 
 import enum
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import attrs
 
@@ -103,3 +103,26 @@
         for end in attempt.ends:
             if isinstance(end, QueryAnswered):
                 yield QueryReply(asked=asked, answer=end)
+
+
+def reply_violations(
+    promise: Promise,
+    history: History,
+    faults: Callable[[QueryReply], Iterable[str]],
+) -> tuple[Violation, ...]:
+    """Check each answer of a history by itself.
+
+    Args:
+        promise: what a faulty answer breaks.
+        history: of the whole run.
+        faults: says in a few words each what is wrong with an answer.
+    """
+    return tuple(
+        Violation(
+            promise=promise,
+            detail=detail,
+            events=(reply.asked, reply.answer),
+        )
+        for reply in replies_of(history)
+        for detail in faults(reply)
+    )
--- a/packages/fennelfork-bench/src/fennelfork_bench/checks/_coverage.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_coverage.py
@@ -8,7 +8,7 @@
     QueryReply,
     Truth,
     Violation,
-    replies_of,
+    reply_violations,
 )
 from fennelfork_bench.history._caller import QueryAnswered
 from fennelfork_bench.history._history import History
@@ -19,14 +19,10 @@
 
 def check_coverage(history: History, truth: Truth) -> tuple[Violation, ...]:
     """Find answers that lack, or hold, what they say they do not."""
-    return tuple(
-        Violation(
-            promise=Promise.TRUE_COVERAGE,
-            detail=detail,
-            events=(reply.asked, reply.answer),
-        )
-        for reply in replies_of(history)
-        for detail in _faults(reply, truth)
+    return reply_violations(
+        Promise.TRUE_COVERAGE,
+        history,
+        lambda reply: _faults(reply, truth),
     )
 
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/checks/_snapshot.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_snapshot.py
@@ -8,7 +8,7 @@
     QueryReply,
     Truth,
     Violation,
-    replies_of,
+    reply_violations,
 )
 from fennelfork_bench.history._history import History
 
@@ -17,14 +17,10 @@
 
 def check_snapshot(history: History, truth: Truth) -> tuple[Violation, ...]:
     """Find answers that hold a record of another snapshot than they name."""
-    return tuple(
-        Violation(
-            promise=Promise.ONE_SNAPSHOT,
-            detail=detail,
-            events=(reply.asked, reply.answer),
-        )
-        for reply in replies_of(history)
-        for detail in _faults(reply, truth)
+    return reply_violations(
+        Promise.ONE_SNAPSHOT,
+        history,
+        lambda reply: _faults(reply, truth),
     )
 
 
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -6,7 +6,7 @@
 additive increase and multiplicative decrease: there is none until requests
 fail because servers turned them away, or this process falls behind. At five
 times the usual traffic, a day of gathered requests was worth 0.20 and 0.00
-without a limit, 0.45 and 0.44 with it.
+without a limit, 0.44 and 0.43 with it.
 """
 
 from types import TracebackType
@@ -20,7 +20,8 @@
 
 # More than one daemon ever has under way, so no limit.
 _NO_LIMIT: Final = 512.0
-# Two requests under way are no overload, whatever is seen.
+# A calm daemon has some two under way: as many as this are never too many,
+# whatever is seen, so that a slow spell alone refuses nobody.
 _LEAST: Final = 6.0
 _DECREASE: Final = 0.8
 # One overload shows in many requests: they count as one sign.
@@ -32,7 +33,7 @@
 _CALM_MS: Final = 1000.0
 # Of the limit, what each rank of less urgent routes may use: at 0.75 the urgent
 # kind won nothing and the other was served a tenth less.
-_LEFT_TO_URGENT: Final = 0.9
+_LESS_URGENT_SHARE: Final = 0.9
 
 
 @attrs.define(kw_only=True)
@@ -58,7 +59,7 @@
         """
         self._priorities.add(priority)
         rank = sorted(self._priorities).index(priority)
-        share: float = _LEFT_TO_URGENT**rank
+        share: float = _LESS_URGENT_SHARE**rank
         return self.under_way < max(_LEAST, self.limit * share)
 
     def note_good(self, now_ms: float) -> None:
