What stood twice stands once: bounded reads, the metrics type, the version

Found in reading the whole change again. The bounded read of a body stood in _wsgi_request and, with a line more, in routes/_body: read_in_time serves both (the two type ignores go with the copy). The content type of the metrics page stood in both metrics modules, and is the library's own constant. The version stood in _version, in pyproject.toml and was asked of the metadata besides: the package now takes it from _version.

Simpler on the way: the command line has no functions inside functions, decisions are counted by keyword (three noqa without a reason go), and what the stop tells its steps to is a protocol, as two things are.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_cli_app.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_cli_app.py
@@ -2,12 +2,13 @@
 
 import pathlib
 from collections.abc import Sequence
-from importlib import metadata
 
+import attrs
 from cyclopts import App, CycloptsError
 
 from fennelfork_daemon._exit_code import ExitCode
 from fennelfork_daemon._program import Program
+from fennelfork_daemon._version import VERSION
 
 
 def run_app(tokens: Sequence[str], program: Program) -> int:
@@ -20,40 +21,43 @@
     Returns:
         The exit code of the process.
     """
-    try:
-        found = _app(program)(tokens, exit_on_error=False)
-    except CycloptsError:
-        return int(ExitCode.BAD_SETTINGS)
-    return int(ExitCode.DONE) if found is None else int(found)
-
-
-def _app(program: Program) -> App:
+    commands = _Commands(program=program)
     app = App(
         name=program.name,
         help=program.about,
         help_format='plaintext',
-        version=metadata.version('fennelfork-daemon'),
+        version=VERSION,
         result_action='return_value',
     )
+    app.default(commands.serve)
+    app.command(commands.check)
+    try:
+        found = app(tokens, exit_on_error=False)
+    except CycloptsError:
+        return int(ExitCode.BAD_SETTINGS)
+    return int(ExitCode.DONE) if found is None else int(found)
+
 
-    @app.default
-    def serve(*, config: pathlib.Path) -> int:  # noqa: WPS430
+@attrs.frozen(kw_only=True)
+class _Commands:
+    """What the words of the command line ask for."""
+
+    _program: Program
+
+    def serve(self, *, config: pathlib.Path) -> int:
         """Serve until stopped; SIGTERM stops gracefully.
 
         Args:
             config: the settings file, TOML.
         """
-        return program.serve_file(config)
+        return self._program.serve_file(config)
 
-    @app.command
-    def check(path: pathlib.Path, /) -> int:  # noqa: WPS430
+    def check(self, path: pathlib.Path, /) -> int:
         """Check a settings file, name all that is wrong, start nothing.
 
-        Example: fennelforkd check settings.toml
+        Example: check settings.toml
 
         Args:
             path: the settings file, TOML.
         """
-        return program.check_file(path)
-
-    return app
+        return self._program.check_file(path)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_exit_code.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_exit_code.py
@@ -1,4 +1,4 @@
-"""How the process `fennelforkd` ends."""
+"""How a program that serves ends."""
 
 import enum
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -23,7 +23,6 @@
     Route,
     json_reply,
 )
-from fennelfork_daemon.logs._logs import StateLog
 
 _STEP_S: Final = 0.05
 _SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
@@ -43,6 +42,20 @@
         """Tell that it ends now."""
 
 
+class StepLog(Protocol):
+    """Where the steps of a stop are told."""
+
+    def change(
+        self,
+        subject: str,
+        state: str,
+        *,
+        running: int,
+        cut: int,
+    ) -> bool:
+        """Tell that the subject is in a state; see `StateLog`."""
+
+
 @attrs.define(kw_only=True)
 class StopService:
     """Takes requests to stop and sees them through.
@@ -56,7 +69,7 @@
     _clock: Clock
     _members: Membership
     _in_progress: InProgress
-    _log: StateLog
+    _log: StepLog
     _closed: bool = False
 
     @property
@@ -144,7 +157,7 @@
     clock: Clock,
     members: Membership,
     in_progress: InProgress,
-    log: StateLog,
+    log: StepLog,
 ) -> StopService:
     """Build the stop of a daemon that was not asked to stop."""
     return StopService(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_request.py
@@ -6,6 +6,7 @@
 
 import attrs
 import eventlet
+from eventlet.wsgi import ChunkReadError
 from returns.result import Failure, Result, Success
 
 from fennelfork import Failure as RequestFailure
@@ -64,6 +65,30 @@
     )
 
 
+def read_in_time(
+    environ: dict[str, Any],
+    most_bytes: int,
+    read_ms: float,
+) -> bytes | None:
+    """Read the body of a request as far as it comes within a time.
+
+    Args:
+        environ: the WSGI environment of the request.
+        most_bytes: how much to read at most.
+        read_ms: the time for all of it.
+
+    Returns:
+        The bytes, fewer if the body ends before; none if they did not arrive
+        in time, the connection broke, or they are no body.
+    """
+    with eventlet.Timeout(read_ms / _MS_PER_SECOND, exception=False):
+        try:
+            return bytes(environ['wsgi.input'].read(most_bytes))
+        except (OSError, ValueError, ChunkReadError):
+            return None
+    return None
+
+
 def _declared_length(
     environ: dict[str, Any],
     limits: BodyLimits,
@@ -92,12 +117,7 @@
     length: int,
     limits: BodyLimits,
 ) -> Result[bytes, Refusal]:
-    body = None
-    with eventlet.Timeout(limits.read_ms / _MS_PER_SECOND, exception=False):
-        try:
-            body = environ['wsgi.input'].read(length)
-        except OSError:
-            body = None
+    body = read_in_time(environ, length, limits.read_ms)
     if body is None:
         return _refuse(
             http.HTTPStatus.REQUEST_TIMEOUT,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_budget.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_budget.py
@@ -1,6 +1,5 @@
 """A log of decisions whose volume is bounded."""
 
-from collections.abc import Callable
 from typing import Any, ClassVar, Final, Protocol
 
 import attrs
@@ -22,6 +21,13 @@
     event: ClassVar[str]
 
 
+class CountDecision(Protocol):
+    """Counts decisions of one kind."""
+
+    def __call__(self, event: str, *, logged: bool, times: int) -> None:
+        """Count some of them, whose lines were written or not."""
+
+
 class LogOutput(Protocol):
     """Where the lines go.
 
@@ -38,7 +44,7 @@
 
     _logger: Any
     _clock: Clock
-    _count: Callable[[str, bool, int], None]
+    _count: CountDecision
     _output: LogOutput
     _told_dropped: int = 0
     _budgets: dict[str, CallBudget] = attrs.field(factory=dict)
@@ -55,7 +61,7 @@
         """
         event = decision.event
         logged = self._budget(event).take()
-        self._count(event, logged, 1)
+        self._count(event, logged=logged, times=1)
         if not logged:
             self._held_back[event] = self._held_back.get(event, 0) + 1
             return False
@@ -82,13 +88,13 @@
         if not lines:
             return
         self._told_dropped = dropped
-        self._count(_LINES_DROPPED, True, lines)  # noqa: WPS425
+        self._count(_LINES_DROPPED, logged=True, times=lines)
         self._logger.info(_LINES_DROPPED, lines=lines)
 
 
 def decision_log(
     clock: Clock,
-    count: Callable[[str, bool, int], None],
+    count: CountDecision,
     output: LogOutput,
     **facts: Any,
 ) -> DecisionLog:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/metrics/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/metrics/_metrics.py
@@ -25,7 +25,6 @@
 )
 from fennelfork_daemon.metrics._labels import LabelGuard, Labels, label_guard
 
-METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 _MS_PER_SECOND: Final = 1000
 # How the check of replies begins what it says of a crossed one.
 _CROSSED: Final = 'crossed'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/operator/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/operator/_face.py
@@ -3,6 +3,7 @@
 import http
 
 import attrs
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
 from fennelfork import Blackboard, FailureCode, not_run
 from fennelfork_daemon._readiness import unready_reasons
@@ -19,7 +20,6 @@
     json_reply,
     router,
 )
-from fennelfork_daemon.metrics._metrics import METRICS_TYPE
 from fennelfork_daemon.operator._pages import (
     fronts_page,
     members_page,
@@ -73,7 +73,7 @@
         """Give all metrics as Prometheus text."""
         return HttpReply(
             status=http.HTTPStatus.OK,
-            headers=(('Content-Type', METRICS_TYPE),),
+            headers=(('Content-Type', CONTENT_TYPE_PLAIN_0_0_4),),
             body=self._observer.metrics.page(),
         )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_body.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_body.py
@@ -1,20 +1,20 @@
 """Reading of the body of a request that is passed on."""
 
-import eventlet
-from eventlet.wsgi import ChunkReadError
+from typing import Any
+
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
 from fennelfork import Failure, FailureCode, not_run
 from fennelfork_daemon.http._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon.http._wsgi_request import read_in_time
 
-_MS_PER_SECOND = 1000
 _LENGTH = 'CONTENT_LENGTH'
 _CODING = 'HTTP_TRANSFER_ENCODING'
 
 
 def read_body(
-    environ: dict[str, object],
+    environ: dict[str, Any],
     most_bytes: int,
     read_ms: float,
 ) -> Result[bytes | None, Failure]:
@@ -31,7 +31,8 @@
     """
     if _LENGTH not in environ and _CODING not in environ:
         return Success(None)
-    body = _read(environ, most_bytes, read_ms)
+    # One byte more tells a body that is too long from one that fits.
+    body = read_in_time(environ, most_bytes + 1, read_ms)
     if body is None:
         return _refuse(environ, 'the body did not arrive whole and in time')
     if len(body) > most_bytes:
@@ -42,22 +43,9 @@
     return Success(body)
 
 
-def _read(
-    environ: dict[str, object],
-    most_bytes: int,
-    read_ms: float,
-) -> bytes | None:
-    with eventlet.Timeout(read_ms / _MS_PER_SECOND, exception=False):
-        try:
-            return bytes(environ['wsgi.input'].read(most_bytes + 1))  # type: ignore[attr-defined]
-        except (OSError, ValueError, ChunkReadError):
-            return None
-    return None
-
-
 def _refuse(
-    environ: dict[str, object],
+    environ: dict[str, Any],
     detail: str,
 ) -> Result[bytes | None, Failure]:
-    environ[CLOSE_KEY]()  # type: ignore[operator]
+    environ[CLOSE_KEY]()
     return Bad(not_run(FailureCode.BAD_REQUEST, detail))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -10,6 +10,7 @@
     ProcessCollector,
     generate_latest,
 )
+from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
 from fennelfork.routes import RouteTable
 from fennelfork_daemon.http._router import (
@@ -21,7 +22,6 @@
 )
 from fennelfork_daemon.metrics._labels import KnownNames
 
-_METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 _MS_PER_SECOND: Final = 1000
 _OK: Final = 200
 # Routes and services with series of their own; one child takes 3.7 KB.
@@ -79,7 +79,13 @@
         for service in facts.missing:
             self._missing.labels(self._services.label(service)).inc()
 
-    def count_decision(self, event: str, logged: bool, times: int) -> None:
+    def count_decision(
+        self,
+        event: str,
+        *,
+        logged: bool,
+        times: int,
+    ) -> None:
         """Count decisions of the log, whether their line was written or not."""
         self._decisions.labels(event, 'yes' if logged else 'no').inc(times)
 
@@ -91,7 +97,7 @@
     def _page(self, request: HttpRequest) -> HttpReply:
         return HttpReply(
             status=_OK,
-            headers=(('Content-Type', _METRICS_TYPE),),
+            headers=(('Content-Type', CONTENT_TYPE_PLAIN_0_0_4),),
             body=generate_latest(self._registry),
         )
 
