Reporters report; a limit is asked without being changed

Found in reading the whole change again. - RequestReporter lowered the limits when the process woke late, a decision in the wrong place: the lag watch does both now, in their order, and the reporter holds no limits. Its module did two jobs and is two: of the store, of the requests. - has_room noted the priority that it was asked about; enter does, and rank is a count in place of a sort for each request.

--- a/packages/fennelfork-bench/src/fennelfork_bench/rig/_usage.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_usage.py
@@ -39,11 +39,12 @@
     proc = Path(f'/proc/{pid}')
     after_name = proc.joinpath('stat').read_text().rpartition(')')[2]
     fields = after_name.split()
+    held_kb = _status_kb(proc)
     ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
     return Usage(
         cpu_ms=ticks * _MS_PER_S / _TICKS_PER_S,
-        resident_mb=_status_kb(proc, 'VmRSS') / _KIB_PER_MIB,
-        private_mb=_status_kb(proc, 'RssAnon') / _KIB_PER_MIB,
+        resident_mb=held_kb.get('VmRSS', 0) / _KIB_PER_MIB,
+        private_mb=held_kb.get('RssAnon', 0) / _KIB_PER_MIB,
     )
 
 
@@ -52,9 +53,8 @@
     return (after.cpu_ms - before.cpu_ms) / elapsed_ms * _PERCENT
 
 
-def _status_kb(proc: Path, wanted: str) -> int:
-    for line in proc.joinpath('status').read_text().splitlines():
-        name, _, amount = line.partition(':')
-        if name == wanted:
-            return int(amount.split()[0])
-    return 0
+def _status_kb(proc: Path) -> dict[str, int]:
+    """Read the amounts of memory that the kernel tells; none of one ended."""
+    lines = proc.joinpath('status').read_text().splitlines()
+    fields = [line.split() for line in lines if line.endswith(' kB')]
+    return {name.rstrip(':'): int(amount) for name, amount, _unit in fields}
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -34,8 +34,6 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
-
-
 # What ends a call whose bytes were sent.
 _BROKEN: Final = (HTTPError, HTTPException, OSError, EOFError)
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
@@ -17,7 +17,7 @@
     UnreadableFact,
 )
 from fennelfork_daemon.routes._pools import ServerPools
-from fennelfork_daemon.routes._reporters import StoreReporter
+from fennelfork_daemon.routes._store_reporter import StoreReporter
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -12,14 +12,15 @@
 from fennelfork_daemon.routes._face import RouteFace
 from fennelfork_daemon.routes._follower import StoreFollower
 from fennelfork_daemon.routes._foundation import Foundation, foundation
-from fennelfork_daemon.routes._lag import LagWatch
+from fennelfork_daemon.routes._lag import lag_watch
 from fennelfork_daemon.routes._ports import Ports
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._reload import ReadSettings, SettingsReload
-from fennelfork_daemon.routes._reporters import RequestReporter, StoreReporter
+from fennelfork_daemon.routes._request_reporter import RequestReporter
 from fennelfork_daemon.routes._service import RouteService
 from fennelfork_daemon.routes._settings import RouteSettings
 from fennelfork_daemon.routes._stop import route_stop
+from fennelfork_daemon.routes._store_reporter import StoreReporter
 
 
 def route_service(
@@ -67,7 +68,7 @@
             follower.run,
             registration.run,
             reload.run,
-            LagWatch(clock=base.clock, note=calls.reporter.fell_behind).run,
+            lag_watch(base.clock, base.limits, calls.reporter).run,
         ),
         pools=base.pools,
         stop=route_stop(
@@ -117,7 +118,6 @@
             log=base.log,
             clock=base.clock,
             metrics=base.metrics,
-            limits=base.limits,
         ),
     )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -27,7 +27,7 @@
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._ports import BackendCodec
-from fennelfork_daemon.routes._reporters import RequestReporter
+from fennelfork_daemon.routes._request_reporter import RequestReporter
 
 _MS_PER_SECOND: Final = 1000
 _LEAST_MS: Final = 1.0
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
@@ -6,7 +6,7 @@
 
 from fennelfork import Clock, Failure
 from fennelfork_daemon.routes._board import RouteBoard
-from fennelfork_daemon.routes._reporters import StoreReporter
+from fennelfork_daemon.routes._store_reporter import StoreReporter
 
 # Two renewals missed: registrations may have lapsed meanwhile. A watch whose
 # connection broke alone is no absence.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -1,5 +1,6 @@
 """The caller face of routes, as a WSGI application."""
 
+import contextlib
 import random
 from collections.abc import Callable, Iterable
 from typing import Any, Final
@@ -18,7 +19,6 @@
     Paces,
     Route,
     RouteTable,
-    UnderWay,
     dispatch,
     draw_services,
 )
@@ -35,8 +35,8 @@
 from fennelfork_daemon.routes._caller_calls import CallParts, RequestCalls
 from fennelfork_daemon.routes._caller_watch import CallerWatch
 from fennelfork_daemon.routes._ports import CallerCodec
-from fennelfork_daemon.routes._reporters import RequestReporter
 from fennelfork_daemon.routes._request import RunningRequest
+from fennelfork_daemon.routes._request_reporter import RequestReporter
 
 # A daemon that has no routes yet gets them as soon as the store answers,
 # which it asks some times a second.
@@ -112,7 +112,8 @@
             return self._refuse(_no_route(known), known.request_id)
         if not self.limits.enter(route):
             return self._refuse(self._too_many(route), known.request_id)
-        with UnderWay(limits=self.limits, route=route):
+        with contextlib.ExitStack() as over:
+            over.callback(self.limits.leave, route)
             request = self._request(known, table, route, came_ms)
             return self._see_through(environ, known, request, came_ms)
 
@@ -129,7 +130,8 @@
         self._reporter.ended(known, request, answer, came_ms)
         took_ms = self._clock.now_ms() - came_ms
         if self.limits.note_end(request.dispatch, took_ms):
-            self._reporter.limit_fell(request.dispatch.route)
+            route = request.dispatch.route
+            self._reporter.limit_fell(route, self.limits.of(route))
         return answer
 
     def _too_many(self, route: Route) -> Failure:
@@ -174,7 +176,7 @@
         calls = RequestCalls(
             parts=self._calls,
             ask=ask,
-            pace=self._paces.of(route),
+            pace=running.pace,
             end_ms=running.end_ms,
             fresh=not route.idempotent,
             tell=lambda attempt, outcome: inbox.put((attempt, outcome)),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lag.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lag.py
@@ -1,5 +1,6 @@
 """Notices that this process falls behind."""
 
+import functools
 from collections.abc import Callable
 from typing import Final
 
@@ -7,6 +8,8 @@
 import eventlet
 
 from fennelfork import Clock
+from fennelfork.routes import ConcurrencyLimits
+from fennelfork_daemon.routes._request_reporter import RequestReporter
 
 _MS_PER_SECOND: Final = 1000
 _LOOK_MS: Final = 50.0
@@ -30,3 +33,22 @@
             late_ms = self._clock.now_ms() - began_ms - _LOOK_MS
             if late_ms > _LATE_MS:
                 self._note(late_ms)
+
+
+def lag_watch(
+    clock: Clock,
+    limits: ConcurrencyLimits,
+    reporter: RequestReporter,
+) -> LagWatch:
+    """Build the watch that takes a late look as a sign of overload."""
+    note = functools.partial(_note_overload, limits, reporter)
+    return LagWatch(clock=clock, note=note)
+
+
+def _note_overload(
+    limits: ConcurrencyLimits,
+    reporter: RequestReporter,
+    late_ms: float,
+) -> None:
+    limits.note_lag()
+    reporter.fell_behind(late_ms)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -11,7 +11,7 @@
 from fennelfork_daemon.routes._board import RouteBoard
 from fennelfork_daemon.routes._contact import StoreContact
 from fennelfork_daemon.routes._ports import Store
-from fennelfork_daemon.routes._reporters import StoreReporter
+from fennelfork_daemon.routes._store_reporter import StoreReporter
 
 _MS_PER_SECOND: Final = 1000
 # A daemon that died is named to callers for at most this long; they try it
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -1,4 +1,4 @@
-"""What a daemon that serves routes logs."""
+"""What a daemon that serves routes logs and counts of its requests."""
 
 import traceback
 import zlib
@@ -6,22 +6,18 @@
 
 import attrs
 
-from fennelfork import Clock, Failure
-from fennelfork.membership import Member
+from fennelfork import Clock
 from fennelfork.routes import (
-    BackendServer,
     CallEnd,
-    ConcurrencyLimits,
+    ConcurrencyLimit,
     Failed,
     Route,
-    RouteTable,
     Send,
 )
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes import _events as events
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._ask import Ask
-from fennelfork_daemon.routes._facts import UnreadableFact
 from fennelfork_daemon.routes._metrics import RequestFacts, RouteMetrics
 
 _CLIENT_ERROR: Final = 400
@@ -32,80 +28,6 @@
 _SAMPLE: Final = 64
 
 
-@attrs.define(kw_only=True)
-class StoreReporter:
-    """Logs what changes in what the daemon believes."""
-
-    _log: DecisionLog
-    _metrics: RouteMetrics
-
-    def lost(self, failure: Failure) -> None:
-        """The store is not reached."""
-        self._log.tell(events.StoreLost(reason=failure.detail))
-
-    def regained(self, away_ms: float) -> None:
-        """The store is reached again."""
-        self._log.tell(events.StoreRegained(away_ms=round(away_ms)))
-
-    def registered(self, lease: int, ttl_ms: float) -> None:
-        """This daemon is registered."""
-        self._log.tell(events.LeaseGranted(lease=lease, ttl_ms=round(ttl_ms)))
-
-    def lapsed(self, lease: int, renewed_ms_ago: float) -> None:
-        """The store ended this daemon's registration."""
-        self._log.tell(
-            events.LeaseLapsed(
-                lease=lease,
-                renewed_ms_ago=round(renewed_ms_ago),
-            ),
-        )
-
-    def config_taken(self, table: RouteTable, before: int) -> None:
-        """A version is in force from now on."""
-        self._metrics.follow(table)
-        self._log.tell(
-            events.ConfigTaken(
-                version=table.version,
-                before=before,
-                routes=len(table.routes),
-            ),
-        )
-
-    def server_seen(
-        self,
-        server: BackendServer,
-        before: BackendServer | None,
-    ) -> None:
-        """A backend server is new, or changed what it says of itself."""
-        if before is not None and before.draining == server.draining:
-            return
-        self._log.tell(
-            events.ServerSeen(
-                server=server.instance,
-                service=server.service,
-                address=server.address,
-                data_centre=server.data_centre,
-                draining=server.draining,
-            ),
-        )
-
-    def server_gone(self, instance: str) -> None:
-        """A backend server is not used any more."""
-        self._log.tell(events.ServerGone(server=instance))
-
-    def member_seen(self, member: Member) -> None:
-        """Another daemon registered itself."""
-        self._log.tell(events.DaemonSeen(peer=member.name, at=member.caller))
-
-    def member_gone(self, name: str) -> None:
-        """A daemon is no longer registered."""
-        self._log.tell(events.DaemonGone(peer=name))
-
-    def unreadable(self, fact: UnreadableFact) -> None:
-        """An item of the store could not be read; what was known stays."""
-        self._log.tell(events.ItemRefused(key=fact.key, reason=fact.problem))
-
-
 @attrs.frozen(kw_only=True)
 class RequestReporter:
     """Counts requests, and logs those that did not go as usual."""
@@ -113,7 +35,6 @@
     _log: DecisionLog
     _clock: Clock
     _metrics: RouteMetrics
-    _limits: ConcurrencyLimits
 
     def refused(self, refused: Refused, version: int) -> None:
         """A request was refused before anything was sent.
@@ -161,12 +82,10 @@
 
     def fell_behind(self, late_ms: float) -> None:
         """This process woke late, which is a sign of overload."""
-        self._limits.note_lag()
         self._log.tell(events.FellBehind(late_ms=round(late_ms)))
 
-    def limit_fell(self, route: Route) -> None:
+    def limit_fell(self, route: Route, limit: ConcurrencyLimit) -> None:
         """Fewer requests to the services of a route are worked on at once."""
-        limit = self._limits.of(route)
         self._log.tell(
             events.LimitFell(
                 route=route.name,
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -38,7 +38,7 @@
 from fennelfork_daemon.routes._metrics import route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._registration import Registration
-from fennelfork_daemon.routes._reporters import StoreReporter
+from fennelfork_daemon.routes._store_reporter import StoreReporter
 from fennelfork_daemon.settings._tables import LogSettings
 
 AWAY = not_run(FailureCode.PLATFORM, 'the store answered 503')
--- a/packages/fennelfork-daemon/tests/test_routes_events.py
+++ b/packages/fennelfork-daemon/tests/test_routes_events.py
@@ -17,7 +17,7 @@
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.logs._sink import non_blocking_sink
 from fennelfork_daemon.routes import _events as events
-from fennelfork_daemon.routes._reporters import is_sampled
+from fennelfork_daemon.routes._request_reporter import is_sampled
 from fennelfork_daemon.settings._tables import LogSettings
 
 _PAGE = pathlib.Path(__file__).parents[3] / 'docs/OPERATIONS.md'
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -14,7 +14,6 @@
 from ._caller_limits import CallerLimits as CallerLimits
 from ._concurrency import ConcurrencyLimit as ConcurrencyLimit
 from ._concurrency import ConcurrencyLimits as ConcurrencyLimits
-from ._concurrency import UnderWay as UnderWay
 from ._connection_share import ConnectionShares as ConnectionShares
 from ._dispatch import Dispatch as Dispatch
 from ._dispatch import Ending as Ending
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -9,7 +9,6 @@
 without a limit, 0.44 and 0.43 with it.
 """
 
-from types import TracebackType
 from typing import Any, Final
 
 import attrs
@@ -57,11 +56,18 @@
         Args:
             priority: of its route, 0 is the most urgent.
         """
-        self._priorities.add(priority)
-        rank = sorted(self._priorities).index(priority)
+        rank = sum(other < priority for other in self._priorities)
         share: float = _LESS_URGENT_SHARE**rank
         return self.under_way < max(_LEAST, self.limit * share)
 
+    def enter(self, priority: int) -> bool:
+        """Take one more request of a priority in, if there is room for it."""
+        self._priorities.add(priority)
+        if not self.has_room(priority):
+            return False
+        self.under_way += 1
+        return True
+
     def note_good(self, now_ms: float) -> None:
         """Note a request that was answered in time."""
         if self.limit >= _NO_LIMIT:
@@ -104,11 +110,7 @@
 
     def enter(self, route: Route) -> bool:
         """Take a request in, if there is room for it."""
-        limit = self.of(route)
-        if not limit.has_room(route.priority):
-            return False
-        limit.under_way += 1
-        return True
+        return self.of(route).enter(route.priority)
 
     def leave(self, route: Route) -> None:
         """Note that a request is over."""
@@ -149,23 +151,3 @@
             found = ConcurrencyLimit()
             self._limits[services] = found
         return found
-
-
-@attrs.frozen(kw_only=True)
-class UnderWay:
-    """A request that was taken in, until the block that it guards ends."""
-
-    _limits: ConcurrencyLimits
-    _route: Route
-
-    def __enter__(self) -> None:
-        """Do nothing: it was taken in before."""
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Note that it is over, however it ended."""
-        self._limits.leave(self._route)
--- a/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
+++ b/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
@@ -1,5 +1,6 @@
 """How many daemons to share a limit with."""
 
+import math
 from typing import Final
 
 import attrs
@@ -22,7 +23,7 @@
     _clock: Clock
     _window_ms: float
     _seen: list[tuple[float, int]] = attrs.field(factory=list)
-    _first_ms: float | None = None
+    _first_ms: float = math.inf
 
     @property
     def known(self) -> bool:
@@ -32,8 +33,6 @@
     @property
     def settled(self) -> bool:
         """Whether others that started with this daemon had time to be seen."""
-        if self._first_ms is None:
-            return False
         return self._clock.now_ms() - self._first_ms >= _SETTLED_MS
 
     @property
@@ -46,8 +45,7 @@
         """Note how many daemons there are now, this one included."""
         self._forget()
         now_ms = self._clock.now_ms()
-        if self._first_ms is None:
-            self._first_ms = now_ms
+        self._first_ms = min(self._first_ms, now_ms)
         self._seen.append((now_ms, max(1, count)))
 
     def _forget(self) -> None:
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -96,9 +96,11 @@
             for server in self.roster.usable(wanted.service)
             if server.instance not in wanted.tried
         }
+        # The same for all servers of the service.
+        share = self.shares.of(wanted.service)
         by_fitness: dict[_Fitness, list[BackendServer]] = {}
         for server in servers.values():
-            fitness = self._fitness(server, wanted)
+            fitness = self._fitness(server, wanted, share)
             by_fitness.setdefault(fitness, []).append(server)
         if wanted.only_healthy:
             by_fitness.pop(_Fitness.DOUBTFUL, None)
@@ -108,14 +110,19 @@
         chosen = best(self._candidates(fittest, wanted.pace), self._rng)
         return None if chosen is None else servers[chosen.server]
 
-    def _fitness(self, server: BackendServer, wanted: Selection) -> _Fitness:
+    def _fitness(
+        self,
+        server: BackendServer,
+        wanted: Selection,
+        share: int,
+    ) -> _Fitness:
         state = self.states.of(server.instance)
         now_ms = self._clock.now_ms()
         silent = state.silent_ms(now_ms) > wanted.pace.hedge_ms
         if silent or state.standing.ejected(now_ms):
             return _Fitness.DOUBTFUL
         usable = state.standing.usable(server.slots, now_ms)
-        if state.outstanding < min(usable, self.shares.of(server.service)):
+        if state.outstanding < min(usable, share):
             return _Fitness.FIT
         return _Fitness.BUSY
 
