--- a/packages/fennelfork-bench/src/fennelfork_bench/_vms_app.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/_vms_app.py
@@ -7,7 +7,7 @@
 import attrs
 
 from fennelfork import Clock
-from fennelfork_bench._rig_serving import (
+from fennelfork_bench.rig._serving import (
     Answer,
     Json,
     StartResponse,
--- a/packages/fennelfork-bench/src/fennelfork_bench/backend.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend.py
@@ -9,8 +9,8 @@
 from cyclopts import Parameter, run
 from eventlet.event import Event
 
-from fennelfork_bench._backend_server import Address, start_server
-from fennelfork_bench._backend_settings import ServerSettings
+from fennelfork_bench.backend_server._server import Address, start_server
+from fennelfork_bench.backend_server._settings import ServerSettings
 
 _DEFAULTS = ServerSettings()
 
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/__init__.py
@@ -0,0 +1,1 @@
+"""The stand-in of a backend server."""
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_app.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_app.py
@@ -7,11 +7,11 @@
 from eventlet import sleep, wsgi
 from returns.pipeline import is_successful
 
-from fennelfork_bench._backend_codec import parse_message
-from fennelfork_bench._backend_connection import LINK_KEY, Link
-from fennelfork_bench._backend_control import ControlApp
-from fennelfork_bench._backend_delivery import Spoiler
-from fennelfork_bench._backend_engine import (
+from fennelfork_bench.backend_server._codec import parse_message
+from fennelfork_bench.backend_server._connection import LINK_KEY, Link
+from fennelfork_bench.backend_server._control import ControlApp
+from fennelfork_bench.backend_server._delivery import Spoiler
+from fennelfork_bench.backend_server._engine import (
     cancel,
     execute,
     execute_subject,
@@ -19,16 +19,16 @@
     search_subject,
     wait_until_thawed,
 )
-from fennelfork_bench._backend_faults import FaultRule
-from fennelfork_bench._backend_log import EventKind, Subject
-from fennelfork_bench._backend_messages import (
+from fennelfork_bench.backend_server._faults import FaultRule
+from fennelfork_bench.backend_server._log import EventKind, Subject
+from fennelfork_bench.backend_server._messages import (
     CancelRequest,
     ExecuteRequest,
     MultiSearchRequest,
     SearchRequest,
 )
-from fennelfork_bench._backend_multi import search_all
-from fennelfork_bench._backend_response import (
+from fennelfork_bench.backend_server._multi import search_all
+from fennelfork_bench.backend_server._response import (
     Response,
     StartResponse,
     bad_request_response,
@@ -37,8 +37,8 @@
     read_body,
     send_response,
 )
-from fennelfork_bench._backend_state import ServerState
-from fennelfork_bench._backend_views import Views
+from fennelfork_bench.backend_server._state import ServerState
+from fennelfork_bench.backend_server._views import Views
 
 _Route: TypeAlias = Callable[['BackendApp', Link, bytes], Response | None]
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_connection.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_connection.py
@@ -9,8 +9,8 @@
 from eventlet import Timeout, listen, sleep, spawn, wsgi
 from eventlet.queue import LightQueue
 
-from fennelfork_bench._backend_engine import wait_until_thawed
-from fennelfork_bench._backend_state import ServerState
+from fennelfork_bench.backend_server._engine import wait_until_thawed
+from fennelfork_bench.backend_server._state import ServerState
 
 LINK_KEY: Final = 'fennelfork.link'
 _MS_PER_SECOND: Final = 1000
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_control.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_control.py
@@ -5,12 +5,12 @@
 
 import attrs
 
-from fennelfork_bench._backend_codec import parse_message
-from fennelfork_bench._backend_connection import Listener
-from fennelfork_bench._backend_faults import FaultOrder
-from fennelfork_bench._backend_log_page import log_counts, log_page
-from fennelfork_bench._backend_orders import DrainOrder, SnapshotOrder
-from fennelfork_bench._backend_response import (
+from fennelfork_bench.backend_server._codec import parse_message
+from fennelfork_bench.backend_server._connection import Listener
+from fennelfork_bench.backend_server._faults import FaultOrder
+from fennelfork_bench.backend_server._log_page import log_counts, log_page
+from fennelfork_bench.backend_server._orders import DrainOrder, SnapshotOrder
+from fennelfork_bench.backend_server._response import (
     Response,
     StartResponse,
     bad_request_response,
@@ -18,8 +18,8 @@
     read_body,
     send_response,
 )
-from fennelfork_bench._backend_state import ServerState
-from fennelfork_bench._backend_views import true_health
+from fennelfork_bench.backend_server._state import ServerState
+from fennelfork_bench.backend_server._views import true_health
 
 _Route: TypeAlias = Callable[['ControlApp', bytes], Response]
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_delivery.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_delivery.py
@@ -6,9 +6,13 @@
 import attrs
 import eventlet
 
-from fennelfork_bench._backend_codec import render_message
-from fennelfork_bench._backend_faults import FaultKind, FaultRule, find_fault
-from fennelfork_bench._backend_messages import ExecuteReply, SearchReply
+from fennelfork_bench.backend_server._codec import render_message
+from fennelfork_bench.backend_server._faults import (
+    FaultKind,
+    FaultRule,
+    find_fault,
+)
+from fennelfork_bench.backend_server._messages import ExecuteReply, SearchReply
 
 Reply: TypeAlias = SearchReply | ExecuteReply
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_engine.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_engine.py
@@ -9,17 +9,11 @@
 from returns.result import Result
 from returns.result import Success as Done
 
-from fennelfork import (
-    Failure,
-    FailureCode,
-    KeyRange,
-    key_range,
-    may_have_run,
-    not_run,
-)
-from fennelfork_bench._backend_faults import FaultRule
-from fennelfork_bench._backend_log import Call, EventKind, Subject
-from fennelfork_bench._backend_messages import (
+from fennelfork import Failure, FailureCode, may_have_run, not_run
+from fennelfork.gather import KeyRange, key_range
+from fennelfork_bench.backend_server._faults import FaultRule
+from fennelfork_bench.backend_server._log import Call, EventKind, Subject
+from fennelfork_bench.backend_server._messages import (
     CancelReply,
     CancelRequest,
     ExecuteReply,
@@ -27,9 +21,9 @@
     SearchReply,
     SearchRequest,
 )
-from fennelfork_bench._backend_records import select_records
-from fennelfork_bench._backend_slots import Ending, Work
-from fennelfork_bench._backend_state import ServerState
+from fennelfork_bench.backend_server._records import select_records
+from fennelfork_bench.backend_server._slots import Ending, Work
+from fennelfork_bench.backend_server._state import ServerState
 
 _MS_PER_SECOND: Final = 1000
 _SHED_RETRY_MS: Final = 5
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_faults.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_faults.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fennelfork_bench._backend_log import Call
+from fennelfork_bench.backend_server._log import Call
 
 
 @enum.unique
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_history.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_history.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, Final
 
-from fennelfork_bench._backend_log import Call, EventKind
-from fennelfork_bench._history_server import (
+from fennelfork_bench.backend_server._log import Call, EventKind
+from fennelfork_bench.history._server import (
     ExecuteRan,
     QueryRan,
     ReplySpoiled,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_log_page.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_log_page.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from fennelfork_bench._backend_log import Event
-from fennelfork_bench._backend_state import ServerState
+from fennelfork_bench.backend_server._log import Event
+from fennelfork_bench.backend_server._state import ServerState
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_messages.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork_bench._backend_records import Query, Record
+from fennelfork_bench.backend_server._records import Query, Record
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_multi.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_multi.py
@@ -6,18 +6,18 @@
 from eventlet import GreenPile
 from returns.pipeline import is_successful
 
-from fennelfork_bench._backend_delivery import Spoiler
-from fennelfork_bench._backend_engine import search, search_subject
-from fennelfork_bench._backend_log import EventKind
-from fennelfork_bench._backend_messages import (
+from fennelfork_bench.backend_server._delivery import Spoiler
+from fennelfork_bench.backend_server._engine import search, search_subject
+from fennelfork_bench.backend_server._log import EventKind
+from fennelfork_bench.backend_server._messages import (
     MultiSearchReply,
     MultiSearchRequest,
     Problem,
     SearchReply,
     SearchRequest,
 )
-from fennelfork_bench._backend_response import failure_problem
-from fennelfork_bench._backend_state import ServerState
+from fennelfork_bench.backend_server._response import failure_problem
+from fennelfork_bench.backend_server._state import ServerState
 
 _MOST_SEARCHES: Final = 256
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_records.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_records.py
@@ -6,7 +6,7 @@
 import attrs
 import xxhash
 
-from fennelfork import KeyRange
+from fennelfork.gather import KeyRange
 
 _KINDS: Final = ('raft', 'flare', 'release', 'voucher', 'payout')
 _STATES: Final = ('due', 'valid', 'expired')
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_response.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_response.py
@@ -7,9 +7,9 @@
 import attrs
 
 from fennelfork import Failure, FailureCode, Verdict
-from fennelfork_bench._backend_codec import render_message
-from fennelfork_bench._backend_log import Subject
-from fennelfork_bench._backend_messages import HeldSnapshot, Problem
+from fennelfork_bench.backend_server._codec import render_message
+from fennelfork_bench.backend_server._log import Subject
+from fennelfork_bench.backend_server._messages import HeldSnapshot, Problem
 
 _Headers: TypeAlias = list[tuple[str, str]]
 StartResponse: TypeAlias = Callable[[str, _Headers], Any]
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_server.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_server.py
@@ -6,17 +6,17 @@
 from eventlet import listen, spawn, wsgi
 
 from fennelfork import system_clock
-from fennelfork_bench._backend_app import BackendApp
-from fennelfork_bench._backend_connection import (
+from fennelfork_bench.backend_server._app import BackendApp
+from fennelfork_bench.backend_server._connection import (
     LinkProtocol,
     Listener,
     open_listener,
 )
-from fennelfork_bench._backend_control import ControlApp
-from fennelfork_bench._backend_delivery import Spoiler
-from fennelfork_bench._backend_settings import ServerSettings
-from fennelfork_bench._backend_state import server_state
-from fennelfork_bench._backend_views import views
+from fennelfork_bench.backend_server._control import ControlApp
+from fennelfork_bench.backend_server._delivery import Spoiler
+from fennelfork_bench.backend_server._settings import ServerSettings
+from fennelfork_bench.backend_server._state import server_state
+from fennelfork_bench.backend_server._views import views
 
 _SOCKET_TIMEOUT_S: Final = 600
 _MAX_CONNECTIONS: Final = 1024
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_service_time.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_service_time.py
@@ -5,8 +5,12 @@
 
 import attrs
 
-from fennelfork_bench._backend_faults import FaultKind, FaultRule, find_fault
-from fennelfork_bench._backend_settings import ServerSettings
+from fennelfork_bench.backend_server._faults import (
+    FaultKind,
+    FaultRule,
+    find_fault,
+)
+from fennelfork_bench.backend_server._settings import ServerSettings
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_settings.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_settings.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork import KeyRange, key_range
+from fennelfork.gather import KeyRange, key_range
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_snapshots.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_snapshots.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from fennelfork import KeyRange, key_range, missing_ranges
-from fennelfork_bench._backend_messages import HeldSnapshot
-from fennelfork_bench._backend_orders import SnapshotOrder
+from fennelfork.gather import KeyRange, key_range, missing_ranges
+from fennelfork_bench.backend_server._messages import HeldSnapshot
+from fennelfork_bench.backend_server._orders import SnapshotOrder
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_state.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_state.py
@@ -5,12 +5,22 @@
 import attrs
 
 from fennelfork import Clock, wall_clock
-from fennelfork_bench._backend_faults import FaultPlan, HealthFault, fault_plan
-from fennelfork_bench._backend_log import EventLog, event_log
-from fennelfork_bench._backend_service_time import ServiceTimes, service_times
-from fennelfork_bench._backend_settings import ServerSettings, first_range
-from fennelfork_bench._backend_slots import Slots
-from fennelfork_bench._backend_snapshots import Holdings, first_holdings
+from fennelfork_bench.backend_server._faults import (
+    FaultPlan,
+    HealthFault,
+    fault_plan,
+)
+from fennelfork_bench.backend_server._log import EventLog, event_log
+from fennelfork_bench.backend_server._service_time import (
+    ServiceTimes,
+    service_times,
+)
+from fennelfork_bench.backend_server._settings import (
+    ServerSettings,
+    first_range,
+)
+from fennelfork_bench.backend_server._slots import Slots
+from fennelfork_bench.backend_server._snapshots import Holdings, first_holdings
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_backend_views.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/backend_server/_views.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from fennelfork_bench._backend_messages import Health, Load
-from fennelfork_bench._backend_state import ServerState
+from fennelfork_bench.backend_server._messages import Health, Load
+from fennelfork_bench.backend_server._state import ServerState
 
 _MULTI: Final = ('multi_search',)
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_caller_client.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/callers/_client.py
@@ -8,14 +8,14 @@
 import urllib3
 from eventlet import sleep
 
-from fennelfork_bench._caller_reply import QueryEnd, query_end
-from fennelfork_bench._caller_spec import LoadSpec
-from fennelfork_bench._history import Recorder
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.callers._reply import QueryEnd, query_end
+from fennelfork_bench.callers._spec import LoadSpec
+from fennelfork_bench.history._caller import (
     ConnectionCut,
     ConnectRefused,
     QueryAsked,
 )
+from fennelfork_bench.history._history import Recorder
 
 _MS_PER_SECOND: Final = 1000
 _GRACE_MS: Final = 2000
--- a/packages/fennelfork-bench/src/fennelfork_bench/_caller_group.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/callers/_group.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from fennelfork_bench._caller_spec import LoadSpec
-from fennelfork_bench._caller_tally import Tally, beside, parse_tally
-from fennelfork_bench._rig_process import Process, Rig, RigError
+from fennelfork_bench.callers._spec import LoadSpec
+from fennelfork_bench.callers._tally import Tally, beside, parse_tally
+from fennelfork_bench.rig._process import Process, Rig, RigError
 
 # What one caller process sends a second without being the bottleneck.
 _RATE_A_PROCESS: Final = 250
--- a/packages/fennelfork-bench/src/fennelfork_bench/_caller_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/callers/_load.py
@@ -8,22 +8,22 @@
 from eventlet import GreenPool, sleep
 
 from fennelfork import Clock, Verdict, system_clock, wall_clock
-from fennelfork_bench._caller_client import caller_client
-from fennelfork_bench._caller_reply import QueryEnd
-from fennelfork_bench._caller_spec import LoadSpec
-from fennelfork_bench._caller_tally import Tally, add_latency
-from fennelfork_bench._caller_truth import front_truth
-from fennelfork_bench._check_answer import check_own_answer
-from fennelfork_bench._check_base import Violation
-from fennelfork_bench._check_coverage import check_coverage
-from fennelfork_bench._check_snapshot import check_snapshot
-from fennelfork_bench._history import (
+from fennelfork_bench.callers._client import caller_client
+from fennelfork_bench.callers._reply import QueryEnd
+from fennelfork_bench.callers._spec import LoadSpec
+from fennelfork_bench.callers._tally import Tally, add_latency
+from fennelfork_bench.callers._truth import front_truth
+from fennelfork_bench.checks._answer import check_own_answer
+from fennelfork_bench.checks._base import Violation
+from fennelfork_bench.checks._coverage import check_coverage
+from fennelfork_bench.checks._snapshot import check_snapshot
+from fennelfork_bench.history._caller import QueryAnswered, Refused
+from fennelfork_bench.history._history import (
     History,
     Recorder,
     gather,
     write_history,
 )
-from fennelfork_bench._history_caller import QueryAnswered, Refused
 
 _MS_PER_SECOND: Final = 1000
 _SHOWN: Final = 20
--- a/packages/fennelfork-bench/src/fennelfork_bench/_caller_reply.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/callers/_reply.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from fennelfork import KeyRange, Verdict
-from fennelfork_bench._history_caller import (
+from fennelfork import Verdict
+from fennelfork.gather import KeyRange
+from fennelfork_bench.history._caller import (
     ConnectionCut,
     Ended,
     QueryAnswered,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_caller_truth.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/callers/_truth.py
@@ -7,9 +7,9 @@
 
 import cattrs
 
-from fennelfork import KeyRange, key_range
-from fennelfork_bench._backend_records import Query, select_records
-from fennelfork_bench._check_base import Truth
+from fennelfork.gather import KeyRange, key_range
+from fennelfork_bench.backend_server._records import Query, select_records
+from fennelfork_bench.checks._base import Truth
 
 _CACHED: Final = 256
 
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers of histories, one a promise."""
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_all.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_all.py
@@ -2,17 +2,17 @@
 
 import itertools
 
-from fennelfork_bench._check_answer import check_own_answer
-from fennelfork_bench._check_base import Limits, Truth, Violation
-from fennelfork_bench._check_config import check_in_force
-from fennelfork_bench._check_coverage import check_coverage
-from fennelfork_bench._check_drain import check_drain
-from fennelfork_bench._check_once import check_at_most_once
-from fennelfork_bench._check_patches import check_patches
-from fennelfork_bench._check_refusal import check_refusal
-from fennelfork_bench._check_snapshot import check_snapshot
-from fennelfork_bench._check_stop import check_graceful_stop
-from fennelfork_bench._history import History
+from fennelfork_bench.checks._answer import check_own_answer
+from fennelfork_bench.checks._base import Limits, Truth, Violation
+from fennelfork_bench.checks._config import check_in_force
+from fennelfork_bench.checks._coverage import check_coverage
+from fennelfork_bench.checks._drain import check_drain
+from fennelfork_bench.checks._once import check_at_most_once
+from fennelfork_bench.checks._patches import check_patches
+from fennelfork_bench.checks._refusal import check_refusal
+from fennelfork_bench.checks._snapshot import check_snapshot
+from fennelfork_bench.checks._stop import check_graceful_stop
+from fennelfork_bench.history._history import History
 
 
 def check_history(
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_answer.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_answer.py
@@ -2,15 +2,14 @@
 
 from collections.abc import Iterator
 
-from fennelfork_bench._check_base import (
+from fennelfork_bench.checks._base import (
     Promise,
     Truth,
     Try,
     Violation,
     tries_of,
 )
-from fennelfork_bench._history import History
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.history._caller import (
     Ended,
     ExecuteAnswered,
     ExecuteAsked,
@@ -19,7 +18,8 @@
     QueryAsked,
     Refused,
 )
-from fennelfork_bench._history_server import ExecuteRan
+from fennelfork_bench.history._history import History
+from fennelfork_bench.history._server import ExecuteRan
 
 # Request id, key and action of what the backend servers ran.
 _Runs = set[tuple[str, int, str]]
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_base.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_base.py
@@ -5,14 +5,14 @@
 
 import attrs
 
-from fennelfork_bench._history import History
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.history._caller import (
     Asked,
     Ended,
     QueryAnswered,
     QueryAsked,
 )
-from fennelfork_bench._history_event import Event
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import History
 
 
 @enum.unique
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_config.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_config.py
@@ -2,27 +2,27 @@
 
 from collections.abc import Iterator, Sequence
 
-from fennelfork_bench._check_base import (
+from fennelfork_bench.checks._base import (
     Limits,
     Promise,
     Try,
     Violation,
     tries_of,
 )
-from fennelfork_bench._history import History
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.history._caller import (
     Ended,
     ExecuteAnswered,
     QueryAnswered,
 )
-from fennelfork_bench._history_daemon import (
+from fennelfork_bench.history._daemon import (
     DaemonEvent,
     Resumed,
     Started,
     VersionSeen,
 )
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._history_operator import PatchAccepted
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import History
+from fennelfork_bench.history._operator import PatchAccepted
 
 
 def check_in_force(history: History, limits: Limits) -> tuple[Violation, ...]:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_coverage.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_coverage.py
@@ -3,15 +3,15 @@
 from collections.abc import Iterator
 from typing import Final
 
-from fennelfork_bench._check_base import (
+from fennelfork_bench.checks._base import (
     Promise,
     QueryReply,
     Truth,
     Violation,
     replies_of,
 )
-from fennelfork_bench._history import History
-from fennelfork_bench._history_caller import QueryAnswered
+from fennelfork_bench.history._caller import QueryAnswered
+from fennelfork_bench.history._history import History
 
 # The stated fraction may be rounded by less than half a key.
 _HALF: Final = 0.5
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_drain.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_drain.py
@@ -1,8 +1,8 @@
 """A leaving backend server gets no new work after a few seconds."""
 
-from fennelfork_bench._check_base import Limits, Promise, Violation
-from fennelfork_bench._history import History
-from fennelfork_bench._history_server import DrainAsked, WorkReceived
+from fennelfork_bench.checks._base import Limits, Promise, Violation
+from fennelfork_bench.history._history import History
+from fennelfork_bench.history._server import DrainAsked, WorkReceived
 
 
 def check_drain(history: History, limits: Limits) -> tuple[Violation, ...]:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_once.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_once.py
@@ -1,8 +1,8 @@
 """A request that is not idempotent runs at most once."""
 
-from fennelfork_bench._check_base import Promise, Violation
-from fennelfork_bench._history import History
-from fennelfork_bench._history_server import ExecuteRan
+from fennelfork_bench.checks._base import Promise, Violation
+from fennelfork_bench.history._history import History
+from fennelfork_bench.history._server import ExecuteRan
 
 
 def check_at_most_once(history: History) -> tuple[Violation, ...]:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_patches.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_patches.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 
-from fennelfork_bench._check_base import Promise, Violation
-from fennelfork_bench._history import History
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._history_operator import (
+from fennelfork_bench.checks._base import Promise, Violation
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import History
+from fennelfork_bench.history._operator import (
     DocumentRead,
     PatchAccepted,
     PatchRefused,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_refusal.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_refusal.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterator
 
 from fennelfork import Verdict
-from fennelfork_bench._check_base import Promise, Try, Violation, tries_of
-from fennelfork_bench._history import History
-from fennelfork_bench._history_caller import ConnectRefused, Refused
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._history_server import ExecuteRan, QueryRan
+from fennelfork_bench.checks._base import Promise, Try, Violation, tries_of
+from fennelfork_bench.history._caller import ConnectRefused, Refused
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import History
+from fennelfork_bench.history._server import ExecuteRan, QueryRan
 
 
 def check_refusal(history: History) -> tuple[Violation, ...]:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_snapshot.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_snapshot.py
@@ -3,14 +3,14 @@
 from collections.abc import Iterator
 from typing import Final
 
-from fennelfork_bench._check_base import (
+from fennelfork_bench.checks._base import (
     Promise,
     QueryReply,
     Truth,
     Violation,
     replies_of,
 )
-from fennelfork_bench._history import History
+from fennelfork_bench.history._history import History
 
 _EVERY_RECORD: Final = '{}'
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_check_stop.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/checks/_stop.py
@@ -3,21 +3,21 @@
 from collections.abc import Iterator
 from typing import Final
 
-from fennelfork_bench._check_base import Promise, Try, Violation, tries_of
-from fennelfork_bench._history import History
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.checks._base import Promise, Try, Violation, tries_of
+from fennelfork_bench.history._caller import (
     ConnectionCut,
     ConnectRefused,
     Ended,
     Refused,
 )
-from fennelfork_bench._history_daemon import (
+from fennelfork_bench.history._daemon import (
     DaemonEvent,
     Exited,
     Killed,
     StopAsked,
 )
-from fennelfork_bench._history_event import Event
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import History
 
 # What a daemon says of a request that it gives up because it stops.
 _GIVEN_UP: Final = frozenset(('draining', 'cancelled'))
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_check.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/demo/_check.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from fennelfork_bench._backend_records import record_at
-from fennelfork_bench._rig_caller import Asked
+from fennelfork_bench.backend_server._records import record_at
+from fennelfork_bench.rig._caller import Asked
 
 _FRONT_SEED: Final = 1
 _NEAR: Final = 1e-6
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_fleet.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/demo/_fleet.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-from fennelfork_bench._rig_specs import (
+from fennelfork_bench.rig._specs import (
     BackendSpec,
     FleetSpec,
     FrontSpec,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/demo/_load.py
@@ -8,16 +8,16 @@
 import attrs
 import eventlet
 
-from fennelfork_bench._demo_check import Expected, faults_of
-from fennelfork_bench._demo_fleet import (
+from fennelfork_bench.demo._check import Expected, faults_of
+from fennelfork_bench.demo._fleet import (
     CEDOLE,
     CEDOLE_FRONT,
     KEYS,
     SALVARE,
     SALVARE_FRONT,
 )
-from fennelfork_bench._demo_table import Step
-from fennelfork_bench._rig_caller import Caller
+from fennelfork_bench.demo._table import Step
+from fennelfork_bench.rig._caller import Caller
 
 _CALLERS: Final = 6
 _GAP_S: Final = 0.03
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/demo/_run.py
@@ -7,14 +7,14 @@
 
 import attrs
 
-from fennelfork_bench import _demo_steps as steps_of
-from fennelfork_bench._demo_fleet import demo_fleet
-from fennelfork_bench._demo_table import Step, steps_table
-from fennelfork_bench._rig_config import await_version, first_patch
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import RigError, rig
-from fennelfork_bench._rig_report import Arm, Report
-from fennelfork_bench._rig_settings import write_toml
+from fennelfork_bench.demo import _steps as steps_of
+from fennelfork_bench.demo._fleet import demo_fleet
+from fennelfork_bench.demo._table import Step, steps_table
+from fennelfork_bench.rig._config import await_version, first_patch
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._process import RigError, rig
+from fennelfork_bench.rig._report import Arm, Report
+from fennelfork_bench.rig._settings import write_toml
 
 _CLI_CAP_S: Final = 20
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_steps.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/demo/_steps.py
@@ -4,19 +4,19 @@
 import time
 from typing import Any, Final
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._demo_check import Expected, faults_of
-from fennelfork_bench._demo_fleet import (
+from fennelfork_bench.demo._check import Expected, faults_of
+from fennelfork_bench.demo._fleet import (
     CEDOLE,
     CEDOLE_FRONT,
     KEYS,
     SALVARE,
     SALVARE_FRONT,
 )
-from fennelfork_bench._demo_load import Load, lookup, one_key, register
-from fennelfork_bench._demo_table import Step
-from fennelfork_bench._rig_caller import Asked, Caller
-from fennelfork_bench._rig_fleet import Fleet
+from fennelfork_bench.demo._load import Load, lookup, one_key, register
+from fennelfork_bench.demo._table import Step
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._caller import Asked, Caller
+from fennelfork_bench.rig._fleet import Fleet
 
 _LOOKUPS: Final = 20
 _PHASE_S: Final = 4
--- a/packages/fennelfork-bench/src/fennelfork_bench/_demo_table.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/demo/_table.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from fennelfork_bench._rig_caller import Asked
-from fennelfork_bench._rig_report import percentile, table
+from fennelfork_bench.rig._caller import Asked
+from fennelfork_bench.rig._report import percentile, table
 
 _TITLES: Final = (
     'step',
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, a module each."""
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_config.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_config.py
@@ -8,17 +8,17 @@
 import eventlet
 
 from fennelfork import system_clock
-from fennelfork_bench._exp_race import race
-from fennelfork_bench._exp_small_fleet import (
+from fennelfork_bench.experiments._race import race
+from fennelfork_bench.experiments._small_fleet import (
     SIZES,
     TODAY,
     hedge_patch,
     small_fleet,
 )
-from fennelfork_bench._rig_config import send_patch, start_fleet, version
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import RigError, rig
-from fennelfork_bench._rig_report import Arm, Report, percentile
+from fennelfork_bench.rig._config import send_patch, start_fleet, version
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import RigError, rig
+from fennelfork_bench.rig._report import Arm, Report, percentile
 
 _PATCHES: Final = 20
 _POLL_S: Final = 0.02
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_control.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_control.py
@@ -4,18 +4,22 @@
 from typing import Final
 
 from fennelfork import system_clock
-from fennelfork_bench._exp_cost import (
+from fennelfork_bench.experiments._cost import (
     Cost,
     cost_metrics,
     costs_between,
     costs_over,
     read_costs,
 )
-from fennelfork_bench._exp_small_fleet import TODAY, hedge_patch, small_fleet
-from fennelfork_bench._rig_config import send_patch, start_fleet
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import RigError, rig
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.experiments._small_fleet import (
+    TODAY,
+    hedge_patch,
+    small_fleet,
+)
+from fennelfork_bench.rig._config import send_patch, start_fleet
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import RigError, rig
+from fennelfork_bench.rig._report import Arm, Report
 
 _CLOCK: Final = system_clock()
 _NEWS_S: Final = 40  # news of the start is told for a while
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_cost.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_cost.py
@@ -9,9 +9,9 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from fennelfork import system_clock
-from fennelfork_bench._rig_http import get_text
-from fennelfork_bench._rig_process import Process
-from fennelfork_bench._rig_usage import Usage, core_percent, usage
+from fennelfork_bench.rig._http import get_text
+from fennelfork_bench.rig._process import Process
+from fennelfork_bench.rig._usage import Usage, core_percent, usage
 
 _CLOCK: Final = system_clock()
 _CONTROL_BYTES: Final = 'fennelfork_control_bytes_total'
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_document.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_document.py
@@ -8,17 +8,17 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from fennelfork import (
+from fennelfork import system_clock
+from fennelfork.config import (
     ConfigSource,
     config_state,
     digest,
     parse_document,
     render_document,
     structure_document,
-    system_clock,
 )
-from fennelfork_bench._rig_report import Arm, Report
-from fennelfork_bench._rig_usage import usage
+from fennelfork_bench.rig._report import Arm, Report
+from fennelfork_bench.rig._usage import usage
 
 _SERVERS: Final = (30, 310, 3100)
 _SERVERS_A_SHARD: Final = 3
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_fanout.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_fanout.py
@@ -6,19 +6,22 @@
 import attrs
 import numpy as np
 
-from fennelfork_bench._exp_fanout_server import batch_arms
-from fennelfork_bench._exp_fleet import FrontSize, start_front
-from fennelfork_bench._exp_load import (
+from fennelfork_bench.experiments._fanout_server import batch_arms
+from fennelfork_bench.experiments._fleet import FrontSize, start_front
+from fennelfork_bench.experiments._load import (
     Measured,
     front_load,
     measure,
     violations,
     warm_up,
 )
-from fennelfork_bench._exp_metrics import latency_metrics, outcome_metrics
-from fennelfork_bench._exp_processor import idle_us_per_s
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.experiments._metrics import (
+    latency_metrics,
+    outcome_metrics,
+)
+from fennelfork_bench.experiments._processor import idle_us_per_s
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._report import Arm, Report
 
 _FAN_OUTS: Final = (8, 30, 88)
 _SUB_QUERIES_PER_S: Final = 600
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_fanout_server.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_fanout_server.py
@@ -6,9 +6,9 @@
 
 import urllib3
 
-from fennelfork_bench._exp_processor import processor_us
-from fennelfork_bench._rig_process import Process, Rig, RigError
-from fennelfork_bench._rig_report import Arm
+from fennelfork_bench.experiments._processor import processor_us
+from fennelfork_bench.rig._process import Process, Rig, RigError
+from fennelfork_bench.rig._report import Arm
 
 _BATCHES: Final = (1, 8, 30)
 _CALLS: Final = 300
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_fleet.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_fleet.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_config import await_version, first_patch, version
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import Rig, RigError
-from fennelfork_bench._rig_specs import (
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import await_version, first_patch, version
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._process import Rig, RigError
+from fennelfork_bench.rig._specs import (
     BackendSpec,
     FleetSpec,
     FrontSpec,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_load.py
@@ -8,12 +8,12 @@
 
 import attrs
 
-from fennelfork_bench._caller_group import await_callers, start_callers
-from fennelfork_bench._caller_spec import LoadSpec
-from fennelfork_bench._caller_tally import Tally, in_turn
-from fennelfork_bench._exp_fleet import FrontSize, server_counts
-from fennelfork_bench._exp_processor import processor_us
-from fennelfork_bench._rig_fleet import Fleet
+from fennelfork_bench.callers._group import await_callers, start_callers
+from fennelfork_bench.callers._spec import LoadSpec
+from fennelfork_bench.callers._tally import Tally, in_turn
+from fennelfork_bench.experiments._fleet import FrontSize, server_counts
+from fennelfork_bench.experiments._processor import processor_us
+from fennelfork_bench.rig._fleet import Fleet
 
 _CALLER_LINK_MS: Final = 3
 _WARM_S: Final = 3
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_members.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_members.py
@@ -8,8 +8,8 @@
 import eventlet
 
 from fennelfork import system_clock
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import Process
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Process
 
 _CLOCK: Final = system_clock()
 _MS_PER_S: Final = 1000
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_membership.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_membership.py
@@ -6,13 +6,13 @@
 from typing import Final
 
 from fennelfork import system_clock
-from fennelfork_bench._exp_cost import cost_metrics, costs_over
-from fennelfork_bench._exp_members import noticed_ms, watch_for_doubts
-from fennelfork_bench._exp_small_fleet import SIZES, small_fleet
-from fennelfork_bench._rig_config import start_fleet
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import Process, rig
-from fennelfork_bench._rig_report import Arm, Report, percentile
+from fennelfork_bench.experiments._cost import cost_metrics, costs_over
+from fennelfork_bench.experiments._members import noticed_ms, watch_for_doubts
+from fennelfork_bench.experiments._small_fleet import SIZES, small_fleet
+from fennelfork_bench.rig._config import start_fleet
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import Process, rig
+from fennelfork_bench.rig._report import Arm, Report, percentile
 
 _CLOCK: Final = system_clock()
 _NEWS_S: Final = 75  # news of the start is told for a while
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_metrics.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_metrics.py
@@ -2,8 +2,8 @@
 
 from typing import Any, Final, TypeAlias
 
-from fennelfork_bench._caller_tally import Tally
-from fennelfork_bench._exp_load import Measured
+from fennelfork_bench.callers._tally import Tally
+from fennelfork_bench.experiments._load import Measured
 
 Hedge: TypeAlias = dict[str, Any]
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_once.py
@@ -13,13 +13,17 @@
 import attrs
 import eventlet
 
-from fennelfork_bench._exp_fleet import FrontSize, log_pages, start_front
-from fennelfork_bench._exp_once_claim import Claims
-from fennelfork_bench._exp_once_cost import memory_costs
-from fennelfork_bench._exp_once_load import OnceLoad, OnceTally, Phase
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_report import Arm, Report, percentile
+from fennelfork_bench.experiments._fleet import (
+    FrontSize,
+    log_pages,
+    start_front,
+)
+from fennelfork_bench.experiments._once_claim import Claims
+from fennelfork_bench.experiments._once_cost import memory_costs
+from fennelfork_bench.experiments._once_load import OnceLoad, OnceTally, Phase
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._report import Arm, Report, percentile
 
 _SIZE: Final = FrontSize(shards=1)
 _ARMS: Final = (('ticket', 0), ('mix', 0.1), ('claim', 1))
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once_claim.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_once_claim.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
+from fennelfork_bench.rig import _http as http
 
 _PREFIX: Final = '/fennelfork/once/'
 _TIMEOUT_MS: Final = 500
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once_cost.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_once_cost.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from typing import Final
 
-from fennelfork import (
+from fennelfork import system_clock
+from fennelfork.once import (
     ExecuteRequest,
     OnceGate,
     OnceLimits,
     bound_request_id,
     once_gate,
-    system_clock,
     ticket_key,
 )
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_once_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_once_load.py
@@ -8,10 +8,10 @@
 import attrs
 import eventlet
 
-from fennelfork import bound_request_id
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_fleet import FRONT
-from fennelfork_bench._exp_once_claim import Claims
+from fennelfork.once import bound_request_id
+from fennelfork_bench.experiments._fleet import FRONT
+from fennelfork_bench.experiments._once_claim import Claims
+from fennelfork_bench.rig import _http as http
 
 _MS: Final = 1000
 _PATH: Final = f'/v1/fronts/{FRONT}/execute'
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_outage.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_outage.py
@@ -4,20 +4,24 @@
 from typing import Final
 
 from fennelfork import system_clock
-from fennelfork_bench._exp_small_fleet import TODAY, hedge_patch, small_fleet
-from fennelfork_bench._exp_steady_load import (
+from fennelfork_bench.experiments._small_fleet import (
+    TODAY,
+    hedge_patch,
+    small_fleet,
+)
+from fennelfork_bench.experiments._steady_load import (
     SteadyLoad,
     load_metrics,
     steady_load,
 )
-from fennelfork_bench._rig_config import (
+from fennelfork_bench.rig._config import (
     await_version,
     send_patch,
     start_fleet,
 )
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._report import Arm, Report
 
 _CLOCK: Final = system_clock()
 _AWAY_S: Final = 60
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_overload.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_overload.py
@@ -3,26 +3,30 @@
 from collections.abc import Iterable, Iterator
 from typing import Any, Final
 
-from fennelfork_bench._backend_history import server_events
-from fennelfork_bench._check_refusal import check_refusal
-from fennelfork_bench._exp_fleet import FrontSize, log_pages, start_front
-from fennelfork_bench._exp_load import (
+from fennelfork_bench.backend_server._history import server_events
+from fennelfork_bench.checks._refusal import check_refusal
+from fennelfork_bench.experiments._fleet import (
+    FrontSize,
+    log_pages,
+    start_front,
+)
+from fennelfork_bench.experiments._load import (
     Measured,
     front_load,
     measure,
     violations,
     warm_up,
 )
-from fennelfork_bench._exp_metrics import (
+from fennelfork_bench.experiments._metrics import (
     latency_metrics,
     outcome_metrics,
     refusal_p99_ms,
 )
-from fennelfork_bench._history import gather, read_history
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import gather, read_history
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._report import Arm, Report
 
 _STRAGGLE: Final = 0.01
 # Fifty times the brief's service time, so that one machine can offer ten
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_processor.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_processor.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from fennelfork_bench._rig_process import Process
-from fennelfork_bench._rig_usage import usage
+from fennelfork_bench.rig._process import Process
+from fennelfork_bench.rig._usage import usage
 
 _US_PER_MS: Final = 1000
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_race.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_race.py
@@ -8,9 +8,9 @@
 import attrs
 import eventlet
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_config import await_version, send_patch, version
-from fennelfork_bench._rig_fleet import Fleet
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import await_version, send_patch, version
+from fennelfork_bench.rig._fleet import Fleet
 
 _OPERATORS: Final = 8
 _WINS: Final = 5
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_silent.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_silent.py
@@ -6,28 +6,28 @@
 
 import attrs
 
-from fennelfork_bench._exp_fleet import (
+from fennelfork_bench.experiments._fleet import (
     FrontSize,
     order_faults,
     put_hedge,
     start_front,
 )
-from fennelfork_bench._exp_load import (
+from fennelfork_bench.experiments._load import (
     Measured,
     front_load,
     measure,
     violations,
     warm_up,
 )
-from fennelfork_bench._exp_metrics import (
+from fennelfork_bench.experiments._metrics import (
     NO_HEDGE,
     QUANTILE_HEDGE,
     latency_metrics,
     outcome_metrics,
 )
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._report import Arm, Report
 
 _SIZE: Final = FrontSize(shards=4)
 _RATE_PER_S: Final = 60
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_slots.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_slots.py
@@ -3,12 +3,20 @@
 import contextlib
 from typing import Final
 
-from fennelfork_bench._exp_fleet import FrontSize, start_front
-from fennelfork_bench._exp_load import Measured, front_load, measure, warm_up
-from fennelfork_bench._exp_metrics import latency_metrics, outcome_metrics
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.experiments._fleet import FrontSize, start_front
+from fennelfork_bench.experiments._load import (
+    Measured,
+    front_load,
+    measure,
+    warm_up,
+)
+from fennelfork_bench.experiments._metrics import (
+    latency_metrics,
+    outcome_metrics,
+)
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._report import Arm, Report
 
 _STRAGGLE: Final = 0.01
 # Service takes 25 times as long as the brief's, so that one machine can fill
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_steady_load.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_steady_load.py
@@ -10,10 +10,10 @@
 import eventlet
 
 from fennelfork import system_clock
-from fennelfork_bench._demo_check import Expected, faults_of
-from fennelfork_bench._exp_small_fleet import FRONT, KEYS
-from fennelfork_bench._rig_caller import Asked, Caller
-from fennelfork_bench._rig_report import percentile
+from fennelfork_bench.demo._check import Expected, faults_of
+from fennelfork_bench.experiments._small_fleet import FRONT, KEYS
+from fennelfork_bench.rig._caller import Asked, Caller
+from fennelfork_bench.rig._report import percentile
 
 _CLOCK: Final = system_clock()
 _CALLERS: Final = 8
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_tail.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/experiments/_tail.py
@@ -3,8 +3,12 @@
 import itertools
 from typing import Final
 
-from fennelfork_bench._exp_fleet import FrontSize, put_hedge, start_front
-from fennelfork_bench._exp_load import (
+from fennelfork_bench.experiments._fleet import (
+    FrontSize,
+    put_hedge,
+    start_front,
+)
+from fennelfork_bench.experiments._load import (
     Measured,
     front_load,
     joined,
@@ -12,16 +16,16 @@
     violations,
     warm_up,
 )
-from fennelfork_bench._exp_metrics import (
+from fennelfork_bench.experiments._metrics import (
     FIXED_HEDGE,
     NO_HEDGE,
     QUANTILE_HEDGE,
     latency_metrics,
     outcome_metrics,
 )
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._report import Arm, Report
 
 _STRAGGLE: Final = 0.01
 _SIZE: Final = FrontSize(shards=10, straggle=_STRAGGLE)
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/history/__init__.py
@@ -0,0 +1,1 @@
+"""Histories: what callers, servers and operators saw."""
--- a/packages/fennelfork-bench/src/fennelfork_bench/_history_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/history/_caller.py
@@ -2,8 +2,9 @@
 
 import attrs
 
-from fennelfork import KeyRange, Verdict
-from fennelfork_bench._history_event import Event
+from fennelfork import Verdict
+from fennelfork.gather import KeyRange
+from fennelfork_bench.history._event import Event
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_history_daemon.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/history/_daemon.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork_bench._history_event import Event
+from fennelfork_bench.history._event import Event
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_history.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/history/_history.py
@@ -10,11 +10,11 @@
 from cattrs.strategies import configure_tagged_union
 
 from fennelfork import Clock
-from fennelfork_bench._history_caller import AnyCallerEvent
-from fennelfork_bench._history_daemon import AnyDaemonEvent
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._history_operator import AnyOperatorEvent
-from fennelfork_bench._history_server import AnyServerEvent
+from fennelfork_bench.history._caller import AnyCallerEvent
+from fennelfork_bench.history._daemon import AnyDaemonEvent
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._operator import AnyOperatorEvent
+from fennelfork_bench.history._server import AnyServerEvent
 
 EventT = TypeVar('EventT', bound=Event)
 
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/__init__.py
@@ -0,0 +1,1 @@
+"""The stand-in of the platform's key-value service."""
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_app.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_app.py
@@ -8,19 +8,19 @@
 import eventlet
 
 from fennelfork import Clock
-from fennelfork_bench._kv_calls import (
+from fennelfork_bench.kv_service._calls import (
     READS,
     WRITES,
     KeyValueService,
     key_value_service,
     problem,
 )
-from fennelfork_bench._kv_control import Control
-from fennelfork_bench._kv_faults import Faults, Rate
-from fennelfork_bench._kv_log import Call, CallLog, Outcome
-from fennelfork_bench._kv_read import BadRequestError
-from fennelfork_bench._kv_stream import Streams
-from fennelfork_bench._rig_serving import (
+from fennelfork_bench.kv_service._control import Control
+from fennelfork_bench.kv_service._faults import Faults, Rate
+from fennelfork_bench.kv_service._log import Call, CallLog, Outcome
+from fennelfork_bench.kv_service._read import BadRequestError
+from fennelfork_bench.kv_service._stream import Streams
+from fennelfork_bench.rig._serving import (
     Answer,
     Json,
     StartResponse,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_calls.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_calls.py
@@ -6,13 +6,13 @@
 import attrs
 
 from fennelfork import Clock
-from fennelfork_bench import _kv_read as reader
-from fennelfork_bench import _kv_write as writer
-from fennelfork_bench._kv_lease import Leases
-from fennelfork_bench._kv_messages import Operation, Transaction
-from fennelfork_bench._kv_store import KeyValueStore
-from fennelfork_bench._kv_watch import WatchHub
-from fennelfork_bench._rig_serving import Answer, Json
+from fennelfork_bench.kv_service import _read as reader
+from fennelfork_bench.kv_service import _write as writer
+from fennelfork_bench.kv_service._lease import Leases
+from fennelfork_bench.kv_service._messages import Operation, Transaction
+from fennelfork_bench.kv_service._store import KeyValueStore
+from fennelfork_bench.kv_service._watch import WatchHub
+from fennelfork_bench.rig._serving import Answer, Json
 
 _OK: Final = '200 OK'
 _LEASE_ID: Final = 'ID'
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_control.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_control.py
@@ -6,11 +6,11 @@
 import attrs
 
 from fennelfork import Clock
-from fennelfork_bench._kv_calls import KeyValueService, problem
-from fennelfork_bench._kv_faults import Faults
-from fennelfork_bench._kv_log import CallLog
-from fennelfork_bench._kv_store import EMPTY, Backup
-from fennelfork_bench._rig_serving import Answer, Json
+from fennelfork_bench.kv_service._calls import KeyValueService, problem
+from fennelfork_bench.kv_service._faults import Faults
+from fennelfork_bench.kv_service._log import CallLog
+from fennelfork_bench.kv_service._store import EMPTY, Backup
+from fennelfork_bench.rig._serving import Answer, Json
 
 _OK: Final = '200 OK'
 _INVALID: Final = 3
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_lease.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_lease.py
@@ -3,8 +3,8 @@
 import attrs
 
 from fennelfork import Clock
-from fennelfork_bench._kv_messages import Delete, KeySpan, Transaction
-from fennelfork_bench._kv_store import KeyValueStore
+from fennelfork_bench.kv_service._messages import Delete, KeySpan, Transaction
+from fennelfork_bench.kv_service._store import KeyValueStore
 
 _MS_PER_S = 1000
 _FIRST_LEASE = 7_587_000
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_read.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_read.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from fennelfork_bench._kv_messages import (
+from fennelfork_bench.kv_service._messages import (
     Compare,
     CompareResult,
     CompareTarget,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_replies.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_replies.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork_bench._kv_messages import KeyValue
+from fennelfork_bench.kv_service._messages import KeyValue
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_store.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_store.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from fennelfork_bench._kv_messages import (
+from fennelfork_bench.kv_service._messages import (
     Compare,
     CompareResult,
     CompareTarget,
@@ -20,7 +20,7 @@
     Range,
     Transaction,
 )
-from fennelfork_bench._kv_replies import (
+from fennelfork_bench.kv_service._replies import (
     DeleteReply,
     Event,
     PutReply,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_stream.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_stream.py
@@ -7,12 +7,12 @@
 import attrs
 import eventlet
 
-from fennelfork_bench import _kv_read as reader
-from fennelfork_bench._kv_calls import KeyValueService, problem
-from fennelfork_bench._kv_faults import Faults
-from fennelfork_bench._kv_watch import Watch
-from fennelfork_bench._kv_write import header, write_event
-from fennelfork_bench._rig_serving import (
+from fennelfork_bench.kv_service import _read as reader
+from fennelfork_bench.kv_service._calls import KeyValueService, problem
+from fennelfork_bench.kv_service._faults import Faults
+from fennelfork_bench.kv_service._watch import Watch
+from fennelfork_bench.kv_service._write import header, write_event
+from fennelfork_bench.rig._serving import (
     Json,
     StartResponse,
     cut,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_watch.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_watch.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from fennelfork_bench._kv_messages import KeySpan
-from fennelfork_bench._kv_replies import Event
-from fennelfork_bench._kv_store import KeyValueStore
+from fennelfork_bench.kv_service._messages import KeySpan
+from fennelfork_bench.kv_service._replies import Event
+from fennelfork_bench.kv_service._store import KeyValueStore
 
 _PENDING: Final = 10_000
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_kv_write.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/kv_service/_write.py
@@ -7,9 +7,9 @@
 from functools import singledispatch
 from typing import Final
 
-from fennelfork_bench._kv_lease import Lease
-from fennelfork_bench._kv_messages import KeyValue
-from fennelfork_bench._kv_replies import (
+from fennelfork_bench.kv_service._lease import Lease
+from fennelfork_bench.kv_service._messages import KeyValue
+from fennelfork_bench.kv_service._replies import (
     DeleteReply,
     Event,
     PutReply,
@@ -17,7 +17,7 @@
     Reply,
     TransactionReply,
 )
-from fennelfork_bench._rig_serving import Json
+from fennelfork_bench.rig._serving import Json
 
 _CLUSTER: Final = '14841639068965178418'
 _MEMBER: Final = '10276657743932975437'
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Processes, fleets and reports that all experiments use."""
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_caller.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import RigError
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import RigError
 
 _MS_PER_S: Final = 1000
 _PAUSE_S: Final = 0.02
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_config.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_config.py
@@ -4,10 +4,10 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import Rig, RigError, wait_until
-from fennelfork_bench._rig_specs import FleetSpec, front_patch
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._process import Rig, RigError, wait_until
+from fennelfork_bench.rig._specs import FleetSpec, front_patch
 
 _FORCE_CAP_S: Final = 30
 _patch_numbers: Final = itertools.count(1)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_fleet.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_fleet.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_platform import Platform, start_platform
-from fennelfork_bench._rig_process import Process, Rig, wait_until
-from fennelfork_bench._rig_settings import settings_toml
-from fennelfork_bench._rig_specs import BackendSpec, DaemonSpec, FleetSpec
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._platform import Platform, start_platform
+from fennelfork_bench.rig._process import Process, Rig, wait_until
+from fennelfork_bench.rig._settings import settings_toml
+from fennelfork_bench.rig._specs import BackendSpec, DaemonSpec, FleetSpec
 
 _START_CAP_S: Final = 60
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_platform.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_platform.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import Process, Rig, RigError
-from fennelfork_bench._rig_specs import FleetSpec
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Process, Rig, RigError
+from fennelfork_bench.rig._specs import FleetSpec
 
 _ADDRESS: Final = 'address'
 _CONFIG_KEY: Final = '/fennelfork/config'
--- a/packages/fennelfork-bench/src/fennelfork_bench/_rig_settings.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_settings.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, Final
 
-from fennelfork_bench._rig_specs import DaemonSpec
+from fennelfork_bench.rig._specs import DaemonSpec
 
 Tree = Mapping[str, Any]
 
--- /dev/null
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The randomized soak."""
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_caller.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_caller.py
@@ -8,20 +8,16 @@
 
 import attrs
 
-from fennelfork import (
+from fennelfork import Verdict
+from fennelfork.once import (
     CallerEvent,
     CallerStep,
     NoAnswer,
     NothingSent,
     OnceAnswered,
     OnceCaller,
-    Verdict,
 )
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_soak_entry import Entry, EntryBook
-from fennelfork_bench._exp_soak_replies import ended
-from fennelfork_bench._history import Recorder
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.history._caller import (
     Asked,
     ConnectionCut,
     ConnectRefused,
@@ -31,6 +27,10 @@
     QueryAsked,
     Refused,
 )
+from fennelfork_bench.history._history import Recorder
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.soak._entry import Entry, EntryBook
+from fennelfork_bench.soak._replies import ended
 
 _MS_PER_S: Final = 1000
 _PATIENCE_MS: Final = 3000
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_counts.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_counts.py
@@ -4,9 +4,7 @@
 from typing import Final
 
 from fennelfork import Verdict
-from fennelfork_bench._exp_soak_round import Round
-from fennelfork_bench._history import History
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.history._caller import (
     Asked,
     ConnectionCut,
     ConnectRefused,
@@ -15,13 +13,15 @@
     QueryAnswered,
     Refused,
 )
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._history_operator import (
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import History
+from fennelfork_bench.history._operator import (
     PatchAccepted,
     PatchRefused,
     PatchUnknown,
 )
-from fennelfork_bench._history_server import ExecuteRan, QueryRan
+from fennelfork_bench.history._server import ExecuteRan, QueryRan
+from fennelfork_bench.soak._round import Round
 
 Counts = collections.Counter[str]
 _Kinds = dict[str, type[Event]]
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_entry.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_entry.py
@@ -7,9 +7,9 @@
 import attrs
 
 from fennelfork import Clock
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import wait_until
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import wait_until
 
 _TIMEOUT_MS: Final = 500
 _KNOWN_CAP_S: Final = 30
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_fault.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_fault.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from fennelfork_bench._exp_soak_trial import Trial
-from fennelfork_bench._history_daemon import FaultChanged
+from fennelfork_bench.history._daemon import FaultChanged
+from fennelfork_bench.soak._trial import Trial
 
 # What ends a fault.
 End = Callable[[], None]
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_fault_daemons.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_fault_daemons.py
@@ -5,16 +5,16 @@
 
 import attrs
 
-from fennelfork_bench._exp_soak_fault import End, Fault, begin
-from fennelfork_bench._exp_soak_trial import Trial
-from fennelfork_bench._history_daemon import (
+from fennelfork_bench.history._daemon import (
     Exited,
     Killed,
     Paused,
     Resumed,
     StopAsked,
 )
-from fennelfork_bench._rig_process import Process
+from fennelfork_bench.rig._process import Process
+from fennelfork_bench.soak._fault import End, Fault, begin
+from fennelfork_bench.soak._trial import Trial
 
 _STOP_CAP_S: Final = 60
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_fault_index.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_fault_index.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from fennelfork_bench._exp_soak_fault import End, Fault, begin
-from fennelfork_bench._exp_soak_servers import order
-from fennelfork_bench._exp_soak_trial import Trial
+from fennelfork_bench.soak._fault import End, Fault, begin
+from fennelfork_bench.soak._servers import order
+from fennelfork_bench.soak._trial import Trial
 
 _STAGGER_S: Final = 0.05
 
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_fault_platform.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_fault_platform.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_soak_fault import End, Fault, begin
-from fennelfork_bench._exp_soak_trial import Trial
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.soak._fault import End, Fault, begin
+from fennelfork_bench.soak._trial import Trial
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_fault_servers.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_fault_servers.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from fennelfork_bench._exp_soak_fault import End, Fault, begin, nothing
-from fennelfork_bench._exp_soak_pick import pick, pick_spare, switch
-from fennelfork_bench._exp_soak_servers import order, server_events
-from fennelfork_bench._exp_soak_trial import Trial
-from fennelfork_bench._history_server import DrainAsked
+from fennelfork_bench.history._server import DrainAsked
+from fennelfork_bench.soak._fault import End, Fault, begin, nothing
+from fennelfork_bench.soak._pick import pick, pick_spare, switch
+from fennelfork_bench.soak._servers import order, server_events
+from fennelfork_bench.soak._trial import Trial
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_index.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_index.py
@@ -7,9 +7,9 @@
 
 import cattrs
 
-from fennelfork import key_range
-from fennelfork_bench._backend_records import Query, select_records
-from fennelfork_bench._check_base import Truth
+from fennelfork.gather import key_range
+from fennelfork_bench.backend_server._records import Query, select_records
+from fennelfork_bench.checks._base import Truth
 
 # Every backend server of the rig has this seed unless told otherwise.
 _FRONT_SEED: Final = 1
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_menu.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_menu.py
@@ -5,31 +5,31 @@
 
 import attrs
 
-from fennelfork_bench._exp_soak_fault import Fault
-from fennelfork_bench._exp_soak_fault_daemons import (
+from fennelfork_bench.rig._specs import (
+    BackendSpec,
+    FleetSpec,
+    FrontSpec,
+    daemon_specs,
+    shard_spec,
+)
+from fennelfork_bench.soak._fault import Fault
+from fennelfork_bench.soak._fault_daemons import (
     KillDaemon,
     PauseDaemon,
     StopDaemon,
 )
-from fennelfork_bench._exp_soak_fault_index import NextSnapshot, Repartition
-from fennelfork_bench._exp_soak_fault_platform import (
+from fennelfork_bench.soak._fault_index import NextSnapshot, Repartition
+from fennelfork_bench.soak._fault_platform import (
     PlatformFault,
     VmListDown,
 )
-from fennelfork_bench._exp_soak_fault_servers import (
+from fennelfork_bench.soak._fault_servers import (
     DrainServer,
     FreezeServer,
     KillServer,
     SilenceConnections,
     SpoilReplies,
 )
-from fennelfork_bench._rig_specs import (
-    BackendSpec,
-    FleetSpec,
-    FrontSpec,
-    daemon_specs,
-    shard_spec,
-)
 
 _KEYS: Final = 120
 _STRAGGLE: Final = 0.02
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_operator.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_operator.py
@@ -8,16 +8,16 @@
 
 import attrs
 
-from fennelfork_bench import _rig_config
-from fennelfork_bench._history import Recorder
-from fennelfork_bench._history_operator import (
+from fennelfork_bench.history._history import Recorder
+from fennelfork_bench.history._operator import (
     PatchAccepted,
     PatchEvent,
     PatchProposed,
     PatchRefused,
     PatchUnknown,
 )
-from fennelfork_bench._rig_http import HttpReply
+from fennelfork_bench.rig import _config as rig_config
+from fennelfork_bench.rig._http import HttpReply
 
 _TRIES: Final = 4
 _RETRY_S: Final = 0.2
@@ -49,7 +49,7 @@
             return
         self._count += 1
         patch_id = f'{self.name}-{self._count}'
-        base = _rig_config.version(self._randomness.choice(known))
+        base = rig_config.version(self._randomness.choice(known))
         if base < 1:
             return
         # People take a while between reading and sending: races are common.
@@ -70,7 +70,7 @@
                 base=base,
             ),
         )
-        reply = _rig_config.send_patch(
+        reply = rig_config.send_patch(
             self._randomness.choice(self.known()),
             {'tenants': {self.name: {'weight': 1 + self._count}}},
             base,
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_pick.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_pick.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-from fennelfork_bench._exp_soak_servers import order
-from fennelfork_bench._exp_soak_trial import Trial
-from fennelfork_bench._rig_process import Process
+from fennelfork_bench.rig._process import Process
+from fennelfork_bench.soak._servers import order
+from fennelfork_bench.soak._trial import Trial
 
 
 def switch(victim: Process, **faults: Any) -> None:
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_replies.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_replies.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from fennelfork import KeyRange, Verdict
-from fennelfork_bench._history_caller import (
+from fennelfork import Verdict
+from fennelfork.gather import KeyRange
+from fennelfork_bench.history._caller import (
     Asked,
     ConnectionCut,
     ConnectRefused,
@@ -18,7 +19,7 @@
     RecordSeen,
     Refused,
 )
-from fennelfork_bench._rig_http import HttpReply
+from fennelfork_bench.rig._http import HttpReply
 
 _SHOWN_CHARS: Final = 300
 # Faults of the library after which it is certain that no byte was sent.
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_round.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_round.py
@@ -6,16 +6,16 @@
 
 import attrs
 
-from fennelfork_bench._check_base import Violation
-from fennelfork_bench._exp_soak_caller import Habits
-from fennelfork_bench._exp_soak_crew import Crew
-from fennelfork_bench._exp_soak_entry import await_entries
-from fennelfork_bench._exp_soak_fault import Fault, strike
-from fennelfork_bench._exp_soak_menu import small_fleet
-from fennelfork_bench._exp_soak_trial import Trial, trial
-from fennelfork_bench._history import History
-from fennelfork_bench._rig_config import start_fleet
-from fennelfork_bench._rig_process import Rig, rig
+from fennelfork_bench.checks._base import Violation
+from fennelfork_bench.history._history import History
+from fennelfork_bench.rig._config import start_fleet
+from fennelfork_bench.rig._process import Rig, rig
+from fennelfork_bench.soak._caller import Habits
+from fennelfork_bench.soak._crew import Crew
+from fennelfork_bench.soak._entry import await_entries
+from fennelfork_bench.soak._fault import Fault, strike
+from fennelfork_bench.soak._menu import small_fleet
+from fennelfork_bench.soak._trial import Trial, trial
 
 _PATCH_PAUSE_S: Final = 0.5
 _SETTLE_S: Final = 1.0
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_run.py
@@ -6,12 +6,12 @@
 from pathlib import Path
 from typing import Final
 
-from fennelfork_bench._exp_soak_counts import Counts, count
-from fennelfork_bench._exp_soak_menu import draw_pair
-from fennelfork_bench._exp_soak_round import Round, run_round
-from fennelfork_bench._history import write_history
-from fennelfork_bench._history_caller import Asked
-from fennelfork_bench._rig_report import Arm, Report
+from fennelfork_bench.history._caller import Asked
+from fennelfork_bench.history._history import write_history
+from fennelfork_bench.rig._report import Arm, Report
+from fennelfork_bench.soak._counts import Counts, count
+from fennelfork_bench.soak._menu import draw_pair
+from fennelfork_bench.soak._round import Round, run_round
 
 _S_PER_MINUTE: Final = 60
 _SEEDS: Final = 1_000_000
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_servers.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_servers.py
@@ -3,10 +3,10 @@
 from collections.abc import Iterator
 from typing import Any, Final
 
-from fennelfork_bench import _backend_history
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._rig_process import Process, RigError
+from fennelfork_bench.backend_server import _history as backend_history
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Process, RigError
 
 _GONE_S: Final = 1
 
@@ -39,4 +39,4 @@
     reply = http.get(server.ready['control'], '/control/log')
     if not reply.fine or reply.body['dropped']:
         raise RigError(f'no whole log of {server.name}: {reply.fault}')
-    yield from _backend_history.server_events(reply.body)
+    yield from backend_history.server_events(reply.body)
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_trial.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_trial.py
@@ -8,19 +8,19 @@
 import attrs
 
 from fennelfork import wall_clock
-from fennelfork_bench._check_all import check_history
-from fennelfork_bench._check_base import Limits, Violation
-from fennelfork_bench._exp_soak_caller import Caller, Habits
-from fennelfork_bench._exp_soak_crew import Crew
-from fennelfork_bench._exp_soak_entry import EntryBook
-from fennelfork_bench._exp_soak_index import index_truth
-from fennelfork_bench._exp_soak_operator import Operator
-from fennelfork_bench._exp_soak_servers import server_events
-from fennelfork_bench._exp_soak_versions import note_document, note_version
-from fennelfork_bench._history import History, Recorder, gather
-from fennelfork_bench._history_daemon import Started
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_specs import FrontSpec
+from fennelfork_bench.checks._all import check_history
+from fennelfork_bench.checks._base import Limits, Violation
+from fennelfork_bench.history._daemon import Started
+from fennelfork_bench.history._history import History, Recorder, gather
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._specs import FrontSpec
+from fennelfork_bench.soak._caller import Caller, Habits
+from fennelfork_bench.soak._crew import Crew
+from fennelfork_bench.soak._entry import EntryBook
+from fennelfork_bench.soak._index import index_truth
+from fennelfork_bench.soak._operator import Operator
+from fennelfork_bench.soak._servers import server_events
+from fennelfork_bench.soak._versions import note_document, note_version
 
 _FIRST_SNAPSHOT: Final = 1
 _POLL_S: Final = 0.1
--- a/packages/fennelfork-bench/src/fennelfork_bench/_exp_soak_versions.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_versions.py
@@ -6,12 +6,12 @@
 
 import xxhash
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._history import Recorder
-from fennelfork_bench._history_daemon import VersionSeen
-from fennelfork_bench._history_operator import DocumentRead, PatchSeen
-from fennelfork_bench._rig_platform import Platform
-from fennelfork_bench._rig_process import Process, RigError
+from fennelfork_bench.history._daemon import VersionSeen
+from fennelfork_bench.history._history import Recorder
+from fennelfork_bench.history._operator import DocumentRead, PatchSeen
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._platform import Platform
+from fennelfork_bench.rig._process import Process, RigError
 
 _TIMEOUT_MS: Final = 1000
 _KEY: Final = base64.b64encode(b'/fennelfork/config').decode()
--- a/packages/fennelfork-bench/tests/bench_builders_caller.py
+++ b/packages/fennelfork-bench/tests/bench_builders_caller.py
@@ -11,8 +11,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
-from fennelfork_bench._backend_records import record_at
-from fennelfork_bench._caller_tally import Tally, parse_tally
+from fennelfork_bench.backend_server._records import record_at
+from fennelfork_bench.callers._tally import Tally, parse_tally
 
 # Gives status and body of the reply to a request; none closes without one.
 Script = Callable[[dict[str, Any]], tuple[int, dict[str, Any]] | None]
--- a/packages/fennelfork-bench/tests/bench_builders_faults.py
+++ b/packages/fennelfork-bench/tests/bench_builders_faults.py
@@ -2,20 +2,20 @@
 
 import time
 
-from fennelfork_bench._exp_soak_fault import Fault
-from fennelfork_bench._exp_soak_round import (
+from fennelfork_bench.history._caller import (
+    ConnectionCut,
+    ExecuteAnswered,
+    QueryAnswered,
+)
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.soak._fault import Fault
+from fennelfork_bench.soak._round import (
     Load,
     Round,
     small_trial,
     strike_together,
 )
-from fennelfork_bench._exp_soak_trial import Trial
-from fennelfork_bench._history_caller import (
-    ConnectionCut,
-    ExecuteAnswered,
-    QueryAnswered,
-)
-from fennelfork_bench._rig_process import Rig
+from fennelfork_bench.soak._trial import Trial
 
 _LOAD = Load(execute_share=0.4)
 _WARM_S = 0.5
--- a/packages/fennelfork-bench/tests/bench_builders_fleet.py
+++ b/packages/fennelfork-bench/tests/bench_builders_fleet.py
@@ -7,11 +7,11 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_config import await_version, first_patch
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import Rig, wait_until
-from fennelfork_bench._rig_specs import (
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import await_version, first_patch
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._process import Rig, wait_until
+from fennelfork_bench.rig._specs import (
     BackendSpec,
     FleetSpec,
     FrontSpec,
--- a/packages/fennelfork-bench/tests/bench_builders_fuzz.py
+++ b/packages/fennelfork-bench/tests/bench_builders_fuzz.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 
 from fennelfork import FailureCode, Verdict
-from fennelfork_bench._exp_soak_menu import small_fleet
-from fennelfork_bench._rig_config import start_fleet
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import Process, Rig
-from fennelfork_bench._rig_specs import daemon_specs
+from fennelfork_bench.rig._config import start_fleet
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import Process, Rig
+from fennelfork_bench.rig._specs import daemon_specs
+from fennelfork_bench.soak._menu import small_fleet
 
 _TIMEOUT_S = 8
 _VERDICTS = {verdict.value for verdict in Verdict}
--- a/packages/fennelfork-bench/tests/bench_builders_golden.py
+++ b/packages/fennelfork-bench/tests/bench_builders_golden.py
@@ -6,16 +6,16 @@
 
 import attrs
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_soak_entry import await_entries
-from fennelfork_bench._exp_soak_menu import small_fleet
-from fennelfork_bench._exp_soak_servers import server_events
-from fennelfork_bench._history import gather
-from fennelfork_bench._history_server import Work
-from fennelfork_bench._rig_config import start_fleet
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import Process, Rig
-from fennelfork_bench._rig_specs import daemon_specs
+from fennelfork_bench.history._history import gather
+from fennelfork_bench.history._server import Work
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import start_fleet
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import Process, Rig
+from fennelfork_bench.rig._specs import daemon_specs
+from fennelfork_bench.soak._entry import await_entries
+from fennelfork_bench.soak._menu import small_fleet
+from fennelfork_bench.soak._servers import server_events
 
 # What a home adds to the name of a sub-query for each copy of it.
 _SERIAL = re.compile(r'(\d)#[-\w.]+')
--- a/packages/fennelfork-bench/tests/bench_builders_once.py
+++ b/packages/fennelfork-bench/tests/bench_builders_once.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from fennelfork import bound_request_id
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_config import await_version, first_patch
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import Rig, wait_until
-from fennelfork_bench._rig_specs import (
+from fennelfork.once import bound_request_id
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import await_version, first_patch
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._process import Rig, wait_until
+from fennelfork_bench.rig._specs import (
     BackendSpec,
     FleetSpec,
     FrontSpec,
--- a/packages/fennelfork-bench/tests/bench_builders_platform.py
+++ b/packages/fennelfork-bench/tests/bench_builders_platform.py
@@ -8,8 +8,8 @@
 import attrs
 import urllib3
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import Process
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Process
 
 _WATCH_CAP_S = 10
 
--- a/packages/fennelfork-bench/tests/bench_builders_proof.py
+++ b/packages/fennelfork-bench/tests/bench_builders_proof.py
@@ -5,10 +5,10 @@
 
 import attrs
 
-from fennelfork import KeyRange, Verdict
-from fennelfork_bench._check_base import Truth, Violation
-from fennelfork_bench._history import History, gather
-from fennelfork_bench._history_caller import (
+from fennelfork import Verdict
+from fennelfork.gather import KeyRange
+from fennelfork_bench.checks._base import Truth, Violation
+from fennelfork_bench.history._caller import (
     Ended,
     ExecuteAnswered,
     ExecuteAsked,
@@ -17,8 +17,9 @@
     RecordSeen,
     Refused,
 )
-from fennelfork_bench._history_event import Event
-from fennelfork_bench._history_server import ExecuteRan, QueryRan, WorkReceived
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import History, gather
+from fennelfork_bench.history._server import ExecuteRan, QueryRan, WorkReceived
 
 KEYS = 10
 ALL_KEYS = tuple(range(KEYS))
--- a/packages/fennelfork-bench/tests/conftest.py
+++ b/packages/fennelfork-bench/tests/conftest.py
@@ -7,8 +7,8 @@
 from bench_builders_platform import KeyValueClient
 from hypothesis import settings
 
-from fennelfork_bench._rig_process import Rig
-from fennelfork_bench._rig_process import rig as new_rig
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.rig._process import rig as new_rig
 
 settings.register_profile('ci', derandomize=True, deadline=None)
 settings.register_profile(
--- a/packages/fennelfork-bench/tests/test_answers.py
+++ b/packages/fennelfork-bench/tests/test_answers.py
@@ -7,7 +7,7 @@
 import pytest
 from bench_builders_answers import KEYS, Small, small
 
-from fennelfork_bench._rig_process import Process
+from fennelfork_bench.rig._process import Process
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_backend.py
+++ b/packages/fennelfork-bench/tests/test_backend.py
@@ -9,7 +9,7 @@
     search_body,
 )
 
-from fennelfork_bench._backend_records import record_at
+from fennelfork_bench.backend_server._records import record_at
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_backend_history.py
+++ b/packages/fennelfork-bench/tests/test_backend_server_history.py
@@ -3,8 +3,8 @@
 import pytest
 from bench_builders_backend import backend, execute_body, search_body
 
-from fennelfork_bench._backend_history import server_events
-from fennelfork_bench._history_server import (
+from fennelfork_bench.backend_server._history import server_events
+from fennelfork_bench.history._server import (
     ExecuteRan,
     QueryRan,
     WorkReceived,
--- a/packages/fennelfork-bench/tests/test_caller.py
+++ b/packages/fennelfork-bench/tests/test_caller.py
@@ -12,15 +12,15 @@
     true_answer,
 )
 
-from fennelfork_bench._caller_tally import (
+from fennelfork_bench.callers._tally import (
     Tally,
     add_latency,
     beside,
     in_turn,
     parse_tally,
 )
-from fennelfork_bench._history import read_history
-from fennelfork_bench._history_caller import QueryAnswered, QueryAsked
+from fennelfork_bench.history._caller import QueryAnswered, QueryAsked
+from fennelfork_bench.history._history import read_history
 
 
 @pytest.mark.process
--- a/packages/fennelfork-bench/tests/test_check_tamper.py
+++ b/packages/fennelfork-bench/tests/test_check_tamper.py
@@ -17,11 +17,11 @@
 from hypothesis import assume, given
 from hypothesis import strategies as st
 
-from fennelfork_bench._check_all import check_history
-from fennelfork_bench._check_base import Limits, Promise
-from fennelfork_bench._history import gather
-from fennelfork_bench._history_caller import Ended, Refused
-from fennelfork_bench._history_event import Event
+from fennelfork_bench.checks._all import check_history
+from fennelfork_bench.checks._base import Limits, Promise
+from fennelfork_bench.history._caller import Ended, Refused
+from fennelfork_bench.history._event import Event
+from fennelfork_bench.history._history import gather
 
 _GOOD = {
     'whole': (query_asked(), query_ran(), query_answered()),
--- a/packages/fennelfork-bench/tests/test_check_all.py
+++ b/packages/fennelfork-bench/tests/test_checks_all.py
@@ -13,11 +13,11 @@
     truth,
 )
 
-from fennelfork_bench._check_all import check_history
-from fennelfork_bench._check_base import Limits, Promise
-from fennelfork_bench._history_daemon import StopAsked, VersionSeen
-from fennelfork_bench._history_operator import DocumentRead, PatchSeen
-from fennelfork_bench._history_server import DrainAsked
+from fennelfork_bench.checks._all import check_history
+from fennelfork_bench.checks._base import Limits, Promise
+from fennelfork_bench.history._daemon import StopAsked, VersionSeen
+from fennelfork_bench.history._operator import DocumentRead, PatchSeen
+from fennelfork_bench.history._server import DrainAsked
 
 _PATCH = PatchSeen(patch_id='a', version=2)
 _BROKEN = (
--- a/packages/fennelfork-bench/tests/test_check_answer.py
+++ b/packages/fennelfork-bench/tests/test_checks_answer.py
@@ -16,8 +16,8 @@
     truth,
 )
 
-from fennelfork_bench._check_answer import check_own_answer
-from fennelfork_bench._history_caller import Malformed
+from fennelfork_bench.checks._answer import check_own_answer
+from fennelfork_bench.history._caller import Malformed
 
 _MALFORMED = Malformed(at_ms=150, attempt='try-1', detail='200 []')
 _NARROW = query_asked(query='{"keys": [1]}')
--- a/packages/fennelfork-bench/tests/test_check_config.py
+++ b/packages/fennelfork-bench/tests/test_checks_config.py
@@ -9,10 +9,10 @@
     query_asked,
 )
 
-from fennelfork_bench._check_base import Limits
-from fennelfork_bench._check_config import check_in_force
-from fennelfork_bench._history_daemon import Resumed, Started, VersionSeen
-from fennelfork_bench._history_operator import PatchAccepted
+from fennelfork_bench.checks._base import Limits
+from fennelfork_bench.checks._config import check_in_force
+from fennelfork_bench.history._daemon import Resumed, Started, VersionSeen
+from fennelfork_bench.history._operator import PatchAccepted
 
 _LIMITS = Limits(config_ms=7000)
 _ACCEPTED = PatchAccepted(
--- a/packages/fennelfork-bench/tests/test_check_coverage.py
+++ b/packages/fennelfork-bench/tests/test_checks_coverage.py
@@ -13,7 +13,7 @@
     truth,
 )
 
-from fennelfork_bench._check_coverage import check_coverage
+from fennelfork_bench.checks._coverage import check_coverage
 
 
 class TestCheckCoverage:
--- a/packages/fennelfork-bench/tests/test_check_drain.py
+++ b/packages/fennelfork-bench/tests/test_checks_drain.py
@@ -2,9 +2,9 @@
 
 from bench_builders_proof import history, query_ran, received
 
-from fennelfork_bench._check_base import Limits
-from fennelfork_bench._check_drain import check_drain
-from fennelfork_bench._history_server import DrainAsked
+from fennelfork_bench.checks._base import Limits
+from fennelfork_bench.checks._drain import check_drain
+from fennelfork_bench.history._server import DrainAsked
 
 _LIMITS = Limits(drain_ms=3000)
 _DRAIN = DrainAsked(at_ms=1000, server='raft-a')
--- a/packages/fennelfork-bench/tests/test_check_once.py
+++ b/packages/fennelfork-bench/tests/test_checks_once.py
@@ -2,7 +2,7 @@
 
 from bench_builders_proof import execute_ran, history, query_ran
 
-from fennelfork_bench._check_once import check_at_most_once
+from fennelfork_bench.checks._once import check_at_most_once
 
 
 class TestCheckAtMostOnce:
--- a/packages/fennelfork-bench/tests/test_check_patches.py
+++ b/packages/fennelfork-bench/tests/test_checks_patches.py
@@ -3,8 +3,8 @@
 import pytest
 from bench_builders_proof import history
 
-from fennelfork_bench._check_patches import check_patches
-from fennelfork_bench._history_operator import (
+from fennelfork_bench.checks._patches import check_patches
+from fennelfork_bench.history._operator import (
     DocumentRead,
     PatchAccepted,
     PatchRefused,
--- a/packages/fennelfork-bench/tests/test_check_refusal.py
+++ b/packages/fennelfork-bench/tests/test_checks_refusal.py
@@ -11,8 +11,8 @@
 )
 
 from fennelfork import Verdict
-from fennelfork_bench._check_refusal import check_refusal
-from fennelfork_bench._history_caller import ConnectionCut, ConnectRefused
+from fennelfork_bench.checks._refusal import check_refusal
+from fennelfork_bench.history._caller import ConnectionCut, ConnectRefused
 
 _RETRY = execute_asked(attempt='try-2', at_ms=200)
 _CUT = ConnectionCut(at_ms=150, attempt='try-1', detail='reset')
--- a/packages/fennelfork-bench/tests/test_check_snapshot.py
+++ b/packages/fennelfork-bench/tests/test_checks_snapshot.py
@@ -9,7 +9,7 @@
     truth,
 )
 
-from fennelfork_bench._check_snapshot import check_snapshot
+from fennelfork_bench.checks._snapshot import check_snapshot
 
 _MIXED = records(0, 1) + records(2, snapshot=2)
 
--- a/packages/fennelfork-bench/tests/test_check_stop.py
+++ b/packages/fennelfork-bench/tests/test_checks_stop.py
@@ -3,9 +3,9 @@
 import pytest
 from bench_builders_proof import history, query_answered, query_asked, refused
 
-from fennelfork_bench._check_stop import check_graceful_stop
-from fennelfork_bench._history_caller import ConnectionCut, ConnectRefused
-from fennelfork_bench._history_daemon import Exited, Killed, StopAsked
+from fennelfork_bench.checks._stop import check_graceful_stop
+from fennelfork_bench.history._caller import ConnectionCut, ConnectRefused
+from fennelfork_bench.history._daemon import Exited, Killed, StopAsked
 
 _STOP = StopAsked(at_ms=120, daemon='vm-1')
 _EXIT = Exited(at_ms=9000, daemon='vm-1', status=0)
--- a/packages/fennelfork-bench/tests/test_command.py
+++ b/packages/fennelfork-bench/tests/test_command.py
@@ -8,10 +8,10 @@
 import attrs
 import pytest
 
-from fennelfork_bench._rig_config import await_version
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import rig, wait_until
-from fennelfork_bench._rig_specs import (
+from fennelfork_bench.rig._config import await_version
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._process import rig, wait_until
+from fennelfork_bench.rig._specs import (
     BackendSpec,
     FleetSpec,
     FrontSpec,
--- a/packages/fennelfork-bench/tests/test_config_fleet.py
+++ b/packages/fennelfork-bench/tests/test_config_fleet.py
@@ -9,11 +9,11 @@
 import pytest
 from bench_builders_platform import text
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_config import await_version, send_patch, version
-from fennelfork_bench._rig_fleet import Fleet, empty_fleet
-from fennelfork_bench._rig_process import Rig, wait_until
-from fennelfork_bench._rig_specs import FleetSpec, daemon_specs
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import await_version, send_patch, version
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._process import Rig, wait_until
+from fennelfork_bench.rig._specs import FleetSpec, daemon_specs
 
 _CAP_S = 20
 _DAEMONS = 4
--- a/packages/fennelfork-bench/tests/test_demo_check.py
+++ b/packages/fennelfork-bench/tests/test_demo_check.py
@@ -3,10 +3,10 @@
 import attrs
 import pytest
 
-from fennelfork_bench._backend_records import record_at
-from fennelfork_bench._demo_check import Expected, faults_of
-from fennelfork_bench._rig_caller import Asked
-from fennelfork_bench._rig_http import HttpReply
+from fennelfork_bench.backend_server._records import record_at
+from fennelfork_bench.demo._check import Expected, faults_of
+from fennelfork_bench.rig._caller import Asked
+from fennelfork_bench.rig._http import HttpReply
 
 _KEYS = 20
 _ALL = Expected(keys=_KEYS)
--- a/packages/fennelfork-bench/tests/test_exp_parts.py
+++ b/packages/fennelfork-bench/tests/test_exp_parts.py
@@ -2,12 +2,16 @@
 
 import json
 
-from fennelfork_bench._exp_cost import Reading, costs_between, sum_of_metric
-from fennelfork_bench._exp_steady_load import Sample, load_metrics
-from fennelfork_bench._rig_caller import Asked
-from fennelfork_bench._rig_http import HttpReply
-from fennelfork_bench._rig_report import Arm, Report, percentile
-from fennelfork_bench._rig_usage import Usage
+from fennelfork_bench.experiments._cost import (
+    Reading,
+    costs_between,
+    sum_of_metric,
+)
+from fennelfork_bench.experiments._steady_load import Sample, load_metrics
+from fennelfork_bench.rig._caller import Asked
+from fennelfork_bench.rig._http import HttpReply
+from fennelfork_bench.rig._report import Arm, Report, percentile
+from fennelfork_bench.rig._usage import Usage
 
 _PAGE = """\
 # TYPE fennelfork_control_bytes counter
--- a/packages/fennelfork-bench/tests/test_exp_document.py
+++ b/packages/fennelfork-bench/tests/test_experiments_document.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from fennelfork import structure_document
-from fennelfork_bench._exp_document import document_tree
+from fennelfork.config import structure_document
+from fennelfork_bench.experiments._document import document_tree
 
 
 class TestDocumentTree:
--- a/packages/fennelfork-bench/tests/test_exp_load.py
+++ b/packages/fennelfork-bench/tests/test_experiments_load.py
@@ -2,18 +2,23 @@
 
 import pytest
 
-from fennelfork_bench._caller_group import run_callers
-from fennelfork_bench._caller_spec import LoadSpec
-from fennelfork_bench._exp_fleet import (
+from fennelfork_bench.callers._group import run_callers
+from fennelfork_bench.callers._spec import LoadSpec
+from fennelfork_bench.experiments._fleet import (
     FrontSize,
     order_faults,
     put_hedge,
     start_front,
 )
-from fennelfork_bench._exp_load import front_load, joined, measure, violations
-from fennelfork_bench._exp_metrics import NO_HEDGE
-from fennelfork_bench._rig_config import version
-from fennelfork_bench._rig_process import Rig, RigError
+from fennelfork_bench.experiments._load import (
+    front_load,
+    joined,
+    measure,
+    violations,
+)
+from fennelfork_bench.experiments._metrics import NO_HEDGE
+from fennelfork_bench.rig._config import version
+from fennelfork_bench.rig._process import Rig, RigError
 
 _SIZE = FrontSize(shards=2, servers=1, daemons=2)
 _COUNT = 40
--- a/packages/fennelfork-bench/tests/test_faults_daemons.py
+++ b/packages/fennelfork-bench/tests/test_faults_daemons.py
@@ -3,13 +3,13 @@
 import pytest
 from bench_builders_faults import answers, broken, cuts, run_under
 
-from fennelfork_bench._exp_soak_fault_daemons import (
+from fennelfork_bench.history._daemon import Exited, Killed, Resumed, Started
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.soak._fault_daemons import (
     KillDaemon,
     PauseDaemon,
     StopDaemon,
 )
-from fennelfork_bench._history_daemon import Exited, Killed, Resumed, Started
-from fennelfork_bench._rig_process import Rig
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_faults_index.py
+++ b/packages/fennelfork-bench/tests/test_faults_index.py
@@ -3,10 +3,10 @@
 import pytest
 from bench_builders_faults import broken, cuts, run_under
 
-from fennelfork_bench._exp_soak_fault import Fault
-from fennelfork_bench._exp_soak_fault_index import NextSnapshot, Repartition
-from fennelfork_bench._history_caller import QueryAnswered
-from fennelfork_bench._rig_process import Rig
+from fennelfork_bench.history._caller import QueryAnswered
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.soak._fault import Fault
+from fennelfork_bench.soak._fault_index import NextSnapshot, Repartition
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_faults_platform.py
+++ b/packages/fennelfork-bench/tests/test_faults_platform.py
@@ -4,15 +4,15 @@
 from bench_builders_faults import answers, broken, cuts, run_under
 
 from fennelfork import FailureCode, Verdict
-from fennelfork_bench._exp_soak_fault import Fault
-from fennelfork_bench._exp_soak_fault_platform import (
+from fennelfork_bench.history._caller import ExecuteAnswered, Refused
+from fennelfork_bench.history._operator import PatchAccepted, PatchRefused
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.soak._fault import Fault
+from fennelfork_bench.soak._fault_platform import (
     PlatformFault,
     VmListDown,
 )
-from fennelfork_bench._exp_soak_round import Load
-from fennelfork_bench._history_caller import ExecuteAnswered, Refused
-from fennelfork_bench._history_operator import PatchAccepted, PatchRefused
-from fennelfork_bench._rig_process import Rig
+from fennelfork_bench.soak._round import Load
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_faults_servers.py
+++ b/packages/fennelfork-bench/tests/test_faults_servers.py
@@ -3,17 +3,17 @@
 import pytest
 from bench_builders_faults import answers, broken, cuts, run_under
 
-from fennelfork_bench._exp_soak_fault import Fault
-from fennelfork_bench._exp_soak_fault_servers import (
+from fennelfork_bench.history._caller import ExecuteAnswered, QueryAnswered
+from fennelfork_bench.history._server import ReplySpoiled
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.soak._fault import Fault
+from fennelfork_bench.soak._fault_servers import (
     DrainServer,
     FreezeServer,
     KillServer,
     SilenceConnections,
     SpoilReplies,
 )
-from fennelfork_bench._history_caller import ExecuteAnswered, QueryAnswered
-from fennelfork_bench._history_server import ReplySpoiled
-from fennelfork_bench._rig_process import Rig
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_faults_verdicts.py
+++ b/packages/fennelfork-bench/tests/test_faults_verdicts.py
@@ -3,11 +3,11 @@
 import pytest
 from bench_builders_faults import running_trial
 
-from fennelfork_bench._exp_soak_servers import order
-from fennelfork_bench._exp_soak_trial import Trial
-from fennelfork_bench._history_caller import Refused
-from fennelfork_bench._history_server import QueryRan
-from fennelfork_bench._rig_process import Rig, wait_until
+from fennelfork_bench.history._caller import Refused
+from fennelfork_bench.history._server import QueryRan
+from fennelfork_bench.rig._process import Rig, wait_until
+from fennelfork_bench.soak._servers import order
+from fennelfork_bench.soak._trial import Trial
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_fleet_process.py
+++ b/packages/fennelfork-bench/tests/test_fleet_process.py
@@ -19,8 +19,8 @@
     stop_and_restart,
 )
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import rig, wait_until
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import rig, wait_until
 
 _PAUSE_S = 10
 _RUN_BITS = 10
--- a/packages/fennelfork-bench/tests/test_fuzz_caller.py
+++ b/packages/fennelfork-bench/tests/test_fuzz_caller.py
@@ -15,8 +15,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import rig
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import rig
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_fuzz_settings.py
+++ b/packages/fennelfork-bench/tests/test_fuzz_settings.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
-from fennelfork_bench._rig_settings import settings_toml
-from fennelfork_bench._rig_specs import daemon_specs
-from fennelfork_daemon._settings import load_settings, read_settings
+from fennelfork_bench.rig._settings import settings_toml
+from fennelfork_bench.rig._specs import daemon_specs
+from fennelfork_daemon.settings._settings import load_settings, read_settings
 
 _VALID = {
     'daemon': {'name': 'a', 'region': 'r', 'data_centre': 'd'},
--- a/packages/fennelfork-bench/tests/test_golden_operators.py
+++ b/packages/fennelfork-bench/tests/test_golden_operators.py
@@ -5,7 +5,7 @@
 import pytest
 from bench_builders_golden import session
 
-from fennelfork_bench._rig_process import Rig
+from fennelfork_bench.rig._process import Rig
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_golden_queries.py
+++ b/packages/fennelfork-bench/tests/test_golden_queries.py
@@ -6,10 +6,10 @@
 import pytest
 from bench_builders_golden import Session, query, session
 
-from fennelfork_bench._exp_soak_servers import order, server_events
-from fennelfork_bench._history import gather
-from fennelfork_bench._history_server import QueryRan, Work, WorkCancelled
-from fennelfork_bench._rig_process import Rig
+from fennelfork_bench.history._history import gather
+from fennelfork_bench.history._server import QueryRan, Work, WorkCancelled
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.soak._servers import order, server_events
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_golden_stop.py
+++ b/packages/fennelfork-bench/tests/test_golden_stop.py
@@ -5,10 +5,10 @@
 import pytest
 from bench_builders_golden import Session, query, session
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_soak_servers import order, server_events
-from fennelfork_bench._history_server import QueryRan
-from fennelfork_bench._rig_process import Process, Rig, wait_until
+from fennelfork_bench.history._server import QueryRan
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Process, Rig, wait_until
+from fennelfork_bench.soak._servers import order, server_events
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_history.py
+++ b/packages/fennelfork-bench/tests/test_history.py
@@ -12,10 +12,14 @@
 )
 from cattrs import BaseValidationError
 
-from fennelfork_bench._history import gather, read_history, write_history
-from fennelfork_bench._history_caller import Asked
-from fennelfork_bench._history_daemon import FaultChanged, VersionSeen
-from fennelfork_bench._history_operator import DocumentRead, PatchSeen
+from fennelfork_bench.history._caller import Asked
+from fennelfork_bench.history._daemon import FaultChanged, VersionSeen
+from fennelfork_bench.history._history import (
+    gather,
+    read_history,
+    write_history,
+)
+from fennelfork_bench.history._operator import DocumentRead, PatchSeen
 
 
 class TestFile:
--- a/packages/fennelfork-bench/tests/test_kv.py
+++ b/packages/fennelfork-bench/tests/test_kv.py
@@ -3,8 +3,8 @@
 import pytest
 from bench_builders_platform import KeyValueClient, swap_body, text
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import Rig, wait_until
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Rig, wait_until
 
 pytestmark = pytest.mark.process
 _CAP_S = 10
--- a/packages/fennelfork-bench/tests/test_main.py
+++ b/packages/fennelfork-bench/tests/test_main.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fennelfork_bench._rig_process import Rig
+from fennelfork_bench.rig._process import Rig
 
 
 @pytest.mark.process
--- a/packages/fennelfork-bench/tests/test_once_chaos.py
+++ b/packages/fennelfork-bench/tests/test_once_chaos.py
@@ -14,7 +14,7 @@
 )
 from bench_builders_once_chaos import Deeds, trouble
 
-from fennelfork_bench._rig_process import rig
+from fennelfork_bench.rig._process import rig
 
 _CALLERS = 6
 _DEEDS = 30
--- a/packages/fennelfork-bench/tests/test_once_claim.py
+++ b/packages/fennelfork-bench/tests/test_once_claim.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_once_claim import Claims
-from fennelfork_bench._exp_once_cost import memory_costs
-from fennelfork_bench._rig_process import rig
+from fennelfork_bench.experiments._once_claim import Claims
+from fennelfork_bench.experiments._once_cost import memory_costs
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import rig
 
 
 @pytest.fixture
--- a/packages/fennelfork-bench/tests/test_once_process.py
+++ b/packages/fennelfork-bench/tests/test_once_process.py
@@ -14,9 +14,9 @@
     start_once_fleet,
 )
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig, wait_until
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig, wait_until
 
 _CAP_S = 30
 _TTL_MS = 1500
--- a/packages/fennelfork-bench/tests/test_once_soak.py
+++ b/packages/fennelfork-bench/tests/test_once_soak.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from fennelfork import CallerStep, OnceCaller, Verdict
-from fennelfork_bench._exp_soak_caller import caller_event
-from fennelfork_bench._history_caller import (
+from fennelfork import Verdict
+from fennelfork.once import CallerStep, OnceCaller
+from fennelfork_bench.history._caller import (
     ConnectionCut,
     ConnectRefused,
     Ended,
@@ -12,6 +12,7 @@
     Malformed,
     Refused,
 )
+from fennelfork_bench.soak._caller import caller_event
 
 _TRY = {'at_ms': 1.0, 'attempt': 'try-1'}
 _CUT = ConnectionCut(**_TRY, detail='reset')
--- a/packages/fennelfork-bench/tests/test_openapi.py
+++ b/packages/fennelfork-bench/tests/test_openapi.py
@@ -16,11 +16,11 @@
     touch,
 )
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_config import start_fleet
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import rig, wait_until
-from fennelfork_bench._rig_specs import (
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import start_fleet
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import rig, wait_until
+from fennelfork_bench.rig._specs import (
     BackendSpec,
     FleetSpec,
     FrontSpec,
--- a/packages/fennelfork-bench/tests/test_rig_fleet.py
+++ b/packages/fennelfork-bench/tests/test_rig_fleet.py
@@ -2,18 +2,18 @@
 
 import pytest
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_small_fleet import hedge_patch, small_fleet
-from fennelfork_bench._rig_caller import Caller
-from fennelfork_bench._rig_config import (
+from fennelfork_bench.experiments._small_fleet import hedge_patch, small_fleet
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._caller import Caller
+from fennelfork_bench.rig._config import (
     await_version,
     send_patch,
     start_fleet,
     version,
 )
-from fennelfork_bench._rig_fleet import Fleet
-from fennelfork_bench._rig_process import Rig
-from fennelfork_bench._rig_usage import usage
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import Rig
+from fennelfork_bench.rig._usage import usage
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_rig_process.py
+++ b/packages/fennelfork-bench/tests/test_rig_process.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import Rig, RigError, rig
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Rig, RigError, rig
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_rig_settings.py
+++ b/packages/fennelfork-bench/tests/test_rig_settings.py
@@ -2,8 +2,8 @@
 
 import tomllib
 
-from fennelfork_bench._rig_settings import settings_toml, write_toml
-from fennelfork_bench._rig_specs import daemon_specs
+from fennelfork_bench.rig._settings import settings_toml, write_toml
+from fennelfork_bench.rig._specs import daemon_specs
 
 
 class TestWriteToml:
--- a/packages/fennelfork-bench/tests/test_rig_usage.py
+++ b/packages/fennelfork-bench/tests/test_rig_usage.py
@@ -2,7 +2,7 @@
 
 import os
 
-from fennelfork_bench._rig_usage import Usage, core_percent, usage
+from fennelfork_bench.rig._usage import Usage, core_percent, usage
 
 
 class TestUsage:
--- a/packages/fennelfork-bench/tests/test_exp_soak_replies.py
+++ b/packages/fennelfork-bench/tests/test_soak_replies.py
@@ -9,13 +9,13 @@
     refused,
 )
 
-from fennelfork_bench._exp_soak_replies import ended
-from fennelfork_bench._history_caller import (
+from fennelfork_bench.history._caller import (
     ConnectionCut,
     ConnectRefused,
     Malformed,
 )
-from fennelfork_bench._rig_http import HttpReply
+from fennelfork_bench.rig._http import HttpReply
+from fennelfork_bench.soak._replies import ended
 
 _PARTIAL = {
     'request_id': 'req-1',
--- a/packages/fennelfork-bench/tests/test_exp_soak_servers.py
+++ b/packages/fennelfork-bench/tests/test_soak_servers.py
@@ -2,15 +2,15 @@
 
 import pytest
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._exp_soak_servers import order, server_events
-from fennelfork_bench._history_server import (
+from fennelfork_bench.history._server import (
     ExecuteRan,
     QueryRan,
     WorkReceived,
     WorkRefused,
 )
-from fennelfork_bench._rig_process import Rig, RigError
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Rig, RigError
+from fennelfork_bench.soak._servers import order, server_events
 
 pytestmark = pytest.mark.process
 
--- a/packages/fennelfork-bench/tests/test_thin_path.py
+++ b/packages/fennelfork-bench/tests/test_thin_path.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_config import await_version, first_patch
-from fennelfork_bench._rig_fleet import empty_fleet
-from fennelfork_bench._rig_process import rig
-from fennelfork_bench._rig_specs import (
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._config import await_version, first_patch
+from fennelfork_bench.rig._fleet import empty_fleet
+from fennelfork_bench.rig._process import rig
+from fennelfork_bench.rig._specs import (
     BackendSpec,
     FleetSpec,
     FrontSpec,
--- a/packages/fennelfork-bench/tests/test_vms.py
+++ b/packages/fennelfork-bench/tests/test_vms.py
@@ -3,9 +3,9 @@
 import pytest
 
 from fennelfork import ManualTime, manual_clock
-from fennelfork_bench import _rig_http as http
-from fennelfork_bench._rig_process import Rig
 from fennelfork_bench._vms_app import VmList
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._process import Rig
 
 _OLD = [{'name': 'vm-1'}]
 _NEW = [{'name': 'vm-1'}, {'name': 'vm-2'}]
--- a/packages/fennelfork-cli/src/fennelfork_cli/_caller_commands.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_caller_commands.py
@@ -7,7 +7,8 @@
 from cyclopts import Parameter
 from returns.result import Failure, Result
 
-from fennelfork import Verdict, bound_request_id
+from fennelfork import Verdict
+from fennelfork.once import bound_request_id
 from fennelfork_cli._call import CallFailure, Tree
 from fennelfork_cli._caller_call import ask, fetch_entries, request_body
 from fennelfork_cli._caller_texts import (
--- a/packages/fennelfork-cli/src/fennelfork_cli/_config_commands.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_config_commands.py
@@ -9,7 +9,7 @@
 import attrs
 from cyclopts import App, Parameter, validators
 
-from fennelfork import merge_patch, tree_changes
+from fennelfork.config import merge_patch, tree_changes
 from fennelfork_cli._call import Tree
 from fennelfork_cli._config_texts import (
     changes_text,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_cli.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_cli.py
@@ -9,9 +9,9 @@
 
 from returns.result import Failure, Result
 
-from fennelfork_daemon._settings import load_settings
-from fennelfork_daemon._settings_problems import SettingProblem
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon.settings._problems import SettingProblem
+from fennelfork_daemon.settings._settings import load_settings
+from fennelfork_daemon.settings._tables import Settings
 
 _CONFIG: Final = '--config'
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -5,27 +5,22 @@
 import attrs
 import eventlet
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    blackboard,
-    system_clock,
-)
-from fennelfork_daemon._caller_face import CallerFace
-from fennelfork_daemon._config_service import ConfigService, config_service
-from fennelfork_daemon._execute_build import ExecuteParts, execute_parts
+from fennelfork import Blackboard, Clock, blackboard, system_clock
 from fennelfork_daemon._fleet import Fleet, fleet
-from fennelfork_daemon._home_service import HomeService, home_service
-from fennelfork_daemon._http_router import Router, router
 from fennelfork_daemon._listeners import Listeners
-from fennelfork_daemon._local_member import local_member
-from fennelfork_daemon._observer import Observer, observer
-from fennelfork_daemon._operator_face import operator_router
 from fennelfork_daemon._peer_handler import PeerHandler
-from fennelfork_daemon._peer_server import peer_server
-from fennelfork_daemon._root_service import root_service
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_server import serve_http
+from fennelfork_daemon.callers._face import CallerFace
+from fennelfork_daemon.config._service import ConfigService, config_service
+from fennelfork_daemon.execute._build import ExecuteParts, execute_parts
+from fennelfork_daemon.home._service import HomeService, home_service
+from fennelfork_daemon.http._router import Router, router
+from fennelfork_daemon.http._wsgi_server import serve_http
+from fennelfork_daemon.membership._local_member import local_member
+from fennelfork_daemon.operator._face import operator_router
+from fennelfork_daemon.peer._server import peer_server
+from fennelfork_daemon.root._service import root_service
+from fennelfork_daemon.settings._tables import Settings
+from fennelfork_daemon.tracing._observer import Observer, observer
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_fleet.py
@@ -6,25 +6,26 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
-from fennelfork import Blackboard, Clock, ListSchedule, StopPolicy
-from fennelfork_daemon._entries_face import EntriesFace
-from fennelfork_daemon._http_router import Route
+from fennelfork import Blackboard, Clock, StopPolicy
+from fennelfork.membership import ListSchedule
 from fennelfork_daemon._in_progress import (
     Application,
     CountedApplication,
     InProgress,
 )
-from fennelfork_daemon._logs import state_log
-from fennelfork_daemon._membership_metrics import membership_metrics
-from fennelfork_daemon._membership_service import (
+from fennelfork_daemon._stop_service import StopService, stop_service
+from fennelfork_daemon.callers._entries_face import EntriesFace
+from fennelfork_daemon.execute._ticket_issuer import TicketIssuer
+from fennelfork_daemon.http._router import Route
+from fennelfork_daemon.logs._logs import state_log
+from fennelfork_daemon.membership._metrics import membership_metrics
+from fennelfork_daemon.membership._service import (
     MembershipService,
     membership_service,
 )
-from fennelfork_daemon._metrics import DaemonMetrics
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._stop_service import StopService, stop_service
-from fennelfork_daemon._ticket_issuer import TicketIssuer
-from fennelfork_daemon._vm_list import VmListReader, vm_list_reader
+from fennelfork_daemon.membership._vm_list import VmListReader, vm_list_reader
+from fennelfork_daemon.metrics._metrics import DaemonMetrics
+from fennelfork_daemon.settings._tables import Settings
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_in_progress.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_in_progress.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon.http._wsgi_protocol import CLOSE_KEY
 
 Application = Callable[..., Iterable[bytes]]
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
@@ -10,8 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._settings_tables import ListenSettings
-from fennelfork_daemon._wsgi_server import listening_address, open_listener
+from fennelfork_daemon.http._wsgi_server import listening_address, open_listener
+from fennelfork_daemon.settings._tables import ListenSettings
 
 _WORDS: Final = {
     errno.EADDRINUSE: 'the address is already in use',
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_handler.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from fennelfork_daemon._config_exchange import ConfigExchange
-from fennelfork_daemon._execute_build import ExecutePeer
-from fennelfork_daemon._home_calls import Home
 from fennelfork_daemon._in_progress import InProgress
-from fennelfork_daemon._membership_service import MembershipService
-from fennelfork_daemon._peer_codec import order_from_peer, outcome_to_peer
-from fennelfork_daemon._peer_codec_view import views_to_peer
-from fennelfork_daemon._peer_idl import peer
+from fennelfork_daemon.config._exchange import ConfigExchange
+from fennelfork_daemon.execute._build import ExecutePeer
+from fennelfork_daemon.home._calls import Home
+from fennelfork_daemon.membership._service import MembershipService
+from fennelfork_daemon.peer._codec import order_from_peer, outcome_to_peer
+from fennelfork_daemon.peer._codec_view import views_to_peer
+from fennelfork_daemon.peer._idl import peer
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_readiness.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_readiness.py
@@ -1,6 +1,7 @@
 """Whether callers should come to this daemon, and why not."""
 
-from fennelfork import Blackboard, MemberStatus
+from fennelfork import Blackboard
+from fennelfork.membership import MemberStatus
 
 
 def unready_reasons(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_serve.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_serve.py
@@ -7,8 +7,8 @@
 from fennelfork_daemon._cli import ExitCode
 from fennelfork_daemon._daemon import daemon
 from fennelfork_daemon._listeners import open_listeners
-from fennelfork_daemon._logs import configure_logs
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon.logs._logs import configure_logs
+from fennelfork_daemon.settings._tables import Settings
 
 
 def serve(settings: Settings) -> int:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_state_watch.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_state_watch.py
@@ -6,9 +6,9 @@
 import eventlet
 
 from fennelfork import Blackboard
-from fennelfork_daemon._logs import StateLog, state_log
-from fennelfork_daemon._metrics import DaemonMetrics
 from fennelfork_daemon._readiness import unready_reasons
+from fennelfork_daemon.logs._logs import StateLog, state_log
+from fennelfork_daemon.metrics._metrics import DaemonMetrics
 
 _PERIOD_S: Final = 0.5
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -16,14 +16,14 @@
     StopPolicy,
     graceful_stop,
 )
-from fennelfork_daemon._http_router import (
+from fennelfork_daemon._in_progress import InProgress
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     Route,
     json_reply,
 )
-from fennelfork_daemon._in_progress import InProgress
-from fennelfork_daemon._logs import StateLog
+from fennelfork_daemon.logs._logs import StateLog
 
 _STEP_S: Final = 0.05
 _SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_client.py
@@ -5,10 +5,12 @@
 import attrs
 from returns.result import Result
 
-from fennelfork import Expected, Failure, Reply, ServerReport
-from fennelfork_daemon._backend_call import BackendCall
-from fennelfork_daemon._backend_pool import BackendPool, Trace
-from fennelfork_daemon._backend_reply import (
+from fennelfork import Failure
+from fennelfork.gather import Expected, Reply
+from fennelfork.home import ServerReport
+from fennelfork_daemon.backend._call import BackendCall
+from fennelfork_daemon.backend._pool import BackendPool, Trace
+from fennelfork_daemon.backend._reply import (
     read_health,
     read_search,
     read_tree,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -13,13 +13,13 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._backend_call import (
+from fennelfork_daemon._sockets import reset_aware
+from fennelfork_daemon.backend._call import (
     BackendResponse,
     Call,
     ForwardCall,
     send_call,
 )
-from fennelfork_daemon._sockets import reset_aware
 
 _MS: Final = 1000
 # The system gives a connection up whose bytes nobody has acknowledged.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -8,22 +8,16 @@
 from returns.result import Failure as Bad
 from returns.result import Result
 
-from fennelfork import (
-    Clock,
-    ConnectionLedger,
-    ConnectionUse,
-    Failure,
-    FailureCode,
-    not_run,
-)
+from fennelfork import Clock, Failure, FailureCode, not_run
+from fennelfork.servers import ConnectionLedger, ConnectionUse
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._backend_call import (
+from fennelfork_daemon.backend._call import (
     BackendCall,
     BackendResponse,
     Call,
     ForwardCall,
 )
-from fennelfork_daemon._backend_connection import (
+from fennelfork_daemon.backend._connection import (
     BackendConnection,
     backend_connection,
 )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_backend_reply.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_reply.py
@@ -7,21 +7,18 @@
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
-from fennelfork import (
+from fennelfork import Failure, FailureCode, Verdict, may_have_run
+from fennelfork.gather import (
     Expected,
-    Failure,
-    FailureCode,
     KeyRange,
     Record,
     Reply,
-    ServerReport,
     SnapshotView,
-    Verdict,
     check_reply,
     key_range,
-    may_have_run,
 )
-from fennelfork_daemon._backend_call import BackendResponse
+from fennelfork.home import ServerReport
+from fennelfork_daemon.backend._call import BackendResponse
 
 _OK: Final = 200
 
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The caller face of fronts: queries and entries."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_entries_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/callers/_entries_face.py
@@ -5,14 +5,15 @@
 
 import attrs
 
-from fennelfork import Blackboard, Member, choose_entries
-from fennelfork_daemon._http_router import (
+from fennelfork import Blackboard, choose_entries
+from fennelfork.membership import Member
+from fennelfork_daemon.execute._ticket_issuer import TicketIssuer
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     Route,
     json_reply,
 )
-from fennelfork_daemon._ticket_issuer import TicketIssuer
 
 _COUNT: Final = 3
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/callers/_face.py
@@ -5,20 +5,21 @@
 import attrs
 from returns.pipeline import is_successful
 
-from fennelfork import Clock, MissingRange, QueryAnswer, QueryRequest
-from fennelfork_daemon._caller_request import read_query
-from fennelfork_daemon._http_body import body_limits, refused_body
-from fennelfork_daemon._http_router import (
+from fennelfork import Clock
+from fennelfork.gather import MissingRange, QueryAnswer, QueryRequest
+from fennelfork_daemon.callers._request import read_query
+from fennelfork_daemon.http._body import body_limits, refused_body
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     Route,
     failure_reply,
     json_reply,
 )
-from fennelfork_daemon._observer import Observer
-from fennelfork_daemon._root_service import RootService
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_request import read_json_object
+from fennelfork_daemon.http._wsgi_request import read_json_object
+from fennelfork_daemon.root._service import RootService
+from fennelfork_daemon.settings._tables import Settings
+from fennelfork_daemon.tracing._observer import Observer
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_caller_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/callers/_request.py
@@ -5,15 +5,12 @@
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
-from fennelfork import (
-    Clock,
+from fennelfork import Clock, Failure, FailureCode, not_run
+from fennelfork.gather import (
     CoverageDemand,
-    Failure,
-    FailureCode,
     PartialCoverage,
     QueryRequest,
     WholeCoverage,
-    not_run,
 )
 
 _KNOWN: Final = frozenset(
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: taken, held, patched and given to peers."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_exchange.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/_exchange.py
@@ -6,18 +6,15 @@
 import eventlet
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    ConfigFollower,
-    ConfigSource,
-    Member,
-)
-from fennelfork_daemon._config_codec import pack_document, unpack_document
-from fennelfork_daemon._config_holder import ConfigHolder
-from fennelfork_daemon._metrics import Channel, ControlCost, CountCost
-from fennelfork_daemon._peer_client import PeerClient
-from fennelfork_daemon._peer_idl import peer
+from fennelfork import Blackboard, Clock
+from fennelfork.config import ConfigSource
+from fennelfork.membership import Member
+from fennelfork.placement import ConfigFollower
+from fennelfork_daemon.config._codec import pack_document, unpack_document
+from fennelfork_daemon.config._holder import ConfigHolder
+from fennelfork_daemon.metrics._metrics import Channel, ControlCost, CountCost
+from fennelfork_daemon.peer._client import PeerClient
+from fennelfork_daemon.peer._idl import peer
 
 _TICK_S: Final = 0.1
 _CALLS_AT_ONCE: Final = 16
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/_face.py
@@ -9,24 +9,26 @@
 from fennelfork import (
     Blackboard,
     FailureCode,
+    not_run,
+)
+from fennelfork.config import (
     PatchAccepted,
     PatchRefused,
     Problem,
-    not_run,
     structure_request,
     unstructure_document,
 )
-from fennelfork_daemon._config_service import ConfigService
-from fennelfork_daemon._http_body import body_limits, refused_body
-from fennelfork_daemon._http_router import (
+from fennelfork_daemon.config._service import ConfigService
+from fennelfork_daemon.http._body import body_limits, refused_body
+from fennelfork_daemon.http._problem import problem_reply
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     Route,
     json_reply,
 )
-from fennelfork_daemon._problem import problem_reply
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_request import BodyLimits, read_json_object
+from fennelfork_daemon.http._wsgi_request import BodyLimits, read_json_object
+from fennelfork_daemon.settings._tables import Settings
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_holder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/_holder.py
@@ -4,15 +4,14 @@
 
 import attrs
 
-from fennelfork import (
-    Blackboard,
-    Clock,
+from fennelfork import Blackboard, Clock
+from fennelfork.config import (
     ConfigSource,
     ConfigState,
     OfferOutcome,
     config_state,
 )
-from fennelfork_daemon._logs import StateLog, state_log
+from fennelfork_daemon.logs._logs import StateLog, state_log
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_patcher.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/_patcher.py
@@ -10,11 +10,9 @@
 from returns.pipeline import is_successful
 from returns.result import Failure as Bad
 
-from fennelfork import (
-    Blackboard,
-    Clock,
+from fennelfork import Blackboard, Clock, FailureCode, not_run
+from fennelfork.config import (
     ConfigSource,
-    FailureCode,
     PatchDone,
     PatchOutcome,
     PatchRefused,
@@ -23,11 +21,10 @@
     ReadDocument,
     WriteDocument,
     advance_patch,
-    not_run,
 )
-from fennelfork_daemon._config_holder import ConfigHolder
-from fennelfork_daemon._kv_client import ConfigKey
-from fennelfork_daemon._kv_event import read_event, write_event
+from fennelfork_daemon.config._holder import ConfigHolder
+from fennelfork_daemon.kv._client import ConfigKey
+from fennelfork_daemon.kv._event import read_event, write_event
 
 _MS: Final = 1000
 _TRIES: Final = 6
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/_reader.py
@@ -6,16 +6,12 @@
 import eventlet
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    Blackboard,
-    ConfigFollower,
-    ConfigSource,
-    Failure,
-    StoredDocument,
-)
-from fennelfork_daemon._config_holder import ConfigHolder
-from fennelfork_daemon._kv_client import ConfigKey
-from fennelfork_daemon._logs import StateLog, state_log
+from fennelfork import Blackboard, Failure
+from fennelfork.config import ConfigSource, StoredDocument
+from fennelfork.placement import ConfigFollower
+from fennelfork_daemon.config._holder import ConfigHolder
+from fennelfork_daemon.kv._client import ConfigKey
+from fennelfork_daemon.logs._logs import StateLog, state_log
 
 _TICK_S: Final = 0.1
 _PLATFORM: Final = 'key-value service'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/_service.py
@@ -5,16 +5,17 @@
 import attrs
 import eventlet
 
-from fennelfork import Blackboard, Clock, config_follower, wall_clock
-from fennelfork_daemon._config_exchange import ConfigExchange
-from fennelfork_daemon._config_holder import ConfigHolder, config_holder
-from fennelfork_daemon._config_patcher import ConfigPatcher
-from fennelfork_daemon._config_reader import ConfigReader, config_reader
-from fennelfork_daemon._config_status import ConfigSurvey, config_survey
-from fennelfork_daemon._kv_client import config_key
-from fennelfork_daemon._metrics import CountCost
-from fennelfork_daemon._peer_client import PeerClient
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork import Blackboard, Clock, wall_clock
+from fennelfork.placement import config_follower
+from fennelfork_daemon.config._exchange import ConfigExchange
+from fennelfork_daemon.config._holder import ConfigHolder, config_holder
+from fennelfork_daemon.config._patcher import ConfigPatcher
+from fennelfork_daemon.config._reader import ConfigReader, config_reader
+from fennelfork_daemon.config._status import ConfigSurvey, config_survey
+from fennelfork_daemon.kv._client import config_key
+from fennelfork_daemon.metrics._metrics import CountCost
+from fennelfork_daemon.peer._client import PeerClient
+from fennelfork_daemon.settings._tables import Settings
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_config_status.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/config/_status.py
@@ -7,10 +7,11 @@
 import eventlet
 from returns.pipeline import is_successful
 
-from fennelfork import Blackboard, Member, MemberStatus
-from fennelfork_daemon._peer_client import PeerClient
-from fennelfork_daemon._peer_idl import peer
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork import Blackboard
+from fennelfork.membership import Member, MemberStatus
+from fennelfork_daemon.peer._client import PeerClient
+from fennelfork_daemon.peer._idl import peer
+from fennelfork_daemon.settings._tables import Settings
 
 _CALLS_AT_ONCE: Final = 64
 _NO_DOCUMENT: Final = 9_007_199_254_740_991
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests, from the face to the one backend server."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_build.py
@@ -5,29 +5,24 @@
 
 import attrs
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    OnceGate,
-    leaving_servers,
-    once_gate,
-    peer_health,
-    ticket_key,
-)
-from fennelfork_daemon._describer import Describer
-from fennelfork_daemon._execute_codec import order_from_peer, reply_to_peer
-from fennelfork_daemon._execute_connection import ExecutePatience
-from fennelfork_daemon._execute_face import ExecuteFace
-from fennelfork_daemon._execute_observer import ExecuteObserver
-from fennelfork_daemon._execute_runner import ExecuteRunner
-from fennelfork_daemon._execute_service import ExecuteService
-from fennelfork_daemon._execute_targets import ExecuteTargets
-from fennelfork_daemon._home_calls import Home, HomeCalls
-from fennelfork_daemon._observer import Observer
-from fennelfork_daemon._peer_client import PeerClient
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._ticket_issuer import TicketIssuer
-from fennelfork_daemon._view_cache import ViewCache
+from fennelfork import Blackboard, Clock
+from fennelfork.home import leaving_servers
+from fennelfork.once import OnceGate, once_gate, ticket_key
+from fennelfork.placement import peer_health
+from fennelfork_daemon.execute._connection import ExecutePatience
+from fennelfork_daemon.execute._face import ExecuteFace
+from fennelfork_daemon.execute._observer import ExecuteObserver
+from fennelfork_daemon.execute._peer import ExecutePeer
+from fennelfork_daemon.execute._runner import ExecuteRunner
+from fennelfork_daemon.execute._service import ExecuteService
+from fennelfork_daemon.execute._targets import ExecuteTargets
+from fennelfork_daemon.execute._ticket_issuer import TicketIssuer
+from fennelfork_daemon.home._calls import Home, HomeCalls
+from fennelfork_daemon.peer._client import PeerClient
+from fennelfork_daemon.root._describer import Describer
+from fennelfork_daemon.root._view_cache import ViewCache
+from fennelfork_daemon.settings._tables import Settings
+from fennelfork_daemon.tracing._observer import Observer
 
 _SECRET_BYTES: Final = 32
 _INCARNATION_BITS: Final = 62
@@ -47,20 +42,7 @@
 
     face: ExecuteFace
     issuer: TicketIssuer
-    peer: 'ExecutePeer'
-
-
-@attrs.frozen(kw_only=True)
-class ExecutePeer:
-    """Serves requests that another daemon passed on."""
-
-    _service: ExecuteService
-    _clock: Clock
-
-    def execute(self, request: object) -> object:
-        """Answer as the incarnation that the ticket should name."""
-        order = order_from_peer(request, self._clock.now_ms())
-        return reply_to_peer(self._service.answer_here(order))
+    peer: ExecutePeer
 
 
 def execute_parts(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_codec.py
@@ -5,10 +5,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import ExecuteRequest, Failure, unsettled
-from fennelfork_daemon._execute_order import ExecuteOrder
-from fennelfork_daemon._peer_codec_fault import fault_from_peer, fault_to_peer
-from fennelfork_daemon._peer_idl import peer
+from fennelfork import Failure
+from fennelfork.once import ExecuteRequest, unsettled
+from fennelfork_daemon.execute._order import ExecuteOrder
+from fennelfork_daemon.peer._codec_fault import fault_from_peer, fault_to_peer
+from fennelfork_daemon.peer._idl import peer
 
 
 def order_to_peer(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_connection.py
@@ -18,14 +18,8 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from fennelfork import (
-    ExecuteCall,
-    Failure,
-    FailureCode,
-    judge_execute_reply,
-    may_have_run,
-    not_run,
-)
+from fennelfork import Failure, FailureCode, may_have_run, not_run
+from fennelfork.once import ExecuteCall, judge_execute_reply
 
 _MS: Final = 1000
 _OK: Final = 200
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_face.py
@@ -5,23 +5,23 @@
 from returns.result import Success
 
 from fennelfork import Blackboard, Clock
-from fennelfork_daemon._execute_observer import ExecuteObserver
-from fennelfork_daemon._execute_order import (
+from fennelfork_daemon.execute._observer import ExecuteObserver
+from fennelfork_daemon.execute._order import (
     ExecuteOrder,
     doubted,
     read_execute,
 )
-from fennelfork_daemon._execute_service import ExecuteService
-from fennelfork_daemon._http_body import body_limits, refused_body
-from fennelfork_daemon._http_router import (
+from fennelfork_daemon.execute._service import ExecuteService
+from fennelfork_daemon.http._body import body_limits, refused_body
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     Route,
     failure_reply,
     json_reply,
 )
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_request import read_json_object
+from fennelfork_daemon.http._wsgi_request import read_json_object
+from fennelfork_daemon.settings._tables import Settings
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_observer.py
@@ -6,10 +6,11 @@
 from returns.result import Failure as Failed
 from returns.result import Result
 
-from fennelfork import Blackboard, Failure, OnceTable, Verdict
-from fennelfork_daemon._execute_order import ExecuteOrder
-from fennelfork_daemon._metrics import DaemonMetrics
-from fennelfork_daemon._trace import ExplainRing
+from fennelfork import Blackboard, Failure, Verdict
+from fennelfork.once import OnceTable
+from fennelfork_daemon.execute._order import ExecuteOrder
+from fennelfork_daemon.metrics._metrics import DaemonMetrics
+from fennelfork_daemon.tracing._trace import ExplainRing
 
 _DONE: Final = 'executed'
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_order.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_order.py
@@ -6,13 +6,8 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import (
-    ExecuteRequest,
-    Failure,
-    FailureCode,
-    Verdict,
-    may_have_run,
-)
+from fennelfork import Failure, FailureCode, Verdict, may_have_run
+from fennelfork.once import ExecuteRequest
 
 _LONGEST_NAME: Final = 128
 _LONGEST_ACTION: Final = 4096
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_peer.py
@@ -0,0 +1,20 @@
+"""What peers ask of this daemon for non-idempotent requests."""
+
+import attrs
+
+from fennelfork import Clock
+from fennelfork_daemon.execute._codec import order_from_peer, reply_to_peer
+from fennelfork_daemon.execute._service import ExecuteService
+
+
+@attrs.frozen(kw_only=True)
+class ExecutePeer:
+    """Serves requests that another daemon passed on."""
+
+    _service: ExecuteService
+    _clock: Clock
+
+    def execute(self, request: object) -> object:
+        """Answer as the incarnation that the ticket should name."""
+        order = order_from_peer(request, self._clock.now_ms())
+        return reply_to_peer(self._service.answer_here(order))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_runner.py
@@ -12,17 +12,9 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import (
-    Clock,
-    ExecuteCall,
-    ExecuteRequest,
-    Failure,
-    FailureCode,
-    OnceTable,
-    Verdict,
-    not_run,
-)
-from fennelfork_daemon._execute_connection import (
+from fennelfork import Clock, Failure, FailureCode, Verdict, not_run
+from fennelfork.once import ExecuteCall, ExecuteRequest, OnceTable
+from fennelfork_daemon.execute._connection import (
     ExecutePatience,
     ExecuteTarget,
     attempt_execute,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_service.py
@@ -7,25 +7,27 @@
 from returns.result import Result, Success
 
 from fennelfork import (
-    AnswerIt,
     Blackboard,
     Clock,
-    Done,
-    Ended,
     Failure,
     FailureCode,
+    may_have_run,
+    not_run,
+)
+from fennelfork.once import (
+    AnswerIt,
+    Done,
+    Ended,
     OnceGate,
     OnceState,
     PassOn,
     RunIt,
-    may_have_run,
-    not_run,
     unsettled,
 )
-from fennelfork_daemon._execute_codec import order_to_peer, reply_from_peer
-from fennelfork_daemon._execute_order import ExecuteOrder
-from fennelfork_daemon._execute_runner import ExecuteRunner
-from fennelfork_daemon._peer_client import PeerClient
+from fennelfork_daemon.execute._codec import order_to_peer, reply_from_peer
+from fennelfork_daemon.execute._order import ExecuteOrder
+from fennelfork_daemon.execute._runner import ExecuteRunner
+from fennelfork_daemon.peer._client import PeerClient
 
 _MOST_PASSES: Final = 2
 _TOO_LATE: Final = not_run(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_execute_targets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
@@ -7,20 +7,13 @@
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
-from fennelfork import (
-    Blackboard,
-    ExecuteRequest,
-    Failure,
-    FailureCode,
-    LeavingServers,
-    NamedServer,
-    execute_servers,
-    not_run,
-)
+from fennelfork import Blackboard, Failure, FailureCode, not_run
+from fennelfork.home import LeavingServers
+from fennelfork.once import ExecuteRequest, NamedServer, execute_servers
 from fennelfork_daemon._address import address
-from fennelfork_daemon._describer import Describer
-from fennelfork_daemon._execute_connection import ExecuteTarget
-from fennelfork_daemon._view_cache import ViewCache
+from fennelfork_daemon.execute._connection import ExecuteTarget
+from fennelfork_daemon.root._describer import Describer
+from fennelfork_daemon.root._view_cache import ViewCache
 
 _RETRY_MS: Final = 1000
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_ticket_issuer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_ticket_issuer.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from fennelfork import Blackboard, OnceGate
+from fennelfork import Blackboard
+from fennelfork.once import OnceGate
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/__init__.py
@@ -0,0 +1,1 @@
+"""The homes of shards that this daemon holds."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_calls.py
@@ -6,24 +6,20 @@
 from returns.pipeline import is_successful
 from returns.result import Result, Success
 
-from fennelfork import (
-    EntryGate,
-    Failure,
-    Flow,
-    HomeLevel,
-    Member,
-    PeerHealth,
+from fennelfork import Failure, system_clock
+from fennelfork.gather import (
     QueryRequest,
     ScatterOrder,
     ScatterOutcome,
     ShardView,
-    entry_gate,
-    system_clock,
 )
-from fennelfork_daemon._peer_client import PeerClient
-from fennelfork_daemon._peer_codec import order_to_peer, outcome_from_peer
-from fennelfork_daemon._peer_codec_view import views_from_peer
-from fennelfork_daemon._peer_idl import peer
+from fennelfork.home import EntryGate, Flow, HomeLevel, entry_gate
+from fennelfork.membership import Member
+from fennelfork.placement import PeerHealth
+from fennelfork_daemon.peer._client import PeerClient
+from fennelfork_daemon.peer._codec import order_to_peer, outcome_from_peer
+from fennelfork_daemon.peer._codec_view import views_from_peer
+from fennelfork_daemon.peer._idl import peer
 
 
 class Home(Protocol):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_orders.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_orders.py
@@ -6,14 +6,10 @@
 import attrs
 from returns.result import Result
 
-from fennelfork import (
-    Effort,
-    Expected,
-    Failure,
-    Reply,
-    Task,
-)
-from fennelfork_daemon._backend_client import BackendClient, Sending
+from fennelfork import Failure
+from fennelfork.gather import Expected, Reply
+from fennelfork.home import Effort, Task
+from fennelfork_daemon.backend._client import BackendClient, Sending
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_runners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
@@ -6,12 +6,13 @@
 import attrs
 import eventlet
 
-from fennelfork import Blackboard, Clock, ServerSight
-from fennelfork_daemon._backend_client import BackendClient
-from fennelfork_daemon._home_settings import home_settings, server_facts
-from fennelfork_daemon._home_shard import ShardRunner, shard_runner
-from fennelfork_daemon._metrics import DaemonMetrics
-from fennelfork_daemon._settings_tables import LimitSettings
+from fennelfork import Blackboard, Clock
+from fennelfork.home import ServerSight
+from fennelfork_daemon.backend._client import BackendClient
+from fennelfork_daemon.home._settings import home_settings, server_facts
+from fennelfork_daemon.home._shard import ShardRunner, shard_runner
+from fennelfork_daemon.metrics._metrics import DaemonMetrics
+from fennelfork_daemon.settings._tables import LimitSettings
 
 _POLL_MS: Final = 500
 _POLL_TIMEOUT_MS: Final = 400
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_service.py
@@ -8,25 +8,19 @@
 import attrs
 import eventlet
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    Effort,
-    FailureCode,
-    Flow,
+from fennelfork import Blackboard, Clock, FailureCode, not_run
+from fennelfork.gather import (
     Part,
     Planned,
     ScatterOrder,
     ScatterOutcome,
-    ServerSight,
     ShardView,
-    Task,
-    not_run,
 )
-from fennelfork_daemon._home_orders import Errand, Outcome, SearchOrder
-from fennelfork_daemon._home_runners import HomeRunners, ShardName
-from fennelfork_daemon._metrics import DaemonMetrics
-from fennelfork_daemon._settings_tables import LimitSettings
+from fennelfork.home import Effort, Flow, ServerSight, Task
+from fennelfork_daemon.home._orders import Errand, Outcome, SearchOrder
+from fennelfork_daemon.home._runners import HomeRunners, ShardName
+from fennelfork_daemon.metrics._metrics import DaemonMetrics
+from fennelfork_daemon.settings._tables import LimitSettings
 
 _UNKNOWN: Final = not_run(
     FailureCode.NO_SERVER,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_settings.py
@@ -2,23 +2,17 @@
 
 from typing import Final
 
-from fennelfork import (
-    Blackboard,
+from fennelfork import Blackboard
+from fennelfork.config import (
     Document,
-    FixedHedge,
     Front,
-    HedgePolicy,
     HedgePolicyName,
     HedgeSettings,
-    HomeSettings,
-    NoHedge,
-    QuantileHedge,
-    RoutingMode,
     Server,
-    ServerFacts,
-    Shares,
-    slot_share,
 )
+from fennelfork.home import HomeSettings, ServerFacts, Shares
+from fennelfork.placement import RoutingMode, slot_share
+from fennelfork.servers import FixedHedge, HedgePolicy, NoHedge, QuantileHedge
 
 # Two daemons may think that they are the home of a shard; each takes at most
 # this part of a server's connections, so that both fit.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_home_shard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_shard.py
@@ -11,25 +11,22 @@
 from returns.result import Failure as Bad
 from returns.result import Result
 
-from fennelfork import (
+from fennelfork import Clock, Failure, FailureCode, not_run
+from fennelfork.config import Server
+from fennelfork.gather import Reply
+from fennelfork.home import (
     Action,
     Cancel,
-    Clock,
-    Failure,
-    FailureCode,
     HomeScheduler,
-    Reply,
     Send,
-    Server,
     TaskAnswered,
     TaskRefused,
     home_scheduler,
-    not_run,
 )
 from fennelfork_daemon._address import address
-from fennelfork_daemon._backend_client import BackendClient, Sending
-from fennelfork_daemon._backend_pool import Trace, backend_pool
-from fennelfork_daemon._home_orders import Errand, Outcome
+from fennelfork_daemon.backend._client import BackendClient, Sending
+from fennelfork_daemon.backend._pool import Trace, backend_pool
+from fennelfork_daemon.home._orders import Errand, Outcome
 
 _MS: Final = 1000
 _CANCEL_MS: Final = 1000.0
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/__init__.py
@@ -0,0 +1,1 @@
+"""Serving over HTTP: reading, writing, routes, problem documents."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_body.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_body.py
@@ -1,13 +1,13 @@
 """What the HTTP faces have in common when they read bodies."""
 
-from fennelfork_daemon._http_router import (
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     failure_reply,
 )
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
-from fennelfork_daemon._wsgi_request import BodyLimits, Refusal
+from fennelfork_daemon.http._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon.http._wsgi_request import BodyLimits, Refusal
+from fennelfork_daemon.settings._tables import Settings
 
 
 def body_limits(settings: Settings) -> BodyLimits:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_router.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_router.py
@@ -9,7 +9,7 @@
 import attrs
 
 from fennelfork import Failure, FailureCode, not_run
-from fennelfork_daemon._problem import problem_reply
+from fennelfork_daemon.http._problem import problem_reply
 
 _JSON: Final = 'application/json'
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -8,8 +8,8 @@
 from eventlet.green import socket
 
 from fennelfork import FailureCode, not_run
-from fennelfork_daemon._problem import ProblemReply, problem_reply
-from fennelfork_daemon._wsgi_writer import BoundedWriter
+from fennelfork_daemon.http._problem import ProblemReply, problem_reply
+from fennelfork_daemon.http._wsgi_writer import BoundedWriter
 
 CLOSE_KEY: Final = 'fennelfork.close_connection'
 CONNECTION_KEY: Final = 'fennelfork.connection'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_wsgi_server.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_server.py
@@ -7,11 +7,11 @@
 from eventlet.green import socket
 
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_protocol import (
+from fennelfork_daemon.http._wsgi_protocol import (
     ConnectionLimits,
     bounded_protocol,
 )
+from fennelfork_daemon.settings._tables import Settings
 
 Application = Callable[..., Any]
 
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service as fronts use it."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_client.py
@@ -7,16 +7,9 @@
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
-from fennelfork import (
-    Clock,
-    Failure,
-    FailureCode,
-    PreparedWrite,
-    StoredDocument,
-    call_budget,
-    may_have_run,
-)
-from fennelfork_daemon._kv_codec import (
+from fennelfork import Clock, Failure, FailureCode, may_have_run
+from fennelfork.config import PreparedWrite, StoredDocument, call_budget
+from fennelfork_daemon.kv._codec import (
     range_body,
     read_range,
     read_revision,
@@ -26,9 +19,9 @@
     swap_body,
     watch_body,
 )
-from fennelfork_daemon._kv_http import KeyValueHttp, key_value_http
-from fennelfork_daemon._metrics import CountCost
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon.kv._http import KeyValueHttp, key_value_http
+from fennelfork_daemon.metrics._metrics import CountCost
+from fennelfork_daemon.settings._tables import Settings
 
 _CALLS_PER_SECOND: Final = 20
 _BURST: Final = 40
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_codec.py
@@ -4,7 +4,7 @@
 import json
 from typing import Any, Final
 
-from fennelfork import PreparedWrite, StoredDocument
+from fennelfork.config import PreparedWrite, StoredDocument
 
 _ABSENT: Final = StoredDocument(raw=None, revision=0)
 _DELETED: Final = 'DELETE'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_event.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_event.py
@@ -2,17 +2,17 @@
 
 from returns.pipeline import is_successful
 
-from fennelfork import (
+from fennelfork import Verdict
+from fennelfork.config import (
     DocumentRead,
     PreparedWrite,
     ReadFailed,
-    Verdict,
     WriteApplied,
     WriteLost,
     WriteNotSent,
     WriteRefused,
 )
-from fennelfork_daemon._kv_client import ConfigKey
+from fennelfork_daemon.kv._client import ConfigKey
 
 ReadEvent = DocumentRead | ReadFailed
 WriteEvent = WriteApplied | WriteRefused | WriteNotSent | WriteLost
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_kv_http.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
@@ -11,15 +11,10 @@
 from returns.result import Result, Success
 from urllib3 import exceptions as http_errors
 
-from fennelfork import (
-    CallBudget,
-    Failure,
-    FailureCode,
-    may_have_run,
-    not_run,
-)
-from fennelfork_daemon._metrics import Channel, ControlCost, CountCost
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork import Failure, FailureCode, may_have_run, not_run
+from fennelfork.config import CallBudget
+from fennelfork_daemon.metrics._metrics import Channel, ControlCost, CountCost
+from fennelfork_daemon.settings._tables import Settings
 
 _MS: Final = 1000
 _OK: Final = 200
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Log lines: written without waiting, bounded in volume."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_log_budget.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_budget.py
@@ -5,8 +5,9 @@
 
 import attrs
 
-from fennelfork import CallBudget, Clock, call_budget
-from fennelfork_daemon._logs import structlog
+from fennelfork import Clock
+from fennelfork.config import CallBudget, call_budget
+from fennelfork_daemon.logs._logs import structlog
 
 # Lines of one kind: 50 at once, then 10 a second. A busy daemon has some 60
 # requests a second, of which a tenth or so is hedged, late or partial.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_logs.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_logs.py
@@ -5,7 +5,7 @@
 import attrs
 
 from fennelfork_daemon._left_out import asyncio_left_out, left_out
-from fennelfork_daemon._settings_tables import LogFormat, LogSettings
+from fennelfork_daemon.settings._tables import LogFormat, LogSettings
 
 _MOST_SUBJECTS: Final = 1024
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_local_member.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_local_member.py
@@ -1,14 +1,10 @@
 """This daemon, as it announces itself to the fleet."""
 
-from fennelfork import (
-    Member,
-    MemberStatus,
-    first_incarnation,
-    wall_clock,
-)
+from fennelfork import wall_clock
+from fennelfork.membership import Member, MemberStatus, first_incarnation
 from fennelfork_daemon._listeners import Listeners
-from fennelfork_daemon._settings_tables import Settings
-from fennelfork_daemon._wsgi_server import listening_address
+from fennelfork_daemon.http._wsgi_server import listening_address
+from fennelfork_daemon.settings._tables import Settings
 
 
 def local_member(settings: Settings, listeners: Listeners) -> Member:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_metrics.py
@@ -11,10 +11,14 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from fennelfork import MemberChange, MemberStatus, MemberTable
-from fennelfork_daemon._metrics import Channel, ControlCost, DaemonMetrics
-from fennelfork_daemon._probe_client import ProbeFailure
-from fennelfork_daemon._probe_codec import wire_bytes
+from fennelfork.membership import MemberChange, MemberStatus, MemberTable
+from fennelfork_daemon.membership._probe_client import ProbeFailure
+from fennelfork_daemon.membership._probe_codec import wire_bytes
+from fennelfork_daemon.metrics._metrics import (
+    Channel,
+    ControlCost,
+    DaemonMetrics,
+)
 
 _NS_PER_MS: Final = 1_000_000
 _ANSWERED: Final = 'answered'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_probe_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_probe_client.py
@@ -19,8 +19,8 @@
 from thriftpy2.transport.socket import TSocket
 
 from fennelfork_daemon._address import address as read_address
-from fennelfork_daemon._peer_idl import peer
 from fennelfork_daemon._sockets import no_delay
+from fennelfork_daemon.peer._idl import peer
 
 _MS: Final = 1000
 _SILENCE: Final = (OSError, TException, ValueError, eventlet.Timeout)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_probe_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_probe_codec.py
@@ -6,8 +6,13 @@
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.utils import serialize
 
-from fennelfork import Member, MemberStatus, ProbeAnswer, ProbeMessage
-from fennelfork_daemon._peer_idl import peer
+from fennelfork.membership import (
+    Member,
+    MemberStatus,
+    ProbeAnswer,
+    ProbeMessage,
+)
+from fennelfork_daemon.peer._idl import peer
 
 _MOST_CLAIMS: Final = 64
 # Frame length, version, name of the call, sequence number, field header and
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_membership_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_service.py
@@ -7,9 +7,8 @@
 import eventlet
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    Blackboard,
-    Clock,
+from fennelfork import Blackboard, Clock
+from fennelfork.membership import (
     Membership,
     MembershipPolicy,
     SendProbe,
@@ -19,9 +18,9 @@
     leave_is_told,
     membership,
 )
-from fennelfork_daemon._membership_metrics import MembershipMetrics
-from fennelfork_daemon._probe_client import ProbeClient, ProbeFailure
-from fennelfork_daemon._probe_codec import (
+from fennelfork_daemon.membership._metrics import MembershipMetrics
+from fennelfork_daemon.membership._probe_client import ProbeClient, ProbeFailure
+from fennelfork_daemon.membership._probe_codec import (
     answer_from_peer,
     answer_to_peer,
     probe_from_peer,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_vm_list.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_vm_list.py
@@ -7,15 +7,10 @@
 import eventlet
 import urllib3
 
-from fennelfork import (
-    Blackboard,
-    ListSchedule,
-    Member,
-    Membership,
-    MemberStatus,
-    watchers,
-)
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork import Blackboard
+from fennelfork.membership import ListSchedule, Member, Membership, MemberStatus
+from fennelfork.placement import watchers
+from fennelfork_daemon.settings._tables import Settings
 
 _MS: Final = 1000
 _OK: Final = 200
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counters and histograms, with bounded labels."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics_labels.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/metrics/_labels.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from fennelfork import Document
+from fennelfork.config import Document
 
 OTHER: Final = 'other'
 _COMBINATIONS: Final = 4
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/metrics/_metrics.py
@@ -12,8 +12,9 @@
     generate_latest,
 )
 
-from fennelfork import Document, Failure, FailureCode, Verdict
-from fennelfork_daemon._metrics_families import (
+from fennelfork import Failure, FailureCode, Verdict
+from fennelfork.config import Document
+from fennelfork_daemon.metrics._families import (
     CounterFamilies,
     ExecuteFamilies,
     QueryFamilies,
@@ -22,7 +23,7 @@
     execute_families,
     query_families,
 )
-from fennelfork_daemon._metrics_labels import LabelGuard, Labels, label_guard
+from fennelfork_daemon.metrics._labels import LabelGuard, Labels, label_guard
 
 METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 _MS_PER_SECOND: Final = 1000
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator face."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/operator/_face.py
@@ -5,11 +5,12 @@
 import attrs
 
 from fennelfork import Blackboard, FailureCode, not_run
-from fennelfork_daemon._config_face import config_face
-from fennelfork_daemon._config_reader import ConfigReader
-from fennelfork_daemon._config_service import ConfigService
-from fennelfork_daemon._home_service import HomeService
-from fennelfork_daemon._http_router import (
+from fennelfork_daemon._readiness import unready_reasons
+from fennelfork_daemon.config._face import config_face
+from fennelfork_daemon.config._reader import ConfigReader
+from fennelfork_daemon.config._service import ConfigService
+from fennelfork_daemon.home._service import HomeService
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     Route,
@@ -18,14 +19,13 @@
     json_reply,
     router,
 )
-from fennelfork_daemon._metrics import METRICS_TYPE
-from fennelfork_daemon._observer import Observer
-from fennelfork_daemon._operator_pages import (
+from fennelfork_daemon.metrics._metrics import METRICS_TYPE
+from fennelfork_daemon.operator._pages import (
     fronts_page,
     members_page,
 )
-from fennelfork_daemon._readiness import unready_reasons
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon.settings._tables import Settings
+from fennelfork_daemon.tracing._observer import Observer
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_operator_pages.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/operator/_pages.py
@@ -5,14 +5,10 @@
 
 import attrs
 
-from fennelfork import (
-    Blackboard,
-    Front,
-    Member,
-    ServerSight,
-    Shard,
-    route_homes,
-)
+from fennelfork import Blackboard
+from fennelfork.config import Front, Shard
+from fennelfork.home import ServerSight, route_homes
+from fennelfork.membership import Member
 
 Tree = dict[str, Any]
 # By front and shard.
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/__init__.py
@@ -0,0 +1,1 @@
+"""The peer face: typed messages and calls between daemons."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_client.py
@@ -13,8 +13,8 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import address as read_address
-from fennelfork_daemon._peer_idl import peer
 from fennelfork_daemon._sockets import no_delay
+from fennelfork_daemon.peer._idl import peer
 
 _MS: Final = 1000
 _MAX_IDLE: Final = 16
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_codec.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from fennelfork import (
+from fennelfork.gather import (
     Expected,
     KeyRange,
     Part,
@@ -13,9 +13,9 @@
     ScatterOrder,
     ScatterOutcome,
 )
-from fennelfork_daemon._peer_codec_fault import fault_from_peer, fault_to_peer
-from fennelfork_daemon._peer_codec_view import views_from_peer, views_to_peer
-from fennelfork_daemon._peer_idl import peer
+from fennelfork_daemon.peer._codec_fault import fault_from_peer, fault_to_peer
+from fennelfork_daemon.peer._codec_view import views_from_peer, views_to_peer
+from fennelfork_daemon.peer._idl import peer
 
 
 def order_to_peer(order: ScatterOrder) -> Any:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_codec_fault.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_codec_fault.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from fennelfork import Failure, FailureCode, Verdict
-from fennelfork_daemon._peer_idl import peer
+from fennelfork_daemon.peer._idl import peer
 
 
 def fault_to_peer(failure: Failure) -> Any:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_codec_view.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_codec_view.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from fennelfork import KeyRange, ShardView, SnapshotView
-from fennelfork_daemon._peer_idl import peer
+from fennelfork.gather import KeyRange, ShardView, SnapshotView
+from fennelfork_daemon.peer._idl import peer
 
 
 def views_to_peer(views: tuple[ShardView, ...]) -> list[Any]:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_peer_server.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_server.py
@@ -11,8 +11,8 @@
 from thriftpy2.transport.framed import TCyFramedTransport
 from thriftpy2.transport.socket import TSocket
 
-from fennelfork_daemon._peer_idl import peer
 from fennelfork_daemon._sockets import no_delay
+from fennelfork_daemon.peer._idl import peer
 
 _MAX_CONNECTIONS: Final = 2048
 
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/__init__.py
@@ -0,0 +1,1 @@
+"""The root of a query: pins a snapshot, scatters, merges, answers."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_describer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_describer.py
@@ -5,17 +5,12 @@
 import attrs
 import eventlet
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    Front,
-    HomeGroup,
-    PeerHealth,
-    homes_of,
-    route_homes,
-)
-from fennelfork_daemon._home_calls import HomeCalls
-from fennelfork_daemon._view_cache import ViewCache
+from fennelfork import Blackboard, Clock
+from fennelfork.config import Front
+from fennelfork.home import HomeGroup, homes_of, route_homes
+from fennelfork.placement import PeerHealth
+from fennelfork_daemon.home._calls import HomeCalls
+from fennelfork_daemon.root._view_cache import ViewCache
 
 _SHARE: Final = 0.5
 _LONGEST_MS: Final = 1000
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_scatter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_scatter.py
@@ -8,33 +8,28 @@
 import eventlet
 from returns.pipeline import is_successful
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    Failure,
-    HomeGroup,
-    Member,
+from fennelfork import Blackboard, Clock, Failure, Verdict
+from fennelfork.gather import (
     Merge,
     Part,
-    PeerHealth,
     QueryRequest,
     ScatterOrder,
     ScatterOutcome,
-    Verdict,
     Work,
-    homes_of,
-    route_homes,
 )
-from fennelfork_daemon._home_calls import HomeCalls
-from fennelfork_daemon._root_wave import (
+from fennelfork.home import HomeGroup, homes_of, route_homes
+from fennelfork.membership import Member
+from fennelfork.placement import PeerHealth
+from fennelfork_daemon.home._calls import HomeCalls
+from fennelfork_daemon.root._view_cache import ViewCache
+from fennelfork_daemon.root._wave import (
     is_awaited,
     note_group,
     patience_ms,
     pending_of,
     pending_shards,
 )
-from fennelfork_daemon._trace import RequestTrace
-from fennelfork_daemon._view_cache import ViewCache
+from fennelfork_daemon.tracing._trace import RequestTrace
 
 _MS: Final = 1000
 # How soon a home that lives answers a call that asks for nothing.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_service.py
@@ -7,28 +7,23 @@
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    Failure,
-    FailureCode,
+from fennelfork import Blackboard, Clock, Failure, FailureCode, not_run
+from fennelfork.gather import (
     KeyRange,
     Merge,
-    PeerHealth,
     QueryAnswer,
     QueryRequest,
     merge_of,
-    not_run,
-    peer_health,
     pin,
     refusal_of,
 )
-from fennelfork_daemon._describer import Describer
-from fennelfork_daemon._home_calls import Home, HomeCalls
-from fennelfork_daemon._peer_client import PeerClient
-from fennelfork_daemon._root_scatter import RootScatter
-from fennelfork_daemon._trace import RequestTrace
-from fennelfork_daemon._view_cache import ViewCache
+from fennelfork.placement import PeerHealth, peer_health
+from fennelfork_daemon.home._calls import Home, HomeCalls
+from fennelfork_daemon.peer._client import PeerClient
+from fennelfork_daemon.root._describer import Describer
+from fennelfork_daemon.root._scatter import RootScatter
+from fennelfork_daemon.root._view_cache import ViewCache
+from fennelfork_daemon.tracing._trace import RequestTrace
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_view_cache.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_view_cache.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from fennelfork import ShardView
+from fennelfork.gather import ShardView
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_root_wave.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_wave.py
@@ -2,14 +2,9 @@
 
 from typing import Final
 
-from fennelfork import (
-    CoverageDemand,
-    HomeGroup,
-    Merge,
-    Planned,
-    is_hopeless,
-)
-from fennelfork_daemon._trace import RequestTrace
+from fennelfork.gather import CoverageDemand, Merge, Planned, is_hopeless
+from fennelfork.home import HomeGroup
+from fennelfork_daemon.tracing._trace import RequestTrace
 
 # How long a home may be silent before it is asked whether it lives.
 _PATIENCE_SHARE: Final = 0.4
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ask.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ask.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from fennelfork_daemon._backend_call import HeaderPairs
+from fennelfork_daemon.backend._call import HeaderPairs
 
 # Headers that concern only one connection (RFC 9110, 7.6.1), and the length,
 # which is told anew for the body as it is passed on.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from fennelfork import Clock, Member, MemberStatus, wall_clock
+from fennelfork import Clock, wall_clock
+from fennelfork.membership import Member, MemberStatus
 from fennelfork.routes import (
     ConnectionShares,
     FleetSize,
@@ -13,7 +14,7 @@
     RouteTable,
     ServerStates,
 )
-from fennelfork_daemon._wsgi_protocol import ConnectionLimits
+from fennelfork_daemon.http._wsgi_protocol import ConnectionLimits
 from fennelfork_daemon.routes._settings import RouteSettings
 
 # Daemons renew their leases each 0.7 s. One that died meanwhile costs its
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_body.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_body.py
@@ -6,7 +6,7 @@
 from returns.result import Result, Success
 
 from fennelfork import Failure, FailureCode, not_run
-from fennelfork_daemon._wsgi_protocol import CLOSE_KEY
+from fennelfork_daemon.http._wsgi_protocol import CLOSE_KEY
 
 _MS_PER_SECOND = 1000
 _LENGTH = 'CONTENT_LENGTH'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -23,7 +23,7 @@
     end_of_failure,
     note_end,
 )
-from fennelfork_daemon._backend_pool import Trace
+from fennelfork_daemon.backend._pool import Trace
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._ports import BackendCodec
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -20,7 +20,7 @@
     dispatch,
     draw_services,
 )
-from fennelfork_daemon._wsgi_protocol import CONNECTION_KEY
+from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
 from fennelfork_daemon.routes._answer import Answer, Refused
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
 from fennelfork_daemon.routes._board import (
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_facts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_facts.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from fennelfork import Member
+from fennelfork.membership import Member
 from fennelfork.routes import BackendServer, RouteTable
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -10,7 +10,8 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from fennelfork import Backoff, Failure
+from fennelfork import Failure
+from fennelfork.config import Backoff
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._contact import StoreContact
 from fennelfork_daemon.routes._facts import Fact
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_foundation.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_foundation.py
@@ -4,7 +4,7 @@
 
 from fennelfork import Clock, system_clock
 from fennelfork.routes import Allowances, allowances
-from fennelfork_daemon._log_budget import DecisionLog, decision_log
+from fennelfork_daemon.logs._budget import DecisionLog, decision_log
 from fennelfork_daemon.routes._board import RouteBoard, route_board
 from fennelfork_daemon.routes._metrics import RouteMetrics, route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -12,14 +12,14 @@
 )
 
 from fennelfork.routes import RouteTable
-from fennelfork_daemon._http_router import (
+from fennelfork_daemon.http._router import (
     HttpReply,
     HttpRequest,
     Route,
     Router,
     router,
 )
-from fennelfork_daemon._metrics_labels import KnownNames
+from fennelfork_daemon.metrics._labels import KnownNames
 
 _METRICS_TYPE: Final = 'text/plain; version=0.0.4; charset=utf-8'
 _MS_PER_SECOND: Final = 1000
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -2,10 +2,11 @@
 
 import attrs
 
-from fennelfork import Clock, ConnectionLedger
+from fennelfork import Clock
 from fennelfork.routes import BackendServer, ConnectionShares
+from fennelfork.servers import ConnectionLedger
 from fennelfork_daemon._address import address
-from fennelfork_daemon._backend_pool import BackendPool, backend_pool
+from fennelfork_daemon.backend._pool import BackendPool, backend_pool
 
 # The largest answer of a backend server that is read.
 _MOST_BYTES = 8_388_608
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -5,10 +5,11 @@
 import attrs
 from returns.result import Result
 
-from fennelfork import Failure, Member
+from fennelfork import Failure
+from fennelfork.membership import Member
 from fennelfork.routes import BackendServer
-from fennelfork_daemon._backend_call import BackendResponse, ForwardCall
-from fennelfork_daemon._http_router import HttpReply
+from fennelfork_daemon.backend._call import BackendResponse, ForwardCall
+from fennelfork_daemon.http._router import HttpReply
 from fennelfork_daemon.routes._answer import Answer
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
 from fennelfork_daemon.routes._facts import Fact
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from fennelfork.routes import Allowances
-from fennelfork_daemon._log_budget import DecisionLog
+from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._settings import RouteSettings
 
 # How soon after the signal the file is read.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reporters.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from fennelfork import Clock, Failure, Member
+from fennelfork import Clock, Failure
+from fennelfork.membership import Member
 from fennelfork.routes import (
     BackendServer,
     CallEnd,
@@ -13,7 +14,7 @@
     RouteTable,
     Send,
 )
-from fennelfork_daemon._log_budget import DecisionLog
+from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._ask import Ask
 from fennelfork_daemon.routes._facts import UnreadableFact
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -8,9 +8,9 @@
 
 from fennelfork_daemon._address import Address
 from fennelfork_daemon._in_progress import CountedApplication, InProgress
-from fennelfork_daemon._log_budget import DecisionLog
 from fennelfork_daemon._stop_service import StopService
-from fennelfork_daemon._wsgi_server import open_listener, serve_face
+from fennelfork_daemon.http._wsgi_server import open_listener, serve_face
+from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._board import RouteBoard
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._face import RouteFace
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -4,8 +4,8 @@
 
 from fennelfork import Clock, StopPolicy
 from fennelfork_daemon._in_progress import InProgress
-from fennelfork_daemon._logs import state_log
 from fennelfork_daemon._stop_service import StopService, stop_service
+from fennelfork_daemon.logs._logs import state_log
 from fennelfork_daemon.routes._entries import ENTRY_TTL_MS
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._settings import RouteSettings
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/settings/__init__.py
@@ -0,0 +1,1 @@
+"""The settings file: read, checked, with all problems named."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_settings_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/settings/_reader.py
@@ -6,7 +6,7 @@
 import cattrs
 from cattrs.gen import make_dict_structure_fn
 
-from fennelfork_daemon._settings_rules import SettingError, checked, rules_of
+from fennelfork_daemon.settings._rules import SettingError, checked, rules_of
 
 
 def settings_converter() -> cattrs.Converter:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/settings/_settings.py
@@ -7,12 +7,12 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from fennelfork_daemon._settings_problems import (
+from fennelfork_daemon.settings._problems import (
     SettingProblem,
     setting_problems,
 )
-from fennelfork_daemon._settings_reader import settings_converter
-from fennelfork_daemon._settings_tables import Settings
+from fennelfork_daemon.settings._reader import settings_converter
+from fennelfork_daemon.settings._tables import Settings
 
 _REQUIRED_TABLES: Final = ('daemon', 'listen', 'platform')
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_settings_tables.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/settings/_tables.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from fennelfork import RoutingMode
+from fennelfork.placement import RoutingMode
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._settings_rules import (
+from fennelfork_daemon.settings._rules import (
     AddressRule,
     LabelRule,
     PrefixRule,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_settings_words.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/settings/_words.py
@@ -7,7 +7,7 @@
 import attrs
 
 from fennelfork_daemon._address import HIGHEST_PORT
-from fennelfork_daemon._settings_rules import (
+from fennelfork_daemon.settings._rules import (
     TEXT_LENGTH,
     AddressRule,
     LabelRule,
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/tracing/__init__.py
@@ -0,0 +1,1 @@
+"""What was done for single requests."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_observer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/tracing/_observer.py
@@ -4,24 +4,22 @@
 
 import attrs
 
-from fennelfork import (
-    Blackboard,
-    Clock,
-    Failure,
-    QueryAnswer,
-    QueryRequest,
-    Verdict,
-)
-from fennelfork_daemon._metrics import (
+from fennelfork import Blackboard, Clock, Failure, Verdict
+from fennelfork.gather import QueryAnswer, QueryRequest
+from fennelfork_daemon._state_watch import StateWatch, state_watch
+from fennelfork_daemon.metrics._labels import Labels
+from fennelfork_daemon.metrics._metrics import (
     DaemonMetrics,
     FrontWork,
     QueryFacts,
     daemon_metrics,
 )
-from fennelfork_daemon._metrics_labels import Labels
-from fennelfork_daemon._settings_tables import LimitSettings
-from fennelfork_daemon._state_watch import StateWatch, state_watch
-from fennelfork_daemon._trace import ExplainRing, RequestTrace, request_trace
+from fennelfork_daemon.settings._tables import LimitSettings
+from fennelfork_daemon.tracing._trace import (
+    ExplainRing,
+    RequestTrace,
+    request_trace,
+)
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_trace.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/tracing/_trace.py
@@ -6,7 +6,8 @@
 
 import attrs
 
-from fennelfork import Clock, Part
+from fennelfork import Clock
+from fennelfork.gather import Part
 
 _MOST_EVENTS: Final = 32
 
