A watch that the store forgot is asked again once the store is back

It does not answer those watches any more, also after its return, while renewals of the lease on other calls do: the log of a daemon shows the store lost at 8.89 s and regained at 12.42 s, and no configuration after, though one was acknowledged at 12.05 s. The watch would have been given up after 32 s; until then old routes were served (CONFIG) and new ones refused (DENIED).

Ruled out: a lost connection (renewals on the same pool work), keep-alive (the store's host acknowledges), a follower that backs off (it never returned).

Change: the contact with the store tells its listeners when the store is reached after a loss, by whatever call; the follower then ends the call that it waits for and asks again, once.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -10,7 +10,7 @@
 from fennelfork_daemon.routes._contact import StoreContact, store_contact
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._face import RouteFace
-from fennelfork_daemon.routes._follower import StoreFollower
+from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._foundation import Foundation, foundation
 from fennelfork_daemon.routes._lag import lag_watch
 from fennelfork_daemon.routes._ports import Ports
@@ -89,11 +89,11 @@
     reporter: StoreReporter,
     contact: StoreContact,
 ) -> StoreFollower:
-    return StoreFollower(
-        store=base.ports.store,
-        contact=contact,
-        taker=FactTaker(board=base.board, reporter=reporter, pools=base.pools),
-        rng=random.Random(),
+    return store_follower(
+        base.ports.store,
+        contact,
+        FactTaker(board=base.board, reporter=reporter, pools=base.pools),
+        random.Random(),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
@@ -1,5 +1,6 @@
 """Whether the store is reached, by all calls of this daemon together."""
 
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -22,6 +23,11 @@
     _reporter: StoreReporter
     _reached_ms: float
     _lost: bool = False
+    _on_return: list[Callable[[], None]] = attrs.field(factory=list)
+
+    def listen(self, on_return: Callable[[], None]) -> None:
+        """Call a function whenever the store is reached after an absence."""
+        self._on_return.append(on_return)
 
     def missed(self, failure: Failure) -> None:
         """Note a call that did not reach the store, or was turned away."""
@@ -41,6 +47,8 @@
         if away_ms >= _ABSENCE_MS:
             self._board.roster.registry.hold()
             self._board.members.hold()
+        for on_return in self._on_return:
+            on_return()
 
 
 def store_contact(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -15,6 +15,7 @@
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._contact import StoreContact
 from fennelfork_daemon.routes._facts import Fact
+from fennelfork_daemon.routes._pending_call import PendingCall
 from fennelfork_daemon.routes._ports import Changes, HistoryGone, Listing, Store
 
 _MS_PER_SECOND: Final = 1000
@@ -43,6 +44,7 @@
     _contact: StoreContact
     _taker: FactTaker
     _rng: random.Random
+    _pending: PendingCall[Any] = attrs.field(factory=PendingCall)
     _revision: int | None = None
     _failures: int = 0
 
@@ -58,7 +60,9 @@
         Returns:
             How long to wait before the next.
         """
-        called = self._call()
+        called = self._pending.wait_for(self._call)
+        if called is None:
+            return 0
         if not is_successful(called):
             self._failures += 1
             self._contact.missed(called.failure())
@@ -67,6 +71,14 @@
         self._contact.reached()
         return _taken(called.unwrap(), self)
 
+    def ask_again(self) -> None:
+        """Give up the call that waits: the store was away meanwhile.
+
+        What it forgot then is never answered, and a change right after its
+        return would stay unknown for the rest of a watch, half a minute.
+        """
+        self._pending.give_up()
+
     def take_facts(self, facts: Iterable[Fact]) -> None:
         """Take facts that are new."""
         self._taker.take(facts)
@@ -92,6 +104,23 @@
         return self._store.read_all(min(_LAST_READ_MS, patience_ms))
 
 
+def store_follower(
+    store: Store,
+    contact: StoreContact,
+    taker: FactTaker,
+    rng: random.Random,
+) -> StoreFollower:
+    """Build a follower that asks again whenever the store comes back."""
+    follower = StoreFollower(
+        store=store,
+        contact=contact,
+        taker=taker,
+        rng=rng,
+    )
+    contact.listen(follower.ask_again)
+    return follower
+
+
 @functools.singledispatch
 def _taken(found: Any, follower: StoreFollower) -> float:
     """Take what the store answered and tell how long to wait."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+import eventlet
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
@@ -33,8 +34,8 @@
 )
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._board import route_board
-from fennelfork_daemon.routes._contact import store_contact
-from fennelfork_daemon.routes._follower import StoreFollower
+from fennelfork_daemon.routes._contact import StoreContact, store_contact
+from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._metrics import route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._registration import Registration
@@ -42,6 +43,10 @@
 from fennelfork_daemon.settings._tables import LogSettings
 
 AWAY = not_run(FailureCode.PLATFORM, 'the store answered 503')
+# A watch that is never answered, as its connection carries nothing any more.
+SILENCE = 'silence'
+# Longer than any test waits.
+_FOREVER_S = 60
 _ANYWHERE = Address(host='127.0.0.1', port=0)
 
 
@@ -134,7 +139,10 @@
         self.calls.append(('read_all', timeout_ms))
         if not self.listed:
             return Bad(AWAY)
-        return Success(Listing(facts=tuple(self.listed.pop(0)), revision=5))
+        facts = self.listed.pop(0)
+        if facts is SILENCE:
+            eventlet.sleep(_FOREVER_S)
+        return Success(Listing(facts=tuple(facts), revision=5))
 
     def changes(self, after: int) -> Result[Changes | HistoryGone, Failure]:
         """Give the next changes, a failure if there are none."""
@@ -142,6 +150,8 @@
         if not self.changed:
             return Bad(AWAY)
         facts = self.changed.pop(0)
+        if facts is SILENCE:
+            eventlet.sleep(_FOREVER_S)
         if isinstance(facts, HistoryGone):
             return Success(facts)
         return Success(Changes(facts=tuple(facts), revision=after + 1))
@@ -183,6 +193,7 @@
     store: FakeStore = attrs.field(factory=FakeStore)
     log: io.StringIO = attrs.field(factory=io.StringIO)
     board: Any = attrs.field(init=False)
+    contact: StoreContact = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
 
@@ -201,23 +212,28 @@
             ),
             metrics=metrics,
         )
-        contact = store_contact(self.board, clock, reporter)
+        self.contact = store_contact(self.board, clock, reporter)
         pools = ServerPools(clock=clock, shares=self.board.shares)
-        self.follower = StoreFollower(
-            store=self.store,
-            contact=contact,
-            taker=FactTaker(board=self.board, reporter=reporter, pools=pools),
-            rng=random.Random(1),
+        self.follower = store_follower(
+            self.store,
+            self.contact,
+            FactTaker(board=self.board, reporter=reporter, pools=pools),
+            random.Random(1),
         )
         self.registration = Registration(
             store=self.store,
             board=self.board,
             least_lease_ms=1000,
-            contact=contact,
+            contact=self.contact,
             clock=clock,
             reporter=reporter,
         )
 
+    @property
+    def watches(self) -> int:
+        """How often the store was asked for changes."""
+        return sum(call[0] == 'changes' for call in self.store.calls)
+
     def take_list(self, *facts: Fact) -> None:
         """Have the store list facts, and take them."""
         self.store.listed.append(facts)
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -2,10 +2,12 @@
 
 import random
 
+import eventlet
 import pytest
 import structlog
 from daemon_builders_routes import (
     AWAY,
+    SILENCE,
     Following,
     member,
     server,
@@ -26,6 +28,9 @@
     UnreadableFact,
 )
 
+# For green threads that are about to run.
+_LET_RUN_S = 0.01
+
 
 @pytest.fixture
 def following() -> Following:
@@ -113,6 +118,62 @@
         assert [one.instance for one in usable] == ['i-2']
 
 
+class TestSilentStore:
+    """The store falls silent while a watch waits for its answer.
+
+    The watch is not answered any more, but the next renewals are: first they
+    tell that the store is away, then that it is back. Waiting on would leave
+    the daemon with an old configuration for the half minute of a watch.
+    """
+
+    @pytest.mark.parametrize('missed', [1, 6])
+    def test_change_right_after(
+        self,
+        following: Following,
+        missed: int,
+    ) -> None:
+        """A change after the return is in force at once."""
+        following.registration.step()
+        following.store.changed = [SILENCE, (ConfigFact(table=table(8)),)]
+        watch = eventlet.spawn(_two_steps, following)
+        eventlet.sleep(_LET_RUN_S)
+        failures = [Bad(AWAY) for _ in range(missed)]
+        following.store.renewals = [*failures, Success(True)]
+        for _ in range(missed + 1):
+            following.registration.step()
+        with eventlet.Timeout(1):
+            watch.wait()
+        assert following.board.table.version == 8
+
+    def test_silent_listing(self) -> None:
+        """So is a listing that was asked for while the store was silent."""
+        built = Following()
+        built.store.listed = [SILENCE, (ConfigFact(table=table(8)),)]
+        watch = eventlet.spawn(_two_steps, built)
+        eventlet.sleep(_LET_RUN_S)
+        built.contact.missed(AWAY)
+        built.contact.reached()
+        with eventlet.Timeout(1):
+            watch.wait()
+        assert built.board.table.version == 8
+        structlog.reset_defaults()
+
+    def test_no_stampede(self, following: Following) -> None:
+        """A watch is asked again once, and not while all is well."""
+        following.store.changed = [SILENCE, SILENCE]
+        watch = eventlet.spawn(_two_steps, following)
+        eventlet.sleep(_LET_RUN_S)
+        following.contact.reached()
+        eventlet.sleep(_LET_RUN_S)
+        assert following.watches == 1
+        following.contact.missed(AWAY)
+        for _ in range(5):
+            following.contact.reached()
+            eventlet.sleep(_LET_RUN_S)
+        assert following.watches == 2
+        watch.kill()
+
+
 class TestPace:
     """How often, and how patiently, the store is asked."""
 
@@ -221,6 +282,12 @@
         structlog.reset_defaults()
 
 
+def _two_steps(following: Following) -> None:
+    """Make two calls of the store one after the other, as a daemon does."""
+    following.follower.step()
+    following.follower.step()
+
+
 def _addresses(following: Following) -> tuple[str, ...]:
     entries = RouteEntries(board=following.board, rng=random.Random(1))
     found = entries.answer(EntryAsk(region='east', data_centre='here'))
