A server's state belongs to its start; foreign entries name nobody

Cause: a backend server may start again under its name and then holds nothing of before, but latency, ejection, silence and connections were kept by the name alone. Entries were read without a check of their fields: slots as a text or truth value, a state nobody knows (taken as ready), nesting without end (which ended the watch's green thread), huge numbers, a key that breaks a header; and an entry that was overwritten left the server that stood there before in use.

Change: the time of a server's start, where it says one, names its run, and states, connections and tried servers are kept by run. News of an earlier run than the known one are left alone.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
@@ -50,9 +50,9 @@
         for fact in facts:
             _take(fact, self)
         self.board.fleet.note(len(self.board.members.entries))
-        instances = set(self.board.roster.registry.entries)
-        self.board.states.keep(instances)
-        self._pools.keep(instances)
+        runs = self.board.roster.runs
+        self.board.states.keep(runs)
+        self._pools.keep(runs)
 
 
 @functools.singledispatch
@@ -83,6 +83,8 @@
 
 @_take.register
 def _take_server(fact: ServerFact, taker: FactTaker) -> None:
+    if taker.board.roster.is_outdated(fact.server):
+        return
     before = taker.board.roster.put(fact.server)
     taker.reporter.server_seen(fact.server, before)
 
@@ -109,3 +111,7 @@
 @_take.register
 def _take_unreadable(fact: UnreadableFact, taker: FactTaker) -> None:
     taker.reporter.unreadable(fact)
+    if taker.board.roster.drop(fact.instance):
+        taker.reporter.server_gone(fact.instance)
+    if taker.board.members.drop(fact.member):
+        taker.reporter.member_gone(fact.member)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -67,7 +67,7 @@
     def launch(self, sends: list[Send]) -> None:
         """Start calls."""
         for send in sends:
-            state = self._parts.selector.states.of(send.server.instance)
+            state = self._parts.selector.states.of(send.server.run)
             state.sent(send.attempt, send.sent_ms)
             self._running[send.attempt] = eventlet.spawn(self._run, send)
 
@@ -123,7 +123,7 @@
                 send.server.data_centre,
             ),
         )
-        state = self._parts.selector.states.of(send.server.instance)
+        state = self._parts.selector.states.of(send.server.run)
         before = state.standing.ejected(record.now_ms)
         returning = state.standing.returning
         note_end(end, record, state)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -147,7 +147,7 @@
 
 @attrs.frozen(kw_only=True)
 class ItemRefused:
-    """An item of the store cannot be read; what was known stays."""
+    """An item of the store cannot be read, so it names nobody to use."""
 
     event: ClassVar[str] = 'item_refused'
     key: str
@@ -156,7 +156,7 @@
 
 @attrs.frozen(kw_only=True)
 class ServerSeen:
-    """A backend server registered itself, or began or ended to drain."""
+    """A backend server registered itself, started again, or drains."""
 
     event: ClassVar[str] = 'server_seen'
     server: str
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_facts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_facts.py
@@ -43,15 +43,19 @@
 
 @attrs.frozen(kw_only=True)
 class UnreadableFact:
-    """An item that could not be read.
+    """An item that could not be read; it may have been readable before.
 
     Attributes:
         key: of the item.
         problem: what is wrong with it.
+        instance: the backend server that it is to name, empty if none.
+        member: the daemon that it is to name, empty if none.
     """
 
     key: str
     problem: str
+    instance: str = ''
+    member: str = ''
 
 
 Fact = (
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -26,18 +26,18 @@
 
     def of(self, server: BackendServer) -> BackendPool:
         """Give the connections to a server, within its present limit."""
-        pool = self._pools.get(server.instance)
+        pool = self._pools.get(server.run)
         if pool is None:
             pool = self._open(server)
-        ledger = self._ledgers[server.instance]
+        ledger = self._ledgers[server.run]
         ledger.limit = self._shares.of(server.service)
         return pool
 
-    def keep(self, instances: set[str]) -> None:
-        """Close the connections to all other servers once they are idle."""
-        for instance in self._pools.keys() - instances:
-            self._ledgers.pop(instance)
-            self._pools.pop(instance).retire_all()
+    def keep(self, runs: set[str]) -> None:
+        """Close the connections to all other runs once they are idle."""
+        for run in self._pools.keys() - runs:
+            self._ledgers.pop(run)
+            self._pools.pop(run).retire_all()
 
     def retire(self) -> None:
         """Close what idled for long."""
@@ -54,6 +54,6 @@
             probe=None,
             when_full=_WHEN_FULL,
         )
-        self._ledgers[server.instance] = ledger
-        self._pools[server.instance] = pool
+        self._ledgers[server.run] = ledger
+        self._pools[server.run] = pool
         return pool
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -56,7 +56,8 @@
         before: BackendServer | None,
     ) -> None:
         """A backend server is new, or changed what it says of itself."""
-        if before is not None and before.draining == server.draining:
+        same_run = before is not None and before.run == server.run
+        if same_run and before.draining == server.draining:
             return
         self._log.tell(
             events.ServerSeen(
@@ -81,5 +82,5 @@
         self._log.tell(events.DaemonGone(peer=name))
 
     def unreadable(self, fact: UnreadableFact) -> None:
-        """An item of the store could not be read; what was known stays."""
+        """An item of the store could not be read; it names nobody to use."""
         self._log.tell(events.ItemRefused(key=fact.key, reason=fact.problem))
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -118,6 +118,68 @@
         assert [one.instance for one in usable] == ['i-2']
 
 
+class TestStartedAgain:
+    """A backend server starts again under its name."""
+
+    def test_is_told(self, following: Following) -> None:
+        """Its new run is used and logged, late news of the former are not."""
+        following.change(ServerFact(server=server('i-1', born_ms=2000)))
+        late = server('i-1', born_ms=1000, draining=True)
+        following.change(ServerFact(server=late))
+        runs = [one.run for one in following.board.roster.usable('archive')]
+        assert 'i-1@2000' in runs
+        assert following.events().count('server_seen') == 3
+
+    def test_is_seen_afresh(self, following: Following) -> None:
+        """What was seen of the former run is gone."""
+        states = following.board.states
+        states.of(server('i-1').run).standing.eject(0)
+        again = server('i-1', born_ms=2000)
+        following.change(ServerFact(server=again))
+        assert not states.of(again.run).standing.ejected(1)
+
+
+class TestForeignEntries:
+    """Another writer put something else under a key that was good before."""
+
+    def test_server(self, following: Following) -> None:
+        """Its server gets no more work, the others hold."""
+        following.change(
+            UnreadableFact(key='k', problem='no JSON', instance='i-1'),
+        )
+        usable = following.board.roster.usable('archive')
+        assert [one.instance for one in usable] == ['i-2']
+        assert following.events().count('item_refused') == 1
+
+    def test_server_after_an_absence(self, following: Following) -> None:
+        """It is not kept like one that only lapsed."""
+        following.board.roster.registry.hold()
+        following.change(
+            UnreadableFact(key='k', problem='no JSON', instance='i-1'),
+        )
+        assert len(following.board.roster.usable('archive')) == 1
+
+    def test_listed(self, following: Following) -> None:
+        """So with a whole list."""
+        following.store.changed.append(HistoryGone())
+        following.follower.step()
+        following.take_list(
+            ConfigFact(table=table(3)),
+            UnreadableFact(key='k', problem='no JSON', instance='i-1'),
+            ServerFact(server=server('i-2')),
+        )
+        usable = following.board.roster.usable('archive')
+        assert [one.instance for one in usable] == ['i-2']
+
+    def test_daemon(self, following: Following) -> None:
+        """A daemon under such a key is not named to callers."""
+        following.change(MemberFact(member=member('vm-22')))
+        following.change(
+            UnreadableFact(key='k', problem='no JSON', member='vm-22'),
+        )
+        assert _addresses(following) == (following.board.local.caller,)
+
+
 class TestSilentStore:
     """The store falls silent while a watch waits for its answer.
 
--- a/packages/fennelfork/src/fennelfork/routes/_leg.py
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -42,7 +42,7 @@
         service: which one.
         part: the answer that counts, once there is one.
         running: sends that were not answered, by attempt.
-        tried: instances that the request was sent to.
+        tried: runs of servers that the request was sent to.
         hedge_ms: when to send a second copy.
         abandoned: whether nothing more is sent.
         failure: the last failure.
@@ -89,7 +89,7 @@
     def sent(self, send: Send) -> None:
         """Note a copy that goes out."""
         self.running[send.attempt] = send
-        self.tried.add(send.server.instance)
+        self.tried.add(send.server.run)
         self.runs += 1
         self.arrivals += 1
         self._note(send, send.sent_ms, 'sent again' if send.repeat else 'sent')
--- a/packages/fennelfork/src/fennelfork/routes/_registry.py
+++ b/packages/fennelfork/src/fennelfork/routes/_registry.py
@@ -53,9 +53,12 @@
         if self._clock.now_ms() < self._holding_until_ms:
             self._lapsed.setdefault(name, self._holding_until_ms)
             return False
+        return self.drop(name)
+
+    def drop(self, name: str) -> bool:
+        """Forget an entry at once; tell whether it was known."""
         self._lapsed.pop(name, None)
-        self._entries.pop(name)
-        return True
+        return self._entries.pop(name, None) is not None
 
     def keep(self, names: Iterable[str]) -> list[str]:
         """Remove all but these; give those that are gone now."""
--- a/packages/fennelfork/src/fennelfork/routes/_roster.py
+++ b/packages/fennelfork/src/fennelfork/routes/_roster.py
@@ -12,13 +12,17 @@
     """One run of a backend server.
 
     Attributes:
-        instance: names this run and no other.
+        instance: its name; it may start again under the same.
         service: which service it belongs to.
         address: `ip:port`; another server may get it later.
         data_centre: where it runs.
         slots: how many requests it runs at the same time.
         draining: whether it is about to leave.
         warm_ms: time from which on it works at full speed.
+        born_ms: time of day of its start, by its own clock; 0 if it does not
+            say.
+        run: names this start and no other. What is seen of a server belongs
+            to its run: one that started again knows nothing of before.
     """
 
     instance: str
@@ -28,6 +32,12 @@
     slots: int
     draining: bool = False
     warm_ms: float = 0
+    born_ms: int = 0
+    run: str = attrs.field(init=False)
+
+    @run.default
+    def _name_run(self) -> str:
+        return f'{self.instance}@{self.born_ms}'
 
 
 @attrs.define(kw_only=True)
@@ -48,6 +58,19 @@
         self._index()
         return self._by_service.get(service, [])
 
+    @property
+    def runs(self) -> set[str]:
+        """The runs of all servers that still count."""
+        return {server.run for server in self.registry.entries.values()}
+
+    def is_outdated(self, server: BackendServer) -> bool:
+        """Tell whether news are of an earlier run than is known already.
+
+        A write of the earlier run may reach the store late.
+        """
+        known = self.registry.entries.get(server.instance)
+        return known is not None and server.born_ms < known.born_ms
+
     def put(self, server: BackendServer) -> BackendServer | None:
         """Take what a server registered, and give what it had before."""
         self._changes += 1
@@ -58,6 +81,11 @@
         self._changes += 1
         return self.registry.remove(instance)
 
+    def drop(self, instance: str) -> bool:
+        """Forget a server at once; tell whether it was known."""
+        self._changes += 1
+        return self.registry.drop(instance)
+
     def keep(self, instances: Iterable[str]) -> list[str]:
         """Remove all servers but these; give those that are gone now."""
         self._changes += 1
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -62,7 +62,7 @@
 
     Attributes:
         service: one of whose servers is wanted.
-        tried: instances that had the request already.
+        tried: runs that had the request already.
         pace: of the route.
         only_healthy: rather choose none than one in doubt.
     """
@@ -92,9 +92,9 @@
         moment ago only if there is no other.
         """
         servers = {
-            server.instance: server
+            server.run: server
             for server in self.roster.usable(wanted.service)
-            if server.instance not in wanted.tried
+            if server.run not in wanted.tried
         }
         # The same for all servers of the service.
         share = self.shares.of(wanted.service)
@@ -116,7 +116,7 @@
         wanted: Selection,
         share: int,
     ) -> _Fitness:
-        state = self.states.of(server.instance)
+        state = self.states.of(server.run)
         now_ms = self._clock.now_ms()
         silent = state.silent_ms(now_ms) > wanted.pace.hedge_ms
         if silent or state.standing.ejected(now_ms):
@@ -132,7 +132,7 @@
         pace: Pace,
     ) -> Iterator[Candidate]:
         for server in servers:
-            state = self.states.of(server.instance)
+            state = self.states.of(server.run)
             yield self._candidate(server, state, pace)
 
     def _candidate(
@@ -143,7 +143,7 @@
     ) -> Candidate:
         now_ms = self._clock.now_ms()
         return Candidate(
-            server=server.instance,
+            server=server.run,
             latency_ms=pace.usual_ms * state.slowness(now_ms),
             distance_ms=self.distances.cost_ms(
                 server.data_centre,
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -73,19 +73,19 @@
 
 @attrs.define(kw_only=True)
 class ServerStates:
-    """The states of all servers, by their instance."""
+    """The states of all servers, by their run."""
 
     _states: dict[str, ServerState] = attrs.field(factory=dict)
 
-    def of(self, instance: str) -> ServerState:
-        """Give the state of a server, a fresh one if it is new."""
-        state = self._states.get(instance)
+    def of(self, run: str) -> ServerState:
+        """Give the state of a server's run, a fresh one if it is new."""
+        state = self._states.get(run)
         if state is None:
             state = ServerState()
-            self._states[instance] = state
+            self._states[run] = state
         return state
 
-    def keep(self, instances: set[str]) -> None:
-        """Forget all other servers."""
-        for instance in self._states.keys() - instances:
-            self._states.pop(instance)
+    def keep(self, runs: set[str]) -> None:
+        """Forget all other runs."""
+        for run in self._states.keys() - runs:
+            self._states.pop(run)
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -31,6 +31,7 @@
     Route,
     Selector,
     Send,
+    ServerState,
     ServerStates,
     Single,
     allowances,
@@ -155,8 +156,12 @@
             (self.time.at_ms, wanted.timeout_ms),
         )
 
+    def state_of(self, service: str, place: str) -> ServerState:
+        """Give what was seen of one of the servers."""
+        return self.states.of(server(service, place).run)
+
     def mark_sent(self, sends: Sequence[Send]) -> None:
         """Note sends in the states of their servers, as a daemon does."""
         for send in sends:
-            state = self.states.of(send.server.instance)
+            state = self.states.of(send.server.run)
             state.sent(send.attempt, send.sent_ms)
--- a/packages/fennelfork/tests/test_routes_dispatch.py
+++ b/packages/fennelfork/tests/test_routes_dispatch.py
@@ -60,7 +60,7 @@
     def test_no_hedge_to_a_silent_server(self) -> None:
         """A second copy to a server that answers nothing brings nothing."""
         for place in ('here', 'near', 'far'):
-            state = self.world.states.of(f'archive/{place}')
+            state = self.world.state_of('archive', place)
             state.sent(-1, 0)
         self.world.time.advance(AIM_MS)
         request = self.world.dispatch(route())
@@ -72,7 +72,7 @@
         request = self.world.dispatch(route())
         request.start(0)
         for place in ('near', 'far'):
-            standing = self.world.states.of(f'archive/{place}').standing
+            standing = self.world.state_of('archive', place).standing
             standing.ramp = 0
         self.world.time.advance(AIM_MS / 2)
         assert request.late(AIM_MS / 2)
@@ -81,7 +81,7 @@
         """A slow server nearby is left sooner where the aim is short."""
         self.world.add_servers(['archive'])
         self.world.roster.remove('archive/near')
-        near = self.world.states.of('archive/here')
+        near = self.world.state_of('archive', 'here')
         for aim_ms, place in ((1000.0, 'here'), (100.0, 'far')):
             known = pace(aim_ms)
             known.record(15)
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -34,6 +34,54 @@
 MinTtlMs = 1000
 """
 
+# What another writer may put where a server's entry is expected.
+FOREIGN_FIELDS = (
+    {'Service': 7},
+    {'Service': ''},
+    {'Service': ['archive']},
+    {'Address': 'nowhere'},
+    {'Address': '10.1.0.9'},
+    {'Address': '10.1.0.9:0'},
+    {'Address': '10.1.0.9:70000'},
+    {'Address': 10},
+    {'Zone': 3},
+    {'Zone': None},
+    {'Version': 1},
+    {'Slots': '5'},
+    {'Slots': True},
+    {'Slots': False},
+    {'Slots': 0},
+    {'Slots': -1},
+    {'Slots': 2.5},
+    {'Slots': 10**30},
+    {'State': 'sleeping'},
+    {'State': True},
+    {'State': None},
+    {'WarmupLeftMs': 'soon'},
+    {'WarmupLeftMs': -1},
+    {'WarmupLeftMs': 10**400},
+    {'WarmupLeftMs': float('nan')},
+    {'SeqNo': '4'},
+    {'SeqNo': False},
+    {'born': '1000'},
+    {'born': True},
+    {'born': 1000.5},
+    {'born': None},
+    {'born': -1},
+)
+FOREIGN_BYTES = (
+    b'',
+    b'\xff\xfe\x00',
+    b'not JSON',
+    b'[' * 100_000,
+    b'{"Service":' * 2000,
+    b'[1, 2]',
+    b'"text"',
+    b'null',
+    b'{}',
+    b'{"Service": "%s"}' % (b'x' * 20_000),
+)
+
 
 def route(**changes: Any) -> dict[str, Any]:
     """Build a route to one service, as operators write it."""
@@ -76,9 +124,13 @@
     return fields | changes
 
 
-def item(key: str, tree: Any, revision: int = 5) -> dict[str, Any]:
+def item(key: str, tree: Any) -> dict[str, Any]:
+    """Build an item of the store that holds JSON."""
+    return raw_item(key, json.dumps(tree).encode())
+
+
+def raw_item(key: str, raw: bytes, revision: int = 5) -> dict[str, Any]:
     """Build an item of the store."""
-    raw = json.dumps(tree).encode()
     return {
         'Key': key,
         'Value': base64.b64encode(raw).decode(),
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -1,12 +1,25 @@
 """Items and events of the store, as facts."""
 
+import json
+import math
 from typing import Any
 
 import pytest
-from platform_builders import beat, config, item, route
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_builders import (
+    FOREIGN_BYTES,
+    FOREIGN_FIELDS,
+    beat,
+    config,
+    item,
+    raw_item,
+    route,
+)
 
 from fennelfork import ManualTime, manual_clock
 from fennelfork.routes import Gather, Share, Single, Split
+from fennelfork_daemon._address import address
 from fennelfork_daemon.routes import (
     ConfigFact,
     MemberFact,
@@ -19,6 +32,29 @@
 from fennelfork_platform._items import read_event, read_item
 
 _CLOCK = manual_clock(ManualTime(at_ms=1000))
+_DAEMON = 'fennelfork/daemons/vm-1'
+_MEMBER = {
+    'incarnation': 3,
+    'region': 'delta',
+    'data_centre': 'tulcea',
+    'caller': '10.0.0.1:80',
+}
+_JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def _encoded(tree: Any) -> bytes:
+    return json.dumps(tree).encode()
 
 
 class TestConfig:
@@ -96,6 +132,61 @@
         assert isinstance(fact, UnreadableFact)
         assert fact.key == 'servers/i-7'
 
+    def test_started_again(self) -> None:
+        """The time of its start tells one run of a server from the next."""
+        first = read_item(item('servers/i-7', beat(born=1000)), _CLOCK)
+        second = read_item(item('servers/i-7', beat(born=2000)), _CLOCK)
+        assert first.server.instance == second.server.instance
+        assert first.server.run != second.server.run
+
+    @pytest.mark.parametrize('changes', FOREIGN_FIELDS, ids=repr)
+    def test_foreign_field(self, changes: dict[str, Any]) -> None:
+        """A field that no server writes so: nobody is named."""
+        fact = read_item(item('servers/i-7', beat(**changes)), _CLOCK)
+        assert isinstance(fact, UnreadableFact)
+        assert fact.instance == 'i-7'
+
+    @pytest.mark.parametrize('field', list(beat()))
+    def test_missing_field(self, field: str) -> None:
+        """So does an entry that lacks one."""
+        tree = beat()
+        tree.pop(field)
+        fact = read_item(item('servers/i-7', tree), _CLOCK)
+        assert isinstance(fact, UnreadableFact)
+
+    @pytest.mark.parametrize('raw', FOREIGN_BYTES)
+    def test_foreign_bytes(self, raw: bytes) -> None:
+        """Bytes that no server writes name nobody either."""
+        fact = read_item(raw_item('servers/i-7', raw), _CLOCK)
+        assert isinstance(fact, UnreadableFact)
+        assert fact.instance == 'i-7'
+
+    @pytest.mark.parametrize(
+        'name',
+        ['', 'with space', 'line\r\nX-Evil: 1', 'naïve', 'x' * 201],
+    )
+    def test_foreign_key(self, name: str) -> None:
+        """A key that could not be sent in a header names nobody."""
+        fact = read_item(item(f'servers/{name}', beat()), _CLOCK)
+        assert isinstance(fact, UnreadableFact)
+
+    @given(raw=st.binary(max_size=300) | _JSON.map(_encoded))
+    def test_any_bytes(self, raw: bytes) -> None:
+        """Whatever lies there is read or told as unreadable."""
+        for key in ('servers/i-7', 'fennelfork/daemons/vm-1', 'op/config'):
+            assert read_item(raw_item(key, raw), _CLOCK)
+
+    @given(changes=st.dictionaries(st.sampled_from([*beat(), 'born']), _JSON))
+    def test_any_field(self, changes: dict[str, Any]) -> None:
+        """A server that is named can be called, whatever was written."""
+        fact = read_item(
+            raw_item('servers/i-7', _encoded(beat(**changes))), _CLOCK
+        )
+        if isinstance(fact, ServerFact):
+            assert address(fact.server.address).port
+            assert 1 <= fact.server.slots
+            assert math.isfinite(fact.server.warm_ms)
+
     def test_unknown_key(self) -> None:
         """Other keys are not ours to read."""
         fact = read_item(item('status/x', {}), _CLOCK)
@@ -108,24 +199,30 @@
 
     def test_round_trip(self) -> None:
         """A daemon reads what another wrote."""
-        fact = read_item(
-            item(
-                'fennelfork/daemons/vm-1',
-                {
-                    'incarnation': 3,
-                    'region': 'delta',
-                    'data_centre': 'tulcea',
-                    'caller': '10.0.0.1:80',
-                },
-            ),
-            _CLOCK,
-        )
+        fact = read_item(item(_DAEMON, _MEMBER), _CLOCK)
         assert isinstance(fact, MemberFact)
         assert read_member('vm-1', write_member(fact.member)) == fact.member
 
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'incarnation': True},
+            {'incarnation': '3'},
+            {'region': 7},
+            {'data_centre': ''},
+            {'caller': 'nowhere'},
+            {'caller': None},
+        ],
+    )
+    def test_foreign_field(self, changes: dict[str, Any]) -> None:
+        """An entry that no daemon writes names none to callers."""
+        fact = read_item(item(_DAEMON, _MEMBER | changes), _CLOCK)
+        assert isinstance(fact, UnreadableFact)
+        assert fact.member == 'vm-1'
+
     def test_gone(self) -> None:
         """Its key went with its lease."""
-        event = {'Key': 'fennelfork/daemons/vm-1', 'Compacted': True}
+        event = {'Key': _DAEMON, 'Compacted': True}
         assert read_event(event, _CLOCK) == MemberGoneFact(name='vm-1')
 
 
