A server that resets a new connection is at its limit, not dead

A reset while connecting ejected the server for 500 ms (43 times), so the work went to other regions, whose resets come after the request was sent (52 to 60 ms): these were paid as repeats, of which a daemon has none after its start. 41 tries ended with 502, 23 'unreachable', 18 'no connection is free', all with other parts answered.

Change: a reset while connecting, or before a new connection carried any byte back, is told as turned away. Such a server is not ejected; no further connection is opened to it for 250 ms and others are asked first. The part is no arrival and no attempt, and goes round the servers again while its request has time, at most six times where it may have run. Waiting for a connection counts as a sign of overload if the answer is late for it.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -2,7 +2,7 @@
 
 import functools
 import socket
-from http.client import HTTPException
+from http.client import HTTPException, RemoteDisconnected
 from typing import Any, Final
 
 import attrs
@@ -13,7 +13,7 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._sockets import reset_aware
+from fennelfork_daemon._sockets import ConnectionBroken, reset_aware
 from fennelfork_daemon.backend._call import (
     BackendResponse,
     Call,
@@ -79,6 +79,7 @@
     keep_ms: float | None = None
     _http: HTTPConnection
     _most_bytes: int
+    _heard: bool = False
 
     @property
     def alive(self) -> bool:
@@ -86,19 +87,26 @@
         return self._http.is_connected
 
     def open(self, timeout_ms: float) -> Result[None, Failure]:
-        """Connect; a failure is `NOT_RUN`, as no byte was sent."""
+        """Connect; a failure is `NOT_RUN`, as no byte was sent.
+
+        Returns:
+            `SHED` if the server is there but takes no further connection,
+            `UNREACHABLE` if nobody listens or answers.
+        """
         self._http.timeout = timeout_ms / _MS
         try:
             self._http.connect()
         except (HTTPError, OSError) as error:
-            return Bad(not_run(FailureCode.UNREACHABLE, _says(error)))
+            return Bad(not_run(_code_of(error), _says(error)))
         return Success(None)
 
     def carry(self, call: Call) -> Result[BackendResponse, Failure]:
         """Make one call and read its reply.
 
         Returns:
-            The response, or a failure that may have run: bytes were sent.
+            The response, or a failure that may have run: bytes were sent. It
+            is `SHED` where the connection was reset before it carried any
+            byte back, as a server does that takes no further one.
         """
         self._http.timeout = call.timeout_ms / _MS
         if self._http.sock is not None:
@@ -106,15 +114,25 @@
         try:
             return self._exchange(call).bind(functools.partial(_checked, call))
         except _BROKEN as error:
-            return Bad(may_have_run(FailureCode.UNREACHABLE, _says(error)))
+            code = self._code_of_break(error)
+            return Bad(may_have_run(code, _says(error)))
 
     def close(self) -> None:
         """Close it; what still arrives is lost."""
         self._http.close()
 
+    def _code_of_break(self, error: Exception) -> FailureCode:
+        is_reset = isinstance(error, ConnectionBroken | ConnectionResetError)
+        # The library takes an orderly end for a kind of reset.
+        is_end = isinstance(error, RemoteDisconnected)
+        if is_reset and not is_end and not self._heard:
+            return FailureCode.SHED
+        return FailureCode.UNREACHABLE
+
     def _exchange(self, call: Call) -> Result[BackendResponse, Failure]:
         send_call(call, self._http)
         response = self._http.getresponse()
+        self._heard = True
         body = response.read(self._most_bytes + 1)
         if len(body) > self._most_bytes:
             detail = f'the reply is longer than {self._most_bytes} bytes'
@@ -148,6 +166,14 @@
     return BackendConnection(http=http, most_bytes=most_bytes)
 
 
+def _code_of(error: Exception) -> FailureCode:
+    """Tell a server at its limit, which resets, from nobody, who refuses."""
+    cause = error.__cause__ or error.__context__
+    if isinstance(cause or error, ConnectionResetError):
+        return FailureCode.SHED
+    return FailureCode.UNREACHABLE
+
+
 def _says(error: Exception) -> str:
     # The library puts the connection first, whose address in memory tells nobody.
     detail = error.args[-1] if error.args else error
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -86,7 +86,7 @@
             call: the call.
             trace: where to note the connection that carries it.
         """
-        use = self._use(call) or self._use_freed(call)
+        use = self._use(call)
         if use is None:
             return Bad(not_run(self._when_full.code, 'no connection is free'))
         self._close(use.close)
@@ -115,20 +115,14 @@
         self._close(tuple(self._open))
 
     def _use(self, call: Call) -> ConnectionUse | None:
-        return self._ledger.use(self._clock.now_ms(), fresh=call.fresh)
-
-    def _use_freed(self, call: Call) -> ConnectionUse | None:
-        """Wait for a connection that another call gives back."""
-        until_ms = self._clock.now_ms() + min(
-            self._when_full.wait_ms, call.timeout_ms
-        )
-        use = None
-        while use is None:
-            left_ms = until_ms - self._clock.now_ms()
-            if left_ms <= 0:
-                return None
-            self._turns.wait(left_ms)
-            use = self._use(call)
+        """Take a connection, or wait for one that another call gives back."""
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + min(self._when_full.wait_ms, call.timeout_ms)
+        use = self._ledger.use(now_ms, fresh=call.fresh)
+        while use is None and now_ms < until_ms:
+            self._turns.wait(until_ms - now_ms)
+            now_ms = self._clock.now_ms()
+            use = self._ledger.use(now_ms, fresh=call.fresh)
         return use
 
     def _trusted(self, use: ConnectionUse) -> bool:
@@ -153,9 +147,21 @@
         self._open[number] = connection
         opened = connection.open(_connect_ms(call))
         if is_successful(opened):
-            return self._carry_on(number, call, trace)
-        self._give_back(number, usable=False)
-        return Bad(opened.failure())
+            carried = self._carry_on(number, call, trace)
+        else:
+            self._give_back(number, usable=False)
+            carried = Bad(opened.failure())
+        return carried.lash(self._note_turned_away)
+
+    def _note_turned_away(
+        self,
+        failure: Failure,
+    ) -> Result[BackendResponse, Failure]:
+        """Open no further connection for a moment, if that was the cause."""
+        if failure.code is not FailureCode.SHED:
+            return Bad(failure)
+        self._ledger.turned_away(self._clock.now_ms())
+        return Bad(attrs.evolve(failure, code=self._when_full.code))
 
     def _carry_on(
         self,
--- a/packages/fennelfork-daemon/tests/test_backend_connection.py
+++ b/packages/fennelfork-daemon/tests/test_backend_connection.py
@@ -1,9 +1,11 @@
 """One connection to a backend server, over a real socket."""
 
 import socket
+import struct
 import threading
 from collections.abc import Iterator
 from contextlib import closing
+from unittest import mock
 
 import pytest
 
@@ -13,6 +15,8 @@
 from fennelfork_daemon.backend._connection import backend_connection
 
 _CAP_S = 20
+_NO_LINGER = struct.pack('ii', 1, 0)
+_NOBODY = Address(host='127.0.0.1', port=1)
 _CALL = BackendCall(path='/v1/search', body={'keys': [1]}, timeout_ms=20_000)
 _FINE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 
@@ -108,3 +112,53 @@
         connection = backend_connection(Address(host=host, port=port), 1000)
         failure = connection.open(_CALL.timeout_ms).failure()
         assert failure.verdict is Verdict.NOT_RUN
+
+    @pytest.mark.parametrize(
+        ('error', 'code'),
+        [
+            (ConnectionResetError, FailureCode.SHED),
+            (ConnectionRefusedError, FailureCode.UNREACHABLE),
+            (TimeoutError, FailureCode.UNREACHABLE),
+        ],
+    )
+    def test_a_reset_is_no_refusal(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        error: type[OSError],
+        code: FailureCode,
+    ) -> None:
+        """A server at its limit resets; where nobody listens, it refuses."""
+        monkeypatch.setattr(
+            socket.socket,
+            'connect',
+            mock.Mock(side_effect=error),
+        )
+        connection = backend_connection(_NOBODY, 1000)
+        failure = connection.open(500).failure()
+        assert failure.code is code
+        assert failure.verdict is Verdict.NOT_RUN
+
+    @pytest.mark.parametrize(
+        ('answered', 'code'),
+        [(False, FailureCode.SHED), (True, FailureCode.UNREACHABLE)],
+    )
+    def test_reset_after_the_request(
+        self,
+        answered: bool,  # a parameter of the test
+        code: FailureCode,
+    ) -> None:
+        """A new connection is reset for a limit, one in use for a crash."""
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            host, port = listener.getsockname()
+            connection = backend_connection(Address(host=host, port=port), 1000)
+            connection.open(_CALL.timeout_ms)
+            far = listener.accept()[0]
+        if answered:
+            far.sendall(_FINE)
+            connection.carry(_CALL)
+        # Closed at once, with bytes unread, which resets it.
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        far.close()
+        failure = connection.carry(_CALL).failure()
+        assert failure.code is code
+        assert failure.verdict is Verdict.MAY_HAVE_RUN
--- a/packages/fennelfork/src/fennelfork/routes/_blame.py
+++ b/packages/fennelfork/src/fennelfork/routes/_blame.py
@@ -105,6 +105,7 @@
     if end.failure.code is FailureCode.QUEUE_FULL:
         # It never had the call.
         state.lost(record.send.attempt)
+        state.note_full(record.now_ms)
         return
     state.heard(record.send.attempt, record.now_ms)
     if end.failure.code is FailureCode.SHED:
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -128,14 +128,14 @@
         """
         limit = self.of(ended.route)
         now_ms = self._clock.now_ms()
-        if ended.suffices and took_ms <= ended.route.aim_ms:
+        in_time = took_ms <= ended.route.aim_ms
+        if ended.suffices and in_time:
             limit.note_good(now_ms)
             return False
-        if ended.suffices:
-            return limit.note_late(now_ms)
-        if any(leg.shed for leg in ended.legs.values()):
+        # Late because it had to wait for a place, or lost for want of one.
+        if any(leg.turned_away for leg in ended.legs.values()):
             return limit.note_overload(now_ms)
-        return False
+        return ended.suffices and limit.note_late(now_ms)
 
     def note_lag(self) -> None:
         """Note that this process falls behind with all that it does."""
--- a/packages/fennelfork/src/fennelfork/routes/_leg.py
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -12,10 +12,14 @@
 _NO_SERVER: Final = '-'
 # The server is full, or this daemon's connections to it are in use.
 _TURNED_AWAY: Final = frozenset((FailureCode.SHED, FailureCode.QUEUE_FULL))
-# The copy did not get as far as to a server.
-_NOT_SENT: Final = frozenset(
-    (FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL),
-)
+# The copy did not get as far as to a server that took it.
+_NOT_SENT: Final = {
+    Verdict.NOT_RUN: frozenset(
+        (FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL),
+    ),
+    Verdict.MAY_HAVE_RUN: frozenset((FailureCode.QUEUE_FULL,)),
+    Verdict.RAN: frozenset(),
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -43,10 +47,13 @@
         part: the answer that counts, once there is one.
         running: sends that were not answered, by attempt.
         tried: runs of servers that the request was sent to.
+        unconnected: those of them to which no connection was to be had.
         hedge_ms: when to send a second copy.
         abandoned: whether nothing more is sent.
         failure: the last failure.
         runs: backend servers that may have run the request.
+        cut: those of them whose new connection was reset at once: they surely
+            count as no attempt, as they took no further connection or ended.
         arrivals: sends that may have reached a backend server.
         events: what was done, in order.
     """
@@ -55,10 +62,12 @@
     part: _Part | None = None
     running: dict[int, Send] = attrs.field(factory=dict)
     tried: set[str] = attrs.field(factory=set)
+    unconnected: set[str] = attrs.field(factory=set)
     hedge_ms: float = math.inf
     abandoned: bool = False
     failure: Failure = not_run(FailureCode.NO_SERVER, 'no server is known')
     runs: int = 0
+    cut: int = 0
     arrivals: int = 0
     events: list[LegEvent] = attrs.field(factory=list)
 
@@ -68,9 +77,9 @@
         return self.part is not None or (self.abandoned and not self.running)
 
     @property
-    def shed(self) -> bool:
-        """Whether it has no answer and was turned away last."""
-        return self.part is None and self.failure.code in _TURNED_AWAY
+    def turned_away(self) -> bool:
+        """Whether a server or a limit of ours last turned it away."""
+        return self.failure.code in _TURNED_AWAY
 
     @property
     def waiting(self) -> bool:
@@ -102,13 +111,25 @@
 
     def failed(self, attempt: int, failure: Failure, now_ms: float) -> None:
         """Note that a copy was not answered well."""
-        self._note(self.running.pop(attempt), now_ms, failure.detail)
+        send = self.running.pop(attempt)
+        self._note(send, now_ms, failure.detail)
         self.failure = failure
-        if failure.verdict is not Verdict.NOT_RUN:
-            return
-        self.runs -= 1
-        if failure.code in _NOT_SENT:
+        if failure.code is FailureCode.QUEUE_FULL:
+            self.unconnected.add(send.server.run)
+        if failure.code in _NOT_SENT[failure.verdict]:
             self.arrivals -= 1
+        if failure.verdict is Verdict.NOT_RUN:
+            self.runs -= 1
+        elif failure.code is FailureCode.QUEUE_FULL:
+            self.cut += 1
+
+    def forget_unconnected(self) -> bool:
+        """Allow the servers again that it did not get to; tell if any."""
+        if not self.unconnected:
+            return False
+        self.tried -= self.unconnected
+        self.unconnected.clear()
+        return True
 
     def denied(self, reason: str, now_ms: float) -> None:
         """Note why no copy goes out, although one was due."""
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -122,9 +122,9 @@
         if silent or state.standing.ejected(now_ms):
             return _Fitness.DOUBTFUL
         usable = state.standing.usable(server.slots, now_ms)
-        if state.outstanding < min(usable, share):
-            return _Fitness.FIT
-        return _Fitness.BUSY
+        if state.outstanding >= min(usable, share) or state.full(now_ms):
+            return _Fitness.BUSY
+        return _Fitness.FIT
 
     def _candidates(
         self,
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -9,10 +9,12 @@
 from fennelfork.routes._allowance import Allowances
 from fennelfork.routes._leg import Leg
 from fennelfork.routes._pace import Pace
+from fennelfork.routes._roster import BackendServer
 from fennelfork.routes._selection import Selection, Selector
 from fennelfork.routes._send import Send
 
-# Copies that surely did not run are sent again at most this often.
+# Copies that surely did not run, or whose connection was reset before it
+# carried anything, are sent again at most this often.
 _MOST_SENDS: Final = 6
 
 
@@ -56,16 +58,11 @@
             now_ms: the time.
             only_healthy: rather send none than to a server in doubt.
         """
-        if leg.runs >= self.attempts or len(leg.tried) >= _MOST_SENDS:
+        attempts = leg.runs - leg.cut
+        if attempts >= self.attempts or self._sent_enough(leg):
             leg.denied('no further attempt is left', now_ms)
             return []
-        wanted = Selection(
-            service=leg.service,
-            tried=leg.tried,
-            pace=self.pace,
-            only_healthy=only_healthy,
-        )
-        server = self._parts.selector.choose(wanted)
+        server = self._choose(leg, only_healthy=only_healthy)
         repeat = leg.arrivals > 0
         if server is None:
             return self._deny(leg, 'no other server is fit', now_ms)
@@ -81,6 +78,33 @@
         leg.hedge_ms = now_ms + self.pace.hedge_ms
         return [send]
 
+    def _sent_enough(self, leg: Leg[Any]) -> bool:
+        return max(len(leg.tried), leg.cut) >= _MOST_SENDS
+
+    def _choose(
+        self,
+        leg: Leg[Any],
+        *,
+        only_healthy: bool,
+    ) -> BackendServer | None:
+        """Choose a server that was not tried.
+
+        Where none is left, those count that were not reached for want of a
+        connection. After a loss of all power every caller comes back at once,
+        and a request whose parts wait some 100 ms for a connection is
+        answered, while one that gives up is lost with all its other parts.
+        """
+        wanted = Selection(
+            service=leg.service,
+            tried=leg.tried,
+            pace=self.pace,
+            only_healthy=only_healthy,
+        )
+        chosen = self._parts.selector.choose(wanted)
+        if chosen is None and leg.forget_unconnected():
+            chosen = self._parts.selector.choose(wanted)
+        return chosen
+
     def _deny(self, leg: Leg[Any], reason: str, now_ms: float) -> list[Send]:
         leg.abandoned = not leg.running
         leg.denied(reason, now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -12,6 +12,9 @@
 # speed after this: slow spells of some seconds are the common case.
 _FORGIVE_MS: Final = 2000.0
 _HALF: Final = 0.5
+# A server to which no connection was to be had is passed over, while others
+# have one, for some five calls.
+_FULL_MS: Final = 250.0
 _LEAST_RATIO: Final = 0.1
 
 
@@ -28,6 +31,7 @@
     _busy_since_ms: float = math.inf
     _heard_ms: float = -math.inf
     _sampled_ms: float = -math.inf
+    _full_until_ms: float = -math.inf
     _slowness: ObservedLatency = attrs.field(
         factory=lambda: ObservedLatency(mean_ms=1),
     )
@@ -52,6 +56,14 @@
         """Note that a request is no longer waited for."""
         self._sent_ms.pop(attempt, None)
 
+    def note_full(self, now_ms: float) -> None:
+        """Note that no connection to it was to be had."""
+        self._full_until_ms = now_ms + _FULL_MS
+
+    def full(self, now_ms: float) -> bool:
+        """Tell whether there was none a moment ago."""
+        return now_ms < self._full_until_ms
+
     def silent_ms(self, now_ms: float) -> float:
         """Tell for how long it has answered nothing while it had work."""
         if not self._sent_ms:
--- a/packages/fennelfork/src/fennelfork/servers/_connection.py
+++ b/packages/fennelfork/src/fennelfork/servers/_connection.py
@@ -7,6 +7,10 @@
 # An idle connection younger than this is used as it is.
 _TRUSTED_IDLE_MS: Final = 1000.0
 _RETIRED_IDLE_MS: Final = 30_000.0
+# A server that turned a connection away holds as many as it may, perhaps of
+# daemons that lost power: it forgets those within seconds. Until it is asked
+# for a further one again, some five calls go by.
+_TURNED_AWAY_MS: Final = 250.0
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +45,7 @@
     _idle_since_ms: dict[int, float] = attrs.field(factory=dict)
     _distrusted: set[int] = attrs.field(factory=set)
     _last: int = 0
+    _closed_until_ms: float = 0
 
     @property
     def open(self) -> int:
@@ -65,7 +70,7 @@
         if self._idle_since_ms and not fresh:
             return self._reuse(now_ms)
         close: tuple[int, ...] = ()
-        if self.open >= self.limit:
+        if self.open >= self.limit or now_ms < self._closed_until_ms:
             if not self._idle_since_ms:
                 return None
             close = (self._forget(next(iter(self._idle_since_ms))),)
@@ -73,6 +78,10 @@
         self._opened_ms[self._last] = now_ms
         return ConnectionUse(connection=self._last, opened=True, close=close)
 
+    def turned_away(self, now_ms: float) -> None:
+        """Note that the server takes no further connection at present."""
+        self._closed_until_ms = now_ms + _TURNED_AWAY_MS
+
     def done(self, connection: int, now_ms: float, *, usable: bool) -> bool:
         """Take a connection back after a request.
 
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -51,6 +51,7 @@
 )
 SHED = not_run(FailureCode.SHED, 'full')
 NO_CONNECTION = not_run(FailureCode.QUEUE_FULL, 'no connection is free')
+CUT = may_have_run(FailureCode.QUEUE_FULL, 'reset by the other end')
 UNREACHED = not_run(FailureCode.UNREACHABLE, 'refused')
 BROKEN = may_have_run(FailureCode.UNREACHABLE, 'reset')
 
