Requests wait for the first configuration while it is being read

Hypothesis: after a loss of all power callers come back as soon as a daemon listens, 25 to 100 ms before it knows its routes.

Change: such a request waits while the first read of the store is under way, 400 ms at most; once that failed, or told of no configuration, it is refused at once as before.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -10,6 +10,7 @@
 from fennelfork_daemon.routes._contact import StoreContact, store_contact
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._face import RouteFace
+from fennelfork_daemon.routes._first_routes import FirstRoutes
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._foundation import Foundation, foundation
 from fennelfork_daemon.routes._lag import lag_watch
@@ -61,7 +62,7 @@
         board=base.board,
         entries=RouteEntries(board=base.board, rng=random.Random()),
         settings=settings,
-        face=_face(base, calls),
+        face=_face(base, calls, contact),
         metrics=base.metrics,
         follower=follower,
         upkeep=(
@@ -122,9 +123,18 @@
     )
 
 
-def _face(base: Foundation, calls: CallParts) -> RouteFace:
+def _face(
+    base: Foundation,
+    calls: CallParts,
+    contact: StoreContact,
+) -> RouteFace:
     return RouteFace(
         board=base.board,
+        first_routes=FirstRoutes(
+            board=base.board,
+            contact=contact,
+            clock=base.clock,
+        ),
         clock=base.clock,
         codec=base.ports.callers,
         calls=calls,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
@@ -23,14 +23,21 @@
     _reporter: StoreReporter
     _reached_ms: float
     _lost: bool = False
+    _pending: bool = True
     _on_return: list[Callable[[], None]] = attrs.field(factory=list)
 
+    @property
+    def pending(self) -> bool:
+        """Whether the first call is under way: nothing tells how it ends."""
+        return self._pending
+
     def listen(self, on_return: Callable[[], None]) -> None:
         """Call a function whenever the store is reached after an absence."""
         self._on_return.append(on_return)
 
     def missed(self, failure: Failure) -> None:
         """Note a call that did not reach the store, or was turned away."""
+        self._pending = False
         if not self._lost:
             self._lost = True
             self._reporter.lost(failure)
@@ -40,6 +47,7 @@
         now_ms = self._clock.now_ms()
         away_ms = now_ms - self._reached_ms
         self._reached_ms = now_ms
+        self._pending = False
         if not self._lost:
             return
         self._lost = False
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -34,6 +34,7 @@
 from fennelfork_daemon.routes._body import read_body
 from fennelfork_daemon.routes._caller_calls import CallParts, RequestCalls
 from fennelfork_daemon.routes._caller_watch import CallerWatch
+from fennelfork_daemon.routes._first_routes import FirstRoutes
 from fennelfork_daemon.routes._ports import CallerCodec
 from fennelfork_daemon.routes._request import RunningRequest
 from fennelfork_daemon.routes._request_reporter import RequestReporter
@@ -69,6 +70,7 @@
 
     limits: ConcurrencyLimits
     _board: RouteBoard
+    _first_routes: FirstRoutes
     _clock: Clock
     _codec: CallerCodec
     _calls: CallParts
@@ -98,7 +100,7 @@
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
         came_ms = self._clock.now_ms()
-        table = self._board.table
+        table = self._first_routes.wait()
         ask = self._read(
             environ, _FIRST_LIMITS if table is None else table.limits
         )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_first_routes.py
@@ -0,0 +1,43 @@
+"""Requests that come before a daemon knows its first configuration."""
+
+from typing import Final
+
+import attrs
+import eventlet
+
+from fennelfork import Clock
+from fennelfork.routes import RouteTable
+from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork_daemon.routes._contact import StoreContact
+
+_MS_PER_SECOND: Final = 1000
+# A daemon that starts beside eight others knows its routes after 25 to 100 ms.
+# Refused meanwhile, a caller that a loss of all power cut off has used up its
+# one further try: 25 requests of one such loss, of 240 in those two seconds.
+# The first read is given up after this time.
+_MOST_MS: Final = 400.0
+_LOOK_MS: Final = 4.0
+
+
+@attrs.frozen(kw_only=True)
+class FirstRoutes:
+    """Gives the routes in force, and waits for the very first."""
+
+    _board: RouteBoard
+    _contact: StoreContact
+    _clock: Clock
+
+    def wait(self) -> RouteTable | None:
+        """Give the routes; none if the store has told of none.
+
+        Waits only while the first read of the store is under way: once that
+        has failed or told of no configuration, the answer is there.
+        """
+        until_ms = self._clock.now_ms() + _MOST_MS
+        while self._is_to_come(until_ms):
+            eventlet.sleep(_LOOK_MS / _MS_PER_SECOND)
+        return self._board.table
+
+    def _is_to_come(self, until_ms: float) -> bool:
+        in_time = self._clock.now_ms() < until_ms
+        return self._board.table is None and self._contact.pending and in_time
