Changes are gathered for longer in a larger fleet; sending callers to few is not kept

Change: the time in which changes are gathered grows with the fleet, 15 ms a daemon, between 300 ms and 1 s. Fleets of up to 20 daemons ask as before. A stop counts this time in, as other daemons name a leaving one until they ask.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -2,22 +2,18 @@
 
 import random
 
-from fennelfork.routes import DispatchParts, Distances, Paces, Selector
 from fennelfork_daemon._in_progress import InProgress
 from fennelfork_daemon.logs._budget import LogOutput
 from fennelfork_daemon.routes._apply import FactTaker
-from fennelfork_daemon.routes._caller_calls import CallParts
+from fennelfork_daemon.routes._build_face import call_parts, route_face
 from fennelfork_daemon.routes._contact import StoreContact, store_contact
 from fennelfork_daemon.routes._entries import RouteEntries
-from fennelfork_daemon.routes._face import RouteFace
-from fennelfork_daemon.routes._first_routes import FirstRoutes
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._foundation import Foundation, foundation
 from fennelfork_daemon.routes._lag import lag_watch
 from fennelfork_daemon.routes._ports import Ports
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._reload import ReadSettings, SettingsReload
-from fennelfork_daemon.routes._request_reporter import RequestReporter
 from fennelfork_daemon.routes._service import RouteService
 from fennelfork_daemon.routes._settings import RouteSettings
 from fennelfork_daemon.routes._stop import route_stop
@@ -50,7 +46,7 @@
         reporter=reporter,
     )
     in_progress = InProgress()
-    calls = _calls(base)
+    calls = call_parts(base)
     follower = _follower(base, reporter, contact)
     reload = SettingsReload(
         settings=settings,
@@ -62,7 +58,7 @@
         board=base.board,
         entries=RouteEntries(board=base.board, rng=random.Random()),
         settings=settings,
-        face=_face(base, calls, contact),
+        face=route_face(base, calls, contact),
         metrics=base.metrics,
         follower=follower,
         upkeep=(
@@ -96,54 +92,3 @@
         FactTaker(board=base.board, reporter=reporter, pools=base.pools),
         random.Random(),
     )
-
-
-def _calls(base: Foundation) -> CallParts:
-    selector = Selector(
-        roster=base.board.roster,
-        states=base.board.states,
-        distances=Distances(
-            data_centre=base.settings.data_centre,
-            region_of=base.settings.region_of,
-        ),
-        shares=base.board.shares,
-        clock=base.clock,
-        rng=random.Random(),
-    )
-    return CallParts(
-        clock=base.clock,
-        pools=base.pools,
-        selector=selector,
-        codec=base.ports.backends,
-        reporter=RequestReporter(
-            log=base.log,
-            clock=base.clock,
-            metrics=base.metrics,
-        ),
-    )
-
-
-def _face(
-    base: Foundation,
-    calls: CallParts,
-    contact: StoreContact,
-) -> RouteFace:
-    return RouteFace(
-        board=base.board,
-        first_routes=FirstRoutes(
-            board=base.board,
-            contact=contact,
-            clock=base.clock,
-        ),
-        clock=base.clock,
-        codec=base.ports.callers,
-        calls=calls,
-        dispatch_parts=DispatchParts(
-            selector=calls.selector,
-            allowances=base.allowed,
-        ),
-        paces=Paces(),
-        limits=base.limits,
-        rng=random.Random(),
-        reporter=calls.reporter,
-    )
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_face.py
@@ -0,0 +1,63 @@
+"""Puts together what answers the requests of callers."""
+
+import random
+
+from fennelfork.routes import DispatchParts, Distances, Paces, Selector
+from fennelfork_daemon.routes._caller_calls import CallParts
+from fennelfork_daemon.routes._contact import StoreContact
+from fennelfork_daemon.routes._face import RouteFace
+from fennelfork_daemon.routes._first_routes import FirstRoutes
+from fennelfork_daemon.routes._foundation import Foundation
+from fennelfork_daemon.routes._request_reporter import RequestReporter
+
+
+def call_parts(base: Foundation) -> CallParts:
+    """Build what the calls of all requests share."""
+    selector = Selector(
+        roster=base.board.roster,
+        states=base.board.states,
+        distances=Distances(
+            data_centre=base.settings.data_centre,
+            region_of=base.settings.region_of,
+        ),
+        shares=base.board.shares,
+        clock=base.clock,
+        rng=random.Random(),
+    )
+    return CallParts(
+        clock=base.clock,
+        pools=base.pools,
+        selector=selector,
+        codec=base.ports.backends,
+        reporter=RequestReporter(
+            log=base.log,
+            clock=base.clock,
+            metrics=base.metrics,
+        ),
+    )
+
+
+def route_face(
+    base: Foundation,
+    calls: CallParts,
+    contact: StoreContact,
+) -> RouteFace:
+    """Build the face of a daemon, which asks the store by a contact."""
+    return RouteFace(
+        first_routes=FirstRoutes(
+            board=base.board,
+            contact=contact,
+            clock=base.clock,
+        ),
+        clock=base.clock,
+        codec=base.ports.callers,
+        calls=calls,
+        dispatch_parts=DispatchParts(
+            selector=calls.selector,
+            allowances=base.allowed,
+        ),
+        paces=Paces(),
+        limits=base.limits,
+        rng=random.Random(),
+        reporter=calls.reporter,
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -25,16 +25,10 @@
 from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
 from fennelfork_daemon.routes._answer import Answer, Refused
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
-from fennelfork_daemon.routes._board import (
-    HEADER_BYTES,
-    IDLE_MS,
-    READ_MS,
-    RouteBoard,
-)
 from fennelfork_daemon.routes._body import read_body
 from fennelfork_daemon.routes._caller_calls import CallParts, RequestCalls
 from fennelfork_daemon.routes._caller_watch import CallerWatch
-from fennelfork_daemon.routes._first_routes import FirstRoutes
+from fennelfork_daemon.routes._first_routes import FIRST_LIMITS, FirstRoutes
 from fennelfork_daemon.routes._ports import CallerCodec
 from fennelfork_daemon.routes._request import RunningRequest
 from fennelfork_daemon.routes._request_reporter import RequestReporter
@@ -50,13 +44,6 @@
 # Overload lasts for seconds. At five times the usual traffic a day was worth
 # 0.414 and 0.442 with half of this, 0.441 and 0.446 with it.
 _TOO_MANY_RETRY_MS: Final = 1000
-# What is read of a request while no configuration says how much.
-_FIRST_LIMITS: Final = CallerLimits(
-    header_bytes=HEADER_BYTES,
-    body_bytes=HEADER_BYTES,
-    header_ms=READ_MS,
-    idle_ms=IDLE_MS,
-)
 _DEFECT: Final = may_have_run(FailureCode.INTERNAL, 'a defect; see the log')
 
 
@@ -69,7 +56,6 @@
     """
 
     limits: ConcurrencyLimits
-    _board: RouteBoard
     _first_routes: FirstRoutes
     _clock: Clock
     _codec: CallerCodec
@@ -102,7 +88,7 @@
         came_ms = self._clock.now_ms()
         table = self._first_routes.wait()
         ask = self._read(
-            environ, _FIRST_LIMITS if table is None else table.limits
+            environ, FIRST_LIMITS if table is None else table.limits
         )
         if not is_successful(ask):
             return self._refuse(ask.failure(), None)
@@ -147,8 +133,7 @@
 
     def _refuse(self, failure: Failure, request_id: str | None) -> Refused:
         refused = Refused(failure=failure, request_id=request_id)
-        table = self._board.table
-        self._reporter.refused(refused, 0 if table is None else table.version)
+        self._reporter.refused(refused, self._first_routes.version)
         return refused
 
     def _read(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_first_routes.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_first_routes.py
@@ -6,8 +6,13 @@
 import eventlet
 
 from fennelfork import Clock
-from fennelfork.routes import RouteTable
-from fennelfork_daemon.routes._board import RouteBoard
+from fennelfork.routes import CallerLimits, RouteTable
+from fennelfork_daemon.routes._board import (
+    HEADER_BYTES,
+    IDLE_MS,
+    READ_MS,
+    RouteBoard,
+)
 from fennelfork_daemon.routes._contact import StoreContact
 
 _MS_PER_SECOND: Final = 1000
@@ -17,6 +22,13 @@
 # The first read is given up after this time.
 _MOST_MS: Final = 400.0
 _LOOK_MS: Final = 4.0
+# What is read of a request while no configuration says how much.
+FIRST_LIMITS: Final = CallerLimits(
+    header_bytes=HEADER_BYTES,
+    body_bytes=HEADER_BYTES,
+    header_ms=READ_MS,
+    idle_ms=IDLE_MS,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -27,6 +39,11 @@
     _contact: StoreContact
     _clock: Clock
 
+    @property
+    def version(self) -> int:
+        """The version in force, zero if there is none yet."""
+        return 0 if self._board.table is None else self._board.table.version
+
     def wait(self) -> RouteTable | None:
         """Give the routes; none if the store has told of none.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -19,9 +19,13 @@
 from fennelfork_daemon.routes._ports import Changes, HistoryGone, Listing, Store
 
 _MS_PER_SECOND: Final = 1000
-# Changes that come within this time are fetched by one call; far below the
-# seconds in which a change has to be in force.
-_GATHER_MS: Final = 300.0
+# Changes that come within this time are fetched by one call. All daemons ask
+# for each change, so the time grows with the fleet: together they make some 67
+# calls a second at most. The most is far below the seconds in which a change
+# has to be in force, and is part of the time that a stop takes.
+_GATHER_MS_A_DAEMON: Final = 15.0
+_LEAST_GATHER_MS: Final = 300.0
+MOST_GATHER_MS: Final = 1000.0
 # The store answers a read within some 10 ms, and sixty times that when slow;
 # a read that began while it was silent is not waited for. Each failure doubles
 # the time, up to one at which any list has arrived.
@@ -48,6 +52,13 @@
     _revision: int | None = None
     _failures: int = 0
 
+    @property
+    def gather_ms(self) -> float:
+        """How long to let further changes come before asking for them."""
+        daemons = self._taker.board.fleet.most
+        wanted_ms = daemons * _GATHER_MS_A_DAEMON
+        return min(MOST_GATHER_MS, max(_LEAST_GATHER_MS, wanted_ms))
+
     def run(self) -> None:
         """Follow the store until the process ends."""
         while True:  # noqa: WPS457  # as long as the daemon runs
@@ -136,7 +147,7 @@
 @_taken.register
 def _take_changes(found: Changes, follower: StoreFollower) -> float:
     follower.take_changes(found)
-    return _GATHER_MS if found.facts else 0
+    return follower.gather_ms if found.facts else 0
 
 
 @_taken.register
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -10,6 +10,7 @@
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._entries import ENTRY_TTL_MS
 from fennelfork_daemon.routes._events import StateChanged
+from fennelfork_daemon.routes._follower import MOST_GATHER_MS
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._settings import RouteSettings
 
@@ -55,7 +56,8 @@
 ) -> StopService:
     """Build the stop: leave the store, serve on for a while, then end."""
     policy = StopPolicy(
-        entry_ttl_ms=_TTL_FACTOR * ENTRY_TTL_MS,
+        # Other daemons name this one until they have asked for changes.
+        entry_ttl_ms=_TTL_FACTOR * ENTRY_TTL_MS + MOST_GATHER_MS,
         stop_ms=settings.stop_ms - _STOP_MARGIN_MS,
         announce_ms=_ANNOUNCE_MS,
         # A supervisor may repeat its signal, and kills in the end by itself.
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -244,6 +244,26 @@
         assert following.change(ServerGoneFact(instance='i-1')) > 100
         assert following.change() == 0
 
+    @pytest.mark.parametrize(
+        ('daemons', 'gather_ms'),
+        [(1, 300), (9, 300), (40, 600), (67, 1000), (460, 1000)],
+    )
+    def test_gathers_longer_in_a_large_fleet(
+        self,
+        following: Following,
+        daemons: int,
+        gather_ms: float,
+    ) -> None:
+        """All daemons ask for a change, so each of many asks less often.
+
+        The pattern: a rolling stop of 67 daemons, where each leave and each
+        return is a change that all others fetch.
+        """
+        members = [member(f'vm-{number}') for number in range(2, daemons + 1)]
+        following.change(*(MemberFact(member=one) for one in members))
+        following.change(MemberFact(member=member('vm-1')))
+        assert following.change(ServerGoneFact(instance='i-1')) == gather_ms
+
     def test_first_read_is_not_waited_for(self) -> None:
         """A read that began while the store was silent is soon given up."""
         built = Following()
