A stop lingers longer only where others hear of it later

Change: the stop asks, when the others are told, how long they may take beyond the half second that it always allows: nothing in a fleet of up to 20 daemons, 0.7 s in one of 67.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -72,6 +72,7 @@
             settings,
             base.clock,
             registration,
+            follower,
             in_progress,
             base.log,
         ),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -22,10 +22,10 @@
 # Changes that come within this time are fetched by one call. All daemons ask
 # for each change, so the time grows with the fleet: together they make some 67
 # calls a second at most. The most is far below the seconds in which a change
-# has to be in force, and is part of the time that a stop takes.
+# has to be in force, and what is beyond the least is added to a stop.
 _GATHER_MS_A_DAEMON: Final = 15.0
 _LEAST_GATHER_MS: Final = 300.0
-MOST_GATHER_MS: Final = 1000.0
+_MOST_GATHER_MS: Final = 1000.0
 # The store answers a read within some 10 ms, and sixty times that when slow;
 # a read that began while it was silent is not waited for. Each failure doubles
 # the time, up to one at which any list has arrived.
@@ -57,7 +57,12 @@
         """How long to let further changes come before asking for them."""
         daemons = self._taker.board.fleet.most
         wanted_ms = daemons * _GATHER_MS_A_DAEMON
-        return min(MOST_GATHER_MS, max(_LEAST_GATHER_MS, wanted_ms))
+        return min(_MOST_GATHER_MS, max(_LEAST_GATHER_MS, wanted_ms))
+
+    @property
+    def extra_gather_ms(self) -> float:
+        """By how much a large fleet hears of a change later than a small."""
+        return self.gather_ms - _LEAST_GATHER_MS
 
     def run(self) -> None:
         """Follow the store until the process ends."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -10,7 +10,7 @@
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._entries import ENTRY_TTL_MS
 from fennelfork_daemon.routes._events import StateChanged
-from fennelfork_daemon.routes._follower import MOST_GATHER_MS
+from fennelfork_daemon.routes._follower import StoreFollower
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._settings import RouteSettings
 
@@ -51,17 +51,19 @@
     settings: RouteSettings,
     clock: Clock,
     registration: Registration,
+    follower: StoreFollower,
     in_progress: InProgress,
     log: DecisionLog,
 ) -> StopService:
     """Build the stop: leave the store, serve on for a while, then end."""
     policy = StopPolicy(
-        # Other daemons name this one until they have asked for changes.
-        entry_ttl_ms=_TTL_FACTOR * ENTRY_TTL_MS + MOST_GATHER_MS,
+        entry_ttl_ms=_TTL_FACTOR * ENTRY_TTL_MS,
         stop_ms=settings.stop_ms - _STOP_MARGIN_MS,
         announce_ms=_ANNOUNCE_MS,
         # A supervisor may repeat its signal, and kills in the end by itself.
         asked_twice_ends=False,
+        # Others name this daemon until they have asked for changes.
+        hear_ms=lambda: follower.extra_gather_ms,
     )
     steps = StopLog(log=log)
     return stop_service(policy, clock, registration, in_progress, steps)
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -263,6 +263,7 @@
         following.change(*(MemberFact(member=one) for one in members))
         following.change(MemberFact(member=member('vm-1')))
         assert following.change(ServerGoneFact(instance='i-1')) == gather_ms
+        assert following.follower.extra_gather_ms == gather_ms - 300
 
     def test_first_read_is_not_waited_for(self) -> None:
         """A read that began while the store was silent is soon given up."""
--- a/packages/fennelfork/src/fennelfork/_stop.py
+++ b/packages/fennelfork/src/fennelfork/_stop.py
@@ -1,6 +1,7 @@
 """A graceful stop: cut no request, and say so if one had to be cut."""
 
 import enum
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -37,12 +38,15 @@
         asked_twice_ends: whether to end at once if asked to end again, as a
             person does who will not wait.
         stop_ms: the whole stop, after which what runs is cut.
+        hear_ms: gives how long other daemons may take to hear of the leave
+            beyond a margin of half a second, asked when they are told.
     """
 
     entry_ttl_ms: float
     stop_ms: float
     announce_ms: float = 5000
     asked_twice_ends: bool = True
+    hear_ms: Callable[[], float] = float
 
 
 @attrs.frozen(kw_only=True)
@@ -111,7 +115,8 @@
             self.phase = _FOLLOWING[self.phase]
             if self.phase is StopPhase.LINGERING:
                 ttl_ms = self._policy.entry_ttl_ms + _TTL_MARGIN_MS
-                self._quiet_ms = facts.now_ms + ttl_ms
+                heard_ms = facts.now_ms + self._policy.hear_ms()
+                self._quiet_ms = heard_ms + ttl_ms
         return self.phase
 
     def _must_end(self, facts: StopFacts) -> bool:
--- a/packages/fennelfork/tests/test_stop.py
+++ b/packages/fennelfork/tests/test_stop.py
@@ -44,6 +44,15 @@
         assert stop.step(_facts(8200)) is StopPhase.ENDED
         assert stop.exit_status == 0
 
+    def test_lingers_while_others_have_not_heard(self) -> None:
+        """In a large fleet others name a leaving daemon for longer."""
+        policy = attrs.evolve(_POLICY, hear_ms=lambda: 700)
+        stop = graceful_stop(policy)
+        stop.end(1000)
+        assert stop.step(_facts(2500)) is StopPhase.LINGERING
+        assert stop.step(_facts(8600, running=1)) is StopPhase.LINGERING
+        assert stop.step(_facts(8700, running=1)) is StopPhase.CLOSING
+
     def test_a_repeated_signal_may_count_once(self) -> None:
         """Where a supervisor repeats its signal, no request is cut by it."""
         policy = attrs.evolve(_POLICY, asked_twice_ends=False)
