Only pools that say so take a reset for a limit of connections

A server that resets what it gets was sent the work again unpaid by the home of its shard and never counted as bad, and the store's client opened no connection for 250 ms after a reset.

Routes behave as they did.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -53,10 +53,13 @@
     Attributes:
         code: of the failure.
         wait_ms: how long to wait for one of them before.
+        reset_is_full: whether a server that resets a new connection is taken
+            to hold as many as it may, as others connect to it as well.
     """
 
     code: FailureCode = FailureCode.SHED
     wait_ms: float = 0
+    reset_is_full: bool = False
 
 
 _FAIL_AT_ONCE: Final = WhenFull()
@@ -160,6 +163,8 @@
         """Open no further connection for a moment, if that was the cause."""
         if failure.code is not FailureCode.SHED:
             return Bad(failure)
+        if not self._when_full.reset_is_full:
+            return Bad(attrs.evolve(failure, code=FailureCode.UNREACHABLE))
         self._ledger.turned_away(self._clock.now_ms())
         return Bad(attrs.evolve(failure, code=self._when_full.code))
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -12,7 +12,11 @@
 _MOST_BYTES = 8_388_608
 # For a connection that another call gives back: calls take some 50 ms, and
 # failing at once ends a request that comes in a burst.
-_WHEN_FULL = WhenFull(code=FailureCode.QUEUE_FULL, wait_ms=100)
+_WHEN_FULL = WhenFull(
+    code=FailureCode.QUEUE_FULL,
+    wait_ms=100,
+    reset_is_full=True,
+)
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/tests/test_backend_pool.py
+++ b/packages/fennelfork-daemon/tests/test_backend_pool.py
@@ -6,9 +6,17 @@
 import eventlet
 import pytest
 from returns.pipeline import is_successful
+from returns.result import Failure as Bad
 from returns.result import Result, Success
 
-from fennelfork import Failure, FailureCode, Verdict, system_clock
+from fennelfork import (
+    Failure,
+    FailureCode,
+    Verdict,
+    may_have_run,
+    not_run,
+    system_clock,
+)
 from fennelfork.servers import ConnectionLedger
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.backend import _pool
@@ -50,17 +58,8 @@
 
 
 def _one_connection(wait_ms: float) -> _pool.BackendPool:
-    return _pool.backend_pool(
-        Address(host='127.0.0.1', port=1),
-        ConnectionLedger(limit=1),
-        system_clock(),
-        1000,
-        probe=None,
-        when_full=_pool.WhenFull(
-            code=FailureCode.QUEUE_FULL,
-            wait_ms=wait_ms,
-        ),
-    )
+    when_full = _pool.WhenFull(code=FailureCode.QUEUE_FULL, wait_ms=wait_ms)
+    return _pool_of(when_full, limit=1)
 
 
 def _calls(pool: _pool.BackendPool, count: int) -> list[Any]:
@@ -95,3 +94,101 @@
         assert is_successful(running.wait())
         assert is_successful(waiting.wait())
         assert system_clock().now_ms() - began_ms < _SOON_MS
+
+
+class TestReset:
+    """A new connection is reset, as it is opened or after the call was sent."""
+
+    @pytest.mark.parametrize('verdict', [Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN])
+    def test_is_a_failure_like_others(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        verdict: Verdict,
+    ) -> None:
+        """It is paid for and blamed, and a further one is opened at once.
+
+        The home of a shard and the client of the store know of no limit of
+        connections that others may fill.
+        """
+        server = _resetting(monkeypatch, verdict)
+        pool = _pool_of(_pool.WhenFull())
+        for _ in range(3):
+            failure = pool.carry(_CALL, _pool.Trace()).failure()
+            assert failure.code is FailureCode.UNREACHABLE
+            assert failure.verdict is verdict
+        assert server.opened == 3
+
+    @pytest.mark.parametrize('verdict', [Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN])
+    def test_is_a_limit_where_that_is_said(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+        verdict: Verdict,
+    ) -> None:
+        """Then no further one is opened for a moment."""
+        server = _resetting(monkeypatch, verdict)
+        when_full = _pool.WhenFull(
+            code=FailureCode.QUEUE_FULL,
+            reset_is_full=True,
+        )
+        pool = _pool_of(when_full)
+        failure = pool.carry(_CALL, _pool.Trace()).failure()
+        assert failure.code is FailureCode.QUEUE_FULL
+        assert failure.verdict is verdict
+        pool.carry(_CALL, _pool.Trace())
+        assert server.opened == 1
+
+
+@attrs.define
+class _ResetConnection:
+    """Is reset by a server, as it is opened or when it carries a call."""
+
+    verdict: Verdict
+    alive: bool = True
+    keep_ms: float | None = None
+
+    def open(self, timeout_ms: float) -> Result[None, Failure]:
+        """Fail if nothing is to be sent."""
+        if self.verdict is Verdict.NOT_RUN:
+            return Bad(not_run(FailureCode.SHED, 'reset'))
+        return Success(None)
+
+    def carry(self, call: Any) -> Result[str, Failure]:
+        """Fail after the call was sent."""
+        return Bad(may_have_run(FailureCode.SHED, 'reset'))
+
+    def close(self) -> None:
+        """Close at once."""
+
+
+@attrs.define
+class _ResettingServer:
+    """Resets each connection, and notes how many were opened."""
+
+    verdict: Verdict
+    opened: int = 0
+
+    def connect(self, address: Address, most_bytes: int) -> _ResetConnection:
+        """Give a connection that will be reset."""
+        self.opened += 1
+        return _ResetConnection(self.verdict)
+
+
+def _resetting(
+    monkeypatch: pytest.MonkeyPatch,
+    verdict: Verdict,
+) -> _ResettingServer:
+    """Have each connection be one that is reset."""
+    server = _ResettingServer(verdict)
+    monkeypatch.setattr(_pool, 'backend_connection', server.connect)
+    return server
+
+
+def _pool_of(when_full: _pool.WhenFull, limit: int = 3) -> _pool.BackendPool:
+    return _pool.backend_pool(
+        Address(host='127.0.0.1', port=1),
+        ConnectionLedger(limit=limit),
+        system_clock(),
+        1000,
+        probe=None,
+        when_full=when_full,
+    )
