Figures that stood twice stand once, and a count gets its name

Reread as a newcomer: the wait for the first configuration repeated the time of the first read; the time for which a full server is passed over repeated that for which no connection is opened to it; the sender worked out what a part counts as attempts; the type float stood for a function that gives zero. Each has one place or name now.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_first_routes.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_first_routes.py
@@ -14,13 +14,10 @@
     RouteBoard,
 )
 from fennelfork_daemon.routes._contact import StoreContact
+from fennelfork_daemon.routes._follower import FIRST_READ_MS
 
 _MS_PER_SECOND: Final = 1000
-# A daemon that starts beside eight others knows its routes after 25 to 100 ms.
-# Refused meanwhile, a caller that a loss of all power cut off has used up its
-# one further try: 25 requests of one such loss, of 240 in those two seconds.
-# The first read is given up after this time.
-_MOST_MS: Final = 400.0
+# Far less than the wait, which is 25 to 100 ms.
 _LOOK_MS: Final = 4.0
 # What is read of a request while no configuration says how much.
 FIRST_LIMITS: Final = CallerLimits(
@@ -33,7 +30,12 @@
 
 @attrs.frozen(kw_only=True)
 class FirstRoutes:
-    """Gives the routes in force, and waits for the very first."""
+    """Gives the routes in force, and waits for the very first.
+
+    A daemon that starts beside eight others knows them after 25 to 100 ms.
+    Refused meanwhile, a caller that a loss of all power cut off has used up its
+    one further try: 25 requests of one such loss, of 240 in those two seconds.
+    """
 
     _board: RouteBoard
     _contact: StoreContact
@@ -50,7 +52,7 @@
         Waits only while the first read of the store is under way: once that
         has failed or told of no configuration, the answer is there.
         """
-        until_ms = self._clock.now_ms() + _MOST_MS
+        until_ms = self._clock.now_ms() + FIRST_READ_MS
         while self._is_to_come(until_ms):
             eventlet.sleep(_LOOK_MS / _MS_PER_SECOND)
         return self._board.table
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -29,7 +29,7 @@
 # The store answers a read within some 10 ms, and sixty times that when slow;
 # a read that began while it was silent is not waited for. Each failure doubles
 # the time, up to one at which any list has arrived.
-_FIRST_READ_MS: Final = 400.0
+FIRST_READ_MS: Final = 400.0
 _LAST_READ_MS: Final = 4000.0
 # The store is back within seconds, and every refused call costs.
 _BACKOFF_BASE_MS: Final = 150.0
@@ -116,7 +116,7 @@
     def _call(self) -> Result[Listing | Changes | HistoryGone, Failure]:
         if self._revision is not None:
             return self._store.changes(self._revision)
-        patience_ms = _FIRST_READ_MS * 2**self._failures
+        patience_ms = FIRST_READ_MS * 2**self._failures
         return self._store.read_all(min(_LAST_READ_MS, patience_ms))
 
 
--- a/packages/fennelfork/src/fennelfork/_stop.py
+++ b/packages/fennelfork/src/fennelfork/_stop.py
@@ -28,6 +28,11 @@
     ENDED = 'ended'
 
 
+def _no_longer() -> float:
+    """Tell that others hear of a leave within the margin."""
+    return 0
+
+
 @attrs.frozen(kw_only=True)
 class StopPolicy:
     """Bounds of a stop.
@@ -46,7 +51,7 @@
     stop_ms: float
     announce_ms: float = 5000
     asked_twice_ends: bool = True
-    hear_ms: Callable[[], float] = float
+    hear_ms: Callable[[], float] = _no_longer
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/routes/_leg.py
+++ b/packages/fennelfork/src/fennelfork/routes/_leg.py
@@ -76,6 +76,11 @@
         """Whether nothing more is to be expected."""
         return self.part is not None or (self.abandoned and not self.running)
 
+    @property
+    def attempts(self) -> int:
+        """How many servers count as having had the request."""
+        return self.runs - self.cut
+
     @property
     def turned_away(self) -> bool:
         """Whether a server or a limit of ours last turned it away."""
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -58,8 +58,7 @@
             now_ms: the time.
             only_healthy: rather send none than to a server in doubt.
         """
-        attempts = leg.runs - leg.cut
-        if attempts >= self.attempts or self._sent_enough(leg):
+        if leg.attempts >= self.attempts or self._sent_enough(leg):
             leg.denied('no further attempt is left', now_ms)
             return []
         server = self._choose(leg, only_healthy=only_healthy)
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fennelfork.servers._connection import TURNED_AWAY_MS
 from fennelfork.servers._ejection import Standing
 from fennelfork.servers._rank import ObservedLatency
 
@@ -19,9 +20,6 @@
 # second answered 0.64 instead of 0.52 of what is owed in the worst seconds.
 _GAIN: Final = 0.4
 _HALF: Final = 0.5
-# A server to which no connection was to be had is passed over, while others
-# have one, for some five calls.
-_FULL_MS: Final = 250.0
 _LEAST_RATIO: Final = 0.1
 
 
@@ -64,8 +62,12 @@
         self._sent_ms.pop(attempt, None)
 
     def note_full(self, now_ms: float) -> None:
-        """Note that no connection to it was to be had."""
-        self._full_until_ms = now_ms + _FULL_MS
+        """Note that no connection to it was to be had.
+
+        It is passed over, while others have one, for as long as no further
+        one is opened to it.
+        """
+        self._full_until_ms = now_ms + TURNED_AWAY_MS
 
     def full(self, now_ms: float) -> bool:
         """Tell whether there was none a moment ago."""
--- a/packages/fennelfork/src/fennelfork/servers/_connection.py
+++ b/packages/fennelfork/src/fennelfork/servers/_connection.py
@@ -10,7 +10,7 @@
 # A server that turned a connection away holds as many as it may, perhaps of
 # daemons that lost power: it forgets those within seconds. Until it is asked
 # for a further one again, some five calls go by.
-_TURNED_AWAY_MS: Final = 250.0
+TURNED_AWAY_MS: Final = 250.0
 
 
 @attrs.frozen(kw_only=True)
@@ -80,7 +80,7 @@
 
     def turned_away(self, now_ms: float) -> None:
         """Note that the server takes no further connection at present."""
-        self._closed_until_ms = now_ms + _TURNED_AWAY_MS
+        self._closed_until_ms = now_ms + TURNED_AWAY_MS
 
     def done(self, connection: int, now_ms: float, *, usable: bool) -> bool:
         """Take a connection back after a request.
