How old a daemon's knowledge of the store is can be seen

Cause: the record of the incident could not tell a watch that is still waited for from one that was answered: store_lost and store_regained speak of any call, and renewals of the lease are answered while nothing is heard of changes.

Change: store_lost names the call that failed; store_regained says also how long ago the store last told what it holds; a gauge shows that age at any time.

No decision has changed. Tests: the daemon's tests of routes pass, one of them new.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -37,6 +37,7 @@
     base = foundation(settings, ports, log_output)
     reporter = StoreReporter(log=base.log, metrics=base.metrics)
     contact = store_contact(base.board, base.clock, reporter)
+    base.metrics.follow_store(lambda: contact.told_age_ms)
     registration = Registration(
         store=ports.store,
         board=base.board,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -83,9 +83,15 @@
 
 @attrs.frozen(kw_only=True)
 class StoreLost:
-    """The store is not reached."""
+    """The store is not reached.
+
+    Attributes:
+        call: which of its calls was not answered; see `StoreCall`.
+        reason: why.
+    """
 
     event: ClassVar[str] = 'store_lost'
+    call: str
     reason: str
 
 
@@ -94,11 +100,13 @@
     """The store is reached again.
 
     Attributes:
-        away_ms: since its last answer.
+        away_ms: since its last answer to any call.
+        told_ms: since it last told what it holds: the age of what is known.
     """
 
     event: ClassVar[str] = 'store_regained'
     away_ms: int
+    told_ms: int
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -13,7 +13,7 @@
 from fennelfork import Failure
 from fennelfork.config import Backoff
 from fennelfork_daemon.routes._apply import FactTaker
-from fennelfork_daemon.routes._contact import StoreContact
+from fennelfork_daemon.routes._contact import StoreCall, StoreContact
 from fennelfork_daemon.routes._facts import Fact
 from fennelfork_daemon.routes._pending_call import PendingCall
 from fennelfork_daemon.routes._ports import Changes, HistoryGone, Listing, Store
@@ -81,10 +81,10 @@
             return 0
         if not is_successful(called):
             self._failures += 1
-            self._contact.missed(called.failure())
+            self._contact.missed(self._asks, called.failure())
             return _BACKOFF.delay_ms(self._failures, self._rng)
         self._failures = 0
-        self._contact.reached()
+        self._contact.told()
         return _taken(called.unwrap(), self)
 
     def ask_again(self) -> None:
@@ -113,6 +113,13 @@
         """Read everything again at the next step."""
         self._revision = None
 
+    @property
+    def _asks(self) -> StoreCall:
+        """What the next call asks."""
+        if self._revision is None:
+            return StoreCall.LISTING
+        return StoreCall.CHANGES
+
     def _call(self) -> Result[Listing | Changes | HistoryGone, Failure]:
         if self._revision is not None:
             return self._store.changes(self._revision)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -1,11 +1,13 @@
 """Metrics of a daemon that serves routes."""
 
+from collections.abc import Callable
 from typing import Final
 
 import attrs
 from prometheus_client import (
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     ProcessCollector,
     generate_latest,
@@ -63,6 +65,11 @@
     _extra: Counter
     _missing: Counter
     _decisions: Counter
+    _told_age: Gauge
+
+    def follow_store(self, told_age_ms: Callable[[], float]) -> None:
+        """Show how old what is known of the store is, whenever asked."""
+        self._told_age.set_function(lambda: told_age_ms() / _MS_PER_SECOND)
 
     def follow(self, table: RouteTable) -> None:
         """Take the names that may be labels from the routes in force."""
@@ -141,6 +148,11 @@
             'Decisions by kind, and whether a log line was written.',
             ('event', 'logged'),
         ),
+        told_age=Gauge(
+            'fennelfork_store_told_age_seconds',
+            'Since the store last told what it holds.',
+            registry=registry,
+        ),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -9,7 +9,7 @@
 
 from fennelfork import Clock, Failure
 from fennelfork_daemon.routes._board import RouteBoard
-from fennelfork_daemon.routes._contact import StoreContact
+from fennelfork_daemon.routes._contact import StoreCall, StoreContact
 from fennelfork_daemon.routes._ports import Store
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 
@@ -107,7 +107,7 @@
         if is_successful(called):
             self._contact.reached()
         else:
-            self._contact.missed(called.failure())
+            self._contact.missed(StoreCall.LEASE, called.failure())
         return called
 
     def _end(self) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -18,13 +18,18 @@
     _log: DecisionLog
     _metrics: RouteMetrics
 
-    def lost(self, failure: Failure) -> None:
-        """The store is not reached."""
-        self._log.tell(events.StoreLost(reason=failure.detail))
+    def lost(self, call: str, failure: Failure) -> None:
+        """The store is not reached: a call of it failed."""
+        self._log.tell(events.StoreLost(call=call, reason=failure.detail))
 
-    def regained(self, away_ms: float) -> None:
+    def regained(self, away_ms: float, told_ms: float) -> None:
         """The store is reached again."""
-        self._log.tell(events.StoreRegained(away_ms=round(away_ms)))
+        self._log.tell(
+            events.StoreRegained(
+                away_ms=round(away_ms),
+                told_ms=round(told_ms),
+            ),
+        )
 
     def registered(self, lease: int, ttl_ms: float) -> None:
         """This daemon is registered."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -246,5 +246,12 @@
 
     def events(self) -> list[str]:
         """Give the kinds of the lines that were logged."""
+        return [line['event'] for line in self._logged()]
+
+    def lines(self, *events: str) -> list[dict[str, Any]]:
+        """Give the lines of some kinds that were logged."""
+        return [line for line in self._logged() if line['event'] in events]
+
+    def _logged(self) -> list[dict[str, Any]]:
         lines = self.log.getvalue().splitlines()
-        return [json.loads(line)['event'] for line in lines]
+        return [json.loads(line) for line in lines]
--- a/packages/fennelfork-daemon/tests/test_routes_events.py
+++ b/packages/fennelfork-daemon/tests/test_routes_events.py
@@ -86,7 +86,7 @@
         time = ManualTime()
         counted = _Counts()
         log = decision_log(manual_clock(time), counted, output, daemon='vm-1')
-        lost = events.StoreLost(reason='x' * 20_000)
+        lost = events.StoreLost(call='lease', reason='x' * 20_000)
         for _ in range(40):
             log.tell(lost)
         dropped = output.dropped
@@ -115,11 +115,11 @@
             EndlessOutput(),
             daemon='vm-1',
         )
-        log.tell(events.StoreRegained(away_ms=7))
+        log.tell(events.StoreRegained(away_ms=7, told_ms=9))
         structlog.reset_defaults()
         line = json.loads(stream.getvalue())
         frame = {'event', 'level', 'timestamp', 'daemon'}
-        assert line.keys() - frame == {'away_ms'}
+        assert line.keys() - frame == {'away_ms', 'told_ms'}
         assert (line['event'], line['daemon']) == ('store_regained', 'vm-1')
 
 
--- a/packages/fennelfork-daemon/tests/test_routes_first.py
+++ b/packages/fennelfork-daemon/tests/test_routes_first.py
@@ -14,6 +14,7 @@
 
 from fennelfork import Clock, system_clock
 from fennelfork_daemon.routes import ConfigFact, ServerFact
+from fennelfork_daemon.routes._contact import StoreCall
 from fennelfork_daemon.routes._first_routes import FirstRoutes
 
 _READ_S = 0.05
@@ -43,7 +44,7 @@
 
     def test_store_is_away(self, starting: Following) -> None:
         """Once the read has failed, there is nothing to wait for."""
-        starting.contact.missed(AWAY)
+        starting.contact.missed(StoreCall.LISTING, AWAY)
         assert _wait_ms(starting) < _AT_ONCE_MS
 
     def test_no_configuration(self, starting: Following) -> None:
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -27,6 +27,7 @@
     ServerGoneFact,
     UnreadableFact,
 )
+from fennelfork_daemon.routes._contact import StoreCall
 
 # For green threads that are about to run.
 _LET_RUN_S = 0.01
@@ -213,7 +214,7 @@
         built.store.listed = [SILENCE, (ConfigFact(table=table(8)),)]
         watch = eventlet.spawn(_two_steps, built)
         eventlet.sleep(_LET_RUN_S)
-        built.contact.missed(AWAY)
+        built.contact.missed(StoreCall.CHANGES, AWAY)
         built.contact.reached()
         with eventlet.Timeout(1):
             watch.wait()
@@ -228,7 +229,7 @@
         following.contact.reached()
         eventlet.sleep(_LET_RUN_S)
         assert following.watches == 1
-        following.contact.missed(AWAY)
+        following.contact.missed(StoreCall.CHANGES, AWAY)
         for _ in range(5):
             following.contact.reached()
             eventlet.sleep(_LET_RUN_S)
@@ -283,6 +284,24 @@
         assert events.count('store_lost') == 1
         assert events.count('store_regained') == 1
 
+    def test_says_what_waited_and_how_old_it_is(
+        self,
+        following: Following,
+    ) -> None:
+        """A renewal that is answered does not make what is known younger."""
+        following.registration.step()
+        following.time.advance(700)
+        following.follower.step()
+        following.time.advance(700)
+        following.store.renewals = [Success(True)]
+        following.registration.step()
+        lost, regained = following.lines('store_lost', 'store_regained')
+        assert lost['call'] == 'changes'
+        assert (regained['away_ms'], regained['told_ms']) == (1400, 1400)
+        assert following.contact.told_age_ms == 1400
+        following.change()
+        assert following.contact.told_age_ms == 0
+
 
 class TestRegistration:
     """This daemon's own entry."""
