What a daemon knows of the store is bounded in its age

Cause: a watch might wait for half a minute, and if its answer never came while no other call failed, what had been replaced was served for as long. In a daemon that had read nothing, a read waited up to 4 s without a byte, with no other call that could end it.

Change: one place (StorePace) gives each call that waits its time out of the time in which operators want changes in force, less what it takes to find a lost answer and to ask once more: a watch waits 1.2 s at 9 daemons and 3 s, 2.5 s at 67 and 5 s. After a failure the store is asked for what it can say at once. A read without a byte is given up after 0.4, 0.8, then each 1.6 s; doubling stops there, while it went on before until, after some 1,000 failures in a row, the figure was too large for a float and the follower ended. Asking again on the store's return stays; it saves the rest of the wait.

Ruled out: keep-alive alone (the store's host answers it), renewals alone (they are answered while a watch is not), reads that may be old (by seconds, so they bound nothing), telling each other (all watches may be lost at once).

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -2,6 +2,7 @@
 
 import random
 
+from fennelfork.routes import store_pace
 from fennelfork_daemon._in_progress import InProgress
 from fennelfork_daemon.logs._budget import LogOutput
 from fennelfork_daemon.routes._apply import FactTaker
@@ -92,5 +93,6 @@
         base.ports.store,
         contact,
         FactTaker(board=base.board, reporter=reporter, pools=base.pools),
+        store_pace(base.board.fleet, base.settings.in_force_ms),
         random.Random(),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_first_routes.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_first_routes.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from fennelfork import Clock
-from fennelfork.routes import CallerLimits, RouteTable
+from fennelfork.routes import FIRST_LISTING_MS, CallerLimits, RouteTable
 from fennelfork_daemon.routes._board import (
     HEADER_BYTES,
     IDLE_MS,
@@ -14,7 +14,6 @@
     RouteBoard,
 )
 from fennelfork_daemon.routes._contact import StoreContact
-from fennelfork_daemon.routes._follower import FIRST_READ_MS
 
 _MS_PER_SECOND: Final = 1000
 # Far less than the wait, which is 25 to 100 ms.
@@ -52,7 +51,7 @@
         Waits only while the first read of the store is under way: once that
         has failed or told of no configuration, the answer is there.
         """
-        until_ms = self._clock.now_ms() + FIRST_READ_MS
+        until_ms = self._clock.now_ms() + FIRST_LISTING_MS
         while self._is_to_come(until_ms):
             eventlet.sleep(_LOOK_MS / _MS_PER_SECOND)
         return self._board.table
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -12,6 +12,7 @@
 
 from fennelfork import Failure
 from fennelfork.config import Backoff
+from fennelfork.routes import STORE_RETRY_MS, StorePace
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._contact import StoreCall, StoreContact
 from fennelfork_daemon.routes._facts import Fact
@@ -19,25 +20,15 @@
 from fennelfork_daemon.routes._ports import Changes, HistoryGone, Listing, Store
 
 _MS_PER_SECOND: Final = 1000
-# Changes that come within this time are fetched by one call. All daemons ask
-# for each change, so the time grows with the fleet: together they make some 67
-# calls a second at most. The most is far below the seconds in which a change
-# has to be in force, and what is beyond the least is added to a stop.
-_GATHER_MS_A_DAEMON: Final = 15.0
-_LEAST_GATHER_MS: Final = 300.0
-_MOST_GATHER_MS: Final = 1000.0
-# The store answers a read within some 10 ms, and sixty times that when slow;
-# a read that began while it was silent is not waited for. Each failure doubles
-# the time, up to one at which any list has arrived.
-FIRST_READ_MS: Final = 400.0
-_LAST_READ_MS: Final = 4000.0
 # The store is back within seconds, and every refused call costs.
-_BACKOFF_BASE_MS: Final = 150.0
 _BACKOFF_CAP_MS: Final = 800.0
 _BACKOFF: Final = Backoff(
-    base_ms=_BACKOFF_BASE_MS,
+    base_ms=STORE_RETRY_MS,
     cap_ms=_BACKOFF_CAP_MS,
 )
+# All daemons hear of a change at once. Their watches that find nothing end
+# spread over a fifth of their time, not in one wave after another.
+_LEAST_WAIT: Final = 0.8
 
 
 @attrs.define(kw_only=True)
@@ -47,22 +38,16 @@
     _store: Store
     _contact: StoreContact
     _taker: FactTaker
+    _pace: StorePace
     _rng: random.Random
     _pending: PendingCall[Any] = attrs.field(factory=PendingCall)
     _revision: int | None = None
     _failures: int = 0
 
     @property
-    def gather_ms(self) -> float:
-        """How long to let further changes come before asking for them."""
-        daemons = self._taker.board.fleet.most
-        wanted_ms = daemons * _GATHER_MS_A_DAEMON
-        return min(_MOST_GATHER_MS, max(_LEAST_GATHER_MS, wanted_ms))
-
-    @property
-    def extra_gather_ms(self) -> float:
-        """By how much a large fleet hears of a change later than a small."""
-        return self.gather_ms - _LEAST_GATHER_MS
+    def pace(self) -> StorePace:
+        """How often, and how patiently, the store is asked."""
+        return self._pace
 
     def run(self) -> None:
         """Follow the store until the process ends."""
@@ -90,8 +75,8 @@
     def ask_again(self) -> None:
         """Give up the call that waits: the store was away meanwhile.
 
-        What it forgot then is never answered, and a change right after its
-        return would stay unknown for the rest of a watch, half a minute.
+        What it forgot then is never answered. The pace bounds how long that is
+        waited for; this saves the rest of that time.
         """
         self._pending.give_up()
 
@@ -121,16 +106,18 @@
         return StoreCall.CHANGES
 
     def _call(self) -> Result[Listing | Changes | HistoryGone, Failure]:
-        if self._revision is not None:
-            return self._store.changes(self._revision)
-        patience_ms = FIRST_READ_MS * 2**self._failures
-        return self._store.read_all(min(_LAST_READ_MS, patience_ms))
+        if self._revision is None:
+            return self._store.read_all(self._pace.listing_ms(self._failures))
+        most_ms = self._pace.watch_ms(self._failures)
+        wait_ms = most_ms * self._rng.uniform(_LEAST_WAIT, 1)
+        return self._store.changes(self._revision, wait_ms)
 
 
 def store_follower(
     store: Store,
     contact: StoreContact,
     taker: FactTaker,
+    pace: StorePace,
     rng: random.Random,
 ) -> StoreFollower:
     """Build a follower that asks again whenever the store comes back."""
@@ -138,6 +125,7 @@
         store=store,
         contact=contact,
         taker=taker,
+        pace=pace,
         rng=rng,
     )
     contact.listen(follower.ask_again)
@@ -159,7 +147,7 @@
 @_taken.register
 def _take_changes(found: Changes, follower: StoreFollower) -> float:
     follower.take_changes(found)
-    return follower.gather_ms if found.facts else 0
+    return follower.pace.gather_ms if found.facts else 0
 
 
 @_taken.register
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -47,8 +47,18 @@
     def read_all(self, timeout_ms: float) -> Result[Listing, Failure]:
         """Read everything, linearizably; each page within a time."""
 
-    def changes(self, after: int) -> Result[Changes | HistoryGone, Failure]:
-        """Wait for changes after a revision; none may come in time."""
+    def changes(
+        self,
+        after: int,
+        wait_ms: float,
+    ) -> Result[Changes | HistoryGone, Failure]:
+        """Ask for changes after a revision; none may come in time.
+
+        Args:
+            after: the revision.
+            wait_ms: how long the store waits for one before it answers. What
+                it has not answered shortly after that is a failure.
+        """
 
     def open_lease(self, ttl_ms: float) -> Result[int, Failure]:
         """Open a lease and give its number."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
@@ -25,6 +25,8 @@
         repeats: what all daemons together may repeat.
         stop_ms: how long a stop may take until the process is killed.
         least_lease_ms: the shortest lease that the store grants.
+        in_force_ms: how soon after the store took a change, of routes or of a
+            server that leaves, every daemon has to go by it.
     """
 
     name: str
@@ -39,3 +41,4 @@
     repeats: RepeatPolicy
     stop_ms: float
     least_lease_ms: float
+    in_force_ms: float
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -21,6 +21,7 @@
     Service,
     Single,
     route_table,
+    store_pace,
 )
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.logs._budget import decision_log
@@ -65,6 +66,7 @@
         'repeats': RepeatPolicy(ratio=0.2, fixed=58, window_ms=10_000),
         'stop_ms': 6000,
         'least_lease_ms': 1000,
+        'in_force_ms': 3000,
     }
     return RouteSettings(**(fields | changes))
 
@@ -144,9 +146,13 @@
             eventlet.sleep(_FOREVER_S)
         return Success(Listing(facts=tuple(facts), revision=5))
 
-    def changes(self, after: int) -> Result[Changes | HistoryGone, Failure]:
+    def changes(
+        self,
+        after: int,
+        wait_ms: float,
+    ) -> Result[Changes | HistoryGone, Failure]:
         """Give the next changes, a failure if there are none."""
-        self.calls.append(('changes', after))
+        self.calls.append(('changes', after, wait_ms))
         if not self.changed:
             return Bad(AWAY)
         facts = self.changed.pop(0)
@@ -218,6 +224,7 @@
             self.store,
             self.contact,
             FactTaker(board=self.board, reporter=reporter, pools=pools),
+            store_pace(self.board.fleet, settings().in_force_ms),
             random.Random(1),
         )
         self.registration = Registration(
--- a/packages/fennelfork-daemon/tests/test_decision_log.py
+++ b/packages/fennelfork-daemon/tests/test_decision_log.py
@@ -31,10 +31,10 @@
             daemon='vm-1',
         )
         for _ in range(60):
-            log.tell(StoreLost(reason='r'))
+            log.tell(StoreLost(call='lease', reason='r'))
         log.tell(ServerGone(server='s'))
         time.advance(1000)
-        log.tell(StoreLost(reason='r'))
+        log.tell(StoreLost(call='lease', reason='r'))
         structlog.reset_defaults()
         lines = [json.loads(line) for line in stream.getvalue().splitlines()]
         assert len(lines) == 52
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -264,14 +264,15 @@
         following.change(*(MemberFact(member=one) for one in members))
         following.change(MemberFact(member=member('vm-1')))
         assert following.change(ServerGoneFact(instance='i-1')) == gather_ms
-        assert following.follower.extra_gather_ms == gather_ms - 300
+        pace = following.follower.pace
+        assert pace.extra_gather_ms == gather_ms - 300
 
     def test_first_read_is_not_waited_for(self) -> None:
         """A read that began while the store was silent is soon given up."""
         built = Following()
         waits = [built.follower.step() for _ in range(6)]
         patience = [call[1] for call in built.store.calls]
-        assert patience == [400, 800, 1600, 3200, 4000, 4000]
+        assert patience == [400, 800, 1600, 1600, 1600, 1600]
         assert all(100 < wait < 900 for wait in waits)
         structlog.reset_defaults()
 
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/routes/_store_pace.py
@@ -0,0 +1,89 @@
+"""How often, and how patiently, a daemon asks the platform's store."""
+
+from typing import Final
+
+import attrs
+
+from fennelfork.routes._fleet_size import FleetSize
+
+# The store answers within some 10 ms, and sixty times that when slow. What has
+# no answer by then has none to come: the store lost it, or is away. Below the
+# 700 ms between renewals of a lease, two of which fit into it.
+STORE_ANSWER_MS: Final = 650.0
+# The least pause after a call that failed.
+STORE_RETRY_MS: Final = 150.0
+# Changes that come within this time are fetched by one call. All daemons ask
+# for each change, so the time grows with the fleet: together they make some 67
+# calls a second at most. The most is far below the seconds in which a change
+# has to be in force, and what is beyond the least is added to a stop.
+_GATHER_MS_A_DAEMON: Final = 15.0
+_LEAST_GATHER_MS: Final = 300.0
+_MOST_GATHER_MS: Final = 1000.0
+# A watch that found nothing is asked again at most so often, whatever is wanted.
+_LEAST_WATCH_MS: Final = 500.0
+# After a failure the store says at once whether it is back: it tells what is
+# new, or nothing after this time.
+_RETRY_WATCH_MS: Final = 50.0
+# To wake up late, and to put what came in force.
+_MARGIN_MS: Final = 100.0
+# A daemon that starts has nothing else to go by, and callers wait for it: it
+# gives a listing up soon, and sooner at first. Twice doubled, it suffices for a
+# store that is 400 times slower than usual.
+FIRST_LISTING_MS: Final = 400.0
+_MOST_DOUBLINGS: Final = 2
+
+
+@attrs.frozen(kw_only=True)
+class StorePace:
+    """Bounds the age of what a daemon knows of the store.
+
+    A call that waits there for news tells nothing until it is answered, and
+    some are never: the store forgot the call, or the answer was lost. So it
+    waits no longer than the age that is allowed leaves, less the time to find
+    out and to ask once more.
+    """
+
+    _fleet: FleetSize
+    _in_force_ms: float
+
+    @property
+    def gather_ms(self) -> float:
+        """How long to let further changes come before asking for them."""
+        wanted_ms = self._fleet.most * _GATHER_MS_A_DAEMON
+        return min(_MOST_GATHER_MS, max(_LEAST_GATHER_MS, wanted_ms))
+
+    @property
+    def extra_gather_ms(self) -> float:
+        """By how much a large fleet hears of a change later than a small."""
+        return self.gather_ms - _LEAST_GATHER_MS
+
+    def watch_ms(self, failures: int) -> float:
+        """How long the store may wait for changes before it answers.
+
+        Args:
+            failures: how many calls failed since the last answer.
+        """
+        if failures:
+            return _RETRY_WATCH_MS
+        unanswered_ms = STORE_ANSWER_MS + STORE_RETRY_MS + STORE_ANSWER_MS
+        spent_ms = self.gather_ms + unanswered_ms + _MARGIN_MS
+        return max(_LEAST_WATCH_MS, self._in_force_ms - spent_ms)
+
+    def listing_ms(self, failures: int) -> float:
+        """How long to wait for the first bytes of a list of everything.
+
+        Args:
+            failures: how many calls failed since the last answer.
+        """
+        return FIRST_LISTING_MS * (1 << min(failures, _MOST_DOUBLINGS))
+
+
+def store_pace(fleet: FleetSize, in_force_ms: float) -> StorePace:
+    """Build the pace of a daemon.
+
+    Args:
+        fleet: how many daemons ask the store.
+        in_force_ms: how soon after the store took a change every daemon has to
+            go by it.
+    """
+    return StorePace(fleet=fleet, in_force_ms=in_force_ms)
--- a/tests/platform_builders.py
+++ b/tests/platform_builders.py
@@ -29,6 +29,8 @@
 BudgetWindowS = 10
 GraceS = 6
 ttl_max_s = 5
+ConfigApplyMs = 5000
+DrainMs = 3000
 [platform]
 Address = "10.9.0.1:8229"
 MinTtlMs = 1000
--- a/tests/test_platform_settings_file.py
+++ b/tests/test_platform_settings_file.py
@@ -25,6 +25,28 @@
         assert found.operator is None
         assert found.repeats.fixed == 58
         assert found.stop_ms == 6000
+        assert found.in_force_ms == 3000
+
+    @pytest.mark.parametrize(
+        ('left_out', 'in_force_ms'),
+        [
+            (('ConfigApplyMs = 5000',), 3000),
+            (('DrainMs = 3000',), 5000),
+            (('ConfigApplyMs = 5000', 'DrainMs = 3000'), 3000),
+        ],
+    )
+    def test_bounds_on_changes(
+        self,
+        tmp_path: pathlib.Path,
+        left_out: tuple[str, ...],
+        in_force_ms: float,
+    ) -> None:
+        """The stricter one that is there counts; none is a strict one."""
+        text = SETTINGS
+        for line in left_out:
+            text = text.replace(line, '')
+        found = load_file(_written(tmp_path, text)).unwrap()
+        assert found.in_force_ms == in_force_ms
 
     @pytest.mark.parametrize(
         ('old', 'new', 'said'),
@@ -38,6 +60,7 @@
             ('RetrySlack = 58', 'RetrySlack = -1', 'RetrySlack'),
             ('GraceS = 6', 'GraceS = nan', 'GraceS'),
             ('GraceS = 6', 'GraceS = inf', 'GraceS'),
+            ('DrainMs = 3000', 'DrainMs = "3 s"', 'DrainMs'),
             ('Zone = "tulcea"', 'Zone = 5', 'Zone'),
             ('[Zones]', '[Zones', 'TOML'),
         ],
