A watch waits for as long as the age that is left allows

Ruled out: reads that may be old, at a tenth of the price, instead of some of the watches: they are old by seconds, so they bound nothing.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -27,8 +27,8 @@
     cap_ms=_BACKOFF_CAP_MS,
 )
 # All daemons hear of a change at once. Their watches that find nothing end
-# spread over a fifth of their time, not in one wave after another.
-_LEAST_WAIT: Final = 0.8
+# spread over a tenth of their time, not in one wave after another.
+_LEAST_WAIT: Final = 0.9
 
 
 @attrs.define(kw_only=True)
@@ -108,9 +108,10 @@
     def _call(self) -> Result[Listing | Changes | HistoryGone, Failure]:
         if self._revision is None:
             return self._store.read_all(self._pace.listing_ms(self._failures))
-        most_ms = self._pace.watch_ms(self._failures)
-        wait_ms = most_ms * self._rng.uniform(_LEAST_WAIT, 1)
-        return self._store.changes(self._revision, wait_ms)
+        times = self._pace.watch(self._contact.told_age_ms, self._failures)
+        wait_ms = times.wait_ms * self._rng.uniform(_LEAST_WAIT, 1)
+        spread = attrs.evolve(times, wait_ms=wait_ms)
+        return self._store.changes(self._revision, spread)
 
 
 def store_follower(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -7,7 +7,7 @@
 
 from fennelfork import Failure
 from fennelfork.membership import Member
-from fennelfork.routes import BackendServer
+from fennelfork.routes import BackendServer, WatchTimes
 from fennelfork_daemon.backend._call import BackendResponse, ForwardCall
 from fennelfork_daemon.http._router import HttpReply
 from fennelfork_daemon.routes._answer import Answer
@@ -50,15 +50,9 @@
     def changes(
         self,
         after: int,
-        wait_ms: float,
+        times: WatchTimes,
     ) -> Result[Changes | HistoryGone, Failure]:
-        """Ask for changes after a revision; none may come in time.
-
-        Args:
-            after: the revision.
-            wait_ms: how long the store waits for one before it answers. What
-                it has not answered shortly after that is a failure.
-        """
+        """Ask for changes after a revision; none may come in time."""
 
     def open_lease(self, ttl_ms: float) -> Result[int, Failure]:
         """Open a lease and give its number."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -20,6 +20,7 @@
     RouteTable,
     Service,
     Single,
+    WatchTimes,
     route_table,
     store_pace,
 )
@@ -149,10 +150,10 @@
     def changes(
         self,
         after: int,
-        wait_ms: float,
+        times: WatchTimes,
     ) -> Result[Changes | HistoryGone, Failure]:
         """Give the next changes, a failure if there are none."""
-        self.calls.append(('changes', after, wait_ms))
+        self.calls.append(('changes', after, times))
         if not self.changed:
             return Bad(AWAY)
         facts = self.changed.pop(0)
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -51,7 +51,7 @@
 from ._server_state import ServerState as ServerState
 from ._server_state import ServerStates as ServerStates
 from ._store_pace import FIRST_LISTING_MS as FIRST_LISTING_MS
-from ._store_pace import STORE_ANSWER_MS as STORE_ANSWER_MS
 from ._store_pace import STORE_RETRY_MS as STORE_RETRY_MS
 from ._store_pace import StorePace as StorePace
+from ._store_pace import WatchTimes as WatchTimes
 from ._store_pace import store_pace as store_pace
