--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -24,6 +24,7 @@
     'outage': 'fennelfork_bench.experiments._outage',
     'overload': 'fennelfork_bench.experiments._overload',
     'platform-day': 'fennelfork_platform_bench.day',
+    'platform-soak': 'fennelfork_platform_bench.soak._run',
     'silent': 'fennelfork_bench.experiments._silent',
     'slots': 'fennelfork_bench.experiments._slots',
     'soak': 'fennelfork_bench.soak._run',
--- a/packages/fennelfork-bench/src/fennelfork_bench/rig/_process.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_process.py
@@ -4,6 +4,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -169,6 +170,12 @@
         self._processes.append(process)
         return process
 
+    def reserve_address(self) -> str:
+        """Give an address on loopback at which a process can listen later."""
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            host, port = listener.getsockname()
+        return f'{host}:{port}'
+
     def close(self) -> None:
         """End every process and remove the directory."""
         for process in self._processes:
