A rig's address stays with the process that it was chosen for

Change: a socket that is bound and does not listen holds the port until the rig ends; the system gives it to nobody who asks for any, and to a listener that asks for this one.

--- a/packages/fennelfork-bench/src/fennelfork_bench/rig/_process.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_process.py
@@ -124,6 +124,7 @@
 
     directory: Path
     _processes: list[Process] = attrs.field(factory=list)
+    _guards: list[socket.socket] = attrs.field(factory=list)
 
     def __enter__(self) -> Self:
         """Give the rig itself."""
@@ -171,9 +172,16 @@
         return process
 
     def reserve_address(self) -> str:
-        """Give an address on loopback at which a process can listen later."""
-        with socket.create_server(('127.0.0.1', 0)) as listener:
-            host, port = listener.getsockname()
+        """Give an address on loopback at which a process can listen later.
+
+        A socket that is bound there and does not listen keeps the port from all
+        who ask for any, and lets those have it who ask for this one.
+        """
+        guard = socket.socket()
+        guard.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        guard.bind(('127.0.0.1', 0))
+        self._guards.append(guard)
+        host, port = guard.getsockname()
         return f'{host}:{port}'
 
     def close(self) -> None:
@@ -181,6 +189,8 @@
         for process in self._processes:
             process.resume()
             process.kill()
+        for guard in self._guards:
+            guard.close()
         shutil.rmtree(self.directory, ignore_errors=True)
 
     def close_gently(self, cap_s: float = _END_CAP_S) -> None:
