--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -24,10 +24,9 @@
     'outage': 'fennelfork_bench.experiments._outage',
     'overload': 'fennelfork_bench.experiments._overload',
     'platform-day': 'fennelfork_platform_bench.day',
-    'platform-soak': 'fennelfork_platform_bench.soak._run',
     'silent': 'fennelfork_bench.experiments._silent',
     'slots': 'fennelfork_bench.experiments._slots',
-    'soak': 'fennelfork_bench.soak._run',
+    'soak': 'fennelfork_platform_bench.soak._run',
     'stop': 'fennelfork_bench.experiments._stop',
     'tail': 'fennelfork_bench.experiments._tail',
 }
