An answer that the history is gone makes nothing known

Cause: the age of what is known began anew with any answer to the follower, also with one that only says that all has to be read again, so the gauge and the line on the store's return were too young by the time of that read. Only a list or changes count now. No decision goes by it: the read after such an answer does not ask for the age.

Test: test_gap_tells_nothing, with the 36 tests of the store passed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_contact.py
@@ -61,8 +61,7 @@
             self._reporter.lost(call, failure)
 
     def told(self) -> None:
-        """Note a call that was answered with all that the store holds."""
-        self.reached()
+        """Note that an answer brought what is known up to date."""
         self._told_ms = self._clock.now_ms()
 
     def reached(self) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -69,7 +69,7 @@
             self._contact.missed(self._asks, called.failure())
             return _BACKOFF.delay_ms(self._failures, self._rng)
         self._failures = 0
-        self._contact.told()
+        self._contact.reached()
         return _taken(called.unwrap(), self)
 
     def ask_again(self) -> None:
@@ -86,11 +86,13 @@
 
     def take_all(self, listing: Listing) -> None:
         """Take a whole listing in place of what was known."""
+        self._contact.told()
         self._taker.take_all(listing.facts)
         self._revision = listing.revision
 
     def take_changes(self, changes: Changes) -> None:
         """Take changes."""
+        self._contact.told()
         self.take_facts(changes.facts)
         self._revision = changes.revision
 
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -303,6 +303,15 @@
         following.change()
         assert following.contact.told_age_ms == 0
 
+    def test_gap_tells_nothing(self, following: Following) -> None:
+        """Nor does an answer that the history is gone."""
+        following.time.advance(700)
+        following.store.changed.append(HistoryGone())
+        following.follower.step()
+        assert following.contact.told_age_ms == 700
+        following.take_list(ConfigFact(table=table(3)))
+        assert following.contact.told_age_ms == 0
+
 
 class TestRegistration:
     """This daemon's own entry."""
--- a/packages/fennelfork/src/fennelfork/routes/_store_pace.py
+++ b/packages/fennelfork/src/fennelfork/routes/_store_pace.py
@@ -25,7 +25,7 @@
 # After a failure the store says at once whether it is back: it tells what is
 # new, or nothing after this time.
 _RETRY_WATCH_MS: Final = 50.0
-# To wake up late, and to put what came in force.
+# For a daemon that wakes up late, and then has to take what it was told.
 _MARGIN_MS: Final = 100.0
 # A daemon that starts has nothing else to go by, and callers wait for it.
 FIRST_LISTING_MS: Final = 400.0
