--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -10,6 +10,7 @@
 from returns.result import Result, Success
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
+from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import Address
@@ -36,6 +37,8 @@
 )
 # What ends a call whose bytes were sent.
 _BROKEN: Final = (HTTPError, HTTPException, OSError, EOFError)
+# Those of them that say nothing of the connection.
+_TIMEOUTS: Final = (TimeoutError, LibraryTimeoutError)
 
 
 class _OneWriteConnection(HTTPConnection):
@@ -114,13 +117,19 @@
         try:
             return self._exchange(call).bind(functools.partial(_checked, call))
         except _BROKEN as error:
-            code = self._code_of_break(error)
-            return Bad(may_have_run(code, _says(error)))
+            return Bad(self._break(error))
 
     def close(self) -> None:
         """Close it; what still arrives is lost."""
         self._http.close()
 
+    def _break(self, error: Exception) -> Failure:
+        code = self._code_of_break(error)
+        return attrs.evolve(
+            may_have_run(code, _says(error)),
+            broken_off=not isinstance(error, _TIMEOUTS),
+        )
+
     def _code_of_break(self, error: Exception) -> FailureCode:
         is_reset = isinstance(error, ConnectionBroken | ConnectionResetError)
         # The library takes an orderly end for a kind of reset.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ask.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ask.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from fennelfork.routes import fingerprint
 from fennelfork_daemon.backend._call import HeaderPairs
 
 # Headers that concern only one connection (RFC 9110, 7.6.1), and the length,
@@ -38,6 +39,9 @@
         body: its bytes, or none if it has no body.
         request_id: names this one try of the caller.
         left_ms: how long the caller waits, if it said so.
+        caller: the IP number that it came from: nothing in a request says who
+            sends it.
+        fingerprint: the same for each try of one caller with one request.
     """
 
     method: str
@@ -47,12 +51,20 @@
     body: bytes | None
     request_id: str
     left_ms: float | None
+    caller: str
+    fingerprint: str = attrs.field(init=False)
 
     @property
     def path(self) -> str:
         """The path without the query."""
         return self.target.partition('?')[0]
 
+    @fingerprint.default
+    def _name_content(self) -> str:
+        said = (self.caller, self.method, self.host, self.target)
+        parts = (part.encode(errors='surrogateescape') for part in said)
+        return fingerprint((*parts, self.body or b''))
+
 
 @attrs.frozen(kw_only=True)
 class BackendAnswer:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -24,6 +24,8 @@
     note_end,
     weigh_reset,
 )
+from fennelfork_daemon._address import address
+from fennelfork_daemon.backend._liveness import has_ended
 from fennelfork_daemon.backend._pool import Trace
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
 from fennelfork_daemon.routes._pools import ServerPools
@@ -94,6 +96,13 @@
             return
         self._ended(send, self._end_of(send, outcome))
         self._tell(send.attempt, outcome)
+        if not is_successful(outcome):
+            self._look_after(send, outcome.failure())
+
+    def _look_after(self, send: Send, failure: Failure) -> None:
+        """See whether the server of a call that broke off has ended."""
+        if failure.broken_off and has_ended(address(send.server.address)):
+            self._parts.reporter.server_ended(send, self._ask)
 
     def _carry(self, send: Send) -> CallOutcome:
         left_ms = self._end_ms - self._parts.clock.now_ms()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -209,6 +209,24 @@
     service: str
 
 
+@attrs.frozen(kw_only=True)
+class ServerEnded:
+    """A backend server ended while it had a request of this daemon.
+
+    Attributes:
+        request: its id.
+        fingerprint: of the request, the same when it comes again.
+        after_ms: since it was sent there.
+    """
+
+    event: ClassVar[str] = 'server_ended'
+    server: str
+    service: str
+    request: str
+    fingerprint: str
+    after_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class DaemonSeen:
     """Another daemon registered itself.
@@ -254,6 +272,7 @@
 
     Attributes:
         request: its id.
+        fingerprint: of what it asks, the same when it comes again.
         route: its name.
         took_ms: from reading the request to its answer.
         aim_ms: in which the route wants it answered.
@@ -272,6 +291,7 @@
 
     event: ClassVar[str] = 'request_ended'
     request: str
+    fingerprint: str
     route: str
     took_ms: int
     aim_ms: float
@@ -353,6 +373,7 @@
     ServerGone,
     ServerEjected,
     ServerBack,
+    ServerEnded,
     DaemonSeen,
     DaemonGone,
     RequestRefused,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -80,6 +80,18 @@
             ),
         )
 
+    def server_ended(self, send: Send, ask: Ask) -> None:
+        """A backend server ended while it had a request."""
+        self._log.tell(
+            events.ServerEnded(
+                server=send.server.instance,
+                service=send.server.service,
+                request=ask.request_id,
+                fingerprint=ask.fingerprint,
+                after_ms=round(self._clock.now_ms() - send.sent_ms),
+            ),
+        )
+
     def fell_behind(self, late_ms: float) -> None:
         """This process woke late, which is a sign of overload."""
         self._log.tell(events.FellBehind(late_ms=round(late_ms)))
@@ -128,6 +140,7 @@
         self._log.tell(
             events.RequestEnded(
                 request=ask.request_id,
+                fingerprint=ask.fingerprint,
                 route=dispatch.route.name,
                 took_ms=round(took_ms),
                 aim_ms=dispatch.route.aim_ms,
--- a/packages/fennelfork/src/fennelfork/_verdict.py
+++ b/packages/fennelfork/src/fennelfork/_verdict.py
@@ -64,12 +64,15 @@
         verdict: whether a backend server may have run it.
         detail: one sentence for a person.
         retry_after_ms: when asking again may help; none if it never will.
+        broken_off: whether the connection ended, or was reset, while the
+            answer was awaited.
     """
 
     code: FailureCode
     verdict: Verdict
     detail: str
     retry_after_ms: int | None = None
+    broken_off: bool = False
 
     def with_verdict(self, verdict: Verdict) -> Self:
         """Give the same failure under another verdict."""
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -20,6 +20,7 @@
 from ._dispatch import dispatch as dispatch
 from ._failure import failure_of as failure_of
 from ._failure import weigh_reset as weigh_reset
+from ._fingerprint import fingerprint as fingerprint
 from ._fleet_size import FleetSize as FleetSize
 from ._leg import Leg as Leg
 from ._leg import LegEvent as LegEvent
