--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -92,7 +92,8 @@
             self._fail(attempt, _server_error(answer))
         else:
             now_ms = self._clock.now_ms()
-            self.dispatch.answered(attempt, answer, now_ms)
+            sends = self.dispatch.answered(attempt, answer, now_ms)
+            self._calls.launch(sends)
 
     def _fail(self, attempt: int, failure: Failure) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -2,11 +2,14 @@
 
 import enum
 import math
+from collections.abc import Collection
 from typing import Final, Generic, TypeVar
 
 import attrs
 
-from fennelfork._verdict import Failure, Verdict
+from fennelfork._verdict import Failure
+from fennelfork.routes._caution import caution
+from fennelfork.routes._copies import Copies
 from fennelfork.routes._leg import Leg
 from fennelfork.routes._pace import Pace
 from fennelfork.routes._route import Route, least_parts
@@ -56,7 +59,7 @@
     legs: dict[str, Leg[_Part]]
     hedges: int = 0
     retries: int = 0
-    _sender: Sender
+    _copies: Copies
     _cut_ms: float
     _end_ms: float
 
@@ -76,18 +79,19 @@
         return self._end_ms
 
     def start(self, now_ms: float) -> list[Send]:
-        """Send the first copy to each service."""
-        sends = []
-        for leg in self.legs.values():
-            self._sender.note_request(leg)
-            sends.extend(self._sender.send(leg, now_ms))
-        return sends
+        """Send the first copy to each service, or to one for now."""
+        return self._copies.first(self.legs.values(), now_ms)
 
-    def answered(self, attempt: int, part: _Part, now_ms: float) -> None:
-        """Take the answer to a copy; only the first of a service counts."""
+    def answered(self, attempt: int, part: _Part, now_ms: float) -> list[Send]:
+        """Take the answer to a copy, and send what waited for it.
+
+        Only the first answer of a service counts.
+        """
         leg = self._leg_of(attempt)
-        if leg is not None:
-            leg.answered(attempt, part, now_ms)
+        if leg is None:
+            return []
+        leg.answered(attempt, part, now_ms)
+        return self._copies.after_answer(attempt, now_ms)
 
     def failed(
         self, attempt: int, failure: Failure, now_ms: float
@@ -97,11 +101,11 @@
         if leg is None:
             return []
         leg.failed(attempt, failure, now_ms)
-        if leg.part is not None:
-            return []
-        sends = self._resend(leg, failure, now_ms)
+        in_time = now_ms < self._end_ms
+        sends = self._copies.after_failure(
+            leg, attempt, failure, now_ms, in_time=in_time
+        )
         self.retries += len(sends)
-        leg.abandoned = not sends and not leg.running
         return sends
 
     def late(self, now_ms: float) -> list[Send]:
@@ -110,7 +114,7 @@
         for leg in self.legs.values():
             if leg.waiting and now_ms >= leg.hedge_ms:
                 leg.hedge_ms = math.inf
-                sends.extend(self._hedge(leg, now_ms))
+                sends.extend(self._copies.hedge(leg, now_ms))
         self.hedges += len(sends)
         return sends
 
@@ -137,22 +141,6 @@
                 return leg
         return None
 
-    def _resend(
-        self,
-        leg: Leg[_Part],
-        failure: Failure,
-        now_ms: float,
-    ) -> list[Send]:
-        safe = self.route.idempotent or failure.verdict is Verdict.NOT_RUN
-        if not safe or now_ms >= self._end_ms:
-            return []
-        return self._sender.send(leg, now_ms)
-
-    def _hedge(self, leg: Leg[_Part], now_ms: float) -> list[Send]:
-        if not self.route.idempotent:
-            return []
-        return self._sender.send(leg, now_ms, only_healthy=True)
-
 
 def dispatch(
     route: Route,
@@ -160,6 +148,8 @@
     parts: DispatchParts,
     pace: Pace,
     times: tuple[float, float],
+    *,
+    suspect_services: Collection[str] = (),
 ) -> Dispatch[_Part]:
     """Build the dispatch of one request.
 
@@ -170,14 +160,21 @@
         pace: of the route.
         times: when the request came and how long its caller waits, in
             milliseconds.
+        suspect_services: those whose servers ended under this request before;
+            they are risked first.
     """
     came_ms, left_ms = times
     kept_ms = min(left_ms, route.timeout_ms)
+    ordered = sorted(services, key=lambda one: one not in suspect_services)
     return Dispatch(
         route=route,
         pace=pace,
-        legs={service: Leg(service=service) for service in services},
-        sender=Sender(parts=parts, pace=pace, attempts=route.attempts),
+        legs={service: Leg(service=service) for service in ordered},
+        copies=Copies(
+            idempotent=route.idempotent,
+            sender=Sender(parts=parts, pace=pace, attempts=route.attempts),
+            caution=caution(suspected=bool(suspect_services)),
+        ),
         cut_ms=came_ms + route.aim_ms - _ANSWER_MS,
         end_ms=came_ms + max(kept_ms - _DEADLINE_MS, 0),
     )
--- a/packages/fennelfork/src/fennelfork/routes/_send.py
+++ b/packages/fennelfork/src/fennelfork/routes/_send.py
@@ -14,9 +14,11 @@
         server: where to.
         repeat: whether the service may have got the request before.
         sent_ms: the time of the order.
+        alone: whether all other copies wait for what comes of it.
     """
 
     attempt: int
     server: BackendServer
     repeat: bool
     sent_ms: float
+    alone: bool = False
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -50,6 +50,7 @@
         now_ms: float,
         *,
         only_healthy: bool = False,
+        alone: bool = False,
     ) -> list[Send]:
         """Send one copy, if a run, a server and the allowance are left.
 
@@ -57,6 +58,7 @@
             leg: the part of the request that the copy is for.
             now_ms: the time.
             only_healthy: rather send none than to a server in doubt.
+            alone: whether all other copies wait for what comes of it.
         """
         if leg.attempts >= self.attempts or self._sent_enough(leg):
             leg.denied('no further attempt is left', now_ms)
@@ -72,6 +74,7 @@
             server=server,
             repeat=repeat,
             sent_ms=now_ms,
+            alone=alone,
         )
         leg.sent(send)
         leg.hedge_ms = now_ms + self.pace.hedge_ms
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -54,6 +54,7 @@
 CUT = may_have_run(FailureCode.QUEUE_FULL, 'reset by the other end')
 UNREACHED = not_run(FailureCode.UNREACHABLE, 'refused')
 BROKEN = may_have_run(FailureCode.UNREACHABLE, 'reset')
+ENDED = attrs.evolve(BROKEN, broken_off=True)
 
 
 def route(**changes: Any) -> Route:
@@ -145,7 +146,10 @@
                 self.roster.put(server(service, place, data_centre=place))
 
     def dispatch(
-        self, wanted: Route, known: Pace | None = None
+        self,
+        wanted: Route,
+        known: Pace | None = None,
+        suspect: Sequence[str] = (),
     ) -> Dispatch[Any]:
         """Build the dispatch of a request that comes now."""
         self.add_servers(services_of(wanted.target))
@@ -155,6 +159,7 @@
             self.parts,
             known or pace(wanted.aim_ms),
             (self.time.at_ms, wanted.timeout_ms),
+            suspect_services=suspect,
         )
 
     def state_of(self, service: str, place: str) -> ServerState:
