--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_problem.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_problem.py
@@ -29,6 +29,7 @@
     FailureCode.TICKET: http.HTTPStatus.CONFLICT,
     FailureCode.DUPLICATE: http.HTTPStatus.CONFLICT,
     FailureCode.CONFLICT: http.HTTPStatus.CONFLICT,
+    FailureCode.QUARANTINED: http.HTTPStatus.SERVICE_UNAVAILABLE,
     FailureCode.PLATFORM: http.HTTPStatus.SERVICE_UNAVAILABLE,
     FailureCode.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
 }
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
@@ -20,6 +20,8 @@
 from ._facts import MemberGoneFact as MemberGoneFact
 from ._facts import ServerFact as ServerFact
 from ._facts import ServerGoneFact as ServerGoneFact
+from ._facts import SuspicionFact as SuspicionFact
+from ._facts import SuspicionGoneFact as SuspicionGoneFact
 from ._facts import UnreadableFact as UnreadableFact
 from ._ports import BackendCodec as BackendCodec
 from ._ports import CallerCodec as CallerCodec
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_apply.py
@@ -14,6 +14,8 @@
     MemberGoneFact,
     ServerFact,
     ServerGoneFact,
+    SuspicionFact,
+    SuspicionGoneFact,
     UnreadableFact,
 )
 from fennelfork_daemon.routes._pools import ServerPools
@@ -28,9 +30,22 @@
     reporter: StoreReporter
     _pools: ServerPools
 
-    def take_all(self, facts: Iterable[Fact]) -> None:
-        """Take all facts there are; what is not among them is gone."""
+    def take_all(self, facts: Iterable[Fact], told_age_ms: float) -> None:
+        """Take all facts there are; what is not among them is gone.
+
+        Args:
+            facts: all of them.
+            told_age_ms: since the store last told anything.
+        """
         known = tuple(facts)
+        self.board.quarantine.exchange.keep(
+            (
+                fact.record.fingerprint
+                for fact in known
+                if isinstance(fact, SuspicionFact)
+            ),
+            told_age_ms,
+        )
         servers = [
             fact.server.instance
             for fact in known
@@ -108,6 +123,19 @@
         taker.reporter.member_gone(fact.name)
 
 
+@_take.register
+def _take_suspicion(fact: SuspicionFact, taker: FactTaker) -> None:
+    exchange = taker.board.quarantine.exchange
+    standing = exchange.take(fact.record, fact.revision)
+    if standing is not None:
+        taker.reporter.request_judged(fact.record, standing)
+
+
+@_take.register
+def _take_suspicion_gone(fact: SuspicionGoneFact, taker: FactTaker) -> None:
+    taker.board.quarantine.exchange.drop(fact.fingerprint)
+
+
 @_take.register
 def _take_unreadable(fact: UnreadableFact, taker: FactTaker) -> None:
     taker.reporter.unreadable(fact)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_board.py
@@ -9,10 +9,12 @@
 from fennelfork.routes import (
     ConnectionShares,
     FleetSize,
+    Quarantine,
     Registry,
     Roster,
     RouteTable,
     ServerStates,
+    quarantine,
 )
 from fennelfork_daemon.http._wsgi_protocol import ConnectionLimits
 from fennelfork_daemon.routes._settings import RouteSettings
@@ -38,6 +40,7 @@
         states: what was seen of each of them.
         shares: connections to each of them.
         limits: what connections of callers may cost.
+        quarantine: requests under which backend servers ended.
         table: the routes in force, once there are any.
         leaving: whether this daemon is stopping.
     """
@@ -49,6 +52,7 @@
     states: ServerStates
     shares: ConnectionShares
     limits: ConnectionLimits
+    quarantine: Quarantine
     table: RouteTable | None = None
     leaving: bool = False
 
@@ -73,6 +77,7 @@
             request_read_ms=READ_MS,
             idle_ms=IDLE_MS,
         ),
+        quarantine=quarantine(clock, wall_clock()),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -7,6 +7,7 @@
 from fennelfork_daemon.logs._budget import LogOutput
 from fennelfork_daemon.routes._apply import FactTaker
 from fennelfork_daemon.routes._build_face import call_parts, route_face
+from fennelfork_daemon.routes._build_guard import request_watch
 from fennelfork_daemon.routes._contact import StoreContact, store_contact
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
@@ -48,8 +49,9 @@
         reporter=reporter,
     )
     in_progress = InProgress()
-    calls = call_parts(base)
     follower = _follower(base, reporter, contact)
+    watch = request_watch(base, registration, reporter, follower.pace)
+    calls = call_parts(base, watch)
     reload = SettingsReload(
         settings=settings,
         allowances=base.allowed,
@@ -67,6 +69,7 @@
             follower.run,
             registration.run,
             reload.run,
+            watch.teller.run,
             lag_watch(base.clock, base.limits, calls.reporter).run,
         ),
         pools=base.pools,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_face.py
@@ -3,15 +3,15 @@
 import random
 
 from fennelfork.routes import DispatchParts, Distances, Paces, Selector
+from fennelfork_daemon.routes._build_guard import RequestWatch
 from fennelfork_daemon.routes._caller_calls import CallParts
 from fennelfork_daemon.routes._contact import StoreContact
 from fennelfork_daemon.routes._face import RouteFace
 from fennelfork_daemon.routes._first_routes import FirstRoutes
 from fennelfork_daemon.routes._foundation import Foundation
-from fennelfork_daemon.routes._request_reporter import RequestReporter
 
 
-def call_parts(base: Foundation) -> CallParts:
+def call_parts(base: Foundation, watch: RequestWatch) -> CallParts:
     """Build what the calls of all requests share."""
     selector = Selector(
         roster=base.board.roster,
@@ -29,11 +29,8 @@
         pools=base.pools,
         selector=selector,
         codec=base.ports.backends,
-        reporter=RequestReporter(
-            log=base.log,
-            clock=base.clock,
-            metrics=base.metrics,
-        ),
+        reporter=watch.reporter,
+        guard=watch.guard,
     )
 
 
@@ -59,5 +56,4 @@
         paces=Paces(),
         limits=base.limits,
         rng=random.Random(),
-        reporter=calls.reporter,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_calls.py
@@ -28,6 +28,7 @@
 from fennelfork_daemon.backend._liveness import has_ended
 from fennelfork_daemon.backend._pool import Trace
 from fennelfork_daemon.routes._ask import Ask, BackendAnswer
+from fennelfork_daemon.routes._guard import RequestGuard
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._ports import BackendCodec
 from fennelfork_daemon.routes._request_reporter import RequestReporter
@@ -49,6 +50,7 @@
     selector: Selector
     codec: BackendCodec
     reporter: RequestReporter
+    guard: RequestGuard
 
 
 CallOutcome = Result[BackendAnswer, Failure]
@@ -96,13 +98,19 @@
             return
         self._ended(send, self._end_of(send, outcome))
         self._tell(send.attempt, outcome)
-        if not is_successful(outcome):
-            self._look_after(send, outcome.failure())
-
-    def _look_after(self, send: Send, failure: Failure) -> None:
-        """See whether the server of a call that broke off has ended."""
-        if failure.broken_off and has_ended(address(send.server.address)):
-            self._parts.reporter.server_ended(send, self._ask)
+        if is_successful(outcome):
+            self._parts.guard.note_answer(send, self._ask)
+        elif outcome.failure().broken_off:
+            self._look_after(send)
+
+    def _look_after(self, send: Send) -> None:
+        """See whether the server of a call that broke off has ended.
+
+        One that said that it leaves may do so whenever its time is over.
+        """
+        leaves = self._parts.selector.roster.is_leaving(send.server)
+        if not leaves and has_ended(address(send.server.address)):
+            self._parts.guard.note_end(send, self._ask)
 
     def _carry(self, send: Send) -> CallOutcome:
         left_ms = self._end_ms - self._parts.clock.now_ms()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -217,6 +217,7 @@
         request: its id.
         fingerprint: of the request, the same when it comes again.
         after_ms: since it was sent there.
+        alone: whether no other server was risked with it.
     """
 
     event: ClassVar[str] = 'server_ended'
@@ -225,6 +226,30 @@
     request: str
     fingerprint: str
     after_ms: int
+    alone: bool
+
+
+@attrs.frozen(kw_only=True)
+class RequestJudged:
+    """A request that ended servers is treated in another way from now on.
+
+    Attributes:
+        fingerprint: of the request.
+        standing: see `Standing`.
+        by: who found it out, this daemon (`own`), `another` or `operator`.
+        rounds: servers that it alone was risked on and that ended, apart in
+            time.
+        trials: sends since it is in quarantine.
+        ends: the runs of servers that ended.
+    """
+
+    event: ClassVar[str] = 'request_judged'
+    fingerprint: str
+    standing: str
+    by: str
+    rounds: int
+    trials: int
+    ends: Sequence[str]
 
 
 @attrs.frozen(kw_only=True)
@@ -254,6 +279,7 @@
 
     Attributes:
         request: its id, none if it could not be read.
+        fingerprint: of what it asks, the same when it comes again.
         code: the kind of the failure.
         reason: its words.
         version: of the configuration in force, zero for none.
@@ -261,6 +287,7 @@
 
     event: ClassVar[str] = 'request_refused'
     request: str | None
+    fingerprint: str | None
     code: str
     reason: str
     version: int
@@ -374,6 +401,7 @@
     ServerEjected,
     ServerBack,
     ServerEnded,
+    RequestJudged,
     DaemonSeen,
     DaemonGone,
     RequestRefused,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_face.py
@@ -31,7 +31,6 @@
 from fennelfork_daemon.routes._first_routes import FIRST_LIMITS, FirstRoutes
 from fennelfork_daemon.routes._ports import CallerCodec
 from fennelfork_daemon.routes._request import RunningRequest
-from fennelfork_daemon.routes._request_reporter import RequestReporter
 
 # A daemon that has no routes yet gets them as soon as the store answers,
 # which it asks some times a second.
@@ -63,7 +62,6 @@
     _dispatch_parts: DispatchParts
     _paces: Paces
     _rng: random.Random
-    _reporter: RequestReporter
 
     def __call__(
         self,
@@ -81,7 +79,7 @@
         try:
             return self._answer(environ)
         except Exception as error:
-            self._reporter.defect(error)
+            self._calls.reporter.defect(error)
             return Refused(failure=_DEFECT, request_id=None)
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
@@ -94,15 +92,24 @@
             return self._refuse(ask.failure(), None)
         known = ask.unwrap()
         if table is None:
-            return self._refuse(_NO_ROUTES_YET, known.request_id)
+            return self._refuse(_NO_ROUTES_YET, known)
         route = table.find(known.host, known.path)
         if route is None:
-            return self._refuse(_no_route(known), known.request_id)
+            return self._refuse(_no_route(known), known)
+        admitted = self._calls.guard.admit(known.fingerprint)
+        if not is_successful(admitted):
+            return self._refuse(admitted.failure(), known)
         if not self.limits.enter(route):
-            return self._refuse(self._too_many(route), known.request_id)
+            return self._refuse(self._too_many(route), known)
         with contextlib.ExitStack() as over:
             over.callback(self.limits.leave, route)
-            request = self._request(known, table, route, came_ms)
+            request = self._request(
+                known,
+                table,
+                route,
+                came_ms,
+                admitted.unwrap(),
+            )
             return self._see_through(environ, known, request, came_ms)
 
     def _see_through(
@@ -115,11 +122,11 @@
         watch = CallerWatch(connection=environ[CONNECTION_KEY])
         with watch.leaving(request.leave):
             answer = request.run()
-        self._reporter.ended(known, request, answer, came_ms)
+        self._calls.reporter.ended(known, request, answer, came_ms)
         took_ms = self._clock.now_ms() - came_ms
         if self.limits.note_end(request.dispatch, took_ms):
             route = request.dispatch.route
-            self._reporter.limit_fell(route, self.limits.of(route))
+            self._calls.reporter.limit_fell(route, self.limits.of(route))
         return answer
 
     def _too_many(self, route: Route) -> Failure:
@@ -131,9 +138,10 @@
             retry_after_ms=_TOO_MANY_RETRY_MS,
         )
 
-    def _refuse(self, failure: Failure, request_id: str | None) -> Refused:
+    def _refuse(self, failure: Failure, ask: Ask | None) -> Refused:
+        request_id = None if ask is None else ask.request_id
         refused = Refused(failure=failure, request_id=request_id)
-        self._reporter.refused(refused, self._first_routes.version)
+        self._calls.reporter.refused(refused, self._first_routes.version, ask)
         return refused
 
     def _read(
@@ -150,6 +158,7 @@
         table: RouteTable,
         route: Route,
         came_ms: float,
+        suspect_services: frozenset[str],
     ) -> RunningRequest:
         left_ms = route.timeout_ms if ask.left_ms is None else ask.left_ms
         running: Dispatch[BackendAnswer] = dispatch(
@@ -158,6 +167,7 @@
             self._dispatch_parts,
             self._paces.of(route),
             (came_ms, left_ms),
+            suspect_services=suspect_services,
         )
         inbox = LightQueue()
         calls = RequestCalls(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_facts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_facts.py
@@ -3,7 +3,7 @@
 import attrs
 
 from fennelfork.membership import Member
-from fennelfork.routes import BackendServer, RouteTable
+from fennelfork.routes import BackendServer, RouteTable, SuspicionRecord
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +41,26 @@
     name: str
 
 
+@attrs.frozen(kw_only=True)
+class SuspicionFact:
+    """A daemon told of a request under which backend servers ended.
+
+    Attributes:
+        record: what it told.
+        revision: of the store, by which it was written.
+    """
+
+    record: SuspicionRecord
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class SuspicionGoneFact:
+    """Nothing is remembered of a request any more."""
+
+    fingerprint: str
+
+
 @attrs.frozen(kw_only=True)
 class UnreadableFact:
     """An item that could not be read; it may have been readable before.
@@ -64,5 +84,7 @@
     | ServerGoneFact
     | MemberFact
     | MemberGoneFact
+    | SuspicionFact
+    | SuspicionGoneFact
     | UnreadableFact
 )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -86,8 +86,9 @@
 
     def take_all(self, listing: Listing) -> None:
         """Take a whole listing in place of what was known."""
+        told_age_ms = self._contact.told_age_ms
         self._contact.told()
-        self._taker.take_all(listing.facts)
+        self._taker.take_all(listing.facts, told_age_ms)
         self._revision = listing.revision
 
     def take_changes(self, changes: Changes) -> None:
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
@@ -0,0 +1,107 @@
+"""Keeps requests that end backend servers away from them."""
+
+from typing import Final
+
+import attrs
+from returns.pipeline import is_successful
+from returns.result import Failure as Bad
+from returns.result import Result, Success
+
+from fennelfork import Failure, FailureCode, not_run
+from fennelfork.routes import (
+    Quarantine,
+    Send,
+    ServerEnd,
+    Standing,
+    Suspicion,
+)
+from fennelfork_daemon.routes._ask import Ask
+from fennelfork_daemon.routes._ports import Store
+from fennelfork_daemon.routes._request_reporter import RequestReporter
+from fennelfork_daemon.routes._store_reporter import StoreReporter
+from fennelfork_daemon.routes._suspicion_teller import SuspicionTeller
+
+# Nothing is known of most requests.
+_NOTHING: Final = frozenset[str]()
+# No sooner can a trial let it through again.
+_RETRY_AFTER_MS: Final = 30_000
+
+
+@attrs.frozen(kw_only=True)
+class RequestGuard:
+    """Notes under which requests servers end, and refuses those."""
+
+    _quarantine: Quarantine
+    _store: Store
+    _teller: SuspicionTeller
+    _requests: RequestReporter
+    _judgements: StoreReporter
+
+    def admit(self, fingerprint: str) -> Result[frozenset[str], Failure]:
+        """Tell whether a request may be sent at all.
+
+        Returns:
+            The services that lost servers to it, none for most; or the
+            refusal of a request in quarantine.
+        """
+        known = self._quarantine.find(fingerprint)
+        if known is None:
+            return Success(_NOTHING)
+        if known.standing is Standing.SUSPECTED:
+            return Success(known.services)
+        if self._may_be_tried(fingerprint, known):
+            return Success(known.services)
+        return Bad(_refusal(known))
+
+    def note_answer(self, send: Send, ask: Ask) -> None:
+        """Note that a server answered a request, and so lives on."""
+        if self._quarantine.find(ask.fingerprint) is None:
+            return
+        if self._quarantine.note_answer(ask.fingerprint, send.server.service):
+            self._judged(ask.fingerprint, Standing.RELEASED, 'own')
+
+    def note_end(self, send: Send, ask: Ask) -> None:
+        """Note that a server ended while it had a request."""
+        self._requests.server_ended(send, ask)
+        end = ServerEnd(
+            run=send.server.run,
+            service=send.server.service,
+            alone=send.alone,
+        )
+        standing = self._quarantine.note_end(ask.fingerprint, end)
+        if standing is None:
+            self._teller.wake()
+        else:
+            self._judged(ask.fingerprint, standing, 'own')
+
+    def release(self, fingerprint: str) -> bool:
+        """Let a request through again, as an operator says; tell if known."""
+        released = self._quarantine.release(fingerprint)
+        if released:
+            self._judged(fingerprint, Standing.RELEASED, 'operator')
+        return released
+
+    def _may_be_tried(self, fingerprint: str, known: Suspicion) -> bool:
+        """Claim the trial of a request, which only one daemon may make.
+
+        While the store is away, or holds something else than this daemon has
+        heard of, nobody may.
+        """
+        if known.held is None or not self._quarantine.trial_due(fingerprint):
+            return False
+        record = known.trial(fingerprint)
+        claimed = self._store.claim_trial(record, known.held[1])
+        # Another request may have asked meanwhile: one trial, made once.
+        known.trials = max(known.trials, record.trials)
+        return is_successful(claimed) and claimed.unwrap()
+
+    def _judged(self, fingerprint: str, standing: Standing, by: str) -> None:
+        known = self._quarantine.exchange.record_of(fingerprint)
+        self._judgements.request_judged(known, standing, by)
+        self._teller.wake()
+
+
+def _refusal(known: Suspicion) -> Failure:
+    runs = ', '.join(end.run for end in known.ends)
+    detail = f'backend servers ended each time that they ran it: {runs}'
+    return not_run(FailureCode.QUARANTINED, detail, _RETRY_AFTER_MS)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -7,7 +7,12 @@
 
 from fennelfork import Failure
 from fennelfork.membership import Member
-from fennelfork.routes import BackendServer, WatchTimes
+from fennelfork.routes import (
+    BackendServer,
+    News,
+    SuspicionRecord,
+    WatchTimes,
+)
 from fennelfork_daemon.backend._call import BackendResponse, ForwardCall
 from fennelfork_daemon.http._router import HttpReply
 from fennelfork_daemon.routes._answer import Answer
@@ -63,6 +68,19 @@
     def register(self, member: Member, lease: int) -> Result[bool, Failure]:
         """Register this daemon under a lease; false if that has ended."""
 
+    def tell(self, news: News, lease: int) -> Result[bool, Failure]:
+        """Tell of requests that ended servers; false if the lease has ended.
+
+        What does not last is told under the lease.
+        """
+
+    def claim_trial(
+        self,
+        record: SuspicionRecord,
+        revision: int,
+    ) -> Result[bool, Failure]:
+        """Tell of a trial of a request; false if another told of it since."""
+
     def end_lease(self, lease: int) -> Result[bool, Failure]:
         """End a lease, and with it the registration."""
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -39,6 +39,11 @@
     _lease: int | None = None
     _ended: bool = False
 
+    @property
+    def lease(self) -> int | None:
+        """The lease that this daemon is registered under, if it is."""
+        return self._lease
+
     @property
     def leave_is_told(self) -> bool:
         """Whether the store knows that this daemon leaves."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -36,17 +36,24 @@
     _clock: Clock
     _metrics: RouteMetrics
 
-    def refused(self, refused: Refused, version: int) -> None:
+    def refused(
+        self,
+        refused: Refused,
+        version: int,
+        ask: Ask | None,
+    ) -> None:
         """A request was refused before anything was sent.
 
         Args:
             refused: what its caller is answered.
             version: of the configuration in force, zero for none.
+            ask: the request, if it could be read.
         """
         failure = refused.failure
         self._log.tell(
             events.RequestRefused(
                 request=refused.request_id,
+                fingerprint=None if ask is None else ask.fingerprint,
                 code=failure.code.value,
                 reason=failure.detail,
                 version=version,
@@ -89,6 +96,7 @@
                 request=ask.request_id,
                 fingerprint=ask.fingerprint,
                 after_ms=round(self._clock.now_ms() - send.sent_ms),
+                alone=send.alone,
             ),
         )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -4,7 +4,12 @@
 
 from fennelfork import Failure
 from fennelfork.membership import Member
-from fennelfork.routes import BackendServer, RouteTable
+from fennelfork.routes import (
+    BackendServer,
+    RouteTable,
+    Standing,
+    SuspicionRecord,
+)
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes import _events as events
 from fennelfork_daemon.routes._facts import UnreadableFact
@@ -86,6 +91,24 @@
         """A daemon is no longer registered."""
         self._log.tell(events.DaemonGone(peer=name))
 
+    def request_judged(
+        self,
+        record: SuspicionRecord,
+        standing: Standing,
+        by: str = 'another',
+    ) -> None:
+        """A request that ended servers is treated in another way now."""
+        self._log.tell(
+            events.RequestJudged(
+                fingerprint=record.fingerprint,
+                standing=standing.value,
+                by=by,
+                rounds=record.rounds,
+                trials=record.trials,
+                ends=[f'{end.service} {end.run}' for end in record.ends],
+            ),
+        )
+
     def unreadable(self, fact: UnreadableFact) -> None:
         """An item of the store could not be read; it names nobody to use."""
         self._log.tell(events.ItemRefused(key=fact.key, reason=fact.problem))
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_suspicion_teller.py
@@ -0,0 +1,79 @@
+"""Tells the store of requests under which backend servers ended."""
+
+import contextlib
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+import eventlet
+from eventlet.queue import Empty, Full, LightQueue
+from returns.pipeline import is_successful
+
+from fennelfork import Clock
+from fennelfork.routes import StorePace, SuspicionExchange
+from fennelfork_daemon.routes._ports import Store
+
+_MS_PER_SECOND: Final = 1000
+# How often what is too old is looked for.
+_SWEEP_MS: Final = 60_000.0
+# After a call that the store did not take.
+_PAUSE_MS: Final = 500.0
+
+
+@attrs.frozen(kw_only=True)
+class SuspicionTeller:
+    """Tells what is new, together where it comes together.
+
+    What other daemons act on is told at once. The many requests that many
+    servers have broken off with as they crashed together are told of within the
+    time in which changes are gathered, so that not all daemons write at once;
+    most are cleared before.
+    """
+
+    _exchange: SuspicionExchange
+    _store: Store
+    _lease: Callable[[], int | None]
+    _pace: StorePace
+    _clock: Clock
+    _rng: random.Random
+    _bell: LightQueue = attrs.field(factory=lambda: LightQueue(maxsize=1))
+
+    def wake(self) -> None:
+        """Look soon whether there is something to tell."""
+        with contextlib.suppress(Full):
+            self._bell.put_nowait(True)
+
+    def run(self) -> None:
+        """Tell until the process ends."""
+        while True:  # noqa: WPS457  # as long as the daemon runs
+            self._wait(self._rng.uniform(_SWEEP_MS / 2, _SWEEP_MS))
+            self._gather()
+            if not self.step():
+                eventlet.sleep(_PAUSE_MS / _MS_PER_SECOND)
+
+    def step(self) -> bool:
+        """Tell what is new; tell whether the store took it."""
+        lease = self._lease()
+        news = self._exchange.take_news()
+        if not news:
+            return True
+        if lease is not None:
+            told = self._store.tell(news, lease)
+            if is_successful(told) and told.unwrap():
+                return True
+        self._exchange.tell_again(news)
+        self.wake()
+        return False
+
+    def _gather(self) -> None:
+        """Let more come, unless something is urgent."""
+        now_ms = self._clock.now_ms()
+        until_ms = now_ms + self._rng.uniform(0, self._pace.gather_ms)
+        while now_ms < until_ms and not self._exchange.is_urgent:
+            self._wait(until_ms - now_ms)
+            now_ms = self._clock.now_ms()
+
+    def _wait(self, wait_ms: float) -> None:
+        with contextlib.suppress(Empty):
+            self._bell.get(timeout=wait_ms / _MS_PER_SECOND)
--- a/packages/fennelfork/src/fennelfork/_verdict.py
+++ b/packages/fennelfork/src/fennelfork/_verdict.py
@@ -51,6 +51,7 @@
     TICKET = 'ticket'
     DUPLICATE = 'duplicate'
     CONFLICT = 'conflict'
+    QUARANTINED = 'quarantined'
     PLATFORM = 'platform'
     INTERNAL = 'internal'
 
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -27,6 +27,8 @@
 from ._pace import Pace as Pace
 from ._pace import Paces as Paces
 from ._pace import pace as pace
+from ._quarantine import Quarantine as Quarantine
+from ._quarantine import quarantine as quarantine
 from ._records import RECORD_BYTES as RECORD_BYTES
 from ._records import greatest as greatest
 from ._registry import Registry as Registry
@@ -56,3 +58,9 @@
 from ._store_pace import StorePace as StorePace
 from ._store_pace import WatchTimes as WatchTimes
 from ._store_pace import store_pace as store_pace
+from ._suspicion import ServerEnd as ServerEnd
+from ._suspicion import Standing as Standing
+from ._suspicion import Suspicion as Suspicion
+from ._suspicion import SuspicionRecord as SuspicionRecord
+from ._suspicion_exchange import SuspicionExchange as SuspicionExchange
+from ._suspicion_news import News as News
--- a/packages/fennelfork/src/fennelfork/routes/_roster.py
+++ b/packages/fennelfork/src/fennelfork/routes/_roster.py
@@ -71,6 +71,11 @@
         known = self.registry.entries.get(server.instance)
         return known is not None and server.born_ms < known.born_ms
 
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Tell whether a run of a server has said that it leaves."""
+        known = self.registry.entries.get(server.instance)
+        return known is not None and known.draining and known.run == server.run
+
     def put(self, server: BackendServer) -> BackendServer | None:
         """Take what a server registered, and give what it had before."""
         self._changes += 1
