--- a/packages/fennelfork-cli/src/fennelfork_cli/_log_story.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_log_story.py
@@ -12,6 +12,9 @@
 # What a line says of itself; the rest is what decided it.
 _FRAME: Final = frozenset(('event', 'level', 'timestamp', 'daemon', 'request'))
 _STEPS: Final = 'steps'
+# The same for each try of one request.
+_CONTENT: Final = 'fingerprint'
+_ON_CONTENT: Final = frozenset(('server_ended', 'request_judged'))
 # What was known of a server longer ago has changed since.
 _BEFORE_S: Final = 10
 
@@ -48,14 +51,17 @@
     """Give the lines on a request, and what its daemon knew of the servers.
 
     Lines on the servers that it was sent to count if the same daemon wrote
-    them within ten seconds before the request ended.
+    them within ten seconds before the request ended; lines on servers that ended
+    under the same request, whoever wrote them and when.
     """
     known = sorted(lines, key=lambda line: line.timestamp)
     own = [line for line in known if line.request == request_id]
     return [
         line
         for line in known
-        if line in own or any(_tells_of(line, one) for one in own)
+        if line in own
+        or any(_tells_of(line, one) for one in own)
+        or _tells_of_content(line, own)
     ]
 
 
@@ -103,6 +109,12 @@
     return _age_s(line, own) <= _BEFORE_S
 
 
+def _tells_of_content(line: LogLine, own: list[LogLine]) -> bool:
+    """Tell whether a line is on what a request that ends servers asks."""
+    asked = {one.facts.get(_CONTENT) for one in own} - {None}
+    return line.event in _ON_CONTENT and line.facts.get(_CONTENT) in asked
+
+
 def _age_s(line: LogLine, own: LogLine) -> float:
     """Give how long before another line one was written."""
     try:
--- a/packages/fennelfork-cli/tests/test_log_story.py
+++ b/packages/fennelfork-cli/tests/test_log_story.py
@@ -49,6 +49,34 @@
         ]
         assert told[0].facts['server'] == 'i-1'
 
+    def test_refused_for_what_it_asks(self) -> None:
+        """Whose servers ended under the same request, at whichever daemon."""
+        log = [
+            _line(
+                '09:00:00',
+                'request_refused',
+                request='r-7',
+                fingerprint='f1',
+            ),
+            _line(
+                '08:10:00',
+                'server_ended',
+                request='r-2',
+                server='i-3',
+                fingerprint='f1',
+                daemon='vm-2',
+            ),
+            _line('08:10:01', 'request_judged', fingerprint='f1'),
+            _line('08:10:01', 'request_judged', fingerprint='f2'),
+            _line('08:10:02', 'request_ended', request='r-3', fingerprint='f1'),
+        ]
+        told = story(read_lines(log), 'r-7')
+        assert [line.event for line in told] == [
+            'server_ended',
+            'request_judged',
+            'request_refused',
+        ]
+
     def test_prefix_is_passed_over(self) -> None:
         """A collector may put something before the line."""
         events = [line.event for line in read_lines(_LOG)]
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -13,6 +13,7 @@
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._foundation import Foundation, foundation
 from fennelfork_daemon.routes._lag import lag_watch
+from fennelfork_daemon.routes._operator_face import operator_face
 from fennelfork_daemon.routes._ports import Ports
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._reload import ReadSettings, SettingsReload
@@ -40,6 +41,7 @@
     reporter = StoreReporter(log=base.log, metrics=base.metrics)
     contact = store_contact(base.board, base.clock, reporter)
     base.metrics.follow_store(lambda: contact.told_age_ms)
+    base.metrics.follow_quarantine(base.board.quarantine)
     registration = Registration(
         store=ports.store,
         board=base.board,
@@ -63,7 +65,11 @@
         entries=RouteEntries(board=base.board, rng=random.Random()),
         settings=settings,
         face=route_face(base, calls, contact),
-        metrics=base.metrics,
+        operator_face=operator_face(
+            base.metrics,
+            base.board.quarantine,
+            watch.guard,
+        ),
         follower=follower,
         upkeep=(
             follower.run,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a daemon that serves routes."""
 
+import functools
 from collections.abc import Callable
 from typing import Final
 
@@ -14,14 +15,8 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
-from fennelfork.routes import RouteTable
-from fennelfork_daemon.http._router import (
-    HttpReply,
-    HttpRequest,
-    Route,
-    Router,
-    router,
-)
+from fennelfork.routes import Quarantine, RouteTable, Standing
+from fennelfork_daemon.http._router import HttpReply, HttpRequest
 from fennelfork_daemon.metrics._labels import KnownNames
 
 _MS_PER_SECOND: Final = 1000
@@ -66,11 +61,18 @@
     _missing: Counter
     _decisions: Counter
     _told_age: Gauge
+    _held: Gauge
 
     def follow_store(self, told_age_ms: Callable[[], float]) -> None:
         """Show how old what is known of the store is, whenever asked."""
         self._told_age.set_function(lambda: told_age_ms() / _MS_PER_SECOND)
 
+    def follow_quarantine(self, quarantine: Quarantine) -> None:
+        """Show how many requests are held for ending servers."""
+        for standing in (Standing.SUSPECTED, Standing.QUARANTINED):
+            count = functools.partial(_count, quarantine, standing)
+            self._held.labels(standing.value).set_function(count)
+
     def follow(self, table: RouteTable) -> None:
         """Take the names that may be labels from the routes in force."""
         self._routes.allow(route.name for route in table.routes)
@@ -96,12 +98,8 @@
         """Count decisions of the log, whether their line was written or not."""
         self._decisions.labels(event, 'yes' if logged else 'no').inc(times)
 
-    def face(self) -> Router:
-        """Build the face that serves these metrics."""
-        handler = self._page
-        return router((Route(method='GET', path='/metrics', handler=handler),))
-
-    def _page(self, request: HttpRequest) -> HttpReply:
+    def page(self, request: HttpRequest) -> HttpReply:
+        """Answer with all metrics, as text."""
         return HttpReply(
             status=_OK,
             headers=(('Content-Type', CONTENT_TYPE_PLAIN_0_0_4),),
@@ -153,9 +151,19 @@
             'Since the store last told what it holds.',
             registry=registry,
         ),
+        held=Gauge(
+            'fennelfork_requests_held',
+            'Requests under which backend servers ended, by their standing.',
+            ('standing',),
+            registry=registry,
+        ),
     )
 
 
+def _count(quarantine: Quarantine, standing: Standing) -> int:
+    return sum(one.standing is standing for one in quarantine.records)
+
+
 def _counter(
     registry: CollectorRegistry,
     name: str,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -10,6 +10,7 @@
 from fennelfork_daemon._in_progress import CountedApplication, InProgress
 from fennelfork_daemon._stop_service import StopService
 from fennelfork_daemon._version import VERSION
+from fennelfork_daemon.http._router import Router
 from fennelfork_daemon.http._wsgi_server import open_listener, serve_face
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._board import RouteBoard
@@ -17,7 +18,6 @@
 from fennelfork_daemon.routes._events import Started, Stopped
 from fennelfork_daemon.routes._face import RouteFace
 from fennelfork_daemon.routes._follower import StoreFollower
-from fennelfork_daemon.routes._metrics import RouteMetrics
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._reload import SettingsReload
 from fennelfork_daemon.routes._settings import RouteSettings
@@ -52,7 +52,7 @@
     face: RouteFace
     follower: StoreFollower
     _settings: RouteSettings
-    _metrics: RouteMetrics
+    _operator_face: Router
     _upkeep: tuple[Callable[[], None], ...]
     _pools: ServerPools
     _stop: StopService
@@ -78,7 +78,7 @@
         self._listen(self._settings.readiness, faces.readiness)
         self._listen(self._settings.entries, faces.entries)
         if self._settings.operator is not None:
-            self._listen(self._settings.operator, self._metrics.face())
+            self._listen(self._settings.operator, self._operator_face)
         callers = self._listen(self._settings.caller, self._counted())
         status = self._stop.see_through(callers)
         self._log.tell(Stopped(status=status, cut=self._stop.cut))
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -15,19 +15,22 @@
 from fennelfork.routes import (
     BackendServer,
     CallerLimits,
+    News,
     RepeatPolicy,
     Route,
     RouteTable,
     Service,
     Single,
+    SuspicionRecord,
     WatchTimes,
     route_table,
     store_pace,
 )
 from fennelfork_daemon._address import Address
-from fennelfork_daemon.logs._budget import decision_log
+from fennelfork_daemon.logs._budget import DecisionLog, decision_log
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.routes import (
+    Ask,
     Changes,
     Fact,
     HistoryGone,
@@ -127,11 +130,28 @@
     return Route(**(fields | changes))
 
 
+def ask(**changes: Any) -> Ask:
+    """Build a request of a caller."""
+    fields: dict[str, Any] = {
+        'method': 'GET',
+        'target': '/rafts/7',
+        'host': 'rafts.example',
+        'headers': (),
+        'body': None,
+        'request_id': 'r-1',
+        'left_ms': 2000,
+        'caller': '10.0.0.9',
+    }
+    return Ask(**(fields | changes))
+
+
 @attrs.define(kw_only=True)
 class FakeStore:
     """A store that answers what a test says, and notes what it was asked."""
 
     listed: list[Any] = attrs.field(factory=list)
+    told: list[Any] = attrs.field(factory=list)
+    claims: list[Any] = attrs.field(factory=list)
     changed: list[Any] = attrs.field(factory=list)
     renewals: list[Any] = attrs.field(factory=list)
     calls: list[tuple[Any, ...]] = attrs.field(factory=list)
@@ -179,6 +199,20 @@
         self.calls.append(('register', member.name, lease))
         return Success(True)
 
+    def tell(self, news: News, lease: int) -> Result[bool, Failure]:
+        """Take news of requests, if a test says so."""
+        self.calls.append(('tell', news, lease))
+        return self.told.pop(0) if self.told else Success(True)
+
+    def claim_trial(
+        self,
+        record: SuspicionRecord,
+        revision: int,
+    ) -> Result[bool, Failure]:
+        """Give the next answer to a claim."""
+        self.calls.append(('claim_trial', record, revision))
+        return self.claims.pop(0)
+
     def end_lease(self, lease: int) -> Result[bool, Failure]:
         """End a lease."""
         self.calls.append(('end_lease', lease))
@@ -203,6 +237,8 @@
     contact: StoreContact = attrs.field(init=False)
     follower: StoreFollower = attrs.field(init=False)
     registration: Registration = attrs.field(init=False)
+    decisions: DecisionLog = attrs.field(init=False)
+    reporter: StoreReporter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Put the parts together."""
@@ -210,15 +246,14 @@
         configure_logs(LogSettings(), self.log)
         self.board = route_board(settings(), clock)
         metrics = route_metrics()
-        reporter = StoreReporter(
-            log=decision_log(
-                clock,
-                metrics.count_decision,
-                EndlessOutput(),
-                daemon='vm-1',
-            ),
-            metrics=metrics,
+        self.decisions = decision_log(
+            clock,
+            metrics.count_decision,
+            EndlessOutput(),
+            daemon='vm-1',
         )
+        reporter = StoreReporter(log=self.decisions, metrics=metrics)
+        self.reporter = reporter
         self.contact = store_contact(self.board, clock, reporter)
         pools = ServerPools(clock=clock, shares=self.board.shares)
         self.follower = store_follower(
