--- a/tests/test_platform_fatal_requests.py
+++ b/tests/test_platform_fatal_requests.py
@@ -37,6 +37,8 @@
 _FATAL_PAUSE_S: Final = 0.5
 _PAUSE_S: Final = 0.05
 _LAPSE_S: Final = 2.0
+# Its callers reach the daemons of their own data centre.
+_SOURCES: Final = tuple(f'127.0.0.{number}' for number in range(2, 13))
 
 
 @pytest.fixture
@@ -100,6 +102,7 @@
             fleet=fleet,
             path_of=lambda number: f'/{route}/{FATAL}',
             pause_s=_FATAL_PAUSE_S,
+            sources=_SOURCES,
         )
         others = SteadyCaller(
             name='other',
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -1,5 +1,7 @@
 """Requests and answers, to and from callers and backend servers."""
 
+from typing import Any
+
 import attrs
 import pytest
 from platform_builders import environ, response
@@ -22,6 +24,12 @@
 )
 
 
+def _fingerprint(body: bytes | None = None, **changes: Any) -> str:
+    """Give the fingerprint of a request."""
+    fields = {'REMOTE_ADDR': '10.0.0.9', **changes}
+    return str(_CALLERS.read_ask(environ(**fields), body).unwrap().fingerprint)
+
+
 class TestAsk:
     """A caller's request."""
 
@@ -41,6 +49,20 @@
             ('X-Expect-Instance', 'i-7'),
         )
 
+    def test_comes_again(self) -> None:
+        """A request is known by what servers see of it, not by its try."""
+        first = _fingerprint()
+        assert first == _fingerprint(
+            HTTP_X_REQUEST_ID='another',
+            HTTP_X_DEADLINE_MS='700',
+            REMOTE_ADDR='10.0.0.77',
+        )
+        assert first != _fingerprint(REQUEST_METHOD='POST')
+        assert first != _fingerprint(
+            headers_raw=(('Authorization', 'Bearer a'),)
+        )
+        assert first != _fingerprint(body=b'x')
+
     def test_no_deadline(self) -> None:
         """A caller may say nothing of how long it waits."""
         found = environ()
