--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
@@ -23,8 +23,10 @@
 
 # Nothing is known of most requests.
 _NOTHING: Final = frozenset[str]()
-# No sooner can a trial let it through again.
-_RETRY_AFTER_MS: Final = 30_000
+# No sooner can a trial let a request in quarantine through again.
+_TRIAL_MS: Final = 30_000
+# Until all daemons have heard what the last try of a suspected request came to.
+_NEXT_TRY_MS: Final = 500
 
 
 @attrs.frozen(kw_only=True)
@@ -47,9 +49,7 @@
         known = self._quarantine.find(fingerprint)
         if known is None:
             return Success(_NOTHING)
-        if known.standing is Standing.SUSPECTED:
-            return Success(known.services)
-        if self._may_be_tried(fingerprint, known):
+        if not known.lasts or self._may_be_tried(fingerprint, known):
             return Success(known.services)
         return Bad(_refusal(known))
 
@@ -82,16 +82,21 @@
         return released
 
     def _may_be_tried(self, fingerprint: str, known: Suspicion) -> bool:
-        """Claim the trial of a request, which only one daemon may make.
+        """Claim a try of a request that most likely ends its server.
 
-        While the store is away, or holds something else than this daemon has
-        heard of, nobody may.
+        Only one of all daemons makes it, and knows what the last one came to:
+        whoever does not hold what the store holds has to hear of that first.
+        While the store is away nobody may.
         """
-        if known.held is None or not self._quarantine.trial_due(fingerprint):
+        if known.held is None:
             return False
-        record = known.trial(fingerprint)
-        claimed = self._store.claim_trial(record, known.held[1])
-        # Another request may have asked meanwhile: one trial, made once.
+        record = known.record(fingerprint)
+        if known.standing is Standing.QUARANTINED:
+            if not self._quarantine.trial_due(fingerprint):
+                return False
+            record = known.trial(fingerprint)
+        claimed = self._store.claim(record, known.held[1])
+        # Another of its tries may have come here meanwhile.
         known.trials = max(known.trials, record.trials)
         return is_successful(claimed) and claimed.unwrap()
 
@@ -103,5 +108,8 @@
 
 def _refusal(known: Suspicion) -> Failure:
     runs = ', '.join(end.run for end in known.ends)
-    detail = f'backend servers ended each time that they ran it: {runs}'
-    return not_run(FailureCode.QUARANTINED, detail, _RETRY_AFTER_MS)
+    if known.standing is Standing.QUARANTINED:
+        detail = f'backend servers ended each time that they ran it: {runs}'
+        return not_run(FailureCode.QUARANTINED, detail, _TRIAL_MS)
+    detail = f'another try of it may end a backend server as before: {runs}'
+    return not_run(FailureCode.QUARANTINED, detail, _NEXT_TRY_MS)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -74,12 +74,12 @@
         What does not last is told under the lease.
         """
 
-    def claim_trial(
+    def claim(
         self,
         record: SuspicionRecord,
         revision: int,
     ) -> Result[bool, Failure]:
-        """Tell of a trial of a request; false if another told of it since."""
+        """Tell that a request is tried; false if another told of it since."""
 
     def end_lease(self, lease: int) -> Result[bool, Failure]:
         """End a lease, and with it the registration."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -203,13 +203,13 @@
         self.calls.append(('tell', news, lease))
         return self.told.pop(0) if self.told else Success(True)
 
-    def claim_trial(
+    def claim(
         self,
         record: SuspicionRecord,
         revision: int,
     ) -> Result[bool, Failure]:
         """Give the next answer to a claim."""
-        self.calls.append(('claim_trial', record, revision))
+        self.calls.append(('claim', record, revision))
         return self.claims.pop(0)
 
     def end_lease(self, lease: int) -> Result[bool, Failure]:
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -35,13 +35,12 @@
         ServerEnd(run=f'{name}@1', service='archive', alone=True)
         for name in 'abc'
     )
+    fields = {'ends': ends, 'rounds': 2, **changes}
     record = SuspicionRecord(
         fingerprint=_NAME,
         standing=standing,
-        ends=ends,
-        rounds=2,
         ended_ms=int(wall_clock().now_ms()),
-        **changes,
+        **fields,
     )
     return SuspicionFact(record=record, revision=41)
 
@@ -106,6 +105,25 @@
         self.guard.note_end(send('a'), _ASK)
         assert self.guard.admit(_NAME).unwrap() == {'archive'}
 
+    def test_strongly_suspected(self) -> None:
+        """One that a server ended under alone is tried by one daemon only."""
+        self.following.change(held(Standing.SUSPECTED, rounds=1))
+        self.store.claims = [Success(True), Success(False), Bad(AWAY)]
+        assert self.guard.admit(_NAME).unwrap() == {'archive'}
+        for _ in range(2):
+            failure = self.guard.admit(_NAME).failure()
+            assert failure.verdict is Verdict.NOT_RUN
+            assert failure.retry_after_ms == 500
+        claims = [call for call in self.store.calls if call[0] == 'claim']
+        assert {call[2] for call in claims} == {41}
+
+    def test_not_told_yet(self) -> None:
+        """Nor here while the store does not hold what this daemon saw."""
+        self.guard.note_end(send('a'), _ASK)
+        self.guard.note_end(send('b', alone=True), _ASK)
+        assert not is_successful(self.guard.admit(_NAME))
+        assert not self.store.claims
+
     def test_quarantined(self) -> None:
         """It is refused at once, and nothing of it has run."""
         self.following.change(held(Standing.QUARANTINED))
@@ -123,7 +141,7 @@
 
     def test_removed(self) -> None:
         """So does an entry that is gone."""
-        self.following.change(held(Standing.SUSPECTED))
+        self.following.change(held(Standing.SUSPECTED, rounds=1))
         self.following.change(SuspicionGoneFact(fingerprint=_NAME))
         assert self.guard.admit(_NAME).unwrap() == frozenset()
 
@@ -142,7 +160,7 @@
         self.store.claims = [Success(True)]
         assert self.guard.admit(_NAME).unwrap() == {'archive'}
         kind, record, revision = self.store.calls[-1]
-        assert (kind, revision) == ('claim_trial', 41)
+        assert (kind, revision) == ('claim', 41)
         assert record.trials == 1
         assert not is_successful(self.guard.admit(_NAME))
 
--- a/tests/test_platform_suspicions.py
+++ b/tests/test_platform_suspicions.py
@@ -148,7 +148,7 @@
     def test_claim(self, status: int, claimed: bool) -> None:
         """One daemon gets a trial: whoever wrote over what all had read."""
         self.calls.status = status
-        assert self.store.claim_trial(_LASTING, 41).unwrap() is claimed
+        assert self.store.claim(_LASTING, 41).unwrap() is claimed
         order = self.calls.orders[0]
         assert order['ExpectedRev'] == [{'Key': _KEY, 'Revision': 41}]
         raw = base64.b64decode(order['Puts'][0]['Value'])
