--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
@@ -57,7 +57,12 @@
         """Note that a server answered a request, and so lives on."""
         if self._quarantine.find(ask.fingerprint) is None:
             return
-        if self._quarantine.note_answer(ask.fingerprint, send.server.service):
+        cleared = self._quarantine.note_answer(
+            ask.fingerprint,
+            send.server.service,
+            alone=send.alone,
+        )
+        if cleared:
             self._judged(ask.fingerprint, Standing.RELEASED, 'own')
 
     def note_end(self, send: Send, ask: Ask) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_suspicion_teller.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_suspicion_teller.py
@@ -11,17 +11,20 @@
 from returns.pipeline import is_successful
 
 from fennelfork import Clock
+from fennelfork.config import Backoff
 from fennelfork.routes import StorePace, SuspicionExchange
 from fennelfork_daemon.routes._ports import Store
 
 _MS_PER_SECOND: Final = 1000
 # How often what is too old is looked for.
 _SWEEP_MS: Final = 60_000.0
-# After a call that the store did not take.
+# After calls that the store did not take: it is away, and each call costs.
 _PAUSE_MS: Final = 500.0
+_LONGEST_PAUSE_MS: Final = 5000.0
+_BACKOFF: Final = Backoff(base_ms=_PAUSE_MS, cap_ms=_LONGEST_PAUSE_MS)
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True)
 class SuspicionTeller:
     """Tells what is new, together where it comes together.
 
@@ -36,6 +39,7 @@
     _pace: StorePace
     _clock: Clock
     _rng: random.Random
+    _failures: int = 0
     _bell: LightQueue = attrs.field(factory=lambda: LightQueue(maxsize=1))
 
     def wake(self) -> None:
@@ -48,8 +52,10 @@
         while True:  # noqa: WPS457  # as long as the daemon runs
             self._wait(self._rng.uniform(_SWEEP_MS / 2, _SWEEP_MS))
             self._gather()
-            if not self.step():
-                eventlet.sleep(_PAUSE_MS / _MS_PER_SECOND)
+            self._failures = 0 if self.step() else self._failures + 1
+            if self._failures:
+                pause_ms = _BACKOFF.delay_ms(self._failures, self._rng)
+                eventlet.sleep(pause_ms / _MS_PER_SECOND)
 
     def step(self) -> bool:
         """Tell what is new; tell whether the store took it."""
--- a/packages/fennelfork/src/fennelfork/routes/_failure.py
+++ b/packages/fennelfork/src/fennelfork/routes/_failure.py
@@ -41,8 +41,8 @@
     """Judge the reset of a new connection that had carried nothing back.
 
     Soon after a start it is the server's limit, which connections of before a
-    loss of power still fill: no arrival, no attempt, and no fault of the
-    server. Later, limits are kept, so the server itself resets what it gets:
+    loss of power still fill: no arrival, no attempt, no fault of the server, and
+    no sign that it ended. Later, limits are kept, so the server itself resets what it gets:
     each is paid for as a repeat, and counts against the server.
 
     Args:
@@ -50,6 +50,8 @@
         settled: whether the start of this daemon is some seconds ago.
     """
     may_have_run = failure.verdict is Verdict.MAY_HAVE_RUN
-    if settled and may_have_run and failure.code is FailureCode.QUEUE_FULL:
+    if not may_have_run or failure.code is not FailureCode.QUEUE_FULL:
+        return failure
+    if settled:
         return attrs.evolve(failure, code=FailureCode.UNREACHABLE)
-    return failure
+    return attrs.evolve(failure, broken_off=False)
--- a/packages/fennelfork/src/fennelfork/routes/_quarantine.py
+++ b/packages/fennelfork/src/fennelfork/routes/_quarantine.py
@@ -72,10 +72,26 @@
             self.exchange.tell(fingerprint)
         return None if known.standing is before else known.standing
 
-    def note_answer(self, fingerprint: str, service: str) -> bool:
-        """Note that a service answered a request; tell if that clears it."""
+    def note_answer(
+        self,
+        fingerprint: str,
+        service: str,
+        *,
+        alone: bool,
+    ) -> bool:
+        """Note that a service answered a request; tell if that clears it.
+
+        Args:
+            fingerprint: of the request.
+            service: whose server answered.
+            alone: whether no other server was risked with it. Such an answer
+                of a service that lost servers clears of all of them.
+        """
         known = self.find(fingerprint)
-        if known is None or not known.answered_by(service):
+        if known is None:
+            return False
+        cleared = alone and service in known.services
+        if not (cleared or known.answered_by(service)):
             return False
         return self.release(fingerprint)
 
--- a/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
@@ -64,7 +64,8 @@
             if record.fingerprint in self.memory:
                 self.tell(record.fingerprint)
         for fingerprint in news.gone:
-            self._pending.note_gone(fingerprint)
+            if fingerprint not in self.memory:
+                self._pending.note_gone(fingerprint)
 
     def take(self, record: SuspicionRecord, revision: int) -> Standing | None:
         """Take what the store holds of a request.
--- a/packages/fennelfork/tests/test_routes_power_loss.py
+++ b/packages/fennelfork/tests/test_routes_power_loss.py
@@ -12,6 +12,7 @@
 
 from typing import Any
 
+import attrs
 import pytest
 from core_builders_routes import (
     CUT,
@@ -209,6 +210,12 @@
         """
         assert weigh_reset(CUT, settled=settled).code is code
 
+    def test_is_no_end(self) -> None:
+        """A server at its limit has not ended, so no request is suspected."""
+        reset = attrs.evolve(CUT, broken_off=True)
+        assert not weigh_reset(reset, settled=False).broken_off
+        assert weigh_reset(reset, settled=True).broken_off
+
     @pytest.mark.parametrize('failure', [NO_CONNECTION, UNREACHED, SHED])
     def test_others_stay(self, failure: Failure) -> None:
         """What surely did not run is no arrival at any time."""
--- a/packages/fennelfork/tests/test_routes_quarantine.py
+++ b/packages/fennelfork/tests/test_routes_quarantine.py
@@ -115,7 +115,7 @@
         self.daemons.end(0, alone=True)
         self.daemons.share()
         self.daemons.time.advance(1500)
-        assert self.daemons.all[1].note_answer(NAME, 'a')
+        assert self.daemons.all[1].note_answer(NAME, 'a', alone=False)
         self.daemons.share()
         assert self.daemons.standing(0) is None
         self.daemons.end(2, alone=False)
@@ -126,11 +126,20 @@
         """It clears of what that service lost, of nothing else."""
         self.daemons.end(0, alone=False, service='a')
         self.daemons.end(0, alone=False, service='b')
-        assert not self.daemons.all[0].note_answer(NAME, 'b')
+        assert not self.daemons.all[0].note_answer(NAME, 'b', alone=False)
         found = self.daemons.all[0].find(NAME)
         assert found is not None
         assert found.services == {'a'}
-        assert self.daemons.all[0].note_answer(NAME, 'a')
+        assert self.daemons.all[0].note_answer(NAME, 'a', alone=False)
+
+    def test_answer_to_the_one_at_risk(self) -> None:
+        """It clears of all, though some services may have no server now."""
+        for service in 'abc':
+            self.daemons.end(0, alone=False, service=service)
+        first = self.daemons.all[0]
+        assert not first.note_answer(NAME, 'x', alone=True)
+        assert first.note_answer(NAME, 'b', alone=True)
+        assert self.daemons.standing(0) is None
 
 
 class TestMemory:
@@ -251,11 +260,29 @@
 
     def test_answered(self) -> None:
         """An answer to it clears the request everywhere."""
-        assert self.daemons.all[0].note_answer(NAME, 'a')
+        assert self.daemons.all[0].note_answer(NAME, 'a', alone=False)
         self.daemons.share()
         assert self.daemons.standing(1) is None
 
 
+class TestTelling:
+    """What the store is still to be told after a call that failed."""
+
+    def test_ends_after_it_was_forgotten(self) -> None:
+        """What is known since is told, not that nothing is."""
+        daemons = Daemons(1)
+        exchange = daemons.all[0].exchange
+        daemons.end(0, alone=False)
+        exchange.take_news()
+        daemons.all[0].release(NAME)
+        gone = exchange.take_news()
+        daemons.end(0, alone=False)
+        exchange.tell_again(gone)
+        news = exchange.take_news()
+        assert [one.fingerprint for one in news.records] == [NAME]
+        assert not news.gone
+
+
 class QuarantineMachine(RuleBasedStateMachine):
     """Whatever happens in whatever order at three daemons and a store."""
 
@@ -282,7 +309,7 @@
     def answer(self, daemon: int) -> None:
         """Both services answer it, and all hear of it."""
         for service in 'ab':
-            self.daemons.all[daemon].note_answer(NAME, service)
+            self.daemons.all[daemon].note_answer(NAME, service, alone=False)
         self.daemons.share()
 
     @rule(by_ms=st.integers(0, 5000))
