--- a/packages/fennelfork/tests/test_routes_quarantine.py
+++ b/packages/fennelfork/tests/test_routes_quarantine.py
@@ -41,9 +41,9 @@
         end = ServerEnd(run=f'{self.serial}@0', service=service, alone=alone)
         self.all[daemon].note_end(NAME, end)
 
-    def share(self) -> None:
-        """Tell the store what is new, and everybody what it holds."""
-        for daemon in self.all:
+    def share(self, only: slice = slice(None)) -> None:
+        """Have all or some tell what is new, and everybody hear it."""
+        for daemon in self.all[only]:
             news = daemon.exchange.take_news()
             for record in news.records:
                 self.serial += 1
@@ -89,6 +89,16 @@
             self.daemons.time.advance(100)
         assert self.daemons.standing(0) is Standing.SUSPECTED
 
+    def test_told_late(self) -> None:
+        """When an end is heard of says nothing of when it was."""
+        self.daemons.end(0, alone=False)
+        self.daemons.end(0, alone=True)
+        self.daemons.end(1, alone=True)
+        self.daemons.share(slice(1))
+        self.daemons.time.advance(2000)
+        self.daemons.share()
+        assert self.daemons.standing(2) is Standing.SUSPECTED
+
     def test_second_round(self) -> None:
         """Two servers that it alone was risked on do, apart in time."""
         self.daemons.end(0, alone=False)
