--- a/packages/fennelfork/src/fennelfork/routes/_suspicion.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion.py
@@ -116,14 +116,9 @@
         return _lasts(self.standing, self.rounds)
 
     def add(self, end: ServerEnd, now_ms: float, ended_ms: int) -> bool:
-        """Note an end; tell whether it says something new."""
-        if end.run in self._ends:
+        """Note an end that this daemon saw; tell whether it was new."""
+        if not self._note(end):
             return False
-        self._ends[end.run] = end
-        if len(self._ends) > _MOST_ENDS:
-            # Those that it met alone say most.
-            least = min(self._ends, key=lambda run: self._ends[run].alone)
-            self._ends.pop(least)
         self.heard_ms = now_ms
         self.ended_ms = max(self.ended_ms, ended_ms)
         if end.alone and now_ms - self._round_ms >= _ROUND_MS:
@@ -138,14 +133,22 @@
         revision: int,
         now_ms: float,
     ) -> None:
-        """Take what the store holds, by which revision."""
+        """Take what the store holds, by which revision.
+
+        When an end is heard of says nothing of when it was, so rounds are
+        counted by those alone who saw them. One that is heard of now was not
+        later than now.
+        """
         self.held = (record, revision)
         if record.standing is Standing.RELEASED:
             self.release(now_ms)
             return
-        for end in record.ends:
-            self.add(end, now_ms, record.ended_ms)
-        self.rounds = max(self.rounds, record.rounds)
+        if any([self._note(end) for end in record.ends]):
+            self.heard_ms = now_ms
+        self.ended_ms = max(self.ended_ms, record.ended_ms)
+        if record.rounds > self.rounds:
+            self.rounds = record.rounds
+            self._round_ms = now_ms
         self.trials = max(self.trials, record.trials)
         if record.standing is Standing.QUARANTINED:
             self._turn(record.standing, now_ms)
@@ -184,6 +187,17 @@
             ended_ms=self.ended_ms,
         )
 
+    def _note(self, end: ServerEnd) -> bool:
+        """Remember an end; tell whether it was new."""
+        if end.run in self._ends:
+            return False
+        self._ends[end.run] = end
+        if len(self._ends) > _MOST_ENDS:
+            # Those that it met alone say most.
+            least = min(self._ends, key=lambda run: self._ends[run].alone)
+            self._ends.pop(least)
+        return True
+
     def _judge(self, now_ms: float) -> None:
         if self.rounds >= _ROUNDS and len(self._ends) >= _ENDS:
             self._turn(Standing.QUARANTINED, now_ms)
--- a/packages/fennelfork/tests/test_routes_quarantine.py
+++ b/packages/fennelfork/tests/test_routes_quarantine.py
@@ -41,9 +41,9 @@
         end = ServerEnd(run=f'{self.serial}@0', service=service, alone=alone)
         self.all[daemon].note_end(NAME, end)
 
-    def share(self, only: slice = slice(None)) -> None:
-        """Have all or some tell what is new, and everybody hear it."""
-        for daemon in self.all[only]:
+    def share(self, only: int | None = None) -> None:
+        """Have all, or only one, tell what is new, and everybody hear it."""
+        for daemon in self.all if only is None else [self.all[only]]:
             news = daemon.exchange.take_news()
             for record in news.records:
                 self.serial += 1
@@ -94,7 +94,7 @@
         self.daemons.end(0, alone=False)
         self.daemons.end(0, alone=True)
         self.daemons.end(1, alone=True)
-        self.daemons.share(slice(1))
+        self.daemons.share(only=0)
         self.daemons.time.advance(2000)
         self.daemons.share()
         assert self.daemons.standing(2) is Standing.SUSPECTED
