--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_guard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_guard.py
@@ -52,6 +52,7 @@
         store=base.ports.store,
         lease=lambda: registration.lease,
         pace=pace,
+        fleet=base.board.fleet,
         clock=base.clock,
         rng=random.Random(),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_suspicion_teller.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_suspicion_teller.py
@@ -12,12 +12,16 @@
 
 from fennelfork import Clock
 from fennelfork.config import Backoff
-from fennelfork.routes import StorePace, SuspicionExchange
+from fennelfork.routes import FleetSize, StorePace, SuspicionExchange
 from fennelfork_daemon.routes._ports import Store
 
 _MS_PER_SECOND: Final = 1000
 # How often what is too old is looked for.
 _SWEEP_MS: Final = 60_000.0
+# Of requests that met ends at one moment, told by all daemons together. When
+# many servers crash, thousands were under way in a large fleet, and each that is
+# told goes to every daemon; of one that ends servers by itself, more follow.
+_WEAK_OF_ALL: Final = 64
 # After calls that the store did not take: it is away, and each call costs.
 _PAUSE_MS: Final = 500.0
 _LONGEST_PAUSE_MS: Final = 5000.0
@@ -37,6 +41,7 @@
     _store: Store
     _lease: Callable[[], int | None]
     _pace: StorePace
+    _fleet: FleetSize
     _clock: Clock
     _rng: random.Random
     _failures: int = 0
@@ -60,7 +65,7 @@
     def step(self) -> bool:
         """Tell what is new; tell whether the store took it."""
         lease = self._lease()
-        news = self._exchange.take_news()
+        news = self._exchange.take_news(self._most_weak())
         if not news:
             return True
         if lease is not None:
@@ -71,6 +76,11 @@
         self.wake()
         return False
 
+    def _most_weak(self) -> int:
+        """Draw this daemon's part of what all may tell of one moment."""
+        part = _WEAK_OF_ALL / self._fleet.most
+        return int(part + self._rng.random())
+
     def _gather(self) -> None:
         """Let more come, unless something is urgent."""
         now_ms = self._clock.now_ms()
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -72,6 +72,7 @@
             store=self.store,
             lease=lambda: self.lease,
             pace=store_pace(self.following.board.fleet, 3000),
+            fleet=self.following.board.fleet,
             clock=clock,
             rng=random.Random(1),
         )
@@ -196,6 +197,23 @@
         assert [one.standing for one in first.records] == [Standing.SUSPECTED]
         assert second.gone == (_NAME,)
 
+    def test_many_servers_crash(self) -> None:
+        """All daemons together tell of few requests that were under way."""
+        self.following.board.fleet.note(16)
+        for number in range(100):
+            self.guard.note_end(send('a'), ask(target=f'/rafts/{number}'))
+        self.guard.note_end(send('b'), _ASK)
+        self.guard.note_end(send('c', alone=True), _ASK)
+        self.teller.step()
+        news = self.told()[0]
+        weak = [one for one in news.records if not one.lasts]
+        assert len(weak) in {4, 5}
+        assert _NAME in {one.fingerprint for one in news.records}
+        # What was not told of needs no word when it is cleared.
+        self.guard.note_answer(send('d'), ask(target='/rafts/99'))
+        self.teller.step()
+        assert len(self.told()) == 1
+
     def test_store_refuses(self) -> None:
         """What the store did not take is told again."""
         self.guard.note_end(send('a'), _ASK)
--- a/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
@@ -52,10 +52,23 @@
         """Remember a request no longer, neither here nor in the store."""
         self._forgotten(fingerprint, self.memory.pop(fingerprint))
 
-    def take_news(self) -> News:
-        """Give what the store is to be told, once."""
+    def take_news(self, most_weak: int) -> News:
+        """Give what the store is to be told, once.
+
+        Args:
+            most_weak: how many requests may be told of that met ends at one
+                moment only; the others are not told of.
+        """
         for fingerprint, known in self.memory.take_outdated():
             self._forgotten(fingerprint, known)
+        weak = [
+            changed
+            for changed in self._pending.changed
+            if not self.memory[changed].lasts
+        ]
+        for untold in weak[most_weak:]:
+            self.memory[untold].is_own = False
+            self._pending.forget(untold)
         return self._pending.take(self.record_of)
 
     def tell_again(self, news: News) -> None:
--- a/packages/fennelfork/tests/test_routes_quarantine.py
+++ b/packages/fennelfork/tests/test_routes_quarantine.py
@@ -18,6 +18,8 @@
 
 NAME = 'f' * 32
 MINUTE_MS = 60_000
+# However many requests are told of.
+ALL = 10_000
 
 
 class Daemons:
@@ -44,7 +46,7 @@
     def share(self, only: int | None = None) -> None:
         """Have all, or only one, tell what is new, and everybody hear it."""
         for daemon in self.all if only is None else [self.all[only]]:
-            news = daemon.exchange.take_news()
+            news = daemon.exchange.take_news(ALL)
             for record in news.records:
                 self.serial += 1
                 self.held[record.fingerprint] = (record, self.serial)
@@ -185,7 +187,7 @@
         exchange = self.daemons.all[0].exchange
         exchange.keep((), told_age_ms=11 * MINUTE_MS)
         assert self.daemons.standing(0) is None
-        assert not exchange.take_news()
+        assert not exchange.take_news(ALL)
 
     def test_released(self) -> None:
         """A release reaches all, also who had missed it until now."""
@@ -196,7 +198,7 @@
         late.exchange.keep(self.daemons.held, told_age_ms=3000)
         late.exchange.take(*self.daemons.held[NAME])
         assert late.find(NAME) is None
-        assert not late.exchange.take_news()
+        assert not late.exchange.take_news(ALL)
 
     def test_ends_after_a_release(self) -> None:
         """It is judged anew."""
@@ -233,7 +235,7 @@
             end = ServerEnd(run=f'r{number}', service='a', alone=False)
             self.daemons.all[0].note_end(f'{number:032x}', end)
         exchange = self.daemons.all[0].exchange
-        assert len(exchange.take_news().records) <= 256
+        assert len(exchange.take_news(ALL).records) <= 256
         assert len(exchange.records) == 256
         assert self.daemons.standing(0) is Standing.QUARANTINED
 
@@ -283,12 +285,12 @@
         daemons = Daemons(1)
         exchange = daemons.all[0].exchange
         daemons.end(0, alone=False)
-        exchange.take_news()
+        exchange.take_news(ALL)
         daemons.all[0].release(NAME)
-        gone = exchange.take_news()
+        gone = exchange.take_news(ALL)
         daemons.end(0, alone=False)
         exchange.tell_again(gone)
-        news = exchange.take_news()
+        news = exchange.take_news(ALL)
         assert [one.fingerprint for one in news.records] == [NAME]
         assert not news.gone
 
