--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
@@ -10,7 +10,7 @@
 
 from fennelfork.routes import Allowances
 from fennelfork_daemon.logs._budget import DecisionLog
-from fennelfork_daemon.routes._events import Reloaded, ReloadRefused
+from fennelfork_daemon.routes._events_process import Reloaded, ReloadRefused
 from fennelfork_daemon.routes._settings import RouteSettings
 
 # How soon after the signal the file is read.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -15,7 +15,9 @@
     Send,
 )
 from fennelfork_daemon.logs._budget import DecisionLog
-from fennelfork_daemon.routes import _events as events
+from fennelfork_daemon.routes import _events_process as process
+from fennelfork_daemon.routes import _events_requests as requests
+from fennelfork_daemon.routes import _events_servers as servers
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._ask import Ask
 from fennelfork_daemon.routes._metrics import RequestFacts, RouteMetrics
@@ -51,7 +53,7 @@
         """
         failure = refused.failure
         self._log.tell(
-            events.RequestRefused(
+            requests.RequestRefused(
                 request=refused.request_id,
                 fingerprint=None if ask is None else ask.fingerprint,
                 code=failure.code.value,
@@ -69,7 +71,7 @@
     ) -> None:
         """A backend server gets no work for a while."""
         self._log.tell(
-            events.ServerEjected(
+            servers.ServerEjected(
                 server=send.server.instance,
                 service=send.server.service,
                 for_ms=round(length_ms),
@@ -81,7 +83,7 @@
     def back(self, send: Send) -> None:
         """A backend server that was ejected answered well again."""
         self._log.tell(
-            events.ServerBack(
+            servers.ServerBack(
                 server=send.server.instance,
                 service=send.server.service,
             ),
@@ -90,7 +92,7 @@
     def server_ended(self, send: Send, ask: Ask) -> None:
         """A backend server ended while it had a request."""
         self._log.tell(
-            events.ServerEnded(
+            servers.ServerEnded(
                 server=send.server.instance,
                 service=send.server.service,
                 request=ask.request_id,
@@ -102,12 +104,12 @@
 
     def fell_behind(self, late_ms: float) -> None:
         """This process woke late, which is a sign of overload."""
-        self._log.tell(events.FellBehind(late_ms=round(late_ms)))
+        self._log.tell(process.FellBehind(late_ms=round(late_ms)))
 
     def limit_fell(self, route: Route, limit: ConcurrencyLimit) -> None:
         """Fewer requests to the services of a route are worked on at once."""
         self._log.tell(
-            events.LimitFell(
+            requests.LimitFell(
                 route=route.name,
                 limit=round(limit.limit),
                 under_way=limit.under_way,
@@ -117,7 +119,7 @@
     def defect(self, error: Exception) -> None:
         """A defect of this program ended a request."""
         trace = ''.join(traceback.format_exception(error))
-        self._log.tell(events.Defect(error=repr(error), trace=trace))
+        self._log.tell(process.Defect(error=repr(error), trace=trace))
 
     def ended(
         self,
@@ -146,7 +148,7 @@
         if usual and not is_sampled(ask.request_id):
             return
         self._log.tell(
-            events.RequestEnded(
+            requests.RequestEnded(
                 request=ask.request_id,
                 fingerprint=ask.fingerprint,
                 route=dispatch.route.name,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -15,7 +15,7 @@
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._board import RouteBoard
 from fennelfork_daemon.routes._entries import RouteEntries
-from fennelfork_daemon.routes._events import Started, Stopped
+from fennelfork_daemon.routes._events_process import Started, Stopped
 from fennelfork_daemon.routes._face import RouteFace
 from fennelfork_daemon.routes._follower import StoreFollower
 from fennelfork_daemon.routes._pools import ServerPools
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -9,7 +9,7 @@
 from fennelfork_daemon._stop_service import StopService, stop_service
 from fennelfork_daemon.logs._budget import DecisionLog
 from fennelfork_daemon.routes._entries import ENTRY_TTL_MS
-from fennelfork_daemon.routes._events import StateChanged
+from fennelfork_daemon.routes._events_process import StateChanged
 from fennelfork_daemon.routes._follower import StoreFollower
 from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._settings import RouteSettings
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -11,7 +11,9 @@
     SuspicionRecord,
 )
 from fennelfork_daemon.logs._budget import DecisionLog
-from fennelfork_daemon.routes import _events as events
+from fennelfork_daemon.routes import _events_requests as requests
+from fennelfork_daemon.routes import _events_servers as servers
+from fennelfork_daemon.routes import _events_store as store
 from fennelfork_daemon.routes._facts import UnreadableFact
 from fennelfork_daemon.routes._metrics import RouteMetrics
 
@@ -25,12 +27,12 @@
 
     def lost(self, call: str, failure: Failure) -> None:
         """The store is not reached: a call of it failed."""
-        self._log.tell(events.StoreLost(call=call, reason=failure.detail))
+        self._log.tell(store.StoreLost(call=call, reason=failure.detail))
 
     def regained(self, away_ms: float, told_ms: float) -> None:
         """The store is reached again."""
         self._log.tell(
-            events.StoreRegained(
+            store.StoreRegained(
                 away_ms=round(away_ms),
                 told_ms=round(told_ms),
             ),
@@ -38,12 +40,12 @@
 
     def registered(self, lease: int, ttl_ms: float) -> None:
         """This daemon is registered."""
-        self._log.tell(events.LeaseGranted(lease=lease, ttl_ms=round(ttl_ms)))
+        self._log.tell(store.LeaseGranted(lease=lease, ttl_ms=round(ttl_ms)))
 
     def lapsed(self, lease: int, renewed_ms_ago: float) -> None:
         """The store ended this daemon's registration."""
         self._log.tell(
-            events.LeaseLapsed(
+            store.LeaseLapsed(
                 lease=lease,
                 renewed_ms_ago=round(renewed_ms_ago),
             ),
@@ -53,7 +55,7 @@
         """A version is in force from now on."""
         self._metrics.follow(table)
         self._log.tell(
-            events.ConfigTaken(
+            store.ConfigTaken(
                 version=table.version,
                 before=before,
                 routes=len(table.routes),
@@ -70,7 +72,7 @@
         if same_run and before.draining == server.draining:
             return
         self._log.tell(
-            events.ServerSeen(
+            servers.ServerSeen(
                 server=server.instance,
                 service=server.service,
                 address=server.address,
@@ -81,15 +83,15 @@
 
     def server_gone(self, instance: str) -> None:
         """A backend server is not used any more."""
-        self._log.tell(events.ServerGone(server=instance))
+        self._log.tell(servers.ServerGone(server=instance))
 
     def member_seen(self, member: Member) -> None:
         """Another daemon registered itself."""
-        self._log.tell(events.DaemonSeen(peer=member.name, at=member.caller))
+        self._log.tell(store.DaemonSeen(peer=member.name, at=member.caller))
 
     def member_gone(self, name: str) -> None:
         """A daemon is no longer registered."""
-        self._log.tell(events.DaemonGone(peer=name))
+        self._log.tell(store.DaemonGone(peer=name))
 
     def request_judged(
         self,
@@ -99,7 +101,7 @@
     ) -> None:
         """A request that ended servers is treated in another way now."""
         self._log.tell(
-            events.RequestJudged(
+            requests.RequestJudged(
                 fingerprint=record.fingerprint,
                 standing=standing.value,
                 by=by,
@@ -111,4 +113,4 @@
 
     def unreadable(self, fact: UnreadableFact) -> None:
         """An item of the store could not be read; it names nobody to use."""
-        self._log.tell(events.ItemRefused(key=fact.key, reason=fact.problem))
+        self._log.tell(store.ItemRefused(key=fact.key, reason=fact.problem))
--- a/packages/fennelfork-daemon/tests/test_decision_log.py
+++ b/packages/fennelfork-daemon/tests/test_decision_log.py
@@ -11,7 +11,8 @@
 from fennelfork_daemon.logs._budget import decision_log
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.logs._sink import non_blocking_sink
-from fennelfork_daemon.routes._events import ServerGone, StoreLost
+from fennelfork_daemon.routes._events_servers import ServerGone
+from fennelfork_daemon.routes._events_store import StoreLost
 from fennelfork_daemon.settings._tables import LogSettings
 
 
--- a/packages/fennelfork-daemon/tests/test_routes_events.py
+++ b/packages/fennelfork-daemon/tests/test_routes_events.py
@@ -1,10 +1,12 @@
 """The closed list of log lines, and what decides whether one is written."""
 
+import importlib
 import inspect
 import io
 import json
 import os
 import pathlib
+import types
 from collections import Counter
 
 import attrs
@@ -17,6 +19,8 @@
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.logs._sink import non_blocking_sink
 from fennelfork_daemon.routes import _events as events
+from fennelfork_daemon.routes import _events_servers as servers
+from fennelfork_daemon.routes import _events_store as store
 from fennelfork_daemon.routes._request_reporter import is_sampled
 from fennelfork_daemon.settings._tables import LogSettings
 
@@ -27,12 +31,8 @@
     """One class a kind of line, all of them listed and on the page."""
 
     def test_list_is_whole(self) -> None:
-        """Each class of the module is listed once, under a name of its own."""
-        made = [
-            kind
-            for _name, kind in inspect.getmembers(events, inspect.isclass)
-            if kind.__module__ == events.__name__
-        ]
+        """Each class of each subject is listed once, under its own name."""
+        made = [kind for module in _subjects() for kind in _classes(module)]
         assert set(made) == set(events.EVENTS)
         names = [kind.event for kind in events.EVENTS]
         assert len(set(names)) == len(names)
@@ -59,6 +59,26 @@
         assert len(rows) == len(events.EVENTS)
 
 
+def _subjects() -> list[types.ModuleType]:
+    """Give the modules that hold the lines, one a subject."""
+    folder = pathlib.Path(events.__file__).parent
+    names = [path.stem for path in folder.glob('_events_*.py')]
+    assert len(names) == 4
+    return [
+        importlib.import_module(f'fennelfork_daemon.routes.{name}')
+        for name in names
+    ]
+
+
+def _classes(module: types.ModuleType) -> list[type]:
+    """Give the classes that a module defines."""
+    return [
+        kind
+        for _name, kind in inspect.getmembers(module, inspect.isclass)
+        if kind.__module__ == module.__name__
+    ]
+
+
 class TestSampling:
     """Which of the usual requests are told."""
 
@@ -86,7 +106,7 @@
         time = ManualTime()
         counted = _Counts()
         log = decision_log(manual_clock(time), counted, output, daemon='vm-1')
-        lost = events.StoreLost(call='lease', reason='x' * 20_000)
+        lost = store.StoreLost(call='lease', reason='x' * 20_000)
         for _ in range(40):
             log.tell(lost)
         dropped = output.dropped
@@ -96,8 +116,8 @@
         for _ in range(200):
             text += _read(reader)
             output.flush()
-        log.tell(events.ServerGone(server='s'))
-        log.tell(events.ServerGone(server='s'))
+        log.tell(servers.ServerGone(server='s'))
+        log.tell(servers.ServerGone(server='s'))
         text += _read(reader)
         structlog.reset_defaults()
         lines = [json.loads(line) for line in text.decode().splitlines()]
@@ -115,7 +135,7 @@
             EndlessOutput(),
             daemon='vm-1',
         )
-        log.tell(events.StoreRegained(away_ms=7, told_ms=9))
+        log.tell(store.StoreRegained(away_ms=7, told_ms=9))
         structlog.reset_defaults()
         line = json.loads(stream.getvalue())
         frame = {'event', 'level', 'timestamp', 'daemon'}
