--- a/tests/test_platform_fatal_requests.py
+++ b/tests/test_platform_fatal_requests.py
@@ -12,24 +12,24 @@
 code as it was, and 11 to 21 where the fingerprint had the caller's address in it.
 """
 
-import json
 import time
 from collections.abc import Iterator
 from typing import Final
 
-import attrs
 import pytest
 
 from fennelfork_bench.rig._process import Rig, rig, wait_until
 from fennelfork_platform_bench._events import await_ready
+from fennelfork_platform_bench._fatal_runs import (
+    MOST_LATER,
+    arrivals,
+    later_tries,
+)
 from fennelfork_platform_bench._fleet import DayFleet
 from fennelfork_platform_bench._records import FATAL
 from fennelfork_platform_bench._revival import Revival
 from fennelfork_platform_bench._steady_callers import SteadyCaller
 
-# Later than this after the third end, at most three tries may reach servers.
-_WINDOW_S: Final = 5.0
-_MOST_LATER: Final = 3
 # From here on others are to be served, whatever somebody sends.
 _SETTLED_S: Final = 12.0
 _LENGTH_S: Final = 22.0
@@ -61,35 +61,6 @@
     return made
 
 
-@attrs.frozen(kw_only=True)
-class Arrival:
-    """A request that reached a server and ended it."""
-
-    request_id: str
-    at_s: float
-
-
-def arrivals(fleet: DayFleet) -> list[Arrival]:
-    """Give all of them in order, by what the servers wrote."""
-    lines = [
-        json.loads(line)
-        for path in fleet.runs
-        for line in path.read_text().splitlines()
-        if line.startswith('{"fatal"')
-    ]
-    known = [
-        Arrival(request_id=one['fatal'], at_s=one['at_s']) for one in lines
-    ]
-    return sorted(known, key=lambda one: one.at_s)
-
-
-def later_tries(found: list[Arrival]) -> set[str]:
-    """Give the tries that reached servers long after the third end."""
-    assert len(found) >= 3
-    free_until_s = found[2].at_s + _WINDOW_S
-    return {one.request_id for one in found if one.at_s > free_until_s}
-
-
 @pytest.mark.process
 class TestFatalRequests:
     """What one such request takes from others."""
@@ -115,7 +86,9 @@
         begun_s = time.monotonic()
         with Revival(fleet=fleet).running(), others.asking(), fatal.asking():
             time.sleep(_LENGTH_S)
-        assert len(later_tries(arrivals(fleet))) <= _MOST_LATER
+        found = arrivals(fleet.runs)
+        assert len(found) >= 3
+        assert len(later_tries(found)) <= MOST_LATER
         span = (begun_s + _SETTLED_S, begun_s + _LENGTH_S - 1)
         assert others.served_share(*span) >= _SERVED
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -28,6 +28,15 @@
         assert not run_platform_round(seed, Size()).broken
 
 
+@pytest.mark.process
+class TestFatalRounds:
+    """Rounds in which requests come that end the servers which run them."""
+
+    def test_round(self) -> None:
+        """Few of their tries reach servers, and all is whole afterwards."""
+        assert not run_platform_round(4, Size(), fatal=True).broken
+
+
 class TestDraw:
     """What strikes is fixed by the seed."""
 
