--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
@@ -101,9 +101,10 @@
                 return False
             record = known.trial(fingerprint)
         claimed = self._store.claim(record, known.held[1])
-        # Another of its tries may have come here meanwhile.
+        if not is_successful(claimed) or not claimed.unwrap():
+            return False
         known.trials = max(known.trials, record.trials)
-        return is_successful(claimed) and claimed.unwrap()
+        return True
 
     def _judged(self, fingerprint: str, standing: Standing, by: str) -> None:
         known = self._quarantine.exchange.record_of(fingerprint)
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -171,9 +171,10 @@
         assert not is_successful(self.guard.admit(_NAME))
 
     def test_store_away(self) -> None:
-        """Nor anybody at all while nobody can tell the others."""
-        self.store.claims = [Bad(AWAY)]
+        """Nor anybody at all while nobody can tell the others; then one may."""
+        self.store.claims = [Bad(AWAY), Success(True)]
         assert not is_successful(self.guard.admit(_NAME))
+        assert is_successful(self.guard.admit(_NAME))
 
     def test_answered(self) -> None:
         """An answer lets it through, and the store is told."""
