--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_guard.py
@@ -10,9 +10,9 @@
 from fennelfork import Failure, FailureCode, not_run
 from fennelfork.routes import (
     Quarantine,
+    RequestStanding,
     Send,
     ServerEnd,
-    Standing,
     Suspicion,
 )
 from fennelfork_daemon.routes._ask import Ask
@@ -63,7 +63,7 @@
             alone=send.alone,
         )
         if cleared:
-            self._judged(ask.fingerprint, Standing.RELEASED, 'own')
+            self._judged(ask.fingerprint, RequestStanding.RELEASED, 'own')
 
     def note_end(self, send: Send, ask: Ask) -> None:
         """Note that a server ended while it had a request."""
@@ -83,7 +83,7 @@
         """Let a request through again, as an operator says; tell if known."""
         released = self._quarantine.release(fingerprint)
         if released:
-            self._judged(fingerprint, Standing.RELEASED, 'operator')
+            self._judged(fingerprint, RequestStanding.RELEASED, 'operator')
         return released
 
     def _may_be_tried(self, fingerprint: str, known: Suspicion) -> bool:
@@ -93,20 +93,22 @@
         whoever does not hold what the store holds has to hear of that first.
         While the store is away nobody may.
         """
-        if known.held is None:
+        if known.stored is None:
             return False
         record = known.record(fingerprint)
-        if known.standing is Standing.QUARANTINED:
+        if known.standing is RequestStanding.QUARANTINED:
             if not self._quarantine.trial_due(fingerprint):
                 return False
             record = known.trial(fingerprint)
-        claimed = self._store.claim(record, known.held[1])
+        claimed = self._store.claim(record, known.stored[1])
         if not is_successful(claimed) or not claimed.unwrap():
             return False
         known.trials = max(known.trials, record.trials)
         return True
 
-    def _judged(self, fingerprint: str, standing: Standing, by: str) -> None:
+    def _judged(
+        self, fingerprint: str, standing: RequestStanding, by: str
+    ) -> None:
         known = self._quarantine.exchange.record_of(fingerprint)
         self._judgements.request_judged(known, standing, by)
         self._teller.wake()
@@ -114,7 +116,7 @@
 
 def _refusal(known: Suspicion) -> Failure:
     runs = ', '.join(end.run for end in known.ends)
-    if known.standing is Standing.QUARANTINED:
+    if known.standing is RequestStanding.QUARANTINED:
         detail = f'backend servers ended each time that they ran it: {runs}'
         return not_run(FailureCode.QUARANTINED, detail, _TRIAL_MS)
     detail = f'another try of it may end a backend server as before: {runs}'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -6,8 +6,8 @@
 from fennelfork.membership import Member
 from fennelfork.routes import (
     BackendServer,
+    RequestStanding,
     RouteTable,
-    Standing,
     SuspicionRecord,
 )
 from fennelfork_daemon.logs._budget import DecisionLog
@@ -96,7 +96,7 @@
     def request_judged(
         self,
         record: SuspicionRecord,
-        standing: Standing,
+        standing: RequestStanding,
         by: str = 'another',
     ) -> None:
         """A request that ended servers is treated in another way now."""
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -12,9 +12,9 @@
 from fennelfork import FailureCode, Verdict, manual_clock, wall_clock
 from fennelfork.routes import (
     News,
+    RequestStanding,
     Send,
     ServerEnd,
-    Standing,
     SuspicionRecord,
     store_pace,
 )
@@ -29,7 +29,7 @@
 _NAME = _ASK.fingerprint
 
 
-def held(standing: Standing, **changes: Any) -> SuspicionFact:
+def held(standing: RequestStanding, **changes: Any) -> SuspicionFact:
     """Build what another daemon told of the request."""
     ends = tuple(
         ServerEnd(run=f'{name}@1', service='archive', alone=True)
@@ -108,7 +108,7 @@
 
     def test_strongly_suspected(self) -> None:
         """One that a server ended under alone is tried by one daemon only."""
-        self.following.change(held(Standing.SUSPECTED, rounds=1))
+        self.following.change(held(RequestStanding.SUSPECTED, rounds=1))
         self.store.claims = [Success(True), Success(False), Bad(AWAY)]
         assert self.guard.admit(_NAME).unwrap() == {'archive'}
         for _ in range(2):
@@ -127,7 +127,7 @@
 
     def test_quarantined(self) -> None:
         """It is refused at once, and nothing of it has run."""
-        self.following.change(held(Standing.QUARANTINED))
+        self.following.change(held(RequestStanding.QUARANTINED))
         failure = self.guard.admit(_NAME).failure()
         assert failure.code is FailureCode.QUARANTINED
         assert failure.verdict is Verdict.NOT_RUN
@@ -136,13 +136,13 @@
 
     def test_released(self) -> None:
         """Another daemon found out that it ends nobody."""
-        self.following.change(held(Standing.QUARANTINED))
-        self.following.change(held(Standing.RELEASED))
+        self.following.change(held(RequestStanding.QUARANTINED))
+        self.following.change(held(RequestStanding.RELEASED))
         assert self.guard.admit(_NAME).unwrap() == frozenset()
 
     def test_removed(self) -> None:
         """So does an entry that is gone."""
-        self.following.change(held(Standing.SUSPECTED, rounds=1))
+        self.following.change(held(RequestStanding.SUSPECTED, rounds=1))
         self.following.change(SuspicionGoneFact(fingerprint=_NAME))
         assert self.guard.admit(_NAME).unwrap() == frozenset()
 
@@ -153,7 +153,7 @@
     def setup_method(self) -> None:
         """Put the request into quarantine, long enough ago."""
         super().setup_method()
-        self.following.change(held(Standing.QUARANTINED))
+        self.following.change(held(RequestStanding.QUARANTINED))
         self.following.time.advance(31_000)
 
     def test_claimed(self) -> None:
@@ -182,7 +182,9 @@
         assert self.guard.admit(_NAME).unwrap() == frozenset()
         self.teller.step()
         news = self.told()[0]
-        assert [one.standing for one in news.records] == [Standing.RELEASED]
+        assert [one.standing for one in news.records] == [
+            RequestStanding.RELEASED
+        ]
 
 
 class TestTelling(Guarded):
@@ -195,7 +197,9 @@
         self.guard.note_answer(send('b'), _ASK)
         self.teller.step()
         first, second = self.told()
-        assert [one.standing for one in first.records] == [Standing.SUSPECTED]
+        assert [one.standing for one in first.records] == [
+            RequestStanding.SUSPECTED
+        ]
         assert second.gone == (_NAME,)
 
     def test_many_servers_crash(self) -> None:
@@ -237,7 +241,7 @@
 
     def test_store_forgot(self) -> None:
         """A listing that lacks what lasts is made up for."""
-        known = held(Standing.QUARANTINED)
+        known = held(RequestStanding.QUARANTINED)
         self.following.change(known)
         self.following.follower.forget_history()
         self.following.take_list()
@@ -272,7 +276,7 @@
     def setup_method(self) -> None:
         """Put the request into quarantine."""
         super().setup_method()
-        self.following.change(held(Standing.QUARANTINED))
+        self.following.change(held(RequestStanding.QUARANTINED))
         self.face = operator_face(
             route_metrics(),
             self.quarantine,
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -58,8 +58,8 @@
 from ._store_pace import StorePace as StorePace
 from ._store_pace import WatchTimes as WatchTimes
 from ._store_pace import store_pace as store_pace
+from ._suspicion import RequestStanding as RequestStanding
 from ._suspicion import ServerEnd as ServerEnd
-from ._suspicion import Standing as Standing
 from ._suspicion import Suspicion as Suspicion
 from ._suspicion import SuspicionRecord as SuspicionRecord
 from ._suspicion_exchange import SuspicionExchange as SuspicionExchange
--- a/packages/fennelfork/src/fennelfork/routes/_quarantine.py
+++ b/packages/fennelfork/src/fennelfork/routes/_quarantine.py
@@ -16,8 +16,8 @@
 
 from fennelfork._clock import Clock
 from fennelfork.routes._suspicion import (
+    RequestStanding,
     ServerEnd,
-    Standing,
     Suspicion,
     SuspicionRecord,
 )
@@ -53,11 +53,13 @@
     def find(self, fingerprint: str) -> Suspicion | None:
         """Give what is held against a request, if anything."""
         known = self.exchange.memory.find(fingerprint)
-        if known is None or known.standing is Standing.RELEASED:
+        if known is None or known.standing is RequestStanding.RELEASED:
             return None
         return known
 
-    def note_end(self, fingerprint: str, end: ServerEnd) -> Standing | None:
+    def note_end(
+        self, fingerprint: str, end: ServerEnd
+    ) -> RequestStanding | None:
         """Note the end of a server under a request.
 
         Returns:
--- a/packages/fennelfork/src/fennelfork/routes/_suspicion.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion.py
@@ -18,7 +18,7 @@
 
 
 @enum.unique
-class Standing(enum.StrEnum):
+class RequestStanding(enum.StrEnum):
     """How a request is treated that ended servers.
 
     `SUSPECTED`: risked on one server at a time, until one has answered it.
@@ -62,7 +62,7 @@
     """
 
     fingerprint: str
-    standing: Standing
+    standing: RequestStanding
     ends: tuple[ServerEnd, ...] = ()
     rounds: int = 0
     trials: int = 0
@@ -85,17 +85,17 @@
         since_ms: when this daemon learned its standing.
         heard_ms: when this daemon last saw or was told of an end.
         ended_ms: time of day of the last end.
-        held: what the store holds of it and by which revision, if anything.
+        stored: what the store holds of it and by which revision, if anything.
         is_own: whether this daemon told the store of it.
     """
 
-    standing: Standing = Standing.SUSPECTED
+    standing: RequestStanding = RequestStanding.SUSPECTED
     rounds: int = 0
     trials: int = 0
     since_ms: float = 0
     heard_ms: float = 0
     ended_ms: int = 0
-    held: tuple[SuspicionRecord, int] | None = None
+    stored: tuple[SuspicionRecord, int] | None = None
     is_own: bool = False
     _ends: dict[str, ServerEnd] = attrs.field(factory=dict)
     _round_ms: float = -math.inf
@@ -139,8 +139,8 @@
         counted by those alone who saw them. One that is heard of now was not
         later than now.
         """
-        self.held = (record, revision)
-        if record.standing is Standing.RELEASED:
+        self.stored = (record, revision)
+        if record.standing is RequestStanding.RELEASED:
             self.release(now_ms)
             return
         if any([self._note(end) for end in record.ends]):
@@ -150,7 +150,7 @@
             self.rounds = record.rounds
             self._round_ms = now_ms
         self.trials = max(self.trials, record.trials)
-        if record.standing is Standing.QUARANTINED:
+        if record.standing is RequestStanding.QUARANTINED:
             self._turn(record.standing, now_ms)
         self._judge(now_ms)
 
@@ -169,7 +169,7 @@
         self._ends.clear()
         self.rounds = 0
         self.heard_ms = now_ms
-        self._turn(Standing.RELEASED, now_ms)
+        self._turn(RequestStanding.RELEASED, now_ms)
 
     def trial(self, fingerprint: str) -> SuspicionRecord:
         """Give what others are to know while it is tried once more."""
@@ -200,14 +200,14 @@
 
     def _judge(self, now_ms: float) -> None:
         if self.rounds >= _ROUNDS and len(self._ends) >= _ENDS:
-            self._turn(Standing.QUARANTINED, now_ms)
+            self._turn(RequestStanding.QUARANTINED, now_ms)
 
-    def _turn(self, standing: Standing, now_ms: float) -> None:
+    def _turn(self, standing: RequestStanding, now_ms: float) -> None:
         if self.standing is not standing:
             self.standing = standing
             self.since_ms = now_ms
 
 
-def _lasts(standing: Standing, rounds: int) -> bool:
+def _lasts(standing: RequestStanding, rounds: int) -> bool:
     """Tell whether a request's standing rests on more than one moment."""
-    return rounds > 0 or standing is not Standing.SUSPECTED
+    return rounds > 0 or standing is not RequestStanding.SUSPECTED
--- a/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
@@ -6,12 +6,16 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork.routes._suspicion import Standing, Suspicion, SuspicionRecord
+from fennelfork.routes._suspicion import (
+    RequestStanding,
+    Suspicion,
+    SuspicionRecord,
+)
 from fennelfork.routes._suspicion_memory import WEAK_MS, SuspicionMemory
 from fennelfork.routes._suspicion_news import News, PendingNews
 
 # Of a request that is not remembered any more.
-_NOTHING_HELD: Final = Suspicion(standing=Standing.RELEASED)
+_NOTHING_HELD: Final = Suspicion(standing=RequestStanding.RELEASED)
 
 
 @attrs.frozen(kw_only=True)
@@ -80,17 +84,22 @@
             if fingerprint not in self.memory:
                 self._pending.note_gone(fingerprint)
 
-    def take(self, record: SuspicionRecord, revision: int) -> Standing | None:
+    def take(
+        self, record: SuspicionRecord, revision: int
+    ) -> RequestStanding | None:
         """Take what the store holds of a request.
 
         Returns:
             The standing of the request, if that is another one now.
         """
         known = self.memory.find(record.fingerprint)
-        if known is not None and known.held == (record, revision):
+        if known is not None and known.stored == (record, revision):
             return None
         before = known.standing if known else None
-        if known is None or Standing.RELEASED in {before, record.standing}:
+        if known is None or RequestStanding.RELEASED in {
+            before,
+            record.standing,
+        }:
             # The last that was written counts.
             known = self.memory.begin(record.fingerprint)
             self._pending.forget(record.fingerprint)
@@ -122,7 +131,7 @@
             if told_age_ms >= WEAK_MS or not (known.is_own or known.lasts):
                 self.drop(fingerprint)
             else:
-                known.held = None
+                known.stored = None
                 self.tell(fingerprint)
 
     def _compare(self, known: Suspicion, told: SuspicionRecord) -> None:
--- a/packages/fennelfork/src/fennelfork/routes/_suspicion_memory.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion_memory.py
@@ -6,7 +6,7 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork.routes._suspicion import Standing, Suspicion
+from fennelfork.routes._suspicion import RequestStanding, Suspicion
 
 # One takes about a kilobyte here and in the store.
 _MOST_KNOWN: Final = 256
@@ -87,7 +87,7 @@
 
     def _weight_of(self, fingerprint: str) -> tuple[bool, bool]:
         known = self._known[fingerprint]
-        return known.standing is Standing.QUARANTINED, known.lasts
+        return known.standing is RequestStanding.QUARANTINED, known.lasts
 
 
 def suspicion_memory(clock: Clock, wall: Clock) -> SuspicionMemory:
--- a/packages/fennelfork/tests/test_routes_quarantine.py
+++ b/packages/fennelfork/tests/test_routes_quarantine.py
@@ -10,8 +10,8 @@
 from fennelfork import ManualTime, manual_clock
 from fennelfork.routes import (
     Quarantine,
+    RequestStanding,
     ServerEnd,
-    Standing,
     SuspicionRecord,
     quarantine,
 )
@@ -56,7 +56,7 @@
             for held in self.held.values():
                 self._take(*held)
 
-    def standing(self, daemon: int) -> Standing | None:
+    def standing(self, daemon: int) -> RequestStanding | None:
         """Tell how one of them treats the request."""
         found = self.all[daemon].find(NAME)
         return None if found is None else found.standing
@@ -82,14 +82,14 @@
         for number in range(30):
             self.daemons.end(number % 3, alone=False)
         self.daemons.share()
-        assert self.daemons.standing(0) is Standing.SUSPECTED
+        assert self.daemons.standing(0) is RequestStanding.SUSPECTED
 
     def test_crashes_one_after_the_other(self) -> None:
         """Nor do those that crash within a second, though met alone."""
         for _ in range(8):
             self.daemons.end(0, alone=True)
             self.daemons.time.advance(100)
-        assert self.daemons.standing(0) is Standing.SUSPECTED
+        assert self.daemons.standing(0) is RequestStanding.SUSPECTED
 
     def test_told_late(self) -> None:
         """When an end is heard of says nothing of when it was."""
@@ -99,7 +99,7 @@
         self.daemons.share(only=0)
         self.daemons.time.advance(2000)
         self.daemons.share()
-        assert self.daemons.standing(2) is Standing.SUSPECTED
+        assert self.daemons.standing(2) is RequestStanding.SUSPECTED
 
     def test_second_round(self) -> None:
         """Two servers that it alone was risked on do, apart in time."""
@@ -108,9 +108,9 @@
         self.daemons.share()
         self.daemons.time.advance(1500)
         self.daemons.end(1, alone=True)
-        assert self.daemons.standing(1) is Standing.QUARANTINED
+        assert self.daemons.standing(1) is RequestStanding.QUARANTINED
         self.daemons.share()
-        assert self.daemons.standing(2) is Standing.QUARANTINED
+        assert self.daemons.standing(2) is RequestStanding.QUARANTINED
 
     def test_many_shards(self) -> None:
         """Also where more servers ended at once than are remembered."""
@@ -119,7 +119,7 @@
         for _ in range(2):
             self.daemons.end(0, alone=True)
             self.daemons.time.advance(1500)
-        assert self.daemons.standing(0) is Standing.QUARANTINED
+        assert self.daemons.standing(0) is RequestStanding.QUARANTINED
 
     def test_answer_between(self) -> None:
         """An answer clears: what ends whatever runs it has none."""
@@ -132,7 +132,7 @@
         assert self.daemons.standing(0) is None
         self.daemons.end(2, alone=False)
         self.daemons.end(2, alone=True)
-        assert self.daemons.standing(2) is Standing.SUSPECTED
+        assert self.daemons.standing(2) is RequestStanding.SUSPECTED
 
     def test_answer_of_another_service(self) -> None:
         """It clears of what that service lost, of nothing else."""
@@ -170,7 +170,7 @@
         """The store holds it for daemons that start anew."""
         self.daemons.all = [self.daemons.fresh()]
         self.daemons.share()
-        assert self.daemons.standing(0) is Standing.QUARANTINED
+        assert self.daemons.standing(0) is RequestStanding.QUARANTINED
 
     def test_store_forgot(self) -> None:
         """A store that comes back from an older copy is told again."""
@@ -179,7 +179,7 @@
             daemon.exchange.keep((), told_age_ms=3000)
         self.daemons.all.append(self.daemons.fresh())
         self.daemons.share()
-        assert self.daemons.standing(2) is Standing.QUARANTINED
+        assert self.daemons.standing(2) is RequestStanding.QUARANTINED
 
     def test_away_for_long(self) -> None:
         """Who heard nothing for long does not tell what others let go."""
@@ -206,7 +206,7 @@
         self.daemons.share()
         self.daemons.end(0, alone=False)
         self.daemons.share()
-        assert self.daemons.standing(1) is Standing.SUSPECTED
+        assert self.daemons.standing(1) is RequestStanding.SUSPECTED
 
     def test_over_after_a_day(self) -> None:
         """Nothing is held for longer, and the store does not keep it."""
@@ -219,7 +219,7 @@
         """Who wrote it first writes it again if another knew less."""
         less = SuspicionRecord(
             fingerprint=NAME,
-            standing=Standing.SUSPECTED,
+            standing=RequestStanding.SUSPECTED,
             ends=(ServerEnd(run='x@0', service='a', alone=False),),
         )
         self.daemons.held[NAME] = (less, 99)
@@ -227,7 +227,7 @@
             daemon.exchange.take(less, 99)
         self.daemons.share()
         written, _revision = self.daemons.held[NAME]
-        assert written.standing is Standing.QUARANTINED
+        assert written.standing is RequestStanding.QUARANTINED
 
     def test_bounded(self) -> None:
         """New ones every moment push out what the least is known of."""
@@ -237,7 +237,7 @@
         exchange = self.daemons.all[0].exchange
         assert len(exchange.take_news(ALL).records) <= 256
         assert len(exchange.records) == 256
-        assert self.daemons.standing(0) is Standing.QUARANTINED
+        assert self.daemons.standing(0) is RequestStanding.QUARANTINED
 
 
 class TestTrial:
@@ -354,7 +354,7 @@
         )
         grounds = apart and self.ends >= 3
         for daemon in range(3):
-            if self.daemons.standing(daemon) is Standing.QUARANTINED:
+            if self.daemons.standing(daemon) is RequestStanding.QUARANTINED:
                 assert grounds
 
     @invariant()
--- a/tests/test_platform_suspicions.py
+++ b/tests/test_platform_suspicions.py
@@ -12,7 +12,7 @@
 from returns.result import Result, Success
 
 from fennelfork import Failure, ManualTime, manual_clock
-from fennelfork.routes import News, ServerEnd, Standing, SuspicionRecord
+from fennelfork.routes import News, RequestStanding, ServerEnd, SuspicionRecord
 from fennelfork_daemon.routes import (
     SuspicionFact,
     SuspicionGoneFact,
@@ -35,13 +35,13 @@
 _RECORDS = st.builds(
     SuspicionRecord,
     fingerprint=st.just(_NAME),
-    standing=st.sampled_from(Standing),
+    standing=st.sampled_from(RequestStanding),
     ends=st.lists(_ENDS, max_size=16).map(tuple),
     rounds=st.integers(0, 99),
     trials=st.integers(0, 9),
     ended_ms=st.integers(0, 10**13),
 )
-_WEAK = SuspicionRecord(fingerprint=_NAME, standing=Standing.SUSPECTED)
+_WEAK = SuspicionRecord(fingerprint=_NAME, standing=RequestStanding.SUSPECTED)
 _LASTING = attrs.evolve(_WEAK, rounds=1)
 
 
