--- a/packages/fennelfork/tests/test_routes_quarantine.py
+++ b/packages/fennelfork/tests/test_routes_quarantine.py
@@ -1,5 +1,6 @@
 """Which requests are refused, and which are not."""
 
+from core_builders_quarantine import ALL, MINUTE_MS, NAME, Daemons
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -7,68 +8,12 @@
     rule,
 )
 
-from fennelfork import ManualTime, manual_clock
 from fennelfork.routes import (
-    Quarantine,
     RequestStanding,
     ServerEnd,
     SuspicionRecord,
-    quarantine,
 )
 
-NAME = 'f' * 32
-MINUTE_MS = 60_000
-# However many requests are told of.
-ALL = 10_000
-
-
-class Daemons:
-    """Some daemons that tell each other through a store, at once."""
-
-    def __init__(self, count: int) -> None:
-        """Begin with daemons that know nothing."""
-        self.time = ManualTime()
-        self.all = [self.fresh() for _ in range(count)]
-        self.held: dict[str, tuple[SuspicionRecord, int]] = {}
-        self.serial = 0
-
-    def fresh(self) -> Quarantine:
-        """Give a daemon that starts now."""
-        clock = manual_clock(self.time)
-        return quarantine(clock, clock)
-
-    def end(self, daemon: int, *, alone: bool, service: str = 'a') -> None:
-        """End one more server under the request."""
-        self.serial += 1
-        end = ServerEnd(run=f'{self.serial}@0', service=service, alone=alone)
-        self.all[daemon].note_end(NAME, end)
-
-    def share(self, only: int | None = None) -> None:
-        """Have all, or only one, tell what is new, and everybody hear it."""
-        for daemon in self.all if only is None else [self.all[only]]:
-            news = daemon.exchange.take_news(ALL)
-            for record in news.records:
-                self.serial += 1
-                self.held[record.fingerprint] = (record, self.serial)
-            for name in news.gone:
-                self.held.pop(name, None)
-                self._drop(name)
-            for held in self.held.values():
-                self._take(*held)
-
-    def standing(self, daemon: int) -> RequestStanding | None:
-        """Tell how one of them treats the request."""
-        found = self.all[daemon].find(NAME)
-        return None if found is None else found.standing
-
-    def _take(self, record: SuspicionRecord, revision: int) -> None:
-        for daemon in self.all:
-            daemon.exchange.take(record, revision)
-
-    def _drop(self, name: str) -> None:
-        for daemon in self.all:
-            daemon.exchange.drop(name)
-
 
 class TestConviction:
     """What it takes to be refused."""
@@ -160,11 +105,7 @@
     def setup_method(self) -> None:
         """Put a request into quarantine at two daemons."""
         self.daemons = Daemons(2)
-        self.daemons.end(0, alone=False)
-        for _ in range(2):
-            self.daemons.end(0, alone=True)
-            self.daemons.time.advance(1500)
-        self.daemons.share()
+        self.daemons.convict()
 
     def test_all_power_lost(self) -> None:
         """The store holds it for daemons that start anew."""
@@ -246,11 +187,7 @@
     def setup_method(self) -> None:
         """Put a request into quarantine."""
         self.daemons = Daemons(2)
-        self.daemons.end(0, alone=False)
-        for _ in range(2):
-            self.daemons.end(0, alone=True)
-            self.daemons.time.advance(1500)
-        self.daemons.share()
+        self.daemons.convict()
 
     def test_not_at_once(self) -> None:
         """Servers that crashed together come back first."""
--- a/tests/test_platform_fatal_requests.py
+++ b/tests/test_platform_fatal_requests.py
@@ -13,12 +13,11 @@
 """
 
 import time
-from collections.abc import Iterator
 from typing import Final
 
 import pytest
 
-from fennelfork_bench.rig._process import Rig, rig, wait_until
+from fennelfork_bench.rig._process import Rig, wait_until
 from fennelfork_platform_bench._events import await_ready
 from fennelfork_platform_bench._fatal_runs import (
     MOST_LATER,
@@ -41,13 +40,6 @@
 _SOURCES: Final = tuple(f'127.0.0.{number}' for number in range(2, 13))
 
 
-@pytest.fixture
-def processes() -> Iterator[Rig]:
-    """Give a rig that ends what was started."""
-    with rig() as started:
-        yield started
-
-
 @pytest.fixture
 def fleet(processes: Rig) -> DayFleet:
     """Give daemons and servers that all know each other."""
--- a/tests/test_platform_silent_store.py
+++ b/tests/test_platform_silent_store.py
@@ -15,12 +15,11 @@
 """
 
 import time
-from collections.abc import Iterator
 from typing import Final
 
 import pytest
 
-from fennelfork_bench.rig._process import Rig, rig, wait_until
+from fennelfork_bench.rig._process import Rig, wait_until
 from fennelfork_platform_bench._events import await_ready
 from fennelfork_platform_bench._fleet import ZONES, DayFleet
 from fennelfork_platform_bench._state import Silence
@@ -38,13 +37,6 @@
 _NAME: Final = 'vm-0'
 
 
-@pytest.fixture
-def processes() -> Iterator[Rig]:
-    """Give a rig that ends what was started."""
-    with rig() as started:
-        yield started
-
-
 @pytest.fixture
 def fleet(processes: Rig) -> DayFleet:
     """Give a store with a first version."""
