Log when a home daemon counts a server as draining, and on which evidence

The list of known failures names an expiring timer as the cause of late requests to a draining server, by reading only: no log line told which daemon sent the request, or what the daemon believed at that moment.

DrainLog writes 'state changed' with the server, the state, the evidence (refusal or health report) and the attempt.

--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_drain_log.py
@@ -0,0 +1,30 @@
+"""Log of backend servers that start or stop draining."""
+
+import attrs
+
+from fennelfork.home import HomeServers
+from fennelfork_daemon.logs._logs import StateLog
+
+
+@attrs.frozen(kw_only=True)
+class DrainLog:
+    """Logs whether the servers of a shard count as draining, on each change."""
+
+    _servers: HomeServers
+    _log: StateLog
+
+    def record(self, server: str, evidence: str, **facts: str) -> None:
+        """Log the state of a server, if it changed.
+
+        Args:
+            server: name of the server.
+            evidence: source of the latest information about the server.
+            facts: further values of the log line.
+        """
+        is_draining = self._servers.is_draining(server)
+        self._log.change(
+            f'server {server}',
+            'draining' if is_draining else 'not draining',
+            evidence=evidence,
+            **facts,
+        )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
@@ -11,6 +11,7 @@
 from fennelfork_daemon.backend._client import BackendClient
 from fennelfork_daemon.home._settings import home_settings, server_config
 from fennelfork_daemon.home._shard import ShardRunner, shard_runner
+from fennelfork_daemon.logs._logs import state_log
 from fennelfork_daemon.metrics._metrics import DaemonMetrics
 from fennelfork_daemon.settings._tables import LimitSettings
 
@@ -113,7 +114,7 @@
             return None
         entry = self._entries.get(name)
         if entry is None:
-            entry = _RunnerEntry(runner=self._new_runner(name.front))
+            entry = _RunnerEntry(runner=self._new_runner(name))
             self._entries[name] = entry
         configuration_state = (
             self._blackboard.config_version,
@@ -138,12 +139,17 @@
         runner.connect(dict(servers))
         runner.apply_actions(actions)
 
-    def _new_runner(self, front: str) -> ShardRunner:
+    def _new_runner(self, name: ShardName) -> ShardRunner:
         return shard_runner(
             self._clock,
             self._blackboard.local.name,
             self._limits.reply_bytes,
-            functools.partial(self._metrics.count_failure, front),
+            functools.partial(self._metrics.count_failure, name.front),
+            state_log(
+                daemon=self._blackboard.local.name,
+                front=name.front,
+                shard=name.shard,
+            ),
         )
 
 
@@ -164,3 +170,4 @@
     if report is not None:
         actions = runner.scheduler.servers.on_report(name, report)
         runner.apply_actions(actions)
+        runner.drain_log.record(name, 'health report')
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_shard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_shard.py
@@ -26,7 +26,9 @@
 from fennelfork_daemon._address import address
 from fennelfork_daemon.backend._client import BackendClient, SendOptions
 from fennelfork_daemon.backend._pool import ConnectionTrace, backend_pool
+from fennelfork_daemon.home._drain_log import DrainLog
 from fennelfork_daemon.home._tasks import RunnableTask, TaskOutcome
+from fennelfork_daemon.logs._logs import StateLog
 
 _MS: Final = 1000
 _CANCEL_TIMEOUT_MS: Final = 1000.0
@@ -57,9 +59,11 @@
 
     Attributes:
         scheduler: scheduler that makes all decisions.
+        drain_log: log of servers that start or stop draining.
     """
 
     scheduler: HomeScheduler
+    drain_log: DrainLog
     _clock: Clock
     _label: str
     _max_response_bytes: int
@@ -156,6 +160,8 @@
         self._failure_callback(result.failure())
         failed = self.scheduler.on_failure(send.attempt, result.failure())
         self.apply_actions(failed)
+        if result.failure().code is FailureCode.DRAINING:
+            self.drain_log.record(send.server, 'refusal', attempt=attempt.name)
 
     def _complete_task(self, answered: TaskAnswered) -> None:
         attempt = self._answered_attempts[answered.attempt]
@@ -218,6 +224,7 @@
     label: str,
     max_response_bytes: int,
     failure_callback: Callable[[Failure], None],
+    log: StateLog,
 ) -> ShardRunner:
     """Build the runner of a shard that has no backend servers yet.
 
@@ -226,9 +233,12 @@
         label: part of attempt names that is unique to this daemon.
         max_response_bytes: size limit of a response body, in bytes.
         failure_callback: function that is called with each failed attempt.
+        log: log of servers that start or stop draining.
     """
+    scheduler = home_scheduler(clock, random.Random())
     return ShardRunner(
-        scheduler=home_scheduler(clock, random.Random()),
+        scheduler=scheduler,
+        drain_log=DrainLog(servers=scheduler.servers, log=log),
         clock=clock,
         label=label,
         max_response_bytes=max_response_bytes,
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_home_drain_log.py
@@ -0,0 +1,78 @@
+"""Tests of the log lines about draining backend servers."""
+
+import io
+import json
+import random
+
+import pytest
+import structlog
+
+from fennelfork import FailureCode, ManualTime, manual_clock, not_run
+from fennelfork.gather import SnapshotView, key_range
+from fennelfork.home import (
+    Flow,
+    HomeScheduler,
+    HomeSettings,
+    ServerConfig,
+    ServerReport,
+    Task,
+    home_scheduler,
+)
+from fennelfork_daemon.home._drain_log import DrainLog
+from fennelfork_daemon.logs._logs import configure_logs, state_log
+from fennelfork_daemon.settings._tables import LogSettings
+
+_SPAN = key_range(0, 10)
+_SERVING = ServerReport(
+    cold=False,
+    draining=False,
+    snapshots=(SnapshotView(version=1, ranges=(_SPAN,)),),
+)
+_TASK = Task(
+    job='j1',
+    request_id='r1',
+    span=_SPAN,
+    snapshot=1,
+    deadline_ms=1000,
+    flow=Flow(tenant='salvare', traffic_class='counter'),
+)
+
+
+@pytest.fixture(autouse=True)
+def _reset_structlog() -> None:
+    structlog.reset_defaults()
+
+
+@pytest.fixture
+def home() -> HomeScheduler:
+    """Return the scheduler of a shard with one serving server."""
+    scheduler = home_scheduler(manual_clock(ManualTime()), random.Random(1))
+    server = ServerConfig(name='raft-a', slots=1, connections=1)
+    scheduler.servers.configure(HomeSettings(), [server])
+    scheduler.servers.on_report('raft-a', _SERVING)
+    return scheduler
+
+
+class TestDrainLog:
+    """Guard against a server that stops receiving work without a log line."""
+
+    def test_refusal(self, home: HomeScheduler) -> None:
+        """The line has the server, its state and the evidence, once."""
+        stream = io.StringIO()
+        configure_logs(LogSettings(), stream)
+        log = DrainLog(servers=home.servers, log=state_log(shard='low'))
+        home.submit(_TASK)
+        home.on_failure(1, not_run(FailureCode.DRAINING, 'draining'))
+        for _ in range(2):
+            log.record('raft-a', 'refusal', attempt='low@1#vm-1.1')
+        line = json.loads(stream.getvalue())
+        assert line.pop('timestamp')
+        assert line == {
+            'event': 'state changed',
+            'level': 'info',
+            'shard': 'low',
+            'subject': 'server raft-a',
+            'state': 'draining',
+            'evidence': 'refusal',
+            'attempt': 'low@1#vm-1.1',
+        }
--- a/packages/fennelfork/src/fennelfork/home/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/home/__init__.pyi
@@ -30,6 +30,7 @@
 from ._route import homes_of as homes_of
 from ._scheduler import HomeScheduler as HomeScheduler
 from ._scheduler import home_scheduler as home_scheduler
+from ._servers import HomeServers as HomeServers
 from ._slots import SlotTable as SlotTable
 from ._status import ServerCondition as ServerCondition
 from ._status import ServerStatus as ServerStatus
--- a/packages/fennelfork/src/fennelfork/home/_servers.py
+++ b/packages/fennelfork/src/fennelfork/home/_servers.py
@@ -51,6 +51,11 @@
         server_state = self._blackboard.servers.get(server)
         return server_state.connections if server_state else None
 
+    def is_draining(self, server: str) -> bool:
+        """Whether a server counts as draining; false if it is unknown."""
+        server_state = self._blackboard.servers.get(server)
+        return server_state is not None and server_state.draining
+
     def configure(
         self,
         settings: HomeSettings,
