Home: a refusal as draining holds until evidence ends it, not for 5 s

Seen: test_draining_server[True], once in seven runs: a draining server whose health endpoint reports that it serves got a request 5,043 ms after the drain; 3,000 ms are allowed. Callers see one more refused attempt per sub-query; the server gets work for as long as it drains.

Cause: the home daemon trusted the refusal for 5 s (_DRAIN_TRUSTED_MS) and then believed the next health report.

Change: DrainState keeps evidence instead of a time. A refusal holds until the health endpoint has confirmed the drain and then ends it, the process has ended, or the configuration gives the server another address. DrainMonitor follows a server that refused: a lost connection and then a refused one prove the end of the process. The refusal of a cancelled attempt counts as well (found by the state machine, which now knows refusals).

--- a/packages/fennelfork-bench/src/fennelfork_bench/rig/_fleet.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/rig/_fleet.py
@@ -12,6 +12,7 @@
 from fennelfork_bench.rig._specs import BackendSpec, DaemonSpec, FleetSpec
 
 _START_TIMEOUT_S: Final = 60
+_ANY_PORT: Final = '127.0.0.1:0'
 
 
 def _ignore_ready(process: Process) -> None:
@@ -48,7 +49,7 @@
         """Start every backend server and wait until all are ready."""
         shards = [shard for front in self.spec.fronts for shard in front.shards]
         started = [
-            self._launch_backend(server)
+            launch_backend(self.rig, server)
             for shard in shards
             for server in shard.servers
         ]
@@ -112,16 +113,6 @@
             lambda: str({each.name: _known_members(each) for each in started}),
         )
 
-    def _launch_backend(self, spec: BackendSpec) -> Process:
-        options = attrs.asdict(spec)
-        options.pop('data_centre')
-        arguments = ['--listen=127.0.0.1:0']
-        for name, setting in options.items():
-            option = name.replace('_', '-')
-            arguments.append(f'--{option}={setting}')
-        module = 'fennelfork_bench.backend'
-        return self.rig.start_module(spec.name, module, arguments)
-
     def _launch_daemon(self, spec: DaemonSpec) -> Process:
         settings = format_settings_toml(
             spec,
@@ -148,6 +139,26 @@
     return {row['name'] for row in reply.body.get('members', ())}
 
 
+def launch_backend(
+    rig: Rig, spec: BackendSpec, listen: str = _ANY_PORT
+) -> Process:
+    """Start the process of a backend server, which is not ready yet.
+
+    Args:
+        rig: rig that owns the process.
+        spec: specification of the backend server.
+        listen: `host:port` on which the server listens.
+    """
+    options = attrs.asdict(spec)
+    options.pop('data_centre')
+    arguments = [f'--listen={listen}']
+    for name, setting in options.items():
+        option = name.replace('_', '-')
+        arguments.append(f'--{option}={setting}')
+    module = 'fennelfork_bench.backend'
+    return rig.start_module(spec.name, module, arguments)
+
+
 def empty_fleet(rig: Rig, spec: FleetSpec) -> Fleet:
     """Start only the platform stand-ins of a fleet.
 
--- a/packages/fennelfork-bench/tests/bench_builders_fleet.py
+++ b/packages/fennelfork-bench/tests/bench_builders_fleet.py
@@ -9,7 +9,7 @@
 
 from fennelfork_bench.rig import _http as http
 from fennelfork_bench.rig._config import await_version, build_initial_patch
-from fennelfork_bench.rig._fleet import Fleet, empty_fleet
+from fennelfork_bench.rig._fleet import Fleet, empty_fleet, launch_backend
 from fennelfork_bench.rig._process import Rig, wait_until
 from fennelfork_bench.rig._specs import (
     BackendSpec,
@@ -64,6 +64,21 @@
     return fleet
 
 
+def restart_backend(fleet: Fleet, server: str) -> None:
+    """Kill a backend server; start its next process at the same address."""
+    front = fleet.spec.fronts[0]
+    spec = next(
+        spec
+        for shard in front.shards
+        for spec in shard.servers
+        if spec.name == server
+    )
+    killed = fleet.backends[server]
+    killed.kill()
+    started = launch_backend(fleet.rig, spec, killed.ready['address'])
+    fleet.backends[server] = started.await_ready()
+
+
 def fetch_members(operator: str) -> dict[str, dict]:
     """Return the members of the fleet as one daemon reports them."""
     body = http.get(operator, '/v1/members').body
--- /dev/null
+++ b/packages/fennelfork-bench/tests/test_drained_servers.py
@@ -0,0 +1,62 @@
+"""Guard against a drained server that is used too soon, or never again."""
+
+from collections.abc import Iterator
+from typing import Final
+
+import pytest
+from bench_builders_answers import SmallFleet, run_small_fleet
+from bench_builders_fleet import restart_backend
+
+from fennelfork_bench.rig._process import wait_until
+
+pytestmark = pytest.mark.process
+
+_REPLICAS: Final = ('s0-0', 's0-1')
+_TIMEOUT_S: Final = 15
+_MAX_QUERIES: Final = 60
+
+
+@pytest.fixture
+def fleet() -> Iterator[SmallFleet]:
+    """Run a small fleet with two replicas of each shard."""
+    yield from run_small_fleet()
+
+
+def _count_events(fleet: SmallFleet, server: str, kind: str) -> int:
+    events = fleet.fetch_events(server)
+    return sum(event['kind'] == kind for event in events)
+
+
+def _drain_preferred_replica(fleet: SmallFleet) -> tuple[str, str]:
+    """Drain the replica that runs most queries, with false health reports.
+
+    Returns:
+        The drained replica, which has refused a query, and the other one.
+    """
+    other, drained = sorted(
+        _REPLICAS, key=lambda name: _count_events(fleet, name, 'ran')
+    )
+    health = {'state': 'serving', 'busy': 0}
+    fleet.control_server(drained, 'faults', {'health': health})
+    fleet.control_server(drained, 'drain', {'draining': True})
+    for daemon_index in range(_MAX_QUERIES):
+        if _count_events(fleet, drained, 'refused'):
+            return drained, other
+        fleet.query_complete(daemon_index=daemon_index)
+    raise AssertionError(f'{drained} refused none of {_MAX_QUERIES} queries')
+
+
+class TestFalseHealth:
+    """A draining server whose health endpoint reports that it serves."""
+
+    def test_next_process_gets_work(self, fleet: SmallFleet) -> None:
+        """The refusal of a process does not exclude the next process."""
+        drained, other = _drain_preferred_replica(fleet)
+        restart_backend(fleet.fleet, drained)
+        fleet.control_server(other, 'drain', {'draining': True})
+        wait_until(
+            lambda: fleet.query().is_success,
+            _TIMEOUT_S,
+            f'{drained} to run a search',
+        )
+        assert _count_events(fleet, drained, 'ran')
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -125,6 +125,25 @@
         except _TRANSPORT_ERRORS as error:
             return Bad(self._to_failure(error))
 
+    def closes_within(self, timeout_ms: float) -> bool:
+        """Wait for the peer to close the idle connection.
+
+        Returns:
+            Whether the peer closed or reset the connection, or sent bytes that
+            belong to no request, before the timeout.
+        """
+        sock = self._http.sock
+        if sock is None:
+            return True
+        sock.settimeout(timeout_ms / _MS)
+        try:
+            sock.recv(1)
+        except _TIMEOUT_ERRORS:
+            return False
+        except _TRANSPORT_ERRORS:
+            return True
+        return True
+
     def close(self) -> None:
         """Close the connection and discard unread data."""
         self._http.close()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_drain_log.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_drain_log.py
@@ -21,7 +21,8 @@
             evidence: source of the latest information about the server.
             facts: further values of the log line.
         """
-        is_draining = self._servers.is_draining(server)
+        drain = self._servers.drain_state(server)
+        is_draining = drain is not None and drain.is_draining
         self._log.change(
             f'server {server}',
             'draining' if is_draining else 'not draining',
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
@@ -170,4 +170,4 @@
     if report is not None:
         actions = runner.scheduler.servers.on_report(name, report)
         runner.apply_actions(actions)
-        runner.drain_log.record(name, 'health report')
+        runner.drains.log.record(name, 'health report')
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_settings.py
@@ -62,6 +62,7 @@
         name=name,
         slots=slot_limit.slots,
         connections=max(1, server.connections // daemons_sharing),
+        address=server.address,
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_shard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_shard.py
@@ -26,6 +26,7 @@
 from fennelfork_daemon._address import address
 from fennelfork_daemon.backend._client import BackendClient, SendOptions
 from fennelfork_daemon.backend._pool import ConnectionTrace, backend_pool
+from fennelfork_daemon.home._drain_follower import DrainFollower
 from fennelfork_daemon.home._drain_log import DrainLog
 from fennelfork_daemon.home._tasks import RunnableTask, TaskOutcome
 from fennelfork_daemon.logs._logs import StateLog
@@ -59,11 +60,11 @@
 
     Attributes:
         scheduler: scheduler that makes all decisions.
-        drain_log: log of servers that start or stop draining.
+        drains: monitors and log of draining servers.
     """
 
     scheduler: HomeScheduler
-    drain_log: DrainLog
+    drains: DrainFollower
     _clock: Clock
     _label: str
     _max_response_bytes: int
@@ -161,7 +162,9 @@
         failed = self.scheduler.on_failure(send.attempt, result.failure())
         self.apply_actions(failed)
         if result.failure().code is FailureCode.DRAINING:
-            self.drain_log.record(send.server, 'refusal', attempt=attempt.name)
+            self.drains.record_refusal(
+                send.server, self._addresses[send.server], attempt.name
+            )
 
     def _complete_task(self, answered: TaskAnswered) -> None:
         attempt = self._answered_attempts[answered.attempt]
@@ -238,7 +241,10 @@
     scheduler = home_scheduler(clock, random.Random())
     return ShardRunner(
         scheduler=scheduler,
-        drain_log=DrainLog(servers=scheduler.servers, log=log),
+        drains=DrainFollower(
+            servers=scheduler.servers,
+            log=DrainLog(servers=scheduler.servers, log=log),
+        ),
         clock=clock,
         label=label,
         max_response_bytes=max_response_bytes,
--- a/packages/fennelfork-daemon/tests/daemon_builders_once.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_once.py
@@ -116,7 +116,11 @@
     def do_GET(self) -> None:
         """Respond to the probe."""
         self.close_connection = self.fake.close_after_probe
-        health = {'now_ms': self.fake.now_ms, 'state': self.fake.state}
+        health = {
+            'now_ms': self.fake.now_ms,
+            'state': self.fake.state,
+            'snapshots': [],
+        }
         self._answer(503 if self.fake.fail_probe else 200, health)
 
     def do_POST(self) -> None:
--- a/packages/fennelfork/src/fennelfork/home/_attribution.py
+++ b/packages/fennelfork/src/fennelfork/home/_attribution.py
@@ -13,8 +13,6 @@
 from fennelfork.servers._ejection import may_eject
 
 _TAIL: Final = 0.99
-# Time for which a refusal as draining overrides the health endpoint.
-_DRAIN_TRUSTED_MS: Final = 5000.0
 _SUSPECT_CODES: Final = frozenset(
     (
         FailureCode.UNREACHABLE,
@@ -39,7 +37,12 @@
 ) -> None:
     """Record the failure of an attempt for its server."""
     server = blackboard.servers.get(attempt.server)
-    if server is None or attempt.cancelled:
+    if server is None:
+        return
+    if failure.code is FailureCode.DRAINING:
+        # Also counts if the attempt has been cancelled.
+        server.drain.record_refusal()
+    if attempt.cancelled:
         return
     if failure.code in _SUSPECT_CODES:
         _count_failure(blackboard, server)
@@ -91,10 +94,6 @@
             blackboard.clock.now_ms(), blackboard.admission.service_ms
         )
         blackboard.set_timer(Timer(at_ms=server.overloaded_until_ms))
-    elif code is FailureCode.DRAINING:
-        server.mark_draining_until(
-            blackboard.clock.now_ms() + _DRAIN_TRUSTED_MS
-        )
     elif code is FailureCode.SNAPSHOT_GONE:
         server.record_lost_snapshot(attempt.task.snapshot)
     elif code is FailureCode.NOT_HELD:
--- a/packages/fennelfork/src/fennelfork/home/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/home/_blackboard.py
@@ -21,6 +21,7 @@
 from fennelfork.home._slots import SlotTable
 from fennelfork.servers._budget import Budget, budget
 from fennelfork.servers._connection import ConnectionLedger
+from fennelfork.servers._drain import DrainState
 from fennelfork.servers._ejection import EjectionState
 from fennelfork.servers._hedge import Latencies, latencies
 from fennelfork.servers._rank import ObservedLatency
@@ -38,30 +39,29 @@
         config: configuration of the server.
         connections: connections of this daemon to the server.
         snapshots: snapshots that the server reported.
-        draining: whether the server reported that it is draining.
         cold: whether the server reported that it is warming up.
         leaving: whether another source reported that the server is leaving.
         overloaded_until_ms: end of the backoff after a shed attempt.
         consecutive_sheds: number of sheds since the last response.
+        drain: refusals and health reports about draining.
     """
 
     config: ServerConfig
     connections: ConnectionLedger
     snapshots: tuple[SnapshotView, ...] = ()
-    draining: bool = False
     cold: bool = False
     leaving: bool = False
     overloaded_until_ms: float = 0
     consecutive_sheds: int = 0
+    drain: DrainState = attrs.field(factory=DrainState)
     ejection: EjectionState = attrs.field(factory=EjectionState)
     latency: ObservedLatency = attrs.field(factory=ObservedLatency)
-    _draining_until_ms: float = 0
     _lost_snapshots: set[int] = attrs.field(factory=set)
 
     @property
     def accepts_work(self) -> bool:
         """Whether the server is neither draining nor leaving."""
-        return not (self.draining or self.leaving)
+        return not (self.drain.is_draining or self.leaving)
 
     def record_shed(self, now_ms: float, service_ms: float) -> None:
         """Back off from the server, for longer after consecutive sheds.
@@ -75,20 +75,15 @@
         self.overloaded_until_ms = now_ms + wait_ms
         self.consecutive_sheds += 1
 
-    def mark_draining_until(self, at_ms: float) -> None:
-        """Record that the server refused an attempt as draining."""
-        self.draining = True
-        self._draining_until_ms = at_ms
-
     def record_lost_snapshot(self, version: int | None) -> None:
         """Record that the server lost a snapshot."""
         if version is not None:
             self._lost_snapshots.add(version)
             self._keep_snapshots(self.snapshots)
 
-    def apply_report(self, report: ServerReport, now_ms: float) -> None:
+    def apply_report(self, report: ServerReport) -> None:
         """Apply a health report that more recent refusals do not override."""
-        self.draining = report.draining or now_ms < self._draining_until_ms
+        self.drain.record_report(draining=report.draining)
         if report.cold and not self.cold:
             self.ejection.begin_slow_start()
         self.cold = report.cold
--- a/packages/fennelfork/src/fennelfork/home/_messages.py
+++ b/packages/fennelfork/src/fennelfork/home/_messages.py
@@ -47,11 +47,13 @@
         name: name of the server, unique in the shard.
         slots: number of requests that the server runs concurrently.
         connections: maximum number of connections from this daemon.
+        address: address of the server; another address is another process.
     """
 
     name: str
     slots: int
     connections: int
+    address: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/home/_servers.py
+++ b/packages/fennelfork/src/fennelfork/home/_servers.py
@@ -14,6 +14,7 @@
     ServerReport,
 )
 from fennelfork.servers._connection import ConnectionLedger
+from fennelfork.servers._drain import DrainState
 
 
 @attrs.frozen(kw_only=True)
@@ -51,10 +52,10 @@
         server_state = self._blackboard.servers.get(server)
         return server_state.connections if server_state else None
 
-    def is_draining(self, server: str) -> bool:
-        """Whether a server counts as draining; false if it is unknown."""
+    def drain_state(self, server: str) -> DrainState | None:
+        """Return the evidence that a server drains, or `None` if unknown."""
         server_state = self._blackboard.servers.get(server)
-        return server_state is not None and server_state.draining
+        return server_state.drain if server_state else None
 
     def configure(
         self,
@@ -81,7 +82,7 @@
         server_state = self._blackboard.servers.get(server)
         if server_state is None:
             return []
-        server_state.apply_report(report, self._blackboard.clock.now_ms())
+        server_state.apply_report(report)
         return dispatch(self._blackboard)
 
     def on_leaving(self, server: str) -> None:
@@ -97,7 +98,7 @@
     config: ServerConfig,
 ) -> None:
     known = servers.get(name)
-    if known is None:
+    if known is None or known.config.address != config.address:
         servers[name] = ServerState(
             config=config,
             connections=ConnectionLedger(limit=config.connections),
--- a/packages/fennelfork/src/fennelfork/home/_status.py
+++ b/packages/fennelfork/src/fennelfork/home/_status.py
@@ -60,7 +60,7 @@
 def _classify_condition(server: ServerState, now_ms: float) -> ServerCondition:
     ejection = server.ejection
     conditions = (
-        (server.draining, ServerCondition.DRAINING),
+        (server.drain.is_draining, ServerCondition.DRAINING),
         (server.leaving, ServerCondition.LEAVING),
         (ejection.is_ejected(now_ms), ServerCondition.EJECTED),
         (server.cold, ServerCondition.COLD),
--- a/packages/fennelfork/src/fennelfork/servers/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/servers/__init__.pyi
@@ -4,6 +4,7 @@
 from ._budget import budget as budget
 from ._connection import ConnectionChoice as ConnectionChoice
 from ._connection import ConnectionLedger as ConnectionLedger
+from ._drain import DrainState as DrainState
 from ._ejection import EjectionState as EjectionState
 from ._ejection import may_eject as may_eject
 from ._hedge import FixedHedge as FixedHedge
--- a/packages/fennelfork/tests/test_home_machine.py
+++ b/packages/fennelfork/tests/test_home_machine.py
@@ -30,6 +30,8 @@
 _SLOTS = 2
 # Key of the number of shed attempts.
 _SHED = 'shed'
+_REFUSAL = 'refusal'
+_REPORT = 'health report'
 _SERVERS = st.sampled_from(['s0', 's1', 's2'])
 # Failures of attempts that did not run, and of attempts that may have run.
 _REFUSED = [
@@ -62,7 +64,8 @@
         self.held: dict[int, str] = {}
         self.ran: Counter[str] = Counter()
         self.sent: Counter[str] = Counter()
-        self.draining: set[str] = set()
+        # Pairs of a server and the kind of the evidence that it drains.
+        self.draining: set[tuple[str, str]] = set()
 
     @rule(
         target=outstanding,
@@ -93,8 +96,10 @@
     )
     def refuse(self, send: Send, failure: object) -> object:
         """A server refuses an attempt before it runs."""
-        self.held.pop(send.attempt, None)
+        is_known = self.held.pop(send.attempt, None) is not None
         self.sent[_SHED] += failure.code is FailureCode.SHED
+        if is_known and failure.code is FailureCode.DRAINING:
+            self.draining.add((send.server, _REFUSAL))
         return self.carry_out(self.rig.home.on_failure(send.attempt, failure))
 
     @rule(
@@ -118,12 +123,19 @@
     def report(self, server: str, *, draining: bool) -> object:
         """Apply a health report."""
         if draining:
-            self.draining.add(server)
-        else:
-            self.draining.discard(server)
+            self.draining.add((server, _REPORT))
+        elif (server, _REPORT) in self.draining:
+            self.draining -= {(server, _REPORT), (server, _REFUSAL)}
         said = DRAINING if draining else SERVING
         return self.carry_out(self.rig.home.servers.on_report(server, said))
 
+    @rule(target=outstanding, server=_SERVERS)
+    def end_process(self, server: str) -> object:
+        """The process of a server ends, and another starts in its place."""
+        self.draining -= {(server, _REPORT), (server, _REFUSAL)}
+        self.rig.home.servers.drain_state(server).record_process_ended()
+        return self.report(server, draining=False)
+
     @invariant()
     def slots_are_never_exceeded(self) -> None:
         """No server has more attempts than slots."""
@@ -162,7 +174,7 @@
     def check_send(self, send: Send) -> None:
         """Check the guarantees for one attempt."""
         job = send.task.job
-        assert send.server not in self.draining
+        assert send.server not in {server for server, _ in self.draining}
         assert self.rig.time.at_ms < self.pending[job]
         if not send.task.idempotent:
             assert self.ran[job] == 0
