Executions: a refusal as draining holds until evidence ends it, not for 30 s

Cause: DrainingServers excluded a server for 30 s and then sent the next execution on the strength of a probe that the false health endpoint answers.

--- a/packages/fennelfork-bench/tests/test_drained_servers.py
+++ b/packages/fennelfork-bench/tests/test_drained_servers.py
@@ -6,14 +6,23 @@
 import pytest
 from bench_builders_answers import SmallFleet, run_small_fleet
 from bench_builders_fleet import restart_backend
+from bench_builders_once import (
+    Caller,
+    once_spec,
+    set_faults,
+    start_once_fleet,
+)
 
-from fennelfork_bench.rig._process import wait_until
+from fennelfork_bench.rig import _http as http
+from fennelfork_bench.rig._fleet import Fleet
+from fennelfork_bench.rig._process import Rig, wait_until
 
 pytestmark = pytest.mark.process
 
 _REPLICAS: Final = ('s0-0', 's0-1')
 _TIMEOUT_S: Final = 15
 _MAX_QUERIES: Final = 60
+_KEY: Final = 25
 
 
 @pytest.fixture
@@ -46,6 +55,18 @@
     raise AssertionError(f'{drained} refused none of {_MAX_QUERIES} queries')
 
 
+def _drain_with_false_health(fleet: Fleet, server: str) -> None:
+    set_faults(fleet, server, health={'state': 'serving'})
+    control = fleet.backends[server].ready['control']
+    http.post(control, '/control/drain', {'draining': True})
+
+
+def _execute(caller: Caller, address: str) -> http.HttpResponse:
+    """Execute a new request on the server `reg-20`."""
+    request = caller.request(caller.ticket(address), _KEY)
+    return caller.send(address, request)
+
+
 class TestFalseHealth:
     """A draining server whose health endpoint reports that it serves."""
 
@@ -60,3 +81,18 @@
             f'{drained} to run a search',
         )
         assert _count_events(fleet, drained, 'ran')
+
+    def test_next_process_executes(self, rig: Rig) -> None:
+        """A refused execution does not exclude the next process."""
+        fleet = start_once_fleet(rig, once_spec())
+        caller = Caller()
+        here = fleet.callers[0]
+        _drain_with_false_health(fleet, 'reg-20')
+        refused = _execute(caller, here)
+        assert refused.body['code'] == 'draining', refused
+        restart_backend(fleet, 'reg-20')
+        wait_until(
+            lambda: _execute(caller, here).is_success,
+            _TIMEOUT_S,
+            'reg-20 to execute a request',
+        )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_runner.py
@@ -42,7 +42,7 @@
         """Discard cached locations of the record."""
 
     def record_draining(self, target: ExecuteTarget) -> None:
-        """Exclude a draining server temporarily."""
+        """Exclude a draining server until its drain ends."""
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
@@ -8,11 +8,14 @@
 from returns.result import Result, Success
 
 from fennelfork import Blackboard, Clock, Failure, FailureCode, not_run
-from fennelfork.home import DrainingServers, draining_servers
 from fennelfork.once import ExecuteRequest, NamedServer, servers_for_record
 from fennelfork.placement import peer_health
 from fennelfork_daemon._address import address
 from fennelfork_daemon.execute._connection import ExecuteTarget
+from fennelfork_daemon.execute._draining import (
+    DrainExclusion,
+    drain_exclusion,
+)
 from fennelfork_daemon.home._client import Home, HomeClient
 from fennelfork_daemon.peer._client import PeerClient
 from fennelfork_daemon.root._describer import ShardDescriber
@@ -29,7 +32,7 @@
     _describer: ShardDescriber
     _views: ViewCache
     _rng: random.Random
-    _draining: DrainingServers
+    _draining: DrainExclusion
 
     def find(
         self,
@@ -54,7 +57,7 @@
             self._blackboard.local.data_centre,
             self._rng,
         )
-        candidates = self._draining.exclude_draining(servers)
+        candidates = self._draining.servers.exclude_draining(servers)
         if servers and not candidates:
             detail = 'every server that holds the record is draining'
             return Failed(
@@ -69,8 +72,8 @@
         self._views.retain_shards(request.front, ())
 
     def record_draining(self, target: ExecuteTarget) -> None:
-        """Exclude a draining server temporarily."""
-        self._draining.record_refusal(f'{target.host}:{target.port}')
+        """Exclude a draining server until its drain ends."""
+        self._draining.record_refusal(target)
 
 
 def home_target_finder(
@@ -100,7 +103,7 @@
         describer=describer,
         views=views,
         rng=random.Random(),
-        draining=draining_servers(clock),
+        draining=drain_exclusion(blackboard),
     )
 
 
--- a/packages/fennelfork/src/fennelfork/home/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/home/__init__.pyi
@@ -6,6 +6,7 @@
 from ._admission import hash_fraction as hash_fraction
 from ._admission import refuse_overload as refuse_overload
 from ._draining import DrainingServers as DrainingServers
+from ._draining import ServerKey as ServerKey
 from ._draining import draining_servers as draining_servers
 from ._fair import Flow as Flow
 from ._fair import Shares as Shares
--- a/packages/fennelfork/src/fennelfork/home/_draining.py
+++ b/packages/fennelfork/src/fennelfork/home/_draining.py
@@ -1,45 +1,69 @@
 """Exclusion of backend servers that refused requests as draining."""
 
 from collections.abc import Iterable
-from typing import Final
 
 import attrs
 
-from fennelfork._clock import Clock
 from fennelfork.once._target import NamedServer
+from fennelfork.servers._drain import DrainState
 
-# Time for which a server is excluded after a refusal.
-_EXCLUSION_MS: Final = 30_000
+
+@attrs.frozen(kw_only=True)
+class ServerKey:
+    """Name and address of a backend server; another pair is another server."""
+
+    name: str
+    address: str
 
 
 @attrs.define(kw_only=True)
 class DrainingServers:
-    """Servers that recently refused a request as draining."""
+    """Servers that refused a request as draining, until their drains end."""
+
+    _drains: dict[ServerKey, DrainState] = attrs.field(factory=dict)
 
-    _clock: Clock
-    _until_ms: dict[str, float] = attrs.field(factory=dict)
+    def record_refusal(self, server: ServerKey) -> DrainState | None:
+        """Record that a server refused a request as draining.
 
-    def record_refusal(self, address: str) -> None:
-        """Record that the server at an address refused a request as draining."""
-        now_ms = self._clock.now_ms()
-        for other, until_ms in tuple(self._until_ms.items()):
-            if until_ms <= now_ms:
-                self._until_ms.pop(other)
-        self._until_ms[address] = now_ms + _EXCLUSION_MS
+        Returns:
+            The state that a monitor of the server has to update, or `None` if
+            an earlier refusal returned that state.
+        """
+        known = self._drains.get(server)
+        if known is not None and known.is_draining:
+            known.record_refusal()
+            return None
+        drain = DrainState()
+        drain.record_refusal()
+        self._drains[server] = drain
+        return drain
+
+    def is_tracked(self, server: ServerKey, drain: DrainState) -> bool:
+        """Whether a state is the current one of a server."""
+        return self._drains.get(server) is drain
+
+    def discard(self, server: ServerKey) -> None:
+        """Discard the state of a server, whose drain is no longer monitored."""
+        self._drains.pop(server, None)
 
     def exclude_draining(
         self,
         servers: Iterable[NamedServer],
     ) -> tuple[NamedServer, ...]:
-        """Return the servers without those that recently refused a request."""
-        now_ms = self._clock.now_ms()
+        """Return the servers that are not draining."""
         return tuple(
             server
             for server in servers
-            if self._until_ms.get(server.server.address, 0) <= now_ms
+            if not self._is_draining(
+                ServerKey(name=server.name, address=server.server.address)
+            )
         )
 
+    def _is_draining(self, server: ServerKey) -> bool:
+        drain = self._drains.get(server)
+        return drain is not None and drain.is_draining
+
 
-def draining_servers(clock: Clock) -> DrainingServers:
+def draining_servers() -> DrainingServers:
     """Create a record without refusals of draining servers."""
-    return DrainingServers(clock=clock)
+    return DrainingServers()
