Peer RPC: do not send a call on a connection that the peer has closed

Seen by the readers of the wording issue: after the restart of a daemon, the first call on each pooled connection fails as MAY_HAVE_RUN, without a reconnect. For a caller that is a fallback to another home daemon, or a doubt about an execution that was never sent.

Cause: an idle connection was taken from the pool without a look at its socket, whose end of stream had arrived long before.

Change: PeerClient takes only connections that have nothing to read.

test_closed_connection_is_not_reused failed before ('sent no reply: TSocket read 0 bytes', MAY_HAVE_RUN) and passes now. A connection that the peer closes between the check and the call still gives the doubt, which is true then. The timeout of a call still counts per socket operation.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_client.py
@@ -10,6 +10,7 @@
 from thriftpy2.thrift import TClient, TException
 from thriftpy2.transport.framed import TCyFramedTransport
 from thriftpy2.transport.socket import TSocket
+from urllib3.util import wait_for_read
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import address as read_address
@@ -26,6 +27,11 @@
     transport: TCyFramedTransport
     sock: socket.socket
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the peer has neither closed the connection nor sent data."""
+        return not wait_for_read(self.sock, timeout=0)
+
     def set_timeout(self, timeout_ms: float) -> None:
         """Set the timeout of each socket operation."""
         self.sock.settimeout(timeout_ms / _MS_PER_S)
@@ -95,11 +101,20 @@
         return Success(reply)
 
     def _acquire(self, address: str, timeout_ms: float) -> _Connection:
-        idle = self._idle.get(address)
-        connection = idle.pop() if idle else _connect(address, timeout_ms)
+        connection = self._pop_idle(address) or _connect(address, timeout_ms)
         connection.set_timeout(timeout_ms)
         return connection
 
+    def _pop_idle(self, address: str) -> _Connection | None:
+        """Return an idle connection that the other daemon keeps open."""
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_open:
+                return connection
+            connection.transport.close()
+        return None
+
     def _release(self, address: str, connection: _Connection) -> None:
         idle = self._idle.setdefault(address, [])
         if len(idle) < _MAX_IDLE_CONNECTIONS:
