Home: connect to a removed server that returns at the same address

Cause: connect() drops the client of a removed server, but not the address that tells whether a client is up to date.

test_removed_server_returns failed before (no client) and passes now. A refusal as draining by a server that was removed meanwhile is not followed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_shard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_shard.py
@@ -91,6 +91,7 @@
         """Build clients for the servers of the active configuration."""
         for name in self._clients.keys() - servers.keys():
             self._clients.pop(name).pool.close()
+            self._addresses.pop(name)
         for name, server in servers.items():
             if self._addresses.get(name) != server.address:
                 self._connect(name, server)
@@ -161,9 +162,10 @@
         self._failure_callback(result.failure())
         failed = self.scheduler.on_failure(send.attempt, result.failure())
         self.apply_actions(failed)
-        if result.failure().code is FailureCode.DRAINING:
+        server_address = self._addresses.get(send.server)
+        if server_address and result.failure().code is FailureCode.DRAINING:
             self.drains.record_refusal(
-                send.server, self._addresses[send.server], attempt.name
+                send.server, server_address, attempt.name
             )
 
     def _complete_task(self, answered: TaskAnswered) -> None:
