Test: a server that moves leaves no connection to its former address

Tried with a connected server: the connections are closed when the last reference to the replaced client goes, so the test passes on the code as it is. Not a fault; the test guards the behaviour.

--- a/packages/fennelfork-daemon/tests/test_home_shard.py
+++ b/packages/fennelfork-daemon/tests/test_home_shard.py
@@ -1,5 +1,8 @@
 """Clients of the backend servers of a shard across configuration changes."""
 
+import socket
+from concurrent.futures import ThreadPoolExecutor
+
 import attrs
 import pytest
 
@@ -9,6 +12,7 @@
 from fennelfork_daemon.home._shard import ShardRunner, shard_runner
 from fennelfork_daemon.logs._logs import state_log
 
+_TIMEOUT_S = 5
 _SERVER = Server(
     address='127.0.0.1:1',
     data_centre='dc-1',
@@ -46,6 +50,19 @@
     runner.connect(servers)
 
 
+def _answer_and_await_close(listener: socket.socket) -> bool:
+    """Answer one request; return whether the client closes the connection."""
+    accepted, _ = listener.accept()
+    with accepted:
+        accepted.settimeout(_TIMEOUT_S)
+        accepted.recv(65_536)
+        accepted.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}')
+        try:
+            return not accepted.recv(1)
+        except TimeoutError:
+            return False
+
+
 class TestConnect:
     """Guard against servers without a usable client."""
 
@@ -65,3 +82,17 @@
         client = runner.clients['raft']
         _configure(runner, raft=attrs.evolve(_SERVER, slots=2))
         assert runner.clients['raft'] is client
+
+    def test_moved_server_leaves_no_connection(
+        self, runner: ShardRunner
+    ) -> None:
+        """The idle connections to the former address are closed."""
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            host, port = listener.getsockname()
+            former = attrs.evolve(_SERVER, address=f'{host}:{port}')
+            _configure(runner, raft=former)
+            with ThreadPoolExecutor(1) as peer:
+                closed = peer.submit(_answer_and_await_close, listener)
+                runner.clients['raft'].health(_TIMEOUT_S * 1000)
+                _configure(runner, raft=_SERVER)
+                assert closed.result()
