Home: keep the draining servers of a shard without requests

Found by looking for the fault of the draining server elsewhere: a home daemon drops the state of a shard that had no request for 60 s. Its servers that refused as draining were forgotten, and the next request went to one of them if its health endpoint reported that it served.

Cause: _drop_unused looked at the time and at running attempts only.

Change: a runner stays while a refusal of one of its servers holds, unless the shard has left the configuration. A dropped runner stops its monitors.

test_draining_server_is_remembered failed before (a new runner without the refusal) and passes now; test_unused_shard_is_dropped passes on both.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_drain_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_drain_follower.py
@@ -39,13 +39,23 @@
         self._monitored[server] = drain
         eventlet.spawn_n(self._monitor, server, server_address, drain)
 
+    def stop(self) -> None:
+        """Stop all monitors."""
+        self._monitored.clear()
+
+    def _is_current(self, server: str, drain: DrainState) -> bool:
+        return (
+            self._monitored.get(server) is drain
+            and self._servers.drain_state(server) is drain
+        )
+
     def _monitor(
         self, server: str, server_address: str, drain: DrainState
     ) -> None:
         monitor = drain_monitor(
             address(server_address),
             drain,
-            lambda: self._servers.drain_state(server) is drain,
+            lambda: self._is_current(server, drain),
         )
         evidence = monitor.run()
         if self._monitored.get(server) is drain:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from fennelfork import Blackboard, Clock
+from fennelfork.config import Front
 from fennelfork.home import ServerStatus
 from fennelfork_daemon.backend._client import BackendClient
 from fennelfork_daemon.home._settings import home_settings, server_config
@@ -100,17 +101,18 @@
     def _drop_unused(self) -> None:
         oldest_ms = self._clock.now_ms() - _MAX_UNUSED_MS
         for name, entry in tuple(self._entries.items()):
-            if (
-                entry.last_used_ms < oldest_ms
-                and not entry.runner.scheduler.busy
-            ):
+            if entry.last_used_ms >= oldest_ms or entry.runner.scheduler.busy:
+                continue
+            # A new runner would not know which servers refused a request.
+            has_refusals = entry.runner.scheduler.servers.has_refusals
+            if not has_refusals or self._find_front(name) is None:
                 entry.runner.connect({})
+                entry.runner.drains.stop()
                 self._entries.pop(name)
 
     def _configured_entry(self, name: ShardName) -> _RunnerEntry | None:
         """Return the runner of a shard, updated to the active configuration."""
-        front = self._blackboard.find_front(name.front)
-        if front is None or name.shard not in front.shards:
+        if self._find_front(name) is None:
             return None
         entry = self._entries.get(name)
         if entry is None:
@@ -125,6 +127,13 @@
             self._configure(entry.runner, name)
         return entry
 
+    def _find_front(self, name: ShardName) -> Front | None:
+        """Return the front of a shard, if the shard is configured."""
+        front = self._blackboard.find_front(name.front)
+        if front is None or name.shard not in front.shards:
+            return None
+        return front
+
     def _configure(self, runner: ShardRunner, name: ShardName) -> None:
         blackboard = self._blackboard
         front = blackboard.document.fronts[name.front]
--- a/packages/fennelfork-daemon/tests/daemon_builders_answers.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_answers.py
@@ -163,7 +163,7 @@
         trace=RequestTrace(clock=clock, started_ms=now_ms),
         request=request,
         query_text=json.dumps(request.query),
-        blackboard=_blackboard(shards),
+        blackboard=blackboard_with_shards(shards),
         homes=homes,
         health=peer_health(clock),
         views=ViewCache(),
@@ -171,7 +171,8 @@
     )
 
 
-def _blackboard(shards: tuple[str, ...]) -> Blackboard:
+def blackboard_with_shards(shards: tuple[str, ...]) -> Blackboard:
+    """Build a blackboard with a front of shards with one server each."""
     members = [_member(f'vm-{number}') for number in range(3)]
     local_blackboard = blackboard(members[0])
     local_blackboard.members = {member.name: member for member in members}
--- a/packages/fennelfork/src/fennelfork/home/_servers.py
+++ b/packages/fennelfork/src/fennelfork/home/_servers.py
@@ -32,6 +32,14 @@
             if server.accepts_work
         )
 
+    @property
+    def has_refusals(self) -> bool:
+        """Whether a server refused a request as draining and still drains."""
+        return any(
+            server.drain.is_refusing
+            for server in self._blackboard.servers.values()
+        )
+
     def build_view(self, shard: str) -> ShardView:
         """Return the snapshots that the available servers hold."""
         held: dict[int, list[SnapshotView]] = {}
--- a/packages/fennelfork/src/fennelfork/servers/_drain.py
+++ b/packages/fennelfork/src/fennelfork/servers/_drain.py
@@ -21,9 +21,9 @@
         return self._is_refusing or self._is_reported
 
     @property
-    def awaits_process_end(self) -> bool:
-        """Whether no health report has confirmed the refusal of the server."""
-        return self._is_refusing and not self._is_reported
+    def is_refusing(self) -> bool:
+        """Whether a refusal of the server holds."""
+        return self._is_refusing
 
     def record_refusal(self) -> None:
         """Record that the server refused a request because it drains."""
