--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_listeners.py
@@ -2,7 +2,6 @@
 
 import errno
 import json
-import sys
 from typing import Final
 
 import attrs
@@ -38,11 +37,6 @@
         }
         return json.dumps({'ready': addresses})
 
-    def print_ready_line(self) -> None:
-        """Write the ready line to standard output."""
-        sys.stdout.write(f'{self.ready_line}\n')
-        sys.stdout.flush()
-
 
 def open_listeners(settings: ListenSettings) -> Result[Listeners, str]:
     """Open all three listening sockets, or none.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/metrics/_families.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/metrics/_families.py
@@ -100,7 +100,7 @@
         ),
         extra_load=Histogram(
             'fennelfork_query_extra_load_ratio',
-            'Hedges, retries and reruns for each sub-query needed.',
+            'Hedges and retries for each sub-query needed.',
             _QUERY_LABELS,
             registry=registry,
             buckets=_EXTRA_LOAD_BUCKETS,
