Soak: an operator survives that the last daemon stops during its edit

The outcome of the patch is now recorded as unknown. test_last_daemon_stops_during_the_edit failed before (IndexError) and passes now.

--- a/packages/fennelfork-bench/src/fennelfork_bench/soak/_operator.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/soak/_operator.py
@@ -72,8 +72,17 @@
                 base=base,
             ),
         )
+        known_addresses = self.known_addresses()
+        if not known_addresses:
+            # A daemon may have stored an earlier attempt of the patch.
+            return PatchUnknown(
+                at_ms=self.recorder.now_ms(),
+                operator=self.name,
+                patch_id=patch_id,
+                detail='no daemon is running',
+            )
         reply = rig_config.send_patch(
-            self._randomness.choice(self.known_addresses()),
+            self._randomness.choice(known_addresses),
             {'tenants': {self.name: {'weight': 1 + self._count}}},
             base,
             self.name,
