Routes: connect to a server that moves under its name

Found by looking for the fault of the returning server elsewhere: pools are keyed by incarnation, which is the name alone where the entry has no start time. A server that restarts under its name at another address was dialled at the former address for good; each attempt there costs callers a retry, and the server is lost to the daemon.

Change: the pool remembers its address and is replaced when the address of the server differs. Connections in use end with their requests. Nothing changes for a server that keeps its address.

test_server_moves_under_its_name failed before (no connection) and passes now; test_server_keeps_its_pool passes on both.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -21,23 +21,39 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class _ServerPool:
+    """Connection pool of one server, with its ledger and its address."""
+
+    address: str
+    ledger: ConnectionLedger
+    pool: BackendPool
+
+
 @attrs.define(kw_only=True)
 class ServerPools:
     """One connection pool for each incarnation of a backend server."""
 
     _clock: Clock
     _shares: ConnectionShares
-    _pools: dict[str, BackendPool] = attrs.field(factory=dict)
-    _ledgers: dict[str, ConnectionLedger] = attrs.field(factory=dict)
+    _open: dict[str, _ServerPool] = attrs.field(factory=dict)
 
     def for_server(self, server: BackendServer) -> BackendPool:
-        """Return the connection pool of a server, with its current limit."""
-        pool = self._pools.get(server.incarnation)
-        if pool is None:
-            pool = self._open_pool(server)
-        ledger = self._ledgers[server.incarnation]
-        ledger.limit = self._shares.connection_limit_for(server.service)
-        return pool
+        """Return the connection pool of a server, with its current limit.
+
+        A server whose start time is unknown may restart at another address
+        without a new incarnation.
+        """
+        known = self._open.get(server.incarnation)
+        if known is not None and known.address != server.address:
+            known.pool.evict_all()
+            known = None
+        if known is None:
+            known = self._open_pool(server)
+            self._open[server.incarnation] = known
+        limit = self._shares.connection_limit_for(server.service)
+        known.ledger.limit = limit
+        return known.pool
 
     def close_all_except(self, incarnations: set[str]) -> None:
         """Close the connections to all other incarnations when they are idle.
@@ -45,16 +61,15 @@
         Args:
             incarnations: incarnations whose pools are kept.
         """
-        for incarnation in self._pools.keys() - incarnations:
-            self._ledgers.pop(incarnation)
-            self._pools.pop(incarnation).evict_all()
+        for incarnation in self._open.keys() - incarnations:
+            self._open.pop(incarnation).pool.evict_all()
 
     def evict_idle(self) -> None:
         """Close the connections that exceed the idle timeout."""
-        for pool in self._pools.values():
-            pool.evict_idle()
+        for known in self._open.values():
+            known.pool.evict_idle()
 
-    def _open_pool(self, server: BackendServer) -> BackendPool:
+    def _open_pool(self, server: BackendServer) -> _ServerPool:
         ledger = ConnectionLedger(
             limit=self._shares.connection_limit_for(server.service)
         )
@@ -66,6 +81,4 @@
             probe=None,
             when_full=_WHEN_FULL,
         )
-        self._ledgers[server.incarnation] = ledger
-        self._pools[server.incarnation] = pool
-        return pool
+        return _ServerPool(address=server.address, ledger=ledger, pool=pool)
