Home: log only servers that start or stop draining; split the monitor's loop

Read as a newcomer would: each home daemon wrote a line 'not draining' for each of its servers at its start, which is no change of what it believes. DrainLog keeps silent about a server until it drains. The loop of DrainMonitor opens its connection in a method of its own. No decision changes; the tests of both and test_drained_servers pass.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_drain_monitor.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_drain_monitor.py
@@ -59,24 +59,24 @@
             The evidence that ended the monitoring, for the log.
         """
         while self.is_needed:
-            connection = backend_connection(self._address, _MAX_HEALTH_BYTES)
-            with contextlib.closing(connection):
-                if is_successful(connection.open(_TIMEOUT_MS)):
-                    self._follow(connection)
-            if self.is_needed and has_server_crashed(self._address):
+            self._follow_one_connection()
+            if not self.is_needed:
+                break
+            if has_server_crashed(self._address):
                 self._drain.record_process_ended()
                 return 'end of the process'
-            if self.is_needed:
-                eventlet.sleep(self._next_delay_ms() / _MS)
+            eventlet.sleep(self._next_delay_ms() / _MS)
         return 'health report' if self._is_current() else 'configuration'
 
-    def _follow(self, connection: BackendConnection) -> None:
-        """Poll the health on a connection until the connection is lost."""
-        is_open = True
-        while is_open and self.is_needed:
-            is_open = self._poll(connection) and not connection.closes_within(
-                self._next_delay_ms()
-            )
+    def _follow_one_connection(self) -> None:
+        """Poll the health on a new connection until the connection is lost."""
+        connection = backend_connection(self._address, _MAX_HEALTH_BYTES)
+        with contextlib.closing(connection):
+            is_open = is_successful(connection.open(_TIMEOUT_MS))
+            while is_open and self.is_needed:
+                is_open = self._poll(
+                    connection
+                ) and not connection.closes_within(self._next_delay_ms())
 
     def _poll(self, connection: BackendConnection) -> bool:
         """Record the health of the server.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_drain_log.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_drain_log.py
@@ -8,10 +8,11 @@
 
 @attrs.frozen(kw_only=True)
 class DrainLog:
-    """Logs whether the servers of a shard count as draining, on each change."""
+    """Logs when a server of a shard starts or stops to count as draining."""
 
     _servers: HomeServers
     _log: StateLog
+    _reported: set[str] = attrs.field(factory=set)
 
     def record(self, server: str, evidence: str, **facts: str) -> None:
         """Log the state of a server, if it changed.
@@ -23,6 +24,9 @@
         """
         drain = self._servers.drain_state(server)
         is_draining = drain is not None and drain.is_draining
+        if not is_draining and server not in self._reported:
+            return
+        self._reported.add(server)
         self._log.change(
             f'server {server}',
             'draining' if is_draining else 'not draining',
