Tests: one builder for the server, the report and the refusal of a shard

The tests of the drain log, the runners and the shard runner had the same server, report and task each. They share daemon_builders_home now; no test changes what it checks.

--- a/packages/fennelfork-daemon/tests/daemon_builders_answers.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_answers.py
@@ -4,6 +4,7 @@
 
 import attrs
 import eventlet
+from daemon_builders_home import SERVER
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
@@ -16,7 +17,7 @@
     not_run,
     system_clock,
 )
-from fennelfork.config import Document, Front, Server, Shard
+from fennelfork.config import Document, Front, Shard
 from fennelfork.gather import (
     Assignment,
     CompleteCoverage,
@@ -41,13 +42,6 @@
 NO_CONNECT = not_run(FailureCode.UNREACHABLE, 'refused')
 _WHOLE = key_range(0, 10)
 _WHOLE_DEMAND = CompleteCoverage()
-_SERVER = Server(
-    address='127.0.0.1:1',
-    data_centre='dc-1',
-    slots=1,
-    connections=1,
-    connect_ms=1,
-)
 
 
 @attrs.define(kw_only=True)
@@ -176,7 +170,7 @@
     members = [_member(f'vm-{number}') for number in range(3)]
     local_blackboard = blackboard(members[0])
     local_blackboard.members = {member.name: member for member in members}
-    shard = Shard(servers={'raft-a': _SERVER})
+    shard = Shard(servers={'raft-a': SERVER})
     local_blackboard.document = Document(
         fronts={'raft': Front(keys=10, shards=dict.fromkeys(shards, shard))},
     )
--- a/packages/fennelfork-daemon/tests/test_home_drain_log.py
+++ b/packages/fennelfork-daemon/tests/test_home_drain_log.py
@@ -6,37 +6,19 @@
 
 import pytest
 import structlog
+from daemon_builders_home import refuse_as_draining
 
-from fennelfork import FailureCode, ManualTime, manual_clock, not_run
-from fennelfork.gather import SnapshotView, key_range
+from fennelfork import ManualTime, manual_clock
 from fennelfork.home import (
-    Flow,
     HomeScheduler,
     HomeSettings,
     ServerConfig,
-    ServerReport,
-    Task,
     home_scheduler,
 )
 from fennelfork_daemon.home._drain_log import DrainLog
 from fennelfork_daemon.logs._logs import configure_logs, state_log
 from fennelfork_daemon.settings._tables import LogSettings
 
-_SPAN = key_range(0, 10)
-_SERVING = ServerReport(
-    cold=False,
-    draining=False,
-    snapshots=(SnapshotView(version=1, ranges=(_SPAN,)),),
-)
-_TASK = Task(
-    job='j1',
-    request_id='r1',
-    span=_SPAN,
-    snapshot=1,
-    deadline_ms=1000,
-    flow=Flow(tenant='salvare', traffic_class='counter'),
-)
-
 
 @pytest.fixture(autouse=True)
 def _reset_structlog() -> None:
@@ -49,7 +31,6 @@
     scheduler = home_scheduler(manual_clock(ManualTime()), random.Random(1))
     server = ServerConfig(name='raft-a', slots=1, connections=1)
     scheduler.servers.configure(HomeSettings(), [server])
-    scheduler.servers.on_report('raft-a', _SERVING)
     return scheduler
 
 
@@ -62,8 +43,7 @@
         configure_logs(LogSettings(), stream)
         log = DrainLog(servers=home.servers, log=state_log(shard='low'))
         log.record('raft-a', 'health report')
-        home.submit(_TASK)
-        home.on_failure(1, not_run(FailureCode.DRAINING, 'draining'))
+        refuse_as_draining(home, 'raft-a')
         for _ in range(2):
             log.record('raft-a', 'refusal', attempt='low@1#vm-1.1')
         line = json.loads(stream.getvalue())
--- a/packages/fennelfork-daemon/tests/test_home_runners.py
+++ b/packages/fennelfork-daemon/tests/test_home_runners.py
@@ -2,30 +2,14 @@
 
 import eventlet
 from daemon_builders_answers import blackboard_with_shards
+from daemon_builders_home import refuse_as_draining
 
-from fennelfork import FailureCode, ManualTime, manual_clock, not_run
-from fennelfork.gather import SnapshotView, key_range
-from fennelfork.home import Flow, ServerReport, Task
+from fennelfork import ManualTime, manual_clock
 from fennelfork_daemon.home._runners import ShardName, ShardRunners
-from fennelfork_daemon.home._shard import ShardRunner
 from fennelfork_daemon.metrics._metrics import daemon_metrics
 from fennelfork_daemon.settings._tables import LimitSettings
 
 _NAME = ShardName(front='raft', shard='low')
-_SPAN = key_range(0, 10)
-_SERVING = ServerReport(
-    cold=False,
-    draining=False,
-    snapshots=(SnapshotView(version=1, ranges=(_SPAN,)),),
-)
-_TASK = Task(
-    job='j1',
-    request_id='r1',
-    span=_SPAN,
-    snapshot=1,
-    deadline_ms=1000,
-    flow=Flow(tenant='salvare', traffic_class='counter'),
-)
 _UNUSED_MS = 120_000
 
 
@@ -38,13 +22,6 @@
     )
 
 
-def _refuse_as_draining(runner: ShardRunner) -> None:
-    runner.scheduler.servers.on_report('raft-a', _SERVING)
-    runner.scheduler.submit(_TASK)
-    draining = not_run(FailureCode.DRAINING, 'draining')
-    runner.scheduler.on_failure(1, draining)
-
-
 def _poll_once(runners: ShardRunners) -> None:
     polling = eventlet.spawn(runners.poll_forever)
     eventlet.sleep(0.1)
@@ -67,7 +44,8 @@
         """A refusal outlasts any time without requests."""
         time = ManualTime()
         runners = _runners(time)
-        _refuse_as_draining(runners.get_runner(_NAME))
+        runner = runners.get_runner(_NAME)
+        refuse_as_draining(runner.scheduler, 'raft-a')
         time.advance(_UNUSED_MS)
         _poll_once(runners)
         runner = runners.get_runner(_NAME)
--- a/packages/fennelfork-daemon/tests/test_home_shard.py
+++ b/packages/fennelfork-daemon/tests/test_home_shard.py
@@ -5,6 +5,7 @@
 
 import attrs
 import pytest
+from daemon_builders_home import SERVER
 
 from fennelfork import system_clock
 from fennelfork.config import Server
@@ -13,13 +14,6 @@
 from fennelfork_daemon.logs._logs import state_log
 
 _TIMEOUT_S = 5
-_SERVER = Server(
-    address='127.0.0.1:1',
-    data_centre='dc-1',
-    slots=1,
-    connections=1,
-    connect_ms=1,
-)
 
 
 @pytest.fixture
@@ -68,19 +62,19 @@
 
     def test_removed_server_returns(self, runner: ShardRunner) -> None:
         """A server that returns at its former address has a client."""
-        _configure(runner, raft=_SERVER)
+        _configure(runner, raft=SERVER)
         _configure(runner)
         assert not runner.clients
-        _configure(runner, raft=_SERVER)
+        _configure(runner, raft=SERVER)
         assert set(runner.clients) == {'raft'}
 
     def test_unchanged_server_keeps_its_client(
         self, runner: ShardRunner
     ) -> None:
         """A change of other settings does not close the connections."""
-        _configure(runner, raft=_SERVER)
+        _configure(runner, raft=SERVER)
         client = runner.clients['raft']
-        _configure(runner, raft=attrs.evolve(_SERVER, slots=2))
+        _configure(runner, raft=attrs.evolve(SERVER, slots=2))
         assert runner.clients['raft'] is client
 
     def test_moved_server_leaves_no_connection(
@@ -89,10 +83,10 @@
         """The idle connections to the former address are closed."""
         with socket.create_server(('127.0.0.1', 0)) as listener:
             host, port = listener.getsockname()
-            former = attrs.evolve(_SERVER, address=f'{host}:{port}')
+            former = attrs.evolve(SERVER, address=f'{host}:{port}')
             _configure(runner, raft=former)
             with ThreadPoolExecutor(1) as peer:
                 closed = peer.submit(_answer_and_await_close, listener)
                 runner.clients['raft'].health(_TIMEOUT_S * 1000)
-                _configure(runner, raft=_SERVER)
+                _configure(runner, raft=SERVER)
                 assert closed.result()
