--- a/packages/fennelfork-daemon/tests/test_home_drain_log.py
+++ b/packages/fennelfork-daemon/tests/test_home_drain_log.py
@@ -27,7 +27,7 @@
 
 @pytest.fixture
 def home() -> HomeScheduler:
-    """Return the scheduler of a shard with one serving server."""
+    """Return the scheduler of a shard with one server."""
     scheduler = home_scheduler(manual_clock(ManualTime()), random.Random(1))
     server = ServerConfig(name='raft-a', slots=1, connections=1)
     scheduler.servers.configure(HomeSettings(), [server])
@@ -38,7 +38,7 @@
     """Guard against a server that stops receiving work without a log line."""
 
     def test_refusal(self, home: HomeScheduler) -> None:
-        """The line has the server, its state and the evidence, once, and is first."""
+        """The start of a drain is logged once; a serving server is not logged."""
         stream = io.StringIO()
         configure_logs(LogSettings(), stream)
         log = DrainLog(servers=home.servers, log=state_log(shard='low'))
--- a/packages/fennelfork/src/fennelfork/once/_target.py
+++ b/packages/fennelfork/src/fennelfork/once/_target.py
@@ -59,7 +59,7 @@
 def exclude_refusing(
     front: Front, views: Iterable[ShardView], servers: Iterable[NamedServer]
 ) -> tuple[NamedServer, ...]:
-    """Return the backend servers that their home daemons may still use.
+    """Return the backend servers that no home daemon reports as refusing.
 
     Args:
         front: settings of the front.
