--- a/packages/fennelfork-bench/tests/test_drained_servers.py
+++ b/packages/fennelfork-bench/tests/test_drained_servers.py
@@ -23,6 +23,7 @@
 _TIMEOUT_S: Final = 15
 _MAX_QUERIES: Final = 60
 _KEY: Final = 25
+_EXECUTIONS: Final = 6
 
 
 @pytest.fixture
@@ -67,6 +68,16 @@
     return caller.send(address, request)
 
 
+def _execute_on_all_daemons(fleet: SmallFleet) -> None:
+    """Execute requests for a record of the first shard on each daemon."""
+    caller = Caller()
+    path = '/v1/fronts/raft-search/execute'
+    for address in fleet.fleet.callers:
+        for _ in range(_EXECUTIONS):
+            request = caller.request(caller.ticket(address), key=1)
+            assert http.post(address, path, request).is_success
+
+
 class TestFalseHealth:
     """A draining server whose health endpoint reports that it serves."""
 
@@ -96,3 +107,13 @@
             _TIMEOUT_S,
             'reg-20 to execute a request',
         )
+
+    def test_home_tells_other_daemons(self, fleet: SmallFleet) -> None:
+        """A refused query keeps the executions of all daemons away."""
+        drained, _ = _drain_preferred_replica(fleet)
+        for daemon_index in range(len(fleet.fleet.callers)):
+            fleet.query_complete(daemon_index=daemon_index)
+        _execute_on_all_daemons(fleet)
+        events = fleet.fetch_events(drained)
+        calls = [event for event in events if event['call'] == 'execute']
+        assert not calls
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -22,6 +22,7 @@
 from fennelfork_daemon.operator._api import operator_router
 from fennelfork_daemon.peer._server import peer_server
 from fennelfork_daemon.root._service import root_service
+from fennelfork_daemon.root._view_cache import ViewCache
 from fennelfork_daemon.settings._tables import Settings
 from fennelfork_daemon.tracing._observer import Observer, observer
 
@@ -39,6 +40,7 @@
     _config: ConfigService
     _fleet: Fleet
     _execute: ExecuteComponents
+    _views: ViewCache
 
     def serve(self) -> int:
         """Serve until the process is requested to stop.
@@ -92,7 +94,9 @@
 
     def _caller_router(self) -> Router:
         caller_api = CallerApi(
-            root=root_service(self._blackboard, self._clock, self._home),
+            root=root_service(
+                self._blackboard, self._clock, self._home, self._views
+            ),
             clock=self._clock,
             settings=self._settings,
             observer=self._observer,
@@ -115,6 +119,7 @@
     home = home_service(
         local_blackboard, clock, settings.limits, request_observer.metrics
     )
+    views = ViewCache()
     return Daemon(
         settings=settings,
         clock=clock,
@@ -132,6 +137,7 @@
             settings, clock, local_blackboard, request_observer.metrics
         ),
         execute=execute_components(
-            local_blackboard, clock, home, settings, request_observer
+            local_blackboard, clock, home, settings, request_observer, views
         ),
+        views=views,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_build.py
@@ -17,6 +17,7 @@
 from fennelfork_daemon.execute._ticket_issuer import TicketIssuer
 from fennelfork_daemon.home._client import Home
 from fennelfork_daemon.peer._client import PeerClient
+from fennelfork_daemon.root._view_cache import ViewCache
 from fennelfork_daemon.settings._tables import Settings
 from fennelfork_daemon.tracing._observer import Observer
 
@@ -47,6 +48,7 @@
     home: Home,
     settings: Settings,
     observer: Observer,
+    views: ViewCache,
 ) -> ExecuteComponents:
     """Build the components that run non-idempotent requests.
 
@@ -56,6 +58,7 @@
         home: service of this daemon that schedules the requests of shards.
         settings: settings of the daemon.
         observer: source of the metrics and of the ring of recent answers.
+        views: views of shards, which queries keep up to date.
     """
     gate = _new_gate(blackboard.local.name, clock)
     service = ExecuteService(
@@ -63,7 +66,7 @@
         runner=ExecuteRunner(
             table=gate.table,
             clock=clock,
-            target_finder=home_target_finder(blackboard, clock, home),
+            target_finder=home_target_finder(blackboard, clock, home, views),
             timeouts=ExecuteTimeouts(
                 probe_ms=settings.timeouts.connect_ms,
                 settle_ms=_SETTLE_MS,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
@@ -8,7 +8,12 @@
 from returns.result import Result, Success
 
 from fennelfork import Blackboard, Clock, Failure, FailureCode, not_run
-from fennelfork.once import ExecuteRequest, NamedServer, servers_for_record
+from fennelfork.once import (
+    ExecuteRequest,
+    NamedServer,
+    exclude_refusing,
+    servers_for_record,
+)
 from fennelfork.placement import peer_health
 from fennelfork_daemon._address import address
 from fennelfork_daemon.execute._connection import ExecuteTarget
@@ -16,6 +21,7 @@
     DrainExclusion,
     drain_exclusion,
 )
+from fennelfork_daemon.execute._view_ages import ViewAges
 from fennelfork_daemon.home._client import Home, HomeClient
 from fennelfork_daemon.peer._client import PeerClient
 from fennelfork_daemon.root._describer import ShardDescriber
@@ -33,6 +39,7 @@
     _views: ViewCache
     _rng: random.Random
     _draining: DrainExclusion
+    _ages: ViewAges
 
     def find(
         self,
@@ -49,15 +56,22 @@
         if front is None:
             detail = f'there is no front {request.front!r}'
             return Failed(not_run(FailureCode.UNKNOWN_FRONT, detail))
+        outdated = self._ages.find_outdated(
+            request.front, self._views.for_front(request.front)
+        )
+        self._views.discard(request.front, outdated)
         self._describer.describe_unknown(request.front, front, deadline_at_ms)
+        views = self._views.for_front(request.front)
         servers = servers_for_record(
             front,
-            self._views.for_front(request.front),
+            views,
             request.key,
             self._blackboard.local.data_centre,
             self._rng,
         )
-        candidates = self._draining.servers.exclude_draining(servers)
+        candidates = exclude_refusing(
+            front, views, self._draining.servers.exclude_draining(servers)
+        )
         if servers and not candidates:
             detail = 'every server that holds the record is draining'
             return Failed(
@@ -80,10 +94,10 @@
     blackboard: Blackboard,
     clock: Clock,
     home: Home,
+    views: ViewCache,
 ) -> HomeTargetFinder:
-    """Build a target finder with an empty view cache."""
+    """Build a target finder that shares the view cache of the root daemon."""
     health = peer_health(clock)
-    views = ViewCache()
     homes = HomeClient(
         local_name=blackboard.local.name,
         local=home,
@@ -104,6 +118,7 @@
         views=views,
         rng=random.Random(),
         draining=drain_exclusion(blackboard),
+        ages=ViewAges(clock=clock),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_runners.py
@@ -104,8 +104,8 @@
             if entry.last_used_ms >= oldest_ms or entry.runner.scheduler.busy:
                 continue
             # A new runner would not know which servers refused a request.
-            has_refusals = entry.runner.scheduler.servers.has_refusals
-            if not has_refusals or self._find_front(name) is None:
+            refusing_servers = entry.runner.scheduler.servers.refusing_servers
+            if not refusing_servers or self._find_front(name) is None:
                 entry.runner.connect({})
                 entry.runner.drains.stop()
                 self._entries.pop(name)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer.thrift
@@ -11,9 +11,11 @@
   2: required list<KeySpan> ranges
 }
 
+// `refusing_servers` names the servers that refused a request as draining.
 struct ShardView {
   1: required string shard
   2: required list<ShardSnapshot> snapshots
+  3: optional list<string> refusing_servers
 }
 
 struct Fault {
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_codec_view.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/peer/_codec_view.py
@@ -14,6 +14,7 @@
             snapshots=[
                 _snapshot_to_peer(snapshot) for snapshot in view.snapshots
             ],
+            refusing_servers=list(view.refusing_servers),
         )
         for view in views
     ]
@@ -27,6 +28,8 @@
             snapshots=tuple(
                 _snapshot_from_peer(snapshot) for snapshot in view.snapshots
             ),
+            # Absent in messages of daemons of an earlier version.
+            refusing_servers=tuple(view.refusing_servers or ()),
         )
         for view in messages
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/root/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_service.py
@@ -140,7 +140,7 @@
 
 
 def root_service(
-    blackboard: Blackboard, clock: Clock, home: Home
+    blackboard: Blackboard, clock: Clock, home: Home, views: ViewCache
 ) -> RootService:
     """Build the service that coordinates queries as root daemon.
 
@@ -148,6 +148,7 @@
         blackboard: facts that the components of the daemon share.
         clock: clock of the daemon.
         home: service of this daemon that schedules the requests of shards.
+        views: cache for the views of shards.
     """
     health = peer_health(clock)
     homes = HomeClient(
@@ -157,7 +158,6 @@
         health=health,
         unreachable=blackboard.unreachable_peers,
     )
-    views = ViewCache()
     describer = ShardDescriber(
         blackboard=blackboard,
         homes=homes,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/root/_view_cache.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_view_cache.py
@@ -40,6 +40,12 @@
             else:
                 held.pop(view.shard, None)
 
+    def discard(self, front: str, shards: Iterable[str]) -> None:
+        """Remove the views of some shards of a front."""
+        held = self._views.get(front, {})
+        for shard in shards:
+            held.pop(shard, None)
+
     def retain_shards(self, front: str, shards: Iterable[str]) -> None:
         """Remove the views of all other shards of a front."""
         held = self._views.get(front, {})
--- a/packages/fennelfork/src/fennelfork/gather/_partition.py
+++ b/packages/fennelfork/src/fennelfork/gather/_partition.py
@@ -23,10 +23,18 @@
 
 @attrs.frozen(kw_only=True)
 class ShardView:
-    """Snapshots that the servers of one shard reported."""
+    """Snapshots that the servers of one shard reported.
+
+    Attributes:
+        shard: name of the shard.
+        snapshots: snapshots that the available servers hold.
+        refusing_servers: names of the servers that refused a request as
+            draining and still drain.
+    """
 
     shard: str
     snapshots: tuple[SnapshotView, ...]
+    refusing_servers: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/home/_servers.py
+++ b/packages/fennelfork/src/fennelfork/home/_servers.py
@@ -33,11 +33,12 @@
         )
 
     @property
-    def has_refusals(self) -> bool:
-        """Whether a server refused a request as draining and still drains."""
-        return any(
-            server.drain.is_refusing
-            for server in self._blackboard.servers.values()
+    def refusing_servers(self) -> tuple[str, ...]:
+        """Names of the servers that refused a request and still drain."""
+        return tuple(
+            name
+            for name, server in sorted(self._blackboard.servers.items())
+            if server.drain.is_refusing
         )
 
     def build_view(self, shard: str) -> ShardView:
@@ -53,6 +54,7 @@
                 _merge_ranges(version, held[version])
                 for version in sorted(held)
             ),
+            refusing_servers=self.refusing_servers,
         )
 
     def connections(self, server: str) -> ConnectionLedger | None:
--- a/packages/fennelfork/src/fennelfork/once/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/once/__init__.pyi
@@ -28,6 +28,7 @@
 from ._table import once_request as once_request
 from ._table import once_table as once_table
 from ._target import NamedServer as NamedServer
+from ._target import exclude_refusing as exclude_refusing
 from ._target import servers_for_record as servers_for_record
 from ._ticket import Ticket as Ticket
 from ._ticket import TicketKey as TicketKey
--- a/packages/fennelfork/src/fennelfork/once/_target.py
+++ b/packages/fennelfork/src/fennelfork/once/_target.py
@@ -1,7 +1,7 @@
 """Selection of backend servers for a non-idempotent request."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -56,6 +56,33 @@
     return tuple(candidates)
 
 
+def exclude_refusing(
+    front: Front, views: Iterable[ShardView], servers: Iterable[NamedServer]
+) -> tuple[NamedServer, ...]:
+    """Return the backend servers that their home daemons may still use.
+
+    Args:
+        front: settings of the front.
+        views: views of the shards of the front, from their home daemons.
+        servers: backend servers of the front.
+    """
+    refusing = {
+        server.address
+        for view in views
+        for server in _refusing_servers(front, view)
+    }
+    return tuple(
+        named for named in servers if named.server.address not in refusing
+    )
+
+
+def _refusing_servers(front: Front, view: ShardView) -> Iterator[Server]:
+    shard = front.shards.get(view.shard)
+    for name in view.refusing_servers:
+        if shard is not None and name in shard.servers:
+            yield shard.servers[name]
+
+
 def _newest_version(view: ShardView, key: int) -> int | None:
     """Return the newest snapshot in which a shard holds a record."""
     versions = (
--- a/packages/fennelfork/tests/test_once_target.py
+++ b/packages/fennelfork/tests/test_once_target.py
@@ -2,9 +2,11 @@
 
 import random
 
+import attrs
+
 from fennelfork.config import Front, Server, Shard
 from fennelfork.gather import ShardView, SnapshotView, key_range
-from fennelfork.once import servers_for_record
+from fennelfork.once import exclude_refusing, servers_for_record
 
 
 def _server(centre: str) -> Server:
@@ -61,3 +63,30 @@
         """A record that no configured shard holds has no server."""
         views = (_view('a', v1=(0, 50)), _view('gone', v1=(50, 100)))
         assert not _names(60, *views)
+
+
+class TestExcludeRefusing:
+    """Guard against executions on servers that their home daemon avoids."""
+
+    def test_refusing_server_is_excluded(self) -> None:
+        """A server that refused a query gets no execution either."""
+        moved = attrs.evolve(_server('dc-1'), address='127.0.0.1:9002')
+        front = Front(
+            keys=100,
+            shards={'a': Shard(servers={'a1': _server('dc-1'), 'a2': moved})},
+        )
+        view = attrs.evolve(_view('a', v1=(0, 50)), refusing_servers=('a2',))
+        servers = servers_for_record(front, [view], 7, 'dc-1', random.Random(1))
+        usable = exclude_refusing(front, [view], servers)
+        assert [named.name for named in usable] == ['a1']
+
+    def test_unknown_names_are_ignored(self) -> None:
+        """A view may name shards and servers that were removed."""
+        views = [
+            attrs.evolve(_view('a'), refusing_servers=('gone',)),
+            attrs.evolve(_view('gone'), refusing_servers=('a1',)),
+        ]
+        servers = servers_for_record(
+            _FRONT, [_view('a', v1=(0, 50))], 7, 'dc-1', random.Random(1)
+        )
+        assert exclude_refusing(_FRONT, views, servers) == servers
