--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_targets.py
@@ -8,6 +8,7 @@
 from returns.result import Result, Success
 
 from fennelfork import Blackboard, Clock, Failure, FailureCode, not_run
+from fennelfork.config import Front
 from fennelfork.once import (
     ExecuteRequest,
     NamedServer,
@@ -40,6 +41,7 @@
     _rng: random.Random
     _draining: DrainExclusion
     _ages: ViewAges
+    _invalid_fronts: set[str] = attrs.field(factory=set)
 
     def find(
         self,
@@ -56,10 +58,9 @@
         if front is None:
             detail = f'there is no front {request.front!r}'
             return Failed(not_run(FailureCode.UNKNOWN_FRONT, detail))
-        outdated = self._ages.find_outdated(
-            request.front, self._views.for_front(request.front)
-        )
-        self._views.discard(request.front, outdated)
+        outdated = self._find_outdated(request.front, front)
+        if outdated:
+            self._describer.refresh(request.front, outdated, deadline_at_ms)
         self._describer.describe_unknown(request.front, front, deadline_at_ms)
         views = self._views.for_front(request.front)
         servers = servers_for_record(
@@ -82,13 +83,20 @@
         )
 
     def invalidate(self, request: ExecuteRequest) -> None:
-        """Discard the cached views of the front, which are outdated."""
-        self._views.retain_shards(request.front, ())
+        """Request new views of the front for the next request."""
+        self._invalid_fronts.add(request.front)
 
     def record_draining(self, target: ExecuteTarget) -> None:
         """Exclude a draining server until its drain ends."""
         self._draining.record_refusal(target)
 
+    def _find_outdated(self, name: str, front: Front) -> frozenset[str]:
+        """Return the shards whose cached views have to be replaced."""
+        if name in self._invalid_fronts:
+            self._invalid_fronts.discard(name)
+            return frozenset(front.shards)
+        return self._ages.find_outdated(name, self._views.for_front(name))
+
 
 def home_target_finder(
     blackboard: Blackboard,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/root/_describer.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/root/_describer.py
@@ -49,6 +49,34 @@
             self._describe_groups(name, groups, deadline_at_ms)
             unresponsive |= homes_of(groups)
 
+    def refresh(
+        self, front: str, shards: frozenset[str], deadline_at_ms: float
+    ) -> None:
+        """Replace views, and remove those that no home daemon replaced.
+
+        Concurrent queries use the former views until they are replaced.
+
+        Args:
+            front: name of the front.
+            shards: shards whose views are outdated.
+            deadline_at_ms: clock reading of the deadline, in milliseconds.
+        """
+        outdated = {
+            view.shard: view
+            for view in self._views.for_front(front)
+            if view.shard in shards
+        }
+        groups = group_shards_by_home(
+            self._blackboard, front, frozenset(outdated), self._health.avoided
+        )
+        self._describe_groups(front, groups, deadline_at_ms)
+        not_replaced = [
+            view.shard
+            for view in self._views.for_front(front)
+            if outdated.get(view.shard) is view
+        ]
+        self._views.discard(front, not_replaced)
+
     def _describe_groups(
         self,
         front: str,
