Entries prefer daemons on VMs with the most processor capacity

Cause: entries named all ready daemons of the nearest data centre alike. A daemon on a small VM needs four times as long for a gathered request, and that time counts against the latency target of the caller.

Change: a daemon publishes its capacity, from the settings, with its registration; entries name those of the data centre with at least half of the second-highest capacity. A daemon whose event loop works more than 0.7 of the time publishes an overload, by one write under its lease; while at least half of the preferred daemons are overloaded, all daemons are named. An overload lasts for 10 s at least, and until the daemon would bear the callers that come back. Records of earlier versions count as the least capable.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -92,4 +92,5 @@
         operator='',
         peer='',
         config_version=1,
+        processor_cores=settings.processor_cores,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -2,11 +2,9 @@
 
 import random
 
-from fennelfork.routes import store_polling
 from fennelfork_daemon._in_progress import InProgress
 from fennelfork_daemon.logs._decision_log import LogOutput
 from fennelfork_daemon.routes._availability import (
-    StoreAvailability,
     store_availability,
 )
 from fennelfork_daemon.routes._build_caller_api import (
@@ -16,10 +14,11 @@
 from fennelfork_daemon.routes._build_crash_protection import (
     poison_request_protection,
 )
-from fennelfork_daemon.routes._common_parts import CommonParts, common_parts
+from fennelfork_daemon.routes._build_store import build_follower
+from fennelfork_daemon.routes._common_parts import common_parts
 from fennelfork_daemon.routes._entries import RouteEntries
-from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._lag import lag_monitor
+from fennelfork_daemon.routes._load_monitor import load_monitor
 from fennelfork_daemon.routes._operator_api import operator_api
 from fennelfork_daemon.routes._ports import Ports
 from fennelfork_daemon.routes._registration import Registration
@@ -28,7 +27,6 @@
 from fennelfork_daemon.routes._settings import RouteSettings
 from fennelfork_daemon.routes._stop import route_stop
 from fennelfork_daemon.routes._store_reporter import StoreReporter
-from fennelfork_daemon.routes._update_applier import UpdateApplier
 
 
 def route_service(
@@ -59,7 +57,7 @@
         reporter=reporter,
     )
     in_progress = InProgress()
-    follower = _build_follower(base, reporter, availability)
+    follower = build_follower(base, reporter, availability)
     protection = poison_request_protection(
         base, registration, reporter, follower.polling
     )
@@ -87,6 +85,7 @@
             reload.run,
             protection.publisher.run,
             lag_monitor(base.clock, base.limits, calls.reporter).run,
+            load_monitor(base.blackboard, base.clock, reporter).run,
         ),
         pools=base.pools,
         stop=route_stop(
@@ -101,19 +100,3 @@
         in_progress=in_progress,
         log=base.log,
     )
-
-
-def _build_follower(
-    base: CommonParts,
-    reporter: StoreReporter,
-    availability: StoreAvailability,
-) -> StoreFollower:
-    return store_follower(
-        base.ports.store,
-        availability,
-        UpdateApplier(
-            blackboard=base.blackboard, reporter=reporter, pools=base.pools
-        ),
-        store_polling(base.blackboard.fleet, base.settings.in_force_ms),
-        random.Random(),
-    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -33,6 +33,7 @@
     requests.RequestJudged,
     store.DaemonSeen,
     store.DaemonGone,
+    store.LoadChanged,
     requests.RequestRefused,
     requests.RequestEnded,
     process.FellBehind,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
@@ -106,6 +106,20 @@
     at: str
 
 
+@attrs.frozen(kw_only=True)
+class LoadChanged:
+    """This daemon became overloaded, or is no longer overloaded.
+
+    Attributes:
+        overloaded: whether the daemon asks for fewer callers.
+        busy_percent: average share of the time in which its event loop works.
+    """
+
+    event: ClassVar[str] = 'load_changed'
+    overloaded: bool
+    busy_percent: int
+
+
 @attrs.frozen(kw_only=True)
 class DaemonGone:
     """The registration of another daemon was removed or expired.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -8,6 +8,7 @@
 from returns.result import Result
 
 from fennelfork import Clock, Failure
+from fennelfork.membership import Member
 from fennelfork_daemon.routes._availability import StoreAvailability, StoreCall
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._ports import Store
@@ -36,6 +37,7 @@
     _reporter: StoreReporter
     _renewed_ms: float = 0
     _lease: int | None = None
+    _registered: Member | None = None
     _has_ended: bool = False
 
     @property
@@ -68,8 +70,9 @@
         if self._lease is None:
             self._register()
         elif not self._renew(self._lease):
-            self._discard_lease(self._lease)
             self._register()
+        elif self._registered != self._blackboard.local:
+            self._write_entry(self._lease)
 
     def leave(self) -> None:
         """Remove the registration; further calls have no effect."""
@@ -87,27 +90,32 @@
         if not is_successful(opened):
             return
         lease = opened.unwrap()
-        registered = self._record_result(
-            self._store.register(self._blackboard.local, lease)
-        )
-        if is_successful(registered) and registered.unwrap():
+        if self._write_entry(lease):
             self._lease = lease
             self._renewed_ms = self._clock.now_ms()
             self._reporter.lease_granted(lease, ttl_ms)
 
+    def _write_entry(self, lease: int) -> bool:
+        """Write the entry of this daemon and return whether it is valid."""
+        local = self._blackboard.local
+        registered = self._record_result(self._store.register(local, lease))
+        if not (is_successful(registered) and registered.unwrap()):
+            return False
+        self._registered = local
+        return True
+
     def _renew(self, lease: int) -> bool:
-        """Renew a lease and return whether it may still be valid."""
+        """Renew a lease, or discard it; return whether it may be valid."""
         renewed = self._record_result(self._store.renew(lease))
         if not is_successful(renewed):
             return True
+        now_ms = self._clock.now_ms()
         if renewed.unwrap():
-            self._renewed_ms = self._clock.now_ms()
-        return renewed.unwrap()
-
-    def _discard_lease(self, lease: int) -> None:
+            self._renewed_ms = now_ms
+            return True
         self._lease = None
-        age_ms = self._clock.now_ms() - self._renewed_ms
-        self._reporter.lease_expired(lease, age_ms)
+        self._reporter.lease_expired(lease, now_ms - self._renewed_ms)
+        return False
 
     def _record_result(
         self, result: Result[_ResultT, Failure]
--- a/packages/fennelfork/src/fennelfork/_entries.py
+++ b/packages/fennelfork/src/fennelfork/_entries.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterable
 
+from fennelfork.membership._capacity import preferred_members
 from fennelfork.membership._member import Member, MemberStatus
 from fennelfork.placement._weight import member_weight, weight_key
 
@@ -67,7 +68,8 @@
 
     A caller that selects a daemon at random should not reach a distant one, so
     more distant daemons are included only if a single daemon is at the nearest
-    distance and its loss would leave the caller without a daemon.
+    distance and its loss would leave the caller without a daemon. Of the
+    daemons at one distance, those that answer soonest are chosen.
 
     Args:
         caller_region: region of the caller, empty if unknown.
@@ -83,7 +85,7 @@
     chosen: list[Member] = []
     for distance in sorted(by_distance):
         if len(chosen) < _MIN_WITH_FALLBACK:
-            chosen.extend(by_distance[distance])
+            chosen.extend(preferred_members(by_distance[distance]))
     rng.shuffle(chosen)
     return tuple(chosen[:max_count])
 
--- a/packages/fennelfork/src/fennelfork/membership/_member.py
+++ b/packages/fennelfork/src/fennelfork/membership/_member.py
@@ -39,6 +39,9 @@
         peer: `ip:port` of the peer RPC.
         config_version: version of the active configuration; 0 for none.
         config_hash: digest of the active configuration.
+        processor_cores: processor time per second that the VM offers, in cores
+            of a reference speed; 0 if unknown.
+        is_overloaded: whether the daemon asks for fewer callers.
     """
 
     name: str
@@ -51,6 +54,8 @@
     peer: str
     config_version: int = 0
     config_hash: str = ''
+    processor_cores: float = 0
+    is_overloaded: bool = False
 
     @property
     def process_incarnation(self) -> int:
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -22,6 +22,7 @@
 from ._latency_baseline import LatencyBaseline as LatencyBaseline
 from ._latency_baseline import LatencyBaselines as LatencyBaselines
 from ._latency_baseline import latency_baseline as latency_baseline
+from ._overload import Overload as Overload
 from ._quarantine import Quarantine as Quarantine
 from ._quarantine import quarantine as quarantine
 from ._records import RECORD_BYTES as RECORD_BYTES
--- a/tests/test_platform_items.py
+++ b/tests/test_platform_items.py
@@ -215,6 +215,22 @@
         assert isinstance(update, MemberUpdate)
         assert read_member('vm-1', write_member(update.member)) == update.member
 
+    def test_capacity_and_load(self) -> None:
+        """The capacity and an overload are part of a registration."""
+        added = {'cores': 2.15, 'overloaded': True}
+        update = read_item(item(_DAEMON_KEY, _MEMBER | added), _CLOCK)
+        assert isinstance(update, MemberUpdate)
+        assert update.member.processor_cores == pytest.approx(2.15)
+        assert update.member.is_overloaded
+        assert read_member('vm-1', write_member(update.member)) == update.member
+
+    def test_earlier_version(self) -> None:
+        """A daemon that does not publish its capacity counts as the least."""
+        update = read_item(item(_DAEMON_KEY, _MEMBER), _CLOCK)
+        assert isinstance(update, MemberUpdate)
+        assert not update.member.processor_cores
+        assert not update.member.is_overloaded
+
     @pytest.mark.parametrize(
         'changes',
         [
@@ -224,6 +240,10 @@
             {'data_centre': ''},
             {'caller': 'nowhere'},
             {'caller': None},
+            {'cores': '2'},
+            {'cores': -1},
+            {'cores': float('inf')},
+            {'overloaded': 1},
         ],
     )
     def test_invalid_field(self, changes: dict[str, Any]) -> None:
--- a/tests/test_platform_settings_file.py
+++ b/tests/test_platform_settings_file.py
@@ -26,6 +26,21 @@
         assert outcome.repeats.fixed == 58
         assert outcome.stop_ms == 6000
         assert outcome.in_force_ms == 3000
+        assert not outcome.processor_cores
+
+    def test_processor_capacity(self, tmp_path: pathlib.Path) -> None:
+        """The capacity is the share of a core times its speed."""
+        limits = '[Limits]\nCpuShare = 0.537\nCpuCores = 2\n'
+        outcome = load_settings(_write_settings(tmp_path, SETTINGS + limits))
+        assert outcome.unwrap().processor_cores == pytest.approx(1.074)
+
+    def test_invalid_processor_capacity(self, tmp_path: pathlib.Path) -> None:
+        """A capacity that is not a number is a problem."""
+        limits = '[Limits]\nCpuShare = "half"\nCpuCores = 2\n'
+        read = load_settings(_write_settings(tmp_path, SETTINGS + limits))
+        assert read.failure() == (
+            "Limits.CpuShare: 'half' is not a finite number of at least 0",
+        )
 
     @pytest.mark.parametrize(
         ('removed_lines', 'in_force_ms'),
