Few daemons read the platform's store and pass its updates on

Change: the daemons of a data centre form a tree, the most capable VMs first, at most eight children each. The root watches the store; the others ask their parent over HTTP at the first port of PortRange, one substitute if it fails, then the store. A reply carries the revision, the age of the data, whether the sender receives current updates, and the end of an outage (for grace periods). While neither a relay nor the daemon itself reaches the store, the store is spared. The first listing may be stale, as a watch makes up for it. Leases of 3 s are renewed each 1.4 s instead of 2.5 s each 0.7 s, and a failed renewal is repeated after 0.3 s, so one lost call is survived as before.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
@@ -21,8 +21,11 @@
 from ._ports import HistoryCompacted as HistoryCompacted
 from ._ports import Listing as Listing
 from ._ports import Ports as Ports
+from ._ports import RelayClient as RelayClient
+from ._ports import RelayedBatch as RelayedBatch
 from ._ports import Store as Store
 from ._ports import UpdateBatch as UpdateBatch
+from ._relay import Relay as Relay
 from ._service import AdapterApplications as AdapterApplications
 from ._service import RouteService as RouteService
 from ._settings import RouteSettings as RouteSettings
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_availability.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_availability.py
@@ -10,8 +10,7 @@
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 
-# Shortest outage after which registrations may have expired: two missed
-# renewals. A watch that fails while renewals succeed is not an outage.
+# Shortest outage after which registrations may have expired. A watch that fails while renewals succeed is not an outage.
 _MIN_OUTAGE_MS: Final = 1500.0
 
 
@@ -34,8 +33,21 @@
     _updated_ms: float
     _is_unavailable: bool = False
     _is_first_call_pending: bool = True
+    _outage_end_ms: float | None = None
     _listeners: list[Callable[[], None]] = attrs.field(factory=list)
 
+    @property
+    def is_available(self) -> bool:
+        """Whether the latest call of the store by this daemon succeeded."""
+        return not self._is_unavailable
+
+    @property
+    def outage_end_age_ms(self) -> float | None:
+        """Time since the end of the latest outage, None without an outage."""
+        if self._outage_end_ms is None:
+            return None
+        return self._clock.now_ms() - self._outage_end_ms
+
     @property
     def is_first_call_pending(self) -> bool:
         """Whether the first call of the store has no result yet."""
@@ -60,9 +72,19 @@
             self._is_unavailable = True
             self._reporter.store_unavailable(call, failure)
 
-    def record_update(self) -> None:
-        """Record a response that contains current data."""
-        self._updated_ms = self._clock.now_ms()
+    def record_update(self, age_ms: float = 0) -> None:
+        """Record data that was read from the store some time ago."""
+        self._updated_ms = self._clock.now_ms() - age_ms
+
+    def record_outage_end(self, elapsed_ms: float) -> None:
+        """Record that the store became available some time ago.
+
+        Entries that are missing may have expired during the outage, so they
+        are kept for a grace period.
+        """
+        self._outage_end_ms = self._clock.now_ms() - elapsed_ms
+        self._blackboard.directory.registry.start_grace_period(elapsed_ms)
+        self._blackboard.members.start_grace_period(elapsed_ms)
 
     def record_response(self) -> None:
         """Record a successful call."""
@@ -75,8 +97,7 @@
         self._is_unavailable = False
         self._reporter.store_available(unavailable_ms, self.data_age_ms)
         if unavailable_ms >= _MIN_OUTAGE_MS:
-            self._blackboard.directory.registry.start_grace_period()
-            self._blackboard.members.start_grace_period()
+            self.record_outage_end(0)
         for on_available in self._listeners:
             on_available()
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -90,7 +90,7 @@
         data_centre=settings.data_centre,
         caller=str(settings.caller),
         operator='',
-        peer='',
+        peer='' if settings.peer is None else str(settings.peer),
         config_version=1,
         processor_cores=settings.processor_cores,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -85,7 +85,7 @@
             reload.run,
             protection.publisher.run,
             lag_monitor(base.clock, base.limits, calls.reporter).run,
-            load_monitor(base.blackboard, base.clock, reporter).run,
+            load_monitor(base.blackboard, base.clock, base.fleet_reporter).run,
         ),
         pools=base.pools,
         stop=route_stop(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
@@ -2,10 +2,13 @@
 
 import random
 
-from fennelfork.routes import store_polling
+from fennelfork.routes import RelayHealth, store_polling
 from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._common_parts import CommonParts
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
+from fennelfork_daemon.routes._relay_reader import RelayReader
+from fennelfork_daemon.routes._relay_sources import RelaySources
+from fennelfork_daemon.routes._store_copy import store_copy
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 from fennelfork_daemon.routes._update_applier import UpdateApplier
 
@@ -16,12 +19,23 @@
     availability: StoreAvailability,
 ) -> StoreFollower:
     """Create the follower that keeps the blackboard up to date."""
+    applier = UpdateApplier(
+        blackboard=base.blackboard, reporter=reporter, pools=base.pools
+    )
+    polling = store_polling(base.blackboard.fleet, base.settings.in_force_ms)
+    sources = RelaySources(
+        health=RelayHealth(clock=base.clock),
+        blackboard=base.blackboard,
+        availability=availability,
+    )
+    copy = store_copy(availability, applier, base.clock)
+    relays = RelayReader(
+        sources=sources,
+        reporter=base.fleet_reporter,
+        client=base.ports.relays,
+        copy=copy,
+        polling=polling,
+    )
     return store_follower(
-        base.ports.store,
-        availability,
-        UpdateApplier(
-            blackboard=base.blackboard, reporter=reporter, pools=base.pools
-        ),
-        store_polling(base.blackboard.fleet, base.settings.in_force_ms),
-        random.Random(),
+        base.ports.store, relays, copy, availability, polling, random.Random()
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
@@ -13,6 +13,7 @@
     RouteBlackboard,
     route_blackboard,
 )
+from fennelfork_daemon.routes._fleet_reporter import FleetReporter
 from fennelfork_daemon.routes._metrics import RouteMetrics, route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._ports import Ports
@@ -32,6 +33,7 @@
     limits: ConcurrencyLimits
     metrics: RouteMetrics
     log: DecisionLog
+    fleet_reporter: FleetReporter
 
 
 def common_parts(
@@ -43,6 +45,12 @@
     clock = system_clock()
     blackboard = route_blackboard(settings, clock)
     metrics = route_metrics()
+    log = decision_log(
+        clock,
+        metrics.count_decision,
+        log_output,
+        daemon=settings.name,
+    )
     return CommonParts(
         settings=settings,
         ports=ports,
@@ -52,10 +60,6 @@
         retry_budgets=retry_budgets(settings.repeats, clock, blackboard.fleet),
         limits=ConcurrencyLimits(clock=clock),
         metrics=metrics,
-        log=decision_log(
-            clock,
-            metrics.count_decision,
-            log_output,
-            daemon=settings.name,
-        ),
+        log=log,
+        fleet_reporter=FleetReporter(log=log),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -34,6 +34,8 @@
     store.DaemonSeen,
     store.DaemonGone,
     store.LoadChanged,
+    store.UpdateSourceChanged,
+    store.RelayFailed,
     requests.RequestRefused,
     requests.RequestEnded,
     process.FellBehind,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
@@ -106,6 +106,32 @@
     at: str
 
 
+@attrs.frozen(kw_only=True)
+class UpdateSourceChanged:
+    """This daemon reads updates of the store from another source.
+
+    Attributes:
+        source: name of the daemon that passes on the updates, or `the store`.
+    """
+
+    event: ClassVar[str] = 'update_source_changed'
+    source: str
+
+
+@attrs.frozen(kw_only=True)
+class RelayFailed:
+    """A daemon that passes on updates of the store did not respond validly.
+
+    Attributes:
+        peer: name of the daemon.
+        reason: description of the failure.
+    """
+
+    event: ClassVar[str] = 'relay_failed'
+    peer: str
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class LoadChanged:
     """This daemon became overloaded, or is no longer overloaded.
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_reporter.py
@@ -0,0 +1,40 @@
+"""Log lines about the part of a daemon in its fleet."""
+
+from typing import Final
+
+import attrs
+
+from fennelfork import Failure
+from fennelfork_daemon.logs._decision_log import DecisionLog
+from fennelfork_daemon.routes import _events_store as store
+
+_PERCENT: Final = 100
+
+
+@attrs.define(kw_only=True)
+class FleetReporter:
+    """Logs the load of this daemon and where it reads updates."""
+
+    _log: DecisionLog
+    _source: str | None = None
+
+    def update_source(self, source: str) -> None:
+        """Log where this daemon reads updates of the store, if it changed."""
+        if source != self._source:
+            self._source = source
+            self._log.log_decision(store.UpdateSourceChanged(source=source))
+
+    def relay_failed(self, name: str, failure: Failure) -> None:
+        """Log that a daemon did not pass on updates."""
+        self._log.log_decision(
+            store.RelayFailed(peer=name, reason=failure.detail)
+        )
+
+    def load_changed(self, *, overloaded: bool, busy_ratio: float) -> None:
+        """Log the start or end of an overload of this daemon."""
+        self._log.log_decision(
+            store.LoadChanged(
+                overloaded=overloaded,
+                busy_percent=round(busy_ratio * _PERCENT),
+            ),
+        )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -1,8 +1,11 @@
-"""Synchronises the blackboard of a daemon with the store."""
+"""Synchronises the blackboard of a daemon with the store.
+
+Few daemons of a data centre watch the store and pass on its updates to the
+others, so the number of calls does not grow with the fleet.
+"""
 
 import functools
 import random
-from collections.abc import Iterable
 from typing import Any, Final
 
 import attrs
@@ -21,8 +24,8 @@
     Store,
     UpdateBatch,
 )
-from fennelfork_daemon.routes._update_applier import UpdateApplier
-from fennelfork_daemon.routes._updates import StoreUpdate
+from fennelfork_daemon.routes._relay_reader import RelayReader
+from fennelfork_daemon.routes._store_copy import StoreCopy
 
 _MS_PER_SECOND: Final = 1000
 # Outages of the store are short, and rejected calls add load.
@@ -34,21 +37,28 @@
 # Jitter of the watch duration. Every daemon receives an update at the same
 # time, and without jitter their next watches would expire together.
 _MIN_WAIT_RATIO: Final = 0.9
+# Time for daemons that start together to register, so that one watch finds
+# them all.
+_START_DELAY_MS: Final = 1000.0
 
 
 @attrs.define(kw_only=True)
 class StoreFollower:
-    """Lists the store once, then watches for updates."""
+    """Lists the store once, then reads updates from it or from a relay.
+
+    Attributes:
+        store_copy: what this daemon knows of the store.
+    """
 
+    store_copy: StoreCopy
     _store: Store
+    _relays: RelayReader
     _availability: StoreAvailability
-    _applier: UpdateApplier
     _polling: StorePolling
     _rng: random.Random
     _cancellable_call: CancellableCall[Any] = attrs.field(
         factory=CancellableCall
     )
-    _revision: int | None = None
     _failures: int = 0
 
     @property
@@ -63,21 +73,19 @@
             eventlet.sleep(wait_ms / _MS_PER_SECOND)
 
     def step(self) -> float:
-        """Make one call of the store.
+        """Make one call of the store or of a relay.
 
         Returns:
             Delay in ms before the next call.
         """
-        result = self._cancellable_call.run(self._call_store)
-        if result is None:
-            return 0
-        if not is_successful(result):
-            self._failures += 1
-            self._availability.record_failure(self._next_call, result.failure())
-            return _BACKOFF.delay_ms(self._failures, self._rng)
-        self._failures = 0
-        self._availability.record_response()
-        return _apply_response(result.unwrap(), self)
+        needs_listing = self.store_copy.revision is None
+        relay = None if needs_listing else self._relays.sources.next_relay()
+        if relay is None:
+            self._relays.reporter.update_source('the store')
+            return self._read_store()
+        self._relays.reporter.update_source(relay.name)
+        result = self._cancellable_call.run(lambda: self._relays.fetch(relay))
+        return 0 if result is None else self._relays.apply(relay, result)
 
     def abandon_call(self) -> None:
         """Abandon the pending call after an outage of the store.
@@ -86,61 +94,77 @@
         """
         self._cancellable_call.cancel()
 
-    def apply_updates(self, updates: Iterable[StoreUpdate]) -> None:
-        """Apply updates from the store."""
-        self._applier.apply(updates)
-
-    def apply_listing(self, listing: Listing) -> None:
-        """Replace the known entries by a listing."""
-        data_age_ms = self._availability.data_age_ms
-        self._availability.record_update()
-        self._applier.apply_listing(listing.updates, data_age_ms)
-        self._revision = listing.revision
-
-    def apply_changes(self, changes: UpdateBatch) -> None:
-        """Apply the response of a watch of the store."""
-        self._availability.record_update()
-        self.apply_updates(changes.updates)
-        self._revision = changes.revision
-
-    def discard_revision(self) -> None:
-        """Discard the revision, so that the next step lists the store."""
-        self._revision = None
+    def apply_listing(self, listing: Listing) -> float:
+        """Apply a listing and return the delay in ms before the next call."""
+        is_first = not self.store_copy.has_listed
+        self.store_copy.apply_listing(listing)
+        if is_first and not self._relays.sources.knows_data_centre:
+            return _START_DELAY_MS
+        return 0
+
+    def apply_changes(self, changes: UpdateBatch) -> float:
+        """Apply the response of a watch and return the batch delay in ms."""
+        self.store_copy.apply_changes(changes)
+        if not changes.updates:
+            return 0
+        if self._relays.sources.is_root:
+            return self._polling.root_batch_delay_ms
+        return self._polling.batch_delay_ms
 
     @property
     def _next_call(self) -> StoreCall:
         """The kind of the next call."""
-        if self._revision is None:
+        if self.store_copy.revision is None:
             return StoreCall.LISTING
         return StoreCall.CHANGES
 
+    def _read_store(self) -> float:
+        """Make one call of the store and return the delay in ms."""
+        result = self._cancellable_call.run(self._call_store)
+        if result is None:
+            return 0
+        self.store_copy.relay.is_connected = is_successful(result)
+        if not is_successful(result):
+            self._failures += 1
+            self._availability.record_failure(self._next_call, result.failure())
+            return _BACKOFF.delay_ms(self._failures, self._rng)
+        self._failures = 0
+        self._availability.record_response()
+        return _apply_response(result.unwrap(), self)
+
     def _call_store(
         self,
     ) -> Result[Listing | UpdateBatch | HistoryCompacted, Failure]:
-        if self._revision is None:
+        revision = self.store_copy.revision
+        if revision is None:
+            # A watch makes up for what a stale listing lacks, unless the
+            # store has compacted those updates.
             return self._store.list_all(
-                self._polling.listing_timeout_ms(self._failures)
+                self._polling.listing_timeout_ms(self._failures),
+                may_be_stale=not self.store_copy.has_listed,
             )
         timeouts = self._polling.watch_timeouts(
             self._availability.data_age_ms, self._failures
         )
         wait_ms = timeouts.wait_ms * self._rng.uniform(_MIN_WAIT_RATIO, 1)
         jittered = attrs.evolve(timeouts, wait_ms=wait_ms)
-        return self._store.watch(self._revision, jittered)
+        return self._store.watch(revision, jittered)
 
 
 def store_follower(
     store: Store,
+    relays: RelayReader,
+    copy: StoreCopy,
     availability: StoreAvailability,
-    applier: UpdateApplier,
     polling: StorePolling,
     rng: random.Random,
 ) -> StoreFollower:
     """Create a follower that calls again when the store is available."""
     follower = StoreFollower(
+        store_copy=copy,
         store=store,
+        relays=relays,
         availability=availability,
-        applier=applier,
         polling=polling,
         rng=rng,
     )
@@ -156,19 +180,17 @@
 
 @_apply_response.register
 def _apply_listing(response: Listing, follower: StoreFollower) -> float:
-    follower.apply_listing(response)
-    return 0
+    return follower.apply_listing(response)
 
 
 @_apply_response.register
 def _apply_changes(response: UpdateBatch, follower: StoreFollower) -> float:
-    follower.apply_changes(response)
-    return follower.polling.batch_delay_ms if response.updates else 0
+    return follower.apply_changes(response)
 
 
 @_apply_response.register
 def _discard_history(
     response: HistoryCompacted, follower: StoreFollower
 ) -> float:
-    follower.discard_revision()
+    follower.store_copy.revision = None
     return 0
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_load_monitor.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_load_monitor.py
@@ -14,7 +14,7 @@
 )
 from fennelfork.routes import Overload
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
-from fennelfork_daemon.routes._store_reporter import StoreReporter
+from fennelfork_daemon.routes._fleet_reporter import FleetReporter
 
 _MS_PER_SECOND: Final = 1000
 _INTERVAL_MS: Final = 500.0
@@ -60,7 +60,7 @@
     _overload: Overload
     _timer: IdleTimer
     _clock: Clock
-    _reporter: StoreReporter
+    _reporter: FleetReporter
 
     def run(self) -> None:
         """Measure the load until the process exits."""
@@ -102,7 +102,7 @@
 
 
 def load_monitor(
-    blackboard: RouteBlackboard, clock: Clock, reporter: StoreReporter
+    blackboard: RouteBlackboard, clock: Clock, reporter: FleetReporter
 ) -> LoadMonitor:
     """Create the monitor of the event loop of this process."""
     return LoadMonitor(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -9,6 +9,7 @@
 from fennelfork.membership import Member
 from fennelfork.routes import (
     BackendServer,
+    EncodedUpdate,
     SuspicionRecord,
     SuspicionUpdates,
     WatchTimeouts,
@@ -38,10 +39,36 @@
 
 @attrs.frozen(kw_only=True)
 class UpdateBatch:
-    """Updates of the store in order; attributes as in `Listing`."""
+    """Updates of the store in order.
+
+    Attributes:
+        updates: updates in order of their revisions.
+        revision: revision after which the store is watched.
+        encoded: the same updates for daemons to which they are passed on.
+    """
 
     updates: tuple[StoreUpdate, ...]
     revision: int
+    encoded: tuple[EncodedUpdate, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class RelayedBatch:
+    """Updates of the store that a daemon passes on to another one.
+
+    Attributes:
+        changes: updates up to the latest revision that the passing daemon
+            knows.
+        age_ms: time since the updates were read from the store.
+        is_connected: whether the passing daemon receives current updates.
+        outage_end_age_ms: time since the end of the latest outage of the
+            store, or None.
+    """
+
+    changes: UpdateBatch
+    age_ms: float
+    is_connected: bool
+    outage_end_age_ms: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -52,8 +79,16 @@
 class Store(Protocol):
     """The operations of the platform's store that a daemon uses."""
 
-    def list_all(self, timeout_ms: float) -> Result[Listing, Failure]:
-        """Read all entries linearizably, each page within the timeout."""
+    def list_all(
+        self, timeout_ms: float, *, may_be_stale: bool
+    ) -> Result[Listing, Failure]:
+        """Read all entries, each page within the timeout.
+
+        Args:
+            timeout_ms: maximum time for each page.
+            may_be_stale: whether a cheaper listing of some seconds before is
+                sufficient.
+        """
 
     def watch(
         self,
@@ -94,6 +129,24 @@
         """Revoke a lease, which removes the registration of the daemon."""
 
 
+class RelayClient(Protocol):
+    """Reads updates that another daemon passes on."""
+
+    def fetch(
+        self,
+        peer: str,
+        after: int,
+        timeouts: WatchTimeouts,
+    ) -> Result[RelayedBatch | HistoryCompacted, Failure]:
+        """Wait for updates after a revision; none may arrive in time.
+
+        Args:
+            peer: peer address of the other daemon.
+            after: latest known revision of the store.
+            timeouts: timeouts of the call.
+        """
+
+
 class CallerCodec(Protocol):
     """Codec for the requests of callers and the answers to callers."""
 
@@ -131,5 +184,6 @@
     """Adapter to one platform."""
 
     store: Store
+    relays: RelayClient
     callers: CallerCodec
     backends: BackendCodec
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -16,9 +16,10 @@
 
 _MS_PER_SECOND: Final = 1000
 # Bounds how long callers are directed to a daemon that has crashed.
-_LEASE_TTL_MS: Final = 2500.0
-# Two renewals may fail before the lease expires.
-_RENEWAL_INTERVAL_MS: Final = 700.0
+_LEASE_TTL_MS: Final = 3000.0
+_RENEWAL_INTERVAL_MS: Final = 1400.0
+# After a failed call, so that the next one arrives before the lease expires.
+_RETRY_INTERVAL_MS: Final = 300.0
 # Bounds the delay between readiness and registration.
 _POLL_INTERVAL_MS: Final = 50.0
 
@@ -53,9 +54,11 @@
     @property
     def delay_ms(self) -> float:
         """Delay in ms before the next step."""
-        if self._blackboard.is_ready or self._blackboard.is_leaving:
+        if not (self._blackboard.is_ready or self._blackboard.is_leaving):
+            return _POLL_INTERVAL_MS
+        if self._availability.is_available:
             return _RENEWAL_INTERVAL_MS
-        return _POLL_INTERVAL_MS
+        return _RETRY_INTERVAL_MS
 
     def run(self) -> None:
         """Maintain the registration until the daemon leaves."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -36,10 +36,12 @@
     Attributes:
         readiness: application that reports whether the daemon is ready.
         entries: application that returns the daemons to connect to.
+        relay: application that passes on updates of the store.
     """
 
     readiness: Callable[..., Any]
     entries: Callable[..., Any]
+    relay: Callable[..., Any]
 
 
 @attrs.define(kw_only=True)
@@ -83,8 +85,7 @@
         self._start_background_tasks()
         self._spawn_listener(self._settings.readiness, applications.readiness)
         self._spawn_listener(self._settings.entries, applications.entries)
-        if self._settings.operator is not None:
-            self._spawn_listener(self._settings.operator, self._operator_api)
+        self._spawn_optional_listeners(applications)
         caller_listener = self._spawn_listener(
             self._settings.caller, self._counted_application()
         )
@@ -97,6 +98,14 @@
         for task in (*self._background_tasks, self._retire_pools):
             eventlet.spawn_n(task)
 
+    def _spawn_optional_listeners(
+        self, applications: AdapterApplications
+    ) -> None:
+        if self._settings.peer is not None:
+            self._spawn_listener(self._settings.peer, applications.relay)
+        if self._settings.operator is not None:
+            self._spawn_listener(self._settings.operator, self._operator_api)
+
     def _spawn_listener(
         self, address: Address, application: Callable[..., Any]
     ) -> Any:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
@@ -27,6 +27,8 @@
         least_lease_ms: minimum lease duration that the store grants.
         in_force_ms: maximum time between a write to the store and its
             application by every daemon.
+        peer: address at which other daemons ask for updates of the store, or
+            None to pass on no updates.
         processor_cores: processor time per second of the VM, in cores of a
             reference speed; 0 if unknown.
     """
@@ -44,4 +46,5 @@
     stop_ms: float
     least_lease_ms: float
     in_force_ms: float
+    peer: Address | None = None
     processor_cores: float = 0
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
@@ -0,0 +1,71 @@
+"""Copy of the store that a daemon keeps up to date and passes on."""
+
+import attrs
+
+from fennelfork import Clock
+from fennelfork_daemon.routes._availability import StoreAvailability
+from fennelfork_daemon.routes._ports import Listing, RelayedBatch, UpdateBatch
+from fennelfork_daemon.routes._relay import Relay
+from fennelfork_daemon.routes._update_applier import UpdateApplier
+
+
+@attrs.define(kw_only=True)
+class StoreCopy:
+    """Applies what was read to the blackboard, in order of the revisions.
+
+    Attributes:
+        relay: passes on the updates to other daemons.
+        revision: latest known revision, or None if a listing is needed.
+        has_listed: whether a listing was applied since the start.
+    """
+
+    relay: Relay
+    revision: int | None = None
+    has_listed: bool = False
+    _availability: StoreAvailability
+    _applier: UpdateApplier
+
+    def apply_listing(self, listing: Listing) -> None:
+        """Replace the known entries by a listing."""
+        data_age_ms = self._availability.data_age_ms
+        self._availability.record_update()
+        self._applier.apply_listing(listing.updates, data_age_ms)
+        self.revision = listing.revision
+        self.has_listed = True
+        self.relay.reset(listing.revision)
+
+    def apply_changes(self, changes: UpdateBatch) -> None:
+        """Apply the response of a watch of the store."""
+        self._availability.record_update()
+        self._extend(changes)
+
+    def apply_relayed(self, batch: RelayedBatch, max_age_ms: float) -> bool:
+        """Apply updates that another daemon has passed on.
+
+        Returns:
+            Whether this daemon is up to date, within the maximum age.
+        """
+        if self.revision is None or batch.changes.revision < self.revision:
+            return False
+        if batch.outage_end_age_ms is not None:
+            self._availability.record_outage_end(batch.outage_end_age_ms)
+        self._availability.record_update(batch.age_ms)
+        self._extend(batch.changes)
+        return batch.is_connected and batch.age_ms <= max_age_ms
+
+    def _extend(self, changes: UpdateBatch) -> None:
+        """Apply consecutive updates and pass them on."""
+        self._applier.apply(changes.updates)
+        self.revision = changes.revision
+        self.relay.extend(changes)
+
+
+def store_copy(
+    availability: StoreAvailability, applier: UpdateApplier, clock: Clock
+) -> StoreCopy:
+    """Create the copy of a daemon that has not read the store yet."""
+    return StoreCopy(
+        relay=Relay(availability=availability, clock=clock),
+        availability=availability,
+        applier=applier,
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -1,7 +1,5 @@
 """Log lines and metrics for the store and its updates."""
 
-from typing import Final
-
 import attrs
 
 from fennelfork import Failure
@@ -19,8 +17,6 @@
 from fennelfork_daemon.routes._metrics import RouteMetrics
 from fennelfork_daemon.routes._updates import InvalidEntry
 
-_PERCENT: Final = 100
-
 
 @attrs.define(kw_only=True)
 class StoreReporter:
@@ -105,15 +101,6 @@
         """Log that the registration of a daemon was removed."""
         self._log.log_decision(store.DaemonGone(peer=name))
 
-    def load_changed(self, *, overloaded: bool, busy_ratio: float) -> None:
-        """Log the start or end of an overload of this daemon."""
-        self._log.log_decision(
-            store.LoadChanged(
-                overloaded=overloaded,
-                busy_percent=round(busy_ratio * _PERCENT),
-            ),
-        )
-
     def request_status_changed(
         self,
         record: SuspicionRecord,
--- a/packages/fennelfork/src/fennelfork/placement/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/placement/__init__.pyi
@@ -7,6 +7,7 @@
 from ._home_index import home_index as home_index
 from ._peer_health import PeerHealth as PeerHealth
 from ._peer_health import peer_health as peer_health
+from ._relay_tree import relay_parents as relay_parents
 from ._rendezvous import choose_watchers as choose_watchers
 from ._rendezvous import find_home as find_home
 from ._routing_mode import RoutingMode as RoutingMode
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -28,6 +28,9 @@
 from ._records import RECORD_BYTES as RECORD_BYTES
 from ._records import largest_records as largest_records
 from ._registry import Registry as Registry
+from ._relay_health import RelayHealth as RelayHealth
+from ._relay_log import EncodedUpdate as EncodedUpdate
+from ._relay_log import RelayLog as RelayLog
 from ._retry_budget import RetryBudgets as RetryBudgets
 from ._retry_budget import RetryPolicy as RetryPolicy
 from ._retry_budget import retry_budgets as retry_budgets
--- a/packages/fennelfork/src/fennelfork/routes/_registry.py
+++ b/packages/fennelfork/src/fennelfork/routes/_registry.py
@@ -80,9 +80,14 @@
         missing = self._entries.keys() - set(names)
         return [name for name in sorted(missing) if self.remove(name)]
 
-    def start_grace_period(self) -> None:
-        """Start the grace period; the store is available again."""
-        self._grace_until_ms = self._clock.now_ms() + self.grace_ms
+    def start_grace_period(self, elapsed_ms: float = 0) -> None:
+        """Start the grace period; the store is available again.
+
+        Args:
+            elapsed_ms: time since the store became available.
+        """
+        until_ms = self._clock.now_ms() + self.grace_ms - elapsed_ms
+        self._grace_until_ms = max(self._grace_until_ms, until_ms)
 
     def _expire(self) -> None:
         """Remove missing entries whose grace period is over."""
--- a/packages/fennelfork/src/fennelfork/routes/_store_polling.py
+++ b/packages/fennelfork/src/fennelfork/routes/_store_polling.py
@@ -26,6 +26,12 @@
 # Initial timeout of a listing. A daemon that starts delays its callers until
 # the first listing has arrived.
 INITIAL_LISTING_TIMEOUT_MS: Final = 400.0
+# Duration of a request for updates to another daemon. After two lost requests,
+# a call of the store still returns in time.
+_RELAY_WAIT_RATIO: Final = 1 / 6
+_MAX_RELAY_WAIT_MS: Final = 1000.0
+# Additional time for the response of a busy daemon.
+_RELAY_RESPONSE_MS: Final = 500.0
 # Bound on the growth of the timeouts.
 _MAX_DOUBLINGS: Final = 2
 
@@ -67,6 +73,16 @@
         wanted_ms = self._fleet.max_size * _BATCH_DELAY_PER_DAEMON_MS
         return min(_MAX_BATCH_DELAY_MS, wanted_ms)
 
+    @property
+    def root_batch_delay_ms(self) -> float:
+        """Batch delay of a daemon that reads for its data centre."""
+        return _MIN_BATCH_DELAY_MS
+
+    @property
+    def max_age_ms(self) -> float:
+        """Maximum age of data that is used without looking for newer data."""
+        return self._max_age_ms
+
     @property
     def extra_batch_delay_ms(self) -> float:
         """Batch delay in excess of the minimum, due to the fleet size."""
@@ -89,6 +105,11 @@
         wait_ms = max(_MIN_WATCH_MS, remaining_ms)
         return WatchTimeouts(wait_ms=wait_ms, response_ms=response_ms)
 
+    def relay_timeouts(self) -> WatchTimeouts:
+        """Return the timeouts of a request for updates to another daemon."""
+        wait_ms = min(_MAX_RELAY_WAIT_MS, self._max_age_ms * _RELAY_WAIT_RATIO)
+        return WatchTimeouts(wait_ms=wait_ms, response_ms=_RELAY_RESPONSE_MS)
+
     def listing_timeout_ms(self, failures: int) -> float:
         """Return the timeout for the first bytes of a listing.
 
--- a/packages/fennelfork/tests/test_routes_store_polling.py
+++ b/packages/fennelfork/tests/test_routes_store_polling.py
@@ -55,6 +55,13 @@
         """A watch has a minimum duration even if the data is too old."""
         assert _polling(9, max_age_ms).watch_timeouts(age_ms, 0).wait_ms == 500
 
+    @pytest.mark.parametrize('max_age_ms', [3000, 5000, 7000])
+    def test_lost_relays(self, max_age_ms: float) -> None:
+        """After two lost requests to relays, the store responds in time."""
+        timeouts = _polling(9, max_age_ms).relay_timeouts()
+        lost_ms = 2 * (timeouts.wait_ms + timeouts.response_ms)
+        assert lost_ms + 2 * _SLOW_RESPONSE_MS < max_age_ms
+
     @pytest.mark.parametrize('failures', [1, 5, _FAILURES_OF_A_DAY])
     def test_after_failure(self, failures: int) -> None:
         """After a failed call, a short watch detects that the store is back."""
