Divide connections and the fixed retry budget by need

Cause: each daemon had an equal share of both, 430 repeats and 125 connections among 195 daemons: 1.8 repeats a service in 10 s and the minimum of two connections a server, whether callers use the daemon or not.

Change: a daemon on one of the most capable VMs of its data centre counts as one, another as a tenth; the shares of all add up to the limit. A share is still the smallest of the last window, so one that grows does so only after the window. The number of daemons for delays of store calls stays a count.

Tests: the parts of any fleet add up to the whole; equal VMs as before.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -35,7 +35,8 @@
     Attributes:
         local: entry under which this daemon registers.
         members: registered daemons by name.
-        fleet: number of daemons that share the limits.
+        fleet: number of daemons.
+        sharing: number of daemons like this one that share the limits.
         directory: registered backend servers.
         states: observed state of each backend server.
         shares: limits on the connections to each backend server.
@@ -48,6 +49,7 @@
     local: Member
     members: Registry[Member]
     fleet: FleetSize
+    sharing: FleetSize
     directory: ServerDirectory
     states: ServerStates
     shares: ConnectionShares
@@ -65,13 +67,15 @@
 def route_blackboard(settings: RouteSettings, clock: Clock) -> RouteBlackboard:
     """Create the blackboard of a daemon that has not read the store yet."""
     fleet = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
+    sharing = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
     return RouteBlackboard(
         local=_local_member(settings),
         members=Registry(clock=clock, grace_ms=_MEMBER_GRACE_MS),
         fleet=fleet,
+        sharing=sharing,
         directory=ServerDirectory(registry=Registry(clock=clock)),
         states=ServerStates(),
-        shares=ConnectionShares(fleet=fleet),
+        shares=ConnectionShares(fleet=sharing),
         limits=ConnectionLimits(
             header_bytes=INITIAL_HEADER_BYTES,
             request_read_ms=INITIAL_READ_MS,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
@@ -57,7 +57,9 @@
         clock=clock,
         blackboard=blackboard,
         pools=ServerPools(clock=clock, shares=blackboard.shares),
-        retry_budgets=retry_budgets(settings.repeats, clock, blackboard.fleet),
+        retry_budgets=retry_budgets(
+            settings.repeats, clock, blackboard.sharing
+        ),
         limits=ConcurrencyLimits(clock=clock),
         metrics=metrics,
         log=log,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from fennelfork.membership import sharing_count
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._store_reporter import StoreReporter
@@ -73,7 +74,11 @@
         """Apply updates in the given order."""
         for update in updates:
             _apply_update(update, self)
-        self.blackboard.fleet.record_size(len(self.blackboard.members.entries))
+        members = self.blackboard.members.entries
+        self.blackboard.fleet.record_size(len(members))
+        self.blackboard.sharing.record_size(
+            sharing_count(self.blackboard.local, members.values())
+        )
         incarnations = self.blackboard.directory.incarnations
         self.blackboard.states.retain(incarnations)
         self._pools.close_all_except(incarnations)
--- a/packages/fennelfork/src/fennelfork/membership/_capacity.py
+++ b/packages/fennelfork/src/fennelfork/membership/_capacity.py
@@ -9,6 +9,9 @@
 _MIN_PREFERRED: Final = 2
 # Daemons of at least this share of the reference capacity are alike.
 _SIMILAR_RATIO: Final = 0.5
+# Part of a limit for a daemon that callers use only under high load, relative to
+# one that they always use.
+_RESERVE_WEIGHT: Final = 0.1
 # Share of overloaded daemons from which on the others must help.
 _MAX_OVERLOADED_RATIO: Final = 0.5
 
@@ -41,3 +44,23 @@
     if overloaded_count >= len(capable) * _MAX_OVERLOADED_RATIO:
         return known
     return idle if len(idle) >= _MIN_PREFERRED else capable
+
+
+def sharing_count(local: Member, members: Iterable[Member]) -> float:
+    """Return by how many daemons like the local one a limit is divided.
+
+    A limit of the whole fleet is divided by need: the daemons that callers
+    prefer get most of it. The parts of all daemons add up to the limit.
+    """
+    known = {member.name: member for member in (*members, local)}
+    by_data_centre: dict[str, list[Member]] = {}
+    for member in known.values():
+        by_data_centre.setdefault(member.data_centre, []).append(member)
+    total = sum(map(_total_weight, by_data_centre.values()))
+    capable = capable_members(by_data_centre[local.data_centre])
+    return total if local in capable else total / _RESERVE_WEIGHT
+
+
+def _total_weight(group: list[Member]) -> float:
+    capable_count = len(capable_members(group))
+    return capable_count + _RESERVE_WEIGHT * (len(group) - capable_count)
--- a/packages/fennelfork/src/fennelfork/routes/_connection_share.py
+++ b/packages/fennelfork/src/fennelfork/routes/_connection_share.py
@@ -18,7 +18,7 @@
 
 @attrs.define(kw_only=True)
 class ConnectionShares:
-    """Divides the connection limit of backend servers equally among daemons.
+    """Divides the connection limit of backend servers among daemons.
 
     Attributes:
         services: services of the active configuration, by name.
@@ -39,4 +39,4 @@
         daemons = self._fleet.max_size
         if not self._fleet.is_settled:
             daemons = max(daemons, _MIN_UNSETTLED_FLEET)
-        return max(_MIN_CONNECTIONS, limit // daemons)
+        return max(_MIN_CONNECTIONS, int(limit / daemons))
--- a/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
+++ b/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
@@ -21,7 +21,7 @@
 
     _clock: Clock
     _window_ms: float
-    _seen: list[tuple[float, int]] = attrs.field(factory=list)
+    _seen: list[tuple[float, float]] = attrs.field(factory=list)
     _first_ms: float = math.inf
 
     @property
@@ -35,13 +35,17 @@
         return self._clock.now_ms() - self._first_ms >= _SETTLING_MS
 
     @property
-    def max_size(self) -> int:
+    def max_size(self) -> float:
         """Maximum number of daemons within the window, at least one."""
         self._discard_old()
         return max((count for _at, count in self._seen), default=1)
 
-    def record_size(self, count: int) -> None:
-        """Record the current number of daemons, including this one."""
+    def record_size(self, count: float) -> None:
+        """Record the current number of daemons, including this one.
+
+        A daemon with a larger part of the limits than others records a lower
+        number.
+        """
         self._discard_old()
         now_ms = self._clock.now_ms()
         self._first_ms = min(self._first_ms, now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -2,8 +2,8 @@
 
 Within any time window, all daemons together may send a service extra attempts
 for a ratio of its requests, plus a fixed number. Each daemon applies the ratio
-to its own requests and uses an equal share of the fixed number, so the limit
-holds for the fleet without coordination.
+to its own requests and uses a share of the fixed number, so the limit holds for
+the fleet without coordination.
 """
 
 from collections import deque
--- a/packages/fennelfork/tests/test_entries_capacity.py
+++ b/packages/fennelfork/tests/test_entries_capacity.py
@@ -7,8 +7,9 @@
 import random
 
 import attrs
-from core_builders_fleet import build_member
-from hypothesis import settings
+import pytest
+from core_builders_fleet import DATA_CENTRES, build_member
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -18,7 +19,11 @@
 )
 
 from fennelfork import nearest_entries
-from fennelfork.membership import Member, preferred_members
+from fennelfork.membership import (
+    Member,
+    preferred_members,
+    sharing_count,
+)
 
 _LARGE = 2.15
 _SMALL = 0.516
@@ -110,6 +115,45 @@
         assert len(_names(members)) == 4
 
 
+class TestSharedLimits:
+    """A limit of the whole fleet goes to the daemons that callers use."""
+
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from(DATA_CENTRES), st.sampled_from(_CORES)),
+            min_size=1,
+            max_size=30,
+        )
+    )
+    def test_parts_add_up(self, places: list[tuple[str, float]]) -> None:
+        """The parts of all daemons are the whole limit."""
+        members = [
+            _build(f'vm-{index}', cores, data_centre)
+            for index, (data_centre, cores) in enumerate(places)
+        ]
+        parts = [1 / sharing_count(member, members) for member in members]
+        assert sum(parts) == pytest.approx(1)
+
+    def test_equal_daemons(self) -> None:
+        """Equal daemons get equal parts."""
+        members = [_build(f'vm-{index}', 1.07) for index in range(5)]
+        assert sharing_count(members[0], members) == 5
+
+    def test_preferred_daemons(self) -> None:
+        """The large VMs get most of a limit, the small ones keep a part."""
+        members = [
+            *_mixed_data_centre(),
+            *_mixed_data_centre('dc-2'),
+        ]
+        assert sharing_count(members[0], members) == pytest.approx(8.4)
+        assert sharing_count(members[-1], members) == pytest.approx(84)
+
+    def test_unregistered_daemon(self) -> None:
+        """A daemon that is not registered yet counts itself."""
+        members = [_build(f'vm-{index}', 1.07) for index in range(4)]
+        assert sharing_count(_build('new', 1.07), members) == 5
+
+
 class TestEqualFleet:
     """VMs of equal capacity are chosen alike."""
 
