--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -17,6 +17,7 @@
 from fennelfork_daemon.routes._build_store import build_follower
 from fennelfork_daemon.routes._common_parts import common_parts
 from fennelfork_daemon.routes._entries import RouteEntries
+from fennelfork_daemon.routes._fleet_page import FleetPage
 from fennelfork_daemon.routes._lag import lag_monitor
 from fennelfork_daemon.routes._load_monitor import load_monitor
 from fennelfork_daemon.routes._operator_api import operator_api
@@ -77,6 +78,11 @@
             base.metrics,
             base.blackboard.quarantine,
             protection.guard,
+            FleetPage(
+                blackboard=base.blackboard,
+                availability=availability,
+                reporter=base.fleet_reporter,
+            ),
         ),
         follower=follower,
         background_tasks=(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_reporter.py
@@ -13,15 +13,20 @@
 
 @attrs.define(kw_only=True)
 class FleetReporter:
-    """Logs the load of this daemon and where it reads updates."""
+    """Logs the load of this daemon and where it reads updates.
 
+    Attributes:
+        source: daemon from which this daemon reads updates, or `the store`;
+            None before the first call.
+    """
+
+    source: str | None = None
     _log: DecisionLog
-    _source: str | None = None
 
     def update_source(self, source: str) -> None:
         """Log where this daemon reads updates of the store, if it changed."""
-        if source != self._source:
-            self._source = source
+        if source != self.source:
+            self.source = source
             self._log.log_decision(store.UpdateSourceChanged(source=source))
 
     def relay_failed(self, name: str, failure: Failure) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_operator_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_operator_api.py
@@ -16,6 +16,7 @@
     json_reply,
     router,
 )
+from fennelfork_daemon.routes._fleet_page import FleetPage
 from fennelfork_daemon.routes._guard import RequestGuard
 from fennelfork_daemon.routes._metrics import RouteMetrics
 
@@ -55,12 +56,14 @@
     metrics: RouteMetrics,
     quarantine: Quarantine,
     guard: RequestGuard,
+    fleet_page: FleetPage,
 ) -> Router:
-    """Build the operator API, which serves metrics and the quarantine."""
+    """Build the API that serves metrics, the fleet and the quarantine."""
     handlers = _QuarantineHandlers(quarantine=quarantine, guard=guard)
     return router(
         (
             Route(method='GET', path='/metrics', handler=metrics.page),
+            Route(method='GET', path='/fleet', handler=fleet_page.show),
             Route(method='GET', path=_PATH, handler=handlers.show),
             Route(
                 method='DELETE',
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -44,6 +44,7 @@
     store_availability,
 )
 from fennelfork_daemon.routes._blackboard import route_blackboard
+from fennelfork_daemon.routes._fleet_page import FleetPage
 from fennelfork_daemon.routes._fleet_reporter import FleetReporter
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._metrics import route_metrics
@@ -336,6 +337,15 @@
             reporter=reporter,
         )
 
+    @property
+    def fleet_page(self) -> FleetPage:
+        """Operator page of the daemon."""
+        return FleetPage(
+            blackboard=self.blackboard,
+            availability=self.availability,
+            reporter=self.fleet_reporter,
+        )
+
     @property
     def watch_count(self) -> int:
         """Number of watch calls that the store received."""
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -304,6 +304,7 @@
             route_metrics(),
             self.quarantine,
             self.guard,
+            self.following.fleet_page,
         )
 
     def test_list(self) -> None:
--- a/packages/fennelfork/src/fennelfork/routes/_store_polling.py
+++ b/packages/fennelfork/src/fennelfork/routes/_store_polling.py
@@ -12,9 +12,9 @@
 _RESPONSE_MS: Final = 300.0
 # Minimum delay before a failed call is retried.
 STORE_RETRY_DELAY_MS: Final = 150.0
-# Updates within the batch delay are fetched by one call. Every daemon fetches
-# every update, so the delay grows with the fleet to bound the load of the
-# store.
+# Updates within the batch delay are fetched by one call. The root of a data
+# centre reads with the minimum. Other daemons that read the store may be many,
+# so their delay grows with the fleet to bound its load.
 _BATCH_DELAY_PER_DAEMON_MS: Final = 15.0
 _MIN_BATCH_DELAY_MS: Final = 300.0
 _MAX_BATCH_DELAY_MS: Final = 1000.0
