--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_availability.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_availability.py
@@ -10,7 +10,8 @@
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 
-# Shortest outage after which registrations may have expired. A watch that fails while renewals succeed is not an outage.
+# Shortest outage after which registrations may have expired. A watch that fails
+# while renewals succeed is not an outage.
 _MIN_OUTAGE_MS: Final = 1500.0
 
 
