Reading: one name for one concept, comments that stand alone, smaller test modules

'Root' named both the coordinator of a query and the daemon that reads the store for its data centre; that one is the reader now. The weighted size of the fleet is the limit divisor, the overload of a daemon DaemonOverload, apart from the overload signals of services. Comments with 'it' or a story of a measurement are reworded. No name on the wire, in settings, stored data, metrics or log fields changes, and no decision.

Tests: registration and entries move, unchanged, from test_routes_store to modules of their own.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -36,7 +36,8 @@
         local: entry under which this daemon registers.
         members: registered daemons by name.
         fleet: number of daemons.
-        sharing: number of daemons like this one that share the limits.
+        limit_divisor: number by which this daemon divides the limits of the
+            whole fleet; see `limit_divisor`.
         directory: registered backend servers.
         states: observed state of each backend server.
         shares: limits on the connections to each backend server.
@@ -49,7 +50,7 @@
     local: Member
     members: Registry[Member]
     fleet: FleetSize
-    sharing: FleetSize
+    limit_divisor: FleetSize
     directory: ServerDirectory
     states: ServerStates
     shares: ConnectionShares
@@ -67,15 +68,15 @@
 def route_blackboard(settings: RouteSettings, clock: Clock) -> RouteBlackboard:
     """Create the blackboard of a daemon that has not read the store yet."""
     fleet = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
-    sharing = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
+    limit_divisor = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
     return RouteBlackboard(
         local=_local_member(settings),
         members=Registry(clock=clock, grace_ms=_MEMBER_GRACE_MS),
         fleet=fleet,
-        sharing=sharing,
+        limit_divisor=limit_divisor,
         directory=ServerDirectory(registry=Registry(clock=clock)),
         states=ServerStates(),
-        shares=ConnectionShares(fleet=sharing),
+        shares=ConnectionShares(fleet=limit_divisor),
         limits=ConnectionLimits(
             header_bytes=INITIAL_HEADER_BYTES,
             request_read_ms=INITIAL_READ_MS,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -45,8 +45,7 @@
     'no configuration is known yet',
     retry_after_ms=_NO_ROUTES_RETRY_MS,
 )
-# An overload lasts for seconds; callers that came back after half of this time
-# were served slightly less often.
+# An overload lasts for seconds.
 _OVERLOAD_RETRY_MS: Final = 1000
 _INTERNAL_ERROR: Final = may_have_run(
     FailureCode.INTERNAL, 'internal error; see the log of the daemon'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
@@ -58,7 +58,7 @@
         blackboard=blackboard,
         pools=ServerPools(clock=clock, shares=blackboard.shares),
         retry_budgets=retry_budgets(
-            settings.repeats, clock, blackboard.sharing
+            settings.repeats, clock, blackboard.limit_divisor
         ),
         limits=ConcurrencyLimits(clock=clock),
         metrics=metrics,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
@@ -138,7 +138,7 @@
 
     Attributes:
         overloaded: whether the daemon asks for fewer callers.
-        busy_percent: average share of the time in which its event loop works.
+        busy_percent: average share of the time in which the event loop works.
     """
 
     event: ClassVar[str] = 'load_changed'
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -37,8 +37,8 @@
 # Jitter of the watch duration. Every daemon receives an update at the same
 # time, and without jitter their next watches would expire together.
 _MIN_WAIT_RATIO: Final = 0.9
-# Time for daemons that start together to register, so that one watch finds
-# them all.
+# Time for daemons that start together to register, so that one watch returns
+# all registrations.
 _START_DELAY_MS: Final = 1000.0
 
 
@@ -47,7 +47,7 @@
     """Lists the store once, then reads updates from it or from a relay.
 
     Attributes:
-        store_copy: what this daemon knows of the store.
+        store_copy: copy of the store that this daemon keeps up to date.
     """
 
     store_copy: StoreCopy
@@ -107,8 +107,8 @@
         self.store_copy.apply_changes(changes)
         if not changes.updates:
             return 0
-        if self._relays.sources.is_root:
-            return self._polling.root_batch_delay_ms
+        if self._relays.sources.reads_for_data_centre:
+            return self._polling.reader_batch_delay_ms
         return self._polling.batch_delay_ms
 
     @property
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_load_monitor.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_load_monitor.py
@@ -12,7 +12,7 @@
     capable_members,
     preferred_members,
 )
-from fennelfork.routes import Overload
+from fennelfork.routes import DaemonOverload
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._fleet_reporter import FleetReporter
 
@@ -57,7 +57,7 @@
     """
 
     _blackboard: RouteBlackboard
-    _overload: Overload
+    _overload: DaemonOverload
     _timer: IdleTimer
     _clock: Clock
     _reporter: FleetReporter
@@ -107,7 +107,7 @@
     """Create the monitor of the event loop of this process."""
     return LoadMonitor(
         blackboard=blackboard,
-        overload=Overload(clock=clock),
+        overload=DaemonOverload(clock=clock),
         timer=install_idle_timer(clock),
         clock=clock,
         reporter=reporter,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -15,11 +15,12 @@
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 
 _MS_PER_SECOND: Final = 1000
-# Bounds how long callers are directed to a daemon that has crashed. They
-# connect to it in vain once and then use another one.
+# Bounds how long callers are directed to a daemon that has crashed. A caller
+# connects to the crashed daemon once in vain and then uses another daemon.
 _LEASE_TTL_MS: Final = 3000.0
 _RENEWAL_INTERVAL_MS: Final = 1400.0
-# After a failed call, so that the next one arrives before the lease expires.
+# Delay after a failed renewal, so that the next renewal arrives before the lease
+# expires.
 _RETRY_INTERVAL_MS: Final = 300.0
 # Bounds the delay between readiness and registration.
 _POLL_INTERVAL_MS: Final = 50.0
@@ -100,7 +101,7 @@
             self._reporter.lease_granted(lease, ttl_ms)
 
     def _write_entry(self, lease: int) -> bool:
-        """Write the entry of this daemon and return whether it is valid."""
+        """Write the entry of this daemon and return whether the lease is valid."""
         local = self._blackboard.local
         registered = self._record_result(self._store.register(local, lease))
         if not (is_successful(registered) and registered.unwrap()):
@@ -109,7 +110,7 @@
         return True
 
     def _renew(self, lease: int) -> bool:
-        """Renew a lease, or discard it; return whether it may be valid."""
+        """Renew a lease and return whether the lease may still be valid."""
         renewed = self._record_result(self._store.renew(lease))
         if not is_successful(renewed):
             return True
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay.py
@@ -88,7 +88,11 @@
         return self._clock.now_ms() - self._last_request_ms < _RECORDING_MS
 
     def _wait_for_change(self, deadline_ms: float) -> Any:
-        """Wait until the log changes; return what ended the wait."""
+        """Wait for a change of the log.
+
+        Returns:
+            `HistoryCompacted` after a listing, None after updates or a timeout.
+        """
         remaining_ms = max(0, deadline_ms - self._clock.now_ms())
         with eventlet.Timeout(remaining_ms / _MS_PER_SECOND, exception=False):
             return self._changed.wait()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_reader.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen(kw_only=True)
 class RelayReader:
-    """Reads from relays and remembers which of them failed.
+    """Reads updates from relays and records the relays that failed.
 
     Attributes:
         sources: choice between the store and the relays.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_sources.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_sources.py
@@ -27,7 +27,7 @@
         return self._availability.is_available
 
     @property
-    def is_root(self) -> bool:
+    def reads_for_data_centre(self) -> bool:
         """Whether this daemon reads the store for its data centre."""
         return bool(self._blackboard.local.peer) and not self._parents()
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
@@ -11,7 +11,7 @@
 
 @attrs.define(kw_only=True)
 class StoreCopy:
-    """Applies what was read to the blackboard, in order of the revisions.
+    """Applies listings and updates to the blackboard, in order of revisions.
 
     Attributes:
         relay: passes on the updates to other daemons.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fennelfork.membership import sharing_count
+from fennelfork.membership import limit_divisor
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._store_reporter import StoreReporter
@@ -76,8 +76,8 @@
             _apply_update(update, self)
         members = self.blackboard.members.entries
         self.blackboard.fleet.record_size(len(members))
-        self.blackboard.sharing.record_size(
-            sharing_count(self.blackboard.local, members.values())
+        self.blackboard.limit_divisor.record_size(
+            limit_divisor(self.blackboard.local, members.values())
         )
         incarnations = self.blackboard.directory.incarnations
         self.blackboard.states.retain(incarnations)
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -32,9 +32,11 @@
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.routes import (
     CallerRequest,
+    EntryQuery,
     HistoryCompacted,
     Listing,
     RelayedBatch,
+    RouteEntries,
     RouteSettings,
     StoreUpdate,
     UpdateBatch,
@@ -372,3 +374,13 @@
     def _log_lines(self) -> list[dict[str, Any]]:
         lines = self.log.getvalue().splitlines()
         return [json.loads(line) for line in lines]
+
+
+def entry_addresses(following: FollowingDaemon) -> tuple[str, ...]:
+    """Return the daemons that a caller of the same data centre gets."""
+    entries = RouteEntries(
+        blackboard=following.blackboard, rng=random.Random(1)
+    )
+    found = entries.answer(EntryQuery(region='east', data_centre='here'))
+    assert found is not None
+    return found.addresses
--- a/packages/fennelfork-daemon/tests/test_routes_load_monitor.py
+++ b/packages/fennelfork-daemon/tests/test_routes_load_monitor.py
@@ -15,7 +15,7 @@
 from returns.result import Success
 
 from fennelfork import manual_clock, system_clock
-from fennelfork.routes import Overload
+from fennelfork.routes import DaemonOverload
 from fennelfork_daemon.routes import ConfigUpdate, MemberUpdate
 from fennelfork_daemon.routes._load_monitor import (
     IdleTimer,
@@ -42,7 +42,7 @@
     clock = manual_clock(following.time)
     return LoadMonitor(
         blackboard=following.blackboard,
-        overload=Overload(clock=clock),
+        overload=DaemonOverload(clock=clock),
         timer=IdleTimer(clock=clock, poll=lambda seconds: []),
         clock=clock,
         reporter=following.fleet_reporter,
--- a/packages/fennelfork-daemon/tests/test_routes_relayed.py
+++ b/packages/fennelfork-daemon/tests/test_routes_relayed.py
@@ -206,74 +206,80 @@
     """The daemon passes on updates."""
 
     @pytest.fixture
-    def root(self) -> Iterator[FollowingDaemon]:
+    def reader(self) -> Iterator[FollowingDaemon]:
         """Yield a daemon that reads the store."""
         new_daemon = FollowingDaemon(peer=Address(host='10.0.0.1', port=7000))
         new_daemon.apply_listing(ConfigUpdate(table=table(3)))
         yield new_daemon
         structlog.reset_defaults()
 
-    def test_updates_are_passed_on(self, root: FollowingDaemon) -> None:
+    def test_updates_are_passed_on(self, reader: FollowingDaemon) -> None:
         """An update that arrives while another daemon waits is returned."""
         waiting = eventlet.spawn(
-            root.follower.store_copy.relay.updates_after, _LISTED_REVISION, 1000
+            reader.follower.store_copy.relay.updates_after,
+            _LISTED_REVISION,
+            1000,
         )
         eventlet.sleep(0)
-        _apply_encoded(root, _LISTED_REVISION + 1)
+        _apply_encoded(reader, _LISTED_REVISION + 1)
         batch = waiting.wait()
         assert [each.revision for each in batch.changes.encoded] == [6]
         assert batch.changes.revision == _LISTED_REVISION + 1
         assert batch.is_connected
 
-    def test_no_request_no_memory(self, root: FollowingDaemon) -> None:
+    def test_no_request_no_memory(self, reader: FollowingDaemon) -> None:
         """Updates are kept only while other daemons ask for them."""
-        _apply_encoded(root, _LISTED_REVISION + 1)
-        reply = root.follower.store_copy.relay.updates_after(
+        _apply_encoded(reader, _LISTED_REVISION + 1)
+        reply = reader.follower.store_copy.relay.updates_after(
             _LISTED_REVISION, 0
         )
         assert isinstance(reply, HistoryCompacted)
-        _apply_encoded(root, _LISTED_REVISION + 2)
-        reply = root.follower.store_copy.relay.updates_after(
+        _apply_encoded(reader, _LISTED_REVISION + 2)
+        reply = reader.follower.store_copy.relay.updates_after(
             _LISTED_REVISION + 1, 0
         )
         assert isinstance(reply, RelayedBatch)
         assert len(reply.changes.encoded) == 1
 
-    def test_listing_wakes_waiting_daemons(self, root: FollowingDaemon) -> None:
+    def test_listing_wakes_waiting_daemons(
+        self, reader: FollowingDaemon
+    ) -> None:
         """A daemon that waits during a listing reads the store itself."""
         waiting = eventlet.spawn(
-            root.follower.store_copy.relay.updates_after, _LISTED_REVISION, 1000
+            reader.follower.store_copy.relay.updates_after,
+            _LISTED_REVISION,
+            1000,
         )
         eventlet.sleep(0)
-        root.store.watch_results.append(HistoryCompacted())
-        root.follower.step()
-        root.apply_listing(ConfigUpdate(table=table(3)))
+        reader.store.watch_results.append(HistoryCompacted())
+        reader.follower.step()
+        reader.apply_listing(ConfigUpdate(table=table(3)))
         assert isinstance(waiting.wait(), HistoryCompacted)
 
-    def test_lost_store(self, root: FollowingDaemon) -> None:
+    def test_lost_store(self, reader: FollowingDaemon) -> None:
         """A daemon that cannot read the store says so at once."""
-        root.follower.step()
-        batch = root.follower.store_copy.relay.updates_after(
+        reader.follower.step()
+        batch = reader.follower.store_copy.relay.updates_after(
             _LISTED_REVISION, 1000
         )
         assert isinstance(batch, RelayedBatch)
         assert not batch.is_connected
 
-    def test_root_reads_often(self, root: FollowingDaemon) -> None:
+    def test_short_batch_delay(self, reader: FollowingDaemon) -> None:
         """The batch delay of the only reader does not grow with the fleet."""
         others = [
             MemberUpdate(member=member(f'far-{index}', 'far'))
             for index in range(100)
         ]
-        root.apply_updates(*others)
-        assert root.apply_updates(*others) == 300
+        reader.apply_updates(*others)
+        assert reader.apply_updates(*others) == 300
 
 
-def _apply_encoded(root: FollowingDaemon, revision: int) -> None:
+def _apply_encoded(reader: FollowingDaemon, revision: int) -> None:
     """Apply one update of the store."""
     changes = UpdateBatch(
         updates=(ConfigUpdate(table=table(revision)),),
         revision=revision,
         encoded=(EncodedUpdate(revision=revision, text='{}'),),
     )
-    root.follower.apply_changes(changes)
+    reader.follower.apply_changes(changes)
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -1,7 +1,5 @@
 """Tests of the synchronisation of a route daemon with the store."""
 
-import random
-
 import eventlet
 import pytest
 import structlog
@@ -9,6 +7,7 @@
     NO_RESPONSE,
     STORE_UNAVAILABLE,
     FollowingDaemon,
+    entry_addresses,
     member,
     server,
     table,
@@ -18,12 +17,9 @@
 
 from fennelfork_daemon.routes import (
     ConfigUpdate,
-    EntryQuery,
     HistoryCompacted,
     InvalidEntry,
-    MemberRemoved,
     MemberUpdate,
-    RouteEntries,
     ServerRemoved,
     ServerUpdate,
 )
@@ -205,7 +201,9 @@
         following.apply_updates(
             InvalidEntry(key='k', problem='no JSON', member='vm-22'),
         )
-        assert _addresses(following) == (following.blackboard.local.caller,)
+        assert entry_addresses(following) == (
+            following.blackboard.local.caller,
+        )
 
 
 class TestUnresponsiveStore:
@@ -355,118 +353,7 @@
         assert following.availability.data_age_ms == 0
 
 
-class TestRegistration:
-    """Registration of this daemon."""
-
-    def test_unready_daemon(self) -> None:
-        """A daemon without a configuration does not register."""
-        new_daemon = FollowingDaemon()
-        new_daemon.registration.step()
-        assert not new_daemon.store.calls
-        assert new_daemon.registration.delay_ms < 100
-        new_daemon.apply_listing(ConfigUpdate(table=table(3)))
-        assert new_daemon.registration.delay_ms == 1400
-        structlog.reset_defaults()
-
-    def test_expired_lease(self, following: FollowingDaemon) -> None:
-        """An expired lease is replaced; a failed renewal is only repeated."""
-        following.registration.step()
-        following.store.renewals = [
-            Bad(STORE_UNAVAILABLE),
-            Success(False),
-            Success(True),
-        ]
-        for _ in range(3):
-            following.registration.step()
-        kinds = [
-            call[0] for call in following.store.calls if call[0] != 'list_all'
-        ]
-        assert kinds == [
-            'open_lease',
-            'register',
-            'renew',
-            'renew',
-            'open_lease',
-            'register',
-            'renew',
-        ]
-
-    def test_lost_renewal(self, following: FollowingDaemon) -> None:
-        """A lost renewal is repeated before the lease expires.
-
-        A call without a response takes 650 ms.
-        """
-        following.registration.step()
-        to_renewal_ms = following.registration.delay_ms
-        following.store.renewals = [Bad(STORE_UNAVAILABLE)]
-        following.registration.step()
-        to_retry_ms = following.registration.delay_ms
-        ttl_ms = following.lines('lease_granted')[0]['ttl_ms']
-        assert to_renewal_ms + 650 + to_retry_ms < ttl_ms - 200
-
-    def test_leaving_daemon(self, following: FollowingDaemon) -> None:
-        """A leaving daemon is not ready and does not register."""
-        following.registration.leave()
-        following.registration.step()
-        assert not following.blackboard.is_ready
-        assert following.store.calls == [('list_all', 400)]
-
-
-class TestEntries:
-    """Selection of the daemons that a caller connects to."""
-
-    def test_nearest_daemons(self, following: FollowingDaemon) -> None:
-        """The daemons of the data centre of the caller are returned."""
-        following.apply_updates(
-            MemberUpdate(member=member('vm-22')),
-            MemberUpdate(member=member('vm-333', 'far')),
-        )
-        own = following.blackboard.local.caller
-        assert set(_addresses(following)) == {own, '10.0.0.1:5'}
-
-    def test_few_nearby_daemons(self, following: FollowingDaemon) -> None:
-        """A more distant daemon is added to a single nearby daemon."""
-        following.apply_updates(MemberUpdate(member=member('vm-333', 'far')))
-        own = following.blackboard.local.caller
-        assert set(_addresses(following)) == {own, '10.0.0.1:6'}
-
-    def test_leaving_daemon_is_omitted(
-        self, following: FollowingDaemon
-    ) -> None:
-        """A leaving daemon does not return itself."""
-        following.apply_updates(
-            MemberUpdate(member=member('vm-1')),
-            MemberUpdate(member=member('vm-22')),
-        )
-        following.blackboard.is_leaving = True
-        assert _addresses(following) == ('10.0.0.1:5',)
-
-    def test_removed_daemon(self, following: FollowingDaemon) -> None:
-        """A daemon whose entry was removed is not returned."""
-        following.apply_updates(MemberUpdate(member=member('vm-22')))
-        following.apply_updates(MemberRemoved(name='vm-22'))
-        assert _addresses(following) == (following.blackboard.local.caller,)
-
-    def test_no_ready_daemon(self) -> None:
-        """There is no answer without a ready daemon."""
-        new_daemon = FollowingDaemon()
-        entries = RouteEntries(
-            blackboard=new_daemon.blackboard, rng=random.Random(1)
-        )
-        assert entries.answer(EntryQuery(region='', data_centre='')) is None
-        structlog.reset_defaults()
-
-
 def _run_two_steps(following: FollowingDaemon) -> None:
     """Make two consecutive calls of the store."""
     following.follower.step()
     following.follower.step()
-
-
-def _addresses(following: FollowingDaemon) -> tuple[str, ...]:
-    entries = RouteEntries(
-        blackboard=following.blackboard, rng=random.Random(1)
-    )
-    found = entries.answer(EntryQuery(region='east', data_centre='here'))
-    assert found is not None
-    return found.addresses
--- a/packages/fennelfork/src/fennelfork/home/_gate.py
+++ b/packages/fennelfork/src/fennelfork/home/_gate.py
@@ -12,8 +12,8 @@
 
 # Reported levels expire after this time.
 _LEVEL_LIFETIME_MS: Final = 1000.0
-# A minimum keeps some requests flowing, whose answers report new levels; below
-# it, too few would pass to learn that the overload has ended.
+# A minimum keeps some requests flowing, whose answers report new levels. With
+# fewer requests, root daemons would not learn that the overload has ended.
 _MIN_LEVEL: Final = 0.01
 
 
--- a/packages/fennelfork/src/fennelfork/membership/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/membership/__init__.pyi
@@ -5,8 +5,8 @@
 from ._announce import announce_local_member as announce_local_member
 from ._announce import leave_is_announced as leave_is_announced
 from ._capacity import capable_members as capable_members
+from ._capacity import limit_divisor as limit_divisor
 from ._capacity import preferred_members as preferred_members
-from ._capacity import sharing_count as sharing_count
 from ._member import Member as Member
 from ._member import MemberStatus as MemberStatus
 from ._member import initial_incarnation as initial_incarnation
--- a/packages/fennelfork/src/fennelfork/membership/_capacity.py
+++ b/packages/fennelfork/src/fennelfork/membership/_capacity.py
@@ -10,9 +10,10 @@
 # Daemons of at least this share of the reference capacity are alike.
 _SIMILAR_RATIO: Final = 0.5
 # Part of a limit for a daemon that callers use only under high load, relative to
-# one that they always use.
+# a daemon that callers always use.
 _RESERVE_WEIGHT: Final = 0.1
-# Share of overloaded daemons from which on the others must help.
+# Share of the most capable daemons that are overloaded, from which on all
+# daemons serve callers.
 _MAX_OVERLOADED_RATIO: Final = 0.5
 
 
@@ -46,8 +47,8 @@
     return idle if len(idle) >= _MIN_PREFERRED else capable
 
 
-def sharing_count(local: Member, members: Iterable[Member]) -> float:
-    """Return by how many daemons like the local one a limit is divided.
+def limit_divisor(local: Member, members: Iterable[Member]) -> float:
+    """Return the number by which the local daemon divides a limit.
 
     A limit of the whole fleet is divided by need: the daemons that callers
     prefer get most of it. The parts of all daemons add up to the limit.
--- a/packages/fennelfork/src/fennelfork/placement/_relay_tree.py
+++ b/packages/fennelfork/src/fennelfork/placement/_relay_tree.py
@@ -1,4 +1,7 @@
-"""Tree in which the daemons of a data centre pass on updates of the store."""
+"""Tree in which the daemons of a data centre pass on updates of the store.
+
+A relay is a daemon that passes on updates.
+"""
 
 from collections.abc import Iterable
 from typing import Final
@@ -29,7 +32,7 @@
 
     Returns:
         The parent in the tree and a substitute, if there is one; empty for the
-        root, which reads the store.
+        first daemon of the order, which reads the store.
     """
     order = _relay_order(local, members)
     rank = order.index(local)
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -12,6 +12,7 @@
 from ._concurrency import ConcurrencyLimit as ConcurrencyLimit
 from ._concurrency import ConcurrencyLimits as ConcurrencyLimits
 from ._connection_share import ConnectionShares as ConnectionShares
+from ._daemon_overload import DaemonOverload as DaemonOverload
 from ._dispatch import Dispatch as Dispatch
 from ._dispatch import FinishReason as FinishReason
 from ._dispatch import dispatch as dispatch
@@ -22,7 +23,6 @@
 from ._latency_baseline import LatencyBaseline as LatencyBaseline
 from ._latency_baseline import LatencyBaselines as LatencyBaselines
 from ._latency_baseline import latency_baseline as latency_baseline
-from ._overload import Overload as Overload
 from ._quarantine import Quarantine as Quarantine
 from ._quarantine import quarantine as quarantine
 from ._records import RECORD_BYTES as RECORD_BYTES
--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -41,8 +41,8 @@
 
 
 # Below this time limit, a connection that is not established in time says
-# nothing about its server. A connection to another region takes 54 ms, to a
-# busy server more.
+# nothing about its server. A connection to another region takes 54 ms, and one
+# to a busy server takes longer.
 _MIN_CONNECT_MS: Final = 300.0
 
 
--- a/packages/fennelfork/src/fennelfork/routes/_overload.py
+++ b/packages/fennelfork/src/fennelfork/routes/_daemon_overload.py
@@ -1,4 +1,4 @@
-"""Overload of a daemon, which asks for fewer callers while it lasts."""
+"""DaemonOverload of a daemon, which asks for fewer callers while it lasts."""
 
 from typing import Final
 
@@ -10,15 +10,15 @@
 _LATEST_WEIGHT: Final = 0.3
 # Busy share of the event loop above which requests wait for each other.
 _MAX_BUSY_RATIO: Final = 0.7
-# Busy share that the daemon should have with all of its callers back.
+# Busy share, with all usual callers, below which an overload ends.
 _RELEASE_BUSY_RATIO: Final = 0.4
 # Callers that return to a daemon open new connections, so an overload lasts.
 _MIN_DURATION_MS: Final = 10_000.0
 
 
 @attrs.define(kw_only=True)
-class Overload:
-    """Overload of one daemon, from measurements of its event loop.
+class DaemonOverload:
+    """DaemonOverload of one daemon, from measurements of its event loop.
 
     Attributes:
         is_active: whether the daemon is overloaded.
@@ -35,8 +35,8 @@
 
         Args:
             busy_ratio: share of the time in which the event loop worked.
-            callers_ratio: share of its callers that the daemon has, as others
-                serve them while it is overloaded.
+            callers_ratio: share of the usual callers that the daemon has now, as
+                other daemons serve the rest during an overload.
         """
         self.busy_ratio += _LATEST_WEIGHT * (busy_ratio - self.busy_ratio)
         was_active = self.is_active
--- a/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
+++ b/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
@@ -15,7 +15,10 @@
 
 @attrs.define(kw_only=True)
 class FleetSize:
-    """Tracks the maximum number of daemons within a sliding window.
+    """Tracks the maximum size of the fleet within a sliding window.
+
+    The size is the number of daemons, or the number by which one daemon divides
+    the limits of the fleet.
 
     A daemon that has left may have used its share of the current window, so
     the share is redistributed only after the window has passed.
@@ -38,16 +41,12 @@
 
     @property
     def max_size(self) -> float:
-        """Maximum number of daemons within the window, at least one."""
+        """Maximum size within the window, at least one."""
         self._discard_old()
         return max((count for _at, count in self._seen), default=1)
 
     def record_size(self, count: float) -> None:
-        """Record the current number of daemons, including this one.
-
-        A daemon with a larger part of the limits than others records a lower
-        number.
-        """
+        """Record the current size, which includes this daemon."""
         self._discard_old()
         now_ms = self._clock.now_ms()
         self._first_ms = min(self._first_ms, now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -14,8 +14,8 @@
 # the same server about once a second.
 _LATENCY_HALF_LIFE_MS: Final = 6000.0
 # High enough that two slow responses in a row move requests to another region,
-# and low enough that a single slow response does not, as it may be a pause.
-# With 0.1 it took five slow responses, and each may cost a caller a part.
+# and low enough that a single slow response, which may be a pause, does not. A
+# gain of 0.1 takes five slow responses, each of which may cost a caller a part.
 _LATENCY_GAIN: Final = 0.4
 _HALF: Final = 0.5
 _MIN_LATENCY_RATIO: Final = 0.1
--- a/packages/fennelfork/src/fennelfork/routes/_store_polling.py
+++ b/packages/fennelfork/src/fennelfork/routes/_store_polling.py
@@ -12,9 +12,9 @@
 _RESPONSE_MS: Final = 300.0
 # Minimum delay before a failed call is retried.
 STORE_RETRY_DELAY_MS: Final = 150.0
-# Updates within the batch delay are fetched by one call. The root of a data
-# centre reads with the minimum. Other daemons that read the store may be many,
-# so their delay grows with the fleet to bound its load.
+# Updates within the batch delay are fetched by one call. The daemon that reads
+# the store for its data centre uses the minimum. Many other daemons may read the
+# store at the same time, so their delay grows with the fleet.
 _BATCH_DELAY_PER_DAEMON_MS: Final = 15.0
 _MIN_BATCH_DELAY_MS: Final = 300.0
 _MAX_BATCH_DELAY_MS: Final = 1000.0
@@ -28,8 +28,8 @@
 # Initial timeout of a listing. A daemon that starts delays its callers until
 # the first listing has arrived.
 INITIAL_LISTING_TIMEOUT_MS: Final = 400.0
-# Duration of a request for updates to another daemon. After two lost requests,
-# a call of the store still returns in time.
+# Duration of a request for updates to another daemon, relative to the maximum
+# age. After two lost requests, a call of the store still returns in time.
 _RELAY_WAIT_RATIO: Final = 1 / 6
 _MAX_RELAY_WAIT_MS: Final = 1000.0
 # Additional time for the response of a busy daemon.
@@ -77,7 +77,7 @@
         return min(_MAX_BATCH_DELAY_MS, wanted_ms)
 
     @property
-    def root_batch_delay_ms(self) -> float:
+    def reader_batch_delay_ms(self) -> float:
         """Batch delay of a daemon that reads for its data centre."""
         return _MIN_BATCH_DELAY_MS
 
--- a/packages/fennelfork/tests/test_entries_capacity.py
+++ b/packages/fennelfork/tests/test_entries_capacity.py
@@ -21,8 +21,8 @@
 from fennelfork import nearest_entries
 from fennelfork.membership import (
     Member,
+    limit_divisor,
     preferred_members,
-    sharing_count,
 )
 
 _LARGE = 2.15
@@ -131,13 +131,13 @@
             _build(f'vm-{index}', cores, data_centre)
             for index, (data_centre, cores) in enumerate(places)
         ]
-        parts = [1 / sharing_count(member, members) for member in members]
+        parts = [1 / limit_divisor(member, members) for member in members]
         assert sum(parts) == pytest.approx(1)
 
     def test_equal_daemons(self) -> None:
         """Equal daemons get equal parts."""
         members = [_build(f'vm-{index}', 1.07) for index in range(5)]
-        assert sharing_count(members[0], members) == 5
+        assert limit_divisor(members[0], members) == 5
 
     def test_preferred_daemons(self) -> None:
         """The large VMs get most of a limit, the small ones keep a part."""
@@ -145,13 +145,13 @@
             *_mixed_data_centre(),
             *_mixed_data_centre('dc-2'),
         ]
-        assert sharing_count(members[0], members) == pytest.approx(8.4)
-        assert sharing_count(members[-1], members) == pytest.approx(84)
+        assert limit_divisor(members[0], members) == pytest.approx(8.4)
+        assert limit_divisor(members[-1], members) == pytest.approx(84)
 
     def test_unregistered_daemon(self) -> None:
         """A daemon that is not registered yet counts itself."""
         members = [_build(f'vm-{index}', 1.07) for index in range(4)]
-        assert sharing_count(_build('new', 1.07), members) == 5
+        assert limit_divisor(_build('new', 1.07), members) == 5
 
 
 class TestEqualFleet:
--- a/packages/fennelfork/tests/test_placement_relay_tree.py
+++ b/packages/fennelfork/tests/test_placement_relay_tree.py
@@ -32,7 +32,7 @@
     """One data centre."""
 
     @given(st.integers(1, 60))
-    def test_one_root(self, size: int) -> None:
+    def test_one_reader(self, size: int) -> None:
         """Exactly one daemon reads the store, the others are below it."""
         parents = _parent_names(build_data_centre_members('dc-1', size))
         assert sum(not names for names in parents.values()) == 1
@@ -46,7 +46,7 @@
         assert max(children.values()) <= _MAX_CHILDREN
 
     def test_lost_parent_has_substitutes(self) -> None:
-        """All daemons but the root and the second have two sources."""
+        """All daemons but the first two of the order have two sources."""
         parents = _parent_names(build_data_centre_members('dc-1', 20))
         counts = Counter(len(names) for names in parents.values())
         assert counts[0] == 1
@@ -54,12 +54,12 @@
         assert min(len(set(names)) for names in parents.values()) == 0
         assert all(len(set(names)) == len(names) for names in parents.values())
 
-    def test_lost_root(self) -> None:
-        """Another daemon becomes the root."""
+    def test_lost_reader(self) -> None:
+        """Another daemon reads the store."""
         members = build_data_centre_members('dc-1', 20)
         parents = _parent_names(members)
-        root = next(name for name, names in parents.items() if not names)
-        left = [member for member in members if member.name != root]
+        reader = next(name for name, names in parents.items() if not names)
+        left = [member for member in members if member.name != reader]
         after = _parent_names(left)
         assert sum(not names for names in after.values()) == 1
 
--- a/packages/fennelfork/tests/test_routes_overload.py
+++ b/packages/fennelfork/tests/test_routes_daemon_overload.py
@@ -1,4 +1,4 @@
-"""Overload of a daemon.
+"""DaemonOverload of a daemon.
 
 Guards against a daemon that is overloaded without telling the others, and
 against callers that move back and forth between two sets of daemons.
@@ -7,7 +7,7 @@
 import pytest
 
 from fennelfork import ManualTime, manual_clock
-from fennelfork.routes import Overload
+from fennelfork.routes import DaemonOverload
 
 
 @pytest.fixture
@@ -17,13 +17,13 @@
 
 
 @pytest.fixture
-def overload(time: ManualTime) -> Overload:
+def overload(time: ManualTime) -> DaemonOverload:
     """Return the state of a daemon without load."""
-    return Overload(clock=manual_clock(time))
+    return DaemonOverload(clock=manual_clock(time))
 
 
 def _record(
-    overload: Overload,
+    overload: DaemonOverload,
     time: ManualTime,
     seconds: int,
     busy_ratio: float,
@@ -40,17 +40,19 @@
 class TestOverload:
     """Begin and end of an overload."""
 
-    def test_short_peak(self, overload: Overload, time: ManualTime) -> None:
+    def test_short_peak(
+        self, overload: DaemonOverload, time: ManualTime
+    ) -> None:
         """Half a second of work is no overload."""
         overload.record(1, 1)
         assert not overload.is_active
 
-    def test_burst(self, overload: Overload, time: ManualTime) -> None:
+    def test_burst(self, overload: DaemonOverload, time: ManualTime) -> None:
         """A daemon that works all the time is overloaded within 3 s."""
         _record(overload, time, 3, 1)
         assert overload.is_active
 
-    def test_end(self, overload: Overload, time: ManualTime) -> None:
+    def test_end(self, overload: DaemonOverload, time: ManualTime) -> None:
         """An overload ends when the load has fallen, but not at once."""
         _record(overload, time, 3, 1)
         _record(overload, time, 5, 0.1)
@@ -59,14 +61,16 @@
         assert not overload.is_active
 
     def test_others_serve_its_callers(
-        self, overload: Overload, time: ManualTime
+        self, overload: DaemonOverload, time: ManualTime
     ) -> None:
         """The overload lasts while the returning callers would renew it."""
         _record(overload, time, 3, 1)
         assert not _record(overload, time, 60, 0.1, callers_ratio=0.1)
         assert overload.is_active
 
-    def test_few_changes(self, overload: Overload, time: ManualTime) -> None:
+    def test_few_changes(
+        self, overload: DaemonOverload, time: ManualTime
+    ) -> None:
         """A load that alternates each second changes the state rarely."""
         changes = sum(
             _record(overload, time, 1, busy_ratio)
--- a/tests/test_platform_relayed_updates.py
+++ b/tests/test_platform_relayed_updates.py
@@ -46,38 +46,38 @@
         _expect_change_in_time(fleet, 2, _NAMES)
         _await_one_reader(fleet)
 
-    def test_paused_root(self, fleet: PlatformFleet) -> None:
-        """The others apply a change while the root is paused."""
-        root = _root(fleet)
-        fleet.daemons[root].pause()
-        _expect_change_in_time(fleet, 2, _without(root))
-        fleet.daemons[root].resume()
+    def test_paused_reader(self, fleet: PlatformFleet) -> None:
+        """The others apply a change while the reader is paused."""
+        reader = _reader(fleet)
+        fleet.daemons[reader].pause()
+        _expect_change_in_time(fleet, 2, _without(reader))
+        fleet.daemons[reader].resume()
         _expect_change_in_time(fleet, 3, _NAMES)
 
-    def test_killed_root(self, fleet: PlatformFleet) -> None:
-        """The others apply a change after the root was killed."""
-        root = _root(fleet)
-        fleet.daemons[root].kill()
-        _expect_change_in_time(fleet, 2, _without(root))
-        fleet.start_daemon(root, ZONES[0])
-        await_ready(fleet, root)
+    def test_killed_reader(self, fleet: PlatformFleet) -> None:
+        """The others apply a change after the reader was killed."""
+        reader = _reader(fleet)
+        fleet.daemons[reader].kill()
+        _expect_change_in_time(fleet, 2, _without(reader))
+        fleet.start_daemon(reader, ZONES[0])
+        await_ready(fleet, reader)
         _expect_change_in_time(fleet, 3, _NAMES)
 
-    def test_stopped_root(self, fleet: PlatformFleet) -> None:
-        """The others apply changes during the graceful stop of the root."""
-        root = _root(fleet)
-        fleet.daemons[root].terminate()
+    def test_stopped_reader(self, fleet: PlatformFleet) -> None:
+        """The others apply changes during the graceful stop of the reader."""
+        reader = _reader(fleet)
+        fleet.daemons[reader].terminate()
         for version in (2, 3, 4):
-            _expect_change_in_time(fleet, version, _without(root))
+            _expect_change_in_time(fleet, version, _without(reader))
 
     def test_outage_of_the_store(self, fleet: PlatformFleet) -> None:
         """A change after an outage is applied in time."""
         fleet.set_store_down(True)
-        root = _root(fleet)
+        reader = _reader(fleet)
         wait_until(
-            lambda: 'store_lost' in _events(fleet, root),
+            lambda: 'store_lost' in _events(fleet, reader),
             _MAX_CHANGE_DELAY_S,
-            'the root to notice the outage',
+            'the reader to notice the outage',
         )
         fleet.set_store_down(False)
         _expect_change_in_time(fleet, 2, _NAMES)
@@ -91,11 +91,11 @@
     )
 
 
-def _without(root: str) -> tuple[str, ...]:
-    return tuple(name for name in _NAMES if name != root)
+def _without(reader: str) -> tuple[str, ...]:
+    return tuple(name for name in _NAMES if name != reader)
 
 
-def _root(fleet: PlatformFleet) -> str:
+def _reader(fleet: PlatformFleet) -> str:
     """Return the daemon that reads the store."""
     return _NAMES[_sources(fleet).index(_STORE)]
 
