Home regions: only backend servers in the home regions of a route run its requests

Change: a route holds its home regions, and the choice of a server is limited to them: first attempts, retries, hedges and the use of ejected servers. Each attempt satisfies the homes at the arrival of the request and those of the active version. Without a server at home the request is refused at once, as not run. Entries omit daemons that are neither in the region of the caller nor at home.

Tests fail without the change (the keyword does not exist).

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -9,8 +9,10 @@
 from fennelfork.routes import (
     ConnectionShares,
     FleetSize,
+    HomeRegions,
     Quarantine,
     Registry,
+    Route,
     RouteTable,
     ServerDirectory,
     ServerStates,
@@ -64,6 +66,12 @@
         """Whether this daemon accepts requests of callers."""
         return self.table is not None and not self.is_leaving
 
+    def home_regions_of(self, route: Route) -> HomeRegions:
+        """Return the home regions of a route in the active configuration."""
+        if self.table is None:
+            return route.home_regions
+        return self.table.home_regions_of(route)
+
 
 def route_blackboard(settings: RouteSettings, clock: Clock) -> RouteBlackboard:
     """Create the blackboard of a daemon that has not read the store yet."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
@@ -67,6 +67,7 @@
         dispatch_parts=DispatchParts(
             selector=parts.selector,
             retry_budgets=base.retry_budgets,
+            home_regions_of=base.blackboard.home_regions_of,
         ),
         baselines=LatencyBaselines(),
         limits=base.limits,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_entries.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_entries.py
@@ -6,6 +6,7 @@
 import attrs
 
 from fennelfork import nearest_entries
+from fennelfork.membership import Member
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 
 # Maximum number of addresses that callers read from an answer.
@@ -17,10 +18,14 @@
 
 @attrs.frozen(kw_only=True)
 class EntryQuery:
-    """Location of a caller; unknown parts are empty."""
+    """Location of a caller and the host of its requests.
+
+    Unknown parts are empty.
+    """
 
     region: str
     data_centre: str
+    host: str = ''
 
 
 @attrs.frozen(kw_only=True)
@@ -47,7 +52,7 @@
         chosen = nearest_entries(
             query.region,
             query.data_centre,
-            members.values(),
+            self._serving_homes(query, tuple(members.values())),
             _MAX_ADDRESSES,
             self._rng,
         )
@@ -57,3 +62,21 @@
             addresses=tuple(member.caller for member in chosen),
             ttl_ms=ENTRY_TTL_MS,
         )
+
+    def _serving_homes(
+        self, query: EntryQuery, members: tuple[Member, ...]
+    ) -> tuple[Member, ...]:
+        """Omit the daemons that are neither at home nor near the caller.
+
+        If there are no others, all of them are kept: they answer truly and may
+        pass requests on to the home regions.
+        """
+        table = self._blackboard.table
+        homes = table and table.home_regions_of_host(query.host)
+        if homes is None:
+            return members
+        regions = homes | {query.region}
+        serving = tuple(
+            member for member in members if member.region in regions
+        )
+        return serving or members
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -65,6 +65,7 @@
 # Duration of a call without a response, longer than any test.
 _HANG_S = 60
 _ANY_PORT = Address(host='127.0.0.1', port=0)
+_NEARBY = EntryQuery(region='east', data_centre='here')
 
 
 def settings(**changes: Any) -> RouteSettings:
@@ -376,11 +377,14 @@
         return [json.loads(line) for line in lines]
 
 
-def entry_addresses(following: FollowingDaemon) -> tuple[str, ...]:
-    """Return the daemons that a caller of the same data centre gets."""
+def entry_addresses(
+    following: FollowingDaemon,
+    query: EntryQuery = _NEARBY,
+) -> tuple[str, ...]:
+    """Return the daemons that a caller gets, by default one nearby."""
     entries = RouteEntries(
         blackboard=following.blackboard, rng=random.Random(1)
     )
-    found = entries.answer(EntryQuery(region='east', data_centre='here'))
+    found = entries.answer(query)
     assert found is not None
     return found.addresses
--- a/packages/fennelfork-daemon/tests/test_routes_entries.py
+++ b/packages/fennelfork-daemon/tests/test_routes_entries.py
@@ -12,9 +12,11 @@
     FollowingDaemon,
     entry_addresses,
     member,
+    route,
     table,
 )
 
+from fennelfork.routes import SingleService
 from fennelfork_daemon.routes import (
     ConfigUpdate,
     EntryQuery,
@@ -70,6 +72,38 @@
             following.blackboard.local.caller,
         )
 
+    def test_lost_region_of_the_caller(
+        self, following: FollowingDaemon
+    ) -> None:
+        """A caller whose region is lost gets daemons in the home regions."""
+        home = route(
+            '/rafts/',
+            SingleService(service='archive'),
+            home_regions=frozenset(('west',)),
+        )
+        following.apply_updates(
+            ConfigUpdate(table=table(4, home)),
+            MemberUpdate(member=member('vm-333', 'far')),
+        )
+        query = EntryQuery(
+            region='north', data_centre='lost', host='rafts.example'
+        )
+        assert entry_addresses(following, query) == ('10.0.0.1:6',)
+
+    def test_no_daemon_at_home(self, following: FollowingDaemon) -> None:
+        """Without a daemon in the home regions, any daemon is returned."""
+        home = route(
+            '/rafts/',
+            SingleService(service='archive'),
+            home_regions=frozenset(('south',)),
+        )
+        following.apply_updates(ConfigUpdate(table=table(4, home)))
+        query = EntryQuery(
+            region='north', data_centre='lost', host='rafts.example'
+        )
+        own = following.blackboard.local.caller
+        assert entry_addresses(following, query) == (own,)
+
     def test_no_ready_daemon(self) -> None:
         """There is no answer without a ready daemon."""
         new_daemon = FollowingDaemon()
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -9,6 +9,7 @@
 
 from fennelfork._verdict import Failure
 from fennelfork.routes._attempt_gate import attempt_gate
+from fennelfork.routes._home_regions import common_home_regions
 from fennelfork.routes._latency_baseline import LatencyBaseline
 from fennelfork.routes._request_attempts import RequestAttempts
 from fennelfork.routes._route import Route, min_parts
@@ -205,6 +206,9 @@
                 parts=parts,
                 latency_baseline=latency_baseline,
                 max_attempts=route.max_attempts,
+                home_regions=lambda: common_home_regions(
+                    route.home_regions, parts.home_regions_of(route)
+                ),
             ),
             attempt_gate=attempt_gate(suspected=bool(suspect_services)),
         ),
--- a/packages/fennelfork/src/fennelfork/routes/_route.py
+++ b/packages/fennelfork/src/fennelfork/routes/_route.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from fennelfork.routes._home_regions import HomeRegions
+
 # Tolerance for the rounding errors of a coverage times a number of services.
 _ROUNDING = 1e-9
 
@@ -66,6 +68,7 @@
         max_attempts: maximum number of backend servers of each service that
             may run one request.
         priority: rank among the routes; 0 is the most urgent.
+        home_regions: regions whose backend servers may run the requests.
     """
 
     name: str
@@ -77,6 +80,7 @@
     latency_target_ms: float
     max_attempts: int
     priority: int = 0
+    home_regions: HomeRegions = None
 
 
 @functools.singledispatch
--- a/packages/fennelfork/src/fennelfork/routes/_route_table.py
+++ b/packages/fennelfork/src/fennelfork/routes/_route_table.py
@@ -5,6 +5,10 @@
 import attrs
 
 from fennelfork.routes._caller_limits import CallerLimits
+from fennelfork.routes._home_regions import (
+    HomeRegions,
+    preferred_home_regions,
+)
 from fennelfork.routes._route import Route
 
 _SLASH = '/'
@@ -40,6 +44,8 @@
     services: Mapping[str, Service]
     routes: tuple[Route, ...]
     _by_prefix: Mapping[tuple[str, str], Route]
+    _by_name: Mapping[str, Route]
+    _homes_by_host: Mapping[str, HomeRegions]
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, if any.
@@ -55,6 +61,17 @@
             end = path.rfind(_SLASH, 0, end)
         return None
 
+    def home_regions_of(self, route: Route) -> HomeRegions:
+        """Return the current home regions of a route of any version.
+
+        A route that was removed keeps the home regions that it had.
+        """
+        return self._by_name.get(route.name, route).home_regions
+
+    def home_regions_of_host(self, host: str) -> HomeRegions:
+        """Return the regions in which callers of a host are served best."""
+        return self._homes_by_host.get(host)
+
 
 def route_table(
     version: int,
@@ -70,4 +87,17 @@
         services={service.name: service for service in services},
         routes=known,
         by_prefix={(route.host, route.prefix): route for route in known},
+        by_name={route.name: route for route in known},
+        homes_by_host=_homes_by_host(known),
     )
+
+
+def _homes_by_host(routes: Iterable[Route]) -> dict[str, HomeRegions]:
+    """Return the preferred home regions of each host that has any."""
+    by_host: dict[str, list[HomeRegions]] = {}
+    for route in routes:
+        if route.home_regions is not None:
+            by_host.setdefault(route.host, []).append(route.home_regions)
+    return {
+        host: preferred_home_regions(homes) for host, homes in by_host.items()
+    }
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -9,6 +9,7 @@
 
 from fennelfork._clock import Clock
 from fennelfork.routes._connection_share import ConnectionShares
+from fennelfork.routes._home_regions import HomeRegions
 from fennelfork.routes._latency_baseline import LatencyBaseline
 from fennelfork.routes._server_directory import BackendServer, ServerDirectory
 from fennelfork.routes._server_state import ServerState, ServerStates
@@ -39,6 +40,13 @@
         """Whether a data centre is the one of this daemon."""
         return data_centre == self.data_centre
 
+    def is_in_regions(self, data_centre: str, regions: HomeRegions) -> bool:
+        """Whether a data centre is in one of the regions that are allowed.
+
+        A data centre whose region is unknown is in none of them.
+        """
+        return regions is None or self.region_of.get(data_centre) in regions
+
     def penalty_ms(self, data_centre: str, latency_target_ms: float) -> float:
         """Return the latency penalty of servers in a data centre.
 
@@ -76,12 +84,14 @@
         tried: incarnations that are excluded because of earlier attempts.
         latency_baseline: latency baseline of the route.
         only_healthy: whether unhealthy servers are excluded.
+        home_regions: regions in which the server has to be.
     """
 
     service: str
     tried: Collection[str]
     latency_baseline: LatencyBaseline
     only_healthy: bool = False
+    home_regions: HomeRegions = None
 
 
 @attrs.frozen(kw_only=True)
@@ -106,6 +116,9 @@
             server.incarnation: server
             for server in self.directory.usable_servers(criteria.service)
             if server.incarnation not in criteria.tried
+            and self.distances.is_in_regions(
+                server.data_centre, criteria.home_regions
+            )
         }
         # The connection limit is the same for all servers of the service.
         share = self.shares.connection_limit_for(criteria.service)
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -1,13 +1,16 @@
 """Sends attempts of a request within the limits of route and retry budget."""
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 
 import attrs
 
+from fennelfork._verdict import FailureCode, not_run
+from fennelfork.routes._home_regions import HomeRegions
 from fennelfork.routes._latency_baseline import LatencyBaseline
 from fennelfork.routes._retry_budget import RetryBudgets
+from fennelfork.routes._route import Route
 from fennelfork.routes._selection import SelectionCriteria, Selector
 from fennelfork.routes._send import Send
 from fennelfork.routes._server_directory import BackendServer
@@ -25,11 +28,14 @@
     Attributes:
         selector: chooses the backend server of an attempt.
         retry_budgets: limits the extra attempts to each service.
+        home_regions_of: returns the home regions of a route in the active
+            version of the configuration.
         attempts: generates the numbers of attempts.
     """
 
     selector: Selector
     retry_budgets: RetryBudgets
+    home_regions_of: Callable[[Route], HomeRegions]
     attempts: Iterator[int] = attrs.field(factory=itertools.count)
 
 
@@ -46,6 +52,7 @@
     latency_baseline: LatencyBaseline
     max_attempts: int
     _parts: DispatchParts
+    _home_regions: Callable[[], HomeRegions]
 
     def record_request(self, sub_request: SubRequest[Any]) -> None:
         """Record a request to a service in its retry budget."""
@@ -81,9 +88,7 @@
         server = self._choose_server(sub_request, only_healthy=only_healthy)
         repeat = sub_request.possible_arrivals > 0
         if server is None:
-            return self._refuse(
-                sub_request, 'no other server is available', now_ms
-            )
+            return self._refuse_without_server(sub_request, now_ms)
         if repeat and not self._parts.retry_budgets.try_spend(
             sub_request.service
         ):
@@ -121,12 +126,25 @@
             tried=sub_request.tried,
             latency_baseline=self.latency_baseline,
             only_healthy=only_healthy,
+            home_regions=self._home_regions(),
         )
         chosen = self._parts.selector.choose(criteria)
         if chosen is None and sub_request.readmit_unconnected():
             chosen = self._parts.selector.choose(criteria)
         return chosen
 
+    def _refuse_without_server(
+        self, sub_request: SubRequest[Any], now_ms: float
+    ) -> list[Send]:
+        regions = self._home_regions()
+        reason = 'no other server is available'
+        if regions is not None:
+            names = ', '.join(sorted(regions)) or 'none'
+            reason = f'{reason} in the home regions: {names}'
+        if not sub_request.tried:
+            sub_request.failure = not_run(FailureCode.NO_SERVER, reason)
+        return self._refuse(sub_request, reason, now_ms)
+
     def _refuse(
         self, sub_request: SubRequest[Any], reason: str, now_ms: float
     ) -> list[Send]:
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -23,6 +23,7 @@
     Distances,
     FanOut,
     FleetSize,
+    HomeRegions,
     LatencyBaseline,
     Registry,
     RetryBudgets,
@@ -110,6 +111,7 @@
     fleet: FleetSize = attrs.field(init=False)
     budgets: RetryBudgets = attrs.field(init=False)
     parts: DispatchParts = attrs.field(init=False)
+    active_homes: HomeRegions = None
 
     def __attrs_post_init__(self) -> None:
         """Create the components of the daemon."""
@@ -124,6 +126,7 @@
         self.parts = DispatchParts(
             selector=self.selector(),
             retry_budgets=self.budgets,
+            home_regions_of=self.home_regions_of,
         )
 
     @property
@@ -131,6 +134,10 @@
         """Clock of the daemon."""
         return manual_clock(self.time)
 
+    def home_regions_of(self, known: Route) -> HomeRegions:
+        """Return the home regions of any route in the active version."""
+        return self.active_homes
+
     def selector(self) -> Selector:
         """Return a selector over the registered servers."""
         return Selector(
