Evacuation: backend servers of an evacuated data centre get no requests

Change: the key is decoded like the other items of the store, from a listing, from a watch and from another daemon's updates, and the server directory leaves out the servers of the data centre, for first attempts, retries and hedges alike. Answers in flight are delivered. A listing without the key ends the evacuation. Both are logged with the number of registered servers there, and the fleet page lists them. No acknowledgement by the system exists on this platform: the store's answer is it.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/__init__.pyi
@@ -30,6 +30,8 @@
 from ._service import RouteService as RouteService
 from ._settings import RouteSettings as RouteSettings
 from ._updates import ConfigUpdate as ConfigUpdate
+from ._updates import EvacuationRemoved as EvacuationRemoved
+from ._updates import EvacuationUpdate as EvacuationUpdate
 from ._updates import InvalidEntry as InvalidEntry
 from ._updates import MemberRemoved as MemberRemoved
 from ._updates import MemberUpdate as MemberUpdate
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
@@ -5,6 +5,7 @@
 from fennelfork.routes import RelayHealth, store_polling
 from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._common_parts import CommonParts
+from fennelfork_daemon.routes._evacuation_control import EvacuationControl
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._relay_reader import RelayReader
 from fennelfork_daemon.routes._relay_sources import RelaySources
@@ -20,7 +21,12 @@
 ) -> StoreFollower:
     """Create the follower that keeps the blackboard up to date."""
     applier = UpdateApplier(
-        blackboard=base.blackboard, reporter=reporter, pools=base.pools
+        blackboard=base.blackboard,
+        reporter=reporter,
+        evacuations=EvacuationControl(
+            directory=base.blackboard.directory, log=base.log
+        ),
+        pools=base.pools,
     )
     polling = store_polling(base.blackboard.fleet, base.settings.in_force_ms)
     sources = RelaySources(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -27,6 +27,8 @@
     store.ItemRefused,
     servers.ServerSeen,
     servers.ServerGone,
+    servers.EvacuationStarted,
+    servers.EvacuationEnded,
     servers.ServerEjected,
     servers.ServerBack,
     servers.ServerEnded,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_servers.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_servers.py
@@ -39,6 +39,33 @@
     server: str
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationStarted:
+    """An operator evacuated a data centre; its servers get no new requests.
+
+    Attributes:
+        data_centre: name of the data centre.
+        servers: number of registered backend servers there; 0 may mean that
+            no data centre has this name.
+    """
+
+    event: ClassVar[str] = 'evacuation_started'
+    data_centre: str
+    servers: int
+
+
+@attrs.frozen(kw_only=True)
+class EvacuationEnded:
+    """An operator ended the evacuation of a data centre.
+
+    Attributes:
+        data_centre: name of the data centre.
+    """
+
+    event: ClassVar[str] = 'evacuation_ended'
+    data_centre: str
+
+
 @attrs.frozen(kw_only=True)
 class ServerEjected:
     """A backend server was ejected.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_page.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_page.py
@@ -26,6 +26,9 @@
             {
                 'update_source': self._reporter.source,
                 'update_age_ms': round(self._availability.data_age_ms),
+                'evacuated': sorted(
+                    self._blackboard.directory.evacuations.active
+                ),
                 'daemons': [
                     _to_json(member, members)
                     for member in sorted(members, key=lambda each: each.name)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
@@ -8,10 +8,13 @@
 
 from fennelfork.membership import limit_divisor
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
+from fennelfork_daemon.routes._evacuation_control import EvacuationControl
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 from fennelfork_daemon.routes._updates import (
     ConfigUpdate,
+    EvacuationRemoved,
+    EvacuationUpdate,
     InvalidEntry,
     MemberRemoved,
     MemberUpdate,
@@ -30,10 +33,12 @@
     Attributes:
         blackboard: facts that the components of the daemon share.
         reporter: log of the applied updates.
+        evacuations: evacuations that operators request.
     """
 
     blackboard: RouteBlackboard
     reporter: StoreReporter
+    evacuations: EvacuationControl
     _pools: ServerPools
 
     def apply_listing(
@@ -64,6 +69,12 @@
             for update in listed
             if isinstance(update, MemberUpdate)
         ]
+        evacuated = [
+            update.data_centre
+            for update in listed
+            if isinstance(update, EvacuationUpdate)
+        ]
+        self.evacuations.retain(evacuated)
         for instance in self.blackboard.directory.retain(servers):
             self.reporter.server_removed(instance)
         for name in self.blackboard.members.retain(members):
@@ -137,6 +148,16 @@
         applier.reporter.daemon_removed(update.name)
 
 
+@_apply_update.register
+def _start_evacuation(update: EvacuationUpdate, applier: UpdateApplier) -> None:
+    applier.evacuations.start(update.data_centre)
+
+
+@_apply_update.register
+def _end_evacuation(update: EvacuationRemoved, applier: UpdateApplier) -> None:
+    applier.evacuations.end(update.data_centre)
+
+
 @_apply_update.register
 def _apply_suspicion(update: SuspicionUpdate, applier: UpdateApplier) -> None:
     exchange = applier.blackboard.quarantine.exchange
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_updates.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_updates.py
@@ -41,6 +41,20 @@
     name: str
 
 
+@attrs.frozen(kw_only=True)
+class EvacuationUpdate:
+    """An operator requested the evacuation of a data centre."""
+
+    data_centre: str
+
+
+@attrs.frozen(kw_only=True)
+class EvacuationRemoved:
+    """An operator ended the evacuation of a data centre."""
+
+    data_centre: str
+
+
 @attrs.frozen(kw_only=True)
 class SuspicionUpdate:
     """A daemon published the suspicion of a poison request.
@@ -84,6 +98,8 @@
     | ServerRemoved
     | MemberUpdate
     | MemberRemoved
+    | EvacuationUpdate
+    | EvacuationRemoved
     | SuspicionUpdate
     | SuspicionRemoved
     | InvalidEntry
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -46,6 +46,7 @@
     store_availability,
 )
 from fennelfork_daemon.routes._blackboard import route_blackboard
+from fennelfork_daemon.routes._evacuation_control import EvacuationControl
 from fennelfork_daemon.routes._fleet_page import FleetPage
 from fennelfork_daemon.routes._fleet_reporter import FleetReporter
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
@@ -307,7 +308,12 @@
         copy = store_copy(
             self.availability,
             UpdateApplier(
-                blackboard=self.blackboard, reporter=reporter, pools=pools
+                blackboard=self.blackboard,
+                reporter=reporter,
+                evacuations=EvacuationControl(
+                    directory=self.blackboard.directory, log=self.decisions
+                ),
+                pools=pools,
             ),
             clock,
         )
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -17,6 +17,8 @@
 
 from fennelfork_daemon.routes import (
     ConfigUpdate,
+    EvacuationRemoved,
+    EvacuationUpdate,
     HistoryCompacted,
     InvalidEntry,
     MemberUpdate,
@@ -117,6 +119,23 @@
             len(following.blackboard.directory.usable_servers('archive')) == 1
         )
 
+    def test_evacuation(self, following: FollowingDaemon) -> None:
+        """An evacuation lasts until its removal or a listing without it."""
+        usable = following.blackboard.directory.usable_servers
+        following.apply_updates(EvacuationUpdate(data_centre='here'))
+        assert not usable('archive')
+        following.apply_updates(EvacuationRemoved(data_centre='here'))
+        assert len(usable('archive')) == 2
+        following.apply_updates(EvacuationUpdate(data_centre='here'))
+        following.store.watch_results.append(HistoryCompacted())
+        following.follower.step()
+        following.apply_listing(
+            ConfigUpdate(table=table(3)), ServerUpdate(server=server('i-1'))
+        )
+        assert len(usable('archive')) == 1
+        logged = following.lines('evacuation_started', 'evacuation_ended')
+        assert [line.get('servers') for line in logged] == [2, None, 2, None]
+
     def test_compacted_history(self, following: FollowingDaemon) -> None:
         """A new listing replaces the servers after compaction."""
         following.store.watch_results.append(HistoryCompacted())
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -16,6 +16,7 @@
 from ._dispatch import Dispatch as Dispatch
 from ._dispatch import FinishReason as FinishReason
 from ._dispatch import dispatch as dispatch
+from ._evacuations import Evacuations as Evacuations
 from ._failure import classify_reset as classify_reset
 from ._failure import merge_failures as merge_failures
 from ._fingerprint import fingerprint as fingerprint
--- a/packages/fennelfork/src/fennelfork/routes/_server_directory.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_directory.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fennelfork.routes._evacuations import Evacuations
 from fennelfork.routes._registry import Registry
 
 
@@ -46,15 +47,20 @@
 
     Attributes:
         registry: registrations, by instance.
+        evacuations: data centres whose servers are not usable.
     """
 
     registry: Registry[BackendServer]
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
     _by_service: dict[str, list[BackendServer]] = attrs.field(factory=dict)
-    _indexed: tuple[int, int] = (0, 0)
+    _indexed: tuple[int, int, int] = (0, 0, 0)
     _changes: int = 0
 
     def usable_servers(self, service: str) -> list[BackendServer]:
-        """Return the registered servers of a service that are not draining."""
+        """Return the servers of a service that may get new requests.
+
+        Draining servers and those in evacuated data centres may not.
+        """
         self._update_index()
         return self._by_service.get(service, [])
 
@@ -117,14 +123,15 @@
         return self.registry.retain(instances)
 
     def _update_index(self) -> None:
-        """Rebuild the index by service if the registrations have changed."""
+        """Rebuild the index by service if servers or evacuations changed."""
         entries = self.registry.entries
-        state = (self._changes, len(entries))
+        evacuated = self.evacuations.active
+        state = (self._changes, len(entries), self.evacuations.change_count)
         if state == self._indexed:
             return
         self._indexed = state
         self._by_service = {}
         for server in entries.values():
-            if not server.draining:
+            if not (server.draining or server.data_centre in evacuated):
                 known = self._by_service.setdefault(server.service, [])
                 known.append(server)
