Cold backend servers: bound on the requests of all daemons in a second

Cause: WarmupLeftMs was a hint for the rank only, ColdPerS, WarmupExcess and WarmupSlack were read nowhere, so nothing bounded the load on a cold server (FAILBACK).

A daemon that has just started sends none. Servers are taken for cold for WarmupS after an evacuation of their data centre. Beyond its part a daemon uses other replicas, or leaves the part out.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -7,6 +7,7 @@
 from fennelfork import Clock, wall_clock
 from fennelfork.membership import Member, MemberStatus
 from fennelfork.routes import (
+    ColdLimits,
     ConnectionShares,
     FleetSize,
     HomeRegions,
@@ -43,6 +44,7 @@
         directory: registered backend servers.
         states: observed state of each backend server.
         shares: limits on the connections to each backend server.
+        cold_limits: limits on the requests to cold backend servers.
         limits: limits on the connections of callers.
         quarantine: requests that are suspected of crashing backend servers.
         table: active configuration, or None before the first listing.
@@ -56,6 +58,7 @@
     directory: ServerDirectory
     states: ServerStates
     shares: ConnectionShares
+    cold_limits: ColdLimits
     limits: ConnectionLimits
     quarantine: Quarantine
     table: RouteTable | None = None
@@ -77,14 +80,25 @@
     """Create the blackboard of a daemon that has not read the store yet."""
     fleet = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
     limit_divisor = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
+    local = _local_member(settings)
+    members: Registry[Member] = Registry(clock=clock, grace_ms=_MEMBER_GRACE_MS)
+    directory = ServerDirectory(registry=Registry(clock=clock))
     return RouteBlackboard(
-        local=_local_member(settings),
-        members=Registry(clock=clock, grace_ms=_MEMBER_GRACE_MS),
+        local=local,
+        members=members,
         fleet=fleet,
         limit_divisor=limit_divisor,
-        directory=ServerDirectory(registry=Registry(clock=clock)),
+        directory=directory,
         states=ServerStates(),
         shares=ConnectionShares(fleet=limit_divisor),
+        cold_limits=ColdLimits(
+            policy=settings.cold,
+            clock=clock,
+            fleet=limit_divisor,
+            evacuations=directory.evacuations,
+            local=local,
+            members=lambda: members.entries.values(),
+        ),
         limits=ConnectionLimits(
             header_bytes=INITIAL_HEADER_BYTES,
             request_read_ms=INITIAL_READ_MS,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
@@ -30,6 +30,7 @@
             region_of=base.settings.region_of,
         ),
         shares=base.blackboard.shares,
+        cold_limits=base.blackboard.cold_limits,
         clock=base.clock,
         rng=random.Random(),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork.routes import RetryPolicy
+from fennelfork.routes import ColdPolicy, RetryPolicy
 from fennelfork_daemon._address import Address
 
 
@@ -27,6 +27,7 @@
         least_lease_ms: minimum lease duration that the store grants.
         in_force_ms: maximum time between a write to the store and its
             application by every daemon.
+        cold: bound on the requests of the whole fleet to a cold server.
         peer: address at which other daemons ask for updates of the store, or
             None to pass on no updates.
         processor_cores: processor time per second of the VM, in cores of a
@@ -46,5 +47,6 @@
     stop_ms: float
     least_lease_ms: float
     in_force_ms: float
+    cold: ColdPolicy = ColdPolicy()
     peer: Address | None = None
     processor_cores: float = 0
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
@@ -114,6 +114,7 @@
         return
     blackboard.table = update.table
     blackboard.shares.services = update.table.services
+    blackboard.cold_limits.services = update.table.services
     limits = update.table.limits
     blackboard.limits.header_bytes = limits.header_bytes
     blackboard.limits.request_read_ms = limits.header_ms
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -9,6 +9,8 @@
 from ._attempt_outcome import classify_failure as classify_failure
 from ._attempt_outcome import record_outcome as record_outcome
 from ._caller_limits import CallerLimits as CallerLimits
+from ._cold_limits import ColdLimits as ColdLimits
+from ._cold_limits import ColdPolicy as ColdPolicy
 from ._concurrency import ConcurrencyLimit as ConcurrencyLimit
 from ._concurrency import ConcurrencyLimits as ConcurrencyLimits
 from ._connection_share import ConnectionShares as ConnectionShares
--- a/packages/fennelfork/src/fennelfork/routes/_evacuations.py
+++ b/packages/fennelfork/src/fennelfork/routes/_evacuations.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from fennelfork._clock import Clock
+
 
 @attrs.define(kw_only=True)
 class Evacuations:
@@ -14,6 +16,8 @@
     """
 
     change_count: int = 0
+    _clock: Clock
+    _ended_ms: dict[str, float] = attrs.field(factory=dict)
     _active: set[str] = attrs.field(factory=set)
 
     @property
@@ -21,6 +25,10 @@
         """Data centres that are evacuated now."""
         return frozenset(self._active)
 
+    def ended_ms(self, data_centre: str) -> float | None:
+        """Return when the last evacuation ended, None if there was none."""
+        return self._ended_ms.get(data_centre)
+
     def start(self, data_centre: str) -> bool:
         """Start the evacuation of a data centre.
 
@@ -43,6 +51,7 @@
             return False
         self.change_count += 1
         self._active.remove(data_centre)
+        self._ended_ms[data_centre] = self._clock.now_ms()
         return True
 
     def retain(self, data_centres: Iterable[str]) -> list[str]:
--- a/packages/fennelfork/src/fennelfork/routes/_registry.py
+++ b/packages/fennelfork/src/fennelfork/routes/_registry.py
@@ -22,12 +22,13 @@
     because its owner may not have registered again yet.
 
     Attributes:
+        clock: clock of this daemon.
         grace_ms: length of the grace period in milliseconds.
     """
 
+    clock: Clock
     grace_ms: float = _GRACE_MS
 
-    _clock: Clock
     _entries: dict[str, _Entry] = attrs.field(factory=dict)
     _expiring: dict[str, float] = attrs.field(factory=dict)
     _grace_until_ms: float = 0
@@ -58,7 +59,7 @@
         """
         if name not in self._entries:
             return False
-        if self._clock.now_ms() < self._grace_until_ms:
+        if self.clock.now_ms() < self._grace_until_ms:
             self._expiring.setdefault(name, self._grace_until_ms)
             return False
         return self.discard(name)
@@ -87,12 +88,12 @@
         Args:
             elapsed_ms: time since the store became available.
         """
-        until_ms = self._clock.now_ms() + self.grace_ms - elapsed_ms
+        until_ms = self.clock.now_ms() + self.grace_ms - elapsed_ms
         self._grace_until_ms = max(self._grace_until_ms, until_ms)
 
     def _expire(self) -> None:
         """Remove missing entries whose grace period is over."""
-        now_ms = self._clock.now_ms()
+        now_ms = self.clock.now_ms()
         for name, until_ms in tuple(self._expiring.items()):
             if now_ms >= until_ms:
                 self._expiring.pop(name)
--- a/packages/fennelfork/src/fennelfork/routes/_route_table.py
+++ b/packages/fennelfork/src/fennelfork/routes/_route_table.py
@@ -22,10 +22,15 @@
         name: name of the service.
         connections: maximum number of connections of all daemons together to
             one backend server of the service.
+        warm_up_ms: time for which a server is cold after its start.
+        cold_rate_per_s: requests per second that a cold server tolerates; 0 if
+            there is no limit.
     """
 
     name: str
     connections: int
+    warm_up_ms: float = 0
+    cold_rate_per_s: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -8,6 +8,7 @@
 import attrs
 
 from fennelfork._clock import Clock
+from fennelfork.routes._cold_limits import ColdLimits
 from fennelfork.routes._connection_share import ConnectionShares
 from fennelfork.routes._home_regions import HomeRegions
 from fennelfork.routes._latency_baseline import LatencyBaseline
@@ -102,6 +103,7 @@
     states: ServerStates
     distances: Distances
     shares: ConnectionShares
+    cold_limits: ColdLimits
     _clock: Clock
     _rng: random.Random
 
@@ -115,10 +117,7 @@
         servers = {
             server.incarnation: server
             for server in self.directory.usable_servers(criteria.service)
-            if server.incarnation not in criteria.tried
-            and self.distances.is_in_regions(
-                server.data_centre, criteria.home_regions
-            )
+            if self._is_allowed(server, criteria)
         }
         # The connection limit is the same for all servers of the service.
         share = self.shares.connection_limit_for(criteria.service)
@@ -137,6 +136,24 @@
         )
         return None if chosen is None else servers[chosen.server]
 
+    def record_sent(self, server: BackendServer) -> None:
+        """Record that an attempt is sent to a server."""
+        state = self.states.for_incarnation(server.incarnation)
+        self.cold_limits.record_sent(server, state)
+
+    def _is_allowed(
+        self, server: BackendServer, criteria: SelectionCriteria
+    ) -> bool:
+        """Whether a server may get the attempt, whatever its availability."""
+        if server.incarnation in criteria.tried:
+            return False
+        if not self.distances.is_in_regions(
+            server.data_centre, criteria.home_regions
+        ):
+            return False
+        state = self.states.for_incarnation(server.incarnation)
+        return self.cold_limits.may_send(server, state)
+
     def _classify_availability(
         self,
         server: BackendServer,
@@ -183,6 +200,6 @@
             ),
             outstanding=state.outstanding,
             slots=server.slots,
-            warming=now_ms < server.warm_from_ms,
+            warming=self.cold_limits.is_cold(server),
             tried=False,
         )
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -103,6 +103,7 @@
             alone=alone,
         )
         sub_request.record_attempt(send)
+        self._parts.selector.record_sent(server)
         sub_request.hedge_at_ms = now_ms + self.latency_baseline.hedge_after_ms
         return [send]
 
--- a/packages/fennelfork/src/fennelfork/routes/_server_directory.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_directory.py
@@ -51,7 +51,12 @@
     """
 
     registry: Registry[BackendServer]
-    evacuations: Evacuations = attrs.field(factory=Evacuations)
+    evacuations: Evacuations = attrs.field(
+        default=attrs.Factory(
+            lambda directory: Evacuations(clock=directory.registry.clock),
+            takes_self=True,
+        ),
+    )
     _by_service: dict[str, list[BackendServer]] = attrs.field(factory=dict)
     _indexed: tuple[int, int, int] = (0, 0, 0)
     _changes: int = 0
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -27,9 +27,11 @@
 
     Attributes:
         ejection: ejection state of the server.
+        cold_sends_ms: times of the recent requests to the server while cold.
     """
 
     ejection: EjectionState = attrs.field(factory=EjectionState)
+    cold_sends_ms: list[float] = attrs.field(factory=list)
     _sent_ms: dict[int, float] = attrs.field(factory=dict)
     _busy_since_ms: float = math.inf
     _last_response_ms: float = -math.inf
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -14,9 +14,12 @@
     may_have_run,
     not_run,
 )
+from fennelfork.membership import Member, MemberStatus
 from fennelfork.routes import (
     BackendServer,
     CallerLimits,
+    ColdLimits,
+    ColdPolicy,
     ConnectionShares,
     Dispatch,
     DispatchParts,
@@ -96,6 +99,21 @@
     return BackendServer(**(fields | changes))
 
 
+def daemon_member(name: str) -> Member:
+    """Return the entry of a daemon in the data centre `here`."""
+    return Member(
+        name=name,
+        incarnation=1,
+        state=MemberStatus.ALIVE,
+        region='east',
+        data_centre='here',
+        caller='10.0.0.1:80',
+        operator='',
+        peer='',
+        config_version=1,
+    )
+
+
 @attrs.define(kw_only=True)
 class RoutingDaemon:
     """Routing of one daemon, with three servers per service.
@@ -110,7 +128,10 @@
     states: ServerStates = attrs.field(factory=ServerStates)
     fleet: FleetSize = attrs.field(init=False)
     budgets: RetryBudgets = attrs.field(init=False)
+    cold_limits: ColdLimits = attrs.field(init=False)
     parts: DispatchParts = attrs.field(init=False)
+    members: dict[str, Member] = attrs.field(factory=dict)
+    local: Member = attrs.field(factory=lambda: daemon_member('vm-0'))
     active_homes: HomeRegions = None
 
     def __attrs_post_init__(self) -> None:
@@ -123,6 +144,14 @@
             clock,
             self.fleet,
         )
+        self.cold_limits = ColdLimits(
+            policy=ColdPolicy(rate_factor=1.5, slack=5),
+            clock=clock,
+            fleet=self.fleet,
+            evacuations=self.directory.evacuations,
+            local=self.local,
+            members=self.members.values,
+        )
         self.parts = DispatchParts(
             selector=self.selector(),
             retry_budgets=self.budgets,
@@ -148,6 +177,7 @@
                 region_of={'here': 'east', 'near': 'east', 'far': 'west'},
             ),
             shares=ConnectionShares(fleet=self.fleet),
+            cold_limits=self.cold_limits,
             clock=self.clock,
             rng=random.Random(7),
         )
