Failing servers: the failure rate of a server counts in its rank

Cause: a server is ejected after five failures in a row. One that loses 0.4 of its answers fails five times in a row once in a hundred attempts, so it stayed in use at full weight while other servers of its service worked.

Change: an exponential average of failures (0.3 up, 0.2 down, half-life 6 s without attempts) times twice the latency target is added to the expected latency. Ejection is as before. If all servers of a service fail alike, their order does not change.

--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -115,6 +115,7 @@
 ) -> None:
     state.record_response(record.send.attempt, record.now_ms)
     state.ejection.record_success(record.send.server.slots)
+    state.record_result(record.now_ms, failed=False)
     if record.nearby:
         state.record_latency(
             record.took_ms / record.latency_baseline.usual_ms, record.now_ms
@@ -137,6 +138,7 @@
     if outcome.failure.code is FailureCode.SHED:
         return
     state.ejection.record_failure()
+    state.record_result(record.now_ms, failed=True)
     unreached = outcome.failure.verdict is Verdict.NOT_RUN
     if unreached or state.ejection.should_eject:
         # No process listens on the address, or the server fails repeatedly.
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -23,6 +23,9 @@
 _OTHER_REGION_MS: Final = 24.0
 _OTHER_REGION_TARGET_FRACTION: Final = 0.19
 _OTHER_DATA_CENTRE_MS: Final = 5.0
+# Cost of an attempt that fails, as a multiple of the latency target: it takes a
+# retry and may make the whole answer late.
+_FAILURE_TARGETS: Final = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -191,13 +194,14 @@
         latency_baseline: LatencyBaseline,
     ) -> Candidate:
         now_ms = self._clock.now_ms()
+        latency_target_ms = latency_baseline.latency_target_ms
         return Candidate(
             server=server.incarnation,
             latency_ms=latency_baseline.usual_ms * state.latency_ratio(now_ms),
-            distance_ms=self.distances.penalty_ms(
-                server.data_centre,
-                latency_baseline.latency_target_ms,
-            ),
+            penalty_ms=self.distances.penalty_ms(
+                server.data_centre, latency_target_ms
+            )
+            + state.failure_rate(now_ms) * _FAILURE_TARGETS * latency_target_ms,
             outstanding=state.outstanding,
             slots=server.slots,
             warming=self.cold_limits.is_cold(server),
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -18,6 +18,13 @@
 # gain of 0.1 takes five slow responses, each of which may cost a caller a part.
 _LATENCY_GAIN: Final = 0.4
 _HALF: Final = 0.5
+# A failure raises the failure rate to 0.3, two in a row to 0.5. The gain of a
+# success is lower, so that a server that fails half of its requests keeps a high
+# rate between two failures.
+_FAILURE_GAIN: Final = 0.3
+_SUCCESS_GAIN: Final = 0.2
+# Half-life of the failure rate of a server that gets no requests.
+_FAILURE_HALF_LIFE_MS: Final = 6000.0
 _MIN_LATENCY_RATIO: Final = 0.1
 
 
@@ -37,6 +44,8 @@
     _last_response_ms: float = -math.inf
     _last_sample_ms: float = -math.inf
     _no_connection_until_ms: float = -math.inf
+    _failure_rate: float = 0
+    _last_result_ms: float = -math.inf
     _latency_ratio: ObservedLatency = attrs.field(
         factory=lambda: ObservedLatency(mean_ms=1, gain=_LATENCY_GAIN),
     )
@@ -93,6 +102,33 @@
         self._latency_ratio.record(max(_MIN_LATENCY_RATIO, ratio))
         self._last_sample_ms = now_ms
 
+    def record_result(self, now_ms: float, *, failed: bool) -> None:
+        """Record whether an attempt failed at the server.
+
+        Args:
+            now_ms: current time.
+            failed: whether the attempt failed.
+        """
+        rate = self.failure_rate(now_ms)
+        if failed:
+            self._failure_rate = rate + _FAILURE_GAIN * (1 - rate)
+        else:
+            self._failure_rate = rate * (1 - _SUCCESS_GAIN)
+        self._last_result_ms = now_ms
+
+    def failure_rate(self, now_ms: float) -> float:
+        """Return the expected share of attempts that fail, from 0 to 1.
+
+        The rate returns to 0 while no attempt is sent, so that the server is
+        tried again.
+
+        Args:
+            now_ms: current time.
+        """
+        half_lives = (now_ms - self._last_result_ms) / _FAILURE_HALF_LIFE_MS
+        remaining: float = _HALF**half_lives
+        return self._failure_rate * remaining
+
     def latency_ratio(self, now_ms: float) -> float:
         """Return the expected latency as a multiple of the baseline.
 
--- a/packages/fennelfork/src/fennelfork/servers/_rank.py
+++ b/packages/fennelfork/src/fennelfork/servers/_rank.py
@@ -44,7 +44,8 @@
         slots: number of slots of the server.
         warming: whether the server is in slow start.
         tried: whether the request was already sent to the server.
-        distance_ms: network distance that is added to the latency.
+        penalty_ms: time that is added to the latency, for the network distance
+            and for failures.
     """
 
     server: str
@@ -53,7 +54,7 @@
     slots: int
     warming: bool
     tried: bool
-    distance_ms: float = 0
+    penalty_ms: float = 0
 
 
 def choose_candidate(
@@ -79,5 +80,5 @@
     A server in slow start is ranked as if one more slot was in use.
     """
     load = (candidate.outstanding + candidate.warming) / candidate.slots
-    expected_ms = candidate.latency_ms * (1 + load) + candidate.distance_ms
+    expected_ms = candidate.latency_ms * (1 + load) + candidate.penalty_ms
     return (candidate.tried, expected_ms, load)
