Failing servers: a refusal by a server counts in its failure rate

Cause: a server that refuses a share of its requests as not run, while it has free slots and its health is good, cost a retry each time and was never avoided.

Change: a refusal counts in the failure rate like a failure. It still does not eject.

--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -135,10 +135,10 @@
         state.record_no_connection(record.now_ms)
         return
     state.record_response(record.send.attempt, record.now_ms)
+    state.record_result(record.now_ms, failed=True)
     if outcome.failure.code is FailureCode.SHED:
         return
     state.ejection.record_failure()
-    state.record_result(record.now_ms, failed=True)
     unreached = outcome.failure.verdict is Verdict.NOT_RUN
     if unreached or state.ejection.should_eject:
         # No process listens on the address, or the server fails repeatedly.
--- a/packages/fennelfork/tests/test_routes_failing_servers.py
+++ b/packages/fennelfork/tests/test_routes_failing_servers.py
@@ -8,10 +8,11 @@
 from typing import Final
 
 import pytest
-from core_builders_routes import RoutingDaemon, latency_baseline
+from core_builders_routes import SHED, RoutingDaemon, latency_baseline
 
 from fennelfork import FailureCode, may_have_run
 from fennelfork.routes import (
+    AttemptOutcome,
     AttemptRecord,
     BackendServer,
     Failed,
@@ -48,6 +49,21 @@
         failed = self._failures({'here': share})
         assert failed < _REQUESTS * share / 4
 
+    @pytest.mark.parametrize('share', [0.4, 0.6])
+    def test_refusing_server(self, share: float) -> None:
+        """A server that refuses a share of its requests counts as failing.
+
+        A retry after a refusal uses the retry budget like any other.
+        """
+        refused = self._failures({'here': share}, Failed(failure=SHED))
+        assert refused < _REQUESTS * share / 4
+
+    def test_all_servers_refuse(self) -> None:
+        """In an overload of all servers, the nearest ones stay preferred."""
+        shares = dict.fromkeys(('here', 'near', 'far'), 0.5)
+        self._failures(shares, Failed(failure=SHED))
+        assert self.places['here'] > self.places['far']
+
     def test_two_servers_fail(self) -> None:
         """The third server of the service takes the requests."""
         failed = self._failures({'here': 0.4, 'near': 0.4})
@@ -70,7 +86,9 @@
         self.daemon.time.advance(30_000)
         assert self._choose().data_centre == 'here'
 
-    def _failures(self, shares: dict[str, float]) -> int:
+    def _failures(
+        self, shares: dict[str, float], failure: Failed = _RESET
+    ) -> int:
         """Send requests one by one and return how many failed."""
         self.places = dict.fromkeys(('here', 'near', 'far'), 0)
         failures = 0
@@ -81,11 +99,11 @@
             share = shares.get(chosen.data_centre, 0)
             is_failure = self.rng.random() < share
             failures += is_failure
-            self._record(number, chosen, is_failure=is_failure)
+            self._record(number, chosen, failure if is_failure else Succeeded())
         return failures
 
     def _record(
-        self, number: int, chosen: BackendServer, *, is_failure: bool
+        self, number: int, chosen: BackendServer, outcome: AttemptOutcome
     ) -> None:
         sent_ms = self.daemon.time.at_ms
         state = self.daemon.states.for_incarnation(chosen.incarnation)
@@ -98,7 +116,7 @@
             latency_baseline=self.baseline,
             nearby=chosen.data_centre == 'here',
         )
-        record_outcome(_RESET if is_failure else Succeeded(), record, state)
+        record_outcome(outcome, record, state)
 
     def _choose(self) -> BackendServer:
         chosen = self.daemon.parts.selector.choose(
