Cold servers: record only requests that a limit counts

Read again: requests to cold servers of services without a rate were recorded and never dropped while the server was cold. The test fails before.

--- a/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
+++ b/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
@@ -82,12 +82,7 @@
 
     def may_send(self, server: BackendServer, state: ServerState) -> bool:
         """Whether this daemon may send one more request to a server now."""
-        if not self.is_cold(server):
-            return True
-        service = self.services.get(server.service)
-        if service is None:
-            return True
-        bound = self.policy.max_per_second(service)
+        bound = self._bound_for(server)
         if bound == math.inf:
             return True
         oldest_ms = self._clock.now_ms() - _WINDOW_MS
@@ -98,10 +93,17 @@
         return used < self._own_part(bound * _MARGIN, server)
 
     def record_sent(self, server: BackendServer, state: ServerState) -> None:
-        """Record a request to a server, which counts if the server is cold."""
-        if self.is_cold(server):
+        """Record a request to a server, which counts if it has a limit."""
+        if self._bound_for(server) < math.inf:
             state.cold_sends_ms.append(self._clock.now_ms())
 
+    def _bound_for(self, server: BackendServer) -> float:
+        """Return how many requests all daemons may send in a second."""
+        service = self.services.get(server.service)
+        if service is None or not self.is_cold(server):
+            return math.inf
+        return self.policy.max_per_second(service)
+
     def _own_part(self, total: float, server: BackendServer) -> int:
         """Return how many requests in a second this daemon may send.
 
--- a/packages/fennelfork/tests/test_routes_cold_servers.py
+++ b/packages/fennelfork/tests/test_routes_cold_servers.py
@@ -105,7 +105,10 @@
         """A service that states no rate has no limit."""
         daemon = _daemon(0, ManualTime(), ['vm-0'], 0)
         assert _POLICY.max_per_second(_service(0)) == math.inf
-        assert all(_try_to_send(daemon, _cold_server()) for _ in range(500))
+        cold = _cold_server()
+        assert all(_try_to_send(daemon, cold) for _ in range(500))
+        state = daemon.states.for_incarnation(cold.incarnation)
+        assert not state.cold_sends_ms
 
     def test_after_an_evacuation(self) -> None:
         """Servers are taken for cold after the evacuation has ended."""
