--- a/packages/fennelfork/tests/test_routes_cold_servers.py
+++ b/packages/fennelfork/tests/test_routes_cold_servers.py
@@ -1,7 +1,7 @@
 """Load on backend servers that have just started, in a burst of requests.
 
 Guards against daemons that together send a cold server more than it tolerates,
-whatever each of them knows about the others.
+also while some of them do not know the others yet.
 """
 
 import math
