Reading: one name for one concept, comments that stand alone

Cause and change: FleetSize held the number of daemons and the number by which a daemon divides a limit; it is FleetMaximum, a window over a measure, and its users say fleet_size or limit_divisor. Distances.penalty_ms and Candidate.penalty_ms were two things; the first is distance_penalty_ms. 'homes' meant home regions beside home daemons: home regions everywhere. Comments that told a tuning (factor 0.75, gain 0.1, figures of pauses) or needed their neighbours are reworded; two type ignores state their reason.

No decision, name on the wire, setting, stored field, metric or log field changes; no expectation of a test changes.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_blocked_imports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_blocked_imports.py
@@ -20,7 +20,7 @@
             raises `ImportError`, which the importing library must handle.
     """
     loaded = sys.modules.get(name)
-    sys.modules[name] = stand_in  # type: ignore[assignment]
+    sys.modules[name] = stand_in  # type: ignore[assignment]  # None blocks
     try:
         yield
     finally:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
@@ -13,7 +13,7 @@
     """Connection that the remote end reset; received data may be truncated."""
 
 
-class _ResetAwareSocket(GreenSocket):  # type: ignore[misc]
+class _ResetAwareSocket(GreenSocket):  # type: ignore[misc]  # eventlet has no types
     """Cooperative socket whose reads raise an error on a reset.
 
     eventlet reads a reset as the end of the stream, so that a truncated
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
@@ -39,8 +39,8 @@
 _MS_PER_SECOND: Final = 1000
 _MIN_TIMEOUT_MS: Final = 1.0
 # An attempt that is no longer needed may complete within this time, so that the
-# connection can be reused and the latency of the server is known. Servers pause
-# for about 300 ms.
+# connection can be reused and the latency of the server is known. Longer than a
+# usual pause of a server.
 _LINGER_MS: Final = 400.0
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -9,7 +9,7 @@
 from fennelfork.routes import (
     ColdLimits,
     ConnectionShares,
-    FleetSize,
+    FleetMaximum,
     HomeRegions,
     Quarantine,
     Registry,
@@ -38,9 +38,9 @@
     Attributes:
         local: entry under which this daemon registers.
         members: registered daemons by name.
-        fleet: number of daemons.
-        limit_divisor: number by which this daemon divides the limits of the
-            whole fleet; see `limit_divisor`.
+        fleet_size: largest recent number of daemons.
+        limit_divisor: largest recent number by which this daemon divides the
+            limits of the whole fleet; see `fennelfork.membership`.
         directory: registered backend servers.
         states: observed state of each backend server.
         shares: limits on the connections to each backend server.
@@ -53,8 +53,8 @@
 
     local: Member
     members: Registry[Member]
-    fleet: FleetSize
-    limit_divisor: FleetSize
+    fleet_size: FleetMaximum
+    limit_divisor: FleetMaximum
     directory: ServerDirectory
     states: ServerStates
     shares: ConnectionShares
@@ -78,23 +78,25 @@
 
 def route_blackboard(settings: RouteSettings, clock: Clock) -> RouteBlackboard:
     """Create the blackboard of a daemon that has not read the store yet."""
-    fleet = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
-    limit_divisor = FleetSize(clock=clock, window_ms=settings.repeats.window_ms)
+    fleet_size = FleetMaximum(clock=clock, window_ms=settings.repeats.window_ms)
+    limit_divisor = FleetMaximum(
+        clock=clock, window_ms=settings.repeats.window_ms
+    )
     local = _local_member(settings)
     members: Registry[Member] = Registry(clock=clock, grace_ms=_MEMBER_GRACE_MS)
     directory = ServerDirectory(registry=Registry(clock=clock))
     return RouteBlackboard(
         local=local,
         members=members,
-        fleet=fleet,
+        fleet_size=fleet_size,
         limit_divisor=limit_divisor,
         directory=directory,
         states=ServerStates(),
-        shares=ConnectionShares(fleet=limit_divisor),
+        shares=ConnectionShares(limit_divisor=limit_divisor),
         cold_limits=ColdLimits(
             policy=settings.cold,
             clock=clock,
-            fleet=limit_divisor,
+            limit_divisor=limit_divisor,
             evacuations=directory.evacuations,
             local=local,
             members=lambda: members.entries.values(),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_crash_protection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_crash_protection.py
@@ -53,7 +53,7 @@
         store=base.ports.store,
         lease=lambda: registration.lease,
         polling=polling,
-        fleet=base.blackboard.fleet,
+        fleet_size=base.blackboard.fleet_size,
         clock=base.clock,
         rng=random.Random(),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
@@ -28,7 +28,9 @@
         ),
         pools=base.pools,
     )
-    polling = store_polling(base.blackboard.fleet, base.settings.in_force_ms)
+    polling = store_polling(
+        base.blackboard.fleet_size, base.settings.in_force_ms
+    )
     sources = RelaySources(
         health=RelayHealth(clock=base.clock),
         blackboard=base.blackboard,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_entries.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_entries.py
@@ -52,7 +52,7 @@
         chosen = nearest_entries(
             query.region,
             query.data_centre,
-            self._serving_homes(query, tuple(members.values())),
+            self._near_or_at_home(query, tuple(members.values())),
             _MAX_ADDRESSES,
             self._rng,
         )
@@ -63,19 +63,19 @@
             ttl_ms=ENTRY_TTL_MS,
         )
 
-    def _serving_homes(
+    def _near_or_at_home(
         self, query: EntryQuery, members: tuple[Member, ...]
     ) -> tuple[Member, ...]:
-        """Omit the daemons that are neither at home nor near the caller.
+        """Return the daemons in the region of the caller or a home region.
 
-        If there are no others, all of them are kept: they answer truly and may
-        pass requests on to the home regions.
+        Without such a daemon, all daemons are returned, as each can forward
+        requests to servers in the home regions.
         """
         table = self._blackboard.table
-        homes = table and table.home_regions_of_host(query.host)
-        if homes is None:
+        home_regions = table and table.home_regions_of_host(query.host)
+        if home_regions is None:
             return members
-        regions = homes | {query.region}
+        regions = home_regions | {query.region}
         serving = tuple(
             member for member in members if member.region in regions
         )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_load_monitor.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_load_monitor.py
@@ -33,7 +33,7 @@
     _poll: Callable[[float | None], Any]
 
     def poll(self, seconds: float | None) -> Any:
-        """Wait for events like the event loop and add the time."""
+        """Wait for events and add the waiting time to the total."""
         started_ms = self._clock.now_ms()
         events = self._poll(seconds)
         self.idle_ms += self._clock.now_ms() - started_ms
@@ -41,7 +41,7 @@
 
 
 def install_idle_timer(clock: Clock) -> IdleTimer:
-    """Create the timer of the event loop of this process."""
+    """Start to measure the idle time of the event loop of this process."""
     hub = eventlet.hubs.get_hub()
     timer = IdleTimer(clock=clock, poll=hub.do_poll)
     hub.do_poll = timer.poll
@@ -115,6 +115,6 @@
 
 
 def _callers_ratio(group: tuple[Member, ...]) -> float:
-    """Return which share of its usual callers a capable member has now."""
+    """Return the share of the usual callers that a capable member has now."""
     preferred = preferred_members(group)
     return min(1, len(capable_members(group)) / len(preferred))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -57,10 +57,9 @@
     """Updates of the store that a daemon passes on to another one.
 
     Attributes:
-        changes: updates up to the latest revision that the passing daemon
-            knows.
+        changes: updates up to the latest revision that the sender knows.
         age_ms: time since the updates were read from the store.
-        is_connected: whether the passing daemon receives current updates.
+        is_connected: whether the sender receives current updates.
         outage_end_age_ms: time since the end of the latest outage of the
             store, or None.
     """
@@ -86,8 +85,8 @@
 
         Args:
             timeout_ms: maximum time for each page.
-            may_be_stale: whether a cheaper listing of some seconds before is
-                sufficient.
+            may_be_stale: whether a cheaper listing that may be seconds old
+                is sufficient.
         """
 
     def watch(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_reader.py
@@ -15,7 +15,8 @@
 
 # Delay between two requests to a relay.
 _DELAY_MS: Final = 100.0
-# The same while neither this daemon nor a relay can read the store.
+# Delay between two requests to a relay while neither this daemon nor a relay can
+# read the store.
 _DISCONNECTED_DELAY_MS: Final = 500.0
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_suspicion_publisher.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_suspicion_publisher.py
@@ -12,7 +12,7 @@
 
 from fennelfork import Clock
 from fennelfork.config import Backoff
-from fennelfork.routes import FleetSize, StorePolling, SuspicionExchange
+from fennelfork.routes import FleetMaximum, StorePolling, SuspicionExchange
 from fennelfork_daemon.routes._ports import Store
 
 _MS_PER_SECOND: Final = 1000
@@ -43,7 +43,7 @@
     _store: Store
     _lease: Callable[[], int | None]
     _polling: StorePolling
-    _fleet: FleetSize
+    _fleet_size: FleetMaximum
     _clock: Clock
     _rng: random.Random
     _failures: int = 0
@@ -85,7 +85,7 @@
 
         The share of this daemon in the fleet is rounded at random.
         """
-        share = _MAX_TRANSIENT_IN_FLEET / self._fleet.max_size
+        share = _MAX_TRANSIENT_IN_FLEET / self._fleet_size.maximum
         return int(share + self._rng.random())
 
     def _wait_for_batch(self) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
@@ -86,8 +86,8 @@
         for update in updates:
             _apply_update(update, self)
         members = self.blackboard.members.entries
-        self.blackboard.fleet.record_size(len(members))
-        self.blackboard.limit_divisor.record_size(
+        self.blackboard.fleet_size.record(len(members))
+        self.blackboard.limit_divisor.record(
             limit_divisor(self.blackboard.local, members.values())
         )
         incarnations = self.blackboard.directory.incarnations
--- a/packages/fennelfork-daemon/tests/daemon_builders_relays.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_relays.py
@@ -97,7 +97,7 @@
 
 @attrs.define(kw_only=True)
 class ModelDaemon:
-    """A daemon of the model; also its connections to store and relays.
+    """Daemon of the model, with its connections to the store and to relays.
 
     Attributes:
         index: number of the daemon, from which its name follows.
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -304,7 +304,9 @@
         self.reporter = reporter
         self.availability = store_availability(self.blackboard, clock, reporter)
         pools = ServerPools(clock=clock, shares=self.blackboard.shares)
-        polling = store_polling(self.blackboard.fleet, settings().in_force_ms)
+        polling = store_polling(
+            self.blackboard.fleet_size, settings().in_force_ms
+        )
         copy = store_copy(
             self.availability,
             UpdateApplier(
--- a/packages/fennelfork-daemon/tests/test_routes_fleet_page.py
+++ b/packages/fennelfork-daemon/tests/test_routes_fleet_page.py
@@ -1,6 +1,6 @@
 """Operator page of the fleet.
 
-Guards against a page that shows other daemons as preferred than callers get.
+Guards against a page whose preferred daemons are not those that callers get.
 """
 
 import json
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -76,8 +76,8 @@
             exchange=self.quarantine.exchange,
             store=self.store,
             lease=lambda: self.lease,
-            polling=store_polling(self.following.blackboard.fleet, 3000),
-            fleet=self.following.blackboard.fleet,
+            polling=store_polling(self.following.blackboard.fleet_size, 3000),
+            fleet_size=self.following.blackboard.fleet_size,
             clock=clock,
             rng=random.Random(1),
         )
@@ -217,7 +217,7 @@
 
     def test_many_servers_crash(self) -> None:
         """The number of published weak suspicions is limited in the fleet."""
-        self.following.blackboard.fleet.record_size(16)
+        self.following.blackboard.fleet_size.record(16)
         for number in range(100):
             self.guard.record_crash(
                 send('a'), caller_request(target=f'/rafts/{number}')
--- a/packages/fennelfork-daemon/tests/test_routes_pools.py
+++ b/packages/fennelfork-daemon/tests/test_routes_pools.py
@@ -6,7 +6,7 @@
 from returns.pipeline import is_successful
 
 from fennelfork import system_clock
-from fennelfork.routes import ConnectionShares, FleetSize
+from fennelfork.routes import ConnectionShares, FleetMaximum
 from fennelfork_daemon.backend._pool import ConnectionTrace
 from fennelfork_daemon.backend._request import JsonRequest
 from fennelfork_daemon.routes._pools import ServerPools
@@ -18,8 +18,10 @@
 def pools() -> ServerPools:
     """Return the pools of a daemon without connections."""
     clock = system_clock()
-    fleet = FleetSize(clock=clock, window_ms=10_000)
-    return ServerPools(clock=clock, shares=ConnectionShares(fleet=fleet))
+    limit_divisor = FleetMaximum(clock=clock, window_ms=10_000)
+    return ServerPools(
+        clock=clock, shares=ConnectionShares(limit_divisor=limit_divisor)
+    )
 
 
 class TestForServer:
--- a/packages/fennelfork-daemon/tests/test_routes_relay_machine.py
+++ b/packages/fennelfork-daemon/tests/test_routes_relay_machine.py
@@ -69,7 +69,7 @@
 
     @rule(index=_INDEXES, is_silent=st.booleans())
     def silence(self, index: int, is_silent: bool) -> None:
-        """Let a daemon not answer the other daemons, or end that."""
+        """Start or end that a daemon leaves other daemons unanswered."""
         for daemon in self._daemon(index):
             daemon.is_silent = is_silent
 
@@ -125,7 +125,7 @@
     def changes_apply_in_time(self) -> None:
         """A daemon that reaches the store applies a change within the bound.
 
-        Whatever happens to the daemons from which it reads updates.
+        Faults of the daemons from which the daemon reads do not matter.
         """
         now_ms = self.fleet.time.at_ms
         for daemon in self.fleet.daemons:
@@ -140,7 +140,7 @@
             assert daemon.version >= max(due, default=0)
 
     def _daemon(self, index: int) -> list[ModelDaemon]:
-        """Return the daemon of a number, if it exists."""
+        """Return the daemon with an index, nothing if there is none."""
         return self.fleet.daemons[index : index + 1]
 
 
--- a/packages/fennelfork/src/fennelfork/placement/_config_follow.py
+++ b/packages/fennelfork/src/fennelfork/placement/_config_follow.py
@@ -80,7 +80,7 @@
         local: Member,
         members: Mapping[str, Member],
     ) -> bool:
-        """Whether this daemon reads and watches the platform.
+        """Whether this daemon reads and watches the configuration itself.
 
         Args:
             local: member entry of this daemon.
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -22,7 +22,7 @@
 from ._failure import classify_reset as classify_reset
 from ._failure import merge_failures as merge_failures
 from ._fingerprint import fingerprint as fingerprint
-from ._fleet_size import FleetSize as FleetSize
+from ._fleet_maximum import FleetMaximum as FleetMaximum
 from ._home_regions import HomeRegions as HomeRegions
 from ._home_regions import common_home_regions as common_home_regions
 from ._latency_baseline import LatencyBaseline as LatencyBaseline
--- a/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
+++ b/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
@@ -15,7 +15,7 @@
 from fennelfork._clock import Clock
 from fennelfork.membership import Member, capable_members
 from fennelfork.routes._evacuations import Evacuations
-from fennelfork.routes._fleet_size import FleetSize
+from fennelfork.routes._fleet_maximum import FleetMaximum
 from fennelfork.routes._route_table import Service
 from fennelfork.routes._server_directory import BackendServer
 from fennelfork.routes._server_state import ServerState
@@ -60,7 +60,7 @@
     policy: ColdPolicy
     services: Mapping[str, Service] = attrs.field(factory=dict)
     _clock: Clock
-    _fleet: FleetSize
+    _limit_divisor: FleetMaximum
     _evacuations: Evacuations
     _local: Member
     _members: Callable[[], Iterable[Member]]
@@ -114,9 +114,9 @@
             total: number of requests that all daemons may send.
             server: cold server.
         """
-        if not self._fleet.is_settled:
+        if not self._limit_divisor.is_settled:
             return 0
-        part = total / self._fleet.max_size
+        part = total / self._limit_divisor.maximum
         if part >= 1:
             return int(part)
         return int(self._rank_for(server) < int(total))
@@ -130,7 +130,7 @@
         known = {member.name: member for member in self._members()}
         known[self._local.name] = self._local
         names = [member.name for member in _capable_members(known.values())]
-        is_known = len(known) >= self._fleet.max_size * _MIN_KNOWN
+        is_known = len(known) >= self._limit_divisor.maximum * _MIN_KNOWN
         if self._local.name not in names or not is_known:
             return math.inf
         names.sort(key=lambda name: _weight(name, server.incarnation))
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -28,8 +28,8 @@
 _INCREASE: Final = 0.2
 _RECOVERED_INCREASE: Final = 1.0
 _RECOVERY_MS: Final = 1000.0
-# Factor on the limit for each more urgent priority that is in use. A factor of
-# 0.75 gives urgent requests no advantage and refuses a tenth of the others.
+# Factor on the limit for each more urgent priority that is in use. A much lower
+# factor refuses more of the other requests without an advantage for urgent ones.
 _LOWER_PRIORITY_SHARE: Final = 0.9
 
 
--- a/packages/fennelfork/src/fennelfork/routes/_daemon_overload.py
+++ b/packages/fennelfork/src/fennelfork/routes/_daemon_overload.py
@@ -1,4 +1,4 @@
-"""DaemonOverload of a daemon, which asks for fewer callers while it lasts."""
+"""Overload of a daemon, during which the daemon asks for fewer callers."""
 
 from typing import Final
 
@@ -18,7 +18,7 @@
 
 @attrs.define(kw_only=True)
 class DaemonOverload:
-    """DaemonOverload of one daemon, from measurements of its event loop.
+    """Overload of one daemon, derived from measurements of its event loop.
 
     Attributes:
         is_active: whether the daemon is overloaded.
--- a/packages/fennelfork/src/fennelfork/routes/_failure.py
+++ b/packages/fennelfork/src/fennelfork/routes/_failure.py
@@ -9,8 +9,8 @@
 from fennelfork._verdict import Failure, FailureCode, Verdict
 from fennelfork.routes._sub_request import SubRequest
 
-# Long enough for most pauses of a backend server, which last about 300 ms, to
-# pass, and short enough to leave a caller time for its own retry.
+# Long enough for most pauses of a backend server, which last some tenths of a
+# second, and short enough to leave a caller time for its own retry.
 RETRY_AFTER_MS: Final = 250
 
 
--- a/packages/fennelfork/src/fennelfork/routes/_fleet_size.py
+++ b/packages/fennelfork/src/fennelfork/routes/_fleet_maximum.py
@@ -1,4 +1,4 @@
-"""Number of daemons among which fleet-wide limits are divided."""
+"""Largest recent values of a measure of the fleet."""
 
 import math
 from typing import Final
@@ -14,14 +14,12 @@
 
 
 @attrs.define(kw_only=True)
-class FleetSize:
-    """Tracks the maximum size of the fleet within a sliding window.
+class FleetMaximum:
+    """Tracks the maximum of a measure of the fleet within a sliding window.
 
-    The size is the number of daemons, or the number by which one daemon divides
-    the limits of the fleet.
-
-    A daemon that has left may have used its share of the current window, so
-    the share is redistributed only after the window has passed.
+    The measure grows with the number of daemons that share a limit. A daemon
+    that has left may have used its share of the current window, so the share is
+    redistributed only after the window has passed.
     """
 
     _clock: Clock
@@ -31,7 +29,7 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether any fleet size has been recorded."""
+        """Whether any value has been recorded."""
         return bool(self._seen)
 
     @property
@@ -40,20 +38,20 @@
         return self._clock.now_ms() - self._first_ms >= _SETTLING_MS
 
     @property
-    def max_size(self) -> float:
-        """Maximum size within the window, at least one."""
+    def maximum(self) -> float:
+        """Maximum within the window, at least one."""
         self._discard_old()
-        return max((count for _at, count in self._seen), default=1)
+        return max((measured for _at, measured in self._seen), default=1)
 
-    def record_size(self, count: float) -> None:
-        """Record the current size, which includes this daemon."""
+    def record(self, measured: float) -> None:
+        """Record the current value, which includes this daemon."""
         self._discard_old()
         now_ms = self._clock.now_ms()
         self._first_ms = min(self._first_ms, now_ms)
-        self._seen.append((now_ms, max(1, count)))
+        self._seen.append((now_ms, max(1, measured)))
 
     def _discard_old(self) -> None:
-        """Discard fleet sizes that were superseded before the window began."""
+        """Discard values that were superseded before the window began."""
         oldest_ms = self._clock.now_ms() - self._window_ms
-        replaced = sum(at_ms <= oldest_ms for at_ms, _count in self._seen)
+        replaced = sum(at_ms <= oldest_ms for at_ms, _measured in self._seen)
         self._seen = self._seen[max(0, replaced - 1) :]
--- a/packages/fennelfork/src/fennelfork/routes/_home_regions.py
+++ b/packages/fennelfork/src/fennelfork/routes/_home_regions.py
@@ -15,16 +15,18 @@
     return first & second
 
 
-def preferred_home_regions(homes: Iterable[HomeRegions]) -> HomeRegions:
+def preferred_home_regions(
+    by_route: Iterable[HomeRegions],
+) -> HomeRegions:
     """Return the best regions for callers of several routes.
 
     These are the regions that all routes allow or, if there is no such region,
     the regions that any of them allows.
 
     Args:
-        homes: home regions of each route.
+        by_route: home regions of each route.
     """
-    bound = [regions for regions in homes if regions is not None]
+    bound = [regions for regions in by_route if regions is not None]
     if not bound:
         return None
     return frozenset.intersection(*bound) or frozenset.union(*bound)
--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -12,7 +12,7 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork.routes._fleet_size import FleetSize
+from fennelfork.routes._fleet_maximum import FleetMaximum
 
 # Fraction of the fixed number that is used; the rest covers daemons that have
 # joined but are not yet known here.
@@ -58,7 +58,7 @@
 
     policy: RetryPolicy
     _clock: Clock
-    _fleet: FleetSize
+    _limit_divisor: FleetMaximum
     _started_ms: float
     _windows: dict[str, _SlidingWindow] = attrs.field(factory=dict)
 
@@ -91,9 +91,9 @@
         previous incarnation of this daemon may have used it already.
         """
         age_ms = self._clock.now_ms() - self._started_ms
-        if age_ms < self.policy.window_ms or not self._fleet.is_known:
+        if age_ms < self.policy.window_ms or not self._limit_divisor.is_known:
             return 0
-        return _MARGIN * self.policy.fixed / self._fleet.max_size
+        return _MARGIN * self.policy.fixed / self._limit_divisor.maximum
 
     def _get_window(self, service: str) -> _SlidingWindow:
         window = self._windows.setdefault(service, _SlidingWindow())
@@ -104,12 +104,12 @@
 def retry_budgets(
     policy: RetryPolicy,
     clock: Clock,
-    fleet: FleetSize,
+    limit_divisor: FleetMaximum,
 ) -> RetryBudgets:
     """Create the retry budgets of a daemon that starts now."""
     return RetryBudgets(
         policy=policy,
         clock=clock,
-        fleet=fleet,
+        limit_divisor=limit_divisor,
         started_ms=clock.now_ms(),
     )
--- a/packages/fennelfork/src/fennelfork/routes/_route.py
+++ b/packages/fennelfork/src/fennelfork/routes/_route.py
@@ -68,7 +68,8 @@
         max_attempts: maximum number of backend servers of each service that
             may run one request.
         priority: rank among the routes; 0 is the most urgent.
-        home_regions: regions whose backend servers may run the requests.
+        home_regions: only regions whose backend servers may run the requests,
+            None for any region.
     """
 
     name: str
--- a/packages/fennelfork/src/fennelfork/routes/_route_table.py
+++ b/packages/fennelfork/src/fennelfork/routes/_route_table.py
@@ -50,7 +50,7 @@
     routes: tuple[Route, ...]
     _by_prefix: Mapping[tuple[str, str], Route]
     _by_name: Mapping[str, Route]
-    _homes_by_host: Mapping[str, HomeRegions]
+    _home_regions_by_host: Mapping[str, HomeRegions]
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, if any.
@@ -75,7 +75,7 @@
 
     def home_regions_of_host(self, host: str) -> HomeRegions:
         """Return the regions in which callers of a host are served best."""
-        return self._homes_by_host.get(host)
+        return self._home_regions_by_host.get(host)
 
 
 def route_table(
@@ -93,16 +93,17 @@
         routes=known,
         by_prefix={(route.host, route.prefix): route for route in known},
         by_name={route.name: route for route in known},
-        homes_by_host=_homes_by_host(known),
+        home_regions_by_host=_home_regions_by_host(known),
     )
 
 
-def _homes_by_host(routes: Iterable[Route]) -> dict[str, HomeRegions]:
+def _home_regions_by_host(routes: Iterable[Route]) -> dict[str, HomeRegions]:
     """Return the preferred home regions of each host that has any."""
     by_host: dict[str, list[HomeRegions]] = {}
     for route in routes:
         if route.home_regions is not None:
             by_host.setdefault(route.host, []).append(route.home_regions)
     return {
-        host: preferred_home_regions(homes) for host, homes in by_host.items()
+        host: preferred_home_regions(by_route)
+        for host, by_route in by_host.items()
     }
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -16,16 +16,15 @@
 from fennelfork.routes._server_state import ServerState, ServerStates
 from fennelfork.servers._rank import Candidate, choose_candidate
 
-# Latency penalties of servers outside the data centre of this daemon. Traffic
-# between regions is costly, so its penalty grows with the latency target.
-# A response from another region arrives 24 ms later; with the share of the
-# target, the penalty is about 80 ms of a target of 300 ms.
+# Latency penalties of servers outside the data centre of this daemon. Another
+# region adds the round trip and, as traffic between regions is costly, a share
+# of the latency target.
 _OTHER_REGION_MS: Final = 24.0
 _OTHER_REGION_TARGET_FRACTION: Final = 0.19
 _OTHER_DATA_CENTRE_MS: Final = 5.0
 # Cost of an attempt that fails, as a multiple of the latency target: it takes a
 # retry and may make the whole answer late.
-_FAILURE_TARGETS: Final = 2.0
+_FAILURE_PENALTY_TARGETS: Final = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -51,7 +50,9 @@
         """
         return regions is None or self.region_of.get(data_centre) in regions
 
-    def penalty_ms(self, data_centre: str, latency_target_ms: float) -> float:
+    def distance_penalty_ms(
+        self, data_centre: str, latency_target_ms: float
+    ) -> float:
         """Return the latency penalty of servers in a data centre.
 
         Args:
@@ -88,7 +89,7 @@
         tried: incarnations that are excluded because of earlier attempts.
         latency_baseline: latency baseline of the route.
         only_healthy: whether unhealthy servers are excluded.
-        home_regions: regions in which the server has to be.
+        home_regions: regions in which the server has to be, None for any.
     """
 
     service: str
@@ -198,12 +199,19 @@
         return Candidate(
             server=server.incarnation,
             latency_ms=latency_baseline.usual_ms * state.latency_ratio(now_ms),
-            penalty_ms=self.distances.penalty_ms(
+            penalty_ms=self.distances.distance_penalty_ms(
                 server.data_centre, latency_target_ms
             )
-            + state.failure_rate(now_ms) * _FAILURE_TARGETS * latency_target_ms,
+            + self._failure_penalty_ms(state, latency_target_ms),
             outstanding=state.outstanding,
             slots=server.slots,
             warming=self.cold_limits.is_cold(server),
             tried=False,
         )
+
+    def _failure_penalty_ms(
+        self, state: ServerState, latency_target_ms: float
+    ) -> float:
+        """Return the expected cost of the failure of an attempt."""
+        failure_rate = state.failure_rate(self._clock.now_ms())
+        return failure_rate * _FAILURE_PENALTY_TARGETS * latency_target_ms
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -14,15 +14,15 @@
 # the same server about once a second.
 _LATENCY_HALF_LIFE_MS: Final = 6000.0
 # High enough that two slow responses in a row move requests to another region,
-# and low enough that a single slow response, which may be a pause, does not. A
-# gain of 0.1 takes five slow responses, each of which may cost a caller a part.
+# and low enough that a single slow response, which may be a pause, does not. Each
+# further slow response may cost a caller a part.
 _LATENCY_GAIN: Final = 0.4
 _HALF: Final = 0.5
-# A failure raises the failure rate to 0.3, two in a row to 0.5. The gain of a
-# success is lower, so that a server that fails half of its requests keeps a high
-# rate between two failures.
-_FAILURE_GAIN: Final = 0.3
-_SUCCESS_GAIN: Final = 0.2
+# Weights of a failed and of a successful attempt in the failure rate. The weight
+# of a success is lower, so that a server that fails half of its requests keeps a
+# high rate between two failures.
+_FAILURE_WEIGHT: Final = 0.3
+_SUCCESS_WEIGHT: Final = 0.2
 # Half-life of the failure rate of a server that gets no requests.
 _FAILURE_HALF_LIFE_MS: Final = 6000.0
 _MIN_LATENCY_RATIO: Final = 0.1
@@ -111,9 +111,9 @@
         """
         rate = self.failure_rate(now_ms)
         if failed:
-            self._failure_rate = rate + _FAILURE_GAIN * (1 - rate)
+            self._failure_rate = rate + _FAILURE_WEIGHT * (1 - rate)
         else:
-            self._failure_rate = rate * (1 - _SUCCESS_GAIN)
+            self._failure_rate = rate * (1 - _SUCCESS_WEIGHT)
         self._last_result_ms = now_ms
 
     def failure_rate(self, now_ms: float) -> float:
--- a/packages/fennelfork/src/fennelfork/routes/_store_polling.py
+++ b/packages/fennelfork/src/fennelfork/routes/_store_polling.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from fennelfork.routes._fleet_size import FleetSize
+from fennelfork.routes._fleet_maximum import FleetMaximum
 
 # Initial timeout of a response, which doubles with each failed call. The store
 # responds within 10 ms, within 40 ms to another region, and within 300 ms when
@@ -62,7 +62,7 @@
     less the time to detect the loss and to retry the call.
     """
 
-    _fleet: FleetSize
+    _fleet_size: FleetMaximum
     _max_age_ms: float
 
     @property
@@ -73,7 +73,7 @@
     @property
     def spread_ms(self) -> float:
         """Time over which the daemons spread calls that are not urgent."""
-        wanted_ms = self._fleet.max_size * _BATCH_DELAY_PER_DAEMON_MS
+        wanted_ms = self._fleet_size.maximum * _BATCH_DELAY_PER_DAEMON_MS
         return min(_MAX_BATCH_DELAY_MS, wanted_ms)
 
     @property
@@ -122,7 +122,7 @@
         return INITIAL_LISTING_TIMEOUT_MS * _backoff_factor(failures)
 
 
-def store_polling(fleet: FleetSize, max_age_ms: float) -> StorePolling:
+def store_polling(fleet_size: FleetMaximum, max_age_ms: float) -> StorePolling:
     """Create the timeouts and delays of the store calls of a daemon.
 
     Args:
@@ -130,7 +130,7 @@
         max_age_ms: maximum time between a write to the store and its
             application by every daemon.
     """
-    return StorePolling(fleet=fleet, max_age_ms=max_age_ms)
+    return StorePolling(fleet_size=fleet_size, max_age_ms=max_age_ms)
 
 
 def _backoff_factor(failures: int) -> int:
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -25,7 +25,7 @@
     DispatchParts,
     Distances,
     FanOut,
-    FleetSize,
+    FleetMaximum,
     HomeRegions,
     LatencyBaseline,
     Registry,
@@ -126,28 +126,28 @@
     ratio: float = 100
     directory: ServerDirectory = attrs.field(init=False)
     states: ServerStates = attrs.field(factory=ServerStates)
-    fleet: FleetSize = attrs.field(init=False)
+    limit_divisor: FleetMaximum = attrs.field(init=False)
     budgets: RetryBudgets = attrs.field(init=False)
     cold_limits: ColdLimits = attrs.field(init=False)
     parts: DispatchParts = attrs.field(init=False)
     members: dict[str, Member] = attrs.field(factory=dict)
     local: Member = attrs.field(factory=lambda: daemon_member('vm-0'))
-    active_homes: HomeRegions = None
+    active_home_regions: HomeRegions = None
 
     def __attrs_post_init__(self) -> None:
         """Create the components of the daemon."""
         clock = self.clock
         self.directory = ServerDirectory(registry=Registry(clock=clock))
-        self.fleet = FleetSize(clock=clock, window_ms=WINDOW_MS)
+        self.limit_divisor = FleetMaximum(clock=clock, window_ms=WINDOW_MS)
         self.budgets = retry_budgets(
             RetryPolicy(ratio=self.ratio, fixed=0, window_ms=WINDOW_MS),
             clock,
-            self.fleet,
+            self.limit_divisor,
         )
         self.cold_limits = ColdLimits(
             policy=ColdPolicy(rate_factor=1.5, slack=5),
             clock=clock,
-            fleet=self.fleet,
+            limit_divisor=self.limit_divisor,
             evacuations=self.directory.evacuations,
             local=self.local,
             members=self.members.values,
@@ -165,7 +165,7 @@
 
     def home_regions_of(self, known: Route) -> HomeRegions:
         """Return the home regions of any route in the active version."""
-        return self.active_homes
+        return self.active_home_regions
 
     def selector(self) -> Selector:
         """Return a selector over the registered servers."""
@@ -176,7 +176,7 @@
                 data_centre='here',
                 region_of={'here': 'east', 'near': 'east', 'far': 'west'},
             ),
-            shares=ConnectionShares(fleet=self.fleet),
+            shares=ConnectionShares(limit_divisor=self.limit_divisor),
             cold_limits=self.cold_limits,
             clock=self.clock,
             rng=random.Random(7),
--- a/packages/fennelfork/tests/test_routes_cold_servers.py
+++ b/packages/fennelfork/tests/test_routes_cold_servers.py
@@ -57,7 +57,7 @@
     daemon.members.clear()
     for name in (*names, daemon.local.name):
         daemon.members[name] = daemon_member(name)
-    daemon.fleet.record_size(len(daemon.members))
+    daemon.limit_divisor.record(len(daemon.members))
 
 
 def _try_to_send(daemon: RoutingDaemon, cold: BackendServer) -> bool:
--- a/packages/fennelfork/tests/test_routes_daemon_overload.py
+++ b/packages/fennelfork/tests/test_routes_daemon_overload.py
@@ -1,4 +1,4 @@
-"""DaemonOverload of a daemon.
+"""Overload of a daemon.
 
 Guards against a daemon that is overloaded without telling the others, and
 against callers that move back and forth between two sets of daemons.
--- a/packages/fennelfork/tests/test_routes_home_regions.py
+++ b/packages/fennelfork/tests/test_routes_home_regions.py
@@ -103,7 +103,7 @@
         """A retry satisfies the old and the new home regions."""
         dispatched = self.daemon.dispatch(route(home_regions=_EAST))
         first = dispatched.start(0)
-        self.daemon.active_homes = _WEST
+        self.daemon.active_home_regions = _WEST
         assert not dispatched.on_failure(first[0].attempt, UNREACHABLE, 1)
 
     @given(
--- a/packages/fennelfork/tests/test_routes_power_loss.py
+++ b/packages/fennelfork/tests/test_routes_power_loss.py
@@ -232,7 +232,7 @@
         daemon = RoutingDaemon()
         shares = daemon.parts.selector.shares
         assert not shares.is_settled
-        daemon.fleet.record_size(9)
+        daemon.limit_divisor.record(9)
         assert not shares.is_settled
         daemon.time.advance(3000)
         assert shares.is_settled
--- a/packages/fennelfork/tests/test_routes_retry_budget.py
+++ b/packages/fennelfork/tests/test_routes_retry_budget.py
@@ -6,7 +6,7 @@
 
 from fennelfork import Clock, ManualTime, manual_clock
 from fennelfork.routes import (
-    FleetSize,
+    FleetMaximum,
     RetryBudgets,
     RetryPolicy,
     retry_budgets,
@@ -41,13 +41,13 @@
     def test_share_of_departed_daemon(self) -> None:
         """The share of a departed daemon is redistributed after one window."""
         time = ManualTime(at_ms=WINDOW_MS)
-        fleet = FleetSize(clock=manual_clock(time), window_ms=WINDOW_MS)
-        fleet.record_size(4)
+        fleet = FleetMaximum(clock=manual_clock(time), window_ms=WINDOW_MS)
+        fleet.record(4)
         time.advance(1)
-        fleet.record_size(2)
-        assert fleet.max_size == 4
+        fleet.record(2)
+        assert fleet.maximum == 4
         time.advance(WINDOW_MS)
-        assert fleet.max_size == 2
+        assert fleet.maximum == 2
 
 
 class SharedBudget(RuleBasedStateMachine):
@@ -109,6 +109,6 @@
 
 
 def _budgets(clock: Clock, daemons: int) -> RetryBudgets:
-    fleet = FleetSize(clock=clock, window_ms=WINDOW_MS)
-    fleet.record_size(daemons)
+    fleet = FleetMaximum(clock=clock, window_ms=WINDOW_MS)
+    fleet.record(daemons)
     return retry_budgets(_POLICY, clock, fleet)
--- a/packages/fennelfork/tests/test_routes_store_polling.py
+++ b/packages/fennelfork/tests/test_routes_store_polling.py
@@ -9,7 +9,7 @@
 from fennelfork import ManualTime, manual_clock
 from fennelfork.routes import (
     STORE_RETRY_DELAY_MS,
-    FleetSize,
+    FleetMaximum,
     StorePolling,
     store_polling,
 )
@@ -84,6 +84,6 @@
 
 
 def _polling(daemons: int, max_age_ms: float) -> StorePolling:
-    fleet = FleetSize(clock=manual_clock(ManualTime()), window_ms=10_000)
-    fleet.record_size(daemons)
+    fleet = FleetMaximum(clock=manual_clock(ManualTime()), window_ms=10_000)
+    fleet.record(daemons)
     return store_polling(fleet, max_age_ms)
