Workspaces: the request's workspace, public routes and two kinds of refusal

The seam between access, quotas and shares under load: a caller request names its workspace, a route may be public, and a refusal says that the key is unknown (401) or that the quota is used up (429). Nothing sets them yet, so no request is answered differently.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_request.py
@@ -6,6 +6,7 @@
 import attrs
 
 from fennelfork.routes import fingerprint
+from fennelfork.workspaces import Workspace
 from fennelfork_daemon.backend._request import HeaderPairs
 
 # Hop-by-hop headers (RFC 9110, 7.6.1) and the content length, which is
@@ -44,6 +45,8 @@
         request_id: ID of this transmission of the request.
         left_ms: timeout of the caller in milliseconds, or none if the request
             does not carry a timeout.
+        workspace: workspace that the request belongs to, or none if the
+            request is on a public route or no workspace is configured.
         fingerprint: hash of the method, host, target, body and credentials.
             The fingerprint is equal for all transmissions of a request and
             does not depend on the address of the caller.
@@ -56,6 +59,7 @@
     body: bytes | None
     request_id: str
     left_ms: float | None
+    workspace: Workspace | None = None
     fingerprint: str = attrs.field(init=False)
 
     @property
--- a/packages/fennelfork/src/fennelfork/_verdict.py
+++ b/packages/fennelfork/src/fennelfork/_verdict.py
@@ -37,6 +37,8 @@
 
     BAD_REQUEST = 'bad_request'
     UNKNOWN_FRONT = 'unknown_front'
+    UNKNOWN_KEY = 'unknown_key'
+    QUOTA = 'quota'
     SHED = 'shed'
     QUEUE_FULL = 'queue_full'
     DEADLINE = 'deadline'
--- a/packages/fennelfork/src/fennelfork/routes/_route.py
+++ b/packages/fennelfork/src/fennelfork/routes/_route.py
@@ -70,6 +70,7 @@
         priority: rank among the routes; 0 is the most urgent.
         home_regions: only regions whose backend servers may run the requests,
             None for any region.
+        is_public: whether requests need no key of a workspace.
     """
 
     name: str
@@ -82,6 +83,7 @@
     max_attempts: int
     priority: int = 0
     home_regions: HomeRegions = None
+    is_public: bool = False
 
 
 @functools.singledispatch
