Refusals for an unknown key and a used-up quota have a status everywhere

The two failure codes had no status on the product's own interface, and the test of the platform's statuses listed those of before. It now compares each code with the one status it must have, which is stricter than the set of three.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_problem.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_problem.py
@@ -17,6 +17,8 @@
     FailureCode.UNKNOWN_FRONT: http.HTTPStatus.NOT_FOUND,
     FailureCode.SHED: http.HTTPStatus.SERVICE_UNAVAILABLE,
     FailureCode.QUEUE_FULL: http.HTTPStatus.SERVICE_UNAVAILABLE,
+    FailureCode.UNKNOWN_KEY: http.HTTPStatus.UNAUTHORIZED,
+    FailureCode.QUOTA: http.HTTPStatus.TOO_MANY_REQUESTS,
     FailureCode.DEADLINE: http.HTTPStatus.GATEWAY_TIMEOUT,
     FailureCode.DRAINING: http.HTTPStatus.SERVICE_UNAVAILABLE,
     FailureCode.SNAPSHOT_GONE: http.HTTPStatus.SERVICE_UNAVAILABLE,
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -13,6 +13,12 @@
 from fennelfork_platform._backends import PlatformBackends
 from fennelfork_platform._callers import PlatformCallers
 
+_NOT_RUN_STATUSES = {
+    FailureCode.BAD_REQUEST: 400,
+    FailureCode.UNKNOWN_KEY: 401,
+    FailureCode.UNKNOWN_FRONT: 404,
+    FailureCode.QUOTA: 429,
+}
 _CALLERS = PlatformCallers()
 _BACKENDS = PlatformBackends()
 _SERVER = BackendServer(
@@ -112,11 +118,14 @@
 
     @pytest.mark.parametrize('code', FailureCode)
     def test_verdict_statuses(self, code: FailureCode) -> None:
-        """503, 400 and 404 are used only if the request did not run."""
+        """A request that did not run has one status for each reason.
+
+        Each of these statuses promises that the request did not run.
+        """
         may_have_run_status = _status_code(may_have_run(code, ''))
         assert may_have_run_status in {502, 504}
         not_run_status = _status_code(not_run(code, '', retry_after_ms=250))
-        assert not_run_status in {400, 404, 503}
+        assert not_run_status == _NOT_RUN_STATUSES.get(code, 503)
 
     def test_retry_after(self) -> None:
         """The retry time is sent in seconds with a fraction."""
