A request that reached no server is refused as not run, and stays so

Cause: an attempt counted as a possible run from its start, also while it waited for a connection of the pool or for a new connection to be established. A green thread that was killed while its connection was being opened never returned the connection to the ledger, so the limit shrank by one; one that was killed before its first step stayed counted as outstanding at its server.

Change: the trace of a connection records the moment before the first bytes of the request may be written, which is the only source for this question. Before an unsuccessful answer, attempts without these bytes are cancelled and recorded as not run; results that are already queued are recorded too, without further attempts. A cancelled connection is released and closed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -41,9 +41,12 @@
 
     Attributes:
         connection: number of the connection, zero before the assignment.
+        may_be_sent: whether bytes of the request may have been written to the
+            connection; false while the request waits for a connection.
     """
 
     connection: int = 0
+    may_be_sent: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -153,12 +156,15 @@
     ) -> Result[BackendResponse, Failure]:
         connection = backend_connection(self._address, self._max_response_bytes)
         self._open[number] = connection
-        opened = connection.open(_connect_timeout_ms(request))
-        if is_successful(opened):
-            response = self._exchange_on(number, request, trace)
-        else:
-            self._release(number, usable=False)
-            response = Bad(opened.failure())
+        with contextlib.ExitStack() as unopened:
+            # Also runs when the green thread of the request is killed.
+            unopened.callback(self._release, number, usable=False)
+            opened = connection.open(_connect_timeout_ms(request))
+            if is_successful(opened):
+                unopened.pop_all()
+        response = opened.bind(
+            lambda _: self._exchange_on(number, request, trace)
+        )
         return response.lash(self._handle_refused_connection)
 
     def _handle_refused_connection(
@@ -183,6 +189,7 @@
         with contextlib.ExitStack() as unusable:
             # Also runs when the green thread of the request is killed.
             unusable.callback(self._release, number, usable=False)
+            trace.may_be_sent = True
             response = self._open[number].exchange(request)
             if is_successful(response):
                 unusable.pop_all()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
@@ -22,6 +22,7 @@
     Unresponsive,
     classify_failure,
     classify_reset,
+    classify_unsent,
     record_outcome,
 )
 from fennelfork_daemon._address import address
@@ -59,6 +60,15 @@
 AttemptResult = Result[SignedResponse, Failure]
 
 
+@attrs.frozen(kw_only=True)
+class _RunningAttempt:
+    """Attempt in flight, with its green thread and its connection."""
+
+    send: Send
+    thread: GreenThread
+    trace: ConnectionTrace
+
+
 @attrs.define(kw_only=True)
 class AttemptRunner:
     """Runner of the attempts of one request, each in its own green thread."""
@@ -69,7 +79,7 @@
     _deadline_ms: float
     _requires_new_connection: bool
     _on_result: Callable[[int, AttemptResult], None]
-    _running: dict[int, GreenThread] = attrs.field(factory=dict)
+    _running: dict[int, _RunningAttempt] = attrs.field(factory=dict)
     _cancelled_outcome: AttemptOutcome = Inconclusive()
 
     def start_attempts(self, sends: list[Send]) -> None:
@@ -79,8 +89,11 @@
                 send.server.incarnation
             )
             state.record_sent(send.attempt, send.sent_ms)
-            self._running[send.attempt] = eventlet.spawn(
-                self._run_attempt, send
+            trace = ConnectionTrace()
+            self._running[send.attempt] = _RunningAttempt(
+                send=send,
+                thread=eventlet.spawn(self._run_attempt, send, trace),
+                trace=trace,
             )
 
     def schedule_cancel(self) -> None:
@@ -92,17 +105,38 @@
                 self.cancel,
             )
 
+    def cancel_unsent(self) -> list[int]:
+        """Cancel the attempts that still wait for a connection.
+
+        Returns:
+            The numbers of these attempts. They send nothing from now on.
+        """
+        cancelled = []
+        for attempt, running in tuple(self._running.items()):
+            # An earlier pass of this loop lets other green threads run.
+            is_unsent = not running.trace.may_be_sent
+            if is_unsent and attempt in self._running:
+                took_ms = self._parts.clock.now_ms() - running.send.sent_ms
+                self._kill(running, classify_unsent(took_ms))
+                cancelled.append(attempt)
+        return cancelled
+
     def cancel(self) -> None:
         """Cancel all attempts in flight and close their connections."""
-        for thread in tuple(self._running.values()):
-            thread.kill()
+        for running in tuple(self._running.values()):
+            self._kill(running, self._cancelled_outcome)
+
+    def _kill(self, running: _RunningAttempt, outcome: AttemptOutcome) -> None:
+        if self._running.pop(running.send.attempt, None) is not None:
+            running.thread.kill()
+            self._record_outcome(running.send, outcome)
 
-    def _run_attempt(self, send: Send) -> None:
+    def _run_attempt(self, send: Send, trace: ConnectionTrace) -> None:
         try:
-            attempt_result = self._send_request(send)
+            attempt_result = self._send_request(send, trace)
         except GreenletExit:
-            self._record_outcome(send, self._cancelled_outcome)
             return
+        self._running.pop(send.attempt, None)
         self._record_outcome(send, self._classify_result(send, attempt_result))
         self._on_result(send.attempt, attempt_result)
         if is_successful(attempt_result):
@@ -119,7 +153,9 @@
         if not is_draining and has_server_crashed(address(send.server.address)):
             self._parts.guard.record_crash(send, self._caller_request)
 
-    def _send_request(self, send: Send) -> AttemptResult:
+    def _send_request(
+        self, send: Send, trace: ConnectionTrace
+    ) -> AttemptResult:
         left_ms = self._deadline_ms - self._parts.clock.now_ms()
         call = self._parts.codec.write_request(
             self._caller_request,
@@ -129,7 +165,7 @@
         if self._requires_new_connection:
             call = attrs.evolve(call, fresh=True)
         pool = self._parts.pools.for_server(send.server)
-        response = pool.exchange(call, ConnectionTrace())
+        response = pool.exchange(call, trace)
         return response.bind(self._parts.codec.read_response).alt(
             self._classify_reset
         )
@@ -147,7 +183,6 @@
         return classify_failure(attempt_result.failure(), left_ms)
 
     def _record_outcome(self, send: Send, outcome: AttemptOutcome) -> None:
-        self._running.pop(send.attempt, None)
         record = AttemptRecord(
             send=send,
             now_ms=self._parts.clock.now_ms(),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -7,7 +7,7 @@
 from eventlet.queue import Empty, LightQueue
 from returns.pipeline import is_successful
 
-from fennelfork import Clock, Failure, FailureCode, Verdict
+from fennelfork import Clock, Failure, FailureCode, Verdict, not_run
 from fennelfork.routes import (
     Dispatch,
     FinishReason,
@@ -78,9 +78,24 @@
             now_ms = self._clock.now_ms()
             self._attempts.start_attempts(self.dispatch.send_hedges(now_ms))
             self.finish_reason = self.dispatch.finish_reason(now_ms)
+        if not self.dispatch.is_sufficient:
+            self._cancel_unsent()
         self._attempts.schedule_cancel()
         return self._answer()
 
+    def _cancel_unsent(self) -> None:
+        """Cancel the attempts without a connection before a failure.
+
+        A request that has not run then never runs after its answer.
+        """
+        self.dispatch.end()
+        for attempt in self._attempts.cancel_unsent():
+            self._handle_failure(attempt, _UNSENT)
+        while not self._queue.empty():
+            event = self._queue.get()
+            if event is not CallerDisconnect.DISCONNECTED:
+                self._handle_result(*event)
+
     def _next_event(self) -> Any:
         now_ms = self._clock.now_ms()
         wait_ms = max(
@@ -144,6 +159,9 @@
         )
 
 
+_UNSENT: Final = not_run(
+    FailureCode.UNREACHABLE, 'the request ended without a connection'
+)
 _CALLER_DISCONNECTED: Final = Failure(
     code=FailureCode.CANCELLED,
     verdict=Verdict.MAY_HAVE_RUN,
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -0,0 +1,154 @@
+"""Requests that end while their attempts wait for a connection.
+
+Guards against a refusal as not run whose request runs later, and against
+answers 502 or 504 to requests that reached no backend server.
+"""
+
+import random
+from typing import Any
+from unittest import mock
+
+import attrs
+import eventlet
+import pytest
+from daemon_builders_routes import caller_request, route, server, settings
+from eventlet.queue import LightQueue
+from returns.result import Result, Success
+
+from fennelfork import Failure, Verdict, system_clock
+from fennelfork.routes import (
+    DispatchParts,
+    Distances,
+    FleetMaximum,
+    Selector,
+    SingleService,
+    dispatch,
+    latency_baseline,
+    retry_budgets,
+)
+from fennelfork_daemon.backend import _pool
+from fennelfork_daemon.routes import Refused
+from fennelfork_daemon.routes._attempt_runner import AttemptParts, AttemptRunner
+from fennelfork_daemon.routes._blackboard import route_blackboard
+from fennelfork_daemon.routes._pools import ServerPools
+from fennelfork_daemon.routes._request import RunningRequest
+
+_LEFT_MS = 60
+_LONG_S = 0.2
+
+
+@attrs.define(kw_only=True)
+class _Server:
+    """Backend server whose connections open, or respond, late."""
+
+    open_s: float = 0
+    respond_s: float = 0
+    received: int = 0
+    closed: int = 0
+    is_open: bool = True
+    keep_alive_ms: float | None = None
+
+    def open(self, timeout_ms: float) -> Result[None, Failure]:
+        """Open after a delay."""
+        eventlet.sleep(self.open_s)
+        return Success(None)
+
+    def exchange(self, request: Any) -> Result[Any, Failure]:
+        """Respond after a delay."""
+        self.received += 1
+        eventlet.sleep(self.respond_s)
+        return Success(mock.Mock(status=200))
+
+    def close(self) -> None:
+        """Count the closed connections."""
+        self.closed += 1
+
+
+def _running_request(*, idempotent: bool) -> tuple[RunningRequest, Selector]:
+    clock = system_clock()
+    blackboard = route_blackboard(settings(), clock)
+    blackboard.directory.put(server('i-1'))
+    selector = Selector(
+        directory=blackboard.directory,
+        states=blackboard.states,
+        distances=Distances(data_centre='here', region_of={'here': 'east'}),
+        shares=blackboard.shares,
+        cold_limits=blackboard.cold_limits,
+        clock=clock,
+        rng=random.Random(1),
+    )
+    parts = DispatchParts(
+        selector=selector,
+        retry_budgets=retry_budgets(
+            settings().repeats, clock, FleetMaximum(clock=clock, window_ms=1)
+        ),
+        home_regions_of=blackboard.home_regions_of,
+    )
+    wanted = route('/', SingleService(service='archive'), idempotent=idempotent)
+    dispatched = dispatch(
+        wanted,
+        ('archive',),
+        parts,
+        latency_baseline(300),
+        (clock.now_ms(), _LEFT_MS),
+    )
+    codec = mock.Mock()
+    codec.read_response = Success
+    codec.write_request.return_value = _pool.JsonRequest(
+        path='/', body=None, timeout_ms=1000
+    )
+    queue = LightQueue()
+    runner = AttemptRunner(
+        parts=AttemptParts(
+            clock=clock,
+            pools=ServerPools(clock=clock, shares=blackboard.shares),
+            selector=selector,
+            codec=codec,
+            reporter=mock.Mock(),
+            guard=mock.Mock(),
+        ),
+        caller_request=caller_request(),
+        latency_baseline=dispatched.latency_baseline,
+        deadline_ms=dispatched.deadline_ms,
+        requires_new_connection=not idempotent,
+        on_result=lambda attempt, outcome: queue.put((attempt, outcome)),
+    )
+    running = RunningRequest(
+        dispatch=dispatched,
+        version=1,
+        caller_request=caller_request(),
+        clock=clock,
+        attempts=runner,
+        queue=queue,
+    )
+    return running, selector
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+@pytest.mark.parametrize(
+    ('slow', 'verdict', 'received'),
+    [
+        (_Server(open_s=_LONG_S), Verdict.NOT_RUN, 0),
+        (_Server(respond_s=_LONG_S), Verdict.MAY_HAVE_RUN, 1),
+    ],
+)
+def test_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+    slow: _Server,
+    verdict: Verdict,
+    received: int,
+    idempotent: bool,
+) -> None:
+    """Only a request without a connection has not run, and never runs."""
+    slow = attrs.evolve(slow)
+    monkeypatch.setattr(_pool, 'backend_connection', lambda *_: slow)
+    running, selector = _running_request(idempotent=idempotent)
+    answer = running.run()
+    assert isinstance(answer, Refused)
+    assert answer.failure.verdict is verdict
+    assert (answer.failure.retry_after_ms is None) is bool(received)
+    eventlet.sleep(2 * _LONG_S)
+    assert slow.received == received
+    assert slow.closed == 1 - received
+    state = selector.states.for_incarnation(server('i-1').incarnation)
+    assert not state.outstanding
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -7,6 +7,7 @@
 from ._attempt_outcome import Succeeded as Succeeded
 from ._attempt_outcome import Unresponsive as Unresponsive
 from ._attempt_outcome import classify_failure as classify_failure
+from ._attempt_outcome import classify_unsent as classify_unsent
 from ._attempt_outcome import record_outcome as record_outcome
 from ._caller_limits import CallerLimits as CallerLimits
 from ._cold_limits import ColdLimits as ColdLimits
--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -65,6 +65,17 @@
     return Failed(failure=failure)
 
 
+def classify_unsent(took_ms: float) -> AttemptOutcome:
+    """Return the outcome of an attempt that had no connection when it ended.
+
+    Args:
+        took_ms: time since the start of the attempt.
+    """
+    if took_ms < _MIN_CONNECT_MS:
+        return Inconclusive()
+    return Unresponsive()
+
+
 @attrs.frozen(kw_only=True)
 class AttemptRecord:
     """Completed attempt.
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -63,6 +63,7 @@
     _request_attempts: RequestAttempts
     _partial_at_ms: float
     _deadline_ms: float
+    _has_ended: bool = False
 
     @property
     def response_count(self) -> int:
@@ -105,6 +106,8 @@
         if sub_request is None:
             return []
         sub_request.record_response(attempt, part, now_ms)
+        if self._has_ended:
+            return []
         return self._request_attempts.handle_response(attempt, now_ms)
 
     def on_failure(
@@ -119,6 +122,8 @@
         if sub_request is None:
             return []
         sub_request.record_failure(attempt, failure, now_ms)
+        if self._has_ended:
+            return []
         in_time = now_ms < self._deadline_ms
         sends = self._request_attempts.handle_failure(
             sub_request, attempt, failure, now_ms, in_time=in_time
@@ -126,6 +131,10 @@
         self.retries += len(sends)
         return sends
 
+    def end(self) -> None:
+        """Send no further attempt, whatever the outcomes of the others are."""
+        self._has_ended = True
+
     def send_hedges(self, now_ms: float) -> list[Send]:
         """Send the hedges of sub-requests that are due."""
         sends = []
