Shares: fair rates, fair queue, rates and draws below homes and routes

Cause: weighted max-min shares lived in the home package, above the routes, which need the same shares to divide a concurrency limit between workspaces.

No behaviour changes; test_home_fair.py is now test_shares_fair.py, with other imports only.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_client.py
@@ -13,9 +13,10 @@
     ScatterRequest,
     ShardView,
 )
-from fennelfork.home import AdmissionLevel, EntryGate, Flow, entry_gate
+from fennelfork.home import AdmissionLevel, EntryGate, entry_gate
 from fennelfork.membership import Member
 from fennelfork.placement import PeerHealth
+from fennelfork.shares import Flow
 from fennelfork_daemon.peer._client import PeerClient
 from fennelfork_daemon.peer._codec import (
     outcome_from_peer,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_service.py
@@ -16,7 +16,8 @@
     ShardView,
     SubQueryOutcome,
 )
-from fennelfork.home import Flow, ServerStatus, Task, TaskStats
+from fennelfork.home import ServerStatus, Task, TaskStats
+from fennelfork.shares import Flow
 from fennelfork_daemon.home._runners import ShardName, ShardRunners
 from fennelfork_daemon.home._tasks import (
     RunnableTask,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/home/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/home/_settings.py
@@ -10,9 +10,10 @@
     HedgeSettings,
     Server,
 )
-from fennelfork.home import HomeSettings, ServerConfig, Shares
+from fennelfork.home import HomeSettings, ServerConfig
 from fennelfork.placement import RoutingMode, limit_slots
 from fennelfork.servers import FixedHedge, HedgePolicy, NoHedge, QuantileHedge
+from fennelfork.shares import Shares
 
 # Two daemons may act as home daemon of a shard at the same time. Each uses at
 # most its share of the connections of a server.
--- a/packages/fennelfork-daemon/tests/daemon_builders_home.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_home.py
@@ -3,7 +3,8 @@
 from fennelfork import FailureCode, not_run
 from fennelfork.config import Server
 from fennelfork.gather import SnapshotView, key_range
-from fennelfork.home import Flow, HomeScheduler, ServerReport, Task
+from fennelfork.home import HomeScheduler, ServerReport, Task
+from fennelfork.shares import Flow
 
 SERVER = Server(
     address='127.0.0.1:1',
--- a/packages/fennelfork/src/fennelfork/home/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/home/__init__.pyi
@@ -3,14 +3,10 @@
 from ._admission import Arrival as Arrival
 from ._admission import HomeAdmission as HomeAdmission
 from ._admission import LoadEstimate as LoadEstimate
-from ._admission import hash_fraction as hash_fraction
 from ._admission import refuse_overload as refuse_overload
 from ._draining import DrainingServers as DrainingServers
 from ._draining import ServerKey as ServerKey
 from ._draining import draining_servers as draining_servers
-from ._fair import Flow as Flow
-from ._fair import Shares as Shares
-from ._fair import fair_rates as fair_rates
 from ._gate import AdmissionLevel as AdmissionLevel
 from ._gate import EntryGate as EntryGate
 from ._gate import entry_gate as entry_gate
@@ -24,7 +20,6 @@
 from ._messages import TaskAnswered as TaskAnswered
 from ._messages import TaskRefused as TaskRefused
 from ._messages import TaskStats as TaskStats
-from ._queue import FairQueue as FairQueue
 from ._route import HomeGroup as HomeGroup
 from ._route import data_centres_of as data_centres_of
 from ._route import group_shards_by_home as group_shards_by_home
--- a/packages/fennelfork/src/fennelfork/home/_admission.py
+++ b/packages/fennelfork/src/fennelfork/home/_admission.py
@@ -4,21 +4,16 @@
 from typing import Final
 
 import attrs
-import xxhash
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from fennelfork._verdict import Failure, FailureCode, not_run
-from fennelfork.home._fair import Flow, Shares, fair_rates
+from fennelfork.shares import Flow, Rate, Shares, fair_rates, hash_fraction
+from fennelfork.shares._rate import RATE_WINDOW_MS
 
-_WINDOW_MS: Final = 300.0
-# Minimum age of a rate; avoids extreme values after the first event.
-_MIN_RATE_AGE_MS: Final = 50.0
 _MIN_TRACKED_EVENTS: Final = 0.01
 # Number of flows below which idle flows are not removed.
 _MIN_SWEEP_FLOWS: Final = 64
-_HASH_BITS: Final = 64
-_HASH_RANGE: Final = 2**_HASH_BITS
 # Above 1, so that slots do not become idle; the resulting queue is subtracted
 # from the capacity.
 _TARGET_UTILISATION: Final = 1.05
@@ -33,32 +28,6 @@
 _RETRY_MS: Final = 1000
 
 
-@attrs.define(kw_only=True)
-class Rate:
-    """Rate of events with exponential decay."""
-
-    _since_ms: float
-    _at_ms: float
-    _count: float = 0
-
-    def record(self, now_ms: float, weight: float) -> None:
-        """Record an event that represents `weight` events."""
-        self._decay(now_ms)
-        self._count += weight
-
-    def per_ms(self, now_ms: float) -> float:
-        """Return the recent number of events per millisecond."""
-        self._decay(now_ms)
-        age_ms = max(_MIN_RATE_AGE_MS, now_ms - self._since_ms)
-        observed_fraction = 1 - math.exp(-age_ms / _WINDOW_MS)
-        return self._count / (_WINDOW_MS * observed_fraction)
-
-    def _decay(self, now_ms: float) -> None:
-        elapsed_ms = max(0, now_ms - self._at_ms)
-        self._count *= math.exp(-elapsed_ms / _WINDOW_MS)
-        self._at_ms = now_ms
-
-
 @attrs.frozen(kw_only=True)
 class LoadEstimate:
     """Load of a shard from the point of view of a new sub-query.
@@ -138,7 +107,7 @@
         wait_ms = self.predict_wait_ms(load)
         max_wait_ms = max(self.service_ms, _MAX_QUEUE_SHARE * load.remaining_ms)
         if 0 < max_wait_ms <= wait_ms:
-            self._overloaded_until_ms = now_ms + _WINDOW_MS
+            self._overloaded_until_ms = now_ms + RATE_WINDOW_MS
         if now_ms < self._overloaded_until_ms:
             self._set_levels(load, now_ms)
         if wait_ms + load.median_run_ms > load.remaining_ms:
@@ -183,7 +152,8 @@
         )
         capacity = max(
             0,
-            _TARGET_UTILISATION * capacity_per_ms - excess_queued / _WINDOW_MS,
+            _TARGET_UTILISATION * capacity_per_ms
+            - excess_queued / RATE_WINDOW_MS,
         )
         granted_rates = fair_rates(offered, self.shares, capacity)
         self._levels = {
@@ -194,20 +164,10 @@
 
     def _remove_flows(self, offered: dict[Flow, float]) -> None:
         for flow, per_ms in offered.items():
-            if per_ms * _WINDOW_MS < _MIN_TRACKED_EVENTS:
+            if per_ms * RATE_WINDOW_MS < _MIN_TRACKED_EVENTS:
                 self._arrivals.pop(flow)
 
 
-def hash_fraction(request_id: str) -> float:
-    """Return the hash of a request id as a fraction between 0 and 1.
-
-    All home daemons compute the same fraction, so that under overload they
-    admit the same requests. Independent decisions would waste the work of
-    queries that only some of the home daemons admit.
-    """
-    return xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE
-
-
 def refuse_overload(request_id: str) -> Result[float, Failure]:
     """Return the failure of a request that exceeds the share of its flow."""
     return _refuse(
--- a/packages/fennelfork/src/fennelfork/home/_blackboard.py
+++ b/packages/fennelfork/src/fennelfork/home/_blackboard.py
@@ -17,7 +17,6 @@
     Task,
     TaskStats,
 )
-from fennelfork.home._queue import FairQueue
 from fennelfork.home._slots import SlotTable
 from fennelfork.servers._budget import Budget, budget
 from fennelfork.servers._connection import ConnectionLedger
@@ -25,6 +24,7 @@
 from fennelfork.servers._ejection import EjectionState
 from fennelfork.servers._hedge import Latencies, latencies
 from fennelfork.servers._rank import ObservedLatency
+from fennelfork.shares import FairQueue
 
 _BUDGET_LIMIT: Final = 10.0
 _MAX_SHED_BACKOFF_MS: Final = 200.0
--- a/packages/fennelfork/src/fennelfork/home/_gate.py
+++ b/packages/fennelfork/src/fennelfork/home/_gate.py
@@ -7,8 +7,8 @@
 
 from fennelfork._clock import Clock
 from fennelfork._verdict import Failure
-from fennelfork.home._admission import hash_fraction, refuse_overload
-from fennelfork.home._fair import Flow
+from fennelfork.home._admission import refuse_overload
+from fennelfork.shares import Flow, hash_fraction
 
 # Reported levels expire after this time.
 _LEVEL_LIFETIME_MS: Final = 1000.0
--- a/packages/fennelfork/src/fennelfork/home/_messages.py
+++ b/packages/fennelfork/src/fennelfork/home/_messages.py
@@ -8,8 +8,8 @@
 from fennelfork._verdict import Failure
 from fennelfork.gather._partition import SnapshotView
 from fennelfork.gather._range import KeyRange
-from fennelfork.home._fair import Flow, Shares
 from fennelfork.servers._hedge import HedgePolicy, NoHedge
+from fennelfork.shares import Flow, Shares
 
 _QUEUE_LIMIT: Final = 1000
 
--- a/packages/fennelfork/src/fennelfork/home/_scheduler.py
+++ b/packages/fennelfork/src/fennelfork/home/_scheduler.py
@@ -12,7 +12,6 @@
 from fennelfork._verdict import Failure, FailureCode, not_run
 from fennelfork.home._blackboard import ShardBlackboard, shard_blackboard
 from fennelfork.home._dispatch import dispatch
-from fennelfork.home._fair import Flow
 from fennelfork.home._intake import admit_task, handle_timer
 from fennelfork.home._messages import Action, HomeSettings, Task
 from fennelfork.home._outcome import (
@@ -24,6 +23,7 @@
 )
 from fennelfork.home._servers import HomeServers
 from fennelfork.home._status import ServerStatus, server_statuses
+from fennelfork.shares import Flow
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/src/fennelfork/home/_queue.py
+++ b/packages/fennelfork/src/fennelfork/shares/_queue.py
@@ -6,7 +6,7 @@
 import attrs
 from sortedcontainers import SortedList
 
-from fennelfork.home._fair import Flow, Shares
+from fennelfork.shares._fair import Flow, Shares
 
 # Jobs of a flow that are considered if no server can run the first one.
 _LOOK_AHEAD_JOBS: Final = 8
--- a/packages/fennelfork/tests/core_builders_home.py
+++ b/packages/fennelfork/tests/core_builders_home.py
@@ -11,7 +11,6 @@
 from fennelfork.home import (
     Action,
     Cancel,
-    Flow,
     HomeScheduler,
     HomeSettings,
     Send,
@@ -23,6 +22,7 @@
     home_scheduler,
 )
 from fennelfork.servers import FixedHedge
+from fennelfork.shares import Flow
 
 WHOLE = key_range(0, 100)
 SERVING = ServerReport(
--- a/packages/fennelfork/tests/test_exports.py
+++ b/packages/fennelfork/tests/test_exports.py
@@ -18,6 +18,7 @@
     'fennelfork.placement',
     'fennelfork.routes',
     'fennelfork.servers',
+    'fennelfork.shares',
 ]
 
 
--- a/packages/fennelfork/tests/test_flow_bounds.py
+++ b/packages/fennelfork/tests/test_flow_bounds.py
@@ -1,8 +1,7 @@
 """Memory use of a home daemon when callers use many tenant names."""
 
-from fennelfork.home import Flow, Shares
 from fennelfork.home._admission import Arrival, HomeAdmission, LoadEstimate
-from fennelfork.home._queue import FairQueue
+from fennelfork.shares import FairQueue, Flow, Shares
 
 _FREE = LoadEstimate(
     slots=5, free_slots=5, queued_ahead=0, median_run_ms=5, remaining_ms=1000
--- a/packages/fennelfork/tests/test_home_gate.py
+++ b/packages/fennelfork/tests/test_home_gate.py
@@ -5,7 +5,8 @@
 from returns.pipeline import is_successful
 
 from fennelfork import ManualTime, Verdict, manual_clock
-from fennelfork.home import AdmissionLevel, EntryGate, entry_gate, hash_fraction
+from fennelfork.home import AdmissionLevel, EntryGate, entry_gate
+from fennelfork.shares import hash_fraction
 
 _NAMES = [f'request-{number}' for number in range(200)]
 
--- a/packages/fennelfork/tests/test_home_fair.py
+++ b/packages/fennelfork/tests/test_shares_fair.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork.home import FairQueue, Flow, Shares, fair_rates
+from fennelfork.shares import FairQueue, Flow, Shares, fair_rates
 
 _SHARES = Shares(tenants={'salvare': 2}, classes={'counter': 4})
 _RATES = st.floats(0.01, 100)
