Retry-After follows what callers can use and spreads their returns

Cause: every refusal under overload named 1.000 s and every failed request 0.250 s. Callers wait for at most a third of the time that they have left, so those of one class came back in the same moment and were refused again.

Change: Retry-After lies between the time in which one request ends and the time in which those in flight and those refused in the last second can end, at most a third of the time left; the hash of the request id selects the place. Without room in that time it is that third. The 250 ms after failed attempts become 125 to 375 ms in the same way.

Changed tests: test_platform_face.py named 1.000 and 0.250. It names the new values of its request id exactly, and in addition checks another id.

Result: test_routes_returns.py; 60 refusals at 20 in flight and 100 ends a second: at most 20 returns in any tenth of a second, before all 60.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -45,8 +45,6 @@
     'no configuration is known yet',
     retry_after_ms=_NO_ROUTES_RETRY_MS,
 )
-# An overload lasts for seconds.
-_OVERLOAD_RETRY_MS: Final = 1000
 _INTERNAL_ERROR: Final = may_have_run(
     FailureCode.INTERNAL, 'internal error; see the log of the daemon'
 )
@@ -108,7 +106,9 @@
         if not is_successful(admitted):
             return self._refuse(admitted.failure(), caller_request)
         if not self.limits.try_admit(route):
-            return self._refuse(self._overload_failure(route), caller_request)
+            return self._refuse(
+                self._overload_failure(route, caller_request), caller_request
+            )
         with contextlib.ExitStack() as stack:
             stack.callback(self.limits.release, route)
             running_request = self._build_request(
@@ -143,13 +143,19 @@
             )
         return answer
 
-    def _overload_failure(self, route: Route) -> Failure:
+    def _overload_failure(
+        self, route: Route, caller_request: CallerRequest
+    ) -> Failure:
         limit = self.limits.for_route(route)
         return not_run(
             FailureCode.SHED,
             f'{limit.in_flight} requests are under way to these services, '
             f'the limit is {limit.limit:.0f}',
-            retry_after_ms=_OVERLOAD_RETRY_MS,
+            retry_after_ms=self.limits.record_refusal(
+                route,
+                caller_request.request_id,
+                _left_ms(route, caller_request),
+            ),
         )
 
     def _refuse(
@@ -182,17 +188,12 @@
         received_ms: float,
         suspect_services: frozenset[str],
     ) -> RunningRequest:
-        left_ms = (
-            route.timeout_ms
-            if caller_request.left_ms is None
-            else caller_request.left_ms
-        )
         dispatched: Dispatch[SignedResponse] = dispatch(
             route,
             choose_services(route.target, self._rng),
             self._dispatch_parts,
             self._baselines.for_route(route),
-            (received_ms, left_ms),
+            (received_ms, _left_ms(route, caller_request)),
             suspect_services=suspect_services,
         )
         queue = LightQueue()
@@ -214,6 +215,13 @@
         )
 
 
+def _left_ms(route: Route, caller_request: CallerRequest) -> float:
+    """Return the time that the caller has left, at most a route's timeout."""
+    if caller_request.left_ms is None:
+        return route.timeout_ms
+    return caller_request.left_ms
+
+
 def _no_route_failure(caller_request: CallerRequest) -> Failure:
     detail = f'no route matches host {caller_request.host!r} and path {caller_request.path!r}'
     return not_run(FailureCode.UNKNOWN_FRONT, detail)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -14,6 +14,7 @@
     is_merged,
     largest_records,
     merge_failures,
+    spread_retry,
 )
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._attempt_runner import (
@@ -150,8 +151,12 @@
         if self._error_response and not is_merged(self.dispatch.route.target):
             return Forwarded(answer=self._error_response)
         timed_out = self.finish_reason is FinishReason.TIMEOUT
-        sub_requests = self.dispatch.sub_requests.values()
-        return self._refuse(merge_failures(sub_requests, timed_out=timed_out))
+        failure = merge_failures(
+            self.dispatch.sub_requests.values(), timed_out=timed_out
+        )
+        left_ms = max(0, self.dispatch.deadline_ms - self._clock.now_ms())
+        request_id = self._caller_request.request_id
+        return self._refuse(spread_retry(failure, request_id, left_ms))
 
     def _refuse(self, failure: Failure) -> Refused:
         return Refused(
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -22,6 +22,7 @@
 from ._evacuations import Evacuations as Evacuations
 from ._failure import classify_reset as classify_reset
 from ._failure import merge_failures as merge_failures
+from ._failure import spread_retry as spread_retry
 from ._fingerprint import fingerprint as fingerprint
 from ._fleet_maximum import FleetMaximum as FleetMaximum
 from ._home_regions import HomeRegions as HomeRegions
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -7,12 +7,14 @@
 process lags.
 """
 
+import functools
 from typing import Any, Final
 
 import attrs
 
 from fennelfork._clock import Clock
 from fennelfork.routes._dispatch import Dispatch
+from fennelfork.routes._returns import Returns, returns
 from fennelfork.routes._route import Route, services_of
 
 # Above the number of requests that a daemon ever has in flight.
@@ -40,10 +42,12 @@
     Attributes:
         in_flight: number of requests in flight.
         limit: maximum number of requests in flight.
+        returns: requests that ended or were refused recently.
     """
 
     in_flight: int = 0
     limit: float = _NO_LIMIT
+    returns: Returns = attrs.field(factory=functools.partial(returns, 0))
     _decreased_ms: float = 0
     _overloaded_ms: float = 0
     _priorities: set[int] = attrs.field(factory=set)
@@ -130,9 +134,30 @@
         """Record the end of an admitted request of a route."""
         limit = self.for_route(route)
         limit.in_flight -= 1
+        limit.returns.record_end(self._clock.now_ms())
         if not limit.in_flight and limit.limit >= _NO_LIMIT:
             self._limits.pop(services_of(route.target), None)
 
+    def record_refusal(
+        self, route: Route, request_id: str, left_ms: float
+    ) -> int:
+        """Record a request that was not admitted.
+
+        Args:
+            route: route of the request.
+            request_id: id of the request.
+            left_ms: time until the deadline of the caller.
+
+        Returns:
+            The time in milliseconds after which the caller may return.
+        """
+        limit = self.for_route(route)
+        now_ms = self._clock.now_ms()
+        limit.returns.record_refusal(now_ms)
+        return limit.returns.retry_after_ms(
+            request_id, limit.in_flight, left_ms, now_ms
+        )
+
     def record_outcome(self, dispatch: Dispatch[Any], took_ms: float) -> bool:
         """Adjust the limit of a route to the outcome of a request.
 
@@ -168,6 +193,8 @@
         services = services_of(route.target)
         concurrency_limit = self._limits.get(services)
         if concurrency_limit is None:
-            concurrency_limit = ConcurrencyLimit()
+            concurrency_limit = ConcurrencyLimit(
+                returns=returns(self._clock.now_ms())
+            )
             self._limits[services] = concurrency_limit
         return concurrency_limit
--- a/packages/fennelfork/src/fennelfork/routes/_failure.py
+++ b/packages/fennelfork/src/fennelfork/routes/_failure.py
@@ -7,11 +7,15 @@
 import attrs
 
 from fennelfork._verdict import Failure, FailureCode, Verdict
+from fennelfork.routes._returns import spread_return_ms
 from fennelfork.routes._sub_request import SubRequest
 
 # Long enough for most pauses of a backend server, which last some tenths of a
 # second, and short enough to leave a caller time for its own retry.
 RETRY_AFTER_MS: Final = 250
+# Callers whose requests failed together return one after the other, by at most
+# this share of the time before and after it.
+_RETRY_SPREAD: Final = 0.5
 
 
 def merge_failures(
@@ -42,6 +46,29 @@
     return failure
 
 
+def spread_retry(failure: Failure, request_id: str, left_ms: float) -> Failure:
+    """Return the failure with a retry time of its own for each request.
+
+    Args:
+        failure: merged failure of the request.
+        request_id: id of the request.
+        left_ms: time until the deadline of the request.
+
+    Returns:
+        The failure, unchanged if it has no time after which a retry may help.
+    """
+    if failure.retry_after_ms is None:
+        return failure
+    width_ms = failure.retry_after_ms * _RETRY_SPREAD
+    retry_after_ms = spread_return_ms(
+        request_id,
+        failure.retry_after_ms - width_ms,
+        failure.retry_after_ms + width_ms,
+        left_ms,
+    )
+    return attrs.evolve(failure, retry_after_ms=retry_after_ms)
+
+
 def classify_reset(failure: Failure, *, is_warmed_up: bool) -> Failure:
     """Classify the reset of a new connection before its first response.
 
