Workspaces share a binding concurrency limit by priority and by weight

Cause: a concurrency limit knew no workspace, so one that sent six times its usual took the places of all others, and a caller that repeated at once had as many chances as it sent requests.

Change: the shares count the recent requests of each workspace and priority. While the limit binds, what it can run a second is allocated by priority, then by weighted max-min fairness (fair_rates); each workspace is left a third of the average. A workspace whose requests exceed what it is granted by more than chance is admitted by the draw of the request id, as homes do. Requests that return before their Retry-After may fill half of the limit and do not count as demand of their workspace. Requests without a workspace are decided on as before.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -12,6 +12,7 @@
 
 from fennelfork import Clock, Failure, FailureCode, may_have_run, not_run
 from fennelfork.routes import (
+    Asker,
     CallerLimits,
     ConcurrencyLimits,
     Dispatch,
@@ -21,6 +22,7 @@
     RouteTable,
     choose_services,
     dispatch,
+    priority_of,
 )
 from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
 from fennelfork_daemon.routes._answer import Answer, Refused
@@ -105,10 +107,9 @@
         admitted = self._attempt_parts.guard.admit(caller_request.fingerprint)
         if not is_successful(admitted):
             return self._refuse(admitted.failure(), caller_request)
-        if not self.limits.try_admit(route):
-            return self._refuse(
-                self._overload_failure(route, caller_request), caller_request
-            )
+        overload = self._admit(route, caller_request)
+        if overload is not None:
+            return self._refuse(overload, caller_request)
         with contextlib.ExitStack() as stack:
             stack.callback(self.limits.release, route)
             running_request = self._build_request(
@@ -143,18 +144,25 @@
             )
         return answer
 
-    def _overload_failure(
+    def _admit(
         self, route: Route, caller_request: CallerRequest
-    ) -> Failure:
+    ) -> Failure | None:
+        """Admit a request, or return the failure if there is no room."""
+        asker = _asker(route, caller_request)
+        refusal = self.limits.admit(route, asker)
+        if refusal is None:
+            return None
+        self._attempt_parts.reporter.count_overload_refusal(refusal)
         limit = self.limits.for_route(route)
         return not_run(
             FailureCode.SHED,
             f'{limit.in_flight} requests are under way to these services, '
-            f'the limit is {limit.limit:.0f}',
+            f'the limit is {limit.limit:.0f}, refused by {refusal.value}',
             retry_after_ms=self.limits.record_refusal(
                 route,
                 caller_request.request_id,
                 _left_ms(route, caller_request),
+                asker,
             ),
         )
 
@@ -215,6 +223,19 @@
         )
 
 
+def _asker(route: Route, caller_request: CallerRequest) -> Asker | None:
+    """Return what shares between workspaces need to know of a request."""
+    workspace = caller_request.workspace
+    if workspace is None:
+        return None
+    return Asker(
+        workspace=workspace,
+        priority=priority_of(route, workspace),
+        request_id=caller_request.request_id,
+        fingerprint=caller_request.fingerprint,
+    )
+
+
 def _left_ms(route: Route, caller_request: CallerRequest) -> float:
     """Return the time that the caller has left, at most a route's timeout."""
     if caller_request.left_ms is None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -15,7 +15,12 @@
 )
 from prometheus_client.exposition import CONTENT_TYPE_PLAIN_0_0_4
 
-from fennelfork.routes import Quarantine, RequestStatus, RouteTable
+from fennelfork.routes import (
+    Quarantine,
+    RefusalReason,
+    RequestStatus,
+    RouteTable,
+)
 from fennelfork_daemon.http._router import HttpReply, HttpRequest
 from fennelfork_daemon.metrics._labels import KnownNames
 
@@ -62,6 +67,7 @@
     _extra_attempts: Counter
     _missing: Counter
     _decisions: Counter
+    _overload_refusals: Counter
     _listing_age: Gauge
     _suspicions: Gauge
 
@@ -103,6 +109,10 @@
         """Count decisions by event and by whether a log line was written."""
         self._decisions.labels(event, 'yes' if logged else 'no').inc(times)
 
+    def count_overload_refusal(self, reason: RefusalReason) -> None:
+        """Count a request that was refused before its first attempt."""
+        self._overload_refusals.labels(reason.value).inc()
+
     def page(self, request: HttpRequest) -> HttpReply:
         """Return all metrics in the Prometheus text format."""
         return HttpReply(
@@ -151,6 +161,12 @@
             'Decisions by kind, and whether a log line was written.',
             ('event', 'logged'),
         ),
+        overload_refusals=_build_counter(
+            registry,
+            'fennelfork_overload_refusals',
+            'Requests refused under overload, by what had no room for them.',
+            ('reason',),
+        ),
         listing_age=Gauge(
             'fennelfork_store_told_age_seconds',
             'Since the store last told what it holds.',
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -11,6 +11,7 @@
     AttemptOutcome,
     ConcurrencyLimit,
     Failed,
+    RefusalReason,
     Route,
     Send,
 )
@@ -64,6 +65,10 @@
             ),
         )
 
+    def count_overload_refusal(self, reason: RefusalReason) -> None:
+        """Count a request that was refused under overload."""
+        self._metrics.count_overload_refusal(reason)
+
     def log_ejection(
         self,
         send: Send,
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -16,6 +16,12 @@
 from fennelfork.routes._dispatch import Dispatch
 from fennelfork.routes._returns import Returns, returns
 from fennelfork.routes._route import Route, services_of
+from fennelfork.routes._workspace_shares import (
+    Asker,
+    RefusalReason,
+    SharedLimit,
+    WorkspaceShares,
+)
 
 # Above the number of requests that a daemon ever has in flight.
 _NO_LIMIT: Final = 512.0
@@ -30,6 +36,8 @@
 _INCREASE: Final = 0.2
 _RECOVERED_INCREASE: Final = 1.0
 _RECOVERY_MS: Final = 1000.0
+# Weight of the latest request in the mean time that requests are in flight.
+_DURATION_GAIN: Final = 0.1
 # Factor on the limit for each more urgent priority that is in use. A much lower
 # factor refuses more of the other requests without an advantage for urgent ones.
 _LOWER_PRIORITY_SHARE: Final = 0.9
@@ -43,15 +51,28 @@
         in_flight: number of requests in flight.
         limit: maximum number of requests in flight.
         returns: requests that ended or were refused recently.
+        shares: shares of the workspaces in the limit.
     """
 
     in_flight: int = 0
     limit: float = _NO_LIMIT
     returns: Returns = attrs.field(factory=functools.partial(returns, 0))
+    shares: WorkspaceShares = attrs.field(factory=WorkspaceShares)
+    _held_ms: float = 0
     _decreased_ms: float = 0
     _overloaded_ms: float = 0
     _priorities: set[int] = attrs.field(factory=set)
 
+    @property
+    def shared(self) -> SharedLimit:
+        """The limit as the workspaces share it now."""
+        return SharedLimit(
+            in_flight=self.in_flight,
+            slots=self.limit,
+            is_binding=self.limit < _NO_LIMIT,
+            held_ms=self._held_ms,
+        )
+
     def has_capacity(self, priority: int) -> bool:
         """Whether one more request of a priority may be admitted.
 
@@ -74,6 +95,18 @@
         self.in_flight += 1
         return True
 
+    def try_admit_shared(self) -> bool:
+        """Admit one request whose priority the shares have considered."""
+        if self.in_flight >= max(_MIN_LIMIT, self.limit):
+            return False
+        self.in_flight += 1
+        return True
+
+    def record_duration(self, took_ms: float) -> None:
+        """Record the time for which a request was in flight."""
+        gain = _DURATION_GAIN if self._held_ms else 1
+        self._held_ms += gain * (took_ms - self._held_ms)
+
     def record_success(self, now_ms: float) -> None:
         """Increase the limit after a request that met its latency target."""
         if self.limit >= _NO_LIMIT:
@@ -123,12 +156,32 @@
     )
 
     def try_admit(self, route: Route) -> bool:
-        """Admit a request of a route if its limit allows it.
+        """Admit a request without a workspace if its limit allows it.
 
         Returns:
             Whether the request is admitted.
         """
-        return self.for_route(route).try_admit(route.priority)
+        return self.admit(route, None) is None
+
+    def admit(self, route: Route, asker: Asker | None) -> RefusalReason | None:
+        """Admit a request of a route if limit and workspace allow it.
+
+        Args:
+            route: route of the request.
+            asker: workspace and request, none if no workspace is configured.
+
+        Returns:
+            The reason for a refusal, none if the request is admitted.
+        """
+        limit = self.for_route(route)
+        if asker is None:
+            admitted = limit.try_admit(route.priority)
+            return None if admitted else RefusalReason.LIMIT
+        now_ms = self._clock.now_ms()
+        refusal = limit.shares.find_refusal(asker, limit.shared, now_ms)
+        if refusal is not None:
+            return refusal
+        return None if limit.try_admit_shared() else RefusalReason.LIMIT
 
     def release(self, route: Route) -> None:
         """Record the end of an admitted request of a route."""
@@ -139,7 +192,11 @@
             self._limits.pop(services_of(route.target), None)
 
     def record_refusal(
-        self, route: Route, request_id: str, left_ms: float
+        self,
+        route: Route,
+        request_id: str,
+        left_ms: float,
+        asker: Asker | None = None,
     ) -> int:
         """Record a request that was not admitted.
 
@@ -147,6 +204,7 @@
             route: route of the request.
             request_id: id of the request.
             left_ms: time until the deadline of the caller.
+            asker: workspace and request, none if no workspace is configured.
 
         Returns:
             The time in milliseconds after which the caller may return.
@@ -154,9 +212,12 @@
         limit = self.for_route(route)
         now_ms = self._clock.now_ms()
         limit.returns.record_refusal(now_ms)
-        return limit.returns.retry_after_ms(
+        retry_after_ms = limit.returns.retry_after_ms(
             request_id, limit.in_flight, left_ms, now_ms
         )
+        if asker is not None:
+            limit.shares.record_refusal(asker, now_ms, retry_after_ms)
+        return retry_after_ms
 
     def record_outcome(self, dispatch: Dispatch[Any], took_ms: float) -> bool:
         """Adjust the limit of a route to the outcome of a request.
@@ -169,6 +230,7 @@
             Whether the limit has been decreased.
         """
         limit = self.for_route(dispatch.route)
+        limit.record_duration(took_ms)
         now_ms = self._clock.now_ms()
         in_time = took_ms <= dispatch.route.latency_target_ms
         if dispatch.is_sufficient and in_time:
--- a/packages/fennelfork/src/fennelfork/shares/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/shares/__init__.pyi
@@ -5,4 +5,6 @@
 from ._fair import Shares as Shares
 from ._fair import fair_rates as fair_rates
 from ._queue import FairQueue as FairQueue
+from ._ranked import RankedRates as RankedRates
+from ._ranked import ranked_rates as ranked_rates
 from ._rate import Rate as Rate
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -24,8 +24,10 @@
 from returns.result import Failure
 
 from fennelfork import system_clock
+from fennelfork.workspaces import Workspace
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.routes import (
+    CallerRequest,
     Ports,
     ServerUpdate,
     UpdateBatch,
@@ -131,6 +133,11 @@
     structlog.reset_defaults()
 
 
+def _add_workspace(caller_request: CallerRequest) -> CallerRequest:
+    workspace = Workspace(name='hot', rate_per_s=1)
+    return attrs.evolve(caller_request, workspace=workspace)
+
+
 class TestRefusals:
     """Requests that are not sent to a backend server."""
 
@@ -179,6 +186,32 @@
             limits.release(found)
         assert daemon.send_request()[0] == 200
 
+    def test_workspace_share(
+        self, daemon: Daemon, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A workspace beyond its share is refused while others have room."""
+        daemon.configure(route())
+        daemon.add_server(b'whole', 'archive')
+        read_request = PlatformCallers.read_request
+        monkeypatch.setattr(
+            PlatformCallers,
+            'read_request',
+            lambda *args: read_request(*args).map(_add_workspace),
+        )
+        blackboard = daemon.service.blackboard
+        found = blackboard.table.routes[0]
+        limits = daemon.service.face.limits
+        for _ in range(20):
+            limits.try_admit(found)
+        limits.record_lag()
+        for _ in range(20):
+            limits.release(found)
+        limits.for_route(found).record_duration(100_000)
+        statuses = {daemon.send_request()[0] for _ in range(20)}
+        assert statuses == {200, 503}
+        reasons = [line.get('reason', '') for line in daemon.log_lines()]
+        assert any('workspace_share' in reason for reason in reasons)
+
 
 class TestAnswers:
     """Requests that backend servers respond to."""
