Lag refuses the least urgent requests first; hopeless requests are refused at once

Cause: limits are per set of services, but a late wake-up of the process decreased all of them alike, so a burst of one class took the places of the urgent class at other services. A request whose caller returned with hardly any time left took a place, ran and was late.

Change: one lag takes a fifth of the sub-requests in flight, from the least urgent limits first, each of which keeps a quarter and at least six requests. A request with less time than the 5% fastest responses of its route take is refused before its first attempt (reason `deadline`).

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -18,8 +18,10 @@
     Dispatch,
     DispatchParts,
     LatencyBaselines,
+    RefusalReason,
     Route,
     RouteTable,
+    can_meet_deadline,
     choose_services,
     dispatch,
     priority_of,
@@ -149,7 +151,10 @@
     ) -> Failure | None:
         """Admit a request, or return the failure if there is no room."""
         asker = _asker(route, caller_request)
-        refusal = self.limits.admit(route, asker)
+        left_ms = _left_ms(route, caller_request)
+        refusal: RefusalReason | None = RefusalReason.DEADLINE
+        if can_meet_deadline(self._baselines.for_route(route), left_ms):
+            refusal = self.limits.admit(route, asker)
         if refusal is None:
             return None
         self._attempt_parts.reporter.count_overload_refusal(refusal)
@@ -159,10 +164,7 @@
             f'{limit.in_flight} requests are under way to these services, '
             f'the limit is {limit.limit:.0f}, refused by {refusal.value}',
             retry_after_ms=self.limits.record_refusal(
-                route,
-                caller_request.request_id,
-                _left_ms(route, caller_request),
-                asker,
+                route, caller_request.request_id, left_ms, asker
             ),
         )
 
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -18,6 +18,7 @@
 from ._daemon_overload import DaemonOverload as DaemonOverload
 from ._dispatch import Dispatch as Dispatch
 from ._dispatch import FinishReason as FinishReason
+from ._dispatch import can_meet_deadline as can_meet_deadline
 from ._dispatch import dispatch as dispatch
 from ._evacuations import Evacuations as Evacuations
 from ._failure import classify_reset as classify_reset
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -14,8 +14,9 @@
 
 from fennelfork._clock import Clock
 from fennelfork.routes._dispatch import Dispatch
+from fennelfork.routes._processor_load import LimitLoad, requests_to_keep
 from fennelfork.routes._returns import Returns, returns
-from fennelfork.routes._route import Route, services_of
+from fennelfork.routes._route import Route, is_merged, services_of
 from fennelfork.routes._workspace_shares import (
     Asker,
     RefusalReason,
@@ -50,12 +51,14 @@
     Attributes:
         in_flight: number of requests in flight.
         limit: maximum number of requests in flight.
+        width: number of services that each request is sent to.
         returns: requests that ended or were refused recently.
         shares: shares of the workspaces in the limit.
     """
 
     in_flight: int = 0
     limit: float = _NO_LIMIT
+    width: int = 1
     returns: Returns = attrs.field(factory=functools.partial(returns, 0))
     shares: WorkspaceShares = attrs.field(factory=WorkspaceShares)
     _held_ms: float = 0
@@ -63,6 +66,16 @@
     _overloaded_ms: float = 0
     _priorities: set[int] = attrs.field(factory=set)
 
+    @property
+    def load(self) -> LimitLoad:
+        """Load of these requests for the processor."""
+        return LimitLoad(
+            in_flight=self.in_flight,
+            width=self.width,
+            urgency=min(self._priorities, default=0),
+            min_limit=_MIN_LIMIT,
+        )
+
     @property
     def shared(self) -> SharedLimit:
         """The limit as the workspaces share it now."""
@@ -95,8 +108,9 @@
         self.in_flight += 1
         return True
 
-    def try_admit_shared(self) -> bool:
+    def try_admit_shared(self, priority: int) -> bool:
         """Admit one request whose priority the shares have considered."""
+        self._priorities.add(priority)
         if self.in_flight >= max(_MIN_LIMIT, self.limit):
             return False
         self.in_flight += 1
@@ -137,12 +151,25 @@
         self._overloaded_ms = now_ms
         return self._decrease(now_ms)
 
+    def record_lag(self, kept: float, now_ms: float) -> None:
+        """Record that this process lags.
+
+        Args:
+            kept: number of requests that the processor can run.
+            now_ms: current time.
+        """
+        self._overloaded_ms = now_ms
+        self._decrease_to(min(self.limit, kept), now_ms)
+
     def _decrease(self, now_ms: float) -> bool:
+        used = min(self.limit, self.in_flight)
+        return self._decrease_to(used * _DECREASE_FACTOR, now_ms)
+
+    def _decrease_to(self, limit: float, now_ms: float) -> bool:
         if now_ms - self._decreased_ms < _MIN_DECREASE_INTERVAL_MS:
             return False
         self._decreased_ms = now_ms
-        used = min(self.limit, self.in_flight)
-        self.limit = max(_MIN_LIMIT, used * _DECREASE_FACTOR)
+        self.limit = max(_MIN_LIMIT, limit)
         return True
 
 
@@ -181,7 +208,11 @@
         refusal = limit.shares.find_refusal(asker, limit.shared, now_ms)
         if refusal is not None:
             return refusal
-        return None if limit.try_admit_shared() else RefusalReason.LIMIT
+        return (
+            None
+            if limit.try_admit_shared(asker.priority)
+            else RefusalReason.LIMIT
+        )
 
     def release(self, route: Route) -> None:
         """Record the end of an admitted request of a route."""
@@ -245,10 +276,15 @@
         return dispatch.is_sufficient and limit.record_late_response(now_ms)
 
     def record_lag(self) -> None:
-        """Record an overload signal for all services: this process lags."""
+        """Record that this process lags, which all requests load.
+
+        The least urgent requests give way first.
+        """
         now_ms = self._clock.now_ms()
-        for limit in self._limits.values():
-            limit.record_overload(now_ms)
+        limits = list(self._limits.values())
+        kept = requests_to_keep(limit.load for limit in limits)
+        for index, requests in kept.items():
+            limits[index].record_lag(requests, now_ms)
 
     def for_route(self, route: Route) -> ConcurrencyLimit:
         """Return the concurrency limit of the services of a route."""
@@ -256,7 +292,8 @@
         concurrency_limit = self._limits.get(services)
         if concurrency_limit is None:
             concurrency_limit = ConcurrencyLimit(
-                returns=returns(self._clock.now_ms())
+                width=len(services) if is_merged(route.target) else 1,
+                returns=returns(self._clock.now_ms()),
             )
             self._limits[services] = concurrency_limit
         return concurrency_limit
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -177,6 +177,16 @@
         return None
 
 
+def can_meet_deadline(baseline: LatencyBaseline, left_ms: float) -> bool:
+    """Whether the learned latency of a route allows an answer in time.
+
+    Args:
+        baseline: latency baseline of the route.
+        left_ms: time until the deadline of the caller.
+    """
+    return left_ms - _TIMEOUT_MARGIN_MS > baseline.least_ms
+
+
 def dispatch(
     route: Route,
     services: tuple[str, ...],
--- a/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
+++ b/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
@@ -20,6 +20,8 @@
 _MIN_HEDGE_FRACTION: Final = 0.3
 _MAX_HEDGE_FRACTION: Final = 0.42
 _DEFAULT_HEDGE_FRACTION: Final = 0.35
+# Quantile of the latencies of a route below which no answer is expected.
+_LEAST_QUANTILE: Final = 0.05
 # Initial latency baseline as a fraction of the latency target.
 _DEFAULT_LATENCY_FRACTION: Final = 0.15
 
@@ -58,6 +60,13 @@
             max(self.latency_target_ms * _MIN_HEDGE_FRACTION, delay_ms),
         )
 
+    @property
+    def least_ms(self) -> float:
+        """Latency that hardly any response is below, 0 while unknown."""
+        if not self._latencies.has_enough_samples:
+            return 0
+        return self._latencies.quantile_ms(_LEAST_QUANTILE)
+
     def record(self, latency_ms: float) -> None:
         """Record the latency of a response of a server nearby."""
         self._latencies.record(latency_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
+++ b/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
@@ -41,11 +41,13 @@
 class RefusalReason(enum.Enum):
     """Reason for the refusal of a request under overload.
 
+    `DEADLINE`: the learned latency exceeds the time that the caller has left.
     `LIMIT`: the limit of the services is reached. `WORKSPACE_SHARE`: the share
     of the workspace is. `EARLY_RETURN`: the request returned before the time
     that its refusal named.
     """
 
+    DEADLINE = 'deadline'
     LIMIT = 'limit'
     WORKSPACE_SHARE = 'workspace_share'
     EARLY_RETURN = 'early_return'
--- a/packages/fennelfork/tests/test_routes_concurrency.py
+++ b/packages/fennelfork/tests/test_routes_concurrency.py
@@ -112,6 +112,37 @@
         assert self.limits.try_admit(route(target=fan_out(3)))
 
 
+class TestLag:
+    """A process that lags, with two classes of requests to other services.
+
+    Guards against a burst of the less urgent class that takes the credit of
+    the urgent one through the processor that both share.
+    """
+
+    def setup_method(self) -> None:
+        """Create the limits of a daemon with urgent gathers in flight."""
+        self.time = ManualTime()
+        self.time.advance(_RECOVERY_MS)
+        self.limits = ConcurrencyLimits(clock=manual_clock(self.time))
+        self.urgent = {'target': fan_out(10), 'priority': 0}
+        _count_admitted(self.limits, 20, **self.urgent)
+
+    def test_burst_of_less_urgent(self) -> None:
+        """The burst gives way; the urgent requests are not limited."""
+        _count_admitted(self.limits, 200, priority=2)
+        self.limits.record_lag()
+        assert self.limits.for_route(route()).limit == pytest.approx(120)
+        assert _count_admitted(self.limits, _MANY, **self.urgent) == _MANY
+
+    def test_cause_is_urgent(self) -> None:
+        """The others keep a quarter, the urgent ones give up the rest."""
+        _count_admitted(self.limits, 40, priority=2)
+        self.limits.record_lag()
+        assert self.limits.for_route(route()).limit == pytest.approx(10)
+        urgent = self.limits.for_route(route(**self.urgent))
+        assert urgent.limit == pytest.approx(18.2)
+
+
 class TestSignals:
     """Overload signals of finished requests."""
 
--- a/packages/fennelfork/tests/test_routes_dispatch.py
+++ b/packages/fennelfork/tests/test_routes_dispatch.py
@@ -26,11 +26,25 @@
     FinishReason,
     SelectionCriteria,
     Send,
+    can_meet_deadline,
     latency_baseline,
     merge_failures,
 )
 
 
+class TestCanMeetDeadline:
+    """Callers that return with little time left, as after a loss of daemons."""
+
+    def test_learned_latency(self) -> None:
+        """A request is hopeless only if hardly any response is that fast."""
+        baseline = latency_baseline(LATENCY_TARGET_MS)
+        assert can_meet_deadline(baseline, 50)
+        for number in range(100):
+            baseline.record(100 + number)
+        assert not can_meet_deadline(baseline, 120)
+        assert can_meet_deadline(baseline, 150)
+
+
 class TestSending:
     """Attempts within the limits of route and retry budget."""
 
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -186,6 +186,15 @@
             limits.release(found)
         assert daemon.send_request()[0] == 200
 
+    def test_hopeless_deadline(self, daemon: Daemon) -> None:
+        """A request that cannot be answered in time is refused at once."""
+        daemon.configure(route())
+        daemon.add_server(b'whole', 'archive')
+        status, headers, _ = daemon.send_request(HTTP_X_DEADLINE_MS='24')
+        assert status == 503
+        assert 0 < float(headers['Retry-After']) <= 0.008
+        assert 'refused by deadline' in daemon.log_lines()[-1]['reason']
+
     def test_workspace_share(
         self, daemon: Daemon, monkeypatch: pytest.MonkeyPatch
     ) -> None:
