Workspaces: home regions and route table

A workspace has home regions of its own. They bind in addition to those of the route, at the arrival of a request and in the active version. The route table of a version holds its workspaces, or none if requests need no key.

--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -78,6 +78,7 @@
 from ._suspicion import SuspicionRecord as SuspicionRecord
 from ._suspicion_exchange import SuspicionExchange as SuspicionExchange
 from ._suspicion_updates import SuspicionUpdates as SuspicionUpdates
+from ._workspace_regions import bind_workspace as bind_workspace
 from ._workspace_shares import Asker as Asker
 from ._workspace_shares import RefusalReason as RefusalReason
 from ._workspace_shares import priority_of as priority_of
--- a/packages/fennelfork/src/fennelfork/routes/_route_table.py
+++ b/packages/fennelfork/src/fennelfork/routes/_route_table.py
@@ -10,6 +10,7 @@
     preferred_home_regions,
 )
 from fennelfork.routes._route import Route
+from fennelfork.workspaces import Workspace, WorkspaceTable
 
 _SLASH = '/'
 
@@ -42,12 +43,14 @@
         limits: limits on the requests of callers.
         services: services, by name.
         routes: all routes, in the order of the configuration.
+        workspaces: all workspaces, or None if requests need no key.
     """
 
     version: int
     limits: CallerLimits
     services: Mapping[str, Service]
     routes: tuple[Route, ...]
+    workspaces: WorkspaceTable | None = None
     _by_prefix: Mapping[tuple[str, str], Route]
     _by_name: Mapping[str, Route]
     _home_regions_by_host: Mapping[str, HomeRegions]
@@ -73,6 +76,12 @@
         """
         return self._by_name.get(route.name, route).home_regions
 
+    def find_workspace(self, name: str) -> Workspace | None:
+        """Return the workspace of a name, if there is one."""
+        if self.workspaces is None:
+            return None
+        return self.workspaces.by_name.get(name)
+
     def home_regions_of_host(self, host: str) -> HomeRegions:
         """Return the regions in which callers of a host are served best."""
         return self._home_regions_by_host.get(host)
@@ -83,6 +92,7 @@
     routes: Iterable[Route],
     services: Iterable[Service],
     limits: CallerLimits,
+    workspaces: WorkspaceTable | None = None,
 ) -> RouteTable:
     """Create the route table of one configuration version."""
     known = tuple(routes)
@@ -91,6 +101,7 @@
         limits=limits,
         services={service.name: service for service in services},
         routes=known,
+        workspaces=workspaces,
         by_prefix={(route.host, route.prefix): route for route in known},
         by_name={route.name: route for route in known},
         home_regions_by_host=_home_regions_by_host(known),
