Workspaces: requests are authorized by a key

A daemon forwarded the key of a caller to backend servers and let every request run. Where a configuration has workspaces, a request now needs the key of one, unless its route is public; without one it is refused with 401 before anything is sent. Backend servers get the name of the workspace and never the key, whatever spelling the caller used. The name is part of the fingerprint; requests without a workspace keep theirs (compared with the code of before). Without workspaces the headers are forwarded as before.

With the strict policy, a daemon whose data is older than the bound refuses requests that need a key with 503, and looks for newer data at two thirds of the bound, so that a healthy daemon behind relays stays below it.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -19,6 +19,7 @@
     ServerStates,
     quarantine,
 )
+from fennelfork.workspaces import Workspace
 from fennelfork_daemon.http._wsgi_protocol import ConnectionLimits
 from fennelfork_daemon.routes._settings import RouteSettings
 
@@ -75,6 +76,10 @@
             return route.home_regions
         return self.table.home_regions_of(route)
 
+    def find_workspace(self, name: str) -> Workspace | None:
+        """Return a workspace of the active configuration, if there is one."""
+        return None if self.table is None else self.table.find_workspace(name)
+
 
 def route_blackboard(settings: RouteSettings, clock: Clock) -> RouteBlackboard:
     """Create the blackboard of a daemon that has not read the store yet."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
@@ -9,6 +9,7 @@
     Selector,
 )
 from fennelfork_daemon.routes._attempt_runner import AttemptParts
+from fennelfork_daemon.routes._authorization import Authorizer
 from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._build_crash_protection import (
     PoisonRequestProtection,
@@ -16,6 +17,7 @@
 from fennelfork_daemon.routes._caller_api import RouteCallerApi
 from fennelfork_daemon.routes._common_parts import CommonParts
 from fennelfork_daemon.routes._initial_routes import InitialRoutes
+from fennelfork_daemon.routes._request_builder import RequestBuilder
 
 
 def attempt_parts(
@@ -56,21 +58,39 @@
         parts: objects that the attempts of all requests share.
         availability: availability of the store.
     """
+    baselines = LatencyBaselines()
     return RouteCallerApi(
         initial_routes=InitialRoutes(
             blackboard=base.blackboard,
             availability=availability,
             clock=base.clock,
         ),
+        authorizer=Authorizer(
+            policy=base.settings.access,
+            availability=availability,
+            codec=base.ports.callers,
+        ),
+        builder=_request_builder(base, parts, baselines),
         clock=base.clock,
         codec=base.ports.callers,
         attempt_parts=parts,
+        baselines=baselines,
+        limits=base.limits,
+    )
+
+
+def _request_builder(
+    base: CommonParts, parts: AttemptParts, baselines: LatencyBaselines
+) -> RequestBuilder:
+    return RequestBuilder(
+        clock=base.clock,
+        attempt_parts=parts,
         dispatch_parts=DispatchParts(
             selector=parts.selector,
             retry_budgets=base.retry_budgets,
             home_regions_of=base.blackboard.home_regions_of,
         ),
-        baselines=LatencyBaselines(),
-        limits=base.limits,
+        find_workspace=base.blackboard.find_workspace,
+        baselines=baselines,
         rng=random.Random(),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
@@ -28,8 +28,10 @@
         ),
         pools=base.pools,
     )
+    settings = base.settings
     polling = store_polling(
-        base.blackboard.fleet_size, base.settings.in_force_ms
+        base.blackboard.fleet_size,
+        settings.access.max_age_ms(settings.in_force_ms),
     )
     sources = RelaySources(
         health=RelayHealth(clock=base.clock),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -1,12 +1,10 @@
 """Caller API of routes, as a WSGI application."""
 
 import contextlib
-import random
 from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 import attrs
-from eventlet.queue import LightQueue
 from returns.pipeline import is_successful
 from returns.result import Result
 
@@ -15,25 +13,21 @@
     Asker,
     CallerLimits,
     ConcurrencyLimits,
-    Dispatch,
-    DispatchParts,
     LatencyBaselines,
     RefusalReason,
     Route,
-    RouteTable,
     can_meet_deadline,
-    choose_services,
-    dispatch,
     priority_of,
 )
 from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
 from fennelfork_daemon.routes._answer import Answer, Refused
-from fennelfork_daemon.routes._attempt_runner import AttemptParts, AttemptRunner
-from fennelfork_daemon.routes._body import read_body
-from fennelfork_daemon.routes._caller_request import (
-    CallerRequest,
-    SignedResponse,
+from fennelfork_daemon.routes._attempt_runner import AttemptParts
+from fennelfork_daemon.routes._authorization import (
+    AuthorizedRequest,
+    Authorizer,
 )
+from fennelfork_daemon.routes._body import read_body
+from fennelfork_daemon.routes._caller_request import CallerRequest
 from fennelfork_daemon.routes._disconnect_watch import DisconnectWatch
 from fennelfork_daemon.routes._initial_routes import (
     INITIAL_LIMITS,
@@ -41,14 +35,8 @@
 )
 from fennelfork_daemon.routes._ports import CallerCodec
 from fennelfork_daemon.routes._request import RunningRequest
+from fennelfork_daemon.routes._request_builder import RequestBuilder
 
-# A daemon without routes calls the store several times a second.
-_NO_ROUTES_RETRY_MS: Final = 300
-_NO_ROUTES_YET: Final = not_run(
-    FailureCode.PLATFORM,
-    'no configuration is known yet',
-    retry_after_ms=_NO_ROUTES_RETRY_MS,
-)
 _INTERNAL_ERROR: Final = may_have_run(
     FailureCode.INTERNAL, 'internal error; see the log of the daemon'
 )
@@ -64,12 +52,12 @@
 
     limits: ConcurrencyLimits
     _initial_routes: InitialRoutes
+    _authorizer: Authorizer
+    _builder: RequestBuilder
     _clock: Clock
     _codec: CallerCodec
     _attempt_parts: AttemptParts
-    _dispatch_parts: DispatchParts
     _baselines: LatencyBaselines
-    _rng: random.Random
 
     def __call__(
         self,
@@ -98,31 +86,24 @@
         )
         if not is_successful(parsed):
             return self._refuse(parsed.failure(), None)
-        caller_request = parsed.unwrap()
-        if table is None:
-            return self._refuse(_NO_ROUTES_YET, caller_request)
-        route = table.find(caller_request.host, caller_request.path)
-        if route is None:
-            return self._refuse(
-                _no_route_failure(caller_request), caller_request
-            )
+        authorized = self._authorizer.authorize(table, parsed.unwrap())
+        if not is_successful(authorized):
+            return self._refuse(authorized.failure(), parsed.unwrap())
+        request = authorized.unwrap()
+        caller_request = request.caller_request
         admitted = self._attempt_parts.guard.admit(caller_request.fingerprint)
         if not is_successful(admitted):
             return self._refuse(admitted.failure(), caller_request)
-        overload = self._admit(route, caller_request)
+        overload = self._admit(request)
         if overload is not None:
             return self._refuse(overload, caller_request)
         with contextlib.ExitStack() as stack:
-            stack.callback(self.limits.release, route)
-            running_request = self._build_request(
+            stack.callback(self.limits.release, request.route)
+            return self._run_request(
+                environ,
                 caller_request,
-                table,
-                route,
+                self._builder.build(request, received_ms, admitted.unwrap()),
                 received_ms,
-                admitted.unwrap(),
-            )
-            return self._run_request(
-                environ, caller_request, running_request, received_ms
             )
 
     def _run_request(
@@ -146,12 +127,12 @@
             )
         return answer
 
-    def _admit(
-        self, route: Route, caller_request: CallerRequest
-    ) -> Failure | None:
+    def _admit(self, request: AuthorizedRequest) -> Failure | None:
         """Admit a request, or return the failure if there is no room."""
+        route = request.route
+        caller_request = request.caller_request
         asker = _asker(route, caller_request)
-        left_ms = _left_ms(route, caller_request)
+        left_ms = request.left_ms
         refusal: RefusalReason | None = RefusalReason.DEADLINE
         if can_meet_deadline(self._baselines.for_route(route), left_ms):
             refusal = self.limits.admit(route, asker)
@@ -190,40 +171,6 @@
             lambda content: self._codec.read_request(environ, content)
         )
 
-    def _build_request(
-        self,
-        caller_request: CallerRequest,
-        table: RouteTable,
-        route: Route,
-        received_ms: float,
-        suspect_services: frozenset[str],
-    ) -> RunningRequest:
-        dispatched: Dispatch[SignedResponse] = dispatch(
-            route,
-            choose_services(route.target, self._rng),
-            self._dispatch_parts,
-            self._baselines.for_route(route),
-            (received_ms, _left_ms(route, caller_request)),
-            suspect_services=suspect_services,
-        )
-        queue = LightQueue()
-        attempts = AttemptRunner(
-            parts=self._attempt_parts,
-            caller_request=caller_request,
-            latency_baseline=dispatched.latency_baseline,
-            deadline_ms=dispatched.deadline_ms,
-            requires_new_connection=not route.idempotent,
-            on_result=lambda attempt, outcome: queue.put((attempt, outcome)),
-        )
-        return RunningRequest(
-            dispatch=dispatched,
-            version=table.version,
-            caller_request=caller_request,
-            clock=self._clock,
-            attempts=attempts,
-            queue=queue,
-        )
-
 
 def _asker(route: Route, caller_request: CallerRequest) -> Asker | None:
     """Return what shares between workspaces need to know of a request."""
@@ -236,15 +183,3 @@
         request_id=caller_request.request_id,
         fingerprint=caller_request.fingerprint,
     )
-
-
-def _left_ms(route: Route, caller_request: CallerRequest) -> float:
-    """Return the time that the caller has left, at most a route's timeout."""
-    if caller_request.left_ms is None:
-        return route.timeout_ms
-    return caller_request.left_ms
-
-
-def _no_route_failure(caller_request: CallerRequest) -> Failure:
-    detail = f'no route matches host {caller_request.host!r} and path {caller_request.path!r}'
-    return not_run(FailureCode.UNKNOWN_FRONT, detail)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_request.py
@@ -1,5 +1,6 @@
 """Request of a caller to a route and response of a backend server."""
 
+import functools
 from collections.abc import Iterable
 from typing import Final
 
@@ -47,32 +48,38 @@
             does not carry a timeout.
         workspace: workspace that the request belongs to, or none if the
             request is on a public route or no workspace is configured.
-        fingerprint: hash of the method, host, target, body and credentials.
-            The fingerprint is equal for all transmissions of a request and
-            does not depend on the address of the caller.
+        keys: keys that the caller sent, until the request is authorized.
     """
 
     method: str
     target: str
     host: str
-    headers: HeaderPairs
+    headers: HeaderPairs = attrs.field(repr=False)
     body: bytes | None
     request_id: str
     left_ms: float | None
     workspace: Workspace | None = None
-    fingerprint: str = attrs.field(init=False)
+    keys: tuple[str, ...] = attrs.field(default=(), repr=False)
 
     @property
     def path(self) -> str:
         """Path of the request, without the query."""
         return self.target.partition('?')[0]
 
-    @fingerprint.default
-    def _compute_fingerprint(self) -> str:
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """Hash of all parts that identify the request to backend servers.
+
+        The parts are the method, host, target, body, credentials and
+        workspace. The fingerprint is equal for all transmissions of a request
+        and does not depend on the address of the caller.
+        """
         fields = [self.method, self.host, self.target]
         for name, text in sorted(self.headers):
             if name.lower() in _CREDENTIALS:
                 fields += (name.lower(), text)
+        if self.workspace is not None:
+            fields += ('workspace', self.workspace.name)
         parts = (field.encode(errors='surrogateescape') for field in fields)
         return fingerprint((self.body or b'', *parts))
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -14,6 +14,7 @@
     SuspicionUpdates,
     WatchTimeouts,
 )
+from fennelfork.workspaces import Workspace
 from fennelfork_daemon.backend._request import BackendResponse, ForwardRequest
 from fennelfork_daemon.http._router import HttpReply
 from fennelfork_daemon.routes._answer import Answer
@@ -156,6 +157,16 @@
     ) -> Result[CallerRequest, Failure]:
         """Decode a request."""
 
+    def assign_workspace(
+        self, caller_request: CallerRequest, workspace: Workspace | None
+    ) -> CallerRequest:
+        """Return the request as backend servers get it, without keys.
+
+        Args:
+            caller_request: request with the headers of the caller.
+            workspace: workspace of the request, or None if it has none.
+        """
+
     def write_answer(self, answer: Answer) -> HttpReply:
         """Encode an answer."""
 
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
@@ -0,0 +1,85 @@
+"""Construction of the requests that run."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+from eventlet.queue import LightQueue
+
+from fennelfork import Clock
+from fennelfork.routes import (
+    Dispatch,
+    DispatchParts,
+    LatencyBaselines,
+    bind_workspace,
+    choose_services,
+    dispatch,
+)
+from fennelfork.workspaces import Workspace
+from fennelfork_daemon.routes._attempt_runner import AttemptParts, AttemptRunner
+from fennelfork_daemon.routes._authorization import AuthorizedRequest
+from fennelfork_daemon.routes._caller_request import SignedResponse
+from fennelfork_daemon.routes._request import RunningRequest
+
+
+@attrs.frozen(kw_only=True)
+class RequestBuilder:
+    """Builds the requests that are dispatched to backend servers."""
+
+    _clock: Clock
+    _attempt_parts: AttemptParts
+    _dispatch_parts: DispatchParts
+    _find_workspace: Callable[[str], Workspace | None]
+    _baselines: LatencyBaselines
+    _rng: random.Random
+
+    def build(
+        self,
+        request: AuthorizedRequest,
+        received_ms: float,
+        suspect_services: frozenset[str],
+    ) -> RunningRequest:
+        """Build a request that has not sent any attempt yet.
+
+        Args:
+            request: request that may run.
+            received_ms: arrival time of the request.
+            suspect_services: services whose servers crashed while they ran the
+                same request.
+        """
+        dispatched = self._dispatch(request, received_ms, suspect_services)
+        queue = LightQueue()
+        attempts = AttemptRunner(
+            parts=self._attempt_parts,
+            caller_request=request.caller_request,
+            latency_baseline=dispatched.latency_baseline,
+            deadline_ms=dispatched.deadline_ms,
+            requires_new_connection=not request.route.idempotent,
+            on_result=lambda attempt, outcome: queue.put((attempt, outcome)),
+        )
+        return RunningRequest(
+            dispatch=dispatched,
+            version=request.version,
+            caller_request=request.caller_request,
+            clock=self._clock,
+            attempts=attempts,
+            queue=queue,
+        )
+
+    def _dispatch(
+        self,
+        request: AuthorizedRequest,
+        received_ms: float,
+        suspect_services: frozenset[str],
+    ) -> Dispatch[SignedResponse]:
+        route = request.route
+        return dispatch(
+            route,
+            choose_services(route.target, self._rng),
+            bind_workspace(
+                self._dispatch_parts, request.workspace, self._find_workspace
+            ),
+            self._baselines.for_route(route),
+            (received_ms, request.left_ms),
+            suspect_services=suspect_services,
+        )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from fennelfork.routes import ColdPolicy, RetryPolicy
+from fennelfork.workspaces import AccessPolicy
 from fennelfork_daemon._address import Address
 
 
@@ -28,6 +29,7 @@
         in_force_ms: maximum time between a write to the store and its
             application by every daemon.
         cold: bound on the requests of the whole fleet to a cold server.
+        access: bound on the use of keys that were removed.
         peer: address at which other daemons ask for updates of the store, or
             None to pass on no updates.
         processor_cores: processor time per second of the VM, in cores of a
@@ -48,5 +50,6 @@
     least_lease_ms: float
     in_force_ms: float
     cold: ColdPolicy = ColdPolicy()
+    access: AccessPolicy = AccessPolicy()
     peer: Address | None = None
     processor_cores: float = 0
