Workspaces: test of the settings of the strict policy

The default, the strict bound and a bound of zero, which would refuse every request and is replaced by the bound of changes. 48 tests of test_platform_access.py pass.

--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -5,12 +5,20 @@
 """
 
 import json
+import pathlib
 from typing import Any
 
 import attrs
 import pytest
 from daemon_builders_routes import FollowingDaemon
-from platform_builders import config, environ, item, raw_item, route
+from platform_builders import (
+    SETTINGS,
+    config,
+    environ,
+    item,
+    raw_item,
+    route,
+)
 from returns.pipeline import is_successful
 
 from fennelfork import FailureCode, ManualTime, manual_clock
@@ -21,6 +29,7 @@
 from fennelfork_platform._backends import PlatformBackends
 from fennelfork_platform._callers import PlatformCallers
 from fennelfork_platform._items import read_item
+from fennelfork_platform._settings import load_settings
 
 _CLOCK = manual_clock(ManualTime(at_ms=1000))
 _CALLERS = PlatformCallers()
@@ -284,6 +293,32 @@
         assert _KEY not in following.log.getvalue()
 
 
+class TestSettings:
+    """Bound on the use of removed keys in the settings file."""
+
+    @pytest.mark.parametrize(
+        ('bounds', 'expected'),
+        [
+            ('', AccessPolicy(is_strict=False, revoke_ms=3000)),
+            (
+                'StrictRevoke = true\nRevokeMs = 4000',
+                AccessPolicy(is_strict=True, revoke_ms=4000),
+            ),
+            (
+                'StrictRevoke = true\nRevokeMs = 0',
+                AccessPolicy(is_strict=True, revoke_ms=3000),
+            ),
+        ],
+    )
+    def test_policy(
+        self, tmp_path: pathlib.Path, bounds: str, expected: AccessPolicy
+    ) -> None:
+        """By default old keys are used; the bound is that of changes."""
+        path = tmp_path / 'daemon.toml'
+        path.write_text(SETTINGS.replace('[Bounds]', f'[Bounds]\n{bounds}'))
+        assert load_settings(path).unwrap().access == expected
+
+
 def _fingerprint(table: RouteTable, key: str, name: str = '') -> str:
     headers = (('X-Api-Key', key), ('X-Tenant-Id', name))
     asked = _Daemon().ask(table, *headers).unwrap()
