--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -138,7 +138,7 @@
             refusal = self.limits.admit(route, asker)
         if refusal is None:
             return None
-        self._attempt_parts.reporter.count_overload_refusal(refusal)
+        self._attempt_parts.reporter.count_overload_refusal(route, refusal)
         limit = self.limits.for_route(route)
         return not_run(
             FailureCode.SHED,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -109,9 +109,10 @@
         """Count decisions by event and by whether a log line was written."""
         self._decisions.labels(event, 'yes' if logged else 'no').inc(times)
 
-    def count_overload_refusal(self, reason: RefusalReason) -> None:
+    def count_overload_refusal(self, route: str, reason: RefusalReason) -> None:
         """Count a request that was refused before its first attempt."""
-        self._overload_refusals.labels(reason.value).inc()
+        label = self._routes.label(route)
+        self._overload_refusals.labels(label, reason.value).inc()
 
     def page(self, request: HttpRequest) -> HttpReply:
         """Return all metrics in the Prometheus text format."""
@@ -165,7 +166,7 @@
             registry,
             'fennelfork_overload_refusals',
             'Requests refused under overload, by what had no room for them.',
-            ('reason',),
+            ('route', 'reason'),
         ),
         listing_age=Gauge(
             'fennelfork_store_told_age_seconds',
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -65,9 +65,11 @@
             ),
         )
 
-    def count_overload_refusal(self, reason: RefusalReason) -> None:
+    def count_overload_refusal(
+        self, route: Route, reason: RefusalReason
+    ) -> None:
         """Count a request that was refused under overload."""
-        self._metrics.count_overload_refusal(reason)
+        self._metrics.count_overload_refusal(route.name, reason)
 
     def log_ejection(
         self,
