Shares of workspaces also bind when no daemon reaches its own limit

Cause: a limit is never below six requests, so with many daemons the servers shed while no daemon reaches its limit, and the shares, computed from the limit alone, bound nobody.

Change: within 2 s of an overload signal no more than 1.1 times what was served is shared out. Requests are counted over 2 s, with which the draw also sees a hot workspace at daemons that have few of its requests.

--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -22,7 +22,9 @@
     RefusalReason,
     SharedLimit,
     WorkspaceShares,
+    recent_count,
 )
+from fennelfork.shares import Rate
 
 # Above the number of requests that a daemon ever has in flight.
 _NO_LIMIT: Final = 512.0
@@ -62,6 +64,7 @@
     returns: Returns = attrs.field(factory=functools.partial(returns, 0))
     shares: WorkspaceShares = attrs.field(factory=WorkspaceShares)
     _held_ms: float = 0
+    _served: Rate = attrs.field(factory=recent_count)
     _decreased_ms: float = 0
     _overloaded_ms: float = 0
     _priorities: set[int] = attrs.field(factory=set)
@@ -84,6 +87,8 @@
             slots=self.limit,
             is_binding=self.limit < _NO_LIMIT,
             held_ms=self._held_ms,
+            served=self._served,
+            overloaded_ms=self._overloaded_ms,
         )
 
     def has_capacity(self, priority: int) -> bool:
@@ -116,10 +121,19 @@
         self.in_flight += 1
         return True
 
-    def record_duration(self, took_ms: float) -> None:
-        """Record the time for which a request was in flight."""
+    def record_end(
+        self, took_ms: float, now_ms: float, *, served: bool
+    ) -> None:
+        """Record the end of a request.
+
+        Args:
+            took_ms: time for which the request was in flight.
+            now_ms: current time.
+            served: whether the answer is a success.
+        """
         gain = _DURATION_GAIN if self._held_ms else 1
         self._held_ms += gain * (took_ms - self._held_ms)
+        self._served.record(now_ms, served)
 
     def record_success(self, now_ms: float) -> None:
         """Increase the limit after a request that met its latency target."""
@@ -261,8 +275,8 @@
             Whether the limit has been decreased.
         """
         limit = self.for_route(dispatch.route)
-        limit.record_duration(took_ms)
         now_ms = self._clock.now_ms()
+        limit.record_end(took_ms, now_ms, served=dispatch.is_sufficient)
         in_time = took_ms <= dispatch.route.latency_target_ms
         if dispatch.is_sufficient and in_time:
             limit.record_success(now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
+++ b/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
@@ -26,7 +26,9 @@
 
 # Time over which the demand of a workspace is estimated: a workspace that
 # turns hot is bound by its share within about a second.
-_WINDOW_MS: Final = 1000.0
+_WINDOW_MS: Final = 2000.0
+# Growth of what is admitted while overload signals come: finds free capacity.
+_PROBE_FACTOR: Final = 1.1
 # Time for which the computed levels are used.
 _REFRESH_MS: Final = 100.0
 # Demand below which a workspace is forgotten.
@@ -63,12 +65,29 @@
         is_binding: whether overload signals have set the limit.
         held_ms: mean time for which a request is in flight, zero before the
             first one has ended.
+        served: number of requests that were served recently.
+        overloaded_ms: time of the last overload signal.
     """
 
     in_flight: int
     slots: float
     is_binding: bool
     held_ms: float
+    served: Rate
+    overloaded_ms: float
+
+    def capacity(self, now_ms: float) -> float:
+        """Return how many requests can be served within the window.
+
+        Many daemons share the servers, so that the limit of one may never be
+        reached. While there are overload signals, little more can be served
+        than was.
+        """
+        slots_allow = self.slots / self.held_ms * _WINDOW_MS
+        if now_ms - self.overloaded_ms >= _WINDOW_MS:
+            return slots_allow
+        was_served = self.served.per_ms(now_ms) * _WINDOW_MS
+        return min(slots_allow, was_served * _PROBE_FACTOR)
 
 
 @attrs.frozen(kw_only=True)
@@ -93,6 +112,14 @@
         return Flow(tenant=self.workspace.name, traffic_class='')
 
 
+def recent_count() -> Rate:
+    """Create a count of the events of the window.
+
+    Unlike a rate, a few events after a quiet time do not count as many.
+    """
+    return Rate(window_ms=_WINDOW_MS, since_ms=-math.inf, at_ms=0)
+
+
 def priority_of(route: Route, workspace: Workspace | None) -> int:
     """Return the priority of the requests of a workspace to a route."""
     if workspace is None or workspace.priority is None:
@@ -150,12 +177,8 @@
         key = (asker.priority, asker.flow)
         demand = self._demands.get(key)
         if demand is None:
-            # The first requests of a workspace are no rate yet.
             demand = _Demand(
-                weight=asker.workspace.rate_per_s,
-                arrivals=Rate(
-                    window_ms=_WINDOW_MS, since_ms=-math.inf, at_ms=now_ms
-                ),
+                weight=asker.workspace.rate_per_s, arrivals=recent_count()
             )
             self._demands[key] = demand
         demand.arrivals.record(now_ms, 1)
@@ -165,8 +188,7 @@
         self._computed_ms = now_ms
         self._forget_idle(now_ms)
         offered = self._count_offered(now_ms)
-        capacity = limit.slots / limit.held_ms * _WINDOW_MS
-        granted = ranked_rates(offered, self._shares(), capacity)
+        granted = ranked_rates(offered, self._shares(), limit.capacity(now_ms))
         self._levels = {
             (priority, flow): granted[priority][flow] / count
             for priority, flow, count in _each(offered)
