Urgency: the priority of the workspace, then that of the route

Cause: the priority of a workspace replaced that of the route. Where all workspaces have the same priority, an urgent route was equal to all others.

Change: Urgency orders requests by the workspace's priority, then the route's; a workspace without one counts as the route's value in the first place, as do requests without a workspace, which are decided on as before. Limits, lag and shares compare this type.

Changed tests: test_routes_concurrency.py passes an Urgency to has_capacity.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -17,7 +17,7 @@
     RefusalReason,
     Route,
     can_meet_deadline,
-    priority_of,
+    urgency_of,
 )
 from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
 from fennelfork_daemon.routes._answer import Answer, Refused
@@ -179,7 +179,7 @@
         return None
     return Asker(
         workspace=workspace,
-        priority=priority_of(route, workspace),
+        urgency=urgency_of(route, workspace),
         request_id=caller_request.request_id,
         fingerprint=caller_request.fingerprint,
     )
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -81,4 +81,4 @@
 from ._workspace_regions import bind_workspace as bind_workspace
 from ._workspace_shares import Asker as Asker
 from ._workspace_shares import RefusalReason as RefusalReason
-from ._workspace_shares import priority_of as priority_of
+from ._workspace_shares import urgency_of as urgency_of
--- a/packages/fennelfork/src/fennelfork/routes/_concurrency.py
+++ b/packages/fennelfork/src/fennelfork/routes/_concurrency.py
@@ -23,8 +23,9 @@
     SharedLimit,
     WorkspaceShares,
     recent_count,
+    urgency_of,
 )
-from fennelfork.shares import Rate
+from fennelfork.shares import Rate, Urgency
 
 # Above the number of requests that a daemon ever has in flight.
 _NO_LIMIT: Final = 512.0
@@ -44,6 +45,7 @@
 # Factor on the limit for each more urgent priority that is in use. A much lower
 # factor refuses more of the other requests without an advantage for urgent ones.
 _LOWER_PRIORITY_SHARE: Final = 0.9
+_NO_URGENCY: Final = Urgency(workspace=0, route=0)
 
 
 @attrs.define(kw_only=True)
@@ -67,7 +69,7 @@
     _served: Rate = attrs.field(factory=recent_count)
     _decreased_ms: float = 0
     _overloaded_ms: float = 0
-    _priorities: set[int] = attrs.field(factory=set)
+    _urgencies: set[Urgency] = attrs.field(factory=set)
 
     @property
     def load(self) -> LimitLoad:
@@ -75,7 +77,7 @@
         return LimitLoad(
             in_flight=self.in_flight,
             width=self.width,
-            urgency=min(self._priorities, default=0),
+            urgency=min(self._urgencies, default=_NO_URGENCY),
             min_limit=_MIN_LIMIT,
         )
 
@@ -91,31 +93,31 @@
             overloaded_ms=self._overloaded_ms,
         )
 
-    def has_capacity(self, priority: int) -> bool:
-        """Whether one more request of a priority may be admitted.
+    def has_capacity(self, urgency: Urgency) -> bool:
+        """Whether one more request of an urgency may be admitted.
 
         Args:
-            priority: priority of the route; 0 is the most urgent.
+            urgency: rank of the request.
         """
-        rank = sum(other < priority for other in self._priorities)
+        rank = sum(other < urgency for other in self._urgencies)
         share: float = _LOWER_PRIORITY_SHARE**rank
         return self.in_flight < max(_MIN_LIMIT, self.limit * share)
 
-    def try_admit(self, priority: int) -> bool:
-        """Admit one request of a priority if the limit allows it.
+    def try_admit(self, urgency: Urgency) -> bool:
+        """Admit one request of an urgency if the limit allows it.
 
         Returns:
             Whether the request is admitted.
         """
-        self._priorities.add(priority)
-        if not self.has_capacity(priority):
+        self._urgencies.add(urgency)
+        if not self.has_capacity(urgency):
             return False
         self.in_flight += 1
         return True
 
-    def try_admit_shared(self, priority: int) -> bool:
-        """Admit one request whose priority the shares have considered."""
-        self._priorities.add(priority)
+    def try_admit_shared(self, urgency: Urgency) -> bool:
+        """Admit one request whose urgency the shares have considered."""
+        self._urgencies.add(urgency)
         if self.in_flight >= max(_MIN_LIMIT, self.limit):
             return False
         self.in_flight += 1
@@ -216,7 +218,7 @@
         """
         limit = self.for_route(route)
         if asker is None:
-            admitted = limit.try_admit(route.priority)
+            admitted = limit.try_admit(urgency_of(route, None))
             return None if admitted else RefusalReason.LIMIT
         now_ms = self._clock.now_ms()
         refusal = limit.shares.find_refusal(asker, limit.shared, now_ms)
@@ -224,7 +226,7 @@
             return refusal
         return (
             None
-            if limit.try_admit_shared(asker.priority)
+            if limit.try_admit_shared(asker.urgency)
             else RefusalReason.LIMIT
         )
 
--- a/packages/fennelfork/src/fennelfork/routes/_processor_load.py
+++ b/packages/fennelfork/src/fennelfork/routes/_processor_load.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from fennelfork.shares import Urgency
+
 # Share of the load that one lag takes away.
 _SURPLUS_SHARE: Final = 0.2
 # Share of their requests in flight that one lag leaves to the least urgent.
@@ -18,13 +20,13 @@
     Attributes:
         in_flight: number of requests in flight.
         width: number of services that each request is sent to.
-        urgency: most urgent priority of these requests; 0 is the most urgent.
+        urgency: rank of the most urgent of these requests.
         min_limit: lower bound of the limit.
     """
 
     in_flight: int
     width: int
-    urgency: int
+    urgency: Urgency
     min_limit: float
 
     @property
--- a/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
+++ b/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
@@ -19,6 +19,7 @@
     RankedRates,
     Rate,
     Shares,
+    Urgency,
     hash_fraction,
     ranked_rates,
 )
@@ -96,13 +97,13 @@
 
     Attributes:
         workspace: workspace of the request.
-        priority: priority of the request; 0 is the most urgent.
+        urgency: rank of the request.
         request_id: id of the request.
         fingerprint: hash of the request that all its repeats share.
     """
 
     workspace: Workspace
-    priority: int
+    urgency: Urgency
     request_id: str
     fingerprint: str
 
@@ -120,16 +121,18 @@
     return Rate(window_ms=_WINDOW_MS, since_ms=-math.inf, at_ms=0)
 
 
-def priority_of(route: Route, workspace: Workspace | None) -> int:
-    """Return the priority of the requests of a workspace to a route."""
-    if workspace is None or workspace.priority is None:
-        return route.priority
-    return workspace.priority
+def urgency_of(route: Route, workspace: Workspace | None) -> Urgency:
+    """Return the rank of the requests of a workspace to a route."""
+    priority = None if workspace is None else workspace.priority
+    return Urgency(
+        workspace=route.priority if priority is None else priority,
+        route=route.priority,
+    )
 
 
 @attrs.define(kw_only=True)
 class _Demand:
-    """Demand of one workspace at one priority."""
+    """Demand of one workspace at one urgency."""
 
     weight: float
     arrivals: Rate
@@ -139,9 +142,9 @@
 class WorkspaceShares:
     """Demand and shares of the workspaces that use one set of services."""
 
-    _demands: dict[tuple[int, Flow], _Demand] = attrs.field(factory=dict)
+    _demands: dict[tuple[Urgency, Flow], _Demand] = attrs.field(factory=dict)
     _early: EarlyReturns = attrs.field(factory=EarlyReturns)
-    _levels: dict[tuple[int, Flow], float] = attrs.field(factory=dict)
+    _levels: dict[tuple[Urgency, Flow], float] = attrs.field(factory=dict)
     _computed_ms: float = 0
 
     def find_refusal(
@@ -163,7 +166,7 @@
             return None
         if now_ms - self._computed_ms >= _REFRESH_MS:
             self._compute_levels(limit, now_ms)
-        level = self._levels.get((asker.priority, asker.flow), 1)
+        level = self._levels.get((asker.urgency, asker.flow), 1)
         has_share = hash_fraction(asker.request_id) < level
         return None if has_share else RefusalReason.WORKSPACE_SHARE
 
@@ -174,7 +177,7 @@
         self._early.record_refusal(asker.fingerprint, now_ms, retry_after_ms)
 
     def _record_arrival(self, asker: Asker, now_ms: float) -> None:
-        key = (asker.priority, asker.flow)
+        key = (asker.urgency, asker.flow)
         demand = self._demands.get(key)
         if demand is None:
             demand = _Demand(
@@ -190,17 +193,17 @@
         offered = self._count_offered(now_ms)
         granted = ranked_rates(offered, self._shares(), limit.capacity(now_ms))
         self._levels = {
-            (priority, flow): granted[priority][flow] / count
-            for priority, flow, count in _each(offered)
-            if _is_above(count, granted[priority][flow])
+            (urgency, flow): granted[urgency][flow] / count
+            for urgency, flow, count in _each(offered)
+            if _is_above(count, granted[urgency][flow])
         }
 
     def _count_offered(self, now_ms: float) -> RankedRates:
         """Return the number of recent requests of each workspace."""
-        offered: dict[int, dict[Flow, float]] = {}
-        for (priority, flow), demand in self._demands.items():
+        offered: dict[Urgency, dict[Flow, float]] = {}
+        for (urgency, flow), demand in self._demands.items():
             count = demand.arrivals.per_ms(now_ms) * _WINDOW_MS
-            offered.setdefault(priority, {})[flow] = count
+            offered.setdefault(urgency, {})[flow] = count
         return offered
 
     def _forget_idle(self, now_ms: float) -> None:
@@ -220,7 +223,7 @@
         """
         rates = {
             flow.tenant: demand.weight
-            for (_priority, flow), demand in self._demands.items()
+            for (_urgency, flow), demand in self._demands.items()
         }
         known = [rate for rate in rates.values() if rate > 0]
         usual = sum(known) / len(known) if known else 1
@@ -229,10 +232,10 @@
         )
 
 
-def _each(rates: RankedRates) -> Iterator[tuple[int, Flow, float]]:
-    for priority, flows in rates.items():
+def _each(rates: RankedRates) -> Iterator[tuple[Urgency, Flow, float]]:
+    for urgency, flows in rates.items():
         for flow, count in flows.items():
-            yield priority, flow, count
+            yield urgency, flow, count
 
 
 def _is_above(count: float, granted: float) -> bool:
--- a/packages/fennelfork/src/fennelfork/shares/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/shares/__init__.pyi
@@ -8,3 +8,4 @@
 from ._ranked import RankedRates as RankedRates
 from ._ranked import ranked_rates as ranked_rates
 from ._rate import Rate as Rate
+from ._urgency import Urgency as Urgency
--- a/packages/fennelfork/tests/core_builders_sharing.py
+++ b/packages/fennelfork/tests/core_builders_sharing.py
@@ -11,7 +11,13 @@
 from core_builders_routes import route
 
 from fennelfork import ManualTime, manual_clock
-from fennelfork.routes import Asker, ConcurrencyLimits, RefusalReason, Route
+from fennelfork.routes import (
+    Asker,
+    ConcurrencyLimits,
+    RefusalReason,
+    Route,
+    urgency_of,
+)
 from fennelfork.shares import FairQueue, Flow, Shares
 from fennelfork.workspaces import Workspace
 
@@ -30,10 +36,16 @@
     name: str
     per_s: float
     usual_per_s: float
-    priority: int | None = None
+    priority: int = 0
+    route_priority: int = 0
     repeats: int = 0
     owner: str = ''
 
+    @property
+    def route(self) -> Route:
+        """Route of the requests."""
+        return route(priority=self.route_priority)
+
     @property
     def workspace(self) -> Workspace:
         """Workspace with a rate of 1.6 times the usual."""
@@ -189,7 +201,7 @@
             return None
         return Asker(
             workspace=request.load.workspace,
-            priority=request.load.priority or 0,
+            urgency=urgency_of(request.load.route, request.load.workspace),
             request_id=request.name,
             fingerprint=str(request.caller),
         )
@@ -263,7 +275,7 @@
     def _admit_queued(self) -> None:
         assert self.queue is not None
         limit = self._fleet[0].for_route(self._route)
-        while limit.has_capacity(0):
+        while limit.has_capacity(urgency_of(self._route, None)):
             found = self.queue.pop()
             if found is None:
                 return
--- a/packages/fennelfork/tests/test_routes_concurrency.py
+++ b/packages/fennelfork/tests/test_routes_concurrency.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from fennelfork import ManualTime, manual_clock
-from fennelfork.routes import ConcurrencyLimit, ConcurrencyLimits
+from fennelfork.routes import ConcurrencyLimit, ConcurrencyLimits, urgency_of
 
 _MANY = 100
 _RECOVERY_MS = 5000
@@ -90,7 +90,7 @@
         self.time.advance(_RECOVERY_MS)
         for _ in range(_MANY * _MANY):
             limit.record_success(self.clock.now_ms())
-        assert limit.has_capacity(0)
+        assert limit.has_capacity(urgency_of(route(), None))
 
     def test_priorities(self) -> None:
         """The remaining capacity is reserved for the more urgent route."""
@@ -206,4 +206,7 @@
             limit.in_flight = max(0, limit.in_flight)
             handlers.get(event, float)(now_ms)
             assert 6 <= limit.limit <= 513
-            assert limit.has_capacity(0) or limit.in_flight >= 6
+            assert (
+                limit.has_capacity(urgency_of(route(), None))
+                or limit.in_flight >= 6
+            )
--- a/packages/fennelfork/tests/test_routes_workspace_shares.py
+++ b/packages/fennelfork/tests/test_routes_workspace_shares.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork.shares import Flow, Shares, ranked_rates
+from fennelfork.shares import Flow, Shares, Urgency, ranked_rates
 
 _DURATION_MS = 12_000
 # Three quarters of what six servers of three slots can run.
@@ -83,15 +83,16 @@
 
 
 class TestUrgentClass:
-    """The urgent workspaces send 1.9 times their usual."""
+    """The urgent requests are 1.9 times their usual."""
 
-    def test_is_first(self) -> None:
-        """Urgent requests are served, and the others are not starved."""
-        urgent = _scaled(
-            1.9, tuple(attrs.evolve(one, priority=0) for one in _CALM)
-        )
-        other = Load(name='other', per_s=100, usual_per_s=100, priority=1)
-        simulation = _simulate([*urgent[1:], other])
+    @pytest.mark.parametrize('of', ['priority', 'route_priority'])
+    def test_is_first(self, of: str) -> None:
+        """Urgent requests are served, and the others are not starved.
+
+        The priority of workspaces decides, and among equal ones that of routes.
+        """
+        other = Load(name='other', per_s=100, usual_per_s=100, **{of: 1})
+        simulation = _simulate([*_scaled(1.9)[1:], other])
         assert simulation.percent(*_NAMES[1:]) > 90
         assert _lowest(simulation) > 25
 
@@ -116,7 +117,7 @@
 
 
 _OFFERED = st.dictionaries(
-    st.integers(0, 3),
+    st.builds(Urgency, workspace=st.integers(0, 2), route=st.integers(0, 2)),
     st.dictionaries(
         st.sampled_from('abcd').map(
             lambda name: Flow(tenant=name, traffic_class='')
@@ -130,7 +131,7 @@
 
 @given(_OFFERED, st.floats(0.1, 500))
 def test_ranked_rates(
-    offered: dict[int, dict[Flow, float]], capacity: float
+    offered: dict[Urgency, dict[Flow, float]], capacity: float
 ) -> None:
     """The capacity is allocated, no flow is starved, and priority decides."""
     granted = ranked_rates(offered, Shares(tenants={'a': 3}), capacity)
@@ -140,11 +141,11 @@
         sum(rates.values()) for rates in granted.values()
     ) == pytest.approx(min(capacity, total))
     is_short = False
-    for priority in sorted(offered):
-        for flow, rate in offered[priority].items():
-            assert granted[priority][flow] >= 0.33 * served * rate
+    for urgency in sorted(offered):
+        for flow, rate in offered[urgency].items():
+            assert granted[urgency][flow] >= 0.33 * served * rate
             if is_short:
-                assert granted[priority][flow] <= 0.34 * served * rate
-        is_short = is_short or sum(granted[priority].values()) < 0.999 * sum(
-            offered[priority].values()
+                assert granted[urgency][flow] <= 0.34 * served * rate
+        is_short = is_short or sum(granted[urgency].values()) < 0.999 * sum(
+            offered[urgency].values()
         )
