Store calls: a counter by reason and outcome

A wrapper of the store counts each call by reason (listing, watch by why this daemon watches, lease, renewal, ...) and outcome for the metrics; the line about the end of an outage tells how many calls failed.

test_common_fields lists the new field of store_regained.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_availability.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_availability.py
@@ -33,6 +33,7 @@
     _responded_ms: float
     _updated_ms: float
     _is_unavailable: bool = False
+    _failed_calls: int = 0
     _is_first_call_pending: bool = True
     _outage_end_ms: float | None = None
     _listeners: list[Callable[[], None]] = attrs.field(factory=list)
@@ -69,6 +70,7 @@
     def record_failure(self, call: StoreCall, failure: Failure) -> None:
         """Record a call that got no response or was rejected."""
         self._is_first_call_pending = False
+        self._failed_calls += 1
         if not self._is_unavailable:
             self._is_unavailable = True
             self._reporter.store_unavailable(call, failure)
@@ -96,7 +98,10 @@
         if not self._is_unavailable:
             return
         self._is_unavailable = False
-        self._reporter.store_available(unavailable_ms, self.data_age_ms)
+        self._reporter.store_available(
+            unavailable_ms, self.data_age_ms, self._failed_calls
+        )
+        self._failed_calls = 0
         if unavailable_ms >= _MIN_OUTAGE_MS:
             self.record_outage_end(0)
         for on_available in self._listeners:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -50,7 +50,7 @@
     base.metrics.export_store_age(lambda: availability.data_age_ms)
     base.metrics.export_quarantine(base.blackboard.quarantine)
     registration = Registration(
-        store=ports.store,
+        store=base.ports.store,
         blackboard=base.blackboard,
         min_lease_ms=settings.least_lease_ms,
         availability=availability,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
@@ -13,6 +13,7 @@
     RouteBlackboard,
     route_blackboard,
 )
+from fennelfork_daemon.routes._counted_store import counted_store
 from fennelfork_daemon.routes._fleet_reporter import FleetReporter
 from fennelfork_daemon.routes._metrics import RouteMetrics, route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
@@ -53,7 +54,9 @@
     )
     return CommonParts(
         settings=settings,
-        ports=ports,
+        ports=attrs.evolve(
+            ports, store=counted_store(ports.store, metrics, blackboard)
+        ),
         clock=clock,
         blackboard=blackboard,
         pools=ServerPools(clock=clock, shares=blackboard.shares),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
@@ -27,11 +27,13 @@
         away_ms: time since the previous response to any call.
         told_ms: time since the store data was last read or confirmed as
             current.
+        failed_calls: number of calls that failed in the meantime.
     """
 
     event: ClassVar[str] = 'store_regained'
     away_ms: int
     told_ms: int
+    failed_calls: int
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -68,6 +68,7 @@
     _missing: Counter
     _decisions: Counter
     _overload_refusals: Counter
+    _store_calls: Counter
     _listing_age: Gauge
     _suspicions: Gauge
 
@@ -114,6 +115,10 @@
         label = self._routes.label(route)
         self._overload_refusals.labels(label, reason.value).inc()
 
+    def count_store_call(self, reason: str, outcome: str, times: int) -> None:
+        """Count calls of the store by reason and outcome."""
+        self._store_calls.labels(reason, outcome).inc(times)
+
     def page(self, request: HttpRequest) -> HttpReply:
         """Return all metrics in the Prometheus text format."""
         return HttpReply(
@@ -168,6 +173,12 @@
             'Requests refused under overload, by what had no room for them.',
             ('route', 'reason'),
         ),
+        store_calls=_build_counter(
+            registry,
+            'fennelfork_store_calls',
+            'Calls of the store by why they were made and how they ended.',
+            ('reason', 'outcome'),
+        ),
         listing_age=Gauge(
             'fennelfork_store_told_age_seconds',
             'Since the store last told what it holds.',
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -32,10 +32,12 @@
     Attributes:
         updates: one update for each entry.
         revision: revision after which the store is watched.
+        pages: number of calls of the store that returned the entries.
     """
 
     updates: tuple[StoreUpdate, ...]
     revision: int
+    pages: int = 1
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -31,12 +31,15 @@
             store.StoreLost(call=call, reason=failure.detail)
         )
 
-    def store_available(self, away_ms: float, told_ms: float) -> None:
+    def store_available(
+        self, away_ms: float, told_ms: float, failed_calls: int
+    ) -> None:
         """Log that the store is available again."""
         self._log.log_decision(
             store.StoreRegained(
                 away_ms=round(away_ms),
                 told_ms=round(told_ms),
+                failed_calls=failed_calls,
             ),
         )
 
--- a/packages/fennelfork-daemon/tests/test_routes_events.py
+++ b/packages/fennelfork-daemon/tests/test_routes_events.py
@@ -135,11 +135,13 @@
             UnboundedOutput(),
             daemon='vm-1',
         )
-        log.log_decision(store.StoreRegained(away_ms=7, told_ms=9))
+        regained = store.StoreRegained(away_ms=7, told_ms=9, failed_calls=2)
+        log.log_decision(regained)
         structlog.reset_defaults()
         line = json.loads(stream.getvalue())
         common = {'event', 'level', 'timestamp', 'daemon'}
-        assert line.keys() - common == {'away_ms', 'told_ms'}
+        facts = {'away_ms', 'told_ms', 'failed_calls'}
+        assert line.keys() - common == facts
         assert (line['event'], line['daemon']) == ('store_regained', 'vm-1')
 
 
