Registration: a daemon that restarts continues its lease with one renewal

After a loss of all daemons each one opened a lease and wrote its entry, two writes, although its earlier entry was still in the store under a valid lease. An entry that was replaced or removed after a stale listing is restored once. Suspicions under the lease pass to the new process, which removes them when they expire.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -22,6 +22,7 @@
 from fennelfork.workspaces import Workspace
 from fennelfork_daemon.http._wsgi_protocol import ConnectionLimits
 from fennelfork_daemon.routes._settings import RouteSettings
+from fennelfork_daemon.routes._updates import MemberUpdate
 
 # Grace period of daemons after a store outage. Daemons renew their leases more
 # often, and callers lose time on a daemon that has crashed.
@@ -49,6 +50,8 @@
         limits: limits on the connections of callers.
         quarantine: requests that are suspected of crashing backend servers.
         table: active configuration, or None before the first listing.
+        own_entry: entry of this daemon in the store, as far as known. After a
+            restart this is the entry of the earlier process.
         is_leaving: whether this daemon is stopping.
     """
 
@@ -63,6 +66,7 @@
     limits: ConnectionLimits
     quarantine: Quarantine
     table: RouteTable | None = None
+    own_entry: MemberUpdate | None = None
     is_leaving: bool = False
 
     @property
@@ -70,6 +74,11 @@
         """Whether this daemon accepts requests of callers."""
         return self.table is not None and not self.is_leaving
 
+    @property
+    def entry_lease(self) -> int:
+        """Lease of the entry of this daemon in the store, 0 for none."""
+        return self.own_entry.lease if self.own_entry else 0
+
     def home_regions_of(self, route: Route) -> HomeRegions:
         """Return the home regions of a route in the active configuration."""
         if self.table is None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -22,7 +22,7 @@
 from fennelfork_daemon.routes._load_monitor import load_monitor
 from fennelfork_daemon.routes._operator_api import operator_api
 from fennelfork_daemon.routes._ports import Ports
-from fennelfork_daemon.routes._registration import Registration
+from fennelfork_daemon.routes._registration import registration
 from fennelfork_daemon.routes._reload import ReadSettings, SettingsReload
 from fennelfork_daemon.routes._service import RouteService
 from fennelfork_daemon.routes._settings import RouteSettings
@@ -49,18 +49,18 @@
     availability = store_availability(base.blackboard, base.clock, reporter)
     base.metrics.export_store_age(lambda: availability.data_age_ms)
     base.metrics.export_quarantine(base.blackboard.quarantine)
-    registration = Registration(
-        store=base.ports.store,
-        blackboard=base.blackboard,
-        min_lease_ms=settings.least_lease_ms,
-        availability=availability,
-        clock=base.clock,
-        reporter=reporter,
+    own_registration = registration(
+        base.ports.store,
+        base.blackboard,
+        settings.least_lease_ms,
+        availability,
+        base.clock,
+        reporter,
     )
     in_progress = InProgress()
     follower = build_follower(base, reporter, availability)
     protection = poison_request_protection(
-        base, registration, reporter, follower.polling
+        base, own_registration, reporter, follower.polling
     )
     calls = attempt_parts(base, protection)
     reload = SettingsReload(
@@ -87,7 +87,7 @@
         follower=follower,
         background_tasks=(
             follower.run,
-            registration.run,
+            own_registration.run,
             reload.run,
             protection.publisher.run,
             lag_monitor(base.clock, base.limits, calls.reporter).run,
@@ -97,7 +97,7 @@
         stop=route_stop(
             settings,
             base.clock,
-            registration,
+            own_registration,
             follower,
             in_progress,
             base.log,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -22,6 +22,7 @@
     store.StoreLost,
     store.StoreRegained,
     store.LeaseGranted,
+    store.LeaseAdopted,
     store.LeaseLapsed,
     store.ConfigTaken,
     store.ItemRefused,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
@@ -50,6 +50,18 @@
     ttl_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class LeaseAdopted:
+    """This daemon continues the registration of its earlier process.
+
+    Attributes:
+        lease: ID of the lease in the store.
+    """
+
+    event: ClassVar[str] = 'lease_adopted'
+    lease: int
+
+
 @attrs.frozen(kw_only=True)
 class LeaseLapsed:
     """The lease of this daemon expired.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -1,23 +1,21 @@
 """Registration of this daemon in the store while it is ready."""
 
-from typing import Final, TypeVar
+from typing import Final
 
 import attrs
 import eventlet
 from returns.pipeline import is_successful
-from returns.result import Result
 
-from fennelfork import Clock, Failure
+from fennelfork import Clock
 from fennelfork.membership import Member
-from fennelfork_daemon.routes._availability import StoreAvailability, StoreCall
+from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
+from fennelfork_daemon.routes._lease_adoption import LeaseAdoption
+from fennelfork_daemon.routes._own_lease import OwnLease
 from fennelfork_daemon.routes._ports import Store
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 
 _MS_PER_SECOND: Final = 1000
-# Bounds how long callers are directed to a daemon that has crashed. A caller
-# connects to the crashed daemon once in vain and then uses another daemon.
-_LEASE_TTL_MS: Final = 3000.0
 _RENEWAL_INTERVAL_MS: Final = 1400.0
 # Delay after a failed renewal, so that the next renewal arrives before the lease
 # expires.
@@ -25,28 +23,22 @@
 # Bounds the delay between readiness and registration.
 _POLL_INTERVAL_MS: Final = 50.0
 
-_ResultT = TypeVar('_ResultT')
-
 
 @attrs.define(kw_only=True)
 class Registration:
     """Maintains the entry of this daemon in the store."""
 
-    _store: Store
     _blackboard: RouteBlackboard
-    _min_lease_ms: float
     _availability: StoreAvailability
-    _clock: Clock
-    _reporter: StoreReporter
-    _renewed_ms: float = 0
-    _lease: int | None = None
+    _own_lease: OwnLease
+    _adoption: LeaseAdoption
     _registered: Member | None = None
     _has_ended: bool = False
 
     @property
     def lease(self) -> int | None:
         """The lease of the registration, or None if not registered."""
-        return self._lease
+        return self._own_lease.number
 
     @property
     def is_leave_announced(self) -> bool:
@@ -72,12 +64,11 @@
         """Renew the registration of this daemon, or create it."""
         if not self._blackboard.is_ready:
             return
-        if self._lease is None:
-            self._register()
-        elif not self._renew(self._lease):
+        lease = self.lease
+        if lease is None or not self._own_lease.renew(lease):
             self._register()
-        elif self._registered != self._blackboard.local:
-            self._write_entry(self._lease)
+        else:
+            self._update_entry(lease)
 
     def leave(self) -> None:
         """Remove the registration; further calls have no effect."""
@@ -90,48 +81,74 @@
         """Do nothing, because the registration is already removed."""
 
     def _register(self) -> None:
-        ttl_ms = max(self._min_lease_ms, _LEASE_TTL_MS)
-        opened = self._record_result(self._store.open_lease(ttl_ms))
-        if not is_successful(opened):
+        """Continue the registration of the earlier process, or create one."""
+        candidate = self._adoption.candidate
+        if candidate is None:
+            self._create()
             return
-        lease = opened.unwrap()
-        if self._write_entry(lease):
-            self._lease = lease
-            self._renewed_ms = self._clock.now_ms()
-            self._reporter.lease_granted(lease, ttl_ms)
+        adopted = self._own_lease.try_adopt(candidate)
+        if not is_successful(adopted):
+            return
+        self._adoption.record(is_valid=adopted.unwrap())
+        if adopted.unwrap():
+            self._registered = self._adoption.entry
+            self._update_entry(candidate)
+        else:
+            self._create()
+
+    def _create(self) -> None:
+        """Open a lease and write the entry of this daemon."""
+        lease = self._own_lease.open()
+        if lease is not None and self._write_entry(lease):
+            self._own_lease.hold(lease)
+
+    def _update_entry(self, lease: int) -> None:
+        """Write the entry if the entry in the store is outdated or missing."""
+        is_current = self._registered == self._blackboard.local
+        if not is_current or self._adoption.needs_entry(lease):
+            self._write_entry(lease)
 
     def _write_entry(self, lease: int) -> bool:
-        """Write the entry of this daemon and return whether the lease is valid."""
+        """Write the entry of this daemon and return whether this succeeded."""
         local = self._blackboard.local
-        registered = self._record_result(self._store.register(local, lease))
-        if not (is_successful(registered) and registered.unwrap()):
+        if not self._own_lease.write_entry(local, lease):
             return False
         self._registered = local
+        self._adoption.is_active = False
         return True
 
-    def _renew(self, lease: int) -> bool:
-        """Renew a lease and return whether the lease may still be valid."""
-        renewed = self._record_result(self._store.renew(lease))
-        if not is_successful(renewed):
-            return True
-        now_ms = self._clock.now_ms()
-        if renewed.unwrap():
-            self._renewed_ms = now_ms
-            return True
-        self._lease = None
-        self._reporter.lease_expired(lease, now_ms - self._renewed_ms)
-        return False
-
-    def _record_result(
-        self, result: Result[_ResultT, Failure]
-    ) -> Result[_ResultT, Failure]:
-        if is_successful(result):
-            self._availability.record_response()
-        else:
-            self._availability.record_failure(StoreCall.LEASE, result.failure())
-        return result
-
     def _revoke_lease(self) -> None:
-        if self._lease is not None:
-            self._store.revoke_lease(self._lease)
+        self._own_lease.revoke()
         self._has_ended = True
+
+
+def registration(
+    store: Store,
+    blackboard: RouteBlackboard,
+    min_lease_ms: float,
+    availability: StoreAvailability,
+    clock: Clock,
+    reporter: StoreReporter,
+) -> Registration:
+    """Create the registration of a daemon that has started.
+
+    Args:
+        store: the store that holds the entry.
+        blackboard: facts that the components of the daemon share.
+        min_lease_ms: minimum time for which the store grants a lease.
+        availability: receiver of the results of the calls.
+        clock: clock of this daemon.
+        reporter: log of the leases.
+    """
+    return Registration(
+        blackboard=blackboard,
+        availability=availability,
+        own_lease=OwnLease(
+            store=store,
+            min_ttl_ms=min_lease_ms,
+            availability=availability,
+            clock=clock,
+            reporter=reporter,
+        ),
+        adoption=LeaseAdoption(blackboard=blackboard),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -49,6 +49,10 @@
             store.LeaseGranted(lease=lease, ttl_ms=round(ttl_ms))
         )
 
+    def lease_adopted(self, lease: int) -> None:
+        """Log that this daemon uses the lease of its earlier process."""
+        self._log.log_decision(store.LeaseAdopted(lease=lease))
+
     def lease_expired(self, lease: int, renewed_ms_ago: float) -> None:
         """Log that the lease of this daemon has expired."""
         self._log.log_decision(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_update_applier.py
@@ -51,6 +51,7 @@
             data_age_ms: time since the last update from the store.
         """
         listed = tuple(updates)
+        self.blackboard.own_entry = None
         self.blackboard.quarantine.exchange.reconcile(
             (
                 update.record.fingerprint
@@ -139,12 +140,16 @@
 @_apply_update.register
 def _apply_member(update: MemberUpdate, applier: UpdateApplier) -> None:
     name = update.member.name
+    if name == applier.blackboard.local.name:
+        applier.blackboard.own_entry = update
     if applier.blackboard.members.put(name, update.member) is None:
         applier.reporter.daemon_registered(update.member)
 
 
 @_apply_update.register
 def _remove_member(update: MemberRemoved, applier: UpdateApplier) -> None:
+    if update.name == applier.blackboard.local.name:
+        applier.blackboard.own_entry = None
     if applier.blackboard.members.remove(update.name):
         applier.reporter.daemon_removed(update.name)
 
@@ -163,6 +168,11 @@
 def _apply_suspicion(update: SuspicionUpdate, applier: UpdateApplier) -> None:
     exchange = applier.blackboard.quarantine.exchange
     status = exchange.apply_record(update.record, update.revision)
+    suspicion = exchange.table.find(update.record.fingerprint)
+    own_lease = applier.blackboard.entry_lease
+    if suspicion and own_lease and update.lease == own_lease:
+        # The earlier process of this daemon can no longer remove the entry.
+        suspicion.is_own = True
     if status is not None:
         applier.reporter.request_status_changed(update.record, status)
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_updates.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_updates.py
@@ -29,9 +29,15 @@
 
 @attrs.frozen(kw_only=True)
 class MemberUpdate:
-    """A daemon registered or changed its registration."""
+    """A daemon registered or changed its registration.
+
+    Attributes:
+        member: entry of the daemon.
+        lease: lease to which the entry is attached, 0 for none.
+    """
 
     member: Member
+    lease: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -62,10 +68,12 @@
     Attributes:
         record: published record of the suspicion.
         revision: revision of the store at which the record was written.
+        lease: lease to which the entry is attached, 0 for none.
     """
 
     record: SuspicionRecord
     revision: int
+    lease: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -52,7 +52,10 @@
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
 from fennelfork_daemon.routes._metrics import route_metrics
 from fennelfork_daemon.routes._pools import ServerPools
-from fennelfork_daemon.routes._registration import Registration
+from fennelfork_daemon.routes._registration import (
+    Registration,
+    registration,
+)
 from fennelfork_daemon.routes._relay_reader import RelayReader
 from fennelfork_daemon.routes._relay_sources import RelaySources
 from fennelfork_daemon.routes._store_copy import store_copy
@@ -339,13 +342,13 @@
             polling,
             random.Random(1),
         )
-        self.registration = Registration(
-            store=self.store,
-            blackboard=self.blackboard,
-            min_lease_ms=1000,
-            availability=self.availability,
-            clock=clock,
-            reporter=reporter,
+        self.registration = registration(
+            self.store,
+            self.blackboard,
+            1000,
+            self.availability,
+            clock,
+            reporter,
         )
 
     @property
--- a/packages/fennelfork-daemon/tests/test_routes_registration.py
+++ b/packages/fennelfork-daemon/tests/test_routes_registration.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterator
 
+import attrs
 import pytest
 import structlog
 from daemon_builders_routes import (
@@ -16,7 +17,15 @@
 from returns.result import Failure as Bad
 from returns.result import Success
 
-from fennelfork_daemon.routes import ConfigUpdate
+from fennelfork.membership import Member
+from fennelfork.routes import RequestStatus, SuspicionRecord
+from fennelfork_daemon.routes import (
+    ConfigUpdate,
+    MemberRemoved,
+    MemberUpdate,
+    StoreUpdate,
+    SuspicionUpdate,
+)
 
 
 @pytest.fixture
@@ -93,3 +102,92 @@
         following.registration.step()
         assert not following.blackboard.is_ready
         assert following.store.calls == [('list_all', 400)]
+
+
+class TestRestart:
+    """All daemons lost power, and their leases have not expired yet."""
+
+    def test_one_renewal(self) -> None:
+        """The entry of the earlier process continues without a write."""
+        restarted = _restarted_daemon(_earlier_entry(7))
+        restarted.store.renewals = [Success(True)]
+        restarted.registration.step()
+        assert restarted.store.calls[1:] == [('renew', 7)]
+        assert restarted.registration.lease == 7
+
+    def test_changed_entry(self) -> None:
+        """An entry that no longer applies is replaced under the same lease."""
+        overloaded = attrs.evolve(_own_member(), is_overloaded=True)
+        restarted = _restarted_daemon(MemberUpdate(member=overloaded, lease=7))
+        restarted.store.renewals = [Success(True)]
+        restarted.registration.step()
+        assert _kinds(restarted) == ['renew', 'register']
+
+    def test_expired_lease(self) -> None:
+        """A daemon whose lease expired registers anew, and tries it once."""
+        restarted = _restarted_daemon(_earlier_entry(7))
+        restarted.store.renewals = [Success(False)]
+        restarted.registration.step()
+        assert _kinds(restarted) == ['renew', 'open_lease', 'register']
+
+    def test_unavailable_store(self) -> None:
+        """A renewal without a response is repeated before a lease is opened."""
+        restarted = _restarted_daemon(_earlier_entry(7))
+        restarted.store.renewals = [Bad(STORE_UNAVAILABLE), Success(True)]
+        restarted.registration.step()
+        assert restarted.registration.lease is None
+        restarted.registration.step()
+        assert _kinds(restarted) == ['renew', 'renew']
+
+    @pytest.mark.parametrize('successor', [8, 0])
+    def test_stale_listing(self, successor: int) -> None:
+        """An entry that was replaced or removed after a listing is restored."""
+        restarted = _restarted_daemon(_earlier_entry(7))
+        restarted.store.renewals = [Success(True), Success(True), Success(True)]
+        restarted.registration.step()
+        later: StoreUpdate = MemberRemoved(name='vm-1')
+        if successor:
+            later = _earlier_entry(successor)
+        restarted.apply_updates(later)
+        restarted.registration.step()
+        restarted.registration.step()
+        assert _kinds(restarted) == ['renew', 'renew', 'register', 'renew']
+
+    def test_suspicion(self) -> None:
+        """A suspicion of the earlier process is removed by this process."""
+        record = SuspicionRecord(
+            fingerprint='f', status=RequestStatus.SUSPECTED
+        )
+        suspicions = [
+            SuspicionUpdate(record=record, revision=1, lease=lease)
+            for lease in (8, 7)
+        ]
+        owned = []
+        for suspicion in suspicions:
+            restarted = _restarted_daemon(_earlier_entry(7), suspicion)
+            exchange = restarted.blackboard.quarantine.exchange
+            owned.append(exchange.table['f'].is_own)
+        assert owned == [False, True]
+
+
+def _own_member() -> Member:
+    return FollowingDaemon().blackboard.local
+
+
+def _earlier_entry(lease: int) -> MemberUpdate:
+    """Create the entry that the earlier process of the daemon left."""
+    earlier = attrs.evolve(_own_member(), incarnation=1)
+    return MemberUpdate(member=earlier, lease=lease)
+
+
+def _restarted_daemon(*entries: StoreUpdate) -> FollowingDaemon:
+    """Create a daemon that finds its own entry in the store."""
+    restarted = FollowingDaemon()
+    restarted.apply_listing(ConfigUpdate(table=table(3)), *entries)
+    return restarted
+
+
+def _kinds(daemon: FollowingDaemon) -> list[str]:
+    """Return the kinds of calls about the registration."""
+    reads = {'list_all', 'watch'}
+    return [call[0] for call in daemon.store.calls if call[0] not in reads]
