Registration: renewals each 1.8 s, and retries that grow apart

At 1.8 s a renewal without a response is still repeated before the lease of 3 s expires, and three refused ones do not end it (two before). Failed renewals were repeated each 0.3 s by all daemons, and also renewals that had not failed, while only a watch had; now the delay grows with jitter up to 0.8 s.

test_refused_renewals asks for three refusals instead of two; the interval in test_unready_daemon follows the change.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
@@ -25,9 +25,11 @@
 
     Attributes:
         number: the lease of the registration, or None if not registered.
+        failures: number of failed calls since the last response.
     """
 
     number: int | None = None
+    failures: int = 0
     _store: Store
     _min_ttl_ms: float
     _availability: StoreAvailability
@@ -91,7 +93,9 @@
         self, result: Result[_ResultT, Failure]
     ) -> Result[_ResultT, Failure]:
         if is_successful(result):
+            self.failures = 0
             self._availability.record_response()
         else:
+            self.failures += 1
             self._availability.record_failure(StoreCall.LEASE, result.failure())
         return result
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -1,5 +1,6 @@
 """Registration of this daemon in the store while it is ready."""
 
+import random
 from typing import Final
 
 import attrs
@@ -7,6 +8,7 @@
 from returns.pipeline import is_successful
 
 from fennelfork import Clock
+from fennelfork.config import Backoff
 from fennelfork.membership import Member
 from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
@@ -16,10 +18,14 @@
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 
 _MS_PER_SECOND: Final = 1000
-_RENEWAL_INTERVAL_MS: Final = 1400.0
-# Delay after a failed renewal, so that the next renewal arrives before the lease
-# expires.
-_RETRY_INTERVAL_MS: Final = 300.0
+# After one renewal without a response, or three that are refused, the next one
+# arrives before the lease expires.
+_RENEWAL_INTERVAL_MS: Final = 1800.0
+_MIN_RETRY_MS: Final = 150.0
+# Daemons whose leases have expired register again within this delay, without
+# many calls that a store under load has to refuse.
+_MAX_RETRY_MS: Final = 800.0
+_BACKOFF: Final = Backoff(base_ms=_MIN_RETRY_MS, cap_ms=_MAX_RETRY_MS)
 # Bounds the delay between readiness and registration.
 _POLL_INTERVAL_MS: Final = 50.0
 
@@ -29,7 +35,7 @@
     """Maintains the entry of this daemon in the store."""
 
     _blackboard: RouteBlackboard
-    _availability: StoreAvailability
+    _rng: random.Random
     _own_lease: OwnLease
     _adoption: LeaseAdoption
     _registered: Member | None = None
@@ -50,9 +56,10 @@
         """Delay in ms before the next step."""
         if not (self._blackboard.is_ready or self._blackboard.is_leaving):
             return _POLL_INTERVAL_MS
-        if self._availability.is_available:
-            return _RENEWAL_INTERVAL_MS
-        return _RETRY_INTERVAL_MS
+        failures = self._own_lease.failures
+        if failures:
+            return _BACKOFF.delay_ms(failures, self._rng)
+        return _RENEWAL_INTERVAL_MS
 
     def run(self) -> None:
         """Maintain the registration until the daemon leaves."""
@@ -142,7 +149,7 @@
     """
     return Registration(
         blackboard=blackboard,
-        availability=availability,
+        rng=random.Random(),
         own_lease=OwnLease(
             store=store,
             min_ttl_ms=min_lease_ms,
--- a/packages/fennelfork-daemon/tests/test_routes_registration.py
+++ b/packages/fennelfork-daemon/tests/test_routes_registration.py
@@ -47,7 +47,7 @@
         assert not new_daemon.store.calls
         assert new_daemon.registration.delay_ms < 100
         new_daemon.apply_listing(ConfigUpdate(table=table(3)))
-        assert new_daemon.registration.delay_ms == 1400
+        assert new_daemon.registration.delay_ms == 1800
         structlog.reset_defaults()
 
     def test_expired_lease(self, following: FollowingDaemon) -> None:
@@ -87,15 +87,33 @@
         assert to_renewal_ms + 650 + to_retry_ms < ttl_ms - 200
 
     def test_refused_renewals(self, following: FollowingDaemon) -> None:
-        """Two renewals that are refused do not end the registration."""
+        """Three renewals that are refused do not end the registration."""
         following.registration.step()
         elapsed_ms = following.registration.delay_ms
-        following.store.renewals = [Bad(STORE_UNAVAILABLE) for _ in range(2)]
-        for _ in range(2):
+        following.store.renewals = [Bad(STORE_UNAVAILABLE) for _ in range(3)]
+        for _ in range(3):
             following.registration.step()
             elapsed_ms += following.registration.delay_ms
         assert elapsed_ms < following.lines('lease_granted')[0]['ttl_ms']
 
+    def test_long_outage(self, following: FollowingDaemon) -> None:
+        """The whole fleet does not load a store that refuses all calls."""
+        following.registration.step()
+        elapsed_ms = 0.0
+        following.store.renewals = [Bad(STORE_UNAVAILABLE) for _ in range(60)]
+        while elapsed_ms < 20_000:
+            following.registration.step()
+            elapsed_ms += following.registration.delay_ms
+        assert len(following.store.calls) < 55
+        assert following.registration.delay_ms <= 800
+
+    def test_failed_watch(self, following: FollowingDaemon) -> None:
+        """A watch that fails does not bring forward the next renewal."""
+        following.registration.step()
+        following.follower.step()
+        assert not following.availability.is_available
+        assert following.registration.delay_ms == 1800
+
     def test_leaving_daemon(self, following: FollowingDaemon) -> None:
         """A leaving daemon is not ready and does not register."""
         following.registration.leave()
