--- a/packages/fennelfork/src/fennelfork/routes/_store_polling.py
+++ b/packages/fennelfork/src/fennelfork/routes/_store_polling.py
@@ -12,9 +12,11 @@
 _RESPONSE_MS: Final = 300.0
 # Minimum delay before a failed call is retried.
 STORE_RETRY_DELAY_MS: Final = 150.0
-# Updates within the batch delay are fetched by one call. The daemon that reads
-# the store for its data centre uses the minimum. Many other daemons may read the
-# store at the same time, so their delay grows with the fleet.
+# Updates within the batch delay are fetched by one call. The delay of the daemon
+# that reads the store for its data centre is a small part of the maximum age.
+# Many other daemons may read the store at the same time, so their delay grows
+# with the fleet.
+_READER_BATCH_RATIO: Final = 1 / 8
 _BATCH_DELAY_PER_DAEMON_MS: Final = 15.0
 _MIN_BATCH_DELAY_MS: Final = 300.0
 _MAX_BATCH_DELAY_MS: Final = 1000.0
@@ -79,7 +81,8 @@
     @property
     def reader_batch_delay_ms(self) -> float:
         """Batch delay of a daemon that reads for its data centre."""
-        return _MIN_BATCH_DELAY_MS
+        wanted_ms = self._max_age_ms * _READER_BATCH_RATIO
+        return min(_MAX_BATCH_DELAY_MS, max(_MIN_BATCH_DELAY_MS, wanted_ms))
 
     @property
     def max_age_ms(self) -> float:
@@ -88,8 +91,9 @@
 
     @property
     def extra_batch_delay_ms(self) -> float:
-        """Batch delay in excess of the minimum, due to the fleet size."""
-        return self.batch_delay_ms - _MIN_BATCH_DELAY_MS
+        """Longest batch delay of any daemon in excess of the minimum."""
+        longest_ms = max(self.batch_delay_ms, self.reader_batch_delay_ms)
+        return longest_ms - _MIN_BATCH_DELAY_MS
 
     def watch_timeouts(self, age_ms: float, failures: int) -> WatchTimeouts:
         """Return the timeouts of the next watch.
--- a/packages/fennelfork/tests/test_routes_store_polling.py
+++ b/packages/fennelfork/tests/test_routes_store_polling.py
@@ -62,6 +62,24 @@
         lost_ms = 2 * (timeouts.wait_ms + timeouts.response_ms)
         assert lost_ms + 2 * _SLOW_RESPONSE_MS < max_age_ms
 
+    @pytest.mark.parametrize(
+        ('max_age_ms', 'delay_ms'),
+        [(100, 300), (3000, 375), (5000, 625), (60_000, 1000)],
+    )
+    def test_reader_batch(self, max_age_ms: float, delay_ms: float) -> None:
+        """While entries change all the time, few calls fetch all updates."""
+        assert _polling(9, max_age_ms).reader_batch_delay_ms == delay_ms
+
+    @pytest.mark.parametrize('max_age_ms', [3000, 5000, 7000])
+    def test_batch_and_lost_response(self, max_age_ms: float) -> None:
+        """An update within a batch whose response is lost arrives in time."""
+        polling = _polling(9, max_age_ms)
+        delay_ms = polling.reader_batch_delay_ms
+        lost = polling.watch_timeouts(delay_ms, 0)
+        retried_ms = delay_ms + lost.wait_ms + lost.response_ms
+        updated_ms = retried_ms + STORE_RETRY_DELAY_MS + _SLOW_RESPONSE_MS
+        assert updated_ms < max_age_ms
+
     @pytest.mark.parametrize('failures', [1, 5, _FAILURES_OF_A_DAY])
     def test_after_failure(self, failures: int) -> None:
         """After a failed call, a short watch detects that the store is back."""
