Start: fewer modules are imported on the platform

Imports are most of the processor time between the start of a daemon and its first answer, which all daemons need at once after a loss of power. The settings and the configuration document of fronts came with the settings of the log, the server with the limits of a settings file, and the labels of metrics; colorama and ctypes came with structlog where they are installed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_daemon.py
@@ -17,7 +17,7 @@
 )
 from fennelfork_daemon.home._service import HomeService, home_service
 from fennelfork_daemon.http._router import Router, router
-from fennelfork_daemon.http._wsgi_server import serve_http
+from fennelfork_daemon.http._settings_server import serve_http
 from fennelfork_daemon.membership._local_member import local_member
 from fennelfork_daemon.operator._api import operator_router
 from fennelfork_daemon.peer._server import peer_server
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_logs.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/logs/_logs.py
@@ -5,14 +5,19 @@
 import attrs
 
 from fennelfork_daemon._blocked_imports import block_asyncio, block_import
-from fennelfork_daemon.settings._tables import LogFormat, LogSettings
+from fennelfork_daemon.settings._log_settings import LogFormat, LogSettings
 
 _MAX_SUBJECTS: Final = 1024
 
 
-# structlog imports rich if present, which the daemon does not use and which
-# takes 3.5 MB of memory.
-with block_import('rich'), block_asyncio():
+# structlog imports these libraries if present, which the daemon does not use:
+# rich takes 3.5 MB of memory, colorama loads ctypes at each start.
+with (
+    block_import('rich'),
+    block_import('colorama'),
+    block_import('better_exceptions'),
+    block_asyncio(),
+):
     import structlog
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -22,7 +22,7 @@
     RouteTable,
 )
 from fennelfork_daemon.http._router import HttpReply, HttpRequest
-from fennelfork_daemon.metrics._labels import KnownNames
+from fennelfork_daemon.metrics._known_names import KnownNames
 
 _MS_PER_SECOND: Final = 1000
 _OK: Final = 200
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/settings/_tables.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/settings/_tables.py
@@ -1,12 +1,12 @@
 """Tables of a settings file, with validation rules and defaults."""
 
-import enum
 from typing import Annotated, Final
 
 import attrs
 
 from fennelfork.placement import RoutingMode
 from fennelfork_daemon._address import Address
+from fennelfork_daemon.settings._log_settings import LogSettings
 from fennelfork_daemon.settings._rules import (
     AddressRule,
     LabelRule,
@@ -38,24 +38,6 @@
 ]
 
 
-@enum.unique
-class LogFormat(enum.Enum):
-    """Format of a log line."""
-
-    JSON = 'json'
-    CONSOLE = 'console'
-
-
-@enum.unique
-class LogLevel(enum.Enum):
-    """Minimum severity of the log lines that are written."""
-
-    DEBUG = 'debug'
-    INFO = 'info'
-    WARNING = 'warning'
-    ERROR = 'error'
-
-
 @attrs.frozen(kw_only=True)
 class DaemonSettings:
     """Identity of this daemon and location of its VM."""
@@ -140,14 +122,6 @@
     stop_ms: _Ms = 75_000
 
 
-@attrs.frozen(kw_only=True)
-class LogSettings:
-    """Format and minimum severity of the log."""
-
-    format: LogFormat = LogFormat.JSON
-    level: LogLevel = LogLevel.INFO
-
-
 @attrs.frozen(kw_only=True)
 class RoutingSettings:
     """Routing of sub-queries to the backend servers."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -61,7 +61,7 @@
 from fennelfork_daemon.routes._store_copy import store_copy
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 from fennelfork_daemon.routes._update_applier import UpdateApplier
-from fennelfork_daemon.settings._tables import LogSettings
+from fennelfork_daemon.settings._log_settings import LogSettings
 
 STORE_UNAVAILABLE = not_run(FailureCode.PLATFORM, 'the store answered 503')
 # Marks a call of the store that gets no response.
--- a/packages/fennelfork-daemon/tests/test_decision_log.py
+++ b/packages/fennelfork-daemon/tests/test_decision_log.py
@@ -13,7 +13,7 @@
 from fennelfork_daemon.logs._sink import non_blocking_sink
 from fennelfork_daemon.routes._events_servers import ServerGone
 from fennelfork_daemon.routes._events_store import StoreLost
-from fennelfork_daemon.settings._tables import LogSettings
+from fennelfork_daemon.settings._log_settings import LogSettings
 
 
 class TestDecisionLog:
--- a/packages/fennelfork-daemon/tests/test_home_drain_log.py
+++ b/packages/fennelfork-daemon/tests/test_home_drain_log.py
@@ -17,7 +17,7 @@
 )
 from fennelfork_daemon.home._drain_log import DrainLog
 from fennelfork_daemon.logs._logs import configure_logs, state_log
-from fennelfork_daemon.settings._tables import LogSettings
+from fennelfork_daemon.settings._log_settings import LogSettings
 
 
 @pytest.fixture(autouse=True)
--- a/packages/fennelfork-daemon/tests/test_http_wsgi_server.py
+++ b/packages/fennelfork-daemon/tests/test_http_wsgi_server.py
@@ -16,11 +16,8 @@
 from eventlet.green import socket
 
 from fennelfork_daemon._address import address
-from fennelfork_daemon.http._wsgi_server import (
-    listening_address,
-    open_listener,
-    serve_http,
-)
+from fennelfork_daemon.http._settings_server import serve_http
+from fennelfork_daemon.http._wsgi_server import listening_address, open_listener
 from fennelfork_daemon.settings._settings import read_settings
 
 _TIMEOUT_S = 20
--- a/packages/fennelfork-daemon/tests/test_logs.py
+++ b/packages/fennelfork-daemon/tests/test_logs.py
@@ -9,7 +9,7 @@
 import structlog
 
 from fennelfork_daemon.logs._logs import configure_logs, state_log
-from fennelfork_daemon.settings._tables import (
+from fennelfork_daemon.settings._log_settings import (
     LogFormat,
     LogLevel,
     LogSettings,
--- a/packages/fennelfork-daemon/tests/test_metrics.py
+++ b/packages/fennelfork-daemon/tests/test_metrics.py
@@ -8,7 +8,7 @@
 
 from fennelfork import FailureCode, Verdict, may_have_run, not_run
 from fennelfork.gather import ExpectedReply, KeyRange, Reply, check_reply
-from fennelfork_daemon.metrics._labels import OTHER
+from fennelfork_daemon.metrics._known_names import OTHER
 from fennelfork_daemon.metrics._metrics import (
     Channel,
     ControlCost,
--- a/packages/fennelfork-daemon/tests/test_routes_events.py
+++ b/packages/fennelfork-daemon/tests/test_routes_events.py
@@ -22,7 +22,7 @@
 from fennelfork_daemon.routes import _events_servers as servers
 from fennelfork_daemon.routes import _events_store as store
 from fennelfork_daemon.routes._request_reporter import is_sampled
-from fennelfork_daemon.settings._tables import LogSettings
+from fennelfork_daemon.settings._log_settings import LogSettings
 
 _MANUAL = pathlib.Path(__file__).parents[3] / 'docs/OPERATIONS.md'
 
--- a/packages/fennelfork-daemon/tests/test_state_watch.py
+++ b/packages/fennelfork-daemon/tests/test_state_watch.py
@@ -13,7 +13,7 @@
 from fennelfork_daemon._state_watch import state_watch
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.metrics._metrics import daemon_metrics
-from fennelfork_daemon.settings._tables import LogSettings
+from fennelfork_daemon.settings._log_settings import LogSettings
 
 
 def _blackboard() -> Blackboard:
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -34,7 +34,7 @@
     route_service,
 )
 from fennelfork_daemon.routes._disconnect_watch import DisconnectWatch
-from fennelfork_daemon.settings._tables import LogSettings
+from fennelfork_daemon.settings._log_settings import LogSettings
 from fennelfork_platform._backends import PlatformBackends
 from fennelfork_platform._callers import PlatformCallers
 from fennelfork_platform._items import read_item
