Relay: updates since a listing are kept for daemons that start together

Daemons that start together list the store at different revisions. A relay kept updates only once another daemon had asked, so it answered 410 to each daemon with an older listing, which then read the store. The relay now keeps the updates of the 10 s after its own listing.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay.py
@@ -16,7 +16,9 @@
 )
 
 _MS_PER_SECOND: Final = 1000
-# Updates are kept while other daemons ask for them.
+# Updates are kept while other daemons ask for them. After a listing they are
+# kept as well: daemons that start together list the store at different revisions
+# and continue from a relay.
 _RECORDING_MS: Final = 10_000.0
 # Bounds the wait that another daemon can ask for.
 _MAX_WAIT_MS: Final = 5000.0
@@ -34,12 +36,13 @@
     _availability: StoreAvailability
     _clock: Clock
     _log: RelayLog = attrs.field(factory=RelayLog)
-    _last_request_ms: float | None = None
+    _recording_from_ms: float | None = None
     _changed: Event = attrs.field(factory=Event)
 
     def reset(self, revision: int) -> None:
         """Discard the updates after a listing of the store."""
         self._log.reset(revision)
+        self._recording_from_ms = self._clock.now_ms()
         self._notify(HistoryCompacted())
 
     def extend(self, changes: UpdateBatch) -> None:
@@ -61,7 +64,7 @@
             wait_ms: maximum time to wait. A daemon without current updates
                 answers at once.
         """
-        self._last_request_ms = self._clock.now_ms()
+        self._recording_from_ms = self._clock.now_ms()
         deadline_ms = self._clock.now_ms() + min(wait_ms, _MAX_WAIT_MS)
         while self.is_connected and self._log.revision <= revision:
             if self._wait_for_change(deadline_ms) is not None:
@@ -82,10 +85,10 @@
 
     @property
     def _is_recording(self) -> bool:
-        """Whether another daemon has asked for updates recently."""
-        if self._last_request_ms is None:
+        """Whether another daemon may ask for updates of this moment."""
+        if self._recording_from_ms is None:
             return False
-        return self._clock.now_ms() - self._last_request_ms < _RECORDING_MS
+        return self._clock.now_ms() - self._recording_from_ms < _RECORDING_MS
 
     def _wait_for_change(self, deadline_ms: float) -> Any:
         """Wait for a change of the log.
