Registration: a daemon that the store turns away asks more rarely

The store may refuse some machines for many seconds and serve the others. Each of these daemons repeated a refused call about its lease up to 0.8 s later on average each 0.5 s. While updates still arrive, from the store or from another daemon, the delay now grows to 2 s: callers use the other daemons meanwhile, and the daemon is named again up to 2 s after the refusals end.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -26,6 +26,14 @@
 # many calls that a store under load has to refuse.
 _MAX_RETRY_MS: Final = 800.0
 _BACKOFF: Final = Backoff(base_ms=_MIN_RETRY_MS, cap_ms=_MAX_RETRY_MS)
+# While only this daemon is turned away, callers use the others.
+_MAX_REJECTED_RETRY_MS: Final = 2000.0
+_REJECTED_BACKOFF: Final = Backoff(
+    base_ms=_MIN_RETRY_MS, cap_ms=_MAX_REJECTED_RETRY_MS
+)
+# Data that is younger than this was read from the store a moment ago, by this
+# daemon or by one that passes on updates.
+_CURRENT_DATA_MS: Final = 1500.0
 # Bounds the delay between readiness and registration.
 _POLL_INTERVAL_MS: Final = 50.0
 
@@ -35,6 +43,7 @@
     """Maintains the entry of this daemon in the store."""
 
     _blackboard: RouteBlackboard
+    _availability: StoreAvailability
     _rng: random.Random
     _own_lease: OwnLease
     _adoption: LeaseAdoption
@@ -57,9 +66,11 @@
         if not (self._blackboard.is_ready or self._blackboard.is_leaving):
             return _POLL_INTERVAL_MS
         failures = self._own_lease.failures
-        if failures:
-            return _BACKOFF.delay_ms(failures, self._rng)
-        return _RENEWAL_INTERVAL_MS
+        if not failures:
+            return _RENEWAL_INTERVAL_MS
+        serves_others = self._availability.data_age_ms < _CURRENT_DATA_MS
+        backoff = _REJECTED_BACKOFF if serves_others else _BACKOFF
+        return backoff.delay_ms(failures, self._rng)
 
     def run(self) -> None:
         """Maintain the registration until the daemon leaves."""
@@ -149,6 +160,7 @@
     """
     return Registration(
         blackboard=blackboard,
+        availability=availability,
         rng=random.Random(),
         own_lease=OwnLease(
             store=store,
