Workspaces: requests are counted by workspace and reason

Operators could not tell whose requests a daemon refuses, as no metric names a workspace. WorkspaceCounts counts answers and refusals by the failure code; so refusals for a quota appear by themselves. Nothing is counted or exported where no workspace is configured.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -23,6 +23,7 @@
 )
 from fennelfork_daemon.http._router import HttpReply, HttpRequest
 from fennelfork_daemon.metrics._known_names import KnownNames
+from fennelfork_daemon.routes._workspace_counts import WorkspaceCounts
 
 _MS_PER_SECOND: Final = 1000
 _OK: Final = 200
@@ -57,8 +58,13 @@
 
 @attrs.frozen(kw_only=True)
 class RouteMetrics:
-    """Metrics of the daemon, with a bounded number of label values."""
+    """Metrics of the daemon, with a bounded number of label values.
 
+    Attributes:
+        workspaces: counts of the requests of each workspace.
+    """
+
+    workspaces: WorkspaceCounts
     _registry: CollectorRegistry
     _routes: KnownNames
     _services: KnownNames
@@ -86,9 +92,11 @@
             self._suspicions.labels(status.value).set_function(count)
 
     def allow_names_of(self, table: RouteTable) -> None:
-        """Allow the names of the active routes and services as labels."""
+        """Allow the names of the active configuration as labels."""
         self._routes.set_names(route.name for route in table.routes)
         self._services.set_names(table.services)
+        workspaces = table.workspaces
+        self.workspaces.set_names(workspaces.by_name if workspaces else ())
 
     def record_answer(self, answered: AnsweredRequest) -> None:
         """Record one answered request."""
@@ -132,7 +140,10 @@
     """Build the metrics of one daemon in a separate registry."""
     registry = CollectorRegistry()
     ProcessCollector(registry=registry)
+    workspaces = WorkspaceCounts()
+    registry.register(workspaces)
     return RouteMetrics(
+        workspaces=workspaces,
         registry=registry,
         routes=KnownNames(max_names=_MAX_NAMES),
         services=KnownNames(max_names=_MAX_NAMES),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -22,6 +22,7 @@
 from fennelfork_daemon.routes._answer import Answer, Forwarded, Merged, Refused
 from fennelfork_daemon.routes._caller_request import CallerRequest
 from fennelfork_daemon.routes._metrics import AnsweredRequest, RouteMetrics
+from fennelfork_daemon.routes._workspace_counts import ANSWERED, NO_WORKSPACE
 
 _CLIENT_ERROR: Final = 400
 # An attempt that is sent and its response.
@@ -45,7 +46,7 @@
         version: int,
         caller_request: CallerRequest | None,
     ) -> None:
-        """Log a request that was refused before the first attempt.
+        """Count and log a request that was refused before the first attempt.
 
         Args:
             refused: answer to the caller.
@@ -53,6 +54,8 @@
             caller_request: request, or none if the request was not parsed.
         """
         failure = refused.failure
+        workspace = _workspace_name(caller_request)
+        self._metrics.workspaces.count(workspace, failure.code.value)
         self._log.log_decision(
             requests.RequestRefused(
                 request=refused.request_id,
@@ -151,6 +154,9 @@
                 missing=tuple(_missing_services(dispatch)),
             ),
         )
+        self._metrics.workspaces.count(
+            _workspace_name(caller_request), _workspace_outcome(answer)
+        )
         in_time = took_ms <= dispatch.route.latency_target_ms
         extra_attempts = dispatch.hedges or dispatch.retries
         as_expected = in_time and not extra_attempts and _is_complete(answer)
@@ -192,6 +198,20 @@
     )
 
 
+def _workspace_name(caller_request: CallerRequest | None) -> str:
+    """Return the name of the workspace of a request, empty for none."""
+    if caller_request is None or caller_request.workspace is None:
+        return NO_WORKSPACE
+    return caller_request.workspace.name
+
+
+def _workspace_outcome(answer: Answer) -> str:
+    """Return the failure code of a refusal, or that there is an answer."""
+    return (
+        answer.failure.code.value if isinstance(answer, Refused) else ANSWERED
+    )
+
+
 def _ejection_reason(outcome: AttemptOutcome) -> str:
     if isinstance(outcome, Failed):
         return outcome.failure.detail
