Workspaces: the table keeps the fingerprint of each key

The daemon keeps digests with a secret of the process, from which operators cannot tell which workspace holds a key that leaked. The table now keeps the fingerprint of each distinct key, 4 bytes in one string, by workspace.

--- a/packages/fennelfork/src/fennelfork/workspaces/_key_digest.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_key_digest.py
@@ -9,7 +9,7 @@
 _SECRET: Final = os.urandom(hashlib.blake2b.MAX_KEY_SIZE)
 # Equal in all processes, so that operators can compare fingerprints. Too short
 # to identify a key among all possible keys.
-_FINGERPRINT_BYTES: Final = 4
+FINGERPRINT_BYTES: Final = 4
 _FINGERPRINT_PURPOSE: Final = b'key fingerprint'
 
 
@@ -27,11 +27,20 @@
 def key_fingerprint(key: str) -> str:
     """Return eight hexadecimal digits by which operators tell keys apart.
 
+    Args:
+        key: key, not necessarily of a workspace.
+    """
+    return fingerprint_key(key).hex()
+
+
+def fingerprint_key(key: str) -> bytes:
+    """Return the bytes of the fingerprint of a key.
+
     Args:
         key: key, not necessarily of a workspace.
     """
     return hashlib.blake2b(
         key.encode(errors='surrogatepass'),
-        digest_size=_FINGERPRINT_BYTES,
+        digest_size=FINGERPRINT_BYTES,
         person=_FINGERPRINT_PURPOSE,
-    ).hexdigest()
+    ).digest()
--- a/packages/fennelfork/src/fennelfork/workspaces/_table.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_table.py
@@ -1,16 +1,22 @@
 """Table of all workspaces of one configuration version."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
 from fennelfork.workspaces._checks import check_keys, check_workspace
 from fennelfork.workspaces._key_digest import digest_key, key_fingerprint
+from fennelfork.workspaces._key_fingerprints import (
+    KeyFingerprints,
+    key_fingerprints,
+)
 from fennelfork.workspaces._key_index import KeyIndex, key_index
 from fennelfork.workspaces._workspace import Workspace
 
 # Workspace and its keys.
 _KeyedWorkspace = tuple[Workspace, Iterable[str]]
+# Workspace and the fingerprints of its keys.
+_PrintedWorkspace = tuple[Workspace, tuple[str, ...]]
 
 
 @attrs.frozen(kw_only=True)
@@ -24,6 +30,7 @@
     by_name: Mapping[str, Workspace] = attrs.field(repr=False)
     _ordered: tuple[Workspace, ...] = attrs.field(repr=False)
     _keys: KeyIndex
+    _fingerprints: KeyFingerprints
 
     def __len__(self) -> int:
         """Return the number of workspaces."""
@@ -34,6 +41,16 @@
         position = self._keys.find(key)
         return None if position is None else self._ordered[position]
 
+    def with_key_fingerprints(
+        self,
+    ) -> Iterator[_PrintedWorkspace]:
+        """Iterate over the workspaces and the fingerprints of their keys.
+
+        Fingerprints are for operators. Different keys may have the same one.
+        """
+        for position, workspace in enumerate(self._ordered):
+            yield workspace, self._fingerprints.at(position)
+
 
 def workspace_table(entries: Iterable[_KeyedWorkspace]) -> WorkspaceTable:
     """Create the table of the workspaces of one configuration version.
@@ -56,7 +73,10 @@
     index = key_index(held for _, held in known)
     _check_shared_keys(index, known)
     return WorkspaceTable(
-        by_name=by_name, ordered=tuple(by_name.values()), keys=index
+        by_name=by_name,
+        ordered=tuple(by_name.values()),
+        keys=index,
+        fingerprints=key_fingerprints(held for _, held in known),
     )
 
 
--- a/packages/fennelfork/tests/test_workspaces_table.py
+++ b/packages/fennelfork/tests/test_workspaces_table.py
@@ -50,6 +50,20 @@
         """The fingerprint is short and equal in all processes."""
         assert key_fingerprint(_KEY) == '48cd96de'
 
+    def test_all_fingerprints(self) -> None:
+        """Each distinct key of each workspace has one, and no key is kept."""
+        table = keyed_table(lab=('b', _KEY, 'b'), idle=(), solo=('c',))
+        expected = {
+            'lab': sorted((key_fingerprint(_KEY), key_fingerprint('b'))),
+            'idle': [],
+            'solo': [key_fingerprint('c')],
+        }
+        found = {
+            workspace.name: list(fingerprints)
+            for workspace, fingerprints in table.with_key_fingerprints()
+        }
+        assert found == expected
+
 
 class TestChecks:
     """Configurations that are refused."""
