Workspaces: operators see workspaces, keys and refusals at GET /workspaces

No page told the limits of a workspace, which keys it has, or how many of its requests a daemon refused. The page lists the active workspaces with the fingerprints of their keys and the counts of the daemon; it has no key.

The test of the quarantine passes the blackboard instead of its quarantine to operator_api, as the page needs the active configuration; its checks are unchanged.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -76,7 +76,7 @@
         face=route_caller_api(base, calls, availability),
         operator_api=operator_api(
             base.metrics,
-            base.blackboard.quarantine,
+            base.blackboard,
             protection.guard,
             FleetPage(
                 blackboard=base.blackboard,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_operator_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_operator_api.py
@@ -16,9 +16,11 @@
     json_reply,
     router,
 )
+from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._fleet_page import FleetPage
 from fennelfork_daemon.routes._guard import RequestGuard
 from fennelfork_daemon.routes._metrics import RouteMetrics
+from fennelfork_daemon.routes._workspace_page import WorkspacePage
 
 _PATH: Final = '/quarantine'
 _UNKNOWN: Final = not_run(
@@ -54,16 +56,24 @@
 
 def operator_api(
     metrics: RouteMetrics,
-    quarantine: Quarantine,
+    blackboard: RouteBlackboard,
     guard: RequestGuard,
     fleet_page: FleetPage,
 ) -> Router:
-    """Build the API that serves metrics, the fleet and the quarantine."""
-    handlers = _QuarantineHandlers(quarantine=quarantine, guard=guard)
+    """Build the API of metrics, fleet, workspaces and the quarantine."""
+    handlers = _QuarantineHandlers(
+        quarantine=blackboard.quarantine, guard=guard
+    )
+    workspace_page = WorkspacePage(
+        blackboard=blackboard, counts=metrics.workspaces
+    )
     return router(
         (
             Route(method='GET', path='/metrics', handler=metrics.page),
             Route(method='GET', path='/fleet', handler=fleet_page.show),
+            Route(
+                method='GET', path='/workspaces', handler=workspace_page.show
+            ),
             Route(method='GET', path=_PATH, handler=handlers.show),
             Route(
                 method='DELETE',
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -302,7 +302,7 @@
         self.following.apply_updates(suspicion_fact(RequestStatus.QUARANTINED))
         self.api = operator_api(
             route_metrics(),
-            self.quarantine,
+            self.following.blackboard,
             self.guard,
             self.following.fleet_page,
         )
--- a/packages/fennelfork-daemon/tests/test_routes_workspaces.py
+++ b/packages/fennelfork-daemon/tests/test_routes_workspaces.py
@@ -1,21 +1,28 @@
-"""Counts of the requests of workspaces on one daemon.
+"""Counts of the requests of workspaces on one daemon, and their page.
 
 Guards against refusals that operators cannot assign to a workspace, and against
-metrics that grow with the number of workspaces.
+metrics that grow with the number of workspaces, or a page that shows a key.
 """
 
+import json
 from collections.abc import Iterable
 from typing import Any
 
 import attrs
-from daemon_builders_routes import table
+import pytest
+from daemon_builders_routes import settings, table
 from prometheus_client.parser import text_string_to_metric_families
 
-from fennelfork.workspaces import Workspace, workspace_table
+from fennelfork import ManualTime, manual_clock
+from fennelfork.workspaces import Workspace, key_fingerprint, workspace_table
 from fennelfork_daemon.http._router import HttpRequest
+from fennelfork_daemon.routes._blackboard import route_blackboard
 from fennelfork_daemon.routes._metrics import RouteMetrics, route_metrics
+from fennelfork_daemon.routes._workspace_page import WorkspacePage
 
 _FAMILY = 'fennelfork_workspace_requests'
+_KEY = 'hz6prvnzqjynjcfv8nmp'
+_SECOND_FINGERPRINT = key_fingerprint('second-key')
 _REQUEST = HttpRequest(environ={}, names={}, options={})
 
 
@@ -69,6 +76,72 @@
         assert _FAMILY.encode() not in metrics.page(_REQUEST).body
 
 
+class TestPage:
+    """The page `GET /workspaces`."""
+
+    def test_workspace(self) -> None:
+        """Limits, fingerprints and requests are shown, but no key."""
+        lab = Workspace(
+            name='lab', rate_per_s=7, burst=9, home_regions=frozenset('ba')
+        )
+        workspaces = workspace_table([(lab, (_KEY, 'second-key'))])
+        reply, page = _page(attrs.evolve(table(3), workspaces=workspaces))
+        fingerprints = sorted((key_fingerprint(_KEY), _SECOND_FINGERPRINT))
+        assert page == {
+            'daemon': 'vm-1',
+            'version': 3,
+            'without_workspace': {'answered': 0, 'refused': {'unknown_key': 1}},
+            'workspaces': [
+                {
+                    'name': 'lab',
+                    'rate_per_s': 7,
+                    'burst': 9,
+                    'priority': None,
+                    'home_regions': ['a', 'b'],
+                    'keys': 2,
+                    'key_fingerprints': fingerprints,
+                    'answered': 1,
+                    'refused': {'quota': 1},
+                }
+            ],
+        }
+        assert _KEY.encode() not in reply
+
+    def test_many_workspaces(self) -> None:
+        """The page of many workspaces is complete."""
+        page = _page(_table(f'w{number}' for number in range(600)))[1]
+        assert [row['name'] for row in page['workspaces'][-2:]] == [
+            'w598',
+            'w599',
+        ]
+        assert len(page['workspaces']) == 600
+
+    @pytest.mark.parametrize(('active', 'version'), [(None, 0), (table(3), 3)])
+    def test_no_workspaces(self, active: Any, version: int) -> None:
+        """The page is empty without workspaces and without a configuration."""
+        page = _page(active)[1]
+        assert not page['workspaces']
+        assert page['version'] == version
+
+
+def _page(active: Any) -> tuple[bytes, Any]:
+    """Return the page of a daemon that has counted three requests."""
+    metrics = route_metrics()
+    if active is not None:
+        metrics.allow_names_of(active)
+    for name, outcome in (
+        ('lab', 'answered'),
+        ('lab', 'quota'),
+        ('', 'unknown_key'),
+    ):
+        metrics.workspaces.count(name, outcome)
+    blackboard = route_blackboard(settings(), manual_clock(ManualTime()))
+    blackboard.table = active
+    page = WorkspacePage(blackboard=blackboard, counts=metrics.workspaces)
+    body = page.show(_REQUEST).body
+    return body, json.loads(body)
+
+
 def _table(names: Iterable[str]) -> Any:
     workspaces = workspace_table((Workspace(name=name), ()) for name in names)
     return attrs.evolve(table(3), workspaces=workspaces)
