Workspaces: the command fennelfork workspaces sums over daemons

Each daemon counts only its own requests, so operators had to add up pages by hand.

The list of commands in its test of help texts has one more.

--- a/packages/fennelfork-cli/src/fennelfork_cli/_app.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_app.py
@@ -10,6 +10,7 @@
 from fennelfork_cli._config_commands import config_app
 from fennelfork_cli._explain import explain
 from fennelfork_cli._fleet_commands import drain, front_app, members
+from fennelfork_cli._workspace_commands import workspaces
 
 _HELP: Final = """Operate a fennelfork fleet.
 
@@ -30,6 +31,7 @@
 app.command(front_app)
 app.command(config_app)
 app.command(members)
+app.command(workspaces)
 app.command(entries)
 app.command(explain)
 app.command(query)
--- a/packages/fennelfork-cli/src/fennelfork_cli/_page.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_page.py
@@ -1,7 +1,7 @@
 """Reading and printing of pages of the operator API."""
 
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
 
@@ -64,6 +64,26 @@
     return next(successes, Failure(_NOT_FOUND))
 
 
+def fetch_pages(
+    path: str, addresses: Iterable[str], options: OperatorOptions
+) -> dict[str, Result[JsonObject, RequestFailure]]:
+    """Read a page from several daemons at once.
+
+    Args:
+        path: path of the operator API.
+        addresses: operator addresses of the daemons, without repetitions.
+        options: timeout of each request.
+
+    Returns:
+        Page or failure by address, in the order of the addresses.
+    """
+    listed = tuple(addresses)
+    read = functools.partial(fetch_page, path)
+    daemons = [attrs.evolve(options, operator=address) for address in listed]
+    with ThreadPoolExecutor(_MAX_PARALLEL_REQUESTS) as pool:
+        return dict(zip(listed, pool.map(read, daemons), strict=True))
+
+
 def print_page(
     path: str,
     options: OperatorOptions,
--- a/packages/fennelfork-cli/tests/test_app.py
+++ b/packages/fennelfork-cli/tests/test_app.py
@@ -22,6 +22,7 @@
     'config status',
     'config diff',
     'members',
+    'workspaces',
     'entries',
     'explain',
     'query',
