Workspaces: log lines and explain name the workspace and the decision

request_refused and request_ended did not tell whose request it was. Lines of older daemons are shown as before.

--- a/packages/fennelfork-cli/src/fennelfork_cli/_log_search.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_log_search.py
@@ -8,6 +8,7 @@
 import attrs
 
 from fennelfork_cli._http import JsonObject
+from fennelfork_cli._refusals import describe_refusal
 
 # Fields that every log line has; the other fields depend on the event.
 _COMMON_FIELDS: Final = frozenset(
@@ -84,19 +85,25 @@
 
 
 def format_line(line: LogLine) -> list[str]:
-    """Format a log line as text, followed by one line for each step."""
+    """Format a log line as text.
+
+    One line follows for the decision that refused the request, if any, and one
+    for each step.
+    """
     facts = ' '.join(
         f'{name}={_format_value(field_value)}'
         for name, field_value in line.facts.items()
         if name != _STEPS_FIELD
     )
     head = f'{line.timestamp} {line.daemon} {line.event} {facts}'
+    refusal = describe_refusal(line.event, line.facts)
+    decision = [] if refusal is None else [f'    {refusal}']
     steps = [
         f'    {service}: {step}'
         for service, service_steps in line.facts.get(_STEPS_FIELD, {}).items()
         for step in service_steps
     ]
-    return [head, *steps]
+    return [head, *decision, *steps]
 
 
 def _parse_line(text: str) -> Iterator[LogLine]:
--- a/packages/fennelfork-cli/tests/test_log_search.py
+++ b/packages/fennelfork-cli/tests/test_log_search.py
@@ -92,6 +92,57 @@
         assert texts[2] == '    shard-a: i-2 91 sent again'
 
 
+class TestRefusals:
+    """The decision that refused a request, on a line of its own."""
+
+    @pytest.mark.parametrize(
+        ('facts', 'expected'),
+        [
+            (
+                {
+                    'code': 'unknown_key',
+                    'reason': 'no workspace has the key with fingerprint 48cd96de',
+                    'workspace': '',
+                },
+                'no workspace: refused by unknown_key: no workspace has the '
+                'key with fingerprint 48cd96de',
+            ),
+            (
+                {'code': 'quota', 'reason': 'no permit', 'workspace': 'lab'},
+                'workspace lab: refused by quota: no permit',
+            ),
+            (
+                {
+                    'code': 'shed',
+                    'reason': '7 requests are under way to these services, '
+                    'the limit is 6, refused by workspace_share',
+                    'workspace': 'lab',
+                },
+                'workspace lab: refused by workspace_share: 7 requests are '
+                'under way to these services, the limit is 6',
+            ),
+        ],
+    )
+    def test_decision(self, facts: dict[str, str], expected: str) -> None:
+        """The workspace, the decision and its reason are named."""
+        log = [_line('09:00:00', 'request_refused', request='r-1', **facts)]
+        texts = format_line(next(read_lines(log)))
+        assert texts[1] == f'    {expected}'
+
+    def test_failed_later(self) -> None:
+        """A request that failed after attempts names its workspace."""
+        facts = {'answer': 'no_server, not_run', 'workspace': 'lab'}
+        log = [_line('09:00:00', 'request_ended', request='r-1', **facts)]
+        texts = format_line(next(read_lines(log)))
+        assert 'workspace=lab' in texts[0]
+        assert len(texts) == 1
+
+    def test_line_without_workspace(self) -> None:
+        """A line of an older daemon has no line about its decision."""
+        log = [_line('09:00:00', 'request_refused', request='r', code='shed')]
+        assert len(format_line(next(read_lines(log)))) == 1
+
+
 class TestCommand:
     """The command `explain --log`."""
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
@@ -17,6 +17,7 @@
         code: failure code.
         reason: description of the failure.
         version: active version of the configuration, zero for none.
+        workspace: name of the workspace, empty for none.
     """
 
     event: ClassVar[str] = 'request_refused'
@@ -25,6 +26,7 @@
     code: str
     reason: str
     version: int
+    workspace: str
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +54,7 @@
         sampled: whether the request finished as expected and is logged as a
             sample.
         steps: events of the attempts, by service.
+        workspace: name of the workspace, empty for none.
     """
 
     event: ClassVar[str] = 'request_ended'
@@ -71,6 +74,7 @@
     version: int
     sampled: bool
     steps: Mapping[str, Sequence[str]]
+    workspace: str
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -65,6 +65,7 @@
                 code=failure.code.value,
                 reason=failure.detail,
                 version=version,
+                workspace=workspace,
             ),
         )
 
@@ -154,9 +155,8 @@
                 missing=tuple(_missing_services(dispatch)),
             ),
         )
-        self._metrics.workspaces.count(
-            _workspace_name(caller_request), _workspace_outcome(answer)
-        )
+        workspace = _workspace_name(caller_request)
+        self._metrics.workspaces.count(workspace, _workspace_outcome(answer))
         in_time = took_ms <= dispatch.route.latency_target_ms
         extra_attempts = dispatch.hedges or dispatch.retries
         as_expected = in_time and not extra_attempts and _is_complete(answer)
@@ -184,6 +184,7 @@
                 steps=_describe_steps(
                     dispatch, received_ms, all_services=as_expected
                 ),
+                workspace=workspace,
             ),
         )
 
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -62,9 +62,10 @@
     replies: list[Any] = attrs.field(factory=list)
     servers: list[Any] = attrs.field(factory=list)
 
-    def configure(self, *routes: dict[str, Any]) -> None:
+    def configure(self, *routes: dict[str, Any], **fields: Any) -> None:
         """Apply a configuration from the store."""
-        update = read_item(item('op/config', config(*routes)), system_clock())
+        tree = config(*routes) | fields
+        update = read_item(item('op/config', tree), system_clock())
         self._apply_update(update)
 
     def add_server(self, body: bytes, service: str) -> None:
@@ -222,6 +223,33 @@
         assert any('workspace_share' in reason for reason in reasons)
 
 
+class TestWorkspaces:
+    """Requests of workspaces in logs and counts."""
+
+    def test_names_and_counts(self, daemon: Daemon) -> None:
+        """Each line names the workspace, and no line contains a key."""
+        daemon.configure(route(), Tenants=[{'Name': 'lab', 'ApiKeys': ['k7']}])
+        headers_raw = (*environ()['headers_raw'], ('X-Api-Key', 'k7'))
+        assert daemon.send_request(headers_raw=headers_raw)[0] == 503
+        daemon.add_server(b'whole', 'archive')
+        for _ in range(2):
+            assert daemon.send_request(headers_raw=headers_raw)[0] == 200
+        assert daemon.send_request()[0] == 401
+        lines = daemon.log_lines()
+        ended = [each for each in lines if each['event'] == 'request_ended']
+        assert {each['workspace'] for each in ended} == {'lab'}
+        assert lines[-1]['event'] == 'request_refused'
+        assert (lines[-1]['workspace'], lines[-1]['code']) == (
+            '',
+            'unknown_key',
+        )
+        assert 'k7' not in daemon.log.getvalue()
+        reporter = daemon.service.face._attempt_parts.reporter
+        counts = reporter._metrics.workspaces
+        assert counts.of('lab') == {'answered': 2, 'no_server': 1}
+        assert counts.of('') == {'unknown_key': 1}
+
+
 class TestAnswers:
     """Requests that backend servers respond to."""
 
