--- a/packages/fennelfork-cli/src/fennelfork_cli/_app.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_app.py
@@ -10,7 +10,10 @@
 from fennelfork_cli._config_commands import config_app
 from fennelfork_cli._explain import explain
 from fennelfork_cli._fleet_commands import drain, front_app, members
-from fennelfork_cli._workspace_commands import workspaces
+from fennelfork_cli._workspace_commands import (
+    show_key_fingerprint,
+    workspaces,
+)
 
 _HELP: Final = """Operate a fennelfork fleet.
 
@@ -32,6 +35,7 @@
 app.command(config_app)
 app.command(members)
 app.command(workspaces)
+app.command(show_key_fingerprint, name='key-fingerprint')
 app.command(entries)
 app.command(explain)
 app.command(query)
--- a/packages/fennelfork-cli/src/fennelfork_cli/_workspace_commands.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_workspace_commands.py
@@ -1,12 +1,16 @@
-"""The command `fennelfork workspaces`."""
+"""Commands for workspaces and their keys."""
 
 import functools
+import getpass
+import sys
 from typing import Final
 
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from fennelfork import Verdict
+from fennelfork.workspaces import key_fingerprint
+from fennelfork_cli._exit_code import ExitCode
 from fennelfork_cli._http import JsonObject, RequestFailure
 from fennelfork_cli._options import OperatorOptions
 from fennelfork_cli._page import fetch_pages, print_outcome
@@ -45,6 +49,28 @@
     return print_outcome(_build_report(outcomes, with_keys=keys), options.json)
 
 
+def show_key_fingerprint() -> int:
+    """Show the fingerprint of a key, which is read from standard input.
+
+    No daemon is asked. The key is not an argument, because other users of the
+    machine and the history of the shell see arguments.
+
+    Example: fennelfork key-fingerprint < leaked-key.txt
+    """
+    key = _read_key().strip()
+    if not key:
+        sys.stderr.write('standard input: no key, expected one line\n')
+        return int(ExitCode.BAD_USAGE)
+    sys.stdout.write(f'{key_fingerprint(key)}\n')
+    return int(ExitCode.DONE)
+
+
+def _read_key() -> str:
+    if sys.stdin.isatty():
+        return getpass.getpass('key: ')
+    return sys.stdin.readline()
+
+
 def _build_report(
     outcomes: dict[str, _Outcome], *, with_keys: bool
 ) -> Result[Report, RequestFailure]:
--- a/packages/fennelfork-cli/tests/test_app.py
+++ b/packages/fennelfork-cli/tests/test_app.py
@@ -23,6 +23,7 @@
     'config diff',
     'members',
     'workspaces',
+    'key-fingerprint',
     'entries',
     'explain',
     'query',
--- a/packages/fennelfork-cli/tests/test_workspaces.py
+++ b/packages/fennelfork-cli/tests/test_workspaces.py
@@ -3,6 +3,7 @@
 Guards against sums that miss a daemon without saying so.
 """
 
+import io
 import json
 from typing import Any
 
@@ -120,3 +121,26 @@
             code, _, err = command('workspaces', one.address)
         assert code == 3
         assert one.address in err
+
+
+class TestKeyFingerprint:
+    """The command `fennelfork key-fingerprint`."""
+
+    @pytest.mark.parametrize(
+        ('typed', 'expected'),
+        [
+            ('hz6prvnzqjynjcfv8nmp\n', (0, '48cd96de\n')),
+            ('  hz6prvnzqjynjcfv8nmp', (0, '48cd96de\n')),
+            ('\n', (2, '')),
+        ],
+    )
+    def test_from_input(
+        self,
+        typed: str,
+        expected: tuple[int, str],
+        command: Any,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """The key of the first line has the fingerprint that daemons show."""
+        monkeypatch.setattr('sys.stdin', io.StringIO(typed))
+        assert command('key-fingerprint')[:2] == expected
