Patience: a partial answer waits as long as the wait is worth more than its risk

The time of a partial answer is now chosen after each response, failure and hedge: at each time that the lag of the event loop and the merge leave, the expected square of the share of parts is weighed by the chance to be in time. The chance of a part follows from the response times of the route, the learned latency of its server and the age of its attempts. The kernel's round trip is the way to the caller. A part without a chance is not waited for.

request_ended has answer_by_ms.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -13,6 +13,7 @@
 
 CLOSE_KEY: Final = 'fennelfork.close_connection'
 CONNECTION_KEY: Final = 'fennelfork.connection'
+FIRST_REQUEST_KEY: Final = 'fennelfork.first_request'
 TARGET_KEY: Final = 'fennelfork.target'
 _MS_PER_SECOND: Final = 1000
 _LINGER_MS: Final = 500
@@ -42,11 +43,13 @@
 
     The WSGI environment contains under `CLOSE_KEY` a function that closes the
     connection after the answer, under `CONNECTION_KEY` the socket, by which an
-    application detects that the client disconnects, and under `TARGET_KEY` the
-    undecoded path and query.
+    application detects that the client disconnects, under `FIRST_REQUEST_KEY`
+    whether the request is the first one of its connection, and under
+    `TARGET_KEY` the undecoded path and query.
     """
 
     limits: ConnectionLimits
+    _has_served: bool = False
 
     def setup(self) -> None:
         """Prepare the connection with a timeout for writing answers."""
@@ -97,9 +100,12 @@
 
     def get_environ(self) -> dict[str, Any]:
         """Build the WSGI environment with the keys of this module."""
+        is_first = not self._has_served
+        self._has_served = True
         return super().get_environ() | {
             CLOSE_KEY: self._close_after_reply,
             CONNECTION_KEY: self.connection,
+            FIRST_REQUEST_KEY: is_first,
             TARGET_KEY: self.path,
         }
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -90,7 +90,9 @@
             own_registration.run,
             reload.run,
             protection.publisher.run,
-            lag_monitor(base.clock, base.limits, calls.reporter).run,
+            lag_monitor(
+                base.clock, base.limits, calls.reporter, base.answer_delays
+            ).run,
             load_monitor(base.blackboard, base.clock, base.fleet_reporter).run,
         ),
         pools=base.pools,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -10,16 +10,21 @@
 
 from fennelfork import Clock, Failure, FailureCode, may_have_run, not_run
 from fennelfork.routes import (
+    AnswerDelays,
     Asker,
     CallerLimits,
     ConcurrencyLimits,
     LatencyBaselines,
     RefusalReason,
+    RequestTimes,
     Route,
     can_meet_deadline,
     urgency_of,
 )
-from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
+from fennelfork_daemon.http._wsgi_protocol import (
+    CONNECTION_KEY,
+    FIRST_REQUEST_KEY,
+)
 from fennelfork_daemon.routes._answer import Answer, Refused
 from fennelfork_daemon.routes._attempt_runner import AttemptParts
 from fennelfork_daemon.routes._authorization import (
@@ -28,6 +33,7 @@
 )
 from fennelfork_daemon.routes._body import read_body
 from fennelfork_daemon.routes._caller_request import CallerRequest
+from fennelfork_daemon.routes._caller_way import caller_way_ms
 from fennelfork_daemon.routes._disconnect_watch import DisconnectWatch
 from fennelfork_daemon.routes._initial_routes import (
     INITIAL_LIMITS,
@@ -58,6 +64,7 @@
     _codec: CallerCodec
     _attempt_parts: AttemptParts
     _baselines: LatencyBaselines
+    _answer_delays: AnswerDelays
 
     def __call__(
         self,
@@ -102,7 +109,11 @@
             return self._run_request(
                 environ,
                 caller_request,
-                self._builder.build(request, received_ms, admitted.unwrap()),
+                self._builder.build(
+                    request,
+                    _request_times(environ, request, received_ms),
+                    admitted.unwrap(),
+                ),
                 received_ms,
             )
 
@@ -119,7 +130,11 @@
         self._attempt_parts.reporter.report_answer(
             caller_request, running_request, answer, received_ms
         )
-        took_ms = self._clock.now_ms() - received_ms
+        now_ms = self._clock.now_ms()
+        self._answer_delays.record_merge(
+            now_ms - running_request.finished_ms
+        )
+        took_ms = now_ms - received_ms
         if self.limits.record_outcome(running_request.dispatch, took_ms):
             route = running_request.dispatch.route
             self._attempt_parts.reporter.log_limit_decrease(
@@ -183,3 +198,17 @@
         request_id=caller_request.request_id,
         fingerprint=caller_request.fingerprint,
     )
+
+
+def _request_times(
+    environ: dict[str, Any],
+    request: AuthorizedRequest,
+    received_ms: float,
+) -> RequestTimes:
+    return RequestTimes(
+        received_ms=received_ms,
+        timeout_ms=request.left_ms,
+        caller_way_ms=caller_way_ms(
+            environ[CONNECTION_KEY], is_new=environ[FIRST_REQUEST_KEY]
+        ),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
@@ -3,7 +3,12 @@
 import attrs
 
 from fennelfork import Clock, system_clock
-from fennelfork.routes import ConcurrencyLimits, RetryBudgets, retry_budgets
+from fennelfork.routes import (
+    AnswerDelays,
+    ConcurrencyLimits,
+    RetryBudgets,
+    retry_budgets,
+)
 from fennelfork_daemon.logs._decision_log import (
     DecisionLog,
     LogOutput,
@@ -32,6 +37,7 @@
     pools: ServerPools
     retry_budgets: RetryBudgets
     limits: ConcurrencyLimits
+    answer_delays: AnswerDelays
     metrics: RouteMetrics
     log: DecisionLog
     fleet_reporter: FleetReporter
@@ -64,6 +70,7 @@
             settings.repeats, clock, blackboard.limit_divisor
         ),
         limits=ConcurrencyLimits(clock=clock),
+        answer_delays=AnswerDelays(),
         metrics=metrics,
         log=log,
         fleet_reporter=FleetReporter(log=log),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
@@ -40,6 +40,8 @@
         route: name of the route.
         took_ms: time from reading the request to the answer.
         aim_ms: latency target of the route.
+        answer_by_ms: time after which an answer misses the latency target,
+            since the way to the caller and the lag of this process are left.
         left_ms: time left until the deadline of the request.
         usual_ms: latency baseline of the route for nearby servers.
         hedge_ms: current delay of a hedge.
@@ -63,6 +65,7 @@
     route: str
     took_ms: int
     aim_ms: float
+    answer_by_ms: int
     left_ms: int
     usual_ms: int
     hedge_ms: int
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lag.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lag.py
@@ -8,7 +8,7 @@
 import eventlet
 
 from fennelfork import Clock
-from fennelfork.routes import ConcurrencyLimits
+from fennelfork.routes import AnswerDelays, ConcurrencyLimits
 from fennelfork_daemon.routes._request_reporter import RequestReporter
 
 _MS_PER_SECOND: Final = 1000
@@ -24,6 +24,7 @@
 
     _clock: Clock
     _report_lag: Callable[[float], None]
+    _answer_delays: AnswerDelays = attrs.field(factory=AnswerDelays)
 
     def run(self) -> None:
         """Run the timer until the process ends."""
@@ -31,6 +32,7 @@
             started_ms = self._clock.now_ms()
             eventlet.sleep(_INTERVAL_MS / _MS_PER_SECOND)
             late_ms = self._clock.now_ms() - started_ms - _INTERVAL_MS
+            self._answer_delays.record_lag(late_ms)
             if late_ms > _LAG_THRESHOLD_MS:
                 self._report_lag(late_ms)
 
@@ -39,10 +41,13 @@
     clock: Clock,
     limits: ConcurrencyLimits,
     reporter: RequestReporter,
+    answer_delays: AnswerDelays,
 ) -> LagMonitor:
     """Build the monitor that treats scheduling lag as overload."""
     report_lag = functools.partial(_record_overload, limits, reporter)
-    return LagMonitor(clock=clock, report_lag=report_lag)
+    return LagMonitor(
+        clock=clock, report_lag=report_lag, answer_delays=answer_delays
+    )
 
 
 def _record_overload(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -50,11 +50,13 @@
         version: version of the configuration with which the request is routed.
         finish_reason: reason for the end of the request; none while the
             request is in progress and if the caller disconnected.
+        finished_ms: time at which the request finished.
     """
 
     dispatch: Dispatch[SignedResponse]
     version: int
     finish_reason: FinishReason | None = None
+    finished_ms: float = 0
     _caller_request: CallerRequest
     _clock: Clock
     _attempts: AttemptRunner
@@ -79,6 +81,7 @@
             now_ms = self._clock.now_ms()
             self._attempts.start_attempts(self.dispatch.send_hedges(now_ms))
             self.finish_reason = self.dispatch.finish_reason(now_ms)
+        self.finished_ms = self._clock.now_ms()
         if not self.dispatch.is_sufficient:
             self._cancel_unsent()
         self._attempts.schedule_cancel()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
@@ -11,6 +11,7 @@
     Dispatch,
     DispatchParts,
     LatencyBaselines,
+    RequestTimes,
     bind_workspace,
     choose_services,
     dispatch,
@@ -36,18 +37,18 @@
     def build(
         self,
         request: AuthorizedRequest,
-        received_ms: float,
+        times: RequestTimes,
         suspect_services: frozenset[str],
     ) -> RunningRequest:
         """Build a request that has not sent any attempt yet.
 
         Args:
             request: request that may run.
-            received_ms: arrival time of the request.
+            times: times of the request.
             suspect_services: services whose servers crashed while they ran the
                 same request.
         """
-        dispatched = self._dispatch(request, received_ms, suspect_services)
+        dispatched = self._dispatch(request, times, suspect_services)
         queue = LightQueue()
         attempts = AttemptRunner(
             parts=self._attempt_parts,
@@ -69,7 +70,7 @@
     def _dispatch(
         self,
         request: AuthorizedRequest,
-        received_ms: float,
+        times: RequestTimes,
         suspect_services: frozenset[str],
     ) -> Dispatch[SignedResponse]:
         route = request.route
@@ -80,6 +81,6 @@
                 self._dispatch_parts, request.workspace, self._find_workspace
             ),
             self._baselines.for_route(route),
-            (received_ms, request.left_ms),
+            times,
             suspect_services=suspect_services,
         )
--- a/packages/fennelfork-daemon/tests/test_routes_lag.py
+++ b/packages/fennelfork-daemon/tests/test_routes_lag.py
@@ -5,6 +5,7 @@
 import eventlet
 
 from fennelfork import system_clock
+from fennelfork.routes import AnswerDelays
 from fennelfork_daemon.routes._lag import LagMonitor
 
 
@@ -25,3 +26,18 @@
         thread.kill()
         assert len(reported) == 1
         assert 200 < reported[0] < 400
+
+    def test_delays_of_answers(self) -> None:
+        """A busy event loop is expected to delay the next answers as well."""
+        delays = AnswerDelays()
+        monitor = LagMonitor(
+            clock=system_clock(),
+            report_lag=[].append,
+            answer_delays=delays,
+        )
+        thread = eventlet.spawn(monitor.run)
+        eventlet.sleep(0.01)
+        time.sleep(0.3)
+        eventlet.sleep(0.02)
+        thread.kill()
+        assert delays.share_within(100) < 1
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -1,5 +1,6 @@
 """Routing of caller requests to services, and selection of backend servers."""
 
+from ._answer_delay import AnswerDelays as AnswerDelays
 from ._attempt_outcome import AttemptOutcome as AttemptOutcome
 from ._attempt_outcome import AttemptRecord as AttemptRecord
 from ._attempt_outcome import Failed as Failed
@@ -39,6 +40,7 @@
 from ._relay_health import RelayHealth as RelayHealth
 from ._relay_log import EncodedUpdate as EncodedUpdate
 from ._relay_log import RelayLog as RelayLog
+from ._request_times import RequestTimes as RequestTimes
 from ._retry_budget import RetryBudgets as RetryBudgets
 from ._retry_budget import RetryPolicy as RetryPolicy
 from ._retry_budget import retry_budgets as retry_budgets
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -11,7 +11,9 @@
 from fennelfork.routes._attempt_gate import attempt_gate
 from fennelfork.routes._home_regions import common_home_regions
 from fennelfork.routes._latency_baseline import LatencyBaseline
+from fennelfork.routes._patience import Patience, patience
 from fennelfork.routes._request_attempts import RequestAttempts
+from fennelfork.routes._request_times import RequestTimes
 from fennelfork.routes._route import Route, min_parts
 from fennelfork.routes._send import Send
 from fennelfork.routes._sender import DispatchParts, Sender
@@ -19,11 +21,6 @@
 
 _Part = TypeVar('_Part')
 
-# Time between the decision to answer and the arrival of the answer at the
-# caller, for answers that have to meet the latency target.
-# A new connection takes the caller 6 ms, request and answer another 6 ms; the
-# rest is for the merge and the wait for the processor.
-_ANSWER_MS: Final = 36.0
 # Time before the timeout of the caller at which a request times out, so that
 # the answer still reaches the caller.
 _TIMEOUT_MARGIN_MS: Final = 30.0
@@ -61,9 +58,10 @@
     hedges: int = 0
     retries: int = 0
     _request_attempts: RequestAttempts
-    _partial_at_ms: float
+    _patience: Patience
     _deadline_ms: float
     _has_ended: bool = False
+    _answer_at_ms: float | None = None
 
     @property
     def response_count(self) -> int:
@@ -83,6 +81,11 @@
         """Time at which the request times out."""
         return self._deadline_ms
 
+    @property
+    def answer_by_ms(self) -> float:
+        """Time after which an answer misses the latency target."""
+        return self._patience.answer_by_ms
+
     def start(self, now_ms: float) -> list[Send]:
         """Send the first attempts.
 
@@ -106,6 +109,7 @@
         if sub_request is None:
             return []
         sub_request.record_response(attempt, part, now_ms)
+        self._answer_at_ms = None
         if self._has_ended:
             return []
         return self._request_attempts.handle_response(attempt, now_ms)
@@ -129,6 +133,7 @@
             sub_request, attempt, failure, now_ms, in_time=in_time
         )
         self.retries += len(sends)
+        self._answer_at_ms = None
         return sends
 
     def end(self) -> None:
@@ -145,6 +150,8 @@
                     self._request_attempts.send_hedge(sub_request, now_ms)
                 )
         self.hedges += len(sends)
+        if sends:
+            self._answer_at_ms = None
         return sends
 
     def finish_reason(self, now_ms: float) -> FinishReason | None:
@@ -155,7 +162,7 @@
             return FinishReason.SETTLED
         if now_ms >= self._deadline_ms:
             return FinishReason.TIMEOUT
-        if now_ms >= self._partial_at_ms and self.is_sufficient:
+        if now_ms >= self._choose_answer_ms(now_ms):
             return FinishReason.PARTIAL
         return None
 
@@ -166,9 +173,20 @@
             for sub_request in self.sub_requests.values()
             if sub_request.is_waiting
         ]
-        if now_ms < self._partial_at_ms:
-            due.append(self._partial_at_ms)
-        return min(self._deadline_ms, *due) if due else self._deadline_ms
+        return min(self._deadline_ms, self._choose_answer_ms(now_ms), *due)
+
+    def _choose_answer_ms(self, now_ms: float) -> float:
+        """Return the time at which a partial answer is sent, if it suffices.
+
+        The time is chosen again after each response, failure and hedge.
+        """
+        if self._answer_at_ms is None:
+            self._answer_at_ms = math.inf
+            if self.is_sufficient:
+                self._answer_at_ms = self._patience.choose_answer_ms(
+                    self.sub_requests.values(), now_ms
+                )
+        return self._answer_at_ms
 
     def _find_sub_request(self, attempt: int) -> SubRequest[_Part] | None:
         for sub_request in self.sub_requests.values():
@@ -192,7 +210,7 @@
     services: tuple[str, ...],
     parts: DispatchParts,
     latency_baseline: LatencyBaseline,
-    times: tuple[float, float],
+    times: RequestTimes,
     *,
     suspect_services: Collection[str] = (),
 ) -> Dispatch[_Part]:
@@ -203,13 +221,11 @@
         services: services that the request is sent to.
         parts: components that all dispatches share.
         latency_baseline: latency baseline of the route.
-        times: arrival time of the request and timeout of its caller, in
-            milliseconds.
+        times: times of the request.
         suspect_services: services whose servers crashed while they ran the
             same request; these services get the first attempts.
     """
-    came_ms, remaining_ms = times
-    timeout_ms = min(remaining_ms, route.timeout_ms)
+    timeout_ms = min(times.timeout_ms, route.timeout_ms)
     ordered = sorted(
         services, key=lambda service: service not in suspect_services
     )
@@ -231,6 +247,11 @@
             ),
             attempt_gate=attempt_gate(suspected=bool(suspect_services)),
         ),
-        partial_at_ms=came_ms + route.latency_target_ms - _ANSWER_MS,
-        deadline_ms=came_ms + max(timeout_ms - _TIMEOUT_MARGIN_MS, 0),
+        patience=patience(
+            route,
+            times.received_ms + route.latency_target_ms - times.caller_way_ms,
+            parts,
+            latency_baseline,
+        ),
+        deadline_ms=times.received_ms + max(timeout_ms - _TIMEOUT_MARGIN_MS, 0),
     )
--- a/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
+++ b/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from fennelfork.routes._response_times import ResponseTimes
 from fennelfork.routes._route import Route
 from fennelfork.servers._hedge import (
     Latencies,
@@ -32,9 +33,11 @@
 
     Attributes:
         latency_target_ms: latency target of the route.
+        response_times: response times of all servers of the route.
     """
 
     latency_target_ms: float
+    response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
     _latencies: Latencies
     _mean: ObservedLatency
 
@@ -67,6 +70,16 @@
             return 0
         return self._latencies.quantile_ms(_LEAST_QUANTILE)
 
+    def expected_ms(self, data_centre: str, latency_ratio: float) -> float:
+        """Return the expected response time of a server.
+
+        Args:
+            data_centre: data centre of the server.
+            latency_ratio: latency of the server as a multiple of the usual one.
+        """
+        usual_ms = self.response_times.mean_ms(data_centre, self.usual_ms)
+        return usual_ms * latency_ratio
+
     def record(self, latency_ms: float) -> None:
         """Record the latency of a response of a server nearby."""
         self._latencies.record(latency_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -7,6 +7,7 @@
 import attrs
 
 from fennelfork._verdict import FailureCode, not_run
+from fennelfork.routes._answer_delay import AnswerDelays
 from fennelfork.routes._home_regions import HomeRegions
 from fennelfork.routes._latency_baseline import LatencyBaseline
 from fennelfork.routes._retry_budget import RetryBudgets
@@ -30,12 +31,14 @@
         retry_budgets: limits the extra attempts to each service.
         home_regions_of: returns the home regions of a route in the active
             version of the configuration.
+        answer_delays: delays between decisions to answer and answers.
         attempts: generates the numbers of attempts.
     """
 
     selector: Selector
     retry_budgets: RetryBudgets
     home_regions_of: Callable[[Route], HomeRegions]
+    answer_delays: AnswerDelays = attrs.field(factory=AnswerDelays)
     attempts: Iterator[int] = attrs.field(factory=itertools.count)
 
 
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -29,6 +29,7 @@
     HomeRegions,
     LatencyBaseline,
     Registry,
+    RequestTimes,
     RetryBudgets,
     RetryPolicy,
     Route,
@@ -193,6 +194,7 @@
         wanted: Route,
         baseline: LatencyBaseline | None = None,
         suspect: Sequence[str] = (),
+        caller_way_ms: float = 0,
     ) -> Dispatch[Any]:
         """Return the dispatch of a request that arrives now."""
         self.add_servers(services_of(wanted.target))
@@ -201,7 +203,11 @@
             services_of(wanted.target),
             self.parts,
             baseline or latency_baseline(wanted.latency_target_ms),
-            (self.time.at_ms, wanted.timeout_ms),
+            RequestTimes(
+                received_ms=self.time.at_ms,
+                timeout_ms=wanted.timeout_ms,
+                caller_way_ms=caller_way_ms,
+            ),
             suspect_services=suspect,
         )
 
