Bench: processor time that a gather costs one daemon

`python -m fennelfork_bench gather-cost` starts the stand-in store, one process with three servers for each of 1, 36 and 54 shards, and one daemon, and reports the processor time of a request. The same daemon runs under cProfile with `python -m fennelfork_platform_bench.gather_cost PROFILE`.

--- a/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
+++ b/packages/fennelfork-bench/src/fennelfork_bench/__main__.py
@@ -19,6 +19,7 @@
     'document': 'fennelfork_bench.experiments._document',
     'fanout': 'fennelfork_bench.experiments._fanout',
     'footprint': 'fennelfork_platform_bench.footprint',
+    'gather-cost': 'fennelfork_platform_bench.gather_cost',
     'membership': 'fennelfork_bench.experiments._membership',
     'once': 'fennelfork_bench.experiments._once',
     'outage': 'fennelfork_bench.experiments._outage',
