--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -180,6 +180,8 @@
 
         The time is chosen again after each response, failure and hedge.
         """
+        if now_ms < self._patience.first_check_ms:
+            return self._patience.first_check_ms
         if self._answer_at_ms is None:
             self._answer_at_ms = math.inf
             if self.is_sufficient:
@@ -249,7 +251,7 @@
         ),
         patience=patience(
             route,
-            times.received_ms + route.latency_target_ms - times.caller_way_ms,
+            times,
             parts,
             latency_baseline,
         ),
--- a/packages/fennelfork/src/fennelfork/routes/_patience.py
+++ b/packages/fennelfork/src/fennelfork/routes/_patience.py
@@ -7,6 +7,7 @@
 
 from fennelfork.routes._answer_delay import AnswerDelays
 from fennelfork.routes._latency_baseline import LatencyBaseline
+from fennelfork.routes._request_times import RequestTimes
 from fennelfork.routes._route import Route
 from fennelfork.routes._send import Send
 from fennelfork.routes._sender import DispatchParts
@@ -79,9 +80,11 @@
 
     Attributes:
         answer_by_ms: time at which the answer has to leave this daemon.
+        first_check_ms: time before which no part is late.
     """
 
     answer_by_ms: float
+    first_check_ms: float
     _delays: AnswerDelays
     _forecast: PartForecast
 
@@ -140,7 +143,7 @@
 
 def patience(
     route: Route,
-    leave_by_ms: float,
+    times: RequestTimes,
     parts: DispatchParts,
     latency_baseline: LatencyBaseline,
 ) -> Patience:
@@ -151,13 +154,16 @@
 
     Args:
         route: route of the request.
-        leave_by_ms: time by which the answer has to leave this daemon if the
-            request was seen at once.
+        times: times of the request.
         parts: components that all dispatches share.
         latency_baseline: latency baseline of the route.
     """
+    target_at_ms = times.received_ms + route.latency_target_ms
     return Patience(
-        answer_by_ms=leave_by_ms - parts.answer_delays.usual_lag_ms,
+        answer_by_ms=target_at_ms
+        - times.caller_way_ms
+        - parts.answer_delays.usual_lag_ms,
+        first_check_ms=times.received_ms + latency_baseline.hedge_after_ms,
         delays=parts.answer_delays,
         forecast=PartForecast(
             states=parts.selector.states,
