Dispatch and selection: an event costs the same whatever the number of shards

Each response made the dispatch go through all sub-requests five times: to find its own, to count the responses, to see whether all are settled, and twice for the hedges. The sub-requests of a request now have an index by attempt, a count of responses and the time before which no hedge is due. A selection reads the clock, the state of a server and the delay of hedges once.

--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -18,6 +18,7 @@
 from fennelfork.routes._send import Send
 from fennelfork.routes._sender import DispatchParts, Sender
 from fennelfork.routes._sub_request import SubRequest
+from fennelfork.routes._sub_requests import SubRequests
 
 _Part = TypeVar('_Part')
 
@@ -47,34 +48,36 @@
     Attributes:
         route: route of the request at the time of its arrival.
         latency_baseline: latency baseline of the route.
-        sub_requests: sub-requests, by service.
         hedges: number of hedges that were sent.
         retries: number of retries that were sent.
     """
 
     route: Route
     latency_baseline: LatencyBaseline
-    sub_requests: dict[str, SubRequest[_Part]]
     hedges: int = 0
     retries: int = 0
+    _sub_requests: SubRequests[_Part]
     _request_attempts: RequestAttempts
+    _min_parts: int
     _patience: Patience
     _deadline_ms: float
     _has_ended: bool = False
     _answer_at_ms: float | None = None
 
+    @property
+    def sub_requests(self) -> dict[str, SubRequest[_Part]]:
+        """Sub-requests, by service."""
+        return self._sub_requests.by_service
+
     @property
     def response_count(self) -> int:
         """Number of sub-requests with a response."""
-        return sum(
-            sub_request.part is not None
-            for sub_request in self.sub_requests.values()
-        )
+        return self._sub_requests.response_count
 
     @property
     def is_sufficient(self) -> bool:
         """Whether the responses suffice for a successful answer."""
-        return self.response_count >= min_parts(self.route.target)
+        return self.response_count >= self._min_parts
 
     @property
     def deadline_ms(self) -> float:
@@ -93,9 +96,11 @@
             One attempt per service, or a single attempt if the request is
             suspected to be a poison request.
         """
-        return self._request_attempts.send_first(
+        sends = self._request_attempts.send_first(
             self.sub_requests.values(), now_ms
         )
+        self._sub_requests.record_sends(sends)
+        return sends
 
     def on_response(
         self, attempt: int, part: _Part, now_ms: float
@@ -105,14 +110,16 @@
         Returns:
             Attempts that were held back until this response.
         """
-        sub_request = self._find_sub_request(attempt)
+        sub_request = self._sub_requests.take(attempt)
         if sub_request is None:
             return []
-        sub_request.record_response(attempt, part, now_ms)
+        self._sub_requests.record_response(sub_request, attempt, part, now_ms)
         self._answer_at_ms = None
         if self._has_ended:
             return []
-        return self._request_attempts.handle_response(attempt, now_ms)
+        sends = self._request_attempts.handle_response(attempt, now_ms)
+        self._sub_requests.record_sends(sends)
+        return sends
 
     def on_failure(
         self, attempt: int, failure: Failure, now_ms: float
@@ -122,7 +129,7 @@
         Returns:
             Retries that are allowed now.
         """
-        sub_request = self._find_sub_request(attempt)
+        sub_request = self._sub_requests.take(attempt)
         if sub_request is None:
             return []
         sub_request.record_failure(attempt, failure, now_ms)
@@ -132,6 +139,7 @@
         sends = self._request_attempts.handle_failure(
             sub_request, attempt, failure, now_ms, in_time=in_time
         )
+        self._sub_requests.record_sends(sends)
         self.retries += len(sends)
         self._answer_at_ms = None
         return sends
@@ -142,13 +150,12 @@
 
     def send_hedges(self, now_ms: float) -> list[Send]:
         """Send the hedges of sub-requests that are due."""
-        sends = []
-        for sub_request in self.sub_requests.values():
-            if sub_request.is_waiting and now_ms >= sub_request.hedge_at_ms:
-                sub_request.hedge_at_ms = math.inf
-                sends.extend(
-                    self._request_attempts.send_hedge(sub_request, now_ms)
-                )
+        sends = [
+            send
+            for sub_request in self._sub_requests.take_due_hedges(now_ms)
+            for send in self._request_attempts.send_hedge(sub_request, now_ms)
+        ]
+        self._sub_requests.record_sends(sends)
         self.hedges += len(sends)
         if sends:
             self._answer_at_ms = None
@@ -156,9 +163,7 @@
 
     def finish_reason(self, now_ms: float) -> FinishReason | None:
         """Return the reason why the request has finished, if it has."""
-        if all(
-            sub_request.is_settled for sub_request in self.sub_requests.values()
-        ):
+        if self._sub_requests.are_settled:
             return FinishReason.SETTLED
         if now_ms >= self._deadline_ms:
             return FinishReason.TIMEOUT
@@ -168,12 +173,11 @@
 
     def next_timer_ms(self, now_ms: float) -> float:
         """Return the next time at which hedges or the timeout may be due."""
-        due = [
-            sub_request.hedge_at_ms
-            for sub_request in self.sub_requests.values()
-            if sub_request.is_waiting
-        ]
-        return min(self._deadline_ms, self._choose_answer_ms(now_ms), *due)
+        return min(
+            self._deadline_ms,
+            self._choose_answer_ms(now_ms),
+            self._sub_requests.hedge_due_ms,
+        )
 
     def _choose_answer_ms(self, now_ms: float) -> float:
         """Return the time at which a partial answer is sent, if it suffices.
@@ -190,12 +194,6 @@
                 )
         return self._answer_at_ms
 
-    def _find_sub_request(self, attempt: int) -> SubRequest[_Part] | None:
-        for sub_request in self.sub_requests.values():
-            if attempt in sub_request.in_flight:
-                return sub_request
-        return None
-
 
 def can_meet_deadline(baseline: LatencyBaseline, left_ms: float) -> bool:
     """Whether the learned latency of a route allows an answer in time.
@@ -234,9 +232,12 @@
     return Dispatch(
         route=route,
         latency_baseline=latency_baseline,
-        sub_requests={
-            service: SubRequest(service=service) for service in ordered
-        },
+        sub_requests=SubRequests(
+            by_service={
+                service: SubRequest(service=service) for service in ordered
+            }
+        ),
+        min_parts=min_parts(route.target),
         request_attempts=RequestAttempts(
             idempotent=route.idempotent,
             sender=Sender(
--- a/packages/fennelfork/src/fennelfork/routes/_fleet_maximum.py
+++ b/packages/fennelfork/src/fennelfork/routes/_fleet_maximum.py
@@ -52,6 +52,10 @@
 
     def _discard_old(self) -> None:
         """Discard values that were superseded before the window began."""
+        if len(self._seen) <= 1:
+            return
         oldest_ms = self._clock.now_ms() - self._window_ms
+        if self._seen[1][0] > oldest_ms:
+            return
         replaced = sum(at_ms <= oldest_ms for at_ms, _measured in self._seen)
         self._seen = self._seen[max(0, replaced - 1) :]
--- a/packages/fennelfork/src/fennelfork/routes/_selection.py
+++ b/packages/fennelfork/src/fennelfork/routes/_selection.py
@@ -2,7 +2,7 @@
 
 import enum
 import random
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
 import attrs
@@ -80,6 +80,50 @@
     UNHEALTHY = 2
 
 
+_RatedServer = tuple[BackendServer, ServerState]
+
+
+@attrs.define(kw_only=True)
+class _Rated:
+    """Servers that may get an attempt, by availability and incarnation."""
+
+    _unresponsive_after_ms: float
+    _share: int
+    _now_ms: float
+    _servers: dict[_Availability, dict[str, _RatedServer]] = attrs.field(
+        factory=dict
+    )
+
+    def add(self, server: BackendServer, state: ServerState) -> None:
+        """Add a server."""
+        availability = self._classify(server, state)
+        group = self._servers.setdefault(availability, {})
+        group[server.incarnation] = (server, state)
+
+    def preferred(self, *, only_healthy: bool) -> dict[str, _RatedServer]:
+        """Return the servers with the best availability."""
+        if only_healthy:
+            self._servers.pop(_Availability.UNHEALTHY, None)
+        if not self._servers:
+            return {}
+        return self._servers[min(self._servers)]
+
+    def _classify(
+        self, server: BackendServer, state: ServerState
+    ) -> _Availability:
+        now_ms = self._now_ms
+        is_unresponsive = (
+            state.unresponsive_ms(now_ms) > self._unresponsive_after_ms
+        )
+        if is_unresponsive or state.ejection.is_ejected(now_ms):
+            return _Availability.UNHEALTHY
+        usable_slots = state.ejection.usable_slots(server.slots, now_ms)
+        is_full = state.outstanding >= min(usable_slots, self._share)
+        if is_full or state.lacks_connection(now_ms):
+            return _Availability.BUSY
+        return _Availability.AVAILABLE
+
+
 @attrs.frozen(kw_only=True)
 class SelectionCriteria:
     """Criteria for the selection of a server.
@@ -118,27 +162,26 @@
         available; unresponsive and ejected servers are chosen only if there
         is no other.
         """
-        servers = {
-            server.incarnation: server
-            for server in self.directory.usable_servers(criteria.service)
-            if self._is_allowed(server, criteria)
-        }
-        # The connection limit is the same for all servers of the service.
-        share = self.shares.connection_limit_for(criteria.service)
-        by_availability: dict[_Availability, list[BackendServer]] = {}
-        for server in servers.values():
-            availability = self._classify_availability(server, criteria, share)
-            by_availability.setdefault(availability, []).append(server)
-        if criteria.only_healthy:
-            by_availability.pop(_Availability.UNHEALTHY, None)
-        if not by_availability:
-            return None
-        preferred = by_availability[min(by_availability)]
+        now_ms = self._clock.now_ms()
+        rated = _Rated(
+            unresponsive_after_ms=criteria.latency_baseline.hedge_after_ms,
+            # The connection limit is the same for all servers of the service.
+            share=self.shares.connection_limit_for(criteria.service),
+            now_ms=now_ms,
+        )
+        for server in self.directory.usable_servers(criteria.service):
+            state = self.states.for_incarnation(server.incarnation)
+            if self._is_allowed(server, state, criteria):
+                rated.add(server, state)
+        preferred = rated.preferred(only_healthy=criteria.only_healthy)
         chosen = choose_candidate(
-            self._build_candidates(preferred, criteria.latency_baseline),
+            (
+                self._build_candidate(known, criteria.latency_baseline, now_ms)
+                for known in preferred.values()
+            ),
             self._rng,
         )
-        return None if chosen is None else servers[chosen.server]
+        return None if chosen is None else preferred[chosen.server][0]
 
     def record_sent(self, server: BackendServer) -> None:
         """Record that an attempt is sent to a server."""
@@ -146,7 +189,10 @@
         self.cold_limits.record_sent(server, state)
 
     def _is_allowed(
-        self, server: BackendServer, criteria: SelectionCriteria
+        self,
+        server: BackendServer,
+        state: ServerState,
+        criteria: SelectionCriteria,
     ) -> bool:
         """Whether a server may get the attempt, whatever its availability."""
         if server.incarnation in criteria.tried:
@@ -155,46 +201,15 @@
             server.data_centre, criteria.home_regions
         ):
             return False
-        state = self.states.for_incarnation(server.incarnation)
         return self.cold_limits.may_send(server, state)
 
-    def _classify_availability(
-        self,
-        server: BackendServer,
-        criteria: SelectionCriteria,
-        share: int,
-    ) -> _Availability:
-        state = self.states.for_incarnation(server.incarnation)
-        now_ms = self._clock.now_ms()
-        is_unresponsive = (
-            state.unresponsive_ms(now_ms)
-            > criteria.latency_baseline.hedge_after_ms
-        )
-        if is_unresponsive or state.ejection.is_ejected(now_ms):
-            return _Availability.UNHEALTHY
-        usable_slots = state.ejection.usable_slots(server.slots, now_ms)
-        if state.outstanding >= min(
-            usable_slots, share
-        ) or state.lacks_connection(now_ms):
-            return _Availability.BUSY
-        return _Availability.AVAILABLE
-
-    def _build_candidates(
-        self,
-        servers: list[BackendServer],
-        latency_baseline: LatencyBaseline,
-    ) -> Iterator[Candidate]:
-        for server in servers:
-            state = self.states.for_incarnation(server.incarnation)
-            yield self._build_candidate(server, state, latency_baseline)
-
     def _build_candidate(
         self,
-        server: BackendServer,
-        state: ServerState,
+        rated_server: _RatedServer,
         latency_baseline: LatencyBaseline,
+        now_ms: float,
     ) -> Candidate:
-        now_ms = self._clock.now_ms()
+        server, state = rated_server
         latency_target_ms = latency_baseline.latency_target_ms
         return Candidate(
             server=server.incarnation,
@@ -202,16 +217,11 @@
             penalty_ms=self.distances.distance_penalty_ms(
                 server.data_centre, latency_target_ms
             )
-            + self._failure_penalty_ms(state, latency_target_ms),
+            + state.failure_rate(now_ms)
+            * _FAILURE_PENALTY_TARGETS
+            * latency_target_ms,
             outstanding=state.outstanding,
             slots=server.slots,
             warming=self.cold_limits.is_cold(server),
             tried=False,
         )
-
-    def _failure_penalty_ms(
-        self, state: ServerState, latency_target_ms: float
-    ) -> float:
-        """Return the expected cost of the failure of an attempt."""
-        failure_rate = state.failure_rate(self._clock.now_ms())
-        return failure_rate * _FAILURE_PENALTY_TARGETS * latency_target_ms
