--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -169,7 +169,9 @@
                 route=dispatch.route.name,
                 took_ms=round(took_ms),
                 aim_ms=dispatch.route.latency_target_ms,
-                answer_by_ms=round(dispatch.answer_by_ms - received_ms),
+                answer_by_ms=round(
+                    dispatch.patience.answer_by_ms - received_ms
+                ),
                 left_ms=round(dispatch.deadline_ms - now_ms),
                 usual_ms=round(dispatch.latency_baseline.usual_ms),
                 hedge_ms=round(dispatch.latency_baseline.hedge_after_ms),
--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -127,7 +127,11 @@
     state.record_response(record.send.attempt, record.now_ms)
     state.ejection.record_success(record.send.server.slots)
     state.record_result(record.now_ms, failed=False)
-    _record_response_time(record, state)
+    record.latency_baseline.record_response_time(
+        record.send.server.data_centre,
+        record.took_ms,
+        state.latency_ratio(record.now_ms),
+    )
     if record.nearby:
         state.record_latency(
             record.took_ms / record.latency_baseline.usual_ms, record.now_ms
@@ -180,13 +184,3 @@
     state: ServerState,
 ) -> None:
     state.record_abandoned(record.send.attempt)
-
-
-def _record_response_time(record: AttemptRecord, state: ServerState) -> None:
-    data_centre = record.send.server.data_centre
-    expected_ms = record.latency_baseline.expected_ms(
-        data_centre, state.latency_ratio(record.now_ms)
-    )
-    record.latency_baseline.response_times.record(
-        data_centre, record.took_ms, expected_ms
-    )
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -48,18 +48,19 @@
     Attributes:
         route: route of the request at the time of its arrival.
         latency_baseline: latency baseline of the route.
+        patience: decides when a partial answer is sent.
         hedges: number of hedges that were sent.
         retries: number of retries that were sent.
     """
 
     route: Route
     latency_baseline: LatencyBaseline
+    patience: Patience
     hedges: int = 0
     retries: int = 0
     _sub_requests: SubRequests[_Part]
     _request_attempts: RequestAttempts
     _min_parts: int
-    _patience: Patience
     _deadline_ms: float
     _has_ended: bool = False
     _answer_at_ms: float | None = None
@@ -84,11 +85,6 @@
         """Time at which the request times out."""
         return self._deadline_ms
 
-    @property
-    def answer_by_ms(self) -> float:
-        """Time after which an answer misses the latency target."""
-        return self._patience.answer_by_ms
-
     def start(self, now_ms: float) -> list[Send]:
         """Send the first attempts.
 
@@ -184,12 +180,12 @@
 
         The time is chosen again after each response, failure and hedge.
         """
-        if now_ms < self._patience.first_check_ms:
-            return self._patience.first_check_ms
+        if now_ms < self.patience.first_check_ms:
+            return self.patience.first_check_ms
         if self._answer_at_ms is None:
             self._answer_at_ms = math.inf
             if self.is_sufficient:
-                self._answer_at_ms = self._patience.choose_answer_ms(
+                self._answer_at_ms = self.patience.choose_answer_ms(
                     self.sub_requests.values(), now_ms
                 )
         return self._answer_at_ms
--- a/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
+++ b/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
@@ -80,6 +80,19 @@
         usual_ms = self.response_times.mean_ms(data_centre, self.usual_ms)
         return usual_ms * latency_ratio
 
+    def record_response_time(
+        self, data_centre: str, took_ms: float, latency_ratio: float
+    ) -> None:
+        """Record the response time of any server.
+
+        Args:
+            data_centre: data centre of the server.
+            took_ms: response time.
+            latency_ratio: latency of the server as a multiple of the usual one.
+        """
+        expected_ms = self.expected_ms(data_centre, latency_ratio)
+        self.response_times.record(data_centre, took_ms, expected_ms)
+
     def record(self, latency_ms: float) -> None:
         """Record the latency of a response of a server nearby."""
         self._latencies.record(latency_ms)
