--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -131,9 +131,7 @@
             caller_request, running_request, answer, received_ms
         )
         now_ms = self._clock.now_ms()
-        self._answer_delays.record_merge(
-            now_ms - running_request.finished_ms
-        )
+        self._answer_delays.record_merge(now_ms - running_request.finished_ms)
         took_ms = now_ms - received_ms
         if self.limits.record_outcome(running_request.dispatch, took_ms):
             route = running_request.dispatch.route
--- a/packages/fennelfork-daemon/tests/test_routes_unsent.py
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -20,6 +20,7 @@
     DispatchParts,
     Distances,
     FleetMaximum,
+    RequestTimes,
     Selector,
     SingleService,
     dispatch,
@@ -90,7 +91,7 @@
         ('archive',),
         parts,
         latency_baseline(300),
-        (clock.now_ms(), _LEFT_MS),
+        RequestTimes(received_ms=clock.now_ms(), timeout_ms=_LEFT_MS),
     )
     codec = mock.Mock()
     codec.read_response = Success
