--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -207,6 +207,7 @@
         received_ms=received_ms,
         timeout_ms=request.left_ms,
         caller_way_ms=caller_way_ms(
-            environ[CONNECTION_KEY], is_new=environ.get(FIRST_REQUEST_KEY, False)
+            environ[CONNECTION_KEY],
+            is_new=environ.get(FIRST_REQUEST_KEY, False),
         ),
     )
