--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -155,6 +155,19 @@
         daemon.configure(route(Prefix='/notices/'))
         assert daemon.send_request()[0] == 404
 
+    def test_unknown_key(self, daemon: Daemon) -> None:
+        """Only a request with a known key runs; no key is in the log."""
+        key = ('X-Api-Key', 'hz6prvnzqjynjcfv8nmp')
+        tenants = [{'Name': 'kami770', 'ApiKeys': [key[1]]}]
+        daemon.configure(route(), Tenants=tenants)
+        daemon.add_server(b'whole', 'archive')
+        known = environ()['headers_raw']
+        assert daemon.send_request()[0] == 401
+        assert daemon.send_request(headers_raw=(*known, key))[0] == 200
+        daemon.configure(route(), Tenants=[{'Name': 'b'}], Version=8)
+        assert daemon.send_request(headers_raw=(*known, key))[0] == 401
+        assert key[1] not in daemon.log.getvalue()
+
     def test_no_server(self, daemon: Daemon) -> None:
         """A request is refused with 503 if no server is registered."""
         daemon.configure(route())
