A connection that is reset before the request is written carries no request

Cause: a server over its connection cap accepts and resets a connection. The request was written in any case, so it might have run, and the reset counted as a failure of the server and as a repeat.

Change: a new connection is checked once before the request is written, without a wait. If it is closed, the attempt has not run and the server counts as full. A reset that arrives after the first byte is handled as before.

Result: test_backend_pool.py, one test that fails without the change.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -6,7 +6,7 @@
 import attrs
 from returns.pipeline import is_successful
 from returns.result import Failure as Bad
-from returns.result import Result
+from returns.result import Result, Success
 
 from fennelfork import Clock, Failure, FailureCode, not_run
 from fennelfork.servers import ConnectionChoice, ConnectionLedger
@@ -159,7 +159,9 @@
         with contextlib.ExitStack() as unopened:
             # Also runs when the green thread of the request is killed.
             unopened.callback(self._release, number, usable=False)
-            opened = connection.open(_connect_timeout_ms(request))
+            opened = connection.open(_connect_timeout_ms(request)).bind(
+                lambda _: _check_open(connection)
+            )
             if is_successful(opened):
                 unopened.pop_all()
         response = opened.bind(
@@ -238,6 +240,17 @@
     )
 
 
+def _check_open(connection: BackendConnection) -> Result[None, Failure]:
+    """Fail if the server closed or reset a new connection without a request.
+
+    A server at its connection limit does so. The request has not run, which
+    cannot be known once it is written.
+    """
+    if connection.is_open:
+        return Success(None)
+    return Bad(not_run(FailureCode.SHED, 'closed before the request was sent'))
+
+
 def _connect_timeout_ms(request: AnyRequest) -> float:
     if isinstance(request, ForwardRequest):
         return min(request.connect_ms, request.timeout_ms)
--- a/packages/fennelfork-daemon/tests/test_backend_pool.py
+++ b/packages/fennelfork-daemon/tests/test_backend_pool.py
@@ -139,6 +139,23 @@
         pool.exchange(_REQUEST, _pool.ConnectionTrace())
         assert server.opened == 1
 
+    def test_before_the_request(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A connection that is closed before the request was not used.
+
+        Guards against a refusal that says `MAY_HAVE_RUN` because the request
+        is written to a connection that the server has reset already.
+        """
+        reset = _ResetConnection(Verdict.MAY_HAVE_RUN, is_open=False)
+        monkeypatch.setattr(_pool, 'backend_connection', lambda *_: reset)
+        trace = _pool.ConnectionTrace()
+        when_full = _pool.FullPoolPolicy(
+            code=FailureCode.QUEUE_FULL, treats_reset_as_full=True
+        )
+        failure = _pool_of(when_full).exchange(_REQUEST, trace).failure()
+        assert failure.code is FailureCode.QUEUE_FULL
+        assert failure.verdict is Verdict.NOT_RUN
+        assert not trace.may_be_sent
+
 
 @attrs.define
 class _ResetConnection:
