--- a/packages/fennelfork-cli/tests/test_workspaces.py
+++ b/packages/fennelfork-cli/tests/test_workspaces.py
@@ -7,12 +7,10 @@
 import json
 from typing import Any
 
-import attrs
 import pytest
 from cli_builders import Answer, problem, scripted_daemon
 
 _NOWHERE = '127.0.0.1:1'
-_REFUSED = {'quota': 2}
 
 
 def _row(name: str, answered: int, **refused: int) -> dict[str, Any]:
@@ -97,13 +95,10 @@
 
     def test_versions(self, command: Any) -> None:
         """Limits are those of the newest version, and older ones are named."""
-        raised = attrs.evolve(_SECOND['/workspaces'][0])
         rows = [_row('lab', 1) | {'rate_per_s': 99}]
-        newer = Answer(
-            payload=raised.payload | {'version': 8, 'workspaces': rows}
-        )
+        newer = _page('vm-2', 8, *rows)
         with (
-            scripted_daemon({'/workspaces': [newer]}) as one,
+            scripted_daemon(newer) as one,
             scripted_daemon(_FIRST) as two,
         ):
             code, out, _ = command('workspaces', one.address, two.address)
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -325,6 +325,11 @@
         assert is_successful(self.guard.admit(_FINGERPRINT))
         assert self._call('DELETE', f'/quarantine/{_FINGERPRINT}')[0] == 404
 
+    def test_workspaces(self) -> None:
+        """The page of workspaces is served under its path."""
+        status, body = self._call('GET', '/workspaces')
+        assert (status, json.loads(body)['workspaces']) == (200, [])
+
     def _call(self, method: str, path: str) -> tuple[int, bytes]:
         statuses: list[int] = []
         body = self.api(
