Patience: an answer leaves at least 36 ms before the target, as before

The reserve of 36 ms is now a lower bound beside the observed delays, so no answer leaves later than it did. The tests of the decision run with a reserve of zero as they did; a new one holds the bound.

--- a/packages/fennelfork/src/fennelfork/routes/_answer_delay.py
+++ b/packages/fennelfork/src/fennelfork/routes/_answer_delay.py
@@ -13,6 +13,9 @@
 # Lag and merge time of a daemon that has observed none.
 _INITIAL_LAG_MS: Final = 5.0
 _INITIAL_MERGE_MS: Final = 1.0
+# Reading the request, logging and writing the answer take time that is not
+# observed, so an answer leaves at least this time before the target.
+_MIN_RESERVE_MS: Final = 36.0
 # Levels at which the distribution of the delay is described.
 _SHARES: Final = (0.5, 0.75, 0.9, 0.95, 1.0)
 
@@ -35,8 +38,13 @@
     """Recent delays of the answers of this daemon.
 
     An answer waits for the event loop and is merged before it is written.
+
+    Attributes:
+        min_reserve_ms: minimum time between the decision to answer and the
+            latency target.
     """
 
+    min_reserve_ms: float = _MIN_RESERVE_MS
     _recent_lags_ms: deque[float] = attrs.field(
         factory=lambda: deque((_INITIAL_LAG_MS,), _MAX_SAMPLES)
     )
--- a/packages/fennelfork/src/fennelfork/routes/_patience.py
+++ b/packages/fennelfork/src/fennelfork/routes/_patience.py
@@ -85,6 +85,7 @@
 
     answer_by_ms: float
     first_check_ms: float
+    _latest_ms: float
     _delays: AnswerDelays
     _forecast: PartForecast
 
@@ -110,7 +111,7 @@
         best_value = self._value_now(parts, len(known), now_ms)
         best_value += _MIN_GAIN
         for level in self._delays.levels:
-            until_ms = self.answer_by_ms - level.delay_ms
+            until_ms = min(self._latest_ms, self.answer_by_ms - level.delay_ms)
             if until_ms <= now_ms:
                 continue
             value = _in_time_value(level.share) * self._expected_coverage(
@@ -163,6 +164,7 @@
         answer_by_ms=target_at_ms
         - times.caller_way_ms
         - parts.answer_delays.usual_lag_ms,
+        latest_ms=target_at_ms - parts.answer_delays.min_reserve_ms,
         first_check_ms=times.received_ms + latency_baseline.hedge_after_ms,
         delays=parts.answer_delays,
         forecast=PartForecast(
--- a/packages/fennelfork/tests/test_routes_patience.py
+++ b/packages/fennelfork/tests/test_routes_patience.py
@@ -15,7 +15,13 @@
     route,
 )
 
-from fennelfork.routes import Dispatch, FinishReason, LatencyBaseline, Send
+from fennelfork.routes import (
+    AnswerDelays,
+    Dispatch,
+    FinishReason,
+    LatencyBaseline,
+    Send,
+)
 
 _TARGET_MS: Final = 87.0
 _SHARDS: Final = 36
@@ -29,6 +35,7 @@
     def setup_method(self) -> None:
         """Create a daemon that has seen the usual response times."""
         self.daemon = RoutingDaemon()
+        self.daemon.parts.answer_delays.min_reserve_ms = 0
         self.baseline = latency_baseline(_TARGET_MS)
         for _ in range(100):
             self.baseline.record(_RESPONSE_MS)
@@ -44,6 +51,15 @@
         assert request.send_hedges(30)
         assert self._answer_at(request, 50) > 30 + _OTHER_REGION_MS
 
+    def test_unobserved_delays(self) -> None:
+        """An answer leaves 36 ms before the target though no delay is seen."""
+        self.daemon.parts.answer_delays.min_reserve_ms = (
+            AnswerDelays().min_reserve_ms
+        )
+        request, sends = self._start()
+        self._respond(request, sends[1:])
+        assert self._answer_at(request, 30) == _TARGET_MS - 36
+
     def test_lagging_daemon(self) -> None:
         """A daemon whose event loop lags 30 ms answers that much sooner."""
         self._lag(30)
