--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
@@ -0,0 +1,112 @@
+"""Part of this daemon in the runs of a workspace that need no permit."""
+
+import itertools
+import math
+from collections.abc import Callable, Iterable
+from typing import Final, Protocol
+
+import attrs
+import xxhash
+
+from fennelfork._clock import Clock
+from fennelfork.membership import Member, capable_members
+from fennelfork.workspaces._quota_policy import QuotaPolicy
+from fennelfork.workspaces._workspace import Workspace
+
+# Part of the allowance that is used. The rest covers daemons that have joined
+# but are not known everywhere yet: a fleet may double in size at once.
+_MARGIN: Final = 0.5
+# Part of the fleet that has to be known for a rank in it; see `_MARGIN`.
+_MIN_KNOWN: Final = 0.5
+
+
+class LimitDivisor(Protocol):
+    """Largest recent number by which a daemon divides limits of the fleet."""
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any value has been recorded."""
+
+    @property
+    def maximum(self) -> float:
+        """Maximum within a time that is not shorter than the quota window."""
+
+
+@attrs.define(kw_only=True)
+class FreeAllowance:
+    """Runs that a daemon may admit without asking, for each workspace."""
+
+    _policy: QuotaPolicy
+    _clock: Clock
+    _limit_divisor: LimitDivisor
+    _local: Member
+    _members: Callable[[], Iterable[Member]]
+    _started_ms: float
+    _uses: dict[str, list[float]] = attrs.field(factory=dict)
+
+    def try_use(self, workspace: Workspace) -> bool:
+        """Use one run of the allowance, if any is left in this window."""
+        now_ms = self._clock.now_ms()
+        # A previous process of this daemon may have used its part just before.
+        if now_ms - self._started_ms <= self._policy.window_ms:
+            return False
+        uses = self._recent_uses(workspace.name, now_ms)
+        if len(uses) >= self._own_part(workspace):
+            return False
+        uses.append(now_ms)
+        self._uses[workspace.name] = uses
+        return True
+
+    def give_back(self, workspace: str) -> None:
+        """Return the latest use, because the request did not run."""
+        uses = self._uses.get(workspace)
+        if uses:
+            uses.pop()
+
+    def discard_old(self) -> None:
+        """Forget the workspaces without a use in this window."""
+        now_ms = self._clock.now_ms()
+        for name in tuple(self._uses):
+            if not self._recent_uses(name, now_ms):
+                self._uses.pop(name)
+
+    def _recent_uses(self, name: str, now_ms: float) -> list[float]:
+        oldest_ms = now_ms - self._policy.window_ms
+        return [used for used in self._uses.get(name, ()) if used >= oldest_ms]
+
+    def _own_part(self, workspace: Workspace) -> int:
+        """Return how many runs in a window this daemon may admit.
+
+        If there is less than one run for each daemon, a few daemons may admit
+        one each. These differ from workspace to workspace.
+        """
+        if not self._limit_divisor.is_known:
+            return 0
+        total = self._policy.free_in_window(workspace) * _MARGIN
+        part = total / self._limit_divisor.maximum
+        if part >= 1:
+            return int(part)
+        return int(self._rank_for(workspace.name) < int(total))
+
+    def _rank_for(self, workspace: str) -> float:
+        known = {member.name: member for member in self._members()}
+        known[self._local.name] = self._local
+        names = [member.name for member in _capable_members(known.values())]
+        is_known = len(known) >= self._limit_divisor.maximum * _MIN_KNOWN
+        if self._local.name not in names or not is_known:
+            return math.inf
+        names.sort(key=lambda name: _weight(workspace, name))
+        return names.index(self._local.name)
+
+
+def _capable_members(members: Iterable[Member]) -> list[Member]:
+    """Return the most capable members of each data centre."""
+    by_data_centre: dict[str, list[Member]] = {}
+    for member in members:
+        by_data_centre.setdefault(member.data_centre, []).append(member)
+    groups = map(capable_members, by_data_centre.values())
+    return list(itertools.chain.from_iterable(groups))
+
+
+def _weight(workspace: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f'free\0{workspace}\0{name}'.encode())
--- a/packages/fennelfork/tests/test_exports.py
+++ b/packages/fennelfork/tests/test_exports.py
@@ -19,6 +19,7 @@
     'fennelfork.routes',
     'fennelfork.servers',
     'fennelfork.shares',
+    'fennelfork.workspaces',
 ]
 
 
