--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Permits of workspaces between daemons, over HTTP."""
