Quotas hold for the requests of callers on all daemons

A workspace could send any number of requests. Each authorized request now needs an admission before the guard and the concurrency limits; it is returned if no backend server ran the request. An owner grants only while its lease is confirmed, counted from the time at which the renewal was sent.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/quota/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/quota/_service.py
@@ -34,8 +34,8 @@
     def record_refusal(self, workspace: str) -> None:
         """Record a request that was refused."""
 
-    def record_admission(self, workspace: str) -> None:
-        """Record a request that was admitted."""
+    def check(self) -> None:
+        """Look for workspaces that are below their limits again."""
 
 
 @attrs.define(kw_only=True)
@@ -58,6 +58,7 @@
     def step(self) -> None:
         """Apply a changed configuration and send the reports that are due."""
         self._apply_configuration()
+        self._reporter.check()
         if not self._quota.is_active:
             return
         for report in self._quota.due_reports():
@@ -78,8 +79,8 @@
             asked = decided.unwrap()
             grants = self._client.send(asked.owner, asked.ask, asked.timeout_ms)
             decided = self._quota.conclude(asked.ask.needs[0].workspace, grants)
-        if workspace is not None and workspace.is_limited:
-            self._record(workspace.name, decided)
+        if workspace is not None and not is_successful(decided):
+            self._reporter.record_refusal(workspace.name)
         return decided
 
     def give_back(self, admission: Admission) -> None:
@@ -100,11 +101,3 @@
     def _send_report(self, report: Report) -> None:
         grants = self._client.send(report.owner, report.ask, _REPORT_TIMEOUT_MS)
         self._quota.record_reply(report, grants)
-
-    def _record(
-        self, workspace: str, decided: Result[Admission, Failure]
-    ) -> None:
-        if is_successful(decided):
-            self._reporter.record_admission(workspace)
-        else:
-            self._reporter.record_refusal(workspace)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -21,6 +21,7 @@
 )
 from fennelfork.workspaces import Workspace
 from fennelfork_daemon.http._wsgi_protocol import ConnectionLimits
+from fennelfork_daemon.routes._lease_proof import LeaseProof
 from fennelfork_daemon.routes._settings import RouteSettings
 from fennelfork_daemon.routes._updates import MemberUpdate
 
@@ -49,6 +50,7 @@
         cold_limits: limits on the requests to cold backend servers.
         limits: limits on the connections of callers.
         quarantine: requests that are suspected of crashing backend servers.
+        lease_proof: proof that the registration of this daemon is valid.
         table: active configuration, or None before the first listing.
         own_entry: entry of this daemon in the store, as far as known. After a
             restart this is the entry of the earlier process.
@@ -65,6 +67,7 @@
     cold_limits: ColdLimits
     limits: ConnectionLimits
     quarantine: Quarantine
+    lease_proof: LeaseProof
     table: RouteTable | None = None
     own_entry: MemberUpdate | None = None
     is_leaving: bool = False
@@ -121,6 +124,7 @@
             idle_ms=INITIAL_IDLE_MS,
         ),
         quarantine=quarantine(clock, wall_clock()),
+        lease_proof=LeaseProof(clock=clock),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
@@ -14,6 +14,7 @@
 from fennelfork_daemon.routes._build_crash_protection import (
     PoisonRequestProtection,
 )
+from fennelfork_daemon.routes._build_quota import build_quotas
 from fennelfork_daemon.routes._caller_api import RouteCallerApi
 from fennelfork_daemon.routes._common_parts import CommonParts
 from fennelfork_daemon.routes._initial_routes import InitialRoutes
@@ -77,6 +78,7 @@
         attempt_parts=parts,
         baselines=baselines,
         limits=base.limits,
+        quotas=build_quotas(base, availability),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -8,7 +8,14 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from fennelfork import Clock, Failure, FailureCode, may_have_run, not_run
+from fennelfork import (
+    Clock,
+    Failure,
+    FailureCode,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 from fennelfork.routes import (
     AnswerDelays,
     Asker,
@@ -16,15 +23,11 @@
     ConcurrencyLimits,
     LatencyBaselines,
     RefusalReason,
-    RequestTimes,
     Route,
     can_meet_deadline,
     urgency_of,
 )
-from fennelfork_daemon.http._wsgi_protocol import (
-    CONNECTION_KEY,
-    FIRST_REQUEST_KEY,
-)
+from fennelfork_daemon.quota._service import Quotas
 from fennelfork_daemon.routes._answer import Answer, Refused
 from fennelfork_daemon.routes._attempt_runner import AttemptParts
 from fennelfork_daemon.routes._authorization import (
@@ -33,8 +36,8 @@
 )
 from fennelfork_daemon.routes._body import read_body
 from fennelfork_daemon.routes._caller_request import CallerRequest
-from fennelfork_daemon.routes._caller_way import caller_way_ms
-from fennelfork_daemon.routes._disconnect_watch import DisconnectWatch
+from fennelfork_daemon.routes._caller_way import request_times
+from fennelfork_daemon.routes._disconnect_watch import disconnect_watch
 from fennelfork_daemon.routes._initial_routes import (
     INITIAL_LIMITS,
     InitialRoutes,
@@ -54,9 +57,11 @@
 
     Attributes:
         limits: concurrency limits of the routes.
+        quotas: quotas of workspaces.
     """
 
     limits: ConcurrencyLimits
+    quotas: Quotas
     _initial_routes: InitialRoutes
     _authorizer: Authorizer
     _builder: RequestBuilder
@@ -97,6 +102,22 @@
         if not is_successful(authorized):
             return self._refuse(authorized.failure(), parsed.unwrap())
         request = authorized.unwrap()
+        quota = self.quotas.admit(
+            request.caller_request.workspace, request.left_ms
+        )
+        if not is_successful(quota):
+            return self._refuse(quota.failure(), request.caller_request)
+        answer = self._answer_within_quota(environ, request, received_ms)
+        if _has_not_run(answer):
+            self.quotas.give_back(quota.unwrap())
+        return answer
+
+    def _answer_within_quota(
+        self,
+        environ: dict[str, Any],
+        request: AuthorizedRequest,
+        received_ms: float,
+    ) -> Answer:
         caller_request = request.caller_request
         admitted = self._attempt_parts.guard.admit(caller_request.fingerprint)
         if not is_successful(admitted):
@@ -111,7 +132,7 @@
                 caller_request,
                 self._builder.build(
                     request,
-                    _request_times(environ, request, received_ms),
+                    request_times(environ, request, received_ms),
                     admitted.unwrap(),
                 ),
                 received_ms,
@@ -124,7 +145,7 @@
         running_request: RunningRequest,
         received_ms: float,
     ) -> Answer:
-        watch = DisconnectWatch(connection=environ[CONNECTION_KEY])
+        watch = disconnect_watch(environ)
         with watch.call_on_disconnect(running_request.record_disconnect):
             answer = running_request.run()
         self._attempt_parts.reporter.report_answer(
@@ -185,6 +206,14 @@
         )
 
 
+def _has_not_run(answer: Answer) -> bool:
+    """Whether no backend server has run the request of an answer."""
+    return (
+        isinstance(answer, Refused)
+        and answer.failure.verdict is Verdict.NOT_RUN
+    )
+
+
 def _asker(route: Route, caller_request: CallerRequest) -> Asker | None:
     """Return what shares between workspaces need to know of a request."""
     workspace = caller_request.workspace
@@ -196,18 +225,3 @@
         request_id=caller_request.request_id,
         fingerprint=caller_request.fingerprint,
     )
-
-
-def _request_times(
-    environ: dict[str, Any],
-    request: AuthorizedRequest,
-    received_ms: float,
-) -> RequestTimes:
-    return RequestTimes(
-        received_ms=received_ms,
-        timeout_ms=request.left_ms,
-        caller_way_ms=caller_way_ms(
-            environ[CONNECTION_KEY],
-            is_new=environ.get(FIRST_REQUEST_KEY, False),
-        ),
-    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_way.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_way.py
@@ -5,6 +5,13 @@
 
 from eventlet.green import socket
 
+from fennelfork.routes import RequestTimes
+from fennelfork_daemon.http._wsgi_protocol import (
+    CONNECTION_KEY,
+    FIRST_REQUEST_KEY,
+)
+from fennelfork_daemon.routes._authorization import AuthorizedRequest
+
 _US_PER_MS: Final = 1000
 # Position and size of the smoothed round-trip time in `struct tcp_info`.
 _ROUND_TRIP_OFFSET: Final = 68
@@ -36,3 +43,25 @@
         return 0
     round_trip_us = _ROUND_TRIP.unpack_from(fields, _ROUND_TRIP_OFFSET)[0]
     return (1 + is_new) * float(round_trip_us) / _US_PER_MS
+
+
+def request_times(
+    environ: dict[str, Any],
+    request: AuthorizedRequest,
+    received_ms: float,
+) -> RequestTimes:
+    """Return the times of a request that has arrived.
+
+    Args:
+        environ: WSGI environment of the request.
+        request: the request.
+        received_ms: time at which the request was received.
+    """
+    return RequestTimes(
+        received_ms=received_ms,
+        timeout_ms=request.left_ms,
+        caller_way_ms=caller_way_ms(
+            environ[CONNECTION_KEY],
+            is_new=environ.get(FIRST_REQUEST_KEY, False),
+        ),
+    )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_disconnect_watch.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_disconnect_watch.py
@@ -8,6 +8,8 @@
 from eventlet import hubs, spawn
 from eventlet.green import socket
 
+from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
+
 
 @attrs.frozen(kw_only=True)
 class DisconnectWatch:
@@ -44,3 +46,8 @@
             return False
         except OSError:
             return True
+
+
+def disconnect_watch(environ: dict[str, Any]) -> DisconnectWatch:
+    """Build the watch of the caller of a WSGI request."""
+    return DisconnectWatch(connection=environ[CONNECTION_KEY])
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -43,6 +43,8 @@
     requests.RequestEnded,
     process.FellBehind,
     requests.LimitFell,
+    requests.QuotaReached,
+    requests.QuotaKept,
     process.Defect,
     process.LinesDropped,
 )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
@@ -103,6 +103,32 @@
     ends: Sequence[str]
 
 
+@attrs.frozen(kw_only=True)
+class QuotaReached:
+    """A workspace is over its quota; its first refusal in a while.
+
+    Attributes:
+        workspace: name of the workspace.
+    """
+
+    event: ClassVar[str] = 'quota_reached'
+    workspace: str
+
+
+@attrs.frozen(kw_only=True)
+class QuotaKept:
+    """No request of a workspace has been refused for a while.
+
+    Attributes:
+        workspace: name of the workspace.
+        refused: requests that were refused since it was over its quota.
+    """
+
+    event: ClassVar[str] = 'quota_kept'
+    workspace: str
+    refused: int
+
+
 @attrs.frozen(kw_only=True)
 class LimitFell:
     """The concurrency limit of the services of a route decreased.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
@@ -9,6 +9,7 @@
 from fennelfork import Clock, Failure
 from fennelfork.membership import Member
 from fennelfork_daemon.routes._availability import StoreAvailability, StoreCall
+from fennelfork_daemon.routes._lease_proof import LeaseProof
 from fennelfork_daemon.routes._ports import Store
 from fennelfork_daemon.routes._store_reporter import StoreReporter
 
@@ -35,6 +36,8 @@
     _availability: StoreAvailability
     _clock: Clock
     _reporter: StoreReporter
+    _proof: LeaseProof
+    _sent_ms: float = 0
     _renewed_ms: float = 0
 
     @property
@@ -44,6 +47,7 @@
 
     def open(self) -> int | None:
         """Open a lease and return its number, or None if this failed."""
+        self._sent_ms = self._clock.now_ms()
         opened = self._record_result(self._store.open_lease(self.ttl_ms))
         return opened.unwrap() if is_successful(opened) else None
 
@@ -51,6 +55,7 @@
         """Use a lease, to which the entry is now attached."""
         self.number = lease
         self._renewed_ms = self._clock.now_ms()
+        self._proof.record_granted(self._sent_ms, self.ttl_ms)
         self._reporter.lease_granted(lease, self.ttl_ms)
 
     def try_adopt(self, lease: int) -> Result[bool, Failure]:
@@ -59,23 +64,28 @@
         Returns:
             Whether the lease was still valid, or the failure of the call.
         """
+        sent_ms = self._clock.now_ms()
         renewed = self._record_result(self._store.renew(lease))
         if is_successful(renewed) and renewed.unwrap():
             self.number = lease
             self._renewed_ms = self._clock.now_ms()
+            self._proof.record_granted(sent_ms, self.ttl_ms)
             self._reporter.lease_adopted(lease)
         return renewed
 
     def renew(self, lease: int) -> bool:
         """Renew the lease in use and return whether it may still be valid."""
+        sent_ms = self._clock.now_ms()
         renewed = self._record_result(self._store.renew(lease))
         if not is_successful(renewed):
             return True
         now_ms = self._clock.now_ms()
         if renewed.unwrap():
             self._renewed_ms = now_ms
+            self._proof.record_renewed(sent_ms)
             return True
         self.number = None
+        self._proof.record_lost()
         self._reporter.lease_expired(lease, now_ms - self._renewed_ms)
         return False
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -93,6 +93,7 @@
         if self._blackboard.is_leaving:
             return
         self._blackboard.is_leaving = True
+        self._blackboard.lease_proof.record_lost()
         eventlet.spawn_n(self._revoke_lease)
 
     def send_exit(self) -> None:
@@ -168,6 +169,7 @@
             availability=availability,
             clock=clock,
             reporter=reporter,
+            proof=blackboard.lease_proof,
         ),
         adoption=LeaseAdoption(blackboard=blackboard),
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -96,7 +96,8 @@
 
     def _start_background_tasks(self) -> None:
         """Start a green thread for each background task."""
-        for task in (*self._background_tasks, self._retire_pools):
+        tasks = (*self._background_tasks, self.face.quotas.run)
+        for task in (*tasks, self._retire_pools):
             eventlet.spawn_n(task)
 
     def _spawn_optional_listeners(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_settings.py
@@ -5,7 +5,7 @@
 import attrs
 
 from fennelfork.routes import ColdPolicy, RetryPolicy
-from fennelfork.workspaces import AccessPolicy
+from fennelfork.workspaces import AccessPolicy, QuotaPolicy
 from fennelfork_daemon._address import Address
 
 
@@ -34,6 +34,7 @@
             None to pass on no updates.
         processor_cores: processor time per second of the VM, in cores of a
             reference speed; 0 if unknown.
+        quota: bound on the requests of one workspace at all daemons.
     """
 
     name: str
@@ -53,3 +54,4 @@
     access: AccessPolicy = AccessPolicy()
     peer: Address | None = None
     processor_cores: float = 0
+    quota: QuotaPolicy = QuotaPolicy()
--- a/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
@@ -44,24 +44,28 @@
     _started_ms: float
     _uses: dict[str, list[float]] = attrs.field(factory=dict)
 
-    def try_use(self, workspace: Workspace) -> bool:
-        """Use one run of the allowance, if any is left in this window."""
+    def try_use(self, workspace: Workspace) -> float | None:
+        """Use one run of the allowance, if any is left in this window.
+
+        Returns:
+            Time of the use, or None without a use.
+        """
         now_ms = self._clock.now_ms()
         # A previous process of this daemon may have used its part just before.
         if now_ms - self._started_ms <= self._policy.window_ms:
-            return False
+            return None
         uses = self._recent_uses(workspace.name, now_ms)
         if len(uses) >= self._own_part(workspace):
-            return False
+            return None
         uses.append(now_ms)
         self._uses[workspace.name] = uses
-        return True
+        return now_ms
 
-    def give_back(self, workspace: str) -> None:
-        """Return the latest use, because the request did not run."""
-        uses = self._uses.get(workspace)
-        if uses:
-            uses.pop()
+    def give_back(self, workspace: str, used_ms: float) -> None:
+        """Return the use of a time, because the request did not run."""
+        uses = self._uses.get(workspace, [])
+        if used_ms in uses:
+            uses.remove(used_ms)
 
     def discard_old(self) -> None:
         """Forget the workspaces without a use in this window."""
--- a/packages/fennelfork/src/fennelfork/workspaces/_owners.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_owners.py
@@ -85,8 +85,9 @@
         if registered.since_ms is None or not registered.is_confirmed:
             return False
         age_ms = self._clock.now_ms() - registered.since_ms
-        is_current = self._view_age_ms() <= self._max_age_ms
-        return is_current and age_ms >= self._trial_ms
+        if self._view_age_ms() > self._max_age_ms or age_ms < self._trial_ms:
+            return False
+        return self.is_registered(self._local.name, self._local.incarnation)
 
     @property
     def _trial_ms(self) -> float:
--- a/packages/fennelfork/src/fennelfork/workspaces/_quota.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_quota.py
@@ -36,9 +36,10 @@
 
 @attrs.frozen(kw_only=True)
 class FreeRun:
-    """Use of the free allowance of this daemon."""
+    """Use of the free allowance of this daemon at a time."""
 
     workspace: str
+    used_ms: float
 
 
 @attrs.frozen(kw_only=True)
@@ -129,8 +130,9 @@
             return Success(Unlimited())
         limited = self._limited[workspace.name]
         self._holder.record_request(limited.name)
-        if self._free.try_use(limited):
-            return Success(FreeRun(workspace=limited.name))
+        used_ms = self._free.try_use(limited)
+        if used_ms is not None:
+            return Success(FreeRun(workspace=limited.name, used_ms=used_ms))
         held = self._holder.try_use(limited.name)
         if held is not None:
             return Success(held)
@@ -160,7 +162,7 @@
     def give_back(self, admission: Admission) -> None:
         """Return the admission of a request that did not run."""
         if isinstance(admission, FreeRun):
-            self._free.give_back(admission.workspace)
+            self._free.give_back(admission.workspace, admission.used_ms)
         elif isinstance(admission, HeldPermit):
             self._holder.give_back(admission)
 
--- a/tests/test_platform_settings_file.py
+++ b/tests/test_platform_settings_file.py
@@ -9,6 +9,7 @@
 from platform_builders import SETTINGS
 from returns.result import Failure
 
+from fennelfork.workspaces import QuotaPolicy
 from fennelfork_daemon._address import Address
 from fennelfork_platform._settings import load_settings
 
@@ -28,6 +29,17 @@
         assert outcome.in_force_ms == 3000
         assert not outcome.processor_cores
 
+    def test_quota(self, tmp_path: pathlib.Path) -> None:
+        """The bound on a workspace is optional, by default its limit."""
+        stated = SETTINGS.replace(
+            '[Bounds]',
+            '[Bounds]\nQuotaWindowS = 4\nQuotaExcess = 0.2\nQuotaSlack = 7',
+        )
+        outcome = load_settings(_write_settings(tmp_path, stated)).unwrap()
+        assert outcome.quota == QuotaPolicy(window_ms=4000, excess=0.2, slack=7)
+        outcome = load_settings(_write_settings(tmp_path, SETTINGS)).unwrap()
+        assert outcome.quota == QuotaPolicy()
+
     def test_processor_capacity(self, tmp_path: pathlib.Path) -> None:
         """The capacity is the share of a core times its speed."""
         limits = '[Limits]\nCpuShare = 0.537\nCpuCores = 2\n'
