Workspaces: test that refusals for a quota are counted by workspace

Quotas and the counts of refusals were built apart; nothing showed that a refusal with 429 appears in the counts and names its workspace in the log. It does, without a change of the code.

--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -262,6 +262,22 @@
         assert counts.of('lab') == {'answered': 2, 'no_server': 1}
         assert counts.of('') == {'unknown_key': 1}
 
+    def test_quota(self, daemon: Daemon) -> None:
+        """Each refusal for a quota is counted, and its line has the name."""
+        limited = {'Name': 'lab', 'ApiKeys': ['k7'], 'RatePerS': 1, 'Burst': 1}
+        daemon.configure(route(), Tenants=[limited])
+        daemon.add_server(b'whole', 'archive')
+        headers_raw = (*environ()['headers_raw'], ('X-Api-Key', 'k7'))
+        statuses = [
+            daemon.send_request(headers_raw=headers_raw)[0] for _ in range(20)
+        ]
+        reporter = daemon.service.face._attempt_parts.reporter
+        counted = reporter._metrics.workspaces.of('lab')
+        assert statuses.count(429) > 0
+        assert counted['quota'] == statuses.count(429)
+        refused = [line for line in daemon.log_lines() if 'code' in line]
+        assert {line['workspace'] for line in refused} == {'lab'}
+
 
 class TestAnswers:
     """Requests that backend servers respond to."""
