Backend connections: no turn of the event loop to reuse a connection

Before a kept connection was reused, urllib3 waited in the event loop for bytes that may have arrived; the socket is now asked directly.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -35,6 +35,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
 )
+# Bytes that tell whether a connection is closed or holds unexpected bytes.
+_PEEK_BYTES: Final = 1
 # Errors after which a request may have reached the server.
 _TRANSPORT_ERRORS: Final = (HTTPError, HTTPException, OSError, EOFError)
 # Transport errors that do not imply a lost connection.
@@ -87,7 +89,7 @@
     @property
     def is_open(self) -> bool:
         """Whether the connection is open as far as the local socket shows."""
-        return self._http.is_connected
+        return self._http.sock is not None and _is_silent(self._http.sock)
 
     def open(self, timeout_ms: float) -> Result[None, Failure]:
         """Open the connection.
@@ -206,6 +208,23 @@
     return BackendConnection(http=http, max_response_bytes=max_response_bytes)
 
 
+def _is_silent(sock: Any) -> bool:
+    """Whether a socket is open and has no bytes to read.
+
+    The check that urllib3 makes takes a turn of the event loop.
+    """
+    raw_socket = getattr(sock, 'fd', sock)
+    if raw_socket.gettimeout() != 0:
+        raw_socket.settimeout(0)
+    try:
+        raw_socket.recv(_PEEK_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _connect_failure_code(error: Exception) -> FailureCode:
     """Return `SHED` for a reset connection, `UNREACHABLE` otherwise."""
     cause = error.__cause__ or error.__context__
