Registration: with workspaces, a restarted daemon names its own process

A daemon that continues the lease of its earlier process left the incarnation of that process in its entry. Quotas accept messages only from the process that an entry names, so the daemon would neither get nor grant permits. With workspaces in the configuration the entry is written again.

test_workspaces fails without the change.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -82,6 +82,11 @@
         """Lease of the entry of this daemon in the store, 0 for none."""
         return self.own_entry.lease if self.own_entry else 0
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether the active configuration has workspaces."""
+        return self.table is not None and self.table.workspaces is not None
+
     def home_regions_of(self, route: Route) -> HomeRegions:
         """Return the home regions of a route in the active configuration."""
         if self.table is None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_adoption.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_adoption.py
@@ -32,13 +32,15 @@
     def entry(self) -> Member | None:
         """The entry of the earlier process, as of this process.
 
-        The incarnation is not compared: no daemon that serves routes uses the
-        incarnation of another.
+        Without workspaces the incarnation is not compared: only quotas of
+        workspaces depend on the process that an entry names.
         """
         own_entry = self._blackboard.own_entry
-        incarnation = self._blackboard.local.incarnation
         if own_entry is None:
             return None
+        if self._blackboard.has_workspaces:
+            return own_entry.member
+        incarnation = self._blackboard.local.incarnation
         return attrs.evolve(own_entry.member, incarnation=incarnation)
 
     def record(self, *, is_valid: bool) -> None:
--- a/packages/fennelfork-daemon/tests/test_routes_registration.py
+++ b/packages/fennelfork-daemon/tests/test_routes_registration.py
@@ -19,6 +19,7 @@
 
 from fennelfork.membership import Member
 from fennelfork.routes import RequestStatus, SuspicionRecord
+from fennelfork.workspaces import Workspace, workspace_table
 from fennelfork_daemon.routes import (
     ConfigUpdate,
     MemberRemoved,
@@ -147,6 +148,23 @@
         restarted.registration.step()
         assert _kinds(restarted) == ['renew', 'register']
 
+    def test_workspaces(self) -> None:
+        """With workspaces, the entry names the process that holds permits.
+
+        Otherwise other daemons would ignore its messages about quotas.
+        """
+        restarted = FollowingDaemon()
+        keyed = attrs.evolve(
+            table(3), workspaces=workspace_table([(Workspace(name='w'), ())])
+        )
+        earlier = attrs.evolve(_own_member(), incarnation=1)
+        restarted.apply_listing(
+            ConfigUpdate(table=keyed), MemberUpdate(member=earlier, lease=7)
+        )
+        restarted.store.renewals = [Success(True)]
+        restarted.registration.step()
+        assert _kinds(restarted) == ['renew', 'register']
+
     def test_expired_lease(self) -> None:
         """A daemon whose lease expired registers anew, and tries it once."""
         restarted = _restarted_daemon(_earlier_entry(7))
