Quotas: owners go on after a loss of all daemons

After a start a daemon grants no permits for 5.2 s, until all views contain it, and has no free runs for one window. After a loss of power of all daemons no request of a limited workspace was admitted for that time.

The two new tests fail without the change.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_adoption.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_adoption.py
@@ -4,11 +4,16 @@
 a new entry, and other daemons receive no updates.
 """
 
+from typing import Final
+
 import attrs
 
 from fennelfork.membership import Member
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 
+# Time between the start of a process and its registration.
+_MAX_REGISTRATION_MS: Final = 3000.0
+
 
 @attrs.define(kw_only=True)
 class LeaseAdoption:
@@ -43,6 +48,19 @@
         incarnation = self._blackboard.local.incarnation
         return attrs.evolve(own_entry.member, incarnation=incarnation)
 
+    @property
+    def held_ms(self) -> float:
+        """Time for which the earlier process has certainly been registered.
+
+        The incarnations are the times at which the processes started.
+        """
+        own_entry = self._blackboard.own_entry
+        if own_entry is None:
+            return 0
+        earlier_ms = own_entry.member.incarnation
+        ran_ms = self._blackboard.local.incarnation - earlier_ms
+        return max(0, ran_ms - _MAX_REGISTRATION_MS)
+
     def record(self, *, is_valid: bool) -> None:
         """Record whether the lease of the earlier process was renewed."""
         self.is_active = is_valid
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_proof.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_proof.py
@@ -29,15 +29,19 @@
             is_confirmed=age_ms < self._ttl_ms * _CONFIRMED_RATIO,
         )
 
-    def record_granted(self, sent_ms: float, ttl_ms: float) -> None:
+    def record_granted(
+        self, sent_ms: float, ttl_ms: float, *, held_ms: float = 0
+    ) -> None:
         """Record that this daemon is registered.
 
         Args:
             sent_ms: time at which the lease was requested.
             ttl_ms: length of the lease.
+            held_ms: time for which an earlier process of this daemon has been
+                registered under the lease.
         """
         self._ttl_ms = ttl_ms
-        self._since_ms = self._clock.now_ms()
+        self._since_ms = self._clock.now_ms() - held_ms
         self._confirmed_ms = sent_ms
 
     def record_renewed(self, sent_ms: float) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
@@ -58,9 +58,13 @@
         self._proof.record_granted(self._sent_ms, self.ttl_ms)
         self._reporter.lease_granted(lease, self.ttl_ms)
 
-    def try_adopt(self, lease: int) -> Result[bool, Failure]:
+    def try_adopt(self, lease: int, held_ms: float) -> Result[bool, Failure]:
         """Renew and use the lease of the earlier process of this daemon.
 
+        Args:
+            lease: lease of the entry of the earlier process.
+            held_ms: time for which the earlier process has been registered.
+
         Returns:
             Whether the lease was still valid, or the failure of the call.
         """
@@ -69,7 +73,7 @@
         if is_successful(renewed) and renewed.unwrap():
             self.number = lease
             self._renewed_ms = self._clock.now_ms()
-            self._proof.record_granted(sent_ms, self.ttl_ms)
+            self._proof.record_granted(sent_ms, self.ttl_ms, held_ms=held_ms)
             self._reporter.lease_adopted(lease)
         return renewed
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -105,7 +105,7 @@
         if candidate is None:
             self._create()
             return
-        adopted = self._own_lease.try_adopt(candidate)
+        adopted = self._own_lease.try_adopt(candidate, self._adoption.held_ms)
         if not is_successful(adopted):
             return
         self._adoption.record(is_valid=adopted.unwrap())
--- a/packages/fennelfork-daemon/tests/test_quota.py
+++ b/packages/fennelfork-daemon/tests/test_quota.py
@@ -161,3 +161,12 @@
         assert proof.registered.is_confirmed
         proof.record_lost()
         assert proof.registered.since_ms is None
+
+    def test_earlier_process(self) -> None:
+        """All daemons lost power: owners go on with the leases they had."""
+        time = ManualTime()
+        time.advance(500)
+        proof = LeaseProof(clock=manual_clock(time))
+        proof.record_granted(400, 3000, held_ms=9000)
+        assert proof.registered.since_ms == -8500
+        assert proof.registered.is_confirmed
--- a/packages/fennelfork-daemon/tests/test_routes_registration.py
+++ b/packages/fennelfork-daemon/tests/test_routes_registration.py
@@ -165,6 +165,25 @@
         restarted.registration.step()
         assert _kinds(restarted) == ['renew', 'register']
 
+    @pytest.mark.parametrize(('ran_ms', 'held_ms'), [(9000, 6000), (2000, 0)])
+    def test_registered_since(self, ran_ms: int, held_ms: int) -> None:
+        """The registration counts from that of the earlier process.
+
+        Otherwise no daemon would grant permits for seconds after a loss of all.
+        """
+        restarted = FollowingDaemon()
+        local = restarted.blackboard.local
+        earlier = attrs.evolve(
+            _own_member(), incarnation=local.incarnation - ran_ms
+        )
+        restarted.apply_listing(
+            ConfigUpdate(table=table(3)), MemberUpdate(member=earlier, lease=7)
+        )
+        restarted.store.renewals = [Success(True)]
+        restarted.registration.step()
+        since_ms = restarted.blackboard.lease_proof.registered.since_ms
+        assert since_ms == restarted.time.at_ms - held_ms
+
     def test_expired_lease(self) -> None:
         """A daemon whose lease expired registers anew, and tries it once."""
         restarted = _restarted_daemon(_earlier_entry(7))
