--- a/packages/fennelfork/src/fennelfork/membership/_capacity.py
+++ b/packages/fennelfork/src/fennelfork/membership/_capacity.py
@@ -1,5 +1,6 @@
 """Preference for the daemons with the most processor capacity."""
 
+import itertools
 from collections.abc import Iterable
 from typing import Final
 
@@ -32,6 +33,15 @@
     return tuple(member for member in known if member.processor_cores >= least)
 
 
+def capable_in_data_centres(members: Iterable[Member]) -> list[Member]:
+    """Return the most capable members of each data centre."""
+    by_data_centre: dict[str, list[Member]] = {}
+    for member in members:
+        by_data_centre.setdefault(member.data_centre, []).append(member)
+    groups = map(capable_members, by_data_centre.values())
+    return list(itertools.chain.from_iterable(groups))
+
+
 def preferred_members(members: Iterable[Member]) -> tuple[Member, ...]:
     """Return the members that callers should use at the current load.
 
--- a/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
+++ b/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
@@ -4,7 +4,6 @@
 together. Each daemon uses its part of this number without asking the others.
 """
 
-import itertools
 import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
@@ -13,7 +12,7 @@
 import xxhash
 
 from fennelfork._clock import Clock
-from fennelfork.membership import Member, capable_members
+from fennelfork.membership import Member, capable_in_data_centres
 from fennelfork.routes._evacuations import Evacuations
 from fennelfork.routes._fleet_maximum import FleetMaximum
 from fennelfork.routes._route_table import Service
@@ -129,7 +128,9 @@
         """
         known = {member.name: member for member in self._members()}
         known[self._local.name] = self._local
-        names = [member.name for member in _capable_members(known.values())]
+        names = [
+            member.name for member in capable_in_data_centres(known.values())
+        ]
         is_known = len(known) >= self._limit_divisor.maximum * _MIN_KNOWN
         if self._local.name not in names or not is_known:
             return math.inf
@@ -137,14 +138,5 @@
         return names.index(self._local.name)
 
 
-def _capable_members(members: Iterable[Member]) -> list[Member]:
-    """Return the most capable members of each data centre."""
-    by_data_centre: dict[str, list[Member]] = {}
-    for member in members:
-        by_data_centre.setdefault(member.data_centre, []).append(member)
-    groups = map(capable_members, by_data_centre.values())
-    return list(itertools.chain.from_iterable(groups))
-
-
 def _weight(*parts: str) -> int:
     return xxhash.xxh64_intdigest('\0'.join(parts).encode())
--- a/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
@@ -1,6 +1,5 @@
 """Part of this daemon in the runs of a workspace that need no permit."""
 
-import itertools
 import math
 from collections.abc import Callable, Iterable
 from typing import Final, Protocol
@@ -9,7 +8,7 @@
 import xxhash
 
 from fennelfork._clock import Clock
-from fennelfork.membership import Member, capable_members
+from fennelfork.membership import Member, capable_in_data_centres
 from fennelfork.workspaces._quota_policy import QuotaPolicy
 from fennelfork.workspaces._workspace import Workspace
 
@@ -95,7 +94,9 @@
     def _rank_for(self, workspace: str) -> float:
         known = {member.name: member for member in self._members()}
         known[self._local.name] = self._local
-        names = [member.name for member in _capable_members(known.values())]
+        names = [
+            member.name for member in capable_in_data_centres(known.values())
+        ]
         is_known = len(known) >= self._limit_divisor.maximum * _MIN_KNOWN
         if self._local.name not in names or not is_known:
             return math.inf
@@ -103,14 +104,5 @@
         return names.index(self._local.name)
 
 
-def _capable_members(members: Iterable[Member]) -> list[Member]:
-    """Return the most capable members of each data centre."""
-    by_data_centre: dict[str, list[Member]] = {}
-    for member in members:
-        by_data_centre.setdefault(member.data_centre, []).append(member)
-    groups = map(capable_members, by_data_centre.values())
-    return list(itertools.chain.from_iterable(groups))
-
-
 def _weight(workspace: str, name: str) -> int:
     return xxhash.xxh64_intdigest(f'free\0{workspace}\0{name}'.encode())
