--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -243,8 +243,8 @@
 def _check_open(connection: BackendConnection) -> Result[None, Failure]:
     """Fail if the server closed or reset a new connection without a request.
 
-    A server at its connection limit does so. The request has not run, which
-    cannot be known once it is written.
+    A server at its connection limit closes new connections. The request has
+    not run; after its bytes are written, a reset no longer proves that.
     """
     if connection.is_open:
         return Success(None)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -215,7 +215,7 @@
 
 
 def _asker(route: Route, caller_request: CallerRequest) -> Asker | None:
-    """Return what shares between workspaces need to know of a request."""
+    """Return the workspace and rank of a request, none without workspaces."""
     workspace = caller_request.workspace
     if workspace is None:
         return None
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
@@ -121,7 +121,7 @@
 
     Attributes:
         workspace: name of the workspace.
-        refused: requests that were refused since it was over its quota.
+        refused: requests refused since the workspace went over its quota.
     """
 
     event: ClassVar[str] = 'quota_kept'
--- a/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
+++ b/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
@@ -1,6 +1,6 @@
 """Shares of a concurrency limit between workspaces.
 
-A workspace that asks for less than its share is not bound by it. Of one that
+A workspace that asks for less than its share is not bound by that share. Of one that
 asks for more, the share that fits is admitted, so that its surplus is refused
 first.
 """
@@ -26,9 +26,10 @@
 from fennelfork.workspaces import Workspace
 
 # Time over which the demand of a workspace is estimated: a workspace that
-# turns hot is bound by its share within about a second.
+# sends far more than before is bound by its share within this time.
 _WINDOW_MS: Final = 2000.0
-# Growth of what is admitted while overload signals come: finds free capacity.
+# Factor on the served requests while overload signals come, so that admission
+# grows when servers have free capacity again.
 _PROBE_FACTOR: Final = 1.1
 # Time for which the computed levels are used.
 _REFRESH_MS: Final = 100.0
@@ -93,7 +94,7 @@
 
 @attrs.frozen(kw_only=True)
 class Asker:
-    """Workspace of a request, and what the admission knows of the request.
+    """Workspace, rank and identity of a request that asks for admission.
 
     Attributes:
         workspace: workspace of the request.
--- a/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
@@ -12,10 +12,11 @@
 from fennelfork.workspaces._quota_policy import QuotaPolicy
 from fennelfork.workspaces._workspace import Workspace
 
-# Part of the allowance that is used, as of the retry budget. The rest covers
-# daemons that have joined but are not known everywhere yet.
+# Part of the allowance that is used. The rest covers daemons that have joined
+# but are not known everywhere yet.
 _MARGIN: Final = 0.8
-# Part of the fleet that has to be known for a rank in it; see `_MARGIN`.
+# Part of the fleet that has to be known before a daemon ranks itself among the
+# capable daemons.
 _MIN_KNOWN: Final = 0.8
 
 
