--- a/review/1/case.py
+++ b/review/1/case.py
@@ -126,8 +126,13 @@
     answers = TruncatingBackend.answers
     routes = [
         lib.route(
-            'r-history', '/history/', Gather=list(SHARDS), TopK=TOP,
-            MinCoverage=MIN_COVERAGE, TimeoutMs=4000, LatencyGoalMs=297,
+            'r-history',
+            '/history/',
+            Gather=list(SHARDS),
+            TopK=TOP,
+            MinCoverage=MIN_COVERAGE,
+            TimeoutMs=4000,
+            LatencyGoalMs=297,
         ),
         lib.route('r-archive', '/archive/', Service='archive'),
     ]
@@ -153,7 +158,9 @@
         request_id = f'{kind[0]}{number:07x}'
         daemon = random.choice(fleet.daemons)
         answer = await lib.request(
-            daemon.front, 'GET', f'/{kind}/{number:x}',
+            daemon.front,
+            'GET',
+            f'/{kind}/{number:x}',
             [('X-Request-Id', request_id), ('X-Deadline-Ms', '4000')],
             timeout_s=5,
         )
@@ -195,7 +202,9 @@
         await asyncio.gather(*tasks)
 
     await asyncio.gather(
-        disturb(), send('history', QUERIES_PER_S), send('archive', FETCHES_PER_S)
+        disturb(),
+        send('history', QUERIES_PER_S),
+        send('archive', FETCHES_PER_S),
     )
     print(f'successes: {counts}; wrong: {len(broken)}')
     fleet.record.add(f'successes: {counts}; wrong: {len(broken)}')
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -55,7 +55,10 @@
     lib.Backend = RecordingBackend
     routes = [
         lib.route(
-            'r-issue', '/issue/', Service='registry', RouteType='unsafe',
+            'r-issue',
+            '/issue/',
+            Service='registry',
+            RouteType='unsafe',
             LatencyGoalMs=GOAL_MS,
         )
     ]
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -42,7 +42,9 @@
 Discovery = "platform"
 EntryType = "directory"
 HeartbeatMs = 1200
-Contracts = ["base", "drain", "config", "cost", "retry", "recover", "scatter", "platform"]
+Contracts = [
+    "base", "drain", "config", "cost", "retry", "recover", "scatter", "platform",
+]
 [Zones]
 zone-a = "region-a"
 zone-b = "region-b"
@@ -146,7 +148,7 @@
 
 
 class Store:
-    """Key-value store of the platform: linearizable, with leases and watches."""
+    """Key-value store of the platform, with leases and watches."""
 
     def __init__(self):
         self.items = {}
@@ -230,7 +232,9 @@
                 writer.write(reply)
                 await writer.drain()
         except (
-            asyncio.CancelledError, asyncio.IncompleteReadError, ConnectionError
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
         ):
             pass
         finally:
@@ -287,8 +291,7 @@
             events = [
                 event
                 for event in self.events
-                if event['Revision'] > after
-                and event['Key'].startswith(prefix)
+                if event['Revision'] > after and event['Key'].startswith(prefix)
             ]
             left = until - time.monotonic()
             if events or left <= 0:
@@ -391,7 +394,9 @@
                 if isinstance(reply, Truncated):
                     return
         except (
-            asyncio.CancelledError, asyncio.IncompleteReadError, ConnectionError
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
         ):
             pass
         finally:
@@ -629,9 +634,7 @@
         await self.store.start()
         self.store.put('op/config', config)
         for service, zone, options in backends:
-            backend = Backend(
-                self.store, self.record, service, zone, **options
-            )
+            backend = Backend(self.store, self.record, service, zone, **options)
             await backend.start()
             self.backends.append(backend)
         self.daemons = [
