--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -43,7 +43,8 @@
 EntryType = "directory"
 HeartbeatMs = 1200
 Contracts = [
-    "base", "drain", "config", "cost", "retry", "recover", "scatter", "platform",
+    "base", "drain", "config", "cost", "retry", "recover", "scatter",
+    "platform",
 ]
 [Zones]
 zone-a = "region-a"
