--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -474,24 +474,28 @@
         self.record, self.store = record, store
         self.zone = tuple(ZONES)[index % len(ZONES)]
         self.name = f'front-{self.zone}-{index // len(ZONES) + 1}'
+        self._path = Path(folder) / f'{self.name}.toml'
+        self._configure()
+        self._log = open(Path(folder) / f'{self.name}.log', 'ab')
+        self.process = None
+
+    def _configure(self):
+        """Write the settings file, with free ports."""
         self.ports = {
             name: free_port()
             for name in ('front', 'ready', 'control', 'directory', 'peer')
         }
         self.front = f'{HOST}:{self.ports["front"]}'
         self.directory = f'{HOST}:{self.ports["directory"]}'
-        self._path = Path(folder) / f'{self.name}.toml'
         self._path.write_text(
             SETTINGS.format(
                 name=self.name,
                 zone=self.zone,
                 region=ZONES[self.zone],
-                store=store.address,
+                store=self.store.address,
                 **self.ports,
             )
         )
-        self._log = open(Path(folder) / f'{self.name}.log', 'ab')
-        self.process = None
 
     def start(self):
         """Start the process."""
@@ -521,6 +525,10 @@
         """Wait until the process counts as ready."""
         until = time.monotonic() + timeout_s
         while time.monotonic() < until:
+            if self.process.poll() is not None:
+                # Another process may have taken one of the ports.
+                self._configure()
+                self.start()
             answer = await request(
                 f'{HOST}:{self.ports["ready"]}', 'GET', '/-/ready', timeout_s=1
             )
