A truncated response is a failure, wherever it ends

Cause: http.client and urllib3 take the end of the connection for the empty line after headers or trailers, and a part of a line for the whole line. An answer cut after its signature has no length then, so its empty body counts as one that ends with the connection.

Evidence: one request for each byte at which a response can end.

Change: the reader of all responses raises IncompleteMessage when the connection ends within a line, or before the next line within a message. All HTTP clients of the daemon use it. The part counts as missing, may have run, and is requested elsewhere like after any lost connection.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -8,12 +8,12 @@
 import attrs
 from returns.result import Failure as Bad
 from returns.result import Result, Success
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import Address
+from fennelfork_daemon._http_connection import CompleteHTTPConnection
 from fennelfork_daemon._sockets import ConnectionBroken, reset_aware
 from fennelfork_daemon.backend._request import (
     AnyRequest,
@@ -43,7 +43,7 @@
 _TIMEOUT_ERRORS: Final = (TimeoutError, LibraryTimeoutError)
 
 
-class _SingleWriteConnection(HTTPConnection):
+class _SingleWriteConnection(CompleteHTTPConnection):
     """Connection that sends the head and body of a request in one write.
 
     A single write saves a system call and wakes the server only once.
@@ -82,7 +82,7 @@
     """
 
     keep_alive_ms: float | None = None
-    _http: HTTPConnection
+    _http: CompleteHTTPConnection
     _max_response_bytes: int
     _has_responded: bool = False
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_connection.py
@@ -15,11 +15,11 @@
 import eventlet
 from returns.result import Failure as Failed
 from returns.result import Result, Success
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork.once import ExecuteCall, classify_execute_response
+from fennelfork_daemon._http_connection import CompleteHTTPConnection
 
 _MS: Final = 1000
 _HTTP_OK: Final = 200
@@ -91,13 +91,13 @@
         the request was sent or the server reports this verdict.
     """
     with contextlib.closing(
-        HTTPConnection(target.host, target.port),
+        CompleteHTTPConnection(target.host, target.port),
     ) as connection:
         return _attempt(connection, target, call, begin_send, timeouts)
 
 
 def _attempt(
-    connection: HTTPConnection,
+    connection: CompleteHTTPConnection,
     target: ExecuteTarget,
     call: ExecuteCall,
     begin_send: BeginSend,
@@ -127,7 +127,7 @@
 
 
 def _probe(
-    connection: HTTPConnection,
+    connection: CompleteHTTPConnection,
     target: ExecuteTarget,
     timeout_ms: float,
 ) -> Result[float | None, Failure]:
@@ -143,7 +143,9 @@
     return Failed(not_run(FailureCode.UNREACHABLE, detail))
 
 
-def _ask_health(connection: HTTPConnection) -> Result[float | None, Failure]:
+def _ask_health(
+    connection: CompleteHTTPConnection,
+) -> Result[float | None, Failure]:
     """Request the health of the server, which fails if it is draining."""
     connection.request('GET', '/v1/health', preload_content=False)
     response = connection.getresponse()
@@ -170,7 +172,7 @@
 
 
 def _send(
-    connection: HTTPConnection,
+    connection: CompleteHTTPConnection,
     target: ExecuteTarget,
     call: ExecuteCall,
     window: _StartWindow,
@@ -188,7 +190,7 @@
 
 
 def _exchange(
-    connection: HTTPConnection,
+    connection: CompleteHTTPConnection,
     call: ExecuteCall,
     window: _StartWindow,
 ) -> Result[str, Failure]:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
@@ -13,6 +13,7 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork.config import TokenBucket
+from fennelfork_daemon._http_connection import complete_pool_manager
 from fennelfork_daemon.metrics._metrics import Channel, ControlCost, CountCost
 from fennelfork_daemon.settings._tables import Settings
 
@@ -168,7 +169,7 @@
     """
     return KeyValueHttp(
         endpoints=tuple(map(str, settings.platform.key_value)),
-        pools=urllib3.PoolManager(maxsize=4),
+        pools=complete_pool_manager(maxsize=4),
         budget=budget,
         connect_timeout_s=settings.timeouts.connect_ms / _MS_PER_S,
         call_timeout_s=settings.timeouts.platform_ms / _MS_PER_S,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_vm_list.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_vm_list.py
@@ -15,6 +15,7 @@
     VmListSchedule,
 )
 from fennelfork.placement import choose_watchers
+from fennelfork_daemon._http_connection import complete_pool_manager
 from fennelfork_daemon.settings._tables import Settings
 
 _MS_PER_S: Final = 1000
@@ -88,7 +89,7 @@
         settings=settings,
         controller=controller,
         schedule=schedule,
-        http=urllib3.PoolManager(),
+        http=complete_pool_manager(),
     )
 
 
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -14,6 +14,7 @@
     unused_address,
     write_response,
 )
+from daemon_builders_endings import Ending, cutting_server, truncations
 
 from fennelfork import ManualTime, Verdict, manual_clock
 from fennelfork.config import (
@@ -57,6 +58,22 @@
             )
         assert failure.verdict is verdict
 
+    @pytest.mark.parametrize('ending', [Ending.CLOSE, Ending.HALF_CLOSE])
+    @pytest.mark.parametrize('status', [b'200 OK', b'400 Bad Request'])
+    def test_truncated_response_may_have_run(
+        self, status: bytes, ending: Ending
+    ) -> None:
+        """Guards against a refusal that is believed before it is complete."""
+        chunked = b'Transfer-Encoding: chunked\r\n\r\n02\r\n{}\r\n00\r\n\r\n'
+        whole = b'HTTP/1.1 %s\r\n%s' % (status, chunked)
+        with cutting_server() as server:
+            server.ending = ending
+            client = key_value_client(str(server.address))
+            for truncated in truncations(whole):
+                server.response = truncated
+                failure = client.call('/', {}).failure()
+                assert failure.verdict is Verdict.MAY_HAVE_RUN, server.response
+
     def test_refused_connection_is_not_run(self) -> None:
         """A request over a refused connection was not sent."""
         failure = key_value_client(unused_address()).call('/', {}).failure()
--- a/packages/fennelfork-daemon/tests/test_membership_vm_list.py
+++ b/packages/fennelfork-daemon/tests/test_membership_vm_list.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from daemon_builders_endings import cutting_server, truncations
 from daemon_builders_fleet import build_member, build_settings, serve_response
 
 from fennelfork import blackboard
@@ -78,6 +79,19 @@
         assert _seeds(reader) == {'vm-9'}
         assert reader._schedule.failures == 1
 
+    def test_truncated_list_keeps_seeds(self) -> None:
+        """Guards against a list that is believed before it is complete."""
+        body = json.dumps({'vms': [_VM]}).encode()
+        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+        whole = b'%s%x\r\n%s\r\n00\r\n\r\n' % (head, len(body), body)
+        with cutting_server() as server:
+            reader = _reader(str(server.address))
+            reader._controller.set_seeds([build_member('vm-9')])
+            for truncated in truncations(whole):
+                server.response = truncated
+                reader.read()
+                assert _seeds(reader) == {'vm-9'}, server.response
+
     def test_unreachable_list_keeps_member_alive(self) -> None:
         """An unreachable VM list counts as a failed read."""
         reader = _reader('127.0.0.1:1')
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -11,6 +11,7 @@
 import attrs
 import pytest
 import structlog
+from daemon_builders_endings import cutting_server
 from daemon_builders_routes import (
     FakeRelays,
     FakeStore,
@@ -74,12 +75,11 @@
         listener = ThreadingHTTPServer(('127.0.0.1', 0), handler)
         threading.Thread(target=listener.serve_forever, daemon=True).start()
         self.servers.append(listener)
-        port = listener.server_address[1]
-        registered = server(
-            f'i-{port}',
-            service=service,
-            address=f'127.0.0.1:{port}',
-        )
+        self.register(f'127.0.0.1:{listener.server_address[1]}', service)
+
+    def register(self, address: str, service: str) -> None:
+        """Register the backend server at an address."""
+        registered = server(f'i-{address}', service=service, address=address)
         self._apply_update(ServerUpdate(server=registered))
 
     def send_request(
@@ -316,6 +316,58 @@
         assert daemon.log_lines()[-1]['event'] == 'defect'
 
 
+class TestTruncatedResponses:
+    """Responses that end within their headers, after the signature.
+
+    Guards against a merged answer that lacks a part and reports none missing.
+    """
+
+    head = b'HTTP/1.1 200 OK\r\nX-Server-Stamp: 3e1b\r\nContent-Length: 16\r\n'
+
+    @pytest.mark.parametrize('end', [len(head), len(head) - 2, 38])
+    def test_part_is_missing(self, daemon: Daemon, end: int) -> None:
+        """The answer names the part as missing, without its signature."""
+        daemon.configure(_fan_out_route('a', 'b'))
+        daemon.add_server(b'2' * 16, 'b')
+        with cutting_server() as truncating:
+            truncating.response = self.head[:end]
+            daemon.register(str(truncating.address), 'a')
+            status, headers, body = daemon.send_request()
+        assert (status, body) == (200, b'2' * 16)
+        assert headers['X-Parts-Missing'] == '1'
+        assert headers['X-Part-Stamps'] == 's'
+        assert 'IncompleteMessage' in daemon.log.getvalue()
+
+    def test_part_is_requested_elsewhere(self, daemon: Daemon) -> None:
+        """Another server of the service completes the answer."""
+        daemon.configure(_fan_out_route('a', 'b'))
+        daemon.add_server(b'2' * 16, 'b')
+        daemon.add_server(b'1' * 16, 'a')
+        # The retry budget is a share of earlier requests.
+        for _ in range(20):
+            daemon.send_request()
+        with cutting_server() as truncating:
+            truncating.response = self.head
+            daemon.register(str(truncating.address), 'a')
+            answers = [daemon.send_request() for _ in range(8)]
+        whole = {(status, body) for status, _, body in answers}
+        assert whole == {(200, b'2' * 16 + b'1' * 16)}
+        assert 'IncompleteMessage' in daemon.log.getvalue()
+
+    @pytest.mark.parametrize('status', [b'200 OK', b'503 Busy'])
+    def test_non_idempotent_request_may_have_run(
+        self, daemon: Daemon, status: bytes
+    ) -> None:
+        """The caller gets neither a success nor a promise of no run."""
+        daemon.configure(route(RouteType='unsafe'))
+        with cutting_server() as truncating:
+            truncating.response = (
+                b'HTTP/1.1 %s\r\nX-Server-Stamp: 3\r\n' % status
+            )
+            daemon.register(str(truncating.address), 'archive')
+            assert daemon.send_request()[0] == 502
+
+
 class TestBodies:
     """Forwarding and refusal of request bodies."""
 
