A request that ends early is refused and never runs

Cause: the parser of the standard library takes the end of the connection for the empty line after the headers, and a part of a line for the whole line; eventlet reads a reset as the end. Without Content-Length there is no body to check. Sizes of chunks (0 of 05) and missing trailers ended a body likewise.

Change: requests are read with the reader that answers of backend servers are read with already, so the end of the connection within a request line, headers, sizes of chunks or trailers is an error. It covers each API of a daemon, since all are served by serve_wsgi. The caller, if it can still read, gets 400 and not_run. What is refused while it is read has a request_refused line now; before there was none, so that a cut request could not be told from none at all.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -1,13 +1,17 @@
 """HTTP connections with limits on size and time."""
 
+import contextlib
+import functools
 import http
+from collections.abc import Callable
 from typing import Any, BinaryIO, Final, cast
 
 import attrs
 from eventlet import Timeout, wsgi
 from eventlet.green import socket
 
-from fennelfork import FailureCode, not_run
+from fennelfork import Failure, FailureCode, not_run
+from fennelfork_daemon._message_reader import IncompleteMessage, MessageReader
 from fennelfork_daemon.http._problem import ProblemReply, problem_reply
 from fennelfork_daemon.http._wsgi_writer import BoundedWriter
 
@@ -20,6 +24,9 @@
 _LINGER_BYTES: Final = 1_048_576
 _CHUNK_BYTES: Final = 65_536
 
+# Called with the reason of each request that is refused before it is complete.
+OnRefusal = Callable[[Failure], None]
+
 
 @attrs.define(kw_only=True)
 class ConnectionLimits:
@@ -49,11 +56,13 @@
     """
 
     limits: ConnectionLimits
+    on_refusal: OnRefusal
     _has_served: bool = False
 
     def setup(self) -> None:
-        """Prepare the connection with a timeout for writing answers."""
+        """Prepare the connection, with a timeout for writing answers."""
         super().setup()
+        self.rfile = MessageReader(self.rfile.detach())
         self.wfile = BoundedWriter(
             target=self.wfile,
             connection=self.connection,
@@ -77,6 +86,9 @@
                     f'the headers exceed {self.limits.header_bytes} bytes',
                 )
                 return False
+            except IncompleteMessage as error:
+                self.send_error(http.HTTPStatus.BAD_REQUEST, str(error))
+                return False
         self.send_error(
             http.HTTPStatus.REQUEST_TIMEOUT,
             'the headers did not arrive within '
@@ -93,9 +105,12 @@
         """Answer with a problem document and close the connection."""
         detail = message or http.HTTPStatus(code).phrase
         failure = not_run(FailureCode.BAD_REQUEST, detail)
+        self.on_refusal(failure)
         reply = problem_reply(failure, None, status=int(code))
-        self.wfile.write(_raw_response(reply))
-        self.wfile.flush()
+        # The client may have left, which changes nothing about the refusal.
+        with contextlib.suppress(OSError):
+            self.wfile.write(_raw_response(reply))
+            self.wfile.flush()
         self._close_after_reply()
 
     def get_environ(self) -> dict[str, Any]:
@@ -139,8 +154,12 @@
 
     def _read_request_line(self) -> bytes:
         timeout_s = self.limits.idle_ms / _MS_PER_SECOND
+        self.rfile.start_message()
         with Timeout(timeout_s, exception=False):
-            return super()._read_request_line() or b''
+            try:
+                return super()._read_request_line() or b''
+            except IncompleteMessage as error:
+                self.send_error(http.HTTPStatus.BAD_REQUEST, str(error))
         return b''
 
     def _close_after_reply(self) -> None:
@@ -164,14 +183,22 @@
         return line
 
 
-def bounded_protocol(limits: ConnectionLimits) -> type[BoundedProtocol]:
+def bounded_protocol(
+    limits: ConnectionLimits, on_refusal: OnRefusal
+) -> type[BoundedProtocol]:
     """Build the protocol class of an HTTP API with these limits."""
+    # A plain function would become a method of the class.
+    members = {'limits': limits, 'on_refusal': functools.partial(on_refusal)}
     return cast(
         'type[BoundedProtocol]',
-        type('_LimitedProtocol', (BoundedProtocol,), {'limits': limits}),
+        type('_LimitedProtocol', (BoundedProtocol,), members),
     )
 
 
+def ignore_refusal(failure: Failure) -> None:
+    """Leave the report of a refused request to its client."""
+
+
 def _shut_down_and_drain(connection: socket.socket) -> None:
     try:
         connection.shutdown(socket.SHUT_WR)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_server.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_server.py
@@ -9,7 +9,9 @@
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.http._wsgi_protocol import (
     ConnectionLimits,
+    OnRefusal,
     bounded_protocol,
+    ignore_refusal,
 )
 
 Application = Callable[..., Any]
@@ -42,6 +44,7 @@
     application: Application,
     limits: ConnectionLimits,
     max_connections: int,
+    on_refusal: OnRefusal = ignore_refusal,
 ) -> None:
     """Serve an HTTP API until the calling green thread is killed.
 
@@ -53,12 +56,14 @@
         application: WSGI application.
         limits: limits of one connection.
         max_connections: maximum number of open connections.
+        on_refusal: function that is called with the reason of each request
+            that is refused before it reaches the application.
     """
     wsgi.server(
         listener,
         application,
         max_size=max_connections,
-        protocol=bounded_protocol(limits),
+        protocol=bounded_protocol(limits, on_refusal),
         keepalive=limits.idle_ms / _MS_PER_SECOND,
         socket_timeout=limits.request_read_ms / _MS_PER_SECOND,
         url_length_limit=_URL_BYTES,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -82,6 +82,10 @@
         start_response(reply.status_line, [*reply.headers, length])
         return [reply.body]
 
+    def report_unread_request(self, failure: Failure) -> None:
+        """Count and log a request that was refused while it was read."""
+        self._refuse(failure, None)
+
     def _answer_or_log_defect(self, environ: dict[str, Any]) -> Answer:
         """Answer a request, with a failure after an unexpected exception."""
         try:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_service.py
@@ -11,6 +11,7 @@
 from fennelfork_daemon._stop_service import StopService
 from fennelfork_daemon._version import VERSION
 from fennelfork_daemon.http._router import Router
+from fennelfork_daemon.http._wsgi_protocol import OnRefusal, ignore_refusal
 from fennelfork_daemon.http._wsgi_server import open_listener, serve_wsgi
 from fennelfork_daemon.logs._decision_log import DecisionLog
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
@@ -88,7 +89,9 @@
         self._spawn_listener(self._settings.entries, applications.entries)
         self._spawn_optional_listeners(applications)
         caller_listener = self._spawn_listener(
-            self._settings.caller, self._counted_application()
+            self._settings.caller,
+            self._counted_application(),
+            self.face.report_unread_request,
         )
         status = self._stop.run_until_stopped(caller_listener)
         self._log.log_decision(Stopped(status=status, cut=self._stop.cut))
@@ -109,7 +112,10 @@
             self._spawn_listener(self._settings.operator, self._operator_api)
 
     def _spawn_listener(
-        self, address: Address, application: Callable[..., Any]
+        self,
+        address: Address,
+        application: Callable[..., Any],
+        on_refusal: OnRefusal = ignore_refusal,
     ) -> Any:
         return eventlet.spawn(
             serve_wsgi,
@@ -117,6 +123,7 @@
             application,
             self.blackboard.limits,
             _MAX_CONNECTIONS,
+            on_refusal,
         )
 
     def _counted_application(self) -> CountedApplication:
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -24,7 +24,7 @@
 from platform_builders import config, environ, item, route
 from returns.result import Failure
 
-from fennelfork import system_clock
+from fennelfork import FailureCode, not_run, system_clock
 from fennelfork.workspaces import Workspace
 from fennelfork_daemon.logs._logs import configure_logs
 from fennelfork_daemon.routes import (
@@ -200,6 +200,15 @@
             limits.release(found)
         assert daemon.send_request()[0] == 200
 
+    def test_unread_request(self, daemon: Daemon) -> None:
+        """A request that ended early has a log line with the reason."""
+        failure = not_run(FailureCode.BAD_REQUEST, 'the headers ended')
+        daemon.service.face.report_unread_request(failure)
+        line = daemon.log_lines()[-1]
+        assert line['event'] == 'request_refused'
+        assert (line['request'], line['code']) == (None, 'bad_request')
+        assert line['reason'] == 'the headers ended'
+
     def test_hopeless_deadline(self, daemon: Daemon) -> None:
         """A request that cannot be answered in time is refused at once."""
         daemon.configure(route())
