A malformed header line no longer hides the headers after it

Callers: a request with a header line that has no name before Content-Length ran without its body, and the body ran as the next request.

Cause: the parser of the standard library takes that line for the start of the body and drops the lines after it; its defect was looked at nowhere.

Change: the defect refuses the request with 400, and makes the response a failure that may have run. Whether the length was lost no longer matters, as nothing is read from a message whose headers were not read whole.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -1,17 +1,24 @@
 """HTTP connections that accept only complete responses."""
 
-from http.client import HTTPResponse
+from http.client import HTTPException, HTTPResponse
 from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
-from fennelfork_daemon._message_reader import MessageReader
+from fennelfork_daemon._message_reader import (
+    MessageReader,
+    has_malformed_line,
+)
+
+
+class MalformedHeaders(HTTPException):
+    """Response with headers that cannot be parsed."""
 
 
 class CompleteResponse(HTTPResponse):
-    """Response that raises `IncompleteMessage` if it ends early.
+    """Response that raises an error if it is incomplete or malformed.
 
     A body without a length ends with the connection.
     """
@@ -21,6 +28,17 @@
         super().__init__(sock, **options)
         self.fp = MessageReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Read the status line and the headers.
+
+        Raises:
+            MalformedHeaders: if a line without a header name hides the headers
+                after it.
+        """
+        super().begin()
+        if has_malformed_line(self.headers):
+            raise MalformedHeaders('a header line is malformed')
+
 
 class CompleteHTTPConnection(HTTPConnection):
     """Connection of urllib3 whose responses are complete."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
@@ -1,6 +1,8 @@
 """Reader of HTTP messages that detects messages which end early."""
 
 import io
+from email.errors import MissingHeaderBodySeparatorDefect
+from email.message import Message
 from typing import Final
 
 from fennelfork_daemon._sockets import ConnectionBroken
@@ -58,5 +60,17 @@
             raise _incomplete_message()
 
 
+def has_malformed_line(headers: Message) -> bool:
+    """Whether a line without a header name ended the parsing of headers.
+
+    The parser of the standard library skips the lines after such a line, which
+    may contain the length of the body.
+    """
+    return any(
+        isinstance(defect, MissingHeaderBodySeparatorDefect)
+        for defect in headers.defects
+    )
+
+
 def _incomplete_message() -> IncompleteMessage:
     return IncompleteMessage('the connection ended within a message')
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -11,7 +11,11 @@
 from eventlet.green import socket
 
 from fennelfork import Failure, FailureCode, not_run
-from fennelfork_daemon._message_reader import IncompleteMessage, MessageReader
+from fennelfork_daemon._message_reader import (
+    IncompleteMessage,
+    MessageReader,
+    has_malformed_line,
+)
 from fennelfork_daemon.http._problem import ProblemReply, problem_reply
 from fennelfork_daemon.http._wsgi_writer import BoundedWriter
 
@@ -79,7 +83,7 @@
         parsed = False
         with Timeout(timeout_s, exception=False):
             try:
-                return super().parse_request() and self._has_clear_length()
+                return super().parse_request() and self._has_clear_headers()
             except wsgi.HeadersTooLarge:
                 self.send_error(
                     http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -135,6 +139,15 @@
                 _shut_down_and_drain(self.connection)
         super().finish()
 
+    def _has_clear_headers(self) -> bool:
+        """Refuse a request with a malformed header line or unclear length."""
+        if has_malformed_line(self.headers):
+            self.send_error(
+                http.HTTPStatus.BAD_REQUEST, 'a header line is malformed'
+            )
+            return False
+        return self._has_clear_length()
+
     def _has_clear_length(self) -> bool:
         """Refuse a request with an ambiguous body length."""
         lengths = self.headers.get_all('Content-Length', ())
--- a/packages/fennelfork-daemon/tests/test_backend_endings.py
+++ b/packages/fennelfork-daemon/tests/test_backend_endings.py
@@ -104,6 +104,22 @@
         assert codes == [FailureCode.SHED, FailureCode.UNREACHABLE]
 
 
+class TestMalformedHeaders:
+    """Header lines without a colon, which hide the lines after them."""
+
+    @pytest.mark.parametrize('dropped_bytes', [0, 4])
+    def test_hidden_length_is_a_failure(
+        self, server: CuttingServer, dropped_bytes: int
+    ) -> None:
+        """A body whose length is hidden may be truncated."""
+        head, _, rest = _WITH_LENGTH.partition(b'Content-Length')
+        response = b'%sno header\r\nContent-Length%s' % (head, rest)
+        truncated = response[: len(response) - dropped_bytes]
+        outcome = _exchange(server, truncated)
+        assert not is_successful(outcome)
+        assert outcome.failure().verdict is Verdict.MAY_HAVE_RUN
+
+
 class TestBodyWithoutLength:
     """A response without a length ends with its connection."""
 
--- a/packages/fennelfork-daemon/tests/test_http_endings.py
+++ b/packages/fennelfork-daemon/tests/test_http_endings.py
@@ -159,6 +159,23 @@
         assert len(server.runs) == 1
 
 
+class TestMalformedHeaders:
+    """Header lines without a colon, which hide the lines after them.
+
+    Guards against a body that runs as a request of its own.
+    """
+
+    @pytest.mark.parametrize('line', [b'no header', b'Host : x', b'a\tb: c'])
+    def test_hidden_length(self, server: RecordingServer, line: bytes) -> None:
+        """Neither the request nor its body runs."""
+        head, _, body = _WITH_LENGTH.partition(b'Content-Length')
+        hidden = b'%s%s\r\nContent-Length%s' % (head, line, body)
+        answer = _send(server.port, hidden + _WITHOUT_BODY, Ending.HALF_CLOSE)
+        assert not server.runs
+        assert answer.startswith(b'HTTP/1.1 400 ')
+        assert b'a header line is malformed' in answer
+
+
 class TestAnswer:
     """Answers to callers that can still read."""
 
