A stopping daemon refuses requests that it may have to cut

Callers that used an entry late in a planned stop had their request sent to a backend server and cut without an answer when the daemon exited 5.5 s after SIGTERM, on routes whose requests run at most once too.

Cause: a daemon takes requests for 3.5 s and more after the signal, as long as callers may know its address, and nothing compared the time that is left with the time that a run takes.

Change: a request is refused with 503, not_run and Retry-After 0 if neither its timeout nor twice the longest usual response time of its route fits into the time until requests are aborted. A route without responses has no such time, so only its timeout counts: a cut is worse for a caller than one more connection.

Ruled out: waiting longer (SIGKILL follows at 6 s) and closing the listener sooner (callers may know the address for 3 s).

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -87,6 +87,10 @@
         """Return whether callers should connect to other daemons."""
         return self._stop.is_draining
 
+    def remaining_ms(self) -> float:
+        """Return the time until requests in progress are aborted."""
+        return self._stop.remaining_ms(self._clock.now_ms())
+
     def listen_to_signals(self) -> None:
         """Stop gracefully on SIGTERM or SIGINT, immediately on the second."""
         for signum in _SIGNALS:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -62,18 +62,30 @@
     protection = poison_request_protection(
         base, own_registration, reporter, follower.polling
     )
-    calls = attempt_parts(base, protection)
     reload = SettingsReload(
         settings=settings,
         retry_budgets=base.retry_budgets,
         read_settings=read_settings,
         log=base.log,
     )
+    stop = route_stop(
+        settings,
+        base.clock,
+        own_registration,
+        follower,
+        in_progress,
+        base.log,
+    )
     return RouteService(
         blackboard=base.blackboard,
         entries=RouteEntries(blackboard=base.blackboard, rng=random.Random()),
         settings=settings,
-        face=route_caller_api(base, calls, availability),
+        face=route_caller_api(
+            base,
+            attempt_parts(base, protection),
+            availability,
+            stop.remaining_ms,
+        ),
         operator_api=operator_api(
             base.metrics,
             base.blackboard,
@@ -91,19 +103,12 @@
             reload.run,
             protection.publisher.run,
             lag_monitor(
-                base.clock, base.limits, calls.reporter, base.answer_delays
+                base.clock, base.limits, protection.reporter, base.answer_delays
             ).run,
             load_monitor(base.blackboard, base.clock, base.fleet_reporter).run,
         ),
         pools=base.pools,
-        stop=route_stop(
-            settings,
-            base.clock,
-            own_registration,
-            follower,
-            in_progress,
-            base.log,
-        ),
+        stop=stop,
         reload=reload,
         in_progress=in_progress,
         log=base.log,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
@@ -1,6 +1,7 @@
 """Construction of the caller API."""
 
 import random
+from collections.abc import Callable
 
 from fennelfork.routes import (
     DispatchParts,
@@ -51,6 +52,7 @@
     base: CommonParts,
     parts: AttemptParts,
     availability: StoreAvailability,
+    stop_in_ms: Callable[[], float],
 ) -> RouteCallerApi:
     """Build the caller API of a daemon.
 
@@ -58,6 +60,8 @@
         base: objects that all parts of the daemon share.
         parts: objects that the attempts of all requests share.
         availability: availability of the store.
+        stop_in_ms: function that returns the time until the daemon aborts the
+            requests that run.
     """
     baselines = LatencyBaselines()
     return RouteCallerApi(
@@ -79,6 +83,7 @@
         baselines=baselines,
         limits=base.limits,
         quotas=build_quotas(base, availability),
+        stop_in_ms=stop_in_ms,
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -24,6 +24,7 @@
     LatencyBaselines,
     RefusalReason,
     Route,
+    can_end_before_stop,
     can_meet_deadline,
     urgency_of,
 )
@@ -70,6 +71,7 @@
     _attempt_parts: AttemptParts
     _baselines: LatencyBaselines
     _answer_delays: AnswerDelays
+    _stop_in_ms: Callable[[], float]
 
     def __call__(
         self,
@@ -126,9 +128,9 @@
         admitted = self._attempt_parts.guard.admit(caller_request.fingerprint)
         if not is_successful(admitted):
             return self._refuse(admitted.failure(), caller_request)
-        overload = self._admit(request)
-        if overload is not None:
-            return self._refuse(overload, caller_request)
+        refusal = self._refuse_before_stop(request) or self._admit(request)
+        if refusal is not None:
+            return self._refuse(refusal, caller_request)
         with contextlib.ExitStack() as stack:
             stack.callback(self.limits.release, request.route)
             return self._run_request(
@@ -165,6 +167,27 @@
             )
         return answer
 
+    def _refuse_before_stop(self, request: AuthorizedRequest) -> Failure | None:
+        """Return a failure if the daemon may stop while the request runs.
+
+        The caller can use another daemon at once.
+        """
+        route = request.route
+        baseline = self._baselines.for_route(route)
+        timeout_ms = min(route.timeout_ms, request.left_ms)
+        stop_in_ms = self._stop_in_ms()
+        if can_end_before_stop(baseline, timeout_ms, stop_in_ms):
+            return None
+        self._attempt_parts.reporter.count_overload_refusal(
+            route, RefusalReason.STOP
+        )
+        return not_run(
+            FailureCode.DRAINING,
+            f'the daemon stops in {stop_in_ms:.0f} ms, and requests of this '
+            f'route take up to {min(timeout_ms, baseline.most_ms):.0f} ms',
+            retry_after_ms=0,
+        )
+
     def _admit(self, request: AuthorizedRequest) -> Failure | None:
         """Admit a request, or return the failure if there is no room."""
         route = request.route
--- a/packages/fennelfork/src/fennelfork/_stop.py
+++ b/packages/fennelfork/src/fennelfork/_stop.py
@@ -1,6 +1,7 @@
 """State machine of the graceful shutdown of a daemon."""
 
 import enum
+import math
 from collections.abc import Callable
 from typing import Final
 
@@ -101,6 +102,15 @@
         """Exit status of the process: 0 if no request was aborted, else 1."""
         return 1 if self.aborted_requests else 0
 
+    def remaining_ms(self, now_ms: float) -> float:
+        """Return the time until requests in progress are aborted.
+
+        The time is infinite while the exit of the process is not requested.
+        """
+        if not self._end_requested:
+            return math.inf
+        return max(0, self._end_ms + self._policy.stop_ms - now_ms)
+
     def drain(self, now_ms: float) -> None:
         """Start to drain; requests are still served until `end` is called."""
         if self.phase is StopPhase.SERVING:
--- a/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
+++ b/packages/fennelfork/src/fennelfork/routes/_latency_baseline.py
@@ -1,5 +1,6 @@
 """Latency baselines of routes, and the delays of hedges."""
 
+import math
 from typing import Final
 
 import attrs
@@ -23,6 +24,11 @@
 _DEFAULT_HEDGE_FRACTION: Final = 0.35
 # Quantile of the latencies of a route below which no answer is expected.
 _LEAST_QUANTILE: Final = 0.05
+# Quantile of the latencies of a route above which hardly any answer is expected.
+_MOST_QUANTILE: Final = 0.99
+# Multiple of the mean latency that takes the place of that quantile while there
+# are few responses.
+_MOST_MEANS: Final = 4
 # Initial latency baseline as a fraction of the latency target.
 _DEFAULT_LATENCY_FRACTION: Final = 0.15
 
@@ -70,6 +76,13 @@
             return 0
         return self._latencies.quantile_ms(_LEAST_QUANTILE)
 
+    @property
+    def most_ms(self) -> float:
+        """Latency that hardly any response is above, infinite while unknown."""
+        if self._latencies.has_enough_samples:
+            return self._latencies.quantile_ms(_MOST_QUANTILE)
+        return self._mean.mean_ms * _MOST_MEANS or math.inf
+
     def expected_ms(self, data_centre: str, latency_ratio: float) -> float:
         """Return the expected response time of a server.
 
--- a/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
+++ b/packages/fennelfork/src/fennelfork/routes/_workspace_shares.py
@@ -48,13 +48,14 @@
     `DEADLINE`: the learned latency exceeds the time that the caller has left.
     `LIMIT`: the limit of the services is reached. `WORKSPACE_SHARE`: the share
     of the workspace is. `EARLY_RETURN`: the request returned before the time
-    that its refusal named.
+    that its refusal named. `STOP`: the daemon stops before the request ends.
     """
 
     DEADLINE = 'deadline'
     LIMIT = 'limit'
     WORKSPACE_SHARE = 'workspace_share'
     EARLY_RETURN = 'early_return'
+    STOP = 'stop'
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/tests/test_stop.py
+++ b/packages/fennelfork/tests/test_stop.py
@@ -1,5 +1,7 @@
 """Phases of the graceful stop of a daemon."""
 
+import math
+
 import attrs
 from hypothesis import given
 from hypothesis import strategies as st
@@ -49,6 +51,15 @@
         assert stop.step(_conditions(8200)) is StopPhase.ENDED
         assert stop.exit_status == 0
 
+    def test_remaining_time(self) -> None:
+        """Only a request to exit bounds the time of running requests."""
+        stop = graceful_stop(_POLICY)
+        stop.drain(500)
+        assert stop.remaining_ms(700) == math.inf
+        stop.end(1000)
+        assert stop.remaining_ms(1500) == 59_500
+        assert stop.remaining_ms(90_000) == 0
+
     def test_lingers_for_propagation(self) -> None:
         """The propagation delay of a large fleet extends the linger phase."""
         policy = attrs.evolve(_POLICY, propagation_ms=lambda: 700)
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -3,6 +3,7 @@
 import http
 import io
 import json
+import sys
 import threading
 from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -132,6 +133,8 @@
         listener.shutdown()
         listener.server_close()
     structlog.reset_defaults()
+    # pytest shows the output of a test that failed.
+    sys.stdout.write(log.getvalue())
 
 
 def _add_workspace(caller_request: CallerRequest) -> CallerRequest:
@@ -209,6 +212,25 @@
         assert (line['request'], line['code']) == (None, 'bad_request')
         assert line['reason'] == 'the headers ended'
 
+    def test_stop_before_the_end(self, daemon: Daemon) -> None:
+        """A request that the stop may cut is refused and does not run.
+
+        Guards against a run that is aborted when the daemon exits.
+        """
+        daemon.configure(route(RouteType='unsafe', TimeoutMs=15_000))
+        daemon.add_server(b'whole', 'archive')
+        patient = {'HTTP_X_DEADLINE_MS': '15000'}
+        daemon.service._stop._handle_signal(15, None)
+        status, headers, _ = daemon.send_request(**patient)
+        assert (status, headers['Retry-After']) == (503, '0.000')
+        line = daemon.log_lines()[-1]
+        assert (line['event'], line['code']) == ('request_refused', 'draining')
+        assert 'the daemon stops in' in line['reason']
+        # This request ends by its timeout before the daemon does.
+        assert daemon.send_request()[0] == 200
+        # Its response shows how long the runs of the route take.
+        assert daemon.send_request(**patient)[0] == 200
+
     def test_hopeless_deadline(self, daemon: Daemon) -> None:
         """A request that cannot be answered in time is refused at once."""
         daemon.configure(route())
