A failure of a backend server is neither a part nor a promise of no run

Callers: a signed answer with a status from 300 to 499 counted as a part of a merged answer, its text among the records. A signed 503, 429 or 408 without X-Not-Executed was forwarded, which callers read as "not run", so they sent a request again that may have run, on routes of at most one run too.

Cause: each status below 500 was an answer, for parts and whole answers alike, and only the header was read that says "not run", not the statuses that callers read so.

Change: one table of statuses. A part needs 200 to 299. A 408, 429 or 503 without the header is a failure that may have run: asked elsewhere where that is safe, otherwise 502 without the signature, since a failure with a signature must keep its status.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -25,10 +25,10 @@
     CallerRequest,
     SignedResponse,
 )
+from fennelfork_daemon.routes._response_status import is_answer
 
 _MS_PER_SECOND: Final = 1000
 _MIN_WAIT_MS: Final = 0.5
-_SERVER_ERROR: Final = 500
 
 
 @enum.unique
@@ -117,13 +117,14 @@
             self._handle_failure(attempt, attempt_result.failure())
             return
         response = attempt_result.unwrap()
-        if response.status >= _SERVER_ERROR:
-            self._error_response = response
-            self._handle_failure(attempt, _error_failure(response))
-        else:
+        is_part = is_merged(self.dispatch.route.target)
+        if is_answer(response.status, is_part=is_part):
             now_ms = self._clock.now_ms()
             sends = self.dispatch.on_response(attempt, response, now_ms)
             self._attempts.start_attempts(sends)
+        else:
+            self._error_response = response
+            self._handle_failure(attempt, _error_failure(response))
 
     def _handle_failure(self, attempt: int, failure: Failure) -> None:
         now_ms = self._clock.now_ms()
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -1,6 +1,5 @@
 """Tests of requests through a daemon to backend servers on real sockets."""
 
-import http
 import io
 import json
 import sys
@@ -70,9 +69,10 @@
         update = read_item(item('op/config', tree), system_clock())
         self._apply_update(update)
 
-    def add_server(self, body: bytes, service: str) -> None:
-        """Start and register a backend server that responds with a body."""
-        handler = type('Handler', (_FixedResponseHandler,), {'body': body})
+    def add_server(self, body: bytes, service: str, status: int = 200) -> None:
+        """Start and register a backend server with a fixed response."""
+        members = {'body': body, 'status': status}
+        handler = type('Handler', (_FixedResponseHandler,), members)
         listener = ThreadingHTTPServer(('127.0.0.1', 0), handler)
         threading.Thread(target=listener.serve_forever, daemon=True).start()
         self.servers.append(listener)
@@ -347,6 +347,48 @@
         assert daemon.log_lines()[-1]['event'] == 'defect'
 
 
+class TestFailuresOfServers:
+    """Signed responses that are no success.
+
+    Guards against a failure that counts as a part, and against a promise of no
+    run that the backend server did not give.
+    """
+
+    @pytest.mark.parametrize('status', [302, 404, 409, 429, 500, 503, 504])
+    def test_failure_is_no_part(self, daemon: Daemon, status: int) -> None:
+        """A merged answer lacks the part of a server that failed."""
+        daemon.configure(_fan_out_route('a', 'b'))
+        daemon.add_server(b'9' * 16, 'a', status)
+        daemon.add_server(b'2' * 16, 'b')
+        answered, headers, body = daemon.send_request()
+        assert (answered, body) == (200, b'2' * 16)
+        assert headers['X-Parts-Missing'] == '1'
+
+    @pytest.mark.parametrize('route_type', ['safe', 'unsafe'])
+    @pytest.mark.parametrize(
+        ('status', 'answered'),
+        [
+            (200, 200),
+            (302, 302),
+            (404, 404),
+            (500, 500),
+            (504, 504),
+            (408, 502),
+            (429, 502),
+            (503, 502),
+        ],
+    )
+    def test_whole_answer(
+        self, daemon: Daemon, status: int, answered: int, route_type: str
+    ) -> None:
+        """Only a status that promises no run is replaced."""
+        daemon.configure(route(RouteType=route_type))
+        daemon.add_server(b'failed', 'archive', status)
+        replied, headers, _ = daemon.send_request()
+        assert replied == answered
+        assert ('X-Server-Stamp' in headers) is (status == answered)
+
+
 class TestTruncatedResponses:
     """Responses that end within their headers, after the signature.
 
@@ -465,11 +507,12 @@
     """Responds to every request with the same body."""
 
     body = b''
+    status = 200
     protocol_version = 'HTTP/1.1'
 
     def do_GET(self) -> None:
         """Send a signed response."""
-        self.send_response(http.HTTPStatus.OK)
+        self.send_response(self.status)
         self.send_header('X-Server-Stamp', 's')
         self.send_header('X-Request-Id', self.headers['X-Request-Id'])
         self.send_header('Content-Length', str(len(self.body)))
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -153,6 +153,9 @@
             (response(429, X_Not_Executed='1'), Verdict.NOT_RUN),
             (response(421, X_Instance_Id='i-8'), Verdict.NOT_RUN),
             (response(503), Verdict.MAY_HAVE_RUN),
+            (response(503, X_Server_Stamp='s'), Verdict.MAY_HAVE_RUN),
+            (response(429, X_Server_Stamp='s'), Verdict.MAY_HAVE_RUN),
+            (response(408, X_Server_Stamp='s'), Verdict.MAY_HAVE_RUN),
             (response(200), Verdict.MAY_HAVE_RUN),
             (
                 response(200, X_Server_Stamp='s', Content_Encoding='gzip'),
