A daemon that leaves during a call does not register again

Other daemons named a stopping daemon to callers for up to 3 s after it had left.

Cause: the lease is removed while a renewal may be under way; the renewal finds no lease, and the registration opened another one and wrote the entry again. A lease or an entry that was being written at that moment stayed as well.

Change: the registration looks at the leave after each call: no further lease, no entry, and an entry that was written meanwhile is removed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -121,10 +121,20 @@
             self._create()
 
     def _create(self) -> None:
-        """Open a lease and write the entry of this daemon."""
+        """Open a lease and write the entry of this daemon.
+
+        The daemon may leave during each call; its entry then goes at once.
+        """
+        if self._blackboard.is_leaving:
+            return
         lease = self._own_lease.open()
-        if lease is not None and self._write_entry(lease):
+        if lease is None or self._blackboard.is_leaving:
+            return
+        if self._write_entry(lease):
             self._own_lease.hold(lease)
+        if self._blackboard.is_leaving:
+            self._blackboard.lease_proof.record_lost()
+            self._own_lease.revoke()
 
     def _update_entry(self, lease: int) -> None:
         """Write the entry if the entry in the store is outdated or missing."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -243,6 +243,42 @@
         return Success(True)
 
 
+@attrs.define(kw_only=True)
+class LeavingStore(FakeStore):
+    """Stand-in of the store during one call of which a daemon leaves.
+
+    Attributes:
+        call: name of the call.
+        leave: function that lets the daemon leave.
+    """
+
+    call: str
+    leave: Any = None
+
+    def open_lease(self, ttl_ms: float) -> Result[int, Failure]:
+        """Record a new lease and return its number."""
+        opened = super().open_lease(ttl_ms)
+        self._leave_during('open_lease')
+        return opened
+
+    def renew(self, lease: int) -> Result[bool, Failure]:
+        """Return the next result of a renewal."""
+        renewed = super().renew(lease)
+        self._leave_during('renew')
+        return renewed
+
+    def register(self, member: Member, lease: int) -> Result[bool, Failure]:
+        """Record a registration and return success."""
+        registered = super().register(member, lease)
+        self._leave_during('register')
+        return registered
+
+    def _leave_during(self, call: str) -> None:
+        if call == self.call:
+            self.leave()
+            eventlet.sleep(0)
+
+
 @attrs.define(kw_only=True)
 class FakeRelays:
     """Stand-in of other daemons that pass on updates of the store.
--- a/packages/fennelfork-daemon/tests/test_routes_registration.py
+++ b/packages/fennelfork-daemon/tests/test_routes_registration.py
@@ -12,6 +12,7 @@
 from daemon_builders_routes import (
     STORE_UNAVAILABLE,
     FollowingDaemon,
+    LeavingStore,
     table,
 )
 from returns.result import Failure as Bad
@@ -177,6 +178,34 @@
         assert 'register' not in _kinds(following)[2:]
 
 
+class TestLeaveDuringCalls:
+    """A daemon leaves while a call about its registration is under way.
+
+    Guards against a leaving daemon that registers again, so that callers are
+    sent to it until the new lease expires.
+    """
+
+    def test_renewal(self) -> None:
+        """A renewal that finds no lease any more registers nothing."""
+        leaving = _leaving_daemon('renew')
+        leaving.registration.step()
+        leaving.store.renewals = [Success(False)]
+        leaving.registration.step()
+        assert _kinds(leaving)[2:] == ['renew', 'end_lease']
+
+    def test_new_lease(self) -> None:
+        """A lease that is granted after the leave is not used."""
+        leaving = _leaving_daemon('open_lease')
+        leaving.registration.step()
+        assert _kinds(leaving) == ['open_lease']
+
+    def test_write(self) -> None:
+        """An entry that is written after the leave is removed again."""
+        leaving = _leaving_daemon('register')
+        leaving.registration.step()
+        assert _kinds(leaving) == ['open_lease', 'register', 'end_lease']
+
+
 class TestRestart:
     """All daemons lost power, and their leases have not expired yet."""
 
@@ -286,6 +315,15 @@
     return MemberUpdate(member=daemon.blackboard.local, lease=lease)
 
 
+def _leaving_daemon(call: str) -> FollowingDaemon:
+    """Create a daemon that leaves during a call of the store."""
+    store = LeavingStore(call=call)
+    leaving = FollowingDaemon(store=store)
+    store.leave = leaving.registration.leave
+    leaving.apply_listing(ConfigUpdate(table=table(3)))
+    return leaving
+
+
 def _has_lost_entry(daemon: FollowingDaemon) -> bool:
     return bool(daemon.registration._loss.has_lost(daemon.registration.lease))
 
