A path with slashes at its start is forwarded unchanged

GET //x/y was matched and forwarded as /x/y, so a backend server ran a path that the caller had not sent.

Cause: the request parser of the standard library joins slashes at the start of a path.

Change: the target is taken from the request line as it was sent.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -121,6 +121,8 @@
         """Build the WSGI environment with the keys of this module."""
         is_first = not self._has_served
         self._has_served = True
+        # The standard library joins slashes at the start of the path.
+        self.path = self.requestline.split()[1]
         return super().get_environ() | {
             CLOSE_KEY: self._close_after_reply,
             CONNECTION_KEY: self.connection,
--- a/packages/fennelfork-daemon/tests/test_backend_connection.py
+++ b/packages/fennelfork-daemon/tests/test_backend_connection.py
@@ -12,7 +12,7 @@
 from fennelfork import FailureCode, Verdict
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.backend._connection import backend_connection
-from fennelfork_daemon.backend._request import JsonRequest
+from fennelfork_daemon.backend._request import ForwardRequest, JsonRequest
 
 _TIMEOUT_S = 20
 _NO_LINGER = struct.pack('ii', 1, 0)
@@ -69,6 +69,21 @@
         assert (response.status, response.body) == (200, b'{}')
         assert server.first_read.endswith(b'{"keys": [1]}')
 
+    def test_target_is_unchanged(self, server: _SingleResponseServer) -> None:
+        """Guards against a path whose leading slashes are joined."""
+        request = ForwardRequest(
+            method='GET',
+            target='//x//y?a=//b',
+            headers=(('Host', 'x'),),
+            body=None,
+            timeout_ms=20_000,
+            connect_ms=1000,
+        )
+        connection = backend_connection(server.address, 1000)
+        connection.open(request.timeout_ms)
+        assert connection.exchange(request).unwrap().body == b'{}'
+        assert server.first_read.startswith(b'GET //x//y?a=//b HTTP/1.1\r\n')
+
     @pytest.mark.parametrize(
         ('response', 'code'),
         [
