Limits of the configuration hold for request lines, pauses and idle time

Cause: the server starts before a configuration is known, and eventlet keeps the timeouts of that moment; the length of the request line was a constant.

Change: each connection applies the limits in force before it waits for a request. A connection that already waits keeps the idle time from before.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -37,7 +37,7 @@
     """Limits of one connection; changes also apply to open connections.
 
     Attributes:
-        header_bytes: maximum size of all headers of a request, without the
+        header_bytes: maximum size of all headers of a request, and of its
             request line.
         request_read_ms: timeout for reading all headers of a request, and
             for writing the answer.
@@ -168,6 +168,7 @@
         return False
 
     def _read_request_line(self) -> bytes:
+        self._apply_limits()
         timeout_s = self.limits.idle_ms / _MS_PER_SECOND
         self.rfile.start_message()
         with Timeout(timeout_s, exception=False):
@@ -177,6 +178,13 @@
                 self.send_error(http.HTTPStatus.BAD_REQUEST, str(error))
         return b''
 
+    def _apply_limits(self) -> None:
+        """Apply limits that may have changed since the server started."""
+        limits = self.limits
+        self.server.keepalive = limits.idle_ms / _MS_PER_SECOND
+        self.server.socket_timeout = limits.request_read_ms / _MS_PER_SECOND
+        self.server.url_length_limit = limits.header_bytes
+
     def _close_after_reply(self) -> None:
         self.close_connection = 1
         self._linger = True
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_server.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_server.py
@@ -17,7 +17,6 @@
 Application = Callable[..., Any]
 
 _BACKLOG: Final = 512
-_URL_BYTES: Final = 4096
 _MS_PER_SECOND: Final = 1000
 
 
@@ -66,7 +65,7 @@
         protocol=bounded_protocol(limits, on_refusal),
         keepalive=limits.idle_ms / _MS_PER_SECOND,
         socket_timeout=limits.request_read_ms / _MS_PER_SECOND,
-        url_length_limit=_URL_BYTES,
+        url_length_limit=limits.header_bytes,
         log_output=False,
         debug=False,
     )
--- a/packages/fennelfork-daemon/tests/test_http_limits.py
+++ b/packages/fennelfork-daemon/tests/test_http_limits.py
@@ -1,6 +1,7 @@
-"""Request targets that a server hands to its application.
+"""Request targets and limits that change while a server runs.
 
-Guards against a request that is changed on its way.
+Guards against a request that is changed on its way, and against limits of the
+configuration that have no effect.
 """
 
 import attrs
@@ -48,9 +49,7 @@
 
 
 def _limits() -> ConnectionLimits:
-    return ConnectionLimits(
-        header_bytes=5000, request_read_ms=100, idle_ms=100
-    )
+    return ConnectionLimits(header_bytes=5000, request_read_ms=100, idle_ms=100)
 
 
 def _answer(environ, start_response):
@@ -72,3 +71,40 @@
         with TargetServer(_limits()) as connection:
             connection.sendall(_request(target))
             assert b'\r\n\r\n%s ' % target.encode() in connection.recv(4096)
+
+
+class TestChangedLimits:
+    """Limits that a configuration raises after the start of the server."""
+
+    def test_long_target(self) -> None:
+        """A request line may be as long as all headers."""
+        limits = _limits()
+        limits.header_bytes = 8000
+        with TargetServer(limits) as connection:
+            connection.sendall(_request(f'/{"x" * 6000}'))
+            assert connection.recv(100).startswith(b'HTTP/1.1 200 ')
+
+    def test_idle_connection(self) -> None:
+        """A connection is kept for the idle time in force."""
+        limits = _limits()
+        with TargetServer(limits) as connection:
+            limits.idle_ms = 5000
+            connection.sendall(_request('/first'))
+            connection.recv(4096)
+            eventlet.sleep(0.3)
+            connection.sendall(_request('/second'))
+            assert b'/second' in connection.recv(4096)
+
+    def test_paused_body(self) -> None:
+        """A body may pause for the reading time in force."""
+        limits = _limits()
+        with TargetServer(limits) as connection:
+            limits.request_read_ms = 5000
+            connection.sendall(_request('/first'))
+            connection.recv(4096)
+            connection.sendall(
+                b'POST /second HTTP/1.1\r\nContent-Length: 2\r\n\r\n'
+            )
+            eventlet.sleep(0.3)
+            connection.sendall(b'{}')
+            assert b'/second {}' in connection.recv(4096)
