--- a/packages/fennelfork-daemon/tests/daemon_builders_endings.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_endings.py
@@ -33,10 +33,12 @@
     Attributes:
         response: bytes of the response.
         ending: what follows the bytes of the response.
+        requests: complete heads of the requests that arrived.
     """
 
     response: bytes = b''
     ending: Ending = Ending.CLOSE
+    requests: list[bytes] = attrs.field(factory=list)
     _listener: socket.socket
     _silent: list[socket.socket] = attrs.field(factory=list)
 
@@ -72,6 +74,7 @@
                 accepted.close()
                 return
             request += received
+        self.requests.append(request)
         accepted.sendall(self.response)
         if self.ending in {Ending.SILENCE, Ending.HALF_CLOSE}:
             self._silent.append(accepted)
