Stop admission: no quantile is computed while the timeout decides

Every request of a serving daemon computed the 99th percentile of its route, though the time until the stop is infinite then. The timeout is compared first; the decisions are the same (test_routes_stop_admission.py passes unchanged).

--- a/packages/fennelfork/src/fennelfork/routes/_stop_admission.py
+++ b/packages/fennelfork/src/fennelfork/routes/_stop_admission.py
@@ -19,4 +19,6 @@
         stop_in_ms: time until the daemon aborts requests; infinite while no
             stop is requested.
     """
-    return min(timeout_ms, _ATTEMPTS * baseline.most_ms) <= stop_in_ms
+    if timeout_ms <= stop_in_ms:
+        return True
+    return _ATTEMPTS * baseline.most_ms <= stop_in_ms
