--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -152,6 +152,8 @@
         # 'busy': each call is answered with 503. 'silent': none is answered.
         self.fault = None
         self.delay_s = delay_s
+        # Rises by one each time that the store comes back from a copy.
+        self.era = 1
         self._next_lease = 1
         self._changed = asyncio.Event()
 
@@ -182,10 +184,32 @@
         """Write a configuration as the operator does."""
         self.put('op/config', json.dumps(tree).encode())
 
+    def copy(self):
+        """Return a copy of all that the store holds."""
+        leases = {lease: ttl_s for lease, (ttl_s, _) in self.leases.items()}
+        return (
+            dict(self.items), self.revision, leases, self._next_lease,
+            list(self.events),
+        )
+
+    def return_from(self, copied):
+        """Come back from a copy; the time of its leases begins anew."""
+        items, self.revision, leases, self._next_lease, events = copied
+        self.items, self.events = dict(items), list(events)
+        self.leases = {
+            lease: (ttl_s, now() + ttl_s) for lease, ttl_s in leases.items()
+        }
+        self.era += 1
+        self.fault = None
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
     async def expire_leases(self):
         """Remove the keys of leases that have run out."""
         while True:
             await asyncio.sleep(0.02)
+            if self.fault == 'away':
+                continue
             for lease, (_ttl, until) in tuple(self.leases.items()):
                 if now() >= until:
                     self._end_lease(lease)
@@ -206,7 +230,7 @@
         if self.fault == 'silent':
             await asyncio.Event().wait()
         await asyncio.sleep(self.delay_s)
-        if self.fault == 'busy':
+        if self.fault in ('busy', 'away'):
             return encode_response(503)
         method, target, _version = start_line.split(' ')
         parts = urlsplit(target)
@@ -220,12 +244,15 @@
         status, reply = await self._call(method, parts.path, query, tree)
         if self.fault == 'silent':
             await asyncio.Event().wait()
-        if self.fault == 'busy':
+        if self.fault in ('busy', 'away'):
             return encode_response(503)
         return encode_response(
             status,
             json.dumps(reply).encode(),
-            (('Content-Type', 'application/json'),),
+            (
+                ('Content-Type', 'application/json'),
+                ('Store-Era', str(self.era)),
+            ),
         )
 
     async def _call(self, method, path, query, tree):
@@ -266,6 +293,8 @@
 
     async def _watch(self, query):
         after = int(query['after'])
+        if after > self.revision:
+            return 410, {}
         until = now() + min(30.0, int(query['WaitMs']) / 1000)
         while True:
             changed = self._changed
