--- a/review/7/case.py
+++ b/review/7/case.py
@@ -114,7 +114,7 @@
             await daemon.kill()
     arrived = {}
     for backend in backends:
-        for at, name, line, *_rest in backend.runs:
+        for at, name, *_rest in backend.runs:
             if name in answers:
                 record(f'run {name} by {backend.instance}', at)
                 arrived.setdefault(name, at)
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -16,7 +16,7 @@
 import tempfile
 import time
 import tomllib
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = 'records.example'
