--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -22,6 +22,8 @@
 HOST = 'records.example'
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 ZONES = ('east-a', 'west-b', 'south-c')
+# All processes that the case has started.
+_STARTED = []
 
 
 def now():
@@ -498,6 +500,7 @@
                 *role['run'].split(), cwd=ROOT, env=environment,
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
             )
+        _STARTED.append(self.process)
 
     def signal(self, number):
         """Send a signal to the process."""
@@ -589,6 +592,21 @@
     }
 
 
+async def end_all(record):
+    """End all tasks but this one, and all processes that were started."""
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+    for process in _STARTED:
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        await process.wait()
+    ended = sum(process.returncode is not None for process in _STARTED)
+    record(f'processes: {len(_STARTED)} started, {ended} have ended')
+
+
 def run_case(folder, main):
     """Run a case and return its exit code.
 
@@ -602,12 +620,20 @@
     scratch = tempfile.mkdtemp(prefix='case-')
 
     async def bounded():
-        async with asyncio.timeout(115):
-            return await main(record, scratch, trouble)
+        loop, this_task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, this_task.cancel)
+        try:
+            async with asyncio.timeout(110):
+                return await main(record, scratch, trouble)
+        finally:
+            await end_all(record)
 
     try:
         held = asyncio.run(bounded())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (
+        CannotRun, TimeoutError, OSError, asyncio.CancelledError
+    ) as error:
         record.say(f'could not run: {error!r}')
         return EXIT_NOT_RUN
     finally:
