Stop: a log line tells why a stopping daemon admitted a request

Three causes are possible: they were admitted before the signal, the daemon aborts too early, or the admission takes them for short. The line request_admitted_in_stop names the request, the time until the abort, its timeout and the 99th percentile of its route.

The decision moves from the caller API to its own class, StopGate; it is unchanged.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
@@ -20,6 +20,7 @@
 from fennelfork_daemon.routes._common_parts import CommonParts
 from fennelfork_daemon.routes._initial_routes import InitialRoutes
 from fennelfork_daemon.routes._request_builder import RequestBuilder
+from fennelfork_daemon.routes._stop_gate import StopGate
 
 
 def attempt_parts(
@@ -83,7 +84,11 @@
         baselines=baselines,
         limits=base.limits,
         quotas=build_quotas(base, availability),
-        stop_in_ms=stop_in_ms,
+        stop_gate=StopGate(
+            baselines=baselines,
+            reporter=parts.reporter,
+            stop_in_ms=stop_in_ms,
+        ),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -24,7 +24,6 @@
     LatencyBaselines,
     RefusalReason,
     Route,
-    can_end_before_stop,
     can_meet_deadline,
     urgency_of,
 )
@@ -46,6 +45,7 @@
 from fennelfork_daemon.routes._ports import CallerCodec
 from fennelfork_daemon.routes._request import RunningRequest
 from fennelfork_daemon.routes._request_builder import RequestBuilder
+from fennelfork_daemon.routes._stop_gate import StopGate
 
 _INTERNAL_ERROR: Final = may_have_run(
     FailureCode.INTERNAL, 'internal error; see the log of the daemon'
@@ -71,7 +71,7 @@
     _attempt_parts: AttemptParts
     _baselines: LatencyBaselines
     _answer_delays: AnswerDelays
-    _stop_in_ms: Callable[[], float]
+    _stop_gate: StopGate
 
     def __call__(
         self,
@@ -128,7 +128,7 @@
         admitted = self._attempt_parts.guard.admit(caller_request.fingerprint)
         if not is_successful(admitted):
             return self._refuse(admitted.failure(), caller_request)
-        refusal = self._refuse_before_stop(request) or self._admit(request)
+        refusal = self._stop_gate.refuse(request) or self._admit(request)
         if refusal is not None:
             return self._refuse(refusal, caller_request)
         with contextlib.ExitStack() as stack:
@@ -167,27 +167,6 @@
             )
         return answer
 
-    def _refuse_before_stop(self, request: AuthorizedRequest) -> Failure | None:
-        """Return a failure if the daemon may stop while the request runs.
-
-        The caller can use another daemon at once.
-        """
-        route = request.route
-        baseline = self._baselines.for_route(route)
-        timeout_ms = min(route.timeout_ms, request.left_ms)
-        stop_in_ms = self._stop_in_ms()
-        if can_end_before_stop(baseline, timeout_ms, stop_in_ms):
-            return None
-        self._attempt_parts.reporter.count_overload_refusal(
-            route, RefusalReason.STOP
-        )
-        return not_run(
-            FailureCode.DRAINING,
-            f'the daemon stops in {stop_in_ms:.0f} ms, and requests of this '
-            f'route take up to {min(timeout_ms, baseline.most_ms):.0f} ms',
-            retry_after_ms=0,
-        )
-
     def _admit(self, request: AuthorizedRequest) -> Failure | None:
         """Admit a request, or return the failure if there is no room."""
         route = request.route
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -40,6 +40,7 @@
     store.UpdateSourceChanged,
     store.RelayFailed,
     requests.RequestRefused,
+    requests.RequestAdmittedInStop,
     requests.RequestEnded,
     process.FellBehind,
     requests.LimitFell,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
@@ -29,6 +29,27 @@
     workspace: str
 
 
+@attrs.frozen(kw_only=True)
+class RequestAdmittedInStop:
+    """A daemon that stops admitted a request.
+
+    Attributes:
+        request: ID of the request.
+        route: name of the route.
+        stop_in_ms: time until the daemon aborts the requests that run.
+        timeout_ms: time after which the request ends in any case.
+        most_ms: latency that hardly any response of the route is above, none
+            while unknown.
+    """
+
+    event: ClassVar[str] = 'request_admitted_in_stop'
+    request: str
+    route: str
+    stop_in_ms: int
+    timeout_ms: int
+    most_ms: int | None
+
+
 @attrs.frozen(kw_only=True)
 class RequestEnded:
     """A request was answered or its caller disconnected.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -69,6 +69,12 @@
             ),
         )
 
+    def log_admission_in_stop(
+        self, admitted: requests.RequestAdmittedInStop
+    ) -> None:
+        """Log a request that was admitted while the daemon stops."""
+        self._log.log_decision(admitted)
+
     def count_overload_refusal(
         self, route: Route, reason: RefusalReason
     ) -> None:
