Stop: earlier runs no longer bound a request that arrives late in a stop

Cause: can_end_before_stop admitted a request if twice the 99th percentile of the earlier latencies of its route ended before the abort. Earlier runs do not bound the next one.

Why this works: only the timeout, the smaller of the caller's and the route's, bounds a run. From 2.75 s after the signal on nothing else admits a request, on all routes; the refusal promises that it has not run, and another daemon runs it at once. In the first 2.75 s the estimate stays: those requests have 2.7 s at least, and a refusal would cost each short one a connection.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_stop_service.py
@@ -14,6 +14,7 @@
     StopConditions,
     StopPhase,
     StopPolicy,
+    StopTimes,
     graceful_stop,
 )
 from fennelfork_daemon._in_progress import InProgress
@@ -87,9 +88,9 @@
         """Return whether callers should connect to other daemons."""
         return self._stop.is_draining
 
-    def remaining_ms(self) -> float:
-        """Return the time until requests in progress are aborted."""
-        return self._stop.remaining_ms(self._clock.now_ms())
+    def times(self) -> StopTimes:
+        """Return the time that is left for requests."""
+        return self._stop.times(self._clock.now_ms())
 
     def listen_to_signals(self) -> None:
         """Stop gracefully on SIGTERM or SIGINT, immediately on the second."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -84,7 +84,7 @@
             base,
             attempt_parts(base, protection),
             availability,
-            stop.remaining_ms,
+            stop.times,
         ),
         operator_api=operator_api(
             base.metrics,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_caller_api.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from fennelfork import StopTimes
 from fennelfork.routes import (
     DispatchParts,
     Distances,
@@ -53,7 +54,7 @@
     base: CommonParts,
     parts: AttemptParts,
     availability: StoreAvailability,
-    stop_in_ms: Callable[[], float],
+    stop_times: Callable[[], StopTimes],
 ) -> RouteCallerApi:
     """Build the caller API of a daemon.
 
@@ -61,8 +62,8 @@
         base: objects that all parts of the daemon share.
         parts: objects that the attempts of all requests share.
         availability: availability of the store.
-        stop_in_ms: function that returns the time until the daemon aborts the
-            requests that run.
+        stop_times: function that returns the time that the daemon has left
+            for requests.
     """
     baselines = LatencyBaselines()
     return RouteCallerApi(
@@ -87,7 +88,7 @@
         stop_gate=StopGate(
             baselines=baselines,
             reporter=parts.reporter,
-            stop_in_ms=stop_in_ms,
+            stop_times=stop_times,
         ),
     )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -36,7 +36,6 @@
 )
 from fennelfork_daemon.routes._body import read_body
 from fennelfork_daemon.routes._caller_request import CallerRequest
-from fennelfork_daemon.routes._caller_way import request_times
 from fennelfork_daemon.routes._disconnect_watch import disconnect_watch
 from fennelfork_daemon.routes._initial_routes import (
     INITIAL_LIMITS,
@@ -137,9 +136,7 @@
                 environ,
                 caller_request,
                 self._builder.build(
-                    request,
-                    request_times(environ, request, received_ms),
-                    admitted.unwrap(),
+                    environ, request, received_ms, admitted.unwrap()
                 ),
                 received_ms,
             )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 from eventlet.queue import LightQueue
@@ -20,6 +21,7 @@
 from fennelfork_daemon.routes._attempt_runner import AttemptParts, AttemptRunner
 from fennelfork_daemon.routes._authorization import AuthorizedRequest
 from fennelfork_daemon.routes._caller_request import SignedResponse
+from fennelfork_daemon.routes._caller_way import request_times
 from fennelfork_daemon.routes._request import RunningRequest
 
 
@@ -36,18 +38,21 @@
 
     def build(
         self,
+        environ: dict[str, Any],
         request: AuthorizedRequest,
-        times: RequestTimes,
+        received_ms: float,
         suspect_services: frozenset[str],
     ) -> RunningRequest:
         """Build a request that has not sent any attempt yet.
 
         Args:
+            environ: WSGI environment of the request.
             request: request that may run.
-            times: times of the request.
+            received_ms: time at which the request was received.
             suspect_services: services whose servers crashed while they ran the
                 same request.
         """
+        times = request_times(environ, request, received_ms)
         dispatched = self._dispatch(request, times, suspect_services)
         queue = LightQueue()
         attempts = AttemptRunner(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -18,6 +18,9 @@
 _MAX_TTL_FACTOR: Final = 3
 # During a store outage the lease expires instead.
 _ANNOUNCEMENT_TIMEOUT_MS: Final = 700.0
+# Callers may expect each request that they send 3 s after the signal or later to
+# be answered. The difference is for the delays of the signal and the request.
+_ESTIMATE_MS: Final = 2750.0
 # Lets the process exit before the supervisor kills it.
 _STOP_MARGIN_MS: Final = 500.0
 
@@ -64,6 +67,7 @@
         entry_ttl_ms=_MAX_TTL_FACTOR * ENTRY_TTL_MS,
         stop_ms=settings.stop_ms - _STOP_MARGIN_MS,
         announce_ms=_ANNOUNCEMENT_TIMEOUT_MS,
+        estimate_ms=_ESTIMATE_MS,
         # A supervisor may send its signal again and kills the process itself.
         repeat_forces_end=False,
         # Other daemons return this daemon to callers until their next watch.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop_gate.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop_gate.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from fennelfork import Failure, FailureCode, not_run
+from fennelfork import Failure, FailureCode, StopTimes, not_run
 from fennelfork.routes import (
     LatencyBaseline,
     LatencyBaselines,
@@ -23,19 +23,20 @@
 
     _baselines: LatencyBaselines
     _reporter: RequestReporter
-    _stop_in_ms: Callable[[], float]
+    _stop_times: Callable[[], StopTimes]
 
     def refuse(self, request: AuthorizedRequest) -> Failure | None:
         """Return a failure if the daemon may stop while the request runs.
 
         The caller can use another daemon at once.
         """
-        stop_in_ms = self._stop_in_ms()
+        times = self._stop_times()
+        stop_in_ms = times.abort_in_ms
         if stop_in_ms == math.inf:
             return None
         baseline = self._baselines.for_route(request.route)
         timeout_ms = min(request.route.timeout_ms, request.left_ms)
-        if can_end_before_stop(baseline, timeout_ms, stop_in_ms):
+        if can_end_before_stop(baseline, timeout_ms, times):
             self._reporter.log_admission_in_stop(
                 RequestAdmittedInStop(
                     request=request.caller_request.request_id,
@@ -49,8 +50,8 @@
         self._reporter.count_overload_refusal(request.route, RefusalReason.STOP)
         return not_run(
             FailureCode.DRAINING,
-            f'the daemon stops in {stop_in_ms:.0f} ms, and requests of this '
-            f'route take up to {min(timeout_ms, baseline.most_ms):.0f} ms',
+            f'the daemon stops in {stop_in_ms:.0f} ms, and the request may '
+            f'take up to {timeout_ms:.0f} ms',
             retry_after_ms=0,
         )
 
--- a/packages/fennelfork/src/fennelfork/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/__init__.pyi
@@ -13,6 +13,7 @@
 from ._stop import StopConditions as StopConditions
 from ._stop import StopPhase as StopPhase
 from ._stop import StopPolicy as StopPolicy
+from ._stop import StopTimes as StopTimes
 from ._stop import graceful_stop as graceful_stop
 from ._verdict import Failure as Failure
 from ._verdict import FailureCode as FailureCode
--- a/packages/fennelfork/src/fennelfork/_stop.py
+++ b/packages/fennelfork/src/fennelfork/_stop.py
@@ -35,6 +35,22 @@
     return 0
 
 
+@attrs.frozen(kw_only=True)
+class StopTimes:
+    """Time that a daemon has left for requests.
+
+    Both are infinite while the exit of the process is not requested.
+
+    Attributes:
+        abort_in_ms: time until requests in progress are aborted.
+        estimate_in_ms: time in which a request may be admitted that ends
+            before the abort only by its expected latency.
+    """
+
+    abort_in_ms: float = math.inf
+    estimate_in_ms: float = math.inf
+
+
 @attrs.frozen(kw_only=True)
 class StopPolicy:
     """Time limits of a graceful shutdown.
@@ -46,6 +62,9 @@
         announce_ms: timeout of the announcement to the members.
         repeat_forces_end: whether a second request to terminate
             aborts the requests in progress, as for an interactive interrupt.
+        estimate_ms: time after the request to exit in which a request may be
+            admitted by its expected latency; later ones need a timeout that
+            ends before the abort.
         propagation_ms: function that returns the time other daemons may need
             to learn of the leave, beyond a margin of half a second; called
             when the announcement is complete.
@@ -55,6 +74,7 @@
     stop_ms: float
     announce_ms: float = 5000
     repeat_forces_end: bool = True
+    estimate_ms: float = math.inf
     propagation_ms: Callable[[], float] = _no_delay
 
 
@@ -102,14 +122,15 @@
         """Exit status of the process: 0 if no request was aborted, else 1."""
         return 1 if self.aborted_requests else 0
 
-    def remaining_ms(self, now_ms: float) -> float:
-        """Return the time until requests in progress are aborted.
-
-        The time is infinite while the exit of the process is not requested.
-        """
+    def times(self, now_ms: float) -> StopTimes:
+        """Return the time that is left for requests."""
         if not self._end_requested:
-            return math.inf
-        return max(0, self._end_ms + self._policy.stop_ms - now_ms)
+            return StopTimes()
+        since_ms = now_ms - self._end_ms
+        return StopTimes(
+            abort_in_ms=max(0, self._policy.stop_ms - since_ms),
+            estimate_in_ms=max(0, self._policy.estimate_ms - since_ms),
+        )
 
     def drain(self, now_ms: float) -> None:
         """Start to drain; requests are still served until `end` is called."""
--- a/packages/fennelfork/tests/test_routes_stop_admission.py
+++ b/packages/fennelfork/tests/test_routes_stop_admission.py
@@ -4,13 +4,13 @@
 refusal of a request that would have ended in time.
 """
 
-import math
 from itertools import repeat
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fennelfork import StopTimes
 from fennelfork.routes import can_end_before_stop
 from fennelfork.routes._latency_baseline import (
     LatencyBaseline,
@@ -29,36 +29,61 @@
     return baseline
 
 
+def _early(abort_in_ms: float) -> StopTimes:
+    return StopTimes(abort_in_ms=abort_in_ms, estimate_in_ms=1)
+
+
+def _late(abort_in_ms: float) -> StopTimes:
+    return StopTimes(abort_in_ms=abort_in_ms, estimate_in_ms=0)
+
+
 class TestAdmission:
     """Decisions with few and many observed responses."""
 
-    @pytest.mark.parametrize(
-        'stop_in_ms', [0, 500, _LEAST_LEFT_MS, 5500, math.inf]
-    )
-    def test_unknown_latency(self, stop_in_ms: float) -> None:
+    @pytest.mark.parametrize('abort_in_ms', [0, 500, _LEAST_LEFT_MS, 5500])
+    def test_unknown_latency(self, abort_in_ms: float) -> None:
         """Without responses, only the timeout bounds a run."""
         baseline = _baseline()
-        assert can_end_before_stop(baseline, stop_in_ms, stop_in_ms)
-        is_serving = stop_in_ms == math.inf
-        admitted = can_end_before_stop(baseline, _TIMEOUT_MS, stop_in_ms)
-        assert admitted is is_serving
+        for times in (_early(abort_in_ms), _late(abort_in_ms)):
+            assert can_end_before_stop(baseline, abort_in_ms, times)
+            assert not can_end_before_stop(baseline, _TIMEOUT_MS, times)
+        assert can_end_before_stop(baseline, _TIMEOUT_MS, StopTimes())
 
     @pytest.mark.parametrize('count', [1, 10, 200])
     def test_short_runs_are_admitted(self, count: int) -> None:
-        """Runs of 0.1 s end before any stop that still takes requests."""
+        """Early in a stop, runs of 0.1 s are expected to end in time."""
         baseline = _baseline(*repeat(100.0, count))
-        assert can_end_before_stop(baseline, _TIMEOUT_MS, _LEAST_LEFT_MS)
+        times = _early(_LEAST_LEFT_MS)
+        assert can_end_before_stop(baseline, _TIMEOUT_MS, times)
 
     @pytest.mark.parametrize('count', [1, 10, 200])
     def test_long_runs_are_refused(self, count: int) -> None:
         """Runs of 2.8 s do not end within 2.5 s."""
         baseline = _baseline(*repeat(2800.0, count))
-        assert not can_end_before_stop(baseline, _TIMEOUT_MS, 2500)
+        assert not can_end_before_stop(baseline, _TIMEOUT_MS, _early(2500))
 
     def test_rare_long_runs_are_considered(self) -> None:
         """The longest of many runs decide, not the usual ones."""
         baseline = _baseline(*repeat(100.0, 190), *repeat(2000.0, 10))
-        assert not can_end_before_stop(baseline, _TIMEOUT_MS, _LEAST_LEFT_MS)
+        times = _early(_LEAST_LEFT_MS)
+        assert not can_end_before_stop(baseline, _TIMEOUT_MS, times)
+
+    @given(
+        latencies_ms=st.lists(st.floats(1, 5000), max_size=80),
+        timeout_ms=st.floats(1, 20_000),
+        abort_in_ms=st.floats(0, 20_000),
+    )
+    def test_earlier_runs_do_not_bound_late_ones(
+        self, latencies_ms: list[float], timeout_ms: float, abort_in_ms: float
+    ) -> None:
+        """Late in a stop, exactly what the timeout bounds is admitted.
+
+        Guards against a run that is cut since earlier runs were short.
+        """
+        admitted = can_end_before_stop(
+            _baseline(*latencies_ms), timeout_ms, _late(abort_in_ms)
+        )
+        assert admitted is (timeout_ms <= abort_in_ms)
 
     @given(
         latencies_ms=st.lists(st.floats(1, 5000), max_size=80),
@@ -69,4 +94,4 @@
     ) -> None:
         """A daemon that does not stop refuses nothing."""
         baseline = _baseline(*latencies_ms)
-        assert can_end_before_stop(baseline, timeout_ms, math.inf)
+        assert can_end_before_stop(baseline, timeout_ms, StopTimes())
--- a/packages/fennelfork/tests/test_stop.py
+++ b/packages/fennelfork/tests/test_stop.py
@@ -1,12 +1,16 @@
 """Phases of the graceful stop of a daemon."""
 
-import math
-
 import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fennelfork import StopConditions, StopPhase, StopPolicy, graceful_stop
+from fennelfork import (
+    StopConditions,
+    StopPhase,
+    StopPolicy,
+    StopTimes,
+    graceful_stop,
+)
 
 _POLICY = StopPolicy(entry_ttl_ms=5000, stop_ms=60_000, announce_ms=3000)
 
@@ -53,12 +57,14 @@
 
     def test_remaining_time(self) -> None:
         """Only a request to exit bounds the time of running requests."""
-        stop = graceful_stop(_POLICY)
+        stop = graceful_stop(attrs.evolve(_POLICY, estimate_ms=3000))
         stop.drain(500)
-        assert stop.remaining_ms(700) == math.inf
+        assert stop.times(700) == StopTimes()
         stop.end(1000)
-        assert stop.remaining_ms(1500) == 59_500
-        assert stop.remaining_ms(90_000) == 0
+        assert stop.times(1500) == StopTimes(
+            abort_in_ms=59_500, estimate_in_ms=2500
+        )
+        assert stop.times(90_000) == StopTimes(abort_in_ms=0, estimate_in_ms=0)
 
     def test_lingers_for_propagation(self) -> None:
         """The propagation delay of a large fleet extends the linger phase."""
