Quota: a changed limit grants nothing that the last window has used

Cause: PermitBucket.change_limits clamped the level when the capacity fell and added the difference of the capacities when it rose. The clamp forgets what has been used.

The same cause on related paths: rate up while the burst falls and the reverse; a rise in the first window of a new owner; a workspace that is taken out and comes back with other limits.

Why this works: an owner keeps the permits that may have been used since each quarter of a second of the last window. What is added, by a rise or after the first window, is limited to what the largest bound of the limits in force leaves of each such window; the level may be negative. A burst that has not been used is still granted at once.

--- a/packages/fennelfork/src/fennelfork/workspaces/_permit_bucket.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_permit_bucket.py
@@ -1,9 +1,12 @@
 """Permits of one workspace at its owner."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from fennelfork.workspaces._permits import PermitGrant, PermitNeed
 from fennelfork.workspaces._quota_policy import HELD_MS, OwnerLimits
+from fennelfork.workspaces._recent_permits import RecentPermits
 
 
 @attrs.frozen(kw_only=True)
@@ -14,6 +17,14 @@
     until_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class FormerLimits:
+    """Limits of the owner that were in force until a time."""
+
+    limits: OwnerLimits
+    until_ms: float
+
+
 @attrs.define(kw_only=True)
 class PermitBucket:
     """Token bucket that counts the permits in advance at other daemons.
@@ -23,6 +34,11 @@
     permit in advance leaves the count when its holder reports its use, returns
     the permit, or the permit expires.
 
+    Limits may change at any time. The bucket then grants no more than what the
+    largest limits of the last window leave of that window: permits that were
+    used under other limits count. The level is negative while too many have
+    been used for the limits in force.
+
     Attributes:
         limits: limits of the owner.
         tenure_ms: time from which the owner owns the workspace.
@@ -31,6 +47,8 @@
     limits: OwnerLimits
     tenure_ms: float
     _refilled_ms: float
+    _recent: RecentPermits
+    _former: list[FormerLimits] = attrs.field(factory=list)
     _has_initial: bool = False
     _has_spare: bool = False
     _level: float = 0
@@ -43,6 +61,7 @@
         self._refill(now_ms)
         granted = max(0, min(need.needed, int(self._level)))
         self._level -= granted
+        self._recent.record(granted)
         missing = need.needed - granted
         return PermitGrant(
             workspace=need.workspace,
@@ -60,9 +79,13 @@
         self._refill(now_ms)
         counted = self._count_of(holder)
         self._held.pop(holder, None)
-        self._level += max(0, min(need.returned, counted - need.held))
+        returned = max(0, min(need.returned, counted - need.held))
+        self._level += returned
         extra = self._extra(need, now_ms)
         self._level -= extra
+        # Permits of a previous owner have not been granted by this bucket.
+        foreign = max(0, need.held - counted)
+        self._recent.record(extra + foreign - returned)
         total = need.held + extra
         if total:
             until_ms = now_ms + HELD_MS
@@ -71,14 +94,19 @@
         return total
 
     def change_limits(self, limits: OwnerLimits, now_ms: float) -> None:
-        """Apply changed limits: a lower one at once, a higher one as well."""
+        """Apply changed limits: a lower one at once, a higher one as well.
+
+        A new owner gains nothing by a higher limit in its first window, which
+        may contain requests of the previous owner.
+        """
         self._refill(now_ms)
         raised = limits.capacity - self.limits.capacity
         if not self._has_spare:
             raised -= limits.spare - self.limits.spare
-        self._level += max(0, raised)
+        self._former.append(FormerLimits(limits=self.limits, until_ms=now_ms))
         self.limits = limits
-        self._clamp()
+        self._add(max(0, raised) if self._has_initial else 0, now_ms)
+        self._level = min(self._level, self._room(now_ms))
 
     def _extra(self, need: PermitNeed, now_ms: float) -> int:
         """Return how many more permits a holder may have in advance.
@@ -103,6 +131,7 @@
         return 0 if held is None else held.count
 
     def _refill(self, now_ms: float) -> None:
+        self._recent.advance(now_ms, self._outstanding)
         elapsed_ms = max(0, now_ms - self._refilled_ms)
         self._refilled_ms = max(self._refilled_ms, now_ms)
         self._level += elapsed_ms * self.limits.rate_per_ms
@@ -125,31 +154,65 @@
         tenure_ms = now_ms - self.tenure_ms
         if not self._has_initial and tenure_ms >= self.limits.window_ms:
             self._has_initial = True
-            self._level += self.limits.initial
-            self._clamp()
+            self._add(self.limits.initial, now_ms)
         if not self._has_spare and tenure_ms >= HELD_MS + self.limits.window_ms:
             self._has_spare = True
-            self._level += self.limits.spare
+            self._add(self.limits.spare, now_ms)
+
+    def _add(self, count: float, now_ms: float) -> None:
+        """Add permits, as far as the recent window has room for them."""
+        room = self._room(now_ms)
+        self._level = max(self._level, min(self._level + count, room))
+        self._clamp()
+
+    def _room(self, now_ms: float) -> float:
+        """Return the permits that no window from a recent moment is short of.
+
+        The largest limits in force in a window bound it.
+        """
+        oldest_ms = now_ms - self._recent.span_ms
+        self._former = [
+            former for former in self._former if former.until_ms >= oldest_ms
+        ]
+        bounds = (former.limits.max_in_window for former in self._former)
+        bound = max(self.limits.max_in_window, *bounds, 0)
+        return bound - self._recent.most_in_window(
+            self.limits.rate_per_ms, now_ms
+        )
 
     def _clamp(self) -> None:
         """Limit the level to what is not outstanding or withheld."""
         allowed = self.limits.capacity - self._outstanding
         if not self._has_spare:
             allowed -= self.limits.spare
-        self._level = max(0, min(self._level, allowed))
+        self._level = min(self._level, max(0, allowed))
 
     def _wait_ms(self, wanted: int) -> float:
         return max(0, wanted - self._level) / self.limits.rate_per_ms
 
 
-def permit_bucket(limits: OwnerLimits, tenure_ms: float) -> PermitBucket:
+def permit_bucket(
+    limits: OwnerLimits,
+    tenure_ms: float,
+    former: Iterable[FormerLimits] = (),
+) -> PermitBucket:
     """Build the bucket of an owner that has granted nothing so far.
 
     Args:
         limits: limits of the owner.
         tenure_ms: time from which this daemon is the only owner; the bucket is
             empty at that time.
+        former: limits that were in force in the window before. A previous owner
+            may have granted their whole capacity just before.
     """
+    all_limits = (limits, *(one.limits for one in former))
+    bound = max(one.max_in_window for one in all_limits)
+    capacity = max(one.capacity for one in all_limits)
+    debt = capacity + limits.rate_per_ms * limits.span_ms - bound
     return PermitBucket(
-        limits=limits, tenure_ms=tenure_ms, refilled_ms=tenure_ms
+        limits=limits,
+        tenure_ms=tenure_ms,
+        refilled_ms=tenure_ms,
+        recent=RecentPermits(span_ms=limits.span_ms),
+        level=-max(0, debt),
     )
--- a/packages/fennelfork/src/fennelfork/workspaces/_permit_owner.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_permit_owner.py
@@ -8,9 +8,13 @@
 
 from fennelfork._clock import Clock
 from fennelfork.workspaces._owners import Owners
-from fennelfork.workspaces._permit_bucket import PermitBucket, permit_bucket
+from fennelfork.workspaces._permit_bucket import (
+    FormerLimits,
+    PermitBucket,
+    permit_bucket,
+)
 from fennelfork.workspaces._permits import PermitAsk, PermitGrant, PermitNeed
-from fennelfork.workspaces._quota_policy import QuotaPolicy
+from fennelfork.workspaces._quota_policy import HELD_MS, QuotaPolicy
 from fennelfork.workspaces._workspace import Workspace
 
 # A daemon that has not checked its ownership for this time, for example because
@@ -27,6 +31,7 @@
     _owners: Owners
     _workspaces: Mapping[str, Workspace] = attrs.field(factory=dict)
     _limited_ms: dict[str, float] = attrs.field(factory=dict)
+    _former: dict[str, list[FormerLimits]] = attrs.field(factory=dict)
     _resumed_ms: float = 0
     _checked_ms: float = 0
     _buckets: dict[str, PermitBucket] = attrs.field(factory=dict)
@@ -40,17 +45,16 @@
     def apply(self, workspaces: Mapping[str, Workspace]) -> None:
         """Apply the limited workspaces of a configuration."""
         now_ms = self._clock.now_ms()
+        self._record_former(workspaces, now_ms)
         # A workspace without a limit may have run any number of requests.
         self._limited_ms = {
             name: self._limited_ms.get(name, now_ms) for name in workspaces
         }
         self._workspaces = workspaces
-        for name, bucket in tuple(self._buckets.items()):
-            workspace = workspaces.get(name)
-            if workspace is None:
-                self._buckets.pop(name)
-                continue
-            limits = self._policy.owner_limits(workspace)
+        for name in self._buckets.keys() - workspaces.keys():
+            self._buckets.pop(name)
+        for name, bucket in self._buckets.items():
+            limits = self._policy.owner_limits(workspaces[name])
             if limits != bucket.limits:
                 bucket.change_limits(limits, now_ms)
 
@@ -81,6 +85,27 @@
         )
         return tuple(filter(None, map(answer_need, ask.needs)))
 
+    def _record_former(
+        self, workspaces: Mapping[str, Workspace], now_ms: float
+    ) -> None:
+        """Record the limits that a configuration ends, for a while."""
+        kept_ms = self._policy.window_ms + HELD_MS
+        self._former = {
+            name: recent
+            for name, former in self._former.items()
+            if (
+                recent := [
+                    one for one in former if now_ms - one.until_ms <= kept_ms
+                ]
+            )
+        }
+        for name, workspace in self._workspaces.items():
+            if workspaces.get(name) != workspace:
+                limits = self._policy.owner_limits(workspace)
+                self._former.setdefault(name, []).append(
+                    FormerLimits(limits=limits, until_ms=now_ms)
+                )
+
     def _accept_number(self, ask: PermitAsk) -> bool:
         """Whether the message is a report that is newer than all before.
 
@@ -114,6 +139,7 @@
             bucket = permit_bucket(
                 self._policy.owner_limits(workspace),
                 max(tenure_ms, self._limited_ms[name], self._resumed_ms),
+                self._former.get(name, ()),
             )
             self._buckets[name] = bucket
         return bucket
--- a/packages/fennelfork/src/fennelfork/workspaces/_quota_policy.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_quota_policy.py
@@ -51,6 +51,16 @@
     reserve: float
     window_ms: float
 
+    @property
+    def span_ms(self) -> float:
+        """Length of a window plus the time of an ask."""
+        return self.window_ms + ASK_TIMEOUT_MS
+
+    @property
+    def max_in_window(self) -> float:
+        """Maximum of the permits that are used in any window."""
+        return self.rate_per_ms * self.span_ms + self.capacity
+
     @property
     def initial(self) -> float:
         """Permits that a new owner may add once a window has passed.
--- /dev/null
+++ b/packages/fennelfork/src/fennelfork/workspaces/_recent_permits.py
@@ -0,0 +1,75 @@
+"""Permits that may have been used since any recent moment."""
+
+from collections import deque
+from typing import Final
+
+import attrs
+
+# Moments within this time are not distinguished.
+_SLOT_MS: Final = 250.0
+
+
+@attrs.define(kw_only=True)
+class _Slot:
+    """Permits of a short time.
+
+    Attributes:
+        start_ms: start of the time.
+        outstanding: permits in advance at the start.
+        granted: permits that were granted in the time, less the returned ones.
+    """
+
+    start_ms: float
+    outstanding: float
+    granted: float = 0
+
+    @property
+    def end_ms(self) -> float:
+        """End of the time."""
+        return self.start_ms + _SLOT_MS
+
+
+@attrs.define(kw_only=True)
+class RecentPermits:
+    """Permits that an owner granted, and those in advance, in a recent time.
+
+    Attributes:
+        span_ms: length of the time.
+    """
+
+    span_ms: float
+    _slots: deque[_Slot] = attrs.field(factory=deque)
+
+    def advance(self, now_ms: float, outstanding: float) -> None:
+        """Begin a new slot if the last one has ended.
+
+        Args:
+            now_ms: current time.
+            outstanding: permits in advance since the last call of a method.
+        """
+        while self._slots and self._slots[0].end_ms < now_ms - self.span_ms:
+            self._slots.popleft()
+        if not self._slots or self._slots[-1].end_ms <= now_ms:
+            self._slots.append(_Slot(start_ms=now_ms, outstanding=outstanding))
+
+    def record(self, granted: float) -> None:
+        """Record permits that were granted now, or returned if negative."""
+        self._slots[-1].granted += granted
+
+    def most_in_window(self, rate_per_ms: float, now_ms: float) -> float:
+        """Return the most permits that any window from a recent moment uses.
+
+        The permits of the rate from now to the end of the window are included.
+
+        Args:
+            rate_per_ms: permits that the owner gains in a millisecond from now.
+            now_ms: current time.
+        """
+        most = rate_per_ms * self.span_ms
+        granted: float = 0
+        for slot in reversed(self._slots):
+            granted += slot.granted
+            passed_ms = max(0, now_ms - slot.end_ms)
+            gained = rate_per_ms * max(0, self.span_ms - passed_ms)
+            most = max(most, slot.outstanding + granted + gained)
+        return most
--- a/packages/fennelfork/tests/core_builders_quota.py
+++ b/packages/fennelfork/tests/core_builders_quota.py
@@ -1,5 +1,7 @@
 """A fleet of daemons that count the requests of workspaces, without I/O."""
 
+import bisect
+import math
 import random
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -97,6 +99,14 @@
         )
 
 
+@attrs.frozen
+class _Bound:
+    """Largest bound on a workspace that any daemon applied at a time."""
+
+    at_ms: float
+    bound: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class QuotaFleet:
     """Daemons, their store and the messages between them.
@@ -118,10 +128,12 @@
     runs: dict[str, list[float]] = attrs.field(factory=dict)
     asked: dict[str, list[float]] = attrs.field(factory=dict)
     refused: Counter[str] = attrs.field(factory=Counter)
+    excess: dict[str, float] = attrs.field(factory=dict)
     sent: int = 0
     waited: int = 0
     _rng: random.Random = attrs.field(init=False)
     _late: list[Report] = attrs.field(factory=list)
+    _bounds: dict[str, list[_Bound]] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self._rng = random.Random(self.seed)
@@ -216,7 +228,7 @@
             decision = daemon.quota.conclude(name, grants)
         admitted = isinstance(decision, Success)
         if admitted:
-            self.runs.setdefault(name, []).append(self.time.at_ms)
+            self._record_run(name)
         else:
             self.refused[name] += 1
         return admitted
@@ -225,6 +237,7 @@
         """Let a short time pass: the store, the views and the reports."""
         self.time.advance(STEP_MS)
         now_ms = self.time.at_ms
+        self._record_bounds()
         if self.store_up:
             for name, (_member, until_ms) in tuple(self.store.items()):
                 if until_ms <= now_ms:
@@ -251,6 +264,37 @@
             worst = max(worst, index - first + 1)
         return worst - bound
 
+    def _record_run(self, name: str) -> None:
+        """Record a run and how far its window exceeds the bound.
+
+        A lower limit binds one window after the last daemon has applied it.
+        """
+        now_ms = self.time.at_ms
+        runs = self.runs.setdefault(name, [])
+        runs.append(now_ms)
+        first = bisect.bisect_left(runs, now_ms - POLICY.window_ms)
+        self._record_bounds()
+        bound = max(recent.bound for recent in self._bounds[name])
+        excess = len(runs) - first - bound
+        self.excess[name] = max(excess, self.excess.get(name, excess))
+
+    def _record_bounds(self) -> None:
+        """Record the largest bound that any daemon applies to a workspace."""
+        now_ms = self.time.at_ms
+        oldest_ms = now_ms - 2 * POLICY.window_ms
+        names = {*self.workspaces, *self._bounds}
+        for name in names:
+            applied = [
+                daemon.workspaces[name]
+                for daemon in self.daemons.values()
+                if name in daemon.workspaces
+            ]
+            bound = max(map(_max_in_window, applied), default=0)
+            recent = self._bounds.setdefault(name, [])
+            recent.append(_Bound(now_ms, bound))
+            while recent[0].at_ms < oldest_ms:
+                recent.pop(0)
+
     def _follow_store(self, daemon: QuotaDaemon, now_ms: float) -> None:
         if not (daemon.sees_store and self.store_up):
             return
@@ -323,6 +367,13 @@
     return count
 
 
+def _max_in_window(limited: Workspace) -> float:
+    """Return the bound on the runs of a workspace, infinite without a limit."""
+    if not limited.is_limited:
+        return math.inf
+    return POLICY.max_in_window(limited)
+
+
 def running_fleet(
     count: int, *limited: Workspace, loss: float = 0, seed: int = 1
 ) -> QuotaFleet:
