Quota: permits of before a removal of a workspace are not counted after it

What callers saw: nothing; more requests of a workspace could run than its limit.

Cause: a permit in advance was given back, and the reply to a report recorded, by the name of the workspace. A workspace that is taken out and comes back has a new holding, to which neither belongs: the reply did not know which of its permits had been used.

Why this works: a permit names its holding, and a reply goes to the holdings of its report.

--- a/packages/fennelfork/src/fennelfork/workspaces/_permit_holder.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_permit_holder.py
@@ -20,11 +20,11 @@
     """Permit held in advance that a request uses.
 
     Attributes:
-        workspace: name of the workspace.
+        holding: holding that the permit belongs to.
         report: number of reports before the use.
     """
 
-    workspace: str
+    holding: Holding
     report: int
 
 
@@ -34,6 +34,9 @@
 
     _clock: Clock
     _holdings: dict[str, Holding] = attrs.field(factory=dict)
+    # Holdings of the last report to each owner. A workspace that is taken out
+    # and comes back has another holding.
+    _reported: dict[str, dict[str, Holding]] = attrs.field(factory=dict)
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -53,16 +56,15 @@
         holding = self._holdings.get(workspace)
         if holding is None or not holding.try_use(self._clock.now_ms()):
             return None
-        return HeldPermit(workspace=workspace, report=holding.reports)
+        return HeldPermit(holding=holding, report=holding.reports)
 
     def give_back(self, permit: HeldPermit) -> None:
         """Return a permit, because the request did not run.
 
         After a report, the owner counts the permit as used.
         """
-        holding = self._holdings.get(permit.workspace)
-        if holding is not None and holding.reports == permit.report:
-            holding.count += 1
+        if permit.holding.reports == permit.report:
+            permit.holding.count += 1
 
     def denied_ms(self, workspace: str) -> float:
         """Return the time until the owner may have a permit again."""
@@ -92,9 +94,11 @@
         self, owner: str, names: Iterable[str]
     ) -> tuple[PermitNeed, ...]:
         """Return the report of some workspaces to their owner."""
+        reported = {name: self._holdings[name] for name in names}
+        self._reported[owner] = reported
         return tuple(
-            self._holdings[name].report(owner, name, self._clock.now_ms())
-            for name in names
+            holding.report(owner, name, self._clock.now_ms())
+            for name, holding in reported.items()
         )
 
     def record_reply(
@@ -112,9 +116,10 @@
             needs: the report.
             grants: the reply.
         """
+        holdings = self._reported.pop(owner, {})
         reported = {need.workspace: need for need in needs}
         for grant in grants:
-            holding = self._holdings.get(grant.workspace)
+            holding = holdings.get(grant.workspace)
             need = reported.get(grant.workspace)
             if holding is not None and need is not None:
                 holding.record_reply(owner, sent_ms, need, grant)
