Quota: a daemon that leaves does not hand on an allowance that it has used

What callers saw: nothing; more requests of a workspace could run than its limit.

Cause: where the free allowance is less than one run for each daemon, the daemons of the first ranks may admit one each. When one leaves, the next one takes its rank at once, in the window in which the former one has used its run.

Why this works: a daemon ranks itself among the members of the last window, those that have left included. A daemon that starts uses none in its first window already. Test: test_leaving_daemon_hands_no_used_allowance_on, failed before.

--- a/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
@@ -18,6 +18,8 @@
 # Part of the fleet that has to be known before a daemon ranks itself among the
 # capable daemons.
 _MIN_KNOWN: Final = 0.8
+# Delay between two looks at the members.
+_LOOK_MS: Final = 500.0
 
 
 class LimitDivisor(Protocol):
@@ -43,6 +45,8 @@
     _members: Callable[[], Iterable[Member]]
     _started_ms: float
     _uses: dict[str, list[float]] = attrs.field(factory=dict)
+    _seen: dict[str, tuple[Member, float]] = attrs.field(factory=dict)
+    _looked_ms: float = -math.inf
 
     def try_use(self, workspace: Workspace) -> float | None:
         """Use one run of the allowance, if any is left in this window.
@@ -70,6 +74,7 @@
     def discard_old(self) -> None:
         """Forget the workspaces without a use in this window."""
         now_ms = self._clock.now_ms()
+        self._look_at_members(now_ms)
         for name in tuple(self._uses):
             if not self._recent_uses(name, now_ms):
                 self._uses.pop(name)
@@ -93,7 +98,13 @@
         return int(self._rank_for(workspace.name) < int(total))
 
     def _rank_for(self, workspace: str) -> float:
-        known = {member.name: member for member in self._members()}
+        """Return the rank of this daemon among the members of a window.
+
+        A member that has left keeps its rank for a window, since it may have
+        used its run just before.
+        """
+        self._look_at_members(self._clock.now_ms())
+        known = {name: member for name, (member, _) in self._seen.items()}
         known[self._local.name] = self._local
         names = [
             member.name for member in capable_in_data_centres(known.values())
@@ -104,6 +115,22 @@
         names.sort(key=lambda name: _weight(workspace, name))
         return names.index(self._local.name)
 
+    def _look_at_members(self, now_ms: float) -> None:
+        """Record the members, and forget those that left a window ago."""
+        if now_ms - self._looked_ms < _LOOK_MS:
+            return
+        self._looked_ms = now_ms
+        for member in self._members():
+            self._seen[member.name] = (member, now_ms)
+        oldest_ms = now_ms - self._policy.window_ms
+        left = [
+            name
+            for name, (_, seen_ms) in self._seen.items()
+            if seen_ms < oldest_ms
+        ]
+        for name in left:
+            self._seen.pop(name)
+
 
 def _weight(workspace: str, name: str) -> int:
     return xxhash.xxh64_intdigest(f'free\0{workspace}\0{name}'.encode())
--- a/packages/fennelfork/tests/test_workspaces_quota_changes.py
+++ b/packages/fennelfork/tests/test_workspaces_quota_changes.py
@@ -7,6 +7,7 @@
 import pytest
 from core_builders_quota import (
     POLICY,
+    QuotaDaemon,
     QuotaFleet,
     running_fleet,
     workspace,
@@ -51,6 +52,11 @@
         fleet.play(ms, _HOT, fleet.names)
 
 
+def _has_used_allowance(daemon: QuotaDaemon) -> bool:
+    free = daemon.quota._free
+    return bool(free._uses.get('hot'))
+
+
 class TestChangesInSeries:
     """Limits of a hot workspace that change and change back."""
 
@@ -106,6 +112,24 @@
         assert fleet.excess['hot'] <= 0
 
 
+class TestLeavingDaemons:
+    """Free allowances of a fleet whose daemons leave one after the other."""
+
+    def test_leaving_daemon_hands_no_used_allowance_on(self) -> None:
+        """Guards against allowances that pass to the next daemon when used."""
+        small = workspace(rate=0.4, burst=1)
+        fleet = QuotaFleet(count=77, capable=77, workspaces={'hot': small})
+        fleet.advance(16_000)
+        fleet.play(12_000, 100, fleet.names)
+        for _ in range(14):
+            used = filter(_has_used_allowance, fleet.daemons.values())
+            leaving = next(used, fleet.daemons[fleet.names[0]]).local.name
+            fleet.kill(leaving)
+            fleet.store.pop(leaving, None)
+            fleet.play(300, 400, fleet.names)
+        assert fleet.excess['hot'] <= 0
+
+
 class LimitMachine(RuleBasedStateMachine):
     """Any order of loads, limits, restarts, cuts and losses."""
 
