Reading: a peer whose bytes never end no longer holds the daemon

What callers saw: while one peer sent an endless message, no request of anybody was answered, for 1.5 s to as long as it sent; an endless chunk size of a client took the memory of the daemon, too.

Cause: a read that finds bytes does not wait, so no timer and no other green thread runs; time-outs were timers. The number of interim responses, chunks and trailers had no bound, and chunk sizes and trailers of clients were lines of any length.

A sending server is not taken for lost.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -1,7 +1,7 @@
 """HTTP connections that accept only complete responses."""
 
 from http.client import HTTPException, HTTPResponse
-from typing import Any
+from typing import Any, Final
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -12,6 +12,10 @@
     has_malformed_line,
 )
 
+_MS_PER_SECOND: Final = 1000
+# A response may take the timeout of a read this number of times.
+_TIMEOUTS: Final = 2
+
 
 class MalformedHeaders(HTTPException):
     """Response with headers that cannot be parsed."""
@@ -27,6 +31,9 @@
         """Read the response from a connected socket."""
         super().__init__(sock, **options)
         self.fp = MessageReader(self.fp.detach())
+        timeout_s = sock.gettimeout()
+        if timeout_s is not None:
+            self.fp.limit_time(timeout_s * _MS_PER_SECOND * _TIMEOUTS)
 
     def begin(self) -> None:
         """Read the status line and the headers.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
@@ -1,33 +1,73 @@
-"""Reader of HTTP messages that detects messages which end early."""
+"""Reader of HTTP messages that end early, late or never."""
 
 import io
 from email.errors import MissingHeaderBodySeparatorDefect
 from email.message import Message
-from typing import Final
+from typing import Any, Final
 
+from fennelfork import system_clock
+from fennelfork_daemon._paced_reader import LateMessage, PacedReader
 from fennelfork_daemon._sockets import ConnectionBroken
 
 # Raised by cooperative and by blocking sockets.
 _RESET_ERRORS: Final = (ConnectionBroken, ConnectionResetError)
 
 
+# Budget of all lines of a message: start line, interim responses, headers, chunk
+# sizes and trailers.
+_MAX_LINE_BYTES: Final = 262_144
+# Each line takes as much of the budget as one that is longer by this number, so
+# that the budget bounds the number of lines, too.
+_BYTES_PER_LINE: Final = 32
+# Each byte of the body adds to the budget, for the lines around its chunk.
+_LINE_BYTES_PER_BODY_BYTE: Final = 4
+_UNLIMITED: Final = (None, -1)
+
+
 class IncompleteMessage(ConnectionError):
     """Connection that ended within a message."""
 
 
+class EndlessLines(ConnectionError):
+    """Message with more lines, or longer ones, than its budget."""
+
+
+# Errors of a peer that goes on to send bytes.
+ENDLESS_ERRORS: Final = (EndlessLines, LateMessage)
+
+
 class MessageReader(io.BufferedReader):
     """Buffered reader of the lines and the bodies of HTTP messages.
 
+    The lines of a message have a budget, and the bytes of a message may have an
+    end in time. Other green threads run while bytes arrive.
+
     The parsers of the standard library, of urllib3 and of eventlet take the end
     of the connection for the empty line after headers or trailers, and a part of
     a line for the whole line. All of them read lines with `readline`.
     """
 
     _is_within_message: bool = False
+    _left_bytes: int = _MAX_LINE_BYTES
+
+    def __init__(self, raw: Any) -> None:
+        """Read from a raw reader, which the caller must not use afterwards."""
+        self._paced = PacedReader(raw, system_clock())
+        super().__init__(self._paced)
 
     def start_message(self) -> None:
-        """Accept the end of the connection in place of the next line."""
+        """Accept the end of the connection in place of the next line.
+
+        The next message has a new budget, and other green threads run between
+        messages that have arrived together.
+        """
         self._is_within_message = False
+        self._left_bytes = _MAX_LINE_BYTES
+        self._paced.take_turn()
+
+    def limit_time(self, timeout_ms: float) -> None:
+        """Limit the time in which bytes are read, from now on."""
+        self._paced.end_ms = system_clock().now_ms() + timeout_ms
 
     def readline(self, size: int | None = -1) -> bytes:
         """Read one line, like `readline` of a file.
@@ -41,19 +81,31 @@
 
         Raises:
             IncompleteMessage: if the connection ended within the message.
+            EndlessLines: if the lines of the message exceed their budget.
         """
+        allowed = self._left_bytes if size in _UNLIMITED else size
+        limit = min(allowed or 0, self._left_bytes)
         try:
-            line = super().readline(size)
+            line = super().readline(limit)
         except _RESET_ERRORS as error:
             if not self._is_within_message:
                 raise
             raise _incomplete_message() from error
-        self._check_end(line, size)
+        self._check_end(line, limit)
+        self._left_bytes -= len(line) + _BYTES_PER_LINE
+        if self._left_bytes < 0:
+            raise EndlessLines('the lines of the message have no end')
         return line
 
-    def _check_end(self, line: bytes, size: int | None) -> None:
+    def read(self, size: int | None = -1) -> bytes:
+        """Read bytes of a body, like `read` of a file."""
+        chunk = super().read(size)
+        self._left_bytes += len(chunk) * _LINE_BYTES_PER_BODY_BYTE
+        return chunk
+
+    def _check_end(self, line: bytes, size: int) -> None:
         """Raise an error if the connection ended before the end of a line."""
-        is_shortened = size is not None and 0 <= size <= len(line)
+        is_shortened = size <= len(line)
         if line.endswith(b'\n') or is_shortened:
             self._is_within_message = True
         elif line or self._is_within_message:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -12,6 +12,7 @@
 
 from fennelfork import Failure, FailureCode, not_run
 from fennelfork_daemon._message_reader import (
+    ENDLESS_ERRORS,
     IncompleteMessage,
     MessageReader,
     has_malformed_line,
@@ -27,6 +28,8 @@
 _LINGER_MS: Final = 500
 _LINGER_BYTES: Final = 1_048_576
 _CHUNK_BYTES: Final = 65_536
+# Errors of a message that ends early or never.
+_UNREADABLE: Final = (IncompleteMessage, *ENDLESS_ERRORS)
 
 # Called with the reason of each request that is refused before it is complete.
 OnRefusal = Callable[[Failure], None]
@@ -90,7 +93,7 @@
                     f'the headers exceed {self.limits.header_bytes} bytes',
                 )
                 return False
-            except IncompleteMessage as error:
+            except _UNREADABLE as error:
                 self.send_error(http.HTTPStatus.BAD_REQUEST, str(error))
                 return False
         self.send_error(
@@ -169,12 +172,12 @@
 
     def _read_request_line(self) -> bytes:
         self._apply_limits()
-        timeout_s = self.limits.idle_ms / _MS_PER_SECOND
         self.rfile.start_message()
+        timeout_s = self.limits.idle_ms / _MS_PER_SECOND
         with Timeout(timeout_s, exception=False):
             try:
                 return super()._read_request_line() or b''
-            except IncompleteMessage as error:
+            except _UNREADABLE as error:
                 self.send_error(http.HTTPStatus.BAD_REQUEST, str(error))
         return b''
 
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -3,9 +3,11 @@
 Guards against a status that is believed before its response is complete.
 """
 
+import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import attrs
 import pytest
 from daemon_builders_endings import (
     CuttingServer,
@@ -13,6 +15,7 @@
     cutting_server,
     truncations,
 )
+from daemon_builders_endless import RESPONSE_FORMS, endless_server
 from daemon_builders_routes import member
 from returns.pipeline import is_successful
 
@@ -23,6 +26,9 @@
 from fennelfork_platform._store import PlatformStore, platform_store
 
 _TIMEOUTS = WatchTimeouts(wait_ms=0, response_ms=5000)
+_SHORT = WatchTimeouts(wait_ms=0, response_ms=500)
+# Twice the timeouts of the three calls.
+_MAX_CALLS_S = 8
 _WATCHED = b'{"AtRev": 9, "events": []}'
 _Call = Callable[[PlatformStore], Any]
 _CALLS: dict[str, tuple[int, _Call]] = {
@@ -83,6 +89,31 @@
             assert not is_successful(fetched), server.response
 
 
+@pytest.mark.parametrize('form', sorted(RESPONSE_FORMS))
+class TestEndlessResponses:
+    """Responses of the store and of other daemons that never end.
+
+    Guards against a call that holds the daemon as long as bytes arrive.
+    """
+
+    @pytest.mark.parametrize('is_slow', [True, False])
+    def test_endless_response_is_not_believed(
+        self, form: str, is_slow: bool
+    ) -> None:
+        """The calls fail in time, and may have run."""
+        endless = attrs.evolve(RESPONSE_FORMS[form], is_slow=is_slow)
+        with endless_server(endless) as sending:
+            began_s = time.monotonic()
+            renewed = platform_store(sending.address).renew(7)
+            watched = platform_store(sending.address).watch(5, _SHORT)
+            fetched = platform_relays().fetch(str(sending.address), 5, _SHORT)
+            took_s = time.monotonic() - began_s
+        for outcome in (renewed, watched, fetched):
+            assert not is_successful(outcome)
+        assert renewed.failure().verdict is Verdict.MAY_HAVE_RUN
+        assert took_s < _MAX_CALLS_S
+
+
 def test_complete_status_is_believed(server: CuttingServer) -> None:
     """The same responses are accepted when they are complete."""
     server.response = _response(404, 'chunked')
