Reading: interim responses other than 100 are no final ones

What callers saw: a 103 before the response of a backend server made a failure of it; for the store it read as 'not run'.

Cause: the parser of the standard library skips the status 100 only. Evidence: the row early-hints of the endless responses: the store call ended with 'the store responded with status 103', not run. After: skipped, in the budget of the message, and the call may have run.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -1,6 +1,7 @@
 """HTTP connections that accept only complete responses."""
 
-from http.client import HTTPException, HTTPResponse
+from http import HTTPStatus
+from http.client import HTTPException, HTTPResponse, parse_headers
 from typing import Any, Final
 
 import urllib3
@@ -17,6 +18,11 @@
 _TIMEOUTS: Final = 2
 
 
+# Interim responses except 100, which the standard library skips, and 101, after
+# which the connection has another protocol.
+_SKIPPED_STATUSES: Final = range(HTTPStatus.PROCESSING, HTTPStatus.OK)
+
+
 class MalformedHeaders(HTTPException):
     """Response with headers that cannot be parsed."""
 
@@ -46,6 +52,18 @@
         if has_malformed_line(self.headers):
             raise MalformedHeaders('a header line is malformed')
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line of the final response.
+
+        The parser of the standard library takes all interim responses but 100
+        for final ones.
+        """
+        status_line = super()._read_status()
+        while status_line[1] in _SKIPPED_STATUSES:
+            parse_headers(self.fp)
+            status_line = super()._read_status()
+        return status_line
+
 
 class CompleteHTTPConnection(HTTPConnection):
     """Connection of urllib3 whose responses are complete."""
--- a/packages/fennelfork-daemon/tests/daemon_builders_endless.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_endless.py
@@ -117,6 +117,9 @@
     'interim-headers': EndlessForm(
         begin=b'', repeated=b'HTTP/1.1 100 Continue\r\nX-A: 1\r\n\r\n'
     ),
+    'early-hints': EndlessForm(
+        begin=b'', repeated=b'HTTP/1.1 103 Early Hints\r\nX-A: 1\r\n\r\n'
+    ),
     'header-lines': EndlessForm(begin=_response(b''), repeated=b'X-A: 1\r\n'),
     'header-line': EndlessForm(begin=_response(b'X-A: '), repeated=b'a'),
     'header-name': EndlessForm(begin=_response(b''), repeated=b'a'),
