Reading: a start line has HeaderTimeoutMs from its first byte on

What callers saw: nothing. A client that sends its start line a byte at a time kept its connection for IdleTimeoutMs, 15 s, and as long again for each.

Cause: the time of waiting for a request and of reading its first line was one.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -4,6 +4,7 @@
 import functools
 import http
 from collections.abc import Callable
+from http.client import HTTPException
 from typing import Any, BinaryIO, Final, cast
 
 import attrs
@@ -173,7 +174,9 @@
     def _read_request_line(self) -> bytes:
         self._apply_limits()
         self.rfile.start_message()
-        timeout_s = self.limits.idle_ms / _MS_PER_SECOND
+        if not self._await_request():
+            return b''
+        timeout_s = self.limits.request_read_ms / _MS_PER_SECOND
         with Timeout(timeout_s, exception=False):
             try:
                 return super()._read_request_line() or b''
@@ -181,6 +184,16 @@
                 self.send_error(http.HTTPStatus.BAD_REQUEST, str(error))
         return b''
 
+    def _await_request(self) -> bool:
+        """Wait for the first byte of a request."""
+        idle_s = self.limits.idle_ms / _MS_PER_SECOND
+        self.connection.settimeout(idle_s)
+        with Timeout(idle_s, exception=False):
+            # The client may close or reset an idle connection.
+            with contextlib.suppress(OSError, HTTPException):
+                return bool(self.rfile.peek(1))
+        return False
+
     def _apply_limits(self) -> None:
         """Apply limits that may have changed since the server started."""
         limits = self.limits
--- a/tests/test_platform_endless_messages.py
+++ b/tests/test_platform_endless_messages.py
@@ -128,6 +128,14 @@
     assert took_s < _MAX_CLIENT_S
 
 
+@pytest.mark.parametrize('form', sorted(REQUEST_FORMS))
+def test_slow_request_ends_alone(fleet: PlatformFleet, form: str) -> None:
+    """The same messages end in time when a byte is sent at a time."""
+    slow = attrs.evolve(REQUEST_FORMS[form], is_slow=True)
+    took_s = _send_request(fleet, slow)
+    assert took_s < _MAX_READ_S + _MAX_CLIENT_S + _LINGER_S
+
+
 def _send_request(fleet: PlatformFleet, form: EndlessForm) -> float:
     """Send a request beside the steady caller and return how long it took."""
     host, _, port = fleet.addresses[_DAEMON].front.rpartition(':')
