Reading: a client that reads no answers is not served without end

What callers saw: while one client sent small requests in a row and read no answers, others waited; with the paced reading they no longer wait, but the client was served for more than 40 s.

Cause: answers are written as long as the buffers of both sides take them.

--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_unread_answers.py
@@ -0,0 +1,45 @@
+"""Limit on the answers that a client leaves unread."""
+
+import fcntl
+import struct
+import termios
+from typing import Any, Final
+
+import eventlet
+
+_COUNT: Final = struct.Struct('i')
+_MAX_UNREAD_BYTES: Final = 65_536
+_POLL_INTERVAL_S: Final = 0.05
+
+
+def reads_answers_within(connection: Any, timeout_s: float) -> bool:
+    """Wait until the client has read most of the earlier answers.
+
+    A client that sends requests without end and reads nothing would have all of
+    them answered, as long as the buffers of both sides take the answers.
+
+    Args:
+        connection: socket of the client.
+        timeout_s: maximum wait in seconds.
+
+    Returns:
+        Whether the client has read them in time.
+    """
+    left_s = timeout_s
+    while _unread_bytes(connection) > _MAX_UNREAD_BYTES:
+        if left_s <= 0:
+            return False
+        eventlet.sleep(_POLL_INTERVAL_S)
+        left_s -= _POLL_INTERVAL_S
+    return True
+
+
+def _unread_bytes(connection: Any) -> int:
+    """Return the bytes in the send queue of a socket, 0 if it is closed."""
+    try:
+        count = fcntl.ioctl(
+            connection.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size)
+        )
+    except OSError:
+        return 0
+    return int(_COUNT.unpack(count)[0])
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -19,6 +19,7 @@
     has_malformed_line,
 )
 from fennelfork_daemon.http._problem import ProblemReply, problem_reply
+from fennelfork_daemon.http._unread_answers import reads_answers_within
 from fennelfork_daemon.http._wsgi_writer import BoundedWriter
 
 CLOSE_KEY: Final = 'fennelfork.close_connection'
@@ -185,7 +186,14 @@
         return b''
 
     def _await_request(self) -> bool:
-        """Wait for the first byte of a request."""
+        """Wait until the client has read the answers and begins a request."""
+        read_s = self.limits.request_read_ms / _MS_PER_SECOND
+        if self._has_served and not reads_answers_within(
+            self.connection, read_s
+        ):
+            detail = 'the client has not read the answers to earlier requests'
+            self.on_refusal(not_run(FailureCode.BAD_REQUEST, detail))
+            return False
         idle_s = self.limits.idle_ms / _MS_PER_SECOND
         self.connection.settimeout(idle_s)
         with Timeout(idle_s, exception=False):
--- a/tests/test_platform_endless_messages.py
+++ b/tests/test_platform_endless_messages.py
@@ -19,6 +19,7 @@
 from daemon_builders_endless import (
     REQUEST_FORMS,
     RESPONSE_FORMS,
+    UNREAD_FORMS,
     EndlessForm,
     endless_server,
     send_endless,
@@ -147,6 +148,27 @@
     return took_s
 
 
+@pytest.mark.parametrize('form', sorted(UNREAD_FORMS))
+def test_requests_without_end_end_alone(
+    fleet: PlatformFleet, form: str
+) -> None:
+    """A client that reads no answers loses its connection, others do not wait.
+
+    Guards against requests in a row on one connection, each of them proper.
+    """
+    host, _, port = fleet.addresses[_DAEMON].front.rpartition(':')
+    rss_kb = _rss_kb(fleet)
+    with _SteadyCaller(fleet=fleet) as caller, socket.socket() as connection:
+        # Full sooner than a buffer of the usual size.
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _UNREAD_BUFFER_BYTES
+        )
+        connection.connect((host, int(port)))
+        took_s = send_endless(connection, UNREAD_FORMS[form])
+    _check_others(fleet, caller, rss_kb)
+    assert took_s < _MAX_UNREAD_S + _FILLED_S
+
+
 @pytest.mark.parametrize('form', sorted(RESPONSE_FORMS))
 def test_endless_response_ends_alone(fleet: PlatformFleet, form: str) -> None:
     """The caller gets a failure in time, and other callers do not wait."""
