Reading: the rest of a body that nobody reads has an end

What callers saw: nothing. A body without end at an interface that reads no body was read for as long as it came.

Cause: eventlet reads the rest of a body, however long, to keep the connection. Evidence: 6 of 12 rows of test_body_that_nobody_reads_ends_alone took the 8 s of the test; after: at most 1 MiB and half a second, then the connection is closed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -20,6 +20,7 @@
 )
 from fennelfork_daemon.http._problem import ProblemReply, problem_reply
 from fennelfork_daemon.http._unread_answers import reads_answers_within
+from fennelfork_daemon.http._wsgi_request import read_body_within
 from fennelfork_daemon.http._wsgi_writer import BoundedWriter
 
 CLOSE_KEY: Final = 'fennelfork.close_connection'
@@ -128,7 +129,11 @@
         self._has_served = True
         # The standard library joins slashes at the start of the path.
         self.path = self.requestline.split()[1]
-        return super().get_environ() | {
+        environ = super().get_environ()
+        environ['wsgi.input'].discard = functools.partial(
+            self._discard_body, environ
+        )
+        return environ | {
             CLOSE_KEY: self._close_after_reply,
             CONNECTION_KEY: self.connection,
             FIRST_REQUEST_KEY: is_first,
@@ -146,6 +151,14 @@
                 _shut_down_and_drain(self.connection)
         super().finish()
 
+    def _discard_body(self, environ: dict[str, Any], *unused: Any) -> None:
+        """Read what an application has left of a body, or close."""
+        rest = read_body_within(environ, _LINGER_BYTES, _LINGER_MS)
+        if rest is None or len(rest) == _LINGER_BYTES:
+            detail = 'the rest of the body did not end in time'
+            self.on_refusal(not_run(FailureCode.BAD_REQUEST, detail))
+            self._close_after_reply()
+
     def _has_clear_headers(self) -> bool:
         """Refuse a request with a malformed header line or unclear length."""
         if has_malformed_line(self.headers):
--- a/tests/test_platform_endless_messages.py
+++ b/tests/test_platform_endless_messages.py
@@ -148,6 +148,26 @@
     return took_s
 
 
+@pytest.mark.parametrize('listener', ['front', 'ready', 'entries', 'control'])
+@pytest.mark.parametrize('form', ['long-body', 'long-chunks', 'trailer-lines'])
+def test_body_that_nobody_reads_ends_alone(
+    fleet: PlatformFleet, listener: str, form: str
+) -> None:
+    """A body without end at an interface that reads no body ends, too."""
+    address = getattr(fleet.addresses[_DAEMON], listener)
+    host, _, port = address.rpartition(':')
+    rss_kb = _rss_kb(fleet)
+    endless = REQUEST_FORMS[form]
+    begin = endless.begin.replace(b'POST /one/7', b'GET /-/ready')
+    with _SteadyCaller(fleet=fleet) as caller:
+        with socket.create_connection((host, int(port))) as connection:
+            took_s = send_endless(
+                connection, attrs.evolve(endless, begin=begin)
+            )
+    _check_others(fleet, caller, rss_kb)
+    assert took_s < _MAX_CLIENT_S + _LINGER_S
+
+
 @pytest.mark.parametrize('form', sorted(UNREAD_FORMS))
 def test_requests_without_end_end_alone(
     fleet: PlatformFleet, form: str
