Reading: a client that reads slowly keeps its connection

What callers would have seen: a client that takes longer than HeaderTimeoutMs for an answer of more than 64 KiB lost its kept connection after it, or waited up to 50 ms for the answer to its next request.

Cause: unread answers were looked at before the next request had begun, so also for clients that read each answer first. Why this works: they are looked at once the first byte of the next request is there; only a client that sends ahead is made to wait. Test: test_slow_reader_keeps_its_connection, failed before.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_unread_answers.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_next_request.py
@@ -1,8 +1,11 @@
-"""Limit on the answers that a client leaves unread."""
+"""Waiting for the next request of a client."""
 
+import contextlib
 import fcntl
+import io
 import struct
 import termios
+from http.client import HTTPException
 from typing import Any, Final
 
 import eventlet
@@ -12,6 +15,26 @@
 _POLL_INTERVAL_S: Final = 0.05
 
 
+def begins_within(
+    connection: Any, reader: io.BufferedReader, timeout_s: float
+) -> bool:
+    """Wait for the first byte of a request.
+
+    Args:
+        connection: socket of the client.
+        reader: buffered reader of the connection.
+        timeout_s: maximum wait in seconds.
+
+    Returns:
+        Whether there is one; not if the client closes or resets the connection.
+    """
+    connection.settimeout(timeout_s)
+    with eventlet.Timeout(timeout_s, exception=False):
+        with contextlib.suppress(OSError, HTTPException):
+            return bool(reader.peek(1))
+    return False
+
+
 def reads_answers_within(connection: Any, timeout_s: float) -> bool:
     """Wait until the client has read most of the earlier answers.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -4,7 +4,6 @@
 import functools
 import http
 from collections.abc import Callable
-from http.client import HTTPException
 from typing import Any, BinaryIO, Final, cast
 
 import attrs
@@ -18,8 +17,11 @@
     MessageReader,
     has_malformed_line,
 )
+from fennelfork_daemon.http._next_request import (
+    begins_within,
+    reads_answers_within,
+)
 from fennelfork_daemon.http._problem import ProblemReply, problem_reply
-from fennelfork_daemon.http._unread_answers import reads_answers_within
 from fennelfork_daemon.http._wsgi_request import read_body_within
 from fennelfork_daemon.http._wsgi_writer import BoundedWriter
 
@@ -199,20 +201,18 @@
         return b''
 
     def _await_request(self) -> bool:
-        """Wait until the client has read the answers and begins a request."""
-        read_s = self.limits.request_read_ms / _MS_PER_SECOND
-        if self._has_served and not reads_answers_within(
-            self.connection, read_s
-        ):
-            detail = 'the client has not read the answers to earlier requests'
-            self.on_refusal(not_run(FailureCode.BAD_REQUEST, detail))
-            return False
+        """Wait until the client begins a request and has read the answers.
+
+        A client that reads each answer before the next request does not wait.
+        """
         idle_s = self.limits.idle_ms / _MS_PER_SECOND
-        self.connection.settimeout(idle_s)
-        with Timeout(idle_s, exception=False):
-            # The client may close or reset an idle connection.
-            with contextlib.suppress(OSError, HTTPException):
-                return bool(self.rfile.peek(1))
+        if not begins_within(self.connection, self.rfile, idle_s):
+            return False
+        read_s = self.limits.request_read_ms / _MS_PER_SECOND
+        if reads_answers_within(self.connection, read_s):
+            return True
+        detail = 'the client has not read the answers to earlier requests'
+        self.on_refusal(not_run(FailureCode.BAD_REQUEST, detail))
         return False
 
     def _apply_limits(self) -> None:
--- a/packages/fennelfork-daemon/tests/test_http_limits.py
+++ b/packages/fennelfork-daemon/tests/test_http_limits.py
@@ -19,6 +19,9 @@
 
 _TIMEOUT_S = 20
 _MAX_CONNECTIONS = 10
+_LARGE_TARGET = '/large'
+# Fits into the buffers of both sides.
+_LARGE_BYTES = 400_000
 
 
 @attrs.define
@@ -54,6 +57,8 @@
 
 def _answer(environ, start_response):
     target = environ[TARGET_KEY].encode()
+    if environ[TARGET_KEY] == _LARGE_TARGET:
+        target *= _LARGE_BYTES // len(target)
     start_response('200 OK', [('Content-Type', 'text/plain')])
     return [target, b' ', environ['wsgi.input'].read()]
 
@@ -108,3 +113,24 @@
             eventlet.sleep(0.3)
             connection.sendall(b'{}')
             assert b'/second {}' in connection.recv(4096)
+
+
+def test_slow_reader_keeps_its_connection() -> None:
+    """A client that reads a long answer slowly may send the next request.
+
+    Guards against a limit on unread answers that hits sound clients.
+    """
+    limits = _limits()
+    limits.idle_ms = 5000
+    with TargetServer(limits) as connection:
+        connection.sendall(_request(_LARGE_TARGET))
+        eventlet.sleep(0.5)
+        received = 0
+        while received < _LARGE_BYTES:
+            received += len(connection.recv(65_536))
+        connection.sendall(_request('/second'))
+        answer = b''
+        while b'/second' not in answer:
+            chunk = connection.recv(4096)
+            assert chunk
+            answer += chunk
