--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -26,6 +26,13 @@
         """
         assert not run_platform_round(seed, Size()).broken
 
+    def test_answers_after_a_reload(self) -> None:
+        """Daemons return complete answers once the history of the store is lost.
+
+        Guards against a daemon that stays incomplete after its faults have ended.
+        """
+        assert not run_platform_round(481_545, Size()).broken
+
 
 @pytest.mark.process
 class TestPoisonRounds:
