Quota: the state machine of changed limits finds the fault it was written for

It begins with a settled fleet now, has a rule that changes limits and takes that back, and plays 60 orders.

--- a/packages/fennelfork/tests/test_workspaces_quota_changes.py
+++ b/packages/fennelfork/tests/test_workspaces_quota_changes.py
@@ -25,6 +25,8 @@
 
 _HOT = 60.0
 _DAEMONS = 8
+# A new owner has all permits after this time.
+_SETTLED_MS = 20_000
 _HIGH = workspace(rate=10, burst=100)
 _LOW = workspace(rate=10, burst=10)
 # Limits that differ in the rate, in the burst and in both directions at once.
@@ -40,8 +42,7 @@
 def _hot_fleet(first: Workspace) -> QuotaFleet:
     """Return a fleet whose workspace has just used its burst."""
     fleet = running_fleet(_DAEMONS, first)
-    # The owner has all permits after this time.
-    fleet.play(20_000, 2, fleet.names)
+    fleet.play(_SETTLED_MS, 2, fleet.names)
     fleet.play(1500, _HOT, fleet.names)
     return fleet
 
@@ -49,7 +50,7 @@
 def _apply(fleet: QuotaFleet, *limits: Workspace, ms: float = 1500) -> None:
     for one in limits:
         fleet.workspaces = {'hot': one}
-        fleet.play(ms, _HOT, fleet.names)
+        fleet.play(ms, 2 * _HOT, fleet.names)
 
 
 def _has_used_allowance(daemon: QuotaDaemon) -> bool:
@@ -104,7 +105,7 @@
     def test_raised_limit_is_used(self) -> None:
         """A burst that has not been used is granted at once after a rise."""
         fleet = running_fleet(_DAEMONS, _LOW)
-        fleet.play(20_000, 2, fleet.names)
+        fleet.play(_SETTLED_MS, 2, fleet.names)
         fleet.workspaces = {'hot': _HIGH}
         fleet.advance(700)
         admitted, _refused = fleet.play(1000, 110, fleet.names)
@@ -136,20 +137,43 @@
     def __init__(self) -> None:
         super().__init__()
         self.fleet = running_fleet(_DAEMONS, _HIGH)
+        self.settle()
+
+    @rule()
+    def settle(self) -> None:
+        """Send few requests until an owner has all permits."""
+        self.fleet.play(_SETTLED_MS, 2, self.fleet.names)
 
     @rule(
-        ms=st.sampled_from([200, 700, 1500, 5000, 16_000]),
-        per_s=st.sampled_from([2.0, 60.0, 200.0]),
+        ms=st.sampled_from([200, 700, 1500]),
+        per_s=st.sampled_from([_HOT, 4 * _HOT]),
         count=st.integers(1, _DAEMONS),
     )
     def play(self, ms: int, per_s: float, count: int) -> None:
-        """Send requests to some daemons."""
+        """Send many requests to some daemons."""
         self.fleet.play(ms, per_s, self.fleet.names[:count])
 
-    @rule(limits=st.sampled_from(_LIMITS))
-    def change_limits(self, limits: Workspace) -> None:
-        """Change the limits of the workspace, or put it back."""
-        self.fleet.workspaces = {'hot': limits}
+    @rule(
+        limits=st.sampled_from(_LIMITS),
+        ms=st.sampled_from([200, 1000, 6000]),
+    )
+    def change_limits(self, limits: Workspace, ms: int) -> None:
+        """Change the limits of the hot workspace, or put it back."""
+        _apply(self.fleet, limits, ms=ms)
+
+    @rule(
+        limits=st.lists(st.sampled_from(_LIMITS), min_size=1, max_size=2),
+        ms=st.sampled_from([400, 1000]),
+        is_settled=st.booleans(),
+    )
+    def roll_back(
+        self, limits: list[Workspace], ms: int, is_settled: bool
+    ) -> None:
+        """Change the limits of the hot workspace and take that back."""
+        before = self.fleet.workspaces.get('hot', _HIGH)
+        if is_settled:
+            self.settle()
+        _apply(self.fleet, before, *limits, before, ms=ms)
 
     @rule()
     def take_out(self) -> None:
@@ -204,4 +228,4 @@
 class TestLimitMachine(LimitMachine.TestCase):  # type: ignore[name-defined, misc]
     """The state machine as a test."""
 
-    settings = settings(max_examples=12, stateful_step_count=25)
+    settings = settings(max_examples=60, stateful_step_count=25)
