--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -14,10 +14,8 @@
 )
 
 _MS_PER_SECOND: Final = 1000
-# A response may take the timeout of a read this number of times.
-_TIMEOUTS: Final = 2
-
-
+# The timeout of the socket bounds one read, and a response takes several.
+_READ_TIMEOUTS_PER_RESPONSE: Final = 2
 # Interim responses except 100, which the standard library skips, and 101, after
 # which the connection has another protocol.
 _SKIPPED_STATUSES: Final = range(HTTPStatus.PROCESSING, HTTPStatus.OK)
@@ -39,7 +37,9 @@
         self.fp = MessageReader(self.fp.detach())
         timeout_s = sock.gettimeout()
         if timeout_s is not None:
-            self.fp.limit_time(timeout_s * _MS_PER_SECOND * _TIMEOUTS)
+            self.fp.limit_time(
+                timeout_s * _MS_PER_SECOND * _READ_TIMEOUTS_PER_RESPONSE
+            )
 
     def begin(self) -> None:
         """Read the status line and the headers.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
@@ -11,17 +11,15 @@
 
 # Raised by cooperative and by blocking sockets.
 _RESET_ERRORS: Final = (ConnectionBroken, ConnectionResetError)
-
-
-# Budget of all lines of a message: start line, interim responses, headers, chunk
-# sizes and trailers.
+# Limit on all lines of a message together: start line, interim responses,
+# headers, chunk sizes and trailers.
 _MAX_LINE_BYTES: Final = 262_144
-# Each line takes as much of the budget as one that is longer by this number, so
-# that the budget bounds the number of lines, too.
-_BYTES_PER_LINE: Final = 32
-# Each byte of the body adds to the budget, for the lines around its chunk.
+# Added to the length of each line, so that the number of lines is limited too.
+_OVERHEAD_PER_LINE: Final = 32
+# Added to the limit for each byte of the body, since chunks have lines.
 _LINE_BYTES_PER_BODY_BYTE: Final = 4
-_UNLIMITED: Final = (None, -1)
+# Values of `size` for a line of any length.
+_ANY_SIZE: Final = (None, -1)
 
 
 class IncompleteMessage(ConnectionError):
@@ -29,18 +27,18 @@
 
 
 class EndlessLines(ConnectionError):
-    """Message with more lines, or longer ones, than its budget."""
+    """Message whose lines exceed their limit."""
 
 
-# Errors of a peer that goes on to send bytes.
+# Errors of a message that does not end.
 ENDLESS_ERRORS: Final = (EndlessLines, LateMessage)
 
 
 class MessageReader(io.BufferedReader):
     """Buffered reader of the lines and the bodies of HTTP messages.
 
-    The lines of a message have a budget, and the bytes of a message may have an
-    end in time. Other green threads run while bytes arrive.
+    The lines of a message have a limit on their bytes, and the whole message may
+    have a time limit. Other green threads run while bytes arrive.
 
     The parsers of the standard library, of urllib3 and of eventlet take the end
     of the connection for the empty line after headers or trailers, and a part of
@@ -58,16 +56,16 @@
     def start_message(self) -> None:
         """Accept the end of the connection in place of the next line.
 
-        The next message has a new budget, and other green threads run between
-        messages that have arrived together.
+        The limit on lines starts anew. Other green threads run between messages
+        that have arrived together.
         """
         self._is_within_message = False
         self._left_bytes = _MAX_LINE_BYTES
-        self._paced.take_turn()
+        self._paced.yield_regularly()
 
     def limit_time(self, timeout_ms: float) -> None:
         """Limit the time in which bytes are read, from now on."""
-        self._paced.end_ms = system_clock().now_ms() + timeout_ms
+        self._paced.limit_time(timeout_ms)
 
     def readline(self, size: int | None = -1) -> bytes:
         """Read one line, like `readline` of a file.
@@ -81,9 +79,9 @@
 
         Raises:
             IncompleteMessage: if the connection ended within the message.
-            EndlessLines: if the lines of the message exceed their budget.
+            EndlessLines: if the lines of the message exceed their limit.
         """
-        allowed = self._left_bytes if size in _UNLIMITED else size
+        allowed = self._left_bytes if size in _ANY_SIZE else size
         limit = min(allowed or 0, self._left_bytes)
         try:
             line = super().readline(limit)
@@ -92,13 +90,15 @@
                 raise
             raise _incomplete_message() from error
         self._check_end(line, limit)
-        self._left_bytes -= len(line) + _BYTES_PER_LINE
+        self._left_bytes -= len(line) + _OVERHEAD_PER_LINE
         if self._left_bytes < 0:
-            raise EndlessLines('the lines of the message have no end')
+            raise EndlessLines(
+                f'the lines of the message exceed {_MAX_LINE_BYTES} bytes'
+            )
         return line
 
     def read(self, size: int | None = -1) -> bytes:
-        """Read bytes of a body, like `read` of a file."""
+        """Read bytes of the body, like `read` of a file."""
         chunk = super().read(size)
         self._left_bytes += len(chunk) * _LINE_BYTES_PER_BODY_BYTE
         return chunk
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_paced_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_paced_reader.py
@@ -1,4 +1,4 @@
-"""Raw reader that gives way to other green threads and ends in time."""
+"""Raw reader that yields to other green threads and has a time limit."""
 
 import io
 import math
@@ -9,24 +9,21 @@
 from fennelfork import Clock
 
 # A read that finds bytes does not wait, so no other green thread runs.
-_READS_PER_TURN: Final = 4
+_READS_PER_YIELD: Final = 4
 
 
 class LateMessage(ConnectionError):
-    """Message whose end did not arrive in time."""
+    """Message that did not end within its time limit."""
 
 
 class PacedReader(io.RawIOBase):
-    """Reader of the bytes of a connection, below any buffer.
+    """Reader of the bytes of a connection, below any buffer."""
 
-    Attributes:
-        end_ms: time after which no byte is read; infinite for no limit.
-    """
-
-    end_ms: float = math.inf
     _raw: Any
     _clock: Clock
-    _turn: int = 0
+    _timeout_ms: float = math.inf
+    _end_ms: float = math.inf
+    _reads: int = 0
 
     def __init__(self, raw: Any, clock: Clock) -> None:
         """Read from a raw reader, which the caller must not use afterwards."""
@@ -42,22 +39,30 @@
         """Return the descriptor of the connection."""
         return int(self._raw.fileno())
 
+    def limit_time(self, timeout_ms: float) -> None:
+        """Limit the time in which bytes are read, from now on."""
+        self._timeout_ms = timeout_ms
+        self._end_ms = self._clock.now_ms() + timeout_ms
+
     def readinto(self, target: Any) -> int | None:
         """Read bytes, like `readinto` of a raw file.
 
         Raises:
-            LateMessage: if bytes still arrive after the end of the time.
+            LateMessage: if the time limit has passed.
         """
-        self.take_turn()
-        if self._clock.now_ms() >= self.end_ms:
-            raise LateMessage('the end of the message did not arrive in time')
-        return self._raw.readinto(target)  # type: ignore[no-any-return]
-
-    def take_turn(self) -> None:
-        """Let other green threads run after a bounded number of calls."""
-        self._turn += 1
-        if self._turn >= _READS_PER_TURN:
-            self._turn = 0
+        self.yield_regularly()
+        if self._clock.now_ms() >= self._end_ms:
+            raise LateMessage(
+                f'the message did not end within {self._timeout_ms:.0f} ms'
+            )
+        count: int | None = self._raw.readinto(target)
+        return count
+
+    def yield_regularly(self) -> None:
+        """Let other green threads run once in a number of calls."""
+        self._reads += 1
+        if self._reads >= _READS_PER_YIELD:
+            self._reads = 0
             eventlet.sleep(0)
 
     def close(self) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -153,7 +153,7 @@
 
     def _to_failure(self, error: Exception) -> Failure:
         if isinstance(_cause_of(error), ENDLESS_ERRORS):
-            # The server is alive; its connection is closed.
+            # The server sends, so the connection does not count as lost.
             return may_have_run(FailureCode.BAD_REPLY, _describe_error(error))
         code = self._broken_failure_code(error)
         return attrs.evolve(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_next_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_next_request.py
@@ -10,7 +10,7 @@
 
 import eventlet
 
-_COUNT: Final = struct.Struct('i')
+_QUEUE_LENGTH: Final = struct.Struct('i')
 _MAX_UNREAD_BYTES: Final = 65_536
 _POLL_INTERVAL_S: Final = 0.05
 
@@ -26,7 +26,8 @@
         timeout_s: maximum wait in seconds.
 
     Returns:
-        Whether there is one; not if the client closes or resets the connection.
+        Whether a byte arrived; false if the client closes or resets the
+        connection, as clients may do between requests.
     """
     connection.settimeout(timeout_s)
     with eventlet.Timeout(timeout_s, exception=False):
@@ -36,17 +37,17 @@
 
 
 def reads_answers_within(connection: Any, timeout_s: float) -> bool:
-    """Wait until the client has read most of the earlier answers.
+    """Wait until at most 64 KiB of the earlier answers are unread.
 
-    A client that sends requests without end and reads nothing would have all of
-    them answered, as long as the buffers of both sides take the answers.
+    Otherwise the requests of a client that reads no answers would be served as
+    long as the socket buffers have room for the answers.
 
     Args:
         connection: socket of the client.
         timeout_s: maximum wait in seconds.
 
     Returns:
-        Whether the client has read them in time.
+        Whether the client has read that much in time.
     """
     left_s = timeout_s
     while _unread_bytes(connection) > _MAX_UNREAD_BYTES:
@@ -60,9 +61,9 @@
 def _unread_bytes(connection: Any) -> int:
     """Return the bytes in the send queue of a socket, 0 if it is closed."""
     try:
-        count = fcntl.ioctl(
-            connection.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size)
+        packed = fcntl.ioctl(
+            connection.fileno(), termios.TIOCOUTQ, bytes(_QUEUE_LENGTH.size)
         )
     except OSError:
         return 0
-    return int(_COUNT.unpack(count)[0])
+    return int(_QUEUE_LENGTH.unpack(packed)[0])
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/http/_wsgi_protocol.py
@@ -33,7 +33,7 @@
 _LINGER_MS: Final = 500
 _LINGER_BYTES: Final = 1_048_576
 _CHUNK_BYTES: Final = 65_536
-# Errors of a message that ends early or never.
+# Errors of a message that ends early or does not end.
 _UNREADABLE: Final = (IncompleteMessage, *ENDLESS_ERRORS)
 
 # Called with the reason of each request that is refused before it is complete.
@@ -153,11 +153,17 @@
                 _shut_down_and_drain(self.connection)
         super().finish()
 
-    def _discard_body(self, environ: dict[str, Any], *unused: Any) -> None:
-        """Read what an application has left of a body, or close."""
+    def _discard_body(self, environ: dict[str, Any], *_sizes: int) -> None:
+        """Read the part of a body that the application has not read.
+
+        If the part is too long or late, the connection is closed.
+        """
         rest = read_body_within(environ, _LINGER_BYTES, _LINGER_MS)
         if rest is None or len(rest) == _LINGER_BYTES:
-            detail = 'the rest of the body did not end in time'
+            detail = (
+                f'the unread part of the body exceeds {_LINGER_BYTES} bytes or '
+                f'did not end within {_LINGER_MS} ms'
+            )
             self.on_refusal(not_run(FailureCode.BAD_REQUEST, detail))
             self._close_after_reply()
 
@@ -203,7 +209,7 @@
     def _await_request(self) -> bool:
         """Wait until the client begins a request and has read the answers.
 
-        A client that reads each answer before the next request does not wait.
+        A client that reads each answer before its next request is not delayed.
         """
         idle_s = self.limits.idle_ms / _MS_PER_SECOND
         if not begins_within(self.connection, self.rfile, idle_s):
@@ -211,7 +217,10 @@
         read_s = self.limits.request_read_ms / _MS_PER_SECOND
         if reads_answers_within(self.connection, read_s):
             return True
-        detail = 'the client has not read the answers to earlier requests'
+        detail = (
+            'the client has not read the answers to earlier requests within '
+            f'{self.limits.request_read_ms} ms'
+        )
         self.on_refusal(not_run(FailureCode.BAD_REQUEST, detail))
         return False
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
@@ -36,7 +36,7 @@
     Attributes:
         request: ID of the request.
         route: name of the route.
-        stop_in_ms: time until the daemon aborts the requests that run.
+        abort_in_ms: time until the daemon aborts the requests in progress.
         timeout_ms: time after which the request ends in any case.
         most_ms: latency that hardly any response of the route is above, none
             while unknown.
@@ -45,7 +45,7 @@
     event: ClassVar[str] = 'request_admitted_in_stop'
     request: str
     route: str
-    stop_in_ms: int
+    abort_in_ms: int
     timeout_ms: int
     most_ms: int | None
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop.py
@@ -18,8 +18,8 @@
 _MAX_TTL_FACTOR: Final = 3
 # During a store outage the lease expires instead.
 _ANNOUNCEMENT_TIMEOUT_MS: Final = 700.0
-# Callers may expect each request that they send 3 s after the signal or later to
-# be answered. The difference is for the delays of the signal and the request.
+# A cut request that was sent later than 3 s after the signal counts as lost, and
+# the signal and the request may be late.
 _ESTIMATE_MS: Final = 2750.0
 # Lets the process exit before the supervisor kills it.
 _STOP_MARGIN_MS: Final = 500.0
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop_gate.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_stop_gate.py
@@ -31,8 +31,7 @@
         The caller can use another daemon at once.
         """
         times = self._stop_times()
-        stop_in_ms = times.abort_in_ms
-        if stop_in_ms == math.inf:
+        if times.abort_in_ms == math.inf:
             return None
         baseline = self._baselines.for_route(request.route)
         timeout_ms = min(request.route.timeout_ms, request.left_ms)
@@ -41,7 +40,7 @@
                 RequestAdmittedInStop(
                     request=request.caller_request.request_id,
                     route=request.route.name,
-                    stop_in_ms=round(stop_in_ms),
+                    abort_in_ms=round(times.abort_in_ms),
                     timeout_ms=round(timeout_ms),
                     most_ms=_known_latency_ms(baseline),
                 )
@@ -50,7 +49,7 @@
         self._reporter.count_overload_refusal(request.route, RefusalReason.STOP)
         return not_run(
             FailureCode.DRAINING,
-            f'the daemon stops in {stop_in_ms:.0f} ms, and the request may '
+            f'the daemon stops in {times.abort_in_ms:.0f} ms, and the request may '
             f'take up to {timeout_ms:.0f} ms',
             retry_after_ms=0,
         )
--- a/packages/fennelfork/src/fennelfork/_stop.py
+++ b/packages/fennelfork/src/fennelfork/_stop.py
@@ -39,16 +39,16 @@
 class StopTimes:
     """Time that a daemon has left for requests.
 
-    Both are infinite while the exit of the process is not requested.
+    All times are infinite while the exit of the process is not requested.
 
     Attributes:
         abort_in_ms: time until requests in progress are aborted.
-        estimate_in_ms: time in which a request may be admitted that ends
-            before the abort only by its expected latency.
+        estimate_left_ms: time for which requests may still be admitted by their
+            expected latency.
     """
 
     abort_in_ms: float = math.inf
-    estimate_in_ms: float = math.inf
+    estimate_left_ms: float = math.inf
 
 
 @attrs.frozen(kw_only=True)
@@ -62,9 +62,9 @@
         announce_ms: timeout of the announcement to the members.
         repeat_forces_end: whether a second request to terminate
             aborts the requests in progress, as for an interactive interrupt.
-        estimate_ms: time after the request to exit in which a request may be
-            admitted by its expected latency; later ones need a timeout that
-            ends before the abort.
+        estimate_ms: time after the request to exit in which requests of
+            callers may be admitted by their expected latency; later requests
+            need a timeout that ends before the abort.
         propagation_ms: function that returns the time other daemons may need
             to learn of the leave, beyond a margin of half a second; called
             when the announcement is complete.
@@ -129,7 +129,7 @@
         since_ms = now_ms - self._end_ms
         return StopTimes(
             abort_in_ms=max(0, self._policy.stop_ms - since_ms),
-            estimate_in_ms=max(0, self._policy.estimate_ms - since_ms),
+            estimate_left_ms=max(0, self._policy.estimate_ms - since_ms),
         )
 
     def drain(self, now_ms: float) -> None:
--- a/packages/fennelfork/src/fennelfork/routes/_stop_admission.py
+++ b/packages/fennelfork/src/fennelfork/routes/_stop_admission.py
@@ -24,6 +24,6 @@
     """
     if timeout_ms <= times.abort_in_ms:
         return True
-    if times.estimate_in_ms <= 0:
+    if times.estimate_left_ms <= 0:
         return False
     return _ATTEMPTS * baseline.most_ms <= times.abort_in_ms
--- a/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
@@ -18,8 +18,8 @@
 # Part of the fleet that has to be known before a daemon ranks itself among the
 # capable daemons.
 _MIN_KNOWN: Final = 0.8
-# Delay between two looks at the members.
-_LOOK_MS: Final = 500.0
+# Interval between two readings of the members.
+_REFRESH_INTERVAL_MS: Final = 500.0
 
 
 class LimitDivisor(Protocol):
@@ -46,7 +46,7 @@
     _started_ms: float
     _uses: dict[str, list[float]] = attrs.field(factory=dict)
     _seen: dict[str, tuple[Member, float]] = attrs.field(factory=dict)
-    _looked_ms: float = -math.inf
+    _refreshed_ms: float = -math.inf
 
     def try_use(self, workspace: Workspace) -> float | None:
         """Use one run of the allowance, if any is left in this window.
@@ -74,7 +74,7 @@
     def discard_old(self) -> None:
         """Forget the workspaces without a use in this window."""
         now_ms = self._clock.now_ms()
-        self._look_at_members(now_ms)
+        self._refresh_members(now_ms)
         for name in tuple(self._uses):
             if not self._recent_uses(name, now_ms):
                 self._uses.pop(name)
@@ -103,7 +103,7 @@
         A member that has left keeps its rank for a window, since it may have
         used its run just before.
         """
-        self._look_at_members(self._clock.now_ms())
+        self._refresh_members(self._clock.now_ms())
         known = {name: member for name, (member, _) in self._seen.items()}
         known[self._local.name] = self._local
         names = [
@@ -115,11 +115,11 @@
         names.sort(key=lambda name: _weight(workspace, name))
         return names.index(self._local.name)
 
-    def _look_at_members(self, now_ms: float) -> None:
+    def _refresh_members(self, now_ms: float) -> None:
         """Record the members, and forget those that left a window ago."""
-        if now_ms - self._looked_ms < _LOOK_MS:
+        if now_ms - self._refreshed_ms < _REFRESH_INTERVAL_MS:
             return
-        self._looked_ms = now_ms
+        self._refreshed_ms = now_ms
         for member in self._members():
             self._seen[member.name] = (member, now_ms)
         oldest_ms = now_ms - self._policy.window_ms
--- a/packages/fennelfork/src/fennelfork/workspaces/_permit_bucket.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_permit_bucket.py
@@ -34,10 +34,10 @@
     permit in advance leaves the count when its holder reports its use, returns
     the permit, or the permit expires.
 
-    Limits may change at any time. The bucket then grants no more than what the
-    largest limits of the last window leave of that window: permits that were
-    used under other limits count. The level is negative while too many have
-    been used for the limits in force.
+    After a change of the limits, permits that were used under former limits
+    count in each window that contains their use; the largest limits in force in
+    a window bound the window. The level is negative while more permits have been
+    used than the new limits allow.
 
     Attributes:
         limits: limits of the owner.
@@ -106,7 +106,7 @@
         self._former.append(FormerLimits(limits=self.limits, until_ms=now_ms))
         self.limits = limits
         self._add(max(0, raised) if self._has_initial else 0, now_ms)
-        self._level = min(self._level, self._room(now_ms))
+        self._level = min(self._level, self._max_level(now_ms))
 
     def _extra(self, need: PermitNeed, now_ms: float) -> int:
         """Return how many more permits a holder may have in advance.
@@ -160,22 +160,23 @@
             self._add(self.limits.spare, now_ms)
 
     def _add(self, count: float, now_ms: float) -> None:
-        """Add permits, as far as the recent window has room for them."""
-        room = self._room(now_ms)
-        self._level = max(self._level, min(self._level + count, room))
+        """Add permits, as far as the level stays within its maximum."""
+        max_level = self._max_level(now_ms)
+        self._level = max(self._level, min(self._level + count, max_level))
         self._clamp()
 
-    def _room(self, now_ms: float) -> float:
-        """Return the permits that no window from a recent moment is short of.
+    def _max_level(self, now_ms: float) -> float:
+        """Return the highest level that keeps each window within its bound.
 
-        The largest limits in force in a window bound it.
+        The windows are those that contain now. The largest limits in force in a
+        window are its bound.
         """
         oldest_ms = now_ms - self._recent.span_ms
         self._former = [
             former for former in self._former if former.until_ms >= oldest_ms
         ]
-        bounds = (former.limits.max_in_window for former in self._former)
-        bound = max(self.limits.max_in_window, *bounds, 0)
+        all_limits = (self.limits, *(one.limits for one in self._former))
+        bound = max(limits.max_in_window for limits in all_limits)
         return bound - self._recent.most_in_window(
             self.limits.rate_per_ms, now_ms
         )
@@ -200,10 +201,10 @@
 
     Args:
         limits: limits of the owner.
-        tenure_ms: time from which this daemon is the only owner; the bucket is
-            empty at that time.
-        former: limits that were in force in the window before. A previous owner
-            may have granted their whole capacity just before.
+        tenure_ms: time from which this daemon is the only owner.
+        former: limits that were in force in the window before that time. A
+            previous owner may have granted their whole capacity just before, so
+            the bucket is empty or in debt.
     """
     all_limits = (limits, *(one.limits for one in former))
     bound = max(one.max_in_window for one in all_limits)
--- a/packages/fennelfork/src/fennelfork/workspaces/_permit_holder.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_permit_holder.py
@@ -34,8 +34,8 @@
 
     _clock: Clock
     _holdings: dict[str, Holding] = attrs.field(factory=dict)
-    # Holdings of the last report to each owner. A workspace that is taken out
-    # and comes back has another holding.
+    # Holdings of the last report to each owner, by workspace. A workspace that
+    # was removed and is back has another holding.
     _reported: dict[str, dict[str, Holding]] = attrs.field(factory=dict)
 
     @property
--- a/packages/fennelfork/src/fennelfork/workspaces/_permit_owner.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_permit_owner.py
@@ -88,7 +88,7 @@
     def _record_former(
         self, workspaces: Mapping[str, Workspace], now_ms: float
     ) -> None:
-        """Record the limits that a configuration ends, for a while."""
+        """Record the limits that a new configuration replaces or removes."""
         kept_ms = self._policy.window_ms + HELD_MS
         self._former = {
             name: recent
--- a/packages/fennelfork/src/fennelfork/workspaces/_recent_permits.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_recent_permits.py
@@ -1,22 +1,22 @@
-"""Permits that may have been used since any recent moment."""
+"""Permits that may have been used within the windows that contain now."""
 
 from collections import deque
 from typing import Final
 
 import attrs
 
-# Moments within this time are not distinguished.
+# Resolution of the times of grants.
 _SLOT_MS: Final = 250.0
 
 
 @attrs.define(kw_only=True)
 class _Slot:
-    """Permits of a short time.
+    """Permits of an interval of `_SLOT_MS`.
 
     Attributes:
-        start_ms: start of the time.
-        outstanding: permits in advance at the start.
-        granted: permits that were granted in the time, less the returned ones.
+        start_ms: start of the interval.
+        outstanding: permits in advance at other daemons at the start.
+        granted: permits granted in the interval, less the returned ones.
     """
 
     start_ms: float
@@ -25,16 +25,16 @@
 
     @property
     def end_ms(self) -> float:
-        """End of the time."""
+        """End of the interval."""
         return self.start_ms + _SLOT_MS
 
 
 @attrs.define(kw_only=True)
 class RecentPermits:
-    """Permits that an owner granted, and those in advance, in a recent time.
+    """Permits that an owner has granted recently, by the time of the grant.
 
     Attributes:
-        span_ms: length of the time.
+        span_ms: time for which grants are kept; the length of a window.
     """
 
     span_ms: float
@@ -45,7 +45,7 @@
 
         Args:
             now_ms: current time.
-            outstanding: permits in advance since the last call of a method.
+            outstanding: permits in advance at other daemons.
         """
         while self._slots and self._slots[0].end_ms < now_ms - self.span_ms:
             self._slots.popleft()
@@ -57,9 +57,9 @@
         self._slots[-1].granted += granted
 
     def most_in_window(self, rate_per_ms: float, now_ms: float) -> float:
-        """Return the most permits that any window from a recent moment uses.
+        """Return the most permits that any window which contains now may use.
 
-        The permits of the rate from now to the end of the window are included.
+        The permits that the rate adds until the end of the window are included.
 
         Args:
             rate_per_ms: permits that the owner gains in a millisecond from now.
--- a/packages/fennelfork/tests/test_routes_stop_admission.py
+++ b/packages/fennelfork/tests/test_routes_stop_admission.py
@@ -4,6 +4,7 @@
 refusal of a request that would have ended in time.
 """
 
+import math
 from itertools import repeat
 
 import pytest
@@ -30,24 +31,27 @@
 
 
 def _early(abort_in_ms: float) -> StopTimes:
-    return StopTimes(abort_in_ms=abort_in_ms, estimate_in_ms=1)
+    return StopTimes(abort_in_ms=abort_in_ms, estimate_left_ms=1)
 
 
 def _late(abort_in_ms: float) -> StopTimes:
-    return StopTimes(abort_in_ms=abort_in_ms, estimate_in_ms=0)
+    return StopTimes(abort_in_ms=abort_in_ms, estimate_left_ms=0)
 
 
 class TestAdmission:
     """Decisions with few and many observed responses."""
 
-    @pytest.mark.parametrize('abort_in_ms', [0, 500, _LEAST_LEFT_MS, 5500])
+    @pytest.mark.parametrize(
+        'abort_in_ms', [0, 500, _LEAST_LEFT_MS, 5500, math.inf]
+    )
     def test_unknown_latency(self, abort_in_ms: float) -> None:
         """Without responses, only the timeout bounds a run."""
         baseline = _baseline()
+        is_serving = abort_in_ms == math.inf
         for times in (_early(abort_in_ms), _late(abort_in_ms)):
             assert can_end_before_stop(baseline, abort_in_ms, times)
-            assert not can_end_before_stop(baseline, _TIMEOUT_MS, times)
-        assert can_end_before_stop(baseline, _TIMEOUT_MS, StopTimes())
+            admitted = can_end_before_stop(baseline, _TIMEOUT_MS, times)
+            assert admitted is is_serving
 
     @pytest.mark.parametrize('count', [1, 10, 200])
     def test_short_runs_are_admitted(self, count: int) -> None:
@@ -60,13 +64,14 @@
     def test_long_runs_are_refused(self, count: int) -> None:
         """Runs of 2.8 s do not end within 2.5 s."""
         baseline = _baseline(*repeat(2800.0, count))
-        assert not can_end_before_stop(baseline, _TIMEOUT_MS, _early(2500))
+        for times in (_early(2500), _late(2500)):
+            assert not can_end_before_stop(baseline, _TIMEOUT_MS, times)
 
     def test_rare_long_runs_are_considered(self) -> None:
         """The longest of many runs decide, not the usual ones."""
         baseline = _baseline(*repeat(100.0, 190), *repeat(2000.0, 10))
-        times = _early(_LEAST_LEFT_MS)
-        assert not can_end_before_stop(baseline, _TIMEOUT_MS, times)
+        for times in (_early(_LEAST_LEFT_MS), _late(_LEAST_LEFT_MS)):
+            assert not can_end_before_stop(baseline, _TIMEOUT_MS, times)
 
     @given(
         latencies_ms=st.lists(st.floats(1, 5000), max_size=80),
--- a/packages/fennelfork/tests/test_stop.py
+++ b/packages/fennelfork/tests/test_stop.py
@@ -62,9 +62,11 @@
         assert stop.times(700) == StopTimes()
         stop.end(1000)
         assert stop.times(1500) == StopTimes(
-            abort_in_ms=59_500, estimate_in_ms=2500
+            abort_in_ms=59_500, estimate_left_ms=2500
+        )
+        assert stop.times(90_000) == StopTimes(
+            abort_in_ms=0, estimate_left_ms=0
         )
-        assert stop.times(90_000) == StopTimes(abort_in_ms=0, estimate_in_ms=0)
 
     def test_lingers_for_propagation(self) -> None:
         """The propagation delay of a large fleet extends the linger phase."""
--- a/tests/test_platform_endless_messages.py
+++ b/tests/test_platform_endless_messages.py
@@ -131,7 +131,7 @@
 
 @pytest.mark.parametrize('form', sorted(REQUEST_FORMS))
 def test_slow_request_ends_alone(fleet: PlatformFleet, form: str) -> None:
-    """The same messages end in time when a byte is sent at a time."""
+    """A request without end ends in time, too, if a byte is sent at a time."""
     slow = attrs.evolve(REQUEST_FORMS[form], is_slow=True)
     took_s = _send_request(fleet, slow)
     assert took_s < _MAX_READ_S + _MAX_CLIENT_S + _LINGER_S
@@ -198,7 +198,7 @@
 
 @pytest.mark.parametrize('form', sorted(RESPONSE_FORMS))
 def test_slow_response_ends_alone(fleet: PlatformFleet, form: str) -> None:
-    """The same responses end in time when a byte is sent at a time."""
+    """A response without end ends in time, too, if a byte is sent at a time."""
     slow = attrs.evolve(RESPONSE_FORMS[form], is_slow=True)
     longest_s = _answer(fleet, form, slow)
     assert longest_s < _MAX_ANSWER_S
