Reading: an answer whose head states no or two lengths of its body is refused

What callers saw: an answer of a backend server whose head was spoilt where it states the length of the body counted as complete. The body was not that of the server: it held the framing of the chunks, bytes up to the end of the connection, or fewer bytes. With a connection that the server kept, the caller waited for the timeout.

Why this works: find_body_length decides by RFC 9112, section 6.3, from all fields, in the class that reads all answers: servers, health, store, other daemons. The answer fails at the end of its head, the request may have run, and the server does not count as lost.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -1,13 +1,15 @@
 """HTTP connections that accept only complete responses."""
 
 from http import HTTPStatus
-from http.client import HTTPException, HTTPResponse, parse_headers
+from http.client import HTTPResponse, parse_headers
 from typing import Any, Final
 
 import urllib3
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from fennelfork_daemon._body_length import ResponseHead, find_body_length
+from fennelfork_daemon._message_grammar import MalformedMessage
 from fennelfork_daemon._message_reader import (
     MessageReader,
     has_malformed_line,
@@ -16,15 +18,13 @@
 _MS_PER_SECOND: Final = 1000
 # The timeout of the socket bounds one read, and a response takes several.
 _READ_TIMEOUTS_PER_RESPONSE: Final = 2
+# `HTTPResponse.version` of HTTP/1.0.
+_OLD_VERSION: Final = 10
 # Interim responses except 100, which the standard library skips, and 101, after
 # which the connection has another protocol.
 _SKIPPED_STATUSES: Final = range(HTTPStatus.PROCESSING, HTTPStatus.OK)
 
 
-class MalformedHeaders(HTTPException):
-    """Response with headers that cannot be parsed."""
-
-
 class CompleteResponse(HTTPResponse):
     """Response that raises an error if it is incomplete or malformed.
 
@@ -45,12 +45,30 @@
         """Read the status line and the headers.
 
         Raises:
-            MalformedHeaders: if a line without a header name hides the headers
-                after it.
+            MalformedMessage: if a line without a header name hides the headers
+                after it, or the length of the body is ambiguous.
         """
         super().begin()
         if has_malformed_line(self.headers):
-            raise MalformedHeaders('a header line is malformed')
+            raise MalformedMessage('a header line is malformed')
+        self._apply_body_length()
+
+    def _apply_body_length(self) -> None:
+        """Replace the lenient reading of the length by the standard library."""
+        body_length = find_body_length(
+            ResponseHead(
+                method=self._method,
+                has_chunks=self.version > _OLD_VERSION,
+                status=self.status,
+                lengths=self.headers.get_all('Content-Length', ()),
+                codings=self.headers.get_all('Transfer-Encoding', ()),
+            ),
+        )
+        self.chunked = body_length.is_chunked
+        self.chunk_left = None
+        self.length = body_length.byte_count
+        has_length = self.chunked or self.length is not None
+        self.will_close = self._check_close() or not has_length
 
     def _read_status(self) -> tuple[str, int, str]:
         """Read the status line of the final response.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -14,6 +14,7 @@
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import Address
 from fennelfork_daemon._http_connection import CompleteHTTPConnection
+from fennelfork_daemon._message_grammar import MalformedMessage
 from fennelfork_daemon._message_reader import ENDLESS_ERRORS
 from fennelfork_daemon._sockets import ConnectionBroken, reset_aware
 from fennelfork_daemon.backend._request import (
@@ -40,6 +41,8 @@
 _PEEK_BYTES: Final = 1
 # Errors after which a request may have reached the server.
 _TRANSPORT_ERRORS: Final = (HTTPError, HTTPException, OSError, EOFError)
+# Errors of a server that sends, so that its connection does not count as lost.
+_INVALID_MESSAGE_ERRORS: Final = (MalformedMessage, *ENDLESS_ERRORS)
 # Transport errors that do not imply a lost connection.
 _TIMEOUT_ERRORS: Final = (TimeoutError, LibraryTimeoutError)
 
@@ -152,8 +155,7 @@
         self._http.close()
 
     def _to_failure(self, error: Exception) -> Failure:
-        if isinstance(_cause_of(error), ENDLESS_ERRORS):
-            # The server sends, so the connection does not count as lost.
+        if isinstance(_cause_of(error), _INVALID_MESSAGE_ERRORS):
             return may_have_run(FailureCode.BAD_REPLY, _describe_error(error))
         code = self._broken_failure_code(error)
         return attrs.evolve(
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/daemon_builders_forms.py
@@ -0,0 +1,127 @@
+"""Responses of a server in trouble, by the rule that each of them breaks."""
+
+from typing import Final
+
+from daemon_builders_spoilt import REQUEST_ID
+
+BODY: Final = b'records of shard'
+_START: Final = b'HTTP/1.1 200 OK\r\n'
+_FIELDS: Final = (
+    b'X-Server-Stamp: stamp-spoilt\r\n'
+    b'X-Request-Id: %s\r\n'
+    b'Content-Type: application/octet-stream\r\n' % REQUEST_ID
+)
+_LENGTH: Final = b'Content-Length: 16\r\n'
+_CHUNKED: Final = b'Transfer-Encoding: chunked\r\n'
+_CHUNKS: Final = b'7\r\nrecords\r\n9\r\n of shard\r\n0\r\n\r\n'
+
+
+def response(
+    fields: bytes = _LENGTH,
+    body: bytes = BODY,
+    start: bytes = _START,
+    own: bytes = _FIELDS,
+) -> bytes:
+    """Build a response; all parts but the body end with CRLF."""
+    return b'%s%s%s\r\n%s' % (start, own, fields, body)
+
+
+def _chunks(body: bytes) -> bytes:
+    return response(_CHUNKED, body)
+
+
+# Proper responses, one for each way to end a body.
+SOUND: Final = {
+    'length': response(),
+    'chunks': response(_CHUNKED, _CHUNKS),
+    'close': response(b'Connection: close\r\n'),
+}
+# Less usual forms of sound servers.
+UNUSUAL: Final = {
+    'no-blank-after-colon': response(b'Content-Length:16\r\n'),
+    'lower-case': response(b'content-length: 16\r\n'),
+    'upper-case-coding': response(b'TRANSFER-ENCODING: CHUNKED\r\n', _CHUNKS),
+    'leading-zeros': response(b'Content-Length: 0016\r\n'),
+    'repeated-length': response(b'Content-Length: 16\r\n' * 2),
+    'listed-length': response(b'Content-Length: 16, 16\r\n'),
+    'empty-value': response(b'X-A:\r\nContent-Length: 16\r\n'),
+    'obs-text': response(b'X-A: caf\xe9 \xa0\x85\r\nContent-Length: 16\r\n'),
+    'token-name': response(b"X!#$%&'*+-.^_`|~: 1\r\nContent-Length: 16\r\n"),
+    'colons': response(b'X-A: a:b: c\r\nContent-Length: 16\r\n'),
+    'no-reason': response(start=b'HTTP/1.1 200 \r\n'),
+    'odd-reason': response(start=b'HTTP/1.1 200 \t fine \xe9\r\n'),
+    'old-version': response(start=b'HTTP/1.0 200 OK\r\n'),
+    'later-version': response(start=b'HTTP/1.2 200 OK\r\n'),
+    'unknown-status': response(start=b'HTTP/1.1 299 Odd\r\n'),
+    'continue': response(start=b'HTTP/1.1 100 Continue\r\n\r\n%s' % _START),
+    'early-hints': response(
+        start=b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n%s' % _START
+    ),
+    'no-content': response(
+        b'', b'', start=b'HTTP/1.1 204 No Content\r\n'
+    ),
+    'no-content-length-0': response(
+        b'Content-Length: 0\r\n', b'', start=b'HTTP/1.1 204 No Content\r\n'
+    ),
+    'empty-body': response(b'Content-Length: 0\r\n', b''),
+    'chunk-zeros': _chunks(b'0010\r\n%s\r\n000\r\n\r\n' % BODY),
+    'chunk-extensions': _chunks(
+        b'7;a\r\nrecords\r\n9 ; b = "c;\x5c"d" ;e=f\r\n of shard\r\n0;g\r\n\r\n'
+    ),
+    'trailers': _chunks(b'10\r\n%s\r\n0\r\nX-A: 1\r\nX-B:\r\n\r\n' % BODY),
+}  # fmt: skip
+LENGTH_FORMS: Final = {
+    f'length-{name}': response(b'Content-Length: %s\r\n' % text)
+    for name, text in {
+        'empty': b'',
+        'word': b'many',
+        'minus': b'-16',
+        'plus': b'+16',
+        'underscore': b'1_6',
+        'hex': b'0x10',
+        'fraction': b'16.0',
+        'blank': b'1 6',
+        'letter': b'1x',
+        'semicolon': b'16;',
+        'quoted': b'"16"',
+        'different': b'16, 17',
+        'empty-element': b'16,',
+        'other-element': b'16, x',
+        'superscript': b'1\xb2',
+        'no-break-space': b'16\xa0',
+        'endless': b'9' * 5000,
+    }.items()
+} | {
+    'two-lengths': response(b'Content-Length: 16\r\nContent-Length: 8\r\n'),
+    'two-lengths-shorter-first': response(
+        b'Content-Length: 8\r\nContent-Length: 16\r\n'
+    ),
+    'length-and-chunks': response(_LENGTH + _CHUNKED, _CHUNKS),
+    'chunks-and-length': response(_CHUNKED + _LENGTH, _CHUNKS),
+    'no-content-with-length': response(
+        start=b'HTTP/1.1 204 No Content\r\n'
+    ),
+    'no-content-with-chunks': response(
+        _CHUNKED, _CHUNKS, start=b'HTTP/1.1 204 No Content\r\n'
+    ),
+    'chunks-in-old-version': response(
+        _CHUNKED, _CHUNKS, start=b'HTTP/1.0 200 OK\r\n'
+    ),
+} | {
+    f'coding-{name}': response(b'Transfer-Encoding: %s\r\n' % text, _CHUNKS)
+    for name, text in {
+        'empty': b'',
+        'spoilt': b'chunkex',
+        'identity': b'identity',
+        'gzip': b'gzip',
+        'gzip-chunked': b'gzip, chunked',
+        'twice': b'chunked, chunked',
+        'chunked-first': b'chunked, identity',
+        'parameter': b'chunked;q=1',
+        'quoted': b'"chunked"',
+        'no-break-space': b'\xa0chunked',
+    }.items()
+} | {
+    'two-codings': response(_CHUNKED * 2, _CHUNKS),
+}  # fmt: skip
+BROKEN: Final = LENGTH_FORMS
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/daemon_builders_spoilt.py
@@ -0,0 +1,135 @@
+"""Builders of servers whose responses are spoilt, on real sockets."""
+
+import contextlib
+import re
+import socket
+import threading
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+from daemon_builders_strict import Improper, Unfinished, read_strictly
+
+from fennelfork_daemon._address import Address
+
+_TIMEOUT_S: Final = 20
+_END_OF_HEAD: Final = b'\r\n\r\n'
+_LAST_SEGMENT: Final = re.compile(rb'\A\S+ [^ ]*/([^/ ]+) ')
+_REQUEST_ID: Final = re.compile(rb'(?i)\r\nx-request-id: ([^\r]*)\r\n')
+# Replaced by the id of the request.
+REQUEST_ID: Final = b'{request-id}'
+# One byte for each class of RFC 9112.
+SPOILT_BYTES: Final = (
+    b'\x00', b'\t', b'\n', b'\r', b' ', b'"', b'+', b',', b'-', b'0', b'9',
+    b':', b'f', b'x', b'\x7f', b'\xa0',
+)  # fmt: skip
+
+
+@attrs.define(kw_only=True)
+class SpoiltServer:
+    """Server that keeps its connections and sends prepared responses.
+
+    A request gets the response under the last segment of its path, another one
+    the sound response. The connection is closed where RFC 9112 says so, and
+    after a response that is not complete.
+
+    Attributes:
+        sound: response to requests that have none of their own.
+        responses: responses by the last segment of the path.
+        requests: last segments of the paths that were requested.
+        connections: number of connections that were accepted.
+    """
+
+    sound: bytes
+    responses: dict[str, bytes] = attrs.field(factory=dict)
+    requests: list[str] = attrs.field(factory=list)
+    connections: int = 0
+    _listener: socket.socket
+
+    @property
+    def address(self) -> Address:
+        """Address of the listener."""
+        host, port = self._listener.getsockname()
+        return Address(host=host, port=port)
+
+    def serve(self) -> None:
+        """Serve connections until the listener is closed."""
+        while True:
+            try:
+                accepted = self._listener.accept()[0]
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(
+                target=self._serve_connection, args=(accepted,)
+            ).start()
+
+    def close(self) -> None:
+        """Close the listener."""
+        self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def _serve_connection(self, accepted: socket.socket) -> None:
+        accepted.settimeout(_TIMEOUT_S)
+        with accepted, contextlib.suppress(OSError):
+            while request := _read_head(accepted):
+                response = self._respond(request)
+                accepted.sendall(response)
+                if _ends_connection(response):
+                    return
+
+    def _respond(self, request: bytes) -> bytes:
+        segment = _LAST_SEGMENT.match(request)
+        assert segment is not None
+        name = segment[1].decode()
+        self.requests.append(name)
+        request_id = _REQUEST_ID.search(request)
+        sent_id = b'' if request_id is None else request_id[1]
+        response = self.responses.get(name, self.sound)
+        return response.replace(REQUEST_ID, sent_id)
+
+
+@contextlib.contextmanager
+def spoilt_server(sound: bytes) -> Iterator[SpoiltServer]:
+    """Run a server for the duration of a test."""
+    listener = socket.create_server(('127.0.0.1', 0), backlog=64)
+    server = SpoiltServer(sound=sound, listener=listener)
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    try:
+        yield server
+    finally:
+        server.close()
+        thread.join(_TIMEOUT_S)
+
+
+def spoilt_heads(response: bytes) -> Iterator[bytes]:
+    """Yield the response with each byte of its head replaced in turn."""
+    for place in range(response.index(_END_OF_HEAD) + len(_END_OF_HEAD)):
+        for byte in SPOILT_BYTES:
+            if response[place : place + 1] != byte:
+                yield response[:place] + byte + response[place + 1 :]
+
+
+def _read_head(accepted: socket.socket) -> bytes:
+    """Return the head of the next request, empty at the end."""
+    request = b''
+    while _END_OF_HEAD not in request:
+        received = accepted.recv(65_536)
+        if not received:
+            return b''
+        request += received
+    return request
+
+
+def _ends_connection(response: bytes) -> bool:
+    """Whether a client needs the end of the connection.
+
+    A client refuses an improper response without it.
+    """
+    try:
+        return read_strictly(response, is_closed=False).ends_connection
+    except Unfinished:
+        return True
+    except Improper:
+        return False
--- /dev/null
+++ b/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
@@ -0,0 +1,146 @@
+"""Responses of backend servers that break RFC 9112, on kept connections.
+
+Guards against a spoilt response that is accepted, against a proper one that is
+refused, and against a connection whose next response is another one.
+"""
+
+import time
+from collections.abc import Iterator
+
+import attrs
+import pytest
+from daemon_builders_forms import (
+    BROKEN,
+    LENGTH_FORMS,
+    SOUND,
+    UNUSUAL,
+)
+from daemon_builders_spoilt import (
+    REQUEST_ID,
+    SpoiltServer,
+    spoilt_server,
+)
+from daemon_builders_strict import (
+    Improper,
+    StrictResponse,
+    Unfinished,
+    is_proper,
+    read_strictly,
+)
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from fennelfork import Failure, FailureCode, Verdict, system_clock
+from fennelfork.servers import ConnectionLedger
+from fennelfork_daemon.backend._pool import (
+    BackendPool,
+    ConnectionTrace,
+    backend_pool,
+)
+from fennelfork_daemon.backend._request import BackendResponse, ForwardRequest
+
+_TIMEOUT_MS = 20_000.0
+_MAX_REFUSAL_S = 1.0
+_ID = 'request-7'
+_NEXT = 'next'
+
+
+@attrs.define(kw_only=True)
+class Exchanges:
+    """Requests to a server whose connections are kept."""
+
+    server: SpoiltServer
+    pool: BackendPool
+
+    def send(self, name: str) -> Result[BackendResponse, Failure]:
+        """Send the request for one response of the server."""
+        request = ForwardRequest(
+            method='GET',
+            target=f'/one/{name}',
+            headers=(('Host', 'x'), ('X-Request-Id', _ID)),
+            body=None,
+            timeout_ms=_TIMEOUT_MS,
+            connect_ms=_TIMEOUT_MS,
+        )
+        return self.pool.exchange(request, ConnectionTrace())
+
+    def check(self, response: bytes) -> None:
+        """Check one response, and the next one that the server sends."""
+        self.server.responses['case'] = response
+        expected = _read(response)
+        began_s = time.monotonic()
+        outcome = self.send('case')
+        took_s = time.monotonic() - began_s
+        assert took_s < _MAX_REFUSAL_S, response
+        if isinstance(expected, StrictResponse):
+            assert is_successful(outcome), (response, outcome)
+            _check_equal(outcome.unwrap(), expected)
+        else:
+            assert not is_successful(outcome), (response, outcome)
+            assert outcome.failure().verdict is Verdict.MAY_HAVE_RUN
+        if isinstance(expected, Improper):
+            assert outcome.failure().code is FailureCode.BAD_REPLY, response
+            assert not outcome.failure().connection_lost
+        sound = _read(self.server.sound)
+        assert isinstance(sound, StrictResponse)
+        _check_equal(self.send(_NEXT).unwrap(), sound)
+
+
+@pytest.fixture
+def exchanges() -> Iterator[Exchanges]:
+    """Run a server and a pool of connections to it."""
+    with spoilt_server(SOUND['length']) as server:
+        pool = backend_pool(
+            server.address,
+            ConnectionLedger(limit=4),
+            system_clock(),
+            1000,
+            probe=None,
+        )
+        yield Exchanges(server=server, pool=pool)
+        pool.close()
+
+
+def _read(response: bytes) -> StrictResponse | Improper | Unfinished:
+    """Return what a strict reader makes of a response."""
+    sent = response.replace(REQUEST_ID, _ID.encode())
+    try:
+        return read_strictly(sent, is_closed=True)
+    except (Improper, Unfinished) as error:
+        return error
+
+
+def _check_equal(response: BackendResponse, expected: StrictResponse) -> None:
+    assert response.status == expected.status
+    assert response.body == expected.body
+    # Fields with one name are put together.
+    assert sorted(
+        (name.lower().encode(), text.encode('latin-1'))
+        for name, text in response.headers
+    ) == sorted((name.lower(), text) for name, text in expected.fields)
+
+
+@pytest.mark.parametrize('form', sorted(LENGTH_FORMS))
+def test_spoilt_length(exchanges: Exchanges, form: str) -> None:
+    """A body whose length is not known is no body."""
+    exchanges.check(LENGTH_FORMS[form])
+
+
+@pytest.mark.parametrize('form', sorted(UNUSUAL))
+def test_unusual_response(exchanges: Exchanges, form: str) -> None:
+    """An unusual response of a sound server is accepted unchanged."""
+    assert is_proper(UNUSUAL[form], is_closed=True)
+    exchanges.check(UNUSUAL[form])
+
+
+def test_broken_forms_are_improper() -> None:
+    """The forms above do break a rule by the strict reader."""
+    for form, response in BROKEN.items():
+        assert isinstance(_read(response), Improper), form
+
+
+def test_connection_is_kept(exchanges: Exchanges) -> None:
+    """Proper responses leave the connection usable."""
+    for response in (SOUND['length'], SOUND['chunks'], SOUND['length']):
+        exchanges.check(response)
+    assert exchanges.server.connections == 1
--- /dev/null
+++ b/tests/test_platform_spoilt_answers.py
@@ -0,0 +1,220 @@
+"""Spoilt answers of backend servers to a real daemon.
+
+Guards against an answer that breaks RFC 9112 and reaches a caller, whole or as a
+part, and against the answer after it that is another one.
+"""
+
+import json
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack
+
+import attrs
+import pytest
+from daemon_builders_forms import BROKEN, SOUND, UNUSUAL
+from daemon_builders_spoilt import (
+    REQUEST_ID,
+    SpoiltServer,
+    spoilt_server,
+)
+from daemon_builders_strict import (
+    Improper,
+    StrictResponse,
+    Unfinished,
+    read_strictly,
+)
+from platform_builders import registration
+
+from fennelfork_bench.rig._process import Rig, rig
+from fennelfork_platform_bench._events import await_ready
+from fennelfork_platform_bench._fleet import ZONES, PlatformFleet
+from fennelfork_platform_bench._store_client import HOST, SHARDS
+
+_DAEMON = 'vm-0'
+_FAULTY = 'shard-c'
+_STAMP = b'stamp-spoilt'
+_SOUND_STAMPS = {b'stamp-shard-a', b'stamp-shard-b'}
+_TIMEOUT_S = 9
+# Half of the time that the requests have.
+_MAX_REFUSAL_S = 1.0
+_REFUSED = {502, 503}
+# Statuses that a backend server may not send without a further header.
+_PROMISES = {408, 421, 429, 503}
+_ROUTES = pytest.mark.parametrize('prefix', ['/one/', '/once/'])
+
+
+@attrs.define(kw_only=True)
+class Caller:
+    """Caller that keeps its connection to the daemon."""
+
+    fleet: PlatformFleet
+    servers: dict[str, SpoiltServer]
+    _connection: socket.socket | None = None
+    _sent: int = 0
+
+    def ask(self, prefix: str, response: bytes) -> StrictResponse:
+        """Send a request for a response and return the answer."""
+        self._sent += 1
+        name = f'case-{self._sent}'
+        for service in ('archive', _FAULTY):
+            self.servers[service].responses[name] = response
+        request = (
+            f'GET {prefix}{name} HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Request-Id: {name}\r\nX-Deadline-Ms: 2000\r\n\r\n'
+        )
+        began_s = time.monotonic()
+        answer = self._exchange(request.encode())
+        assert time.monotonic() - began_s < _MAX_REFUSAL_S, response
+        return answer
+
+    def expected(self, response: bytes) -> StrictResponse | None:
+        """Return the last response as a strict reader reads it, if it can."""
+        request_id = f'case-{self._sent}'.encode()
+        sent = response.replace(REQUEST_ID, request_id)
+        try:
+            read = read_strictly(sent, is_closed=True)
+        except (Improper, Unfinished):
+            return None
+        ids = read.field(b'x-request-id')[:1]
+        return read if ids in ([], [request_id]) else None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+
+    def _exchange(self, request: bytes) -> StrictResponse:
+        if self._connection is None:
+            addresses = self.fleet.addresses[_DAEMON]
+            host, _, port = addresses.front.rpartition(':')
+            self._connection = socket.create_connection(
+                (host, int(port)), timeout=_TIMEOUT_S
+            )
+        self._connection.sendall(request)
+        received = b''
+        while chunk := self._connection.recv(65_536):
+            received += chunk
+            try:
+                answer = read_strictly(received, is_closed=False)
+            except Unfinished:
+                continue
+            assert not answer.rest
+            if answer.ends_connection:
+                self.close()
+            return answer
+        raise AssertionError(f'the daemon closed after {received!r}')
+
+
+@pytest.fixture(scope='module')
+def caller() -> Iterator[Caller]:
+    """Start a store, a daemon and one backend server for each service."""
+    with rig() as processes, ExitStack() as stack:
+        fleet = _start_store(processes)
+        servers = {}
+        for service in (*SHARDS, 'archive'):
+            sound = SOUND['length']
+            if service in SHARDS and service != _FAULTY:
+                sound = _sound_part(service)
+            servers[service] = stack.enter_context(spoilt_server(sound))
+            entry = registration(
+                Service=service,
+                Address=str(servers[service].address),
+                Zone=ZONES[0],
+            )
+            fleet.store_client.write_key(
+                f'servers/i-{service}', json.dumps(entry).encode()
+            )
+        fleet.start_daemon(_DAEMON, ZONES[0])
+        await_ready(fleet, _DAEMON)
+        running = Caller(fleet=fleet, servers=servers)
+        yield running
+        running.close()
+
+
+def _start_store(processes: Rig) -> PlatformFleet:
+    store = processes.start_module('store', 'fennelfork_platform_bench.store')
+    fleet = PlatformFleet(
+        rig=processes, store=store.await_ready().ready['address']
+    )
+    fleet.configure(1)
+    return fleet
+
+
+def _sound_part(service: str) -> bytes:
+    stamp = f'stamp-{service}'.encode()
+    return SOUND['length'].replace(_STAMP, stamp)
+
+
+def _check_single(caller: Caller, prefix: str, response: bytes) -> None:
+    """Check the answer to one request, and the answer after it."""
+    answer = caller.ask(prefix, response)
+    expected = caller.expected(response)
+    if expected is None or not _is_valid(expected):
+        assert answer.status in _REFUSED, (response, answer)
+        assert not answer.field(b'x-server-stamp')
+        assert b'records' not in answer.body
+    else:
+        assert (answer.status, answer.body) == (expected.status, expected.body)
+        assert answer.field(b'x-server-stamp') == [_STAMP]
+    sound = caller.ask(prefix, SOUND['length'])
+    assert (sound.status, sound.body) == (200, b'records of shard')
+
+
+def _is_valid(response: StrictResponse) -> bool:
+    """Whether a proper response is one that a backend server may send."""
+    return (
+        response.field(b'x-server-stamp')[:1] == [_STAMP]
+        and response.status not in _PROMISES
+        and not response.field(b'content-encoding')
+    )
+
+
+def _check_merged(caller: Caller, response: bytes) -> None:
+    """Check the merged answer to one request, and the answer after it."""
+    answer = caller.ask('/all/', response)
+    expected = caller.expected(response)
+    is_part = (
+        expected is not None
+        and _is_valid(expected)
+        and 200 <= expected.status < 300
+    )
+    stamps = _SOUND_STAMPS
+    body = b'records of shard' * 2
+    if is_part:
+        stamps = _SOUND_STAMPS | {_STAMP}
+        body += expected.body[:16]
+    named = b', '.join(answer.field(b'x-part-stamps')).split(b', ')
+    missing = str(len(SHARDS) - len(stamps)).encode()
+    assert answer.status == 200
+    assert set(named) == stamps
+    assert answer.field(b'x-parts-missing') == [missing]
+    assert answer.body == body
+    sound = caller.ask('/all/', SOUND['length'])
+    assert sound.body == b'records of shard' * 3
+
+
+@pytest.mark.process
+@_ROUTES
+@pytest.mark.parametrize('form', sorted(BROKEN))
+def test_broken_answer(caller: Caller, prefix: str, form: str) -> None:
+    """The caller gets a refusal at once, and then the right answer."""
+    _check_single(caller, prefix, BROKEN[form])
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('form', sorted(BROKEN))
+def test_broken_part(caller: Caller, form: str) -> None:
+    """The part is missing from the merged answer."""
+    _check_merged(caller, BROKEN[form])
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('form', sorted(UNUSUAL | SOUND))
+def test_unusual_answer(caller: Caller, form: str) -> None:
+    """The answer of a sound server reaches the caller unchanged."""
+    response = (UNUSUAL | SOUND)[form]
+    _check_single(caller, '/one/', response)
+    _check_single(caller, '/once/', response)
+    _check_merged(caller, response)
