Reading: an answer whose status line breaks RFC 9112 is refused

What callers saw: answers with status lines such as HTTP/1.1 2_00 OK, with a status of 600 or more, with a 101 that nobody asked for, or with a control character in the reason phrase. The status 000, which was reported, did not reach callers: its tests on the real daemon pass on. It did count as a lost connection of the server, and its bytes stood in the log.

Why this works: parse_status_line is the grammar of RFC 9112 on raw bytes, used where all answers are read, for interim responses too. The answer fails at the end of the line, and the text of the failure names the rule.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -1,7 +1,7 @@
 """HTTP connections that accept only complete responses."""
 
 from http import HTTPStatus
-from http.client import HTTPResponse, parse_headers
+from http.client import HTTPResponse, RemoteDisconnected, parse_headers
 from typing import Any, Final
 
 import urllib3
@@ -9,7 +9,11 @@
 from urllib3.connectionpool import HTTPConnectionPool
 
 from fennelfork_daemon._body_length import ResponseHead, find_body_length
-from fennelfork_daemon._message_grammar import MalformedMessage
+from fennelfork_daemon._message_grammar import (
+    MalformedMessage,
+    StatusLine,
+    parse_status_line,
+)
 from fennelfork_daemon._message_reader import (
     MessageReader,
     has_malformed_line,
@@ -20,9 +24,7 @@
 _READ_TIMEOUTS_PER_RESPONSE: Final = 2
 # `HTTPResponse.version` of HTTP/1.0.
 _OLD_VERSION: Final = 10
-# Interim responses except 100, which the standard library skips, and 101, after
-# which the connection has another protocol.
-_SKIPPED_STATUSES: Final = range(HTTPStatus.PROCESSING, HTTPStatus.OK)
+_MAX_LINE_BYTES: Final = 65_536
 
 
 class CompleteResponse(HTTPResponse):
@@ -73,14 +75,34 @@
     def _read_status(self) -> tuple[str, int, str]:
         """Read the status line of the final response.
 
-        The parser of the standard library takes all interim responses but 100
-        for final ones.
+        Returns:
+            Version, status code and reason phrase.
         """
-        status_line = super()._read_status()
-        while status_line[1] in _SKIPPED_STATUSES:
+        status_line = self._read_status_line()
+        while status_line.status < HTTPStatus.OK:
+            if status_line.status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise MalformedMessage('the response 101 was not requested')
             parse_headers(self.fp)
-            status_line = super()._read_status()
-        return status_line
+            status_line = self._read_status_line()
+        version = f'HTTP/1.{status_line.minor_version}'
+        return version, status_line.status, status_line.reason
+
+    def _read_status_line(self) -> StatusLine:
+        """Read one status line.
+
+        Raises:
+            RemoteDisconnected: if the connection ended before the line.
+        """
+        line = self._read_line()
+        if not line:
+            raise RemoteDisconnected('the connection ended before a response')
+        return parse_status_line(line)
+
+    def _read_line(self) -> bytes:
+        line: bytes = self.fp.readline(_MAX_LINE_BYTES + 1)
+        if len(line) > _MAX_LINE_BYTES:
+            raise MalformedMessage(f'a line exceeds {_MAX_LINE_BYTES} bytes')
+        return line
 
 
 class CompleteHTTPConnection(HTTPConnection):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_message_grammar.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_message_grammar.py
@@ -1,6 +1,16 @@
-"""Grammar of HTTP/1.1 messages by RFC 9112, on raw bytes."""
+"""Grammar of the lines of HTTP/1.1 responses by RFC 9112, on raw bytes."""
 
+import re
 from http.client import HTTPException
+from typing import Final
+
+import attrs
+
+_LINE_END: Final = b'\r\n'
+_VERSION: Final = re.compile(rb'HTTP/1\.([0-9])')
+_STATUS_CODE: Final = re.compile(b'[1-5][0-9]{2}')
+# HTAB, SP, VCHAR and obs-text: all bytes but the other control characters.
+_TEXT: Final = re.compile(rb'[\t \x21-\x7e\x80-\xff]*')
 
 
 class MalformedMessage(HTTPException):
@@ -8,3 +18,46 @@
 
     The text of the error names the rule and contains no byte of the message.
     """
+
+
+@attrs.frozen(kw_only=True)
+class StatusLine:
+    """Status line of a response.
+
+    Attributes:
+        minor_version: second digit of the version of HTTP.
+        status: status code, from 100 to 599.
+        reason: reason phrase.
+    """
+
+    minor_version: int
+    status: int
+    reason: str
+
+
+def parse_status_line(line: bytes) -> StatusLine:
+    """Parse the status line of a response, with the end of the line.
+
+    Raises:
+        MalformedMessage: if the line is no status line of HTTP/1.
+    """
+    version, _, rest = _strip_line_end(line).partition(b' ')
+    code, space, reason = rest.partition(b' ')
+    version_match = _VERSION.fullmatch(version)
+    if version_match is None:
+        raise MalformedMessage('the status line has no version HTTP/1')
+    if not (space and _STATUS_CODE.fullmatch(code)):
+        raise MalformedMessage('the status code is not from 100 to 599')
+    if not _TEXT.fullmatch(reason):
+        raise MalformedMessage('the reason phrase has a control character')
+    return StatusLine(
+        minor_version=int(version_match[1]),
+        status=int(code),
+        reason=reason.decode('iso-8859-1'),
+    )
+
+
+def _strip_line_end(line: bytes) -> bytes:
+    if not line.endswith(_LINE_END):
+        raise MalformedMessage('a line does not end with CRLF')
+    return line.removesuffix(_LINE_END)
--- a/packages/fennelfork-daemon/tests/daemon_builders_forms.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_forms.py
@@ -70,6 +70,39 @@
     ),
     'trailers': _chunks(b'10\r\n%s\r\n0\r\nX-A: 1\r\nX-B:\r\n\r\n' % BODY),
 }  # fmt: skip
+STATUS_FORMS: Final = {
+    name: response(start=b'%s\r\n' % line)
+    for name, line in {
+        'status-000': b'HTTP/1.1 000 OK',
+        'status-099': b'HTTP/1.1 099 OK',
+        'status-600': b'HTTP/1.1 600 OK',
+        'status-999': b'HTTP/1.1 999 OK',
+        'status-20': b'HTTP/1.1 20 OK',
+        'status-0200': b'HTTP/1.1 0200 OK',
+        'status-+200': b'HTTP/1.1 +200 OK',
+        'status-2_00': b'HTTP/1.1 2_00 OK',
+        'status-hex': b'HTTP/1.1 0xc8 OK',
+        'status-missing': b'HTTP/1.1',
+        'status-101': b'HTTP/1.1 101 Switching Protocols',
+        'two-blanks': b'HTTP/1.1  200 OK',
+        'tab': b'HTTP/1.1\t200 OK',
+        'vertical-tab': b'HTTP/1.1\x0b200 OK',
+        'no-break-space': b'HTTP/1.1\xa0200 OK',
+        'leading-blank': b' HTTP/1.1 200 OK',
+        'control-byte': b'HTTP/1.1 200 O\x00K',
+        'carriage-return': b'HTTP/1.1 200 OK\rX-A: 1',
+        'no-blank-after-status': b'HTTP/1.1 200',
+        'version-2': b'HTTP/2.0 200 OK',
+        'version-1.x': b'HTTP/1.x 200 OK',
+        'version-1.10': b'HTTP/1.10 200 OK',
+        'version-lower': b'http/1.1 200 OK',
+        'no-version': b'200 OK',
+        'interim-status': b'HTTP/1.1 1_00 Continue\r\n\r\nHTTP/1.1 200 OK',
+    }.items()
+} | {
+    'line-feed-only': response(start=b'HTTP/1.1 200 OK\n'),
+    'empty-line-first': response(start=b'\r\nHTTP/1.1 200 OK\r\n'),
+}  # fmt: skip
 LENGTH_FORMS: Final = {
     f'length-{name}': response(b'Content-Length: %s\r\n' % text)
     for name, text in {
@@ -124,4 +157,4 @@
 } | {
     'two-codings': response(_CHUNKED * 2, _CHUNKS),
 }  # fmt: skip
-BROKEN: Final = LENGTH_FORMS
+BROKEN: Final = STATUS_FORMS | LENGTH_FORMS
--- a/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
@@ -13,6 +13,7 @@
     BROKEN,
     LENGTH_FORMS,
     SOUND,
+    STATUS_FORMS,
     UNUSUAL,
 )
 from daemon_builders_spoilt import (
@@ -120,6 +121,12 @@
     ) == sorted((name.lower(), text) for name, text in expected.fields)
 
 
+@pytest.mark.parametrize('form', sorted(STATUS_FORMS))
+def test_spoilt_status_line(exchanges: Exchanges, form: str) -> None:
+    """A status line that is none ends the attempt at once."""
+    exchanges.check(STATUS_FORMS[form])
+
+
 @pytest.mark.parametrize('form', sorted(LENGTH_FORMS))
 def test_spoilt_length(exchanges: Exchanges, form: str) -> None:
     """A body whose length is not known is no body."""
