Reading: an answer with a line that is no field is refused

What callers saw: an answer of a backend server with such a line in its head, with a part of the line passed on or joined to the field before, or without the fields that the line hid. A carriage return within a line added a field, such as a second signature.

Cause: the lines were read by the standard library's parser of mail messages, which splits lines at each carriage return and drops what it does not understand.

Why this works: CompleteResponse reads its head by parse_field_line alone, the grammar of RFC 9112 on raw bytes, for interim responses too. Values lose the blanks around them.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -1,7 +1,7 @@
 """HTTP connections that accept only complete responses."""
 
 from http import HTTPStatus
-from http.client import HTTPResponse, RemoteDisconnected, parse_headers
+from http.client import HTTPMessage, HTTPResponse, RemoteDisconnected
 from typing import Any, Final
 
 import urllib3
@@ -12,22 +12,22 @@
 from fennelfork_daemon._message_grammar import (
     MalformedMessage,
     StatusLine,
+    parse_field_line,
     parse_status_line,
 )
-from fennelfork_daemon._message_reader import (
-    MessageReader,
-    has_malformed_line,
-)
+from fennelfork_daemon._message_reader import MessageReader
 
 _MS_PER_SECOND: Final = 1000
 # The timeout of the socket bounds one read, and a response takes several.
 _READ_TIMEOUTS_PER_RESPONSE: Final = 2
-# `HTTPResponse.version` of HTTP/1.0.
+# Values of `HTTPResponse.version`: HTTP/1.0, and HTTP/1.1 or later.
 _OLD_VERSION: Final = 10
+_CURRENT_VERSION: Final = 11
 _MAX_LINE_BYTES: Final = 65_536
+_MAX_FIELDS: Final = 100
 
 
-class CompleteResponse(HTTPResponse):
+class CompleteResponse(HTTPResponse):  # noqa: WPS230  # names of the library
     """Response that raises an error if it is incomplete or malformed.
 
     A body without a length ends with the connection.
@@ -44,19 +44,28 @@
             )
 
     def begin(self) -> None:
-        """Read the status line and the headers.
+        """Read the status line and the header fields of the final response.
 
         Raises:
-            MalformedMessage: if a line without a header name hides the headers
-                after it, or the length of the body is ambiguous.
+            MalformedMessage: if the head breaks RFC 9112.
         """
-        super().begin()
-        if has_malformed_line(self.headers):
-            raise MalformedMessage('a header line is malformed')
+        if self.headers is not None:
+            return
+        status_line = self._read_status_line()
+        fields = self._read_fields()
+        while status_line.status < HTTPStatus.OK:
+            status_line = self._read_status_line()
+            fields = self._read_fields()
+        self.code = status_line.status
+        self.status = status_line.status
+        self.reason = status_line.reason
+        is_old = status_line.minor_version == 0
+        self.version = _OLD_VERSION if is_old else _CURRENT_VERSION
+        self.headers = fields
+        self.msg = fields
         self._apply_body_length()
 
     def _apply_body_length(self) -> None:
-        """Replace the lenient reading of the length by the standard library."""
         body_length = find_body_length(
             ResponseHead(
                 method=self._method,
@@ -72,21 +81,6 @@
         has_length = self.chunked or self.length is not None
         self.will_close = self._check_close() or not has_length
 
-    def _read_status(self) -> tuple[str, int, str]:
-        """Read the status line of the final response.
-
-        Returns:
-            Version, status code and reason phrase.
-        """
-        status_line = self._read_status_line()
-        while status_line.status < HTTPStatus.OK:
-            if status_line.status == HTTPStatus.SWITCHING_PROTOCOLS:
-                raise MalformedMessage('the response 101 was not requested')
-            parse_headers(self.fp)
-            status_line = self._read_status_line()
-        version = f'HTTP/1.{status_line.minor_version}'
-        return version, status_line.status, status_line.reason
-
     def _read_status_line(self) -> StatusLine:
         """Read one status line.
 
@@ -96,7 +90,20 @@
         line = self._read_line()
         if not line:
             raise RemoteDisconnected('the connection ended before a response')
-        return parse_status_line(line)
+        status_line = parse_status_line(line)
+        if status_line.status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise MalformedMessage('the response 101 was not requested')
+        return status_line
+
+    def _read_fields(self) -> HTTPMessage:
+        """Read the fields up to the empty line after them."""
+        fields = HTTPMessage()
+        while field := parse_field_line(self._read_line()):
+            if len(fields) == _MAX_FIELDS:
+                raise MalformedMessage(f'more than {_MAX_FIELDS} fields')
+            name, text = field
+            fields[name] = text
+        return fields
 
     def _read_line(self) -> bytes:
         line: bytes = self.fp.readline(_MAX_LINE_BYTES + 1)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_message_grammar.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_message_grammar.py
@@ -7,8 +7,11 @@
 import attrs
 
 _LINE_END: Final = b'\r\n'
+_OPTIONAL_WHITESPACE: Final = b' \t'
+_ENCODING: Final = 'iso-8859-1'
 _VERSION: Final = re.compile(rb'HTTP/1\.([0-9])')
 _STATUS_CODE: Final = re.compile(b'[1-5][0-9]{2}')
+_TOKEN: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 # HTAB, SP, VCHAR and obs-text: all bytes but the other control characters.
 _TEXT: Final = re.compile(rb'[\t \x21-\x7e\x80-\xff]*')
 
@@ -53,10 +56,33 @@
     return StatusLine(
         minor_version=int(version_match[1]),
         status=int(code),
-        reason=reason.decode('iso-8859-1'),
+        reason=reason.decode(_ENCODING),
     )
 
 
+def parse_field_line(line: bytes) -> tuple[str, str] | None:
+    """Parse a header field or trailer field, with the end of the line.
+
+    Returns:
+        Name and value; none for the empty line after the last field.
+
+    Raises:
+        MalformedMessage: if the line is no field, or continues the one before.
+    """
+    field = _strip_line_end(line)
+    if not field:
+        return None
+    name, colon, text = field.partition(b':')
+    if not colon:
+        raise MalformedMessage('a field line has no colon')
+    if not _TOKEN.fullmatch(name):
+        raise MalformedMessage('the name of a field is not a token')
+    if not _TEXT.fullmatch(text):
+        raise MalformedMessage('the value of a field has a control character')
+    value_text = text.strip(_OPTIONAL_WHITESPACE).decode(_ENCODING)
+    return name.decode(_ENCODING), value_text
+
+
 def _strip_line_end(line: bytes) -> bytes:
     if not line.endswith(_LINE_END):
         raise MalformedMessage('a line does not end with CRLF')
--- a/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
@@ -11,6 +11,7 @@
 import pytest
 from daemon_builders_forms import (
     BROKEN,
+    FIELD_FORMS,
     LENGTH_FORMS,
     SOUND,
     STATUS_FORMS,
@@ -19,6 +20,7 @@
 from daemon_builders_spoilt import (
     REQUEST_ID,
     SpoiltServer,
+    spoilt_heads,
     spoilt_server,
 )
 from daemon_builders_strict import (
@@ -127,6 +129,12 @@
     exchanges.check(STATUS_FORMS[form])
 
 
+@pytest.mark.parametrize('form', sorted(FIELD_FORMS))
+def test_spoilt_field_line(exchanges: Exchanges, form: str) -> None:
+    """A line that is no header field ends the attempt at once."""
+    exchanges.check(FIELD_FORMS[form])
+
+
 @pytest.mark.parametrize('form', sorted(LENGTH_FORMS))
 def test_spoilt_length(exchanges: Exchanges, form: str) -> None:
     """A body whose length is not known is no body."""
@@ -140,6 +148,14 @@
     exchanges.check(UNUSUAL[form])
 
 
+@pytest.mark.parametrize('form', sorted(SOUND))
+def test_each_byte_of_the_head(exchanges: Exchanges, form: str) -> None:
+    """Whatever byte is spoilt, the response is read as RFC 9112 reads it."""
+    exchanges.server.sound = SOUND[form]
+    for spoilt in spoilt_heads(SOUND[form]):
+        exchanges.check(spoilt)
+
+
 def test_broken_forms_are_improper() -> None:
     """The forms above do break a rule by the strict reader."""
     for form, response in BROKEN.items():
