Reading: an answer with spoilt chunks is refused

What callers saw: nothing reported; found by the tests of this issue. An answer in chunks whose sizes or ends were spoilt counted as complete, with another body than that of the server, or was waited for up to the timeout.

Why this works: parse_chunk_line is the grammar of RFC 9112, trailers are read as header fields, the end of a chunk must be CRLF. The watch of the key-value service no longer uses the parser of urllib3, so all answers are read by one.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -12,6 +12,7 @@
 from fennelfork_daemon._message_grammar import (
     MalformedMessage,
     StatusLine,
+    parse_chunk_line,
     parse_field_line,
     parse_status_line,
 )
@@ -25,6 +26,7 @@
 _CURRENT_VERSION: Final = 11
 _MAX_LINE_BYTES: Final = 65_536
 _MAX_FIELDS: Final = 100
+_CHUNK_END: Final = b'\r\n'
 
 
 class CompleteResponse(HTTPResponse):  # noqa: WPS230  # names of the library
@@ -105,6 +107,26 @@
             fields[name] = text
         return fields
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the rest of the chunk in bytes, or read the next chunk line.
+
+        Returns:
+            The number of bytes; none after the last chunk and its trailers.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        # Zero after a chunk; none before the first one.
+        if (
+            self.chunk_left is not None
+            and self._safe_read(len(_CHUNK_END)) != _CHUNK_END
+        ):
+            raise MalformedMessage('a chunk does not end with CRLF')
+        self.chunk_left = parse_chunk_line(self._read_line()) or None
+        if self.chunk_left is None:
+            self._read_fields()
+            self._close_conn()
+        return self.chunk_left
+
     def _read_line(self) -> bytes:
         line: bytes = self.fp.readline(_MAX_LINE_BYTES + 1)
         if len(line) > _MAX_LINE_BYTES:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_message_grammar.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_message_grammar.py
@@ -14,6 +14,18 @@
 _TOKEN: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 # HTAB, SP, VCHAR and obs-text: all bytes but the other control characters.
 _TEXT: Final = re.compile(rb'[\t \x21-\x7e\x80-\xff]*')
+_QUOTED: Final = (
+    rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t \x21-\x7e\x80-\xff])*"'
+)
+_CHUNK_EXTENSION: Final = rb'[ \t]*;[ \t]*%b(?:[ \t]*=[ \t]*(?:%b|%b))?' % (
+    _TOKEN.pattern,
+    _TOKEN.pattern,
+    _QUOTED,
+)
+_CHUNK_LINE: Final = re.compile(
+    rb'([0-9A-Fa-f]{1,16})(?:%b)*' % _CHUNK_EXTENSION
+)
+_HEXADECIMAL: Final = 16
 
 
 class MalformedMessage(HTTPException):
@@ -83,6 +95,19 @@
     return name.decode(_ENCODING), value_text
 
 
+def parse_chunk_line(line: bytes) -> int:
+    """Return the size in the line before a chunk, with the end of the line.
+
+    Raises:
+        MalformedMessage: if the line has no size of at most 16 digits, or
+            something after it that is no extension.
+    """
+    size_match = _CHUNK_LINE.fullmatch(_strip_line_end(line))
+    if size_match is None:
+        raise MalformedMessage('the line before a chunk has no valid size')
+    return int(size_match[1], _HEXADECIMAL)
+
+
 def _strip_line_end(line: bytes) -> bytes:
     if not line.endswith(_LINE_END):
         raise MalformedMessage('a line does not end with CRLF')
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
@@ -22,6 +22,7 @@
 _BAD_REQUEST: Final = 400
 _INTERNAL_ERROR: Final = 500
 _MAX_REPLY_BYTES: Final = 4_194_304
+_READ_BYTES: Final = 65_536
 _WATCH_READ_TIMEOUT_S: Final = 60
 _NOT_SENT_ERRORS: Final = (
     http_errors.NewConnectionError,
@@ -183,7 +184,8 @@
             f'the platform responded with status {response.status}'
         )
     remainder = b''
-    for chunk in response.stream():
+    # Unlike `stream`, which has a chunk parser of its own.
+    while chunk := response.read1(_READ_BYTES):
         remainder += chunk
         *lines, remainder = remainder.split(b'\n')
         yield from lines
--- a/packages/fennelfork-daemon/tests/daemon_builders_forms.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_forms.py
@@ -206,4 +206,32 @@
 } | {
     'two-codings': response(_CHUNKED * 2, _CHUNKS),
 }  # fmt: skip
-BROKEN: Final = STATUS_FORMS | FIELD_FORMS | LENGTH_FORMS
+CHUNK_FORMS: Final = {
+    f'chunk-{name}': _chunks(body)
+    for name, body in {
+        'minus': b'-10\r\n%s\r\n0\r\n\r\n' % BODY,
+        'plus': b'+10\r\n%s\r\n0\r\n\r\n' % BODY,
+        'prefix': b'0x10\r\n%s\r\n0\r\n\r\n' % BODY,
+        'underscore': b'1_0\r\n%s\r\n0\r\n\r\n' % BODY,
+        'leading-blank': b' 10\r\n%s\r\n0\r\n\r\n' % BODY,
+        'trailing-blank': b'10 \r\n%s\r\n0\r\n\r\n' % BODY,
+        'empty': b'\r\n%s\r\n0\r\n\r\n' % BODY,
+        'word': b'ten\r\n%s\r\n0\r\n\r\n' % BODY,
+        'huge': b'%s\r\n%s\r\n0\r\n\r\n' % (b'f' * 400, BODY),
+        'line-feed-only': b'10\n%s\r\n0\r\n\r\n' % BODY,
+        'carriage-return': b'10;\r\r\n%s\r\n0\r\n\r\n' % BODY,
+        'control-in-extension': b'10;a\x00\r\n%s\r\n0\r\n\r\n' % BODY,
+        'bad-extension': b'10;=a\r\n%s\r\n0\r\n\r\n' % BODY,
+        'end-missing': b'7\r\nrecords9\r\n of shard\r\n0\r\n\r\n',
+        'end-spoilt': b'10\r\n%sxx0\r\n\r\n' % BODY,
+        'end-line-feed': b'10\r\n%s\n\n0\r\n\r\n' % BODY,
+        'too-long': b'7\r\nrecords too\r\n0\r\n\r\n',
+        'last-minus': b'10\r\n%s\r\n-0\r\n\r\n' % BODY,
+        'trailer-no-field': b'10\r\n%s\r\n0\r\nno field\r\n\r\n' % BODY,
+        'trailer-blank': b'10\r\n%s\r\n0\r\nX A: 1\r\n\r\n' % BODY,
+        'trailer-control': b'10\r\n%s\r\n0\r\nX-A: \x00\r\n\r\n' % BODY,
+        'trailer-line-feed': b'10\r\n%s\r\n0\r\nX-A: 1\n\r\n' % BODY,
+        'last-line-feed': b'10\r\n%s\r\n0\r\n\n' % BODY,
+    }.items()
+}  # fmt: skip
+BROKEN: Final = STATUS_FORMS | FIELD_FORMS | LENGTH_FORMS | CHUNK_FORMS
--- a/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
@@ -11,6 +11,7 @@
 import pytest
 from daemon_builders_forms import (
     BROKEN,
+    CHUNK_FORMS,
     FIELD_FORMS,
     LENGTH_FORMS,
     SOUND,
@@ -141,6 +142,12 @@
     exchanges.check(LENGTH_FORMS[form])
 
 
+@pytest.mark.parametrize('form', sorted(CHUNK_FORMS))
+def test_spoilt_chunks(exchanges: Exchanges, form: str) -> None:
+    """A body in chunks that are none is no body."""
+    exchanges.check(CHUNK_FORMS[form])
+
+
 @pytest.mark.parametrize('form', sorted(UNUSUAL))
 def test_unusual_response(exchanges: Exchanges, form: str) -> None:
     """An unusual response of a sound server is accepted unchanged."""
