Reading: a connection with bytes beyond an answer is not used again

What callers saw: nothing; found by the tests of this issue. A server that sends more bytes than its answer has leaves its connection out of step.

Cause: the check of a kept connection asks the socket, but bytes that arrived together with the answer are in the buffer of the reader, which is discarded.

Evidence: with the product code before this commit, 7 of 7 tests of test_surplus_ends_the_connection fail: the next request goes out on the same connection. No wrong answer was seen.

Why this works: at the end of an answer the reader is asked for bytes beyond it, and the connection is shut down if there are any.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -1,5 +1,7 @@
 """HTTP connections that accept only complete responses."""
 
+import contextlib
+import socket
 from http import HTTPStatus
 from http.client import HTTPMessage, HTTPResponse, RemoteDisconnected
 from typing import Any, Final
@@ -38,6 +40,7 @@
     def __init__(self, sock: Any, **options: Any) -> None:
         """Read the response from a connected socket."""
         super().__init__(sock, **options)
+        self._connection = sock
         self.fp = MessageReader(self.fp.detach())
         timeout_s = sock.gettimeout()
         if timeout_s is not None:
@@ -127,6 +130,18 @@
             self._close_conn()
         return self.chunk_left
 
+    def _close_conn(self) -> None:
+        """Close the reader, and the connection if it has more bytes.
+
+        These bytes belong to no request, and the next response would begin
+        within them.
+        """
+        has_surplus = self.fp.has_surplus()
+        super()._close_conn()
+        if has_surplus:
+            with contextlib.suppress(OSError):
+                self._connection.shutdown(socket.SHUT_RDWR)
+
     def _read_line(self) -> bytes:
         line: bytes = self.fp.readline(_MAX_LINE_BYTES + 1)
         if len(line) > _MAX_LINE_BYTES:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_message_reader.py
@@ -67,6 +67,14 @@
         """Limit the time in which bytes are read, from now on."""
         self._paced.limit_time(timeout_ms)
 
+    def has_surplus(self) -> bool:
+        """Whether bytes beyond the message have been read.
+
+        No further bytes are read from the connection from now on.
+        """
+        self._paced.stop()
+        return bool(self.peek(1))
+
     def readline(self, size: int | None = -1) -> bytes:
         """Read one line, like `readline` of a file.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_paced_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_paced_reader.py
@@ -24,6 +24,7 @@
     _timeout_ms: float = math.inf
     _end_ms: float = math.inf
     _reads: int = 0
+    _has_stopped: bool = False
 
     def __init__(self, raw: Any, clock: Clock) -> None:
         """Read from a raw reader, which the caller must not use afterwards."""
@@ -44,12 +45,18 @@
         self._timeout_ms = timeout_ms
         self._end_ms = self._clock.now_ms() + timeout_ms
 
+    def stop(self) -> None:
+        """Read no further bytes, as if none had arrived."""
+        self._has_stopped = True
+
     def readinto(self, target: Any) -> int | None:
         """Read bytes, like `readinto` of a raw file.
 
         Raises:
             LateMessage: if the time limit has passed.
         """
+        if self._has_stopped:
+            return None
         self.yield_regularly()
         if self._clock.now_ms() >= self._end_ms:
             raise LateMessage(
--- a/packages/fennelfork-daemon/tests/daemon_builders_forms.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_forms.py
@@ -74,6 +74,16 @@
     ),
     'trailers': _chunks(b'10\r\n%s\r\n0\r\nX-A: 1\r\nX-B:\r\n\r\n' % BODY),
 }  # fmt: skip
+# Proper responses with bytes after them that belong to no request.
+SURPLUS: Final = {
+    'byte': response(body=b'%sx' % BODY),
+    'line-end': response(body=b'%s\r\n' % BODY),
+    'longer-body': response(body=BODY * 2),
+    'response': response(body=b'%s%s' % (BODY, response())),
+    'after-chunks': response(_CHUNKED, b'%s%s' % (_CHUNKS, BODY)),
+    'no-content': response(b'', start=b'HTTP/1.1 204 No Content\r\n'),
+    'not-modified': response(start=b'HTTP/1.1 304 Not Modified\r\n'),
+}  # fmt: skip
 STATUS_FORMS: Final = {
     name: response(start=b'%s\r\n' % line)
     for name, line in {
--- a/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
@@ -16,6 +16,7 @@
     LENGTH_FORMS,
     SOUND,
     STATUS_FORMS,
+    SURPLUS,
     UNUSUAL,
 )
 from daemon_builders_spoilt import (
@@ -169,6 +170,13 @@
         assert isinstance(_read(response), Improper), form
 
 
+@pytest.mark.parametrize('form', sorted(SURPLUS))
+def test_surplus_ends_the_connection(exchanges: Exchanges, form: str) -> None:
+    """The response counts, and the next one comes on another connection."""
+    exchanges.check(SURPLUS[form])
+    assert exchanges.server.connections == 2
+
+
 def test_connection_is_kept(exchanges: Exchanges) -> None:
     """Proper responses leave the connection usable."""
     for response in (SOUND['length'], SOUND['chunks'], SOUND['length']):
