--- a/packages/fennelfork-daemon/tests/daemon_builders_forms.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_forms.py
@@ -84,6 +84,18 @@
     'no-content': response(b'', start=b'HTTP/1.1 204 No Content\r\n'),
     'not-modified': response(start=b'HTTP/1.1 304 Not Modified\r\n'),
 }  # fmt: skip
+# Proper responses whose signature is not one entry of a list.
+SIGNATURE_FORMS: Final = {
+    name: response(own=b'X-Server-Stamp:%s\r\n' % text)
+    for name, text in {
+        'empty': b'',
+        'blank': b' stamp spoilt',
+        'tab': b' stamp\tspoilt',
+        'comma': b' stamp,spoilt',
+        'two': b' stamp-1, stamp-2',
+        'obs-text': b' stamp\xe9',
+    }.items()
+}  # fmt: skip
 STATUS_FORMS: Final = {
     name: response(start=b'%s\r\n' % line)
     for name, line in {
--- a/tests/test_platform_spoilt_answers.py
+++ b/tests/test_platform_spoilt_answers.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import os
+import random
 import re
 import socket
 import time
@@ -13,10 +15,17 @@
 
 import attrs
 import pytest
-from daemon_builders_forms import BROKEN, SOUND, UNUSUAL
+from daemon_builders_forms import (
+    BODY,
+    BROKEN,
+    SIGNATURE_FORMS,
+    SOUND,
+    UNUSUAL,
+)
 from daemon_builders_spoilt import (
     REQUEST_ID,
     SpoiltServer,
+    spoilt_heads,
     spoilt_server,
 )
 from daemon_builders_strict import (
@@ -32,6 +41,9 @@
 from fennelfork_platform_bench._fleet import ZONES, PlatformFleet
 from fennelfork_platform_bench._store_client import HOST, SHARDS
 
+# By hand, further seeds draw other spoilt bytes.
+_SEEDS = [7, 12, *map(int, os.environ.get('SPOILT_SEEDS', '').split())]
+_DRAWN = 60
 _DAEMON = 'vm-0'
 _FAULTY = 'shard-c'
 _STAMP = b'stamp-spoilt'
@@ -42,6 +54,9 @@
 # Half of the time that the requests have.
 _MAX_REFUSAL_S = 1.0
 _REFUSED = {502, 503}
+_RECORD_BYTES = 16
+# As in the configuration of the route.
+_TOP_K = 5
 # Statuses that a backend server may not send without a further header.
 _PROMISES = {408, 421, 429, 503}
 _ROUTES = pytest.mark.parametrize('prefix', ['/one/', '/once/'])
@@ -150,6 +165,12 @@
     return SOUND['length'].replace(_STAMP, stamp)
 
 
+def _drawn(name: str, seed: int) -> list[bytes]:
+    """Draw responses with one spoilt byte in the head."""
+    heads = list(spoilt_heads(SOUND[name]))
+    return random.Random(seed).sample(heads, _DRAWN)
+
+
 def _check_single(caller: Caller, prefix: str, response: bytes) -> None:
     """Check the answer to one request, and the answer after it."""
     answer = caller.ask(prefix, response)
@@ -162,7 +183,7 @@
         assert (answer.status, answer.body) == (expected.status, expected.body)
         assert answer.field(b'x-server-stamp') == [_stamp(expected)]
     sound = caller.ask(prefix, SOUND['length'])
-    assert (sound.status, sound.body) == (200, b'records of shard')
+    assert (sound.status, sound.body) == (200, BODY)
 
 
 def _is_valid(response: StrictResponse) -> bool:
@@ -189,18 +210,26 @@
         and 200 <= expected.status < 300
     )
     stamps = _SOUND_STAMPS
-    body = b'records of shard' * 2
+    records = [BODY, BODY]
     if is_part:
         stamps = _SOUND_STAMPS | {_stamp(expected)}
-        body += expected.body[:16]
+        records += _whole_records(expected.body)
     named = b', '.join(answer.field(b'x-part-stamps')).split(b', ')
     missing = str(len(SHARDS) - len(stamps)).encode()
     assert answer.status == 200
     assert set(named) == stamps
     assert answer.field(b'x-parts-missing') == [missing]
-    assert answer.body == body
+    assert answer.body == b''.join(sorted(records, reverse=True)[:_TOP_K])
     sound = caller.ask('/all/', SOUND['length'])
-    assert sound.body == b'records of shard' * 3
+    assert sound.body == BODY * 3
+
+
+def _whole_records(body: bytes) -> list[bytes]:
+    """Return the records of a part; a shorter remainder is no record."""
+    return [
+        body[start : start + _RECORD_BYTES]
+        for start in range(0, len(body) - _RECORD_BYTES + 1, _RECORD_BYTES)
+    ]
 
 
 @pytest.mark.process
@@ -226,3 +255,24 @@
     _check_single(caller, '/one/', response)
     _check_single(caller, '/once/', response)
     _check_merged(caller, response)
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('form', sorted(SIGNATURE_FORMS))
+def test_spoilt_signature(caller: Caller, form: str) -> None:
+    """An answer that no list of signatures can name is not passed on."""
+    response = SIGNATURE_FORMS[form]
+    _check_single(caller, '/one/', response)
+    _check_single(caller, '/once/', response)
+    _check_merged(caller, response)
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('seed', _SEEDS)
+@pytest.mark.parametrize('form', sorted(SOUND))
+def test_spoilt_bytes(caller: Caller, form: str, seed: int) -> None:
+    """Whatever byte is spoilt, the caller gets the response or a refusal."""
+    for response in _drawn(form, seed):
+        _check_single(caller, '/one/', response)
+        _check_single(caller, '/once/', response)
+        _check_merged(caller, response)
