--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -161,6 +161,23 @@
     ConnectionCls = CompleteHTTPConnection
 
 
+def cause_of(error: Exception) -> BaseException:
+    """Return the error that urllib3 has wrapped, or the error itself."""
+    return error.__cause__ or error.__context__ or error
+
+
+def describe_error(error: Exception) -> str:
+    """Return the type of an error, with the rule that a response breaks.
+
+    Args:
+        error: error of a response, which urllib3 may have wrapped.
+    """
+    cause = cause_of(error)
+    if isinstance(cause, MalformedMessage):
+        return f'{type(cause).__name__}: {cause}'
+    return type(error).__name__
+
+
 def complete_pool_manager(**options: Any) -> urllib3.PoolManager:
     """Build a pool manager whose responses are complete.
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -13,7 +13,10 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork_daemon._address import Address
-from fennelfork_daemon._http_connection import CompleteHTTPConnection
+from fennelfork_daemon._http_connection import (
+    CompleteHTTPConnection,
+    cause_of,
+)
 from fennelfork_daemon._message_grammar import MalformedMessage
 from fennelfork_daemon._message_reader import ENDLESS_ERRORS
 from fennelfork_daemon._sockets import ConnectionBroken, reset_aware
@@ -155,8 +158,10 @@
         self._http.close()
 
     def _to_failure(self, error: Exception) -> Failure:
-        if isinstance(_cause_of(error), _INVALID_MESSAGE_ERRORS):
-            return may_have_run(FailureCode.BAD_REPLY, _describe_error(error))
+        cause = cause_of(error)
+        if isinstance(cause, _INVALID_MESSAGE_ERRORS):
+            detail = f'{type(cause).__name__}: {cause}'
+            return may_have_run(FailureCode.BAD_REPLY, detail)
         code = self._broken_failure_code(error)
         return attrs.evolve(
             may_have_run(code, _describe_error(error)),
@@ -231,14 +236,9 @@
     return False
 
 
-def _cause_of(error: Exception) -> BaseException:
-    """Return the error that urllib3 has wrapped, or the error itself."""
-    return error.__cause__ or error.__context__ or error
-
-
 def _connect_failure_code(error: Exception) -> FailureCode:
     """Return `SHED` for a reset connection, `UNREACHABLE` otherwise."""
-    if isinstance(_cause_of(error), ConnectionResetError):
+    if isinstance(cause_of(error), ConnectionResetError):
         return FailureCode.SHED
     return FailureCode.UNREACHABLE
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_connection.py
@@ -19,7 +19,10 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork.once import ExecuteCall, classify_execute_response
-from fennelfork_daemon._http_connection import CompleteHTTPConnection
+from fennelfork_daemon._http_connection import (
+    CompleteHTTPConnection,
+    describe_error,
+)
 
 _MS: Final = 1000
 _HTTP_OK: Final = 200
@@ -136,10 +139,10 @@
     try:
         return _ask_health(connection)
     except _TRANSPORT_ERRORS as error:
-        error_name = type(error).__name__
+        cause = describe_error(error)
     finally:
         timeout.cancel()
-    detail = f'backend server {target.name} failed the probe: {error_name}'
+    detail = f'backend server {target.name} failed the probe: {cause}'
     return Failed(not_run(FailureCode.UNREACHABLE, detail))
 
 
@@ -182,10 +185,10 @@
     try:
         return _exchange(connection, call, window)
     except _TRANSPORT_ERRORS as error:
-        error_name = type(error).__name__
+        cause = describe_error(error)
     finally:
         timeout.cancel()
-    detail = f'backend server {target.name} sent no response: {error_name}'
+    detail = f'backend server {target.name} sent no response: {cause}'
     return Failed(may_have_run(FailureCode.UNREACHABLE, detail))
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
@@ -13,7 +13,10 @@
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
 from fennelfork.config import TokenBucket
-from fennelfork_daemon._http_connection import complete_pool_manager
+from fennelfork_daemon._http_connection import (
+    complete_pool_manager,
+    describe_error,
+)
 from fennelfork_daemon.metrics._metrics import Channel, ControlCost, CountCost
 from fennelfork_daemon.settings._tables import Settings
 
@@ -100,7 +103,7 @@
                 self._record_cost(received=len(line))
                 yield line
         except http_errors.HTTPError as error:
-            raise ConnectionError(type(error).__name__) from error
+            raise ConnectionError(describe_error(error)) from error
         finally:
             response.close()
 
@@ -152,7 +155,7 @@
     def _rotate_endpoint(self, error: Exception) -> str:
         endpoint = self._endpoints[self._endpoint_index]
         self._endpoint_index = (self._endpoint_index + 1) % len(self._endpoints)
-        return f'key-value service at {endpoint}: {type(error).__name__}'
+        return f'key-value service at {endpoint}: {describe_error(error)}'
 
 
 def key_value_http(
--- a/packages/fennelfork-daemon/tests/daemon_builders_forms.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_forms.py
@@ -257,3 +257,15 @@
     }.items()
 }  # fmt: skip
 BROKEN: Final = STATUS_FORMS | FIELD_FORMS | LENGTH_FORMS | CHUNK_FORMS
+
+
+def with_content(form: bytes, status: bytes, content: bytes) -> bytes:
+    """Return a form with another status, and another body if it has a length.
+
+    Forms whose status line or length is spoilt keep it.
+    """
+    changed = form.replace(b' 200 ', b' %s ' % status)
+    if _LENGTH not in form:
+        return changed
+    length = b'Content-Length: %d\r\n' % len(content)
+    return changed.replace(BODY, content).replace(_LENGTH, length)
--- a/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
@@ -18,6 +18,7 @@
     STATUS_FORMS,
     SURPLUS,
     UNUSUAL,
+    with_content,
 )
 from daemon_builders_spoilt import (
     REQUEST_ID,
@@ -37,6 +38,7 @@
 
 from fennelfork import Failure, FailureCode, Verdict, system_clock
 from fennelfork.servers import ConnectionLedger
+from fennelfork_daemon.backend._client import BackendClient
 from fennelfork_daemon.backend._pool import (
     BackendPool,
     ConnectionTrace,
@@ -95,17 +97,21 @@
 def exchanges() -> Iterator[Exchanges]:
     """Run a server and a pool of connections to it."""
     with spoilt_server(SOUND['length']) as server:
-        pool = backend_pool(
-            server.address,
-            ConnectionLedger(limit=4),
-            system_clock(),
-            1000,
-            probe=None,
-        )
+        pool = _pool(server)
         yield Exchanges(server=server, pool=pool)
         pool.close()
 
 
+def _pool(server: SpoiltServer) -> BackendPool:
+    return backend_pool(
+        server.address,
+        ConnectionLedger(limit=4),
+        system_clock(),
+        1000,
+        probe=None,
+    )
+
+
 def _read(response: bytes) -> StrictResponse | Improper | Unfinished:
     """Return what a strict reader makes of a response."""
     sent = response.replace(REQUEST_ID, _ID.encode())
@@ -164,6 +170,17 @@
         exchanges.check(spoilt)
 
 
+@pytest.mark.parametrize('form', sorted(BROKEN))
+def test_spoilt_health(form: str) -> None:
+    """A health report in a response that breaks RFC 9112 is no report."""
+    report = b'{"state": "ready", "snapshots": []}'
+    with spoilt_server(with_content(BROKEN[form], b'200', report)) as server:
+        client = BackendClient(pool=_pool(server))
+        outcome = client.health(_TIMEOUT_MS)
+        client.pool.close()
+    assert outcome.failure().code is FailureCode.BAD_REPLY
+
+
 def test_broken_forms_are_improper() -> None:
     """The forms above do break a rule by the strict reader."""
     for form, response in BROKEN.items():
--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -4,6 +4,7 @@
 
 import eventlet
 import pytest
+from daemon_builders_forms import BROKEN, with_content
 from daemon_builders_once import (
     TIMEOUTS,
     FakeServer,
@@ -13,6 +14,7 @@
     fake_server,
     free_port,
 )
+from daemon_builders_spoilt import spoilt_server
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
@@ -109,6 +111,20 @@
         assert result == refusal
         assert not server.runs
 
+    @pytest.mark.parametrize('form', sorted(BROKEN))
+    def test_spoilt_probe_sends_nothing(self, form: str) -> None:
+        """Guards against a probe whose response breaks RFC 9112."""
+        healthy = with_content(BROKEN[form], b'200', b'{"state": "ready"}')
+        with spoilt_server(healthy) as spoilt:
+            target = ExecuteTarget(
+                name='spoilt', host='127.0.0.1', port=spoilt.address.port
+            )
+            failure = attempt_execute(
+                target, _CALL, _unexpected_send, TIMEOUTS
+            ).failure()
+        assert failure.verdict is Verdict.NOT_RUN
+        assert 'MalformedMessage' in failure.detail
+
     @pytest.mark.parametrize('fault', ['drop_response', 'echo_other_request'])
     def test_lost_or_mismatched_reply_may_have_run(
         self,
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -15,6 +15,8 @@
     write_response,
 )
 from daemon_builders_endings import Ending, cutting_server, truncations
+from daemon_builders_forms import BROKEN, CHUNK_FORMS, with_content
+from daemon_builders_spoilt import spoilt_server
 
 from fennelfork import ManualTime, Verdict, manual_clock
 from fennelfork.config import (
@@ -74,6 +76,21 @@
                 failure = client.call('/', {}).failure()
                 assert failure.verdict is Verdict.MAY_HAVE_RUN, server.response
 
+    @pytest.mark.parametrize('status', [b'200', b'400'])
+    @pytest.mark.parametrize('form', sorted(BROKEN))
+    def test_spoilt_response_may_have_run(
+        self, form: str, status: bytes
+    ) -> None:
+        """Guards against an answer that breaks RFC 9112 and is believed."""
+        with spoilt_server(with_content(BROKEN[form], status, b'{}')) as server:
+            failure = (
+                key_value_client(str(server.address))
+                .call('/v3/call', {})
+                .failure()
+            )
+        assert failure.verdict is Verdict.MAY_HAVE_RUN
+        assert 'MalformedMessage' in failure.detail
+
     def test_refused_connection_is_not_run(self) -> None:
         """A request over a refused connection was not sent."""
         failure = key_value_client(unused_address()).call('/', {}).failure()
@@ -160,6 +177,17 @@
             with pytest.raises(OSError, match='.'):
                 list(build_config_key(platform).watch(3))
 
+    @pytest.mark.parametrize('form', sorted(CHUNK_FORMS))
+    def test_spoilt_chunks_end_the_watch(self, form: str) -> None:
+        """Guards against lines of a stream whose chunks are none."""
+        with spoilt_server(CHUNK_FORMS[form]) as server:
+            with pytest.raises(OSError, match='MalformedMessage'):
+                list(
+                    key_value_client(str(server.address)).stream(
+                        '/v3/watch', {}
+                    )
+                )
+
     @pytest.mark.parametrize(('known', 'start'), [(0, None), (7, '8')])
     def test_watch_starts_after_known_revision(
         self,
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -16,7 +16,9 @@
     truncations,
 )
 from daemon_builders_endless import RESPONSE_FORMS, endless_server
+from daemon_builders_forms import BROKEN, with_content
 from daemon_builders_routes import member
+from daemon_builders_spoilt import spoilt_server
 from returns.pipeline import is_successful
 
 from fennelfork import Verdict
@@ -29,6 +31,11 @@
 _SHORT = WatchTimeouts(wait_ms=0, response_ms=500)
 # Twice the timeouts of the three calls.
 _MAX_CALLS_S = 8
+_MAX_REFUSAL_S = 0.5
+_RELAYED = (
+    b'{"events": [], "revision": 9, "age_ms": 1, "is_connected": true, '
+    b'"outage_end_age_ms": null}'
+)
 _WATCHED = b'{"AtRev": 9, "events": []}'
 _Call = Callable[[PlatformStore], Any]
 _CALLS: dict[str, tuple[int, _Call]] = {
@@ -114,6 +121,39 @@
         assert took_s < _MAX_CALLS_S
 
 
+@pytest.mark.parametrize('form', sorted(BROKEN))
+class TestSpoiltResponses:
+    """Responses of the store and of other daemons that break RFC 9112.
+
+    Guards against a status or a document of a response that is none.
+    """
+
+    @pytest.mark.parametrize('call', _CALLS)
+    def test_spoilt_response_is_not_believed(
+        self, form: str, call: str
+    ) -> None:
+        """The call may have run, and nothing is known about its outcome."""
+        status, send = _CALLS[call]
+        spoilt = with_content(BROKEN[form], b'%d' % status, _WATCHED)
+        with spoilt_server(spoilt) as server:
+            began_s = time.monotonic()
+            failure = send(platform_store(server.address)).failure()
+            assert time.monotonic() - began_s < _MAX_REFUSAL_S
+        assert failure.verdict is Verdict.MAY_HAVE_RUN
+        assert failure.detail.startswith('MalformedMessage: ')
+
+    @pytest.mark.parametrize('status', [b'200', b'410'])
+    def test_spoilt_relay_is_not_believed(
+        self, form: str, status: bytes
+    ) -> None:
+        """A daemon keeps its revision and asks another source."""
+        with spoilt_server(
+            with_content(BROKEN[form], status, _RELAYED)
+        ) as server:
+            fetched = platform_relays().fetch(str(server.address), 5, _TIMEOUTS)
+        assert fetched.failure().detail.startswith('MalformedMessage: ')
+
+
 def test_complete_status_is_believed(server: CuttingServer) -> None:
     """The same responses are accepted when they are complete."""
     server.response = _response(404, 'chunked')
