Reading: a document that is nested too deeply is invalid

After one deeply nested value in op/config no daemon applied a later configuration.

Cause: the JSON parser raises RecursionError, which is no ValueError.

Why this works: parse_json raises ValueError, and all readers of answers and entries use it; each of them handles that as an invalid document already.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_response.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_response.py
@@ -1,7 +1,6 @@
 """Parsers for the responses of backend servers."""
 
 import itertools
-import json
 from typing import Any, Final
 
 from returns.result import Failure as Bad
@@ -18,6 +17,7 @@
     key_range,
 )
 from fennelfork.home import ServerReport
+from fennelfork_daemon._json_document import parse_json
 from fennelfork_daemon.backend._request import BackendResponse
 
 _OK: Final = 200
@@ -26,7 +26,7 @@
 def read_json(response: BackendResponse) -> Result[Any, Failure]:
     """Parse a JSON response; an error status becomes a failure."""
     try:
-        tree = json.loads(response.body)
+        tree = parse_json(response.body)
     except ValueError:
         return _invalid_reply_failure('the body is not JSON')
     if not isinstance(tree, dict):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/execute/_connection.py
@@ -23,6 +23,7 @@
     CompleteHTTPConnection,
     describe_error,
 )
+from fennelfork_daemon._json_document import parse_json
 
 _MS: Final = 1000
 _HTTP_OK: Final = 200
@@ -162,7 +163,7 @@
 
 def _read_health(content: bytes) -> Result[float | None, Failure]:
     try:
-        health = json.loads(content)
+        health = parse_json(content)
     except ValueError:
         health = None
     if not isinstance(health, dict):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_codec.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_codec.py
@@ -1,10 +1,10 @@
 """JSON messages of the etcd v3 gateway that the daemon uses."""
 
 import base64
-import json
 from typing import Any, Final
 
 from fennelfork.config import PreparedWrite, StoredDocument
+from fennelfork_daemon._json_document import parse_json
 
 _ABSENT_DOCUMENT: Final = StoredDocument(raw=None, revision=0)
 _DELETE_EVENT: Final = 'DELETE'
@@ -92,7 +92,7 @@
     Raises:
         ValueError: if the line is invalid or cancels the watch.
     """
-    update = _read_field(json.loads(line), 'result', None)
+    update = _read_field(parse_json(line), 'result', None)
     if _read_field(update, 'canceled', False):
         raise ValueError('the platform cancelled the watch')
     return tuple(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
@@ -17,6 +17,7 @@
     complete_pool_manager,
     describe_error,
 )
+from fennelfork_daemon._json_document import parse_json
 from fennelfork_daemon.metrics._metrics import Channel, ControlCost, CountCost
 from fennelfork_daemon.settings._tables import Settings
 
@@ -119,7 +120,7 @@
             raise ValueError('the response is too long')
         response.release_conn()
         if response.status == _OK:
-            return Success(json.loads(raw))
+            return Success(parse_json(raw))
         detail = f'the platform responded with status {response.status}'
         if _BAD_REQUEST <= response.status < _INTERNAL_ERROR:
             return Bad(not_run(FailureCode.PLATFORM, detail))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_vm_list.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/membership/_vm_list.py
@@ -1,6 +1,5 @@
 """Reader of the platform's VM list, which is a source of membership seeds."""
 
-import json
 from typing import Any, Final
 
 import attrs
@@ -16,6 +15,7 @@
 )
 from fennelfork.placement import choose_watchers
 from fennelfork_daemon._http_connection import complete_pool_manager
+from fennelfork_daemon._json_document import parse_json
 from fennelfork_daemon.settings._tables import Settings
 
 _MS_PER_S: Final = 1000
@@ -95,7 +95,7 @@
 
 def _parse_seeds(raw: bytes) -> list[Member] | None:
     try:
-        return [_parse_seed(vm) for vm in json.loads(raw)['vms']]
+        return [_parse_seed(vm) for vm in parse_json(raw)['vms']]
     except (ValueError, KeyError, TypeError):
         return None
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/quota/_client.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/quota/_client.py
@@ -1,6 +1,5 @@
 """Client that asks other daemons for permits."""
 
-import json
 from typing import Final
 
 import attrs
@@ -11,6 +10,7 @@
 from fennelfork.servers import ConnectionLedger
 from fennelfork.workspaces import PermitAsk, PermitGrant
 from fennelfork_daemon._address import address
+from fennelfork_daemon._json_document import parse_json
 from fennelfork_daemon.backend._pool import (
     BackendPool,
     ConnectionTrace,
@@ -59,7 +59,7 @@
         if self._clock.now_ms() - started_ms > timeout_ms:
             return None
         try:
-            tree = json.loads(response.unwrap().body)
+            tree = parse_json(response.unwrap().body)
         except ValueError:
             return None
         return decode_grants(tree).value_or(None)
--- a/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
@@ -47,6 +47,7 @@
 from fennelfork_daemon.backend._request import BackendResponse, ForwardRequest
 
 _TIMEOUT_MS = 20_000.0
+_MAX_BYTES = 200_000
 _MAX_REFUSAL_S = 1.0
 _ID = 'request-7'
 _NEXT = 'next'
@@ -107,7 +108,7 @@
         server.address,
         ConnectionLedger(limit=4),
         system_clock(),
-        1000,
+        _MAX_BYTES,
         probe=None,
     )
 
@@ -181,6 +182,17 @@
     assert outcome.failure().code is FailureCode.BAD_REPLY
 
 
+def test_deep_health() -> None:
+    """A health report that is nested too deeply is no report."""
+    deep = b'[' * 100_000
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(deep)
+    with spoilt_server(head + deep) as server:
+        client = BackendClient(pool=_pool(server))
+        outcome = client.health(_TIMEOUT_MS)
+        client.pool.close()
+    assert outcome.failure().code is FailureCode.BAD_REPLY
+
+
 def test_broken_forms_are_improper() -> None:
     """The forms above do break a rule by the strict reader."""
     for form, response in BROKEN.items():
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -44,6 +44,7 @@
             (ScriptedResponse(body={}, status=429), Verdict.NOT_RUN),
             (ScriptedResponse(body={}, status=503), Verdict.MAY_HAVE_RUN),
             (ScriptedResponse(body=b'not JSON'), Verdict.MAY_HAVE_RUN),
+            (ScriptedResponse(body=b'[' * 100_000), Verdict.MAY_HAVE_RUN),
             (ScriptedResponse(body=b'x' * 4_200_000), Verdict.MAY_HAVE_RUN),
             (ScriptedResponse(body=[]), Verdict.MAY_HAVE_RUN),
             (CLOSE_CONNECTION, Verdict.MAY_HAVE_RUN),
--- a/packages/fennelfork/src/fennelfork/once/_response.py
+++ b/packages/fennelfork/src/fennelfork/once/_response.py
@@ -88,7 +88,7 @@
 def _parse_body(body: bytes) -> dict[str, Any]:
     try:
         parsed = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
     return parsed if isinstance(parsed, dict) else {}
 
--- a/packages/fennelfork/tests/test_once_response.py
+++ b/packages/fennelfork/tests/test_once_response.py
@@ -39,6 +39,12 @@
 class TestClassifyExecuteResponse:
     """Responses of a backend server."""
 
+    def test_deep_document_may_have_run(self) -> None:
+        """A document that is nested too deeply is no outcome."""
+        raw = b'[' * 100_000
+        failure = classify_execute_response(_CALL, 200, raw).failure()
+        assert failure.verdict is Verdict.MAY_HAVE_RUN
+
     def test_returns_the_outcome(self) -> None:
         """A response to this attempt returns its outcome."""
         assert _classify(200, _RESPONSE) == Success('certificate 5')
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -36,6 +36,7 @@
     b'{"events": [], "revision": 9, "age_ms": 1, "is_connected": true, '
     b'"outage_end_age_ms": null}'
 )
+_DEEP = b'[' * 100_000
 _WATCHED = b'{"AtRev": 9, "events": []}'
 _Call = Callable[[PlatformStore], Any]
 _CALLS: dict[str, tuple[int, _Call]] = {
@@ -121,6 +122,17 @@
         assert took_s < _MAX_CALLS_S
 
 
+def test_deep_document_is_not_believed(server: CuttingServer) -> None:
+    """A document that is nested too deeply does not end the caller."""
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(_DEEP)
+    server.response = head + _DEEP
+    for call in ('renewed', 'watched'):
+        outcome = _CALLS[call][1](platform_store(server.address))
+        assert outcome.failure().verdict is Verdict.MAY_HAVE_RUN
+    fetched = platform_relays().fetch(str(server.address), 5, _TIMEOUTS)
+    assert not is_successful(fetched)
+
+
 @pytest.mark.parametrize('form', sorted(BROKEN))
 class TestSpoiltResponses:
     """Responses of the store and of other daemons that break RFC 9112.
