Reading: answers without end on many connections no longer take the memory

Here each answer was bounded, but not all of them together.

Cause: 8 MiB for each answer, on up to MaxConns connections to one server.

Why this works: all answers of backend servers share 64 MiB while they are read, beside the first 64 KiB of each, which usual answers do not exceed.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -6,6 +6,7 @@
 from typing import Any, Final
 
 import attrs
+from returns.pipeline import is_successful
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 from urllib3.exceptions import HTTPError
@@ -26,6 +27,10 @@
     ForwardRequest,
     send_request,
 )
+from fennelfork_daemon.backend._response_memory import (
+    ResponseMemory,
+    response_memory,
+)
 
 _MS: Final = 1000
 # The kernel drops a connection whose bytes stay unacknowledged for this time.
@@ -91,6 +96,7 @@
     keep_alive_ms: float | None = None
     _http: CompleteHTTPConnection
     _max_response_bytes: int
+    _memory: ResponseMemory
     _has_responded: bool = False
 
     @property
@@ -182,12 +188,9 @@
         send_request(request, self._http)
         response = self._http.getresponse()
         self._has_responded = True
-        body = response.read(self._max_response_bytes + 1)
-        if len(body) > self._max_response_bytes:
-            detail = (
-                f'the response is longer than {self._max_response_bytes} bytes'
-            )
-            return Bad(may_have_run(FailureCode.BAD_REPLY, detail))
+        body = self._memory.read_body(response, self._max_response_bytes)
+        if not is_successful(body):
+            return Bad(body.failure())
         response.release_conn()
         self.keep_alive_ms = _read_keep_alive_ms(
             response.headers.get('Keep-Alive', '')
@@ -195,7 +198,7 @@
         return Success(
             BackendResponse(
                 status=response.status,
-                body=body,
+                body=body.unwrap(),
                 headers=tuple(response.headers.items()),
             ),
         )
@@ -204,19 +207,25 @@
 def backend_connection(
     address: Address,
     max_response_bytes: int,
+    memory: ResponseMemory | None = None,
 ) -> BackendConnection:
     """Build a connection without opening it.
 
     Args:
         address: address of the server.
         max_response_bytes: size limit of a response body, in bytes.
+        memory: memory that the responses of several connections share.
     """
     http = _SingleWriteConnection(
         address.host,
         address.port,
         socket_options=_SOCKET_OPTIONS,
     )
-    return BackendConnection(http=http, max_response_bytes=max_response_bytes)
+    return BackendConnection(
+        http=http,
+        max_response_bytes=max_response_bytes,
+        memory=memory or response_memory(max_response_bytes),
+    )
 
 
 def _is_silent(sock: Any) -> bool:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -21,6 +21,7 @@
     ForwardRequest,
     JsonRequest,
 )
+from fennelfork_daemon.backend._response_memory import ResponseMemory
 from fennelfork_daemon.backend._wait_queue import WaitQueue
 
 _PROBE_TIMEOUT_MS: Final = 50.0
@@ -77,6 +78,8 @@
     _ledger: ConnectionLedger
     _clock: Clock
     _max_response_bytes: int
+    # Shared with other pools, or none for a memory of each connection.
+    _memory: ResponseMemory | None = None
     _probe: JsonRequest | None
     _when_full: FullPoolPolicy
     _wait_queue: WaitQueue = attrs.field(factory=WaitQueue)
@@ -154,7 +157,9 @@
         request: AnyRequest,
         trace: ConnectionTrace,
     ) -> Result[BackendResponse, Failure]:
-        connection = backend_connection(self._address, self._max_response_bytes)
+        connection = backend_connection(
+            self._address, self._max_response_bytes, self._memory
+        )
         self._open[number] = connection
         with contextlib.ExitStack() as unopened:
             # Also runs when the green thread of the request is killed.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -1,5 +1,7 @@
 """Connection pools of all backend servers."""
 
+import functools
+
 import attrs
 
 from fennelfork import Clock, FailureCode
@@ -9,10 +11,15 @@
 from fennelfork_daemon.backend._pool import (
     BackendPool,
     FullPoolPolicy,
-    backend_pool,
+)
+from fennelfork_daemon.backend._response_memory import (
+    ResponseMemory,
+    response_memory,
 )
 
 _MAX_RESPONSE_BYTES = 8_388_608
+# A fifth of the memory of a small machine.
+_MAX_MEMORY_BYTES = 67_108_864
 # A short wait for a free connection absorbs bursts of requests: attempts take
 # about 50 ms, so a connection is soon released.
 _WHEN_FULL = FullPoolPolicy(
@@ -37,6 +44,9 @@
 
     _clock: Clock
     _shares: ConnectionShares
+    _memory: ResponseMemory = attrs.field(
+        factory=functools.partial(response_memory, _MAX_MEMORY_BYTES)
+    )
     _open: dict[str, _ServerPool] = attrs.field(factory=dict)
 
     def for_server(self, server: BackendServer) -> BackendPool:
@@ -74,11 +84,12 @@
         ledger = ConnectionLedger(
             limit=self._shares.connection_limit_for(server.service)
         )
-        pool = backend_pool(
-            address(server.address),
-            ledger,
-            self._clock,
-            _MAX_RESPONSE_BYTES,
+        pool = BackendPool(
+            address=address(server.address),
+            ledger=ledger,
+            clock=self._clock,
+            max_response_bytes=_MAX_RESPONSE_BYTES,
+            memory=self._memory,
             probe=None,
             when_full=_WHEN_FULL,
         )
--- a/packages/fennelfork-daemon/tests/test_backend_pool.py
+++ b/packages/fennelfork-daemon/tests/test_backend_pool.py
@@ -53,7 +53,7 @@
     monkeypatch.setattr(
         _pool,
         'backend_connection',
-        lambda address, max_response_bytes: _SlowConnection(),
+        lambda *_arguments: _SlowConnection(),
     )
 
 
@@ -186,9 +186,7 @@
     verdict: Verdict
     opened: int = 0
 
-    def connect(
-        self, address: Address, max_response_bytes: int
-    ) -> _ResetConnection:
+    def connect(self, *_arguments: Any) -> _ResetConnection:
         """Return a connection that is reset."""
         self.opened += 1
         return _ResetConnection(self.verdict)
--- a/tests/test_platform_endless_messages.py
+++ b/tests/test_platform_endless_messages.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import attrs
@@ -21,6 +22,7 @@
     RESPONSE_FORMS,
     UNREAD_FORMS,
     EndlessForm,
+    EndlessServer,
     endless_server,
     send_endless,
 )
@@ -48,6 +50,10 @@
 _UNREAD_BUFFER_BYTES = 4096
 _MAX_SERVER_S = 0.5
 _MAX_ANSWER_S = 2.5
+_MANY_CALLERS = 40
+_MANY_REQUESTS = 160
+# `MemoryMb` of the smallest machines.
+_MAX_MEMORY_KB = 300 * 1024
 _RSS = re.compile(r'VmRSS:\s+(\d+) kB')
 
 
@@ -86,6 +92,36 @@
             time.sleep(_PAUSE_S)
 
 
+@attrs.define(kw_only=True)
+class _MemoryWatch:
+    """Watch of the memory of the daemon.
+
+    Attributes:
+        peak_kb: largest memory that was seen, in KiB.
+    """
+
+    fleet: PlatformFleet
+    peak_kb: int = 0
+    _is_done: bool = False
+    _thread: threading.Thread = attrs.field(init=False)
+
+    def __enter__(self) -> '_MemoryWatch':
+        """Start to watch."""
+        self._thread = threading.Thread(target=self._run)
+        self._thread.start()
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        """Stop to watch."""
+        self._is_done = True
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._is_done:
+            self.peak_kb = max(self.peak_kb, _rss_kb(self.fleet))
+            time.sleep(_PAUSE_S)
+
+
 @pytest.fixture(scope='module')
 def fleet() -> Iterator[PlatformFleet]:
     """Run a store, backend servers and one daemon."""
@@ -207,19 +243,7 @@
 def _answer(fleet: PlatformFleet, name: str, form: EndlessForm) -> float:
     """Let a server answer requests and return its longest response."""
     with endless_server(form) as server:
-        entry = {
-            'Service': 'endless',
-            'Address': str(server.address),
-            'Zone': ZONES[0],
-            'Version': 'v1',
-            'Slots': 5,
-            'State': 'ready',
-            'WarmupLeftMs': 0,
-            'SeqNo': 1,
-        }
-        key = f'servers/i-{name}-{server.address.port}'
-        path = f'/endless/{name}/{server.address.port}'
-        fleet.store_client.write_key(key, json.dumps(entry).encode())
+        key, path = _register(fleet, name, server)
         rss_kb = _rss_kb(fleet)
         with contextlib.ExitStack() as stack:
             stack.callback(fleet.store_client.remove_key, key)
@@ -235,6 +259,25 @@
     return max(server.ended_s)
 
 
+def _register(
+    fleet: PlatformFleet, name: str, server: EndlessServer
+) -> tuple[str, str]:
+    """Write the entry of a server; return its key and a path to request."""
+    entry = {
+        'Service': 'endless',
+        'Address': str(server.address),
+        'Zone': ZONES[0],
+        'Version': 'v1',
+        'Slots': 5,
+        'State': 'ready',
+        'WarmupLeftMs': 0,
+        'SeqNo': 1,
+    }
+    key = f'servers/i-{name}-{server.address.port}'
+    fleet.store_client.write_key(key, json.dumps(entry).encode())
+    return key, f'/endless/{name}/{server.address.port}'
+
+
 def _ask_endless(fleet: PlatformFleet, path: str) -> tuple[int, float]:
     """Return the status of a request to the server, and the time it took."""
     began_s = time.monotonic()
@@ -247,3 +290,29 @@
         timeout=9,
     )
     return answer.status, time.monotonic() - began_s
+
+
+@pytest.mark.parametrize('form', ['body', 'long-body', 'long-chunks'])
+def test_endless_responses_together_fit_in_memory(
+    fleet: PlatformFleet, form: str
+) -> None:
+    """Many callers of one server that sends without end are refused.
+
+    Guards against a daemon whose memory grows with each such response.
+    """
+    with endless_server(RESPONSE_FORMS[form]) as server:
+        key, path = _register(fleet, f'many-{form}', server)
+        with contextlib.ExitStack() as stack:
+            stack.callback(fleet.store_client.remove_key, key)
+            wait_until(
+                lambda: _ask_endless(fleet, path)[0] != 503, 3, 'the server'
+            )
+            memory = stack.enter_context(_MemoryWatch(fleet=fleet))
+            with ThreadPoolExecutor(_MANY_CALLERS) as callers:
+                asked = [
+                    callers.submit(_ask_endless, fleet, path)
+                    for _ in range(_MANY_REQUESTS)
+                ]
+            statuses = {each.result()[0] for each in asked}
+    assert statuses <= {502, 503, 504}
+    assert memory.peak_kb < _MAX_MEMORY_KB
