--- a/tests/test_platform_spoilt_answers.py
+++ b/tests/test_platform_spoilt_answers.py
@@ -36,7 +36,7 @@
 )
 from platform_builders import registration
 
-from fennelfork_bench.rig._process import Rig, rig
+from fennelfork_bench.rig._process import Rig, rig, wait_until
 from fennelfork_platform_bench._events import await_ready
 from fennelfork_platform_bench._fleet import ZONES, PlatformFleet
 from fennelfork_platform_bench._store_client import HOST, SHARDS
@@ -55,6 +55,8 @@
 _MAX_REFUSAL_S = 1.0
 _REFUSED = {502, 503}
 _RECORD_BYTES = 16
+# Bytes of an answer that must not be logged.
+_MARKER = b'7f3a91c2d4'
 # As in the configuration of the route.
 _TOP_K = 5
 # Statuses that a backend server may not send without a further header.
@@ -257,6 +259,26 @@
     _check_merged(caller, response)
 
 
+@pytest.mark.process
+@pytest.mark.parametrize(
+    ('line', 'rule'),
+    [
+        (b'Content-Length: %s', 'Content-Length is not a number of bytes'),
+        (b'%s', 'a field line has no colon'),
+        (b'X %s: 1', 'the name of a field is not a token'),
+        (b'X: %s\x01', 'the value of a field has a control character'),
+    ],
+)
+def test_log_names_the_rule(caller: Caller, line: bytes, rule: str) -> None:
+    """The log tells why an answer was refused, without its bytes."""
+    log = caller.fleet.logs[0]
+    known = len(log.read_bytes())
+    spoilt = SOUND['length'].replace(b'Content-Length: 16', line % _MARKER)
+    assert caller.ask('/once/', spoilt).status == 502
+    wait_until(lambda: rule.encode() in log.read_bytes()[known:], 3, rule)
+    assert _MARKER not in log.read_bytes()
+
+
 @pytest.mark.process
 @pytest.mark.parametrize('form', sorted(SIGNATURE_FORMS))
 def test_spoilt_signature(caller: Caller, form: str) -> None:
