--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_body_length.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_body_length.py
@@ -20,8 +20,9 @@
         method: method of the request.
         has_chunks: whether the HTTP version defines chunked bodies.
         status: status code.
-        lengths: values of all `Content-Length` fields.
-        codings: values of all `Transfer-Encoding` fields.
+        lengths: values of all `Content-Length` fields, without blanks around
+            them.
+        codings: values of all `Transfer-Encoding` fields, likewise.
     """
 
     method: str | None
@@ -71,8 +72,7 @@
         return False
     if not head.has_chunks:
         raise MalformedMessage('Transfer-Encoding in a response of HTTP/1.0')
-    names = [text.strip(_OPTIONAL_WHITESPACE).lower() for text in head.codings]
-    if names != ['chunked']:
+    if [text.lower() for text in head.codings] != ['chunked']:
         raise MalformedMessage('Transfer-Encoding is not `chunked`')
     return True
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_http_connection.py
@@ -34,7 +34,9 @@
 class CompleteResponse(HTTPResponse):  # noqa: WPS230  # names of the library
     """Response that raises an error if it is incomplete or malformed.
 
-    A body without a length ends with the connection.
+    The head, the chunks and the trailers are read by the grammar of RFC 9112, in
+    place of the lenient parsers of the standard library. A body without a length
+    ends with the connection.
     """
 
     def __init__(self, sock: Any, **options: Any) -> None:
