--- a/packages/fennelfork-daemon/tests/daemon_builders_endings.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_endings.py
@@ -4,12 +4,9 @@
 import enum
 import socket
 import struct
-import threading
-from collections.abc import Iterator
 
 import attrs
-
-from fennelfork_daemon._address import Address
+from daemon_builders_listener import LoopbackListener, running
 
 _TIMEOUT_S = 20
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -27,7 +24,7 @@
 
 
 @attrs.define(kw_only=True)
-class CuttingServer:
+class CuttingServer(LoopbackListener):
     """Server that sends a part of its response to each request.
 
     Attributes:
@@ -39,30 +36,18 @@
     response: bytes = b''
     ending: Ending = Ending.CLOSE
     requests: list[bytes] = attrs.field(factory=list)
-    _listener: socket.socket
     _silent: list[socket.socket] = attrs.field(factory=list)
 
-    @property
-    def address(self) -> Address:
-        """Address of the listener."""
-        host, port = self._listener.getsockname()
-        return Address(host=host, port=port)
-
     def serve(self) -> None:
         """Serve connections until the listener is closed."""
-        while True:
-            try:
-                accepted = self._listener.accept()[0]
-            except OSError:
-                return
+        for accepted in self.accept_all():
             accepted.settimeout(_TIMEOUT_S)
             with contextlib.suppress(OSError):
                 self._respond(accepted)
 
     def close(self) -> None:
         """Close the listener and the silent connections."""
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
+        super().close()
         for accepted in self._silent:
             accepted.close()
 
@@ -81,17 +66,9 @@
         end_connection(accepted, self.ending)
 
 
-@contextlib.contextmanager
-def cutting_server() -> Iterator[CuttingServer]:
+def cutting_server() -> contextlib.AbstractContextManager[CuttingServer]:
     """Run a server for the duration of a test."""
-    server = CuttingServer(listener=socket.create_server(('127.0.0.1', 0)))
-    thread = threading.Thread(target=server.serve)
-    thread.start()
-    try:
-        yield server
-    finally:
-        server.close()
-        thread.join(_TIMEOUT_S)
+    return running(CuttingServer())
 
 
 def end_connection(connection: socket.socket, ending: Ending) -> None:
--- a/packages/fennelfork-daemon/tests/daemon_builders_endless.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_endless.py
@@ -9,8 +9,7 @@
 from typing import Final
 
 import attrs
-
-from fennelfork_daemon._address import Address
+from daemon_builders_listener import LoopbackListener, running
 
 _BLOCK_BYTES: Final = 65_536
 _SEND_TIMEOUT_S: Final = 8
@@ -173,7 +172,7 @@
 
 
 @attrs.define(kw_only=True)
-class EndlessServer:
+class EndlessServer(LoopbackListener):
     """Server that answers each request with a message without end.
 
     Attributes:
@@ -183,28 +182,12 @@
 
     form: EndlessForm
     ended_s: list[float] = attrs.field(factory=list)
-    _listener: socket.socket
-
-    @property
-    def address(self) -> Address:
-        """Address of the listener."""
-        host, port = self._listener.getsockname()
-        return Address(host=host, port=port)
 
     def serve(self) -> None:
         """Serve connections until the listener is closed."""
-        while True:
-            try:
-                accepted = self._listener.accept()[0]
-            except OSError:
-                return
+        for accepted in self.accept_all():
             threading.Thread(target=self._respond, args=(accepted,)).start()
 
-    def close(self) -> None:
-        """Close the listener."""
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
     def _respond(self, accepted: socket.socket) -> None:
         with accepted:
             accepted.settimeout(_SEND_TIMEOUT_S)
@@ -212,15 +195,8 @@
                 self.ended_s.append(send_endless(accepted, self.form))
 
 
-@contextlib.contextmanager
-def endless_server(form: EndlessForm) -> Iterator[EndlessServer]:
+def endless_server(
+    form: EndlessForm,
+) -> contextlib.AbstractContextManager[EndlessServer]:
     """Run a server for the duration of a test."""
-    listener = socket.create_server(('127.0.0.1', 0))
-    server = EndlessServer(form=form, listener=listener)
-    thread = threading.Thread(target=server.serve)
-    thread.start()
-    try:
-        yield server
-    finally:
-        server.close()
-        thread.join(_SEND_TIMEOUT_S)
+    return running(EndlessServer(form=form))
--- a/packages/fennelfork-daemon/tests/daemon_builders_spoilt.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_spoilt.py
@@ -8,10 +8,9 @@
 from typing import Final
 
 import attrs
+from daemon_builders_listener import LoopbackListener, running
 from daemon_builders_strict import Improper, Unfinished, read_strictly
 
-from fennelfork_daemon._address import Address
-
 _TIMEOUT_S: Final = 20
 _END_OF_HEAD: Final = b'\r\n\r\n'
 _LAST_SEGMENT: Final = re.compile(rb'\A\S+ [^ ]*/([^/ ]+) ')
@@ -26,7 +25,7 @@
 
 
 @attrs.define(kw_only=True)
-class SpoiltServer:
+class SpoiltServer(LoopbackListener):
     """Server that keeps its connections and sends prepared responses.
 
     A request gets the response under the last segment of its path, another one
@@ -44,31 +43,15 @@
     responses: dict[str, bytes] = attrs.field(factory=dict)
     requests: list[str] = attrs.field(factory=list)
     connections: int = 0
-    _listener: socket.socket
-
-    @property
-    def address(self) -> Address:
-        """Address of the listener."""
-        host, port = self._listener.getsockname()
-        return Address(host=host, port=port)
 
     def serve(self) -> None:
         """Serve connections until the listener is closed."""
-        while True:
-            try:
-                accepted = self._listener.accept()[0]
-            except OSError:
-                return
+        for accepted in self.accept_all():
             self.connections += 1
             threading.Thread(
                 target=self._serve_connection, args=(accepted,)
             ).start()
 
-    def close(self) -> None:
-        """Close the listener."""
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
     def _serve_connection(self, accepted: socket.socket) -> None:
         accepted.settimeout(_TIMEOUT_S)
         with accepted, contextlib.suppress(OSError):
@@ -89,18 +72,11 @@
         return response.replace(REQUEST_ID, sent_id)
 
 
-@contextlib.contextmanager
-def spoilt_server(sound: bytes) -> Iterator[SpoiltServer]:
+def spoilt_server(
+    sound: bytes,
+) -> contextlib.AbstractContextManager[SpoiltServer]:
     """Run a server for the duration of a test."""
-    listener = socket.create_server(('127.0.0.1', 0), backlog=64)
-    server = SpoiltServer(sound=sound, listener=listener)
-    thread = threading.Thread(target=server.serve)
-    thread.start()
-    try:
-        yield server
-    finally:
-        server.close()
-        thread.join(_TIMEOUT_S)
+    return running(SpoiltServer(sound=sound))
 
 
 def spoilt_heads(response: bytes) -> Iterator[bytes]:
