--- a/tests/test_platform_spoilt_answers.py
+++ b/tests/test_platform_spoilt_answers.py
@@ -89,6 +89,10 @@
         assert time.monotonic() - began_s < _MAX_REFUSAL_S, response
         return answer
 
+    def count_attempts(self) -> int:
+        """Return how often the last request reached the single server."""
+        return self.servers['archive'].requests.count(f'case-{self._sent}')
+
     def expected(self, response: bytes) -> StrictResponse | None:
         """Return the last response as a strict reader reads it, if it can."""
         request_id = f'case-{self._sent}'.encode()
@@ -177,6 +181,8 @@
 def _check_single(caller: Caller, prefix: str, response: bytes) -> None:
     """Check the answer to one request, and the answer after it."""
     answer = caller.ask(prefix, response)
+    if prefix == '/once/':
+        assert caller.count_attempts() == 1, response
     expected = caller.expected(response)
     if expected is None or not _is_valid(expected):
         assert answer.status in _REFUSED, (response, answer)
