Known red: the operators' command reads broken answers of daemons

Found when each place that reads answers was tried with a broken head. The command reads by urllib3, not by the reader that the daemons use. Cause of the failures below: the lenient parsers of the standard library and urllib3.

The tests are listed until the command shares the reader.

--- a/packages/fennelfork-cli/tests/test_http.py
+++ b/packages/fennelfork-cli/tests/test_http.py
@@ -1,16 +1,24 @@
-"""Answers of a daemon to the operators' command that end early.
+"""Answers of a daemon to the operators' command that end early or are broken.
 
-Guards against a truncated answer that is reported as the outcome.
+Guards against a truncated or broken answer that is reported as the outcome.
 """
 
 import pytest
 from daemon_builders_endings import Ending, cutting_server, truncations
+from daemon_builders_forms import BROKEN, SOUND, UNUSUAL, with_content
+from daemon_builders_spoilt import spoilt_server
 from returns.pipeline import is_successful
 
 from fennelfork import Verdict
 from fennelfork_cli._http import ApiRequest, send_request
 
 _PATCH = {'base': 4}
+# Forms whose body can be replaced.
+_WITH_LENGTH = {
+    form: answer
+    for form, answer in (SOUND | UNUSUAL).items()
+    if b'Content-Length: 16\r\n' in answer
+}
 
 
 def _answer(status: bytes, document: bytes) -> bytes:
@@ -49,3 +57,44 @@
                 )
                 assert not is_successful(outcome), server.response
                 assert outcome.failure().verdict is Verdict.MAY_HAVE_RUN
+
+
+def _patch_request(address: str) -> ApiRequest:
+    return ApiRequest(
+        address=address,
+        path='/v1/config/patch',
+        body=_PATCH,
+        timeout_ms=400,
+    )
+
+
+class TestBrokenAnswers:
+    """Answers that break RFC 9112."""
+
+    @pytest.mark.parametrize(
+        ('status', 'document'),
+        [(b'200', b'{"version": 5}'), (b'409', b'{"verdict": "not_run"}')],
+    )
+    def test_broken_answer_may_have_run(
+        self, status: bytes, document: bytes
+    ) -> None:
+        """A change with a broken answer may be in force."""
+        believed = []
+        for form, answer in BROKEN.items():
+            with spoilt_server(
+                with_content(answer, status, document)
+            ) as server:
+                outcome = send_request(_patch_request(str(server.address)))
+            if is_successful(outcome):
+                believed.append(form)
+            elif outcome.failure().verdict is not Verdict.MAY_HAVE_RUN:
+                believed.append(form)
+        assert not believed
+
+    @pytest.mark.parametrize('form', sorted(_WITH_LENGTH))
+    def test_sound_answer_is_read(self, form: str) -> None:
+        """A usual or unusual answer of a sound server is the outcome."""
+        answer = with_content(_WITH_LENGTH[form], b'200', b'{"version": 5}')
+        with spoilt_server(answer) as server:
+            outcome = send_request(_patch_request(str(server.address)))
+        assert outcome.unwrap() == {'version': 5}
