Operators' command: answers of daemons are read strictly

What operators saw: a broken answer could end the command with ValueError, or counted as the outcome of a patch; an interim response 103 counted as the answer.

Cause: the command read by urllib3 alone. The strict reader was part of the daemon, which the command must not import.

Why this works: the grammar and StrictResponse are in fennelfork.responses, which both use, so there is no second copy. Apart from the new place the daemon's reader is the same.

--- a/packages/fennelfork-cli/src/fennelfork_cli/_http.py
+++ b/packages/fennelfork-cli/src/fennelfork_cli/_http.py
@@ -6,8 +6,11 @@
 import attrs
 import urllib3
 from returns.result import Failure, Result, Success
+from urllib3.connection import HTTPConnection
+from urllib3.connectionpool import HTTPConnectionPool
 
 from fennelfork import Verdict
+from fennelfork.responses import MalformedMessage, StrictResponse
 
 _MS_PER_SECOND: Final = 1000
 _MIN_ERROR_STATUS: Final = 400
@@ -20,6 +23,18 @@
 JsonObject = dict[str, Any]
 
 
+class _StrictConnection(HTTPConnection):
+    """Connection of urllib3 whose responses are read strictly."""
+
+    response_class = StrictResponse
+
+
+class _StrictPool(HTTPConnectionPool):
+    """Connection pool of urllib3 whose responses are read strictly."""
+
+    ConnectionCls = _StrictConnection
+
+
 @attrs.frozen(kw_only=True)
 class RequestFailure:
     """Failure of an API request.
@@ -65,8 +80,10 @@
         JSON object of a successful response, or the failure.
     """
     seconds = request.timeout_ms / _MS_PER_SECOND
+    pools = urllib3.PoolManager()
+    pools.pool_classes_by_scheme = {'http': _StrictPool}
     try:
-        response = urllib3.request(
+        response = pools.request(
             'GET' if request.body is None else 'POST',
             f'http://{request.address}{request.path}',
             body=None if request.body is None else json.dumps(request.body),
@@ -97,6 +114,8 @@
         return 'cannot connect'
     if isinstance(err, urllib3.exceptions.TimeoutError):
         return 'timed out'
+    if isinstance(err.__cause__ or err.__context__, MalformedMessage):
+        return 'the answer breaks RFC 9112'
     return 'the connection was lost'
 
 
@@ -106,7 +125,7 @@
 ) -> Result[JsonObject, RequestFailure]:
     try:
         payload = json.loads(response.data)
-    except ValueError:
+    except (ValueError, RecursionError):
         payload = None
     if not isinstance(payload, dict):
         return Failure(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -13,12 +13,12 @@
 from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 
 from fennelfork import Failure, FailureCode, may_have_run, not_run
+from fennelfork.responses import MalformedMessage
 from fennelfork_daemon._address import Address
 from fennelfork_daemon._http_connection import (
     CompleteHTTPConnection,
     cause_of,
 )
-from fennelfork_daemon._message_grammar import MalformedMessage
 from fennelfork_daemon._message_reader import ENDLESS_ERRORS
 from fennelfork_daemon._sockets import ConnectionBroken, reset_aware
 from fennelfork_daemon.backend._request import (
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_body_length.py
+++ b/packages/fennelfork/src/fennelfork/responses/_body_length.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from fennelfork_daemon._message_grammar import MalformedMessage
+from fennelfork.responses._grammar import MalformedMessage
 
 _OPTIONAL_WHITESPACE: Final = ' \t'
 _MAX_LENGTH_DIGITS: Final = 18
--- a/packages/fennelfork/tests/test_exports.py
+++ b/packages/fennelfork/tests/test_exports.py
@@ -16,6 +16,7 @@
     'fennelfork.membership',
     'fennelfork.once',
     'fennelfork.placement',
+    'fennelfork.responses',
     'fennelfork.routes',
     'fennelfork.servers',
     'fennelfork.shares',
