Names and docstrings of this change, read as a newcomer

One word now: malformed; valid in place of sound and proper; unexpected entries in place of odd ones. Files are renamed with it. Comments and docstrings that could not be understood alone are rewritten (read1 in kv/_http.py, the limits in _response_memory.py and _pools.py).

--- a/packages/fennelfork-cli/tests/test_http.py
+++ b/packages/fennelfork-cli/tests/test_http.py
@@ -5,8 +5,13 @@
 
 import pytest
 from daemon_builders_endings import Ending, cutting_server, truncations
-from daemon_builders_forms import BROKEN, SOUND, UNUSUAL, with_content
-from daemon_builders_spoilt import spoilt_server
+from daemon_builders_prepared import prepared_server
+from daemon_builders_response_forms import (
+    MALFORMED,
+    UNUSUAL,
+    VALID,
+    with_content,
+)
 from returns.pipeline import is_successful
 
 from fennelfork import Verdict
@@ -16,7 +21,7 @@
 # Forms whose body can be replaced.
 _WITH_LENGTH = {
     form: answer
-    for form, answer in (SOUND | UNUSUAL).items()
+    for form, answer in (VALID | UNUSUAL).items()
     if b'Content-Length: 16\r\n' in answer
 }
 
@@ -68,20 +73,20 @@
     )
 
 
-class TestBrokenAnswers:
+class TestMalformedAnswers:
     """Answers that break RFC 9112."""
 
     @pytest.mark.parametrize(
         ('status', 'document'),
         [(b'200', b'{"version": 5}'), (b'409', b'{"verdict": "not_run"}')],
     )
-    def test_broken_answer_may_have_run(
+    def test_malformed_answer_may_have_run(
         self, status: bytes, document: bytes
     ) -> None:
         """A change with a broken answer may be in force."""
         believed = []
-        for form, answer in BROKEN.items():
-            with spoilt_server(
+        for form, answer in MALFORMED.items():
+            with prepared_server(
                 with_content(answer, status, document)
             ) as server:
                 outcome = send_request(_patch_request(str(server.address)))
@@ -92,9 +97,9 @@
         assert not believed
 
     @pytest.mark.parametrize('form', sorted(_WITH_LENGTH))
-    def test_sound_answer_is_read(self, form: str) -> None:
-        """A usual or unusual answer of a sound server is the outcome."""
+    def test_valid_answer_is_read(self, form: str) -> None:
+        """A usual or unusual answer of a healthy server is the outcome."""
         answer = with_content(_WITH_LENGTH[form], b'200', b'{"version": 5}')
-        with spoilt_server(answer) as server:
+        with prepared_server(answer) as server:
             outcome = send_request(_patch_request(str(server.address)))
         assert outcome.unwrap() == {'version': 5}
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -49,7 +49,7 @@
 _PEEK_BYTES: Final = 1
 # Errors after which a request may have reached the server.
 _TRANSPORT_ERRORS: Final = (HTTPError, HTTPException, OSError, EOFError)
-# Errors of a server that sends, so that its connection does not count as lost.
+# Errors of invalid responses; the connection of such a response counts as open.
 _INVALID_MESSAGE_ERRORS: Final = (MalformedMessage, *ENDLESS_ERRORS)
 # Transport errors that do not imply a lost connection.
 _TIMEOUT_ERRORS: Final = (TimeoutError, LibraryTimeoutError)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_response_memory.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_response_memory.py
@@ -10,7 +10,7 @@
 
 from fennelfork import Failure, FailureCode, may_have_run
 
-# Also the part of each response that needs no reservation.
+# Size of one read, and of the part of each response without a reservation.
 _BLOCK_BYTES: Final = 65_536
 
 
@@ -80,7 +80,7 @@
     _reserved_bytes: int = 0
 
     def cover_length(self) -> bool:
-        """Reserve memory for all bytes but the first ones, if it is left."""
+        """Reserve memory for all bytes except the first block, if enough is left."""
         needed = self.length - _BLOCK_BYTES - self._reserved_bytes
         if needed <= 0:
             return True
@@ -90,7 +90,7 @@
         return True
 
     def release(self) -> None:
-        """Release the memory."""
+        """Release all memory of the response."""
         self._memory.release(self._reserved_bytes)
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/kv/_http.py
@@ -188,7 +188,7 @@
             f'the platform responded with status {response.status}'
         )
     remainder = b''
-    # Unlike `stream`, which has a chunk parser of its own.
+    # `read1` uses the strict chunk parser; `stream` of urllib3 does not.
     while chunk := response.read1(_READ_BYTES):
         remainder += chunk
         *lines, remainder = remainder.split(b'\n')
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -18,7 +18,7 @@
 )
 
 _MAX_RESPONSE_BYTES = 8_388_608
-# Of all responses that are read at the same time.
+# Limit on all responses together that are read at the same time.
 _MAX_MEMORY_BYTES = 67_108_864
 # A short wait for a free connection absorbs bursts of requests: attempts take
 # about 50 ms, so a connection is soon released.
--- a/packages/fennelfork-daemon/tests/daemon_builders_spoilt.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_prepared.py
@@ -1,4 +1,4 @@
-"""Builders of servers whose responses are spoilt, on real sockets."""
+"""Servers that send prepared responses on kept connections, on real sockets."""
 
 import contextlib
 import re
@@ -9,7 +9,7 @@
 
 import attrs
 from daemon_builders_listener import LoopbackListener, running
-from daemon_builders_strict import Improper, Unfinished, read_strictly
+from daemon_builders_strict import Malformed, Unfinished, read_strictly
 
 _TIMEOUT_S: Final = 20
 _END_OF_HEAD: Final = b'\r\n\r\n'
@@ -17,29 +17,29 @@
 _REQUEST_ID: Final = re.compile(rb'(?i)\r\nx-request-id: ([^\r]*)\r\n')
 # Replaced by the id of the request.
 REQUEST_ID: Final = b'{request-id}'
-# One byte for each class of RFC 9112.
-SPOILT_BYTES: Final = (
+# Control characters, blanks, delimiters, digits, letters and obs-text.
+REPLACEMENT_BYTES: Final = (
     b'\x00', b'\t', b'\n', b'\r', b' ', b'"', b'+', b',', b'-', b'0', b'9',
     b':', b'f', b'x', b'\x7f', b'\xa0',
 )  # fmt: skip
 
 
 @attrs.define(kw_only=True)
-class SpoiltServer(LoopbackListener):
+class PreparedServer(LoopbackListener):
     """Server that keeps its connections and sends prepared responses.
 
-    A request gets the response under the last segment of its path, another one
-    the sound response. The connection is closed where RFC 9112 says so, and
-    after a response that is not complete.
+    The last segment of the path selects the response to a request. The server
+    closes a connection after a response that ends with the connection by RFC
+    9112 and after an incomplete response.
 
     Attributes:
-        sound: response to requests that have none of their own.
+        valid: response to requests that have none of their own.
         responses: responses by the last segment of the path.
         requests: last segments of the paths that were requested.
         connections: number of connections that were accepted.
     """
 
-    sound: bytes
+    valid: bytes
     responses: dict[str, bytes] = attrs.field(factory=dict)
     requests: list[str] = attrs.field(factory=list)
     connections: int = 0
@@ -68,21 +68,21 @@
         self.requests.append(name)
         request_id = _REQUEST_ID.search(request)
         sent_id = b'' if request_id is None else request_id[1]
-        response = self.responses.get(name, self.sound)
+        response = self.responses.get(name, self.valid)
         return response.replace(REQUEST_ID, sent_id)
 
 
-def spoilt_server(
-    sound: bytes,
-) -> contextlib.AbstractContextManager[SpoiltServer]:
+def prepared_server(
+    valid: bytes,
+) -> contextlib.AbstractContextManager[PreparedServer]:
     """Run a server for the duration of a test."""
-    return running(SpoiltServer(sound=sound))
+    return running(PreparedServer(valid=valid))
 
 
-def spoilt_heads(response: bytes) -> Iterator[bytes]:
+def heads_with_replaced_byte(response: bytes) -> Iterator[bytes]:
     """Yield the response with each byte of its head replaced in turn."""
     for place in range(response.index(_END_OF_HEAD) + len(_END_OF_HEAD)):
-        for byte in SPOILT_BYTES:
+        for byte in REPLACEMENT_BYTES:
             if response[place : place + 1] != byte:
                 yield response[:place] + byte + response[place + 1 :]
 
@@ -101,11 +101,11 @@
 def _ends_connection(response: bytes) -> bool:
     """Whether a client needs the end of the connection.
 
-    A client refuses an improper response without it.
+    A client refuses a malformed response without it.
     """
     try:
         return read_strictly(response, is_closed=False).ends_connection
     except Unfinished:
         return True
-    except Improper:
+    except Malformed:
         return False
--- a/packages/fennelfork-daemon/tests/daemon_builders_forms.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_response_forms.py
@@ -1,13 +1,13 @@
-"""Responses of a server in trouble, by the rule that each of them breaks."""
+"""Valid and malformed responses by name; each malformed one breaks one rule."""
 
 from typing import Final
 
-from daemon_builders_spoilt import REQUEST_ID
+from daemon_builders_prepared import REQUEST_ID
 
 BODY: Final = b'records of shard'
 _START: Final = b'HTTP/1.1 200 OK\r\n'
 _FIELDS: Final = (
-    b'X-Server-Stamp: stamp-spoilt\r\n'
+    b'X-Server-Stamp: stamp-faulty\r\n'
     b'X-Request-Id: %s\r\n'
     b'Content-Type: application/octet-stream\r\n' % REQUEST_ID
 )
@@ -30,13 +30,13 @@
     return response(_CHUNKED, body)
 
 
-# Proper responses, one for each way to end a body.
-SOUND: Final = {
+# Valid responses, one for each way to end a body.
+VALID: Final = {
     'length': response(),
     'chunks': response(_CHUNKED, _CHUNKS),
     'close': response(b'Connection: close\r\n'),
 }
-# Less usual forms of sound servers.
+# Less usual forms of healthy servers.
 UNUSUAL: Final = {
     'no-blank-after-colon': response(b'Content-Length:16\r\n'),
     'blanks-around-length': response(b'Content-Length: \t 16 \t\r\n'),
@@ -74,7 +74,7 @@
     ),
     'trailers': _chunks(b'10\r\n%s\r\n0\r\nX-A: 1\r\nX-B:\r\n\r\n' % BODY),
 }  # fmt: skip
-# Proper responses with bytes after them that belong to no request.
+# Valid responses with bytes after them that belong to no request.
 SURPLUS: Final = {
     'byte': response(body=b'%sx' % BODY),
     'line-end': response(body=b'%s\r\n' % BODY),
@@ -84,14 +84,14 @@
     'no-content': response(b'', start=b'HTTP/1.1 204 No Content\r\n'),
     'not-modified': response(start=b'HTTP/1.1 304 Not Modified\r\n'),
 }  # fmt: skip
-# Proper responses whose signature is not one entry of a list.
+# Valid responses whose signature is not one entry of a list.
 SIGNATURE_FORMS: Final = {
     name: response(own=b'X-Server-Stamp:%s\r\n' % text)
     for name, text in {
         'empty': b'',
-        'blank': b' stamp spoilt',
-        'tab': b' stamp\tspoilt',
-        'comma': b' stamp,spoilt',
+        'blank': b' stamp faulty',
+        'tab': b' stamp\tfaulty',
+        'comma': b' stamp,faulty',
         'two': b' stamp-1, stamp-2',
         'obs-text': b' stamp\xe9',
     }.items()
@@ -160,7 +160,7 @@
     'two-carriage-returns': b'X-A: 1\r',
     'blank-line': b' ',
 }  # fmt: skip
-# Each line before the length hides it from some parsers, and after it does not.
+# Some parsers ignore all fields after a malformed line.
 FIELD_FORMS: Final = {
     f'{name}-before': response(b'%s\r\n%s' % (line, _LENGTH))
     for name, line in _LINES.items()
@@ -215,7 +215,7 @@
     f'coding-{name}': response(b'Transfer-Encoding: %s\r\n' % text, _CHUNKS)
     for name, text in {
         'empty': b'',
-        'spoilt': b'chunkex',
+        'malformed': b'chunkex',
         'identity': b'identity',
         'gzip': b'gzip',
         'gzip-chunked': b'gzip, chunked',
@@ -245,7 +245,7 @@
         'control-in-extension': b'10;a\x00\r\n%s\r\n0\r\n\r\n' % BODY,
         'bad-extension': b'10;=a\r\n%s\r\n0\r\n\r\n' % BODY,
         'end-missing': b'7\r\nrecords9\r\n of shard\r\n0\r\n\r\n',
-        'end-spoilt': b'10\r\n%sxx0\r\n\r\n' % BODY,
+        'end-malformed': b'10\r\n%sxx0\r\n\r\n' % BODY,
         'end-line-feed': b'10\r\n%s\n\n0\r\n\r\n' % BODY,
         'too-long': b'7\r\nrecords too\r\n0\r\n\r\n',
         'last-minus': b'10\r\n%s\r\n-0\r\n\r\n' % BODY,
@@ -256,13 +256,13 @@
         'last-line-feed': b'10\r\n%s\r\n0\r\n\n' % BODY,
     }.items()
 }  # fmt: skip
-BROKEN: Final = STATUS_FORMS | FIELD_FORMS | LENGTH_FORMS | CHUNK_FORMS
+MALFORMED: Final = STATUS_FORMS | FIELD_FORMS | LENGTH_FORMS | CHUNK_FORMS
 
 
 def with_content(form: bytes, status: bytes, content: bytes) -> bytes:
     """Return a form with another status, and another body if it has a length.
 
-    Forms whose status line or length is spoilt keep it.
+    Forms whose status line or length is malformed keep it.
     """
     changed = form.replace(b' 200 ', b' %s ' % status)
     if _LENGTH not in form:
--- a/packages/fennelfork-daemon/tests/daemon_builders_strict.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_strict.py
@@ -1,8 +1,8 @@
 """Strict reader of HTTP responses, which tests compare the product with.
 
-The reader follows the grammar of RFC 9112 and RFC 9110 byte by byte and accepts
-no deviation that these permit a recipient to tolerate. A response with a status
-line, a header line or a length that has no or two meanings is improper.
+The reader implements the grammar of RFC 9112 and RFC 9110 byte by byte, without
+the deviations that recipients may tolerate. A response with an invalid or
+ambiguous status line, header line or body length is malformed.
 """
 
 import string
@@ -26,7 +26,7 @@
 Fields = tuple[tuple[bytes, bytes], ...]
 
 
-class Improper(Exception):
+class Malformed(Exception):
     """Response that RFC 9112 does not permit."""
 
 
@@ -92,7 +92,7 @@
         method: method of the request.
 
     Raises:
-        Improper: if the response is not permitted.
+        Malformed: if the response is not permitted.
         Unfinished: if the response needs further bytes.
     """
     source = _Bytes(raw)
@@ -116,18 +116,18 @@
     )
 
 
-def is_proper(raw: bytes, *, is_closed: bool) -> bool:
-    """Whether some bytes begin with a complete and proper response."""
+def is_valid_response(raw: bytes, *, is_closed: bool) -> bool:
+    """Whether some bytes begin with a complete and valid response."""
     try:
         read_strictly(raw, is_closed=is_closed)
-    except (Improper, Unfinished):
+    except (Malformed, Unfinished):
         return False
     return True
 
 
 def _require(holds: bool, rule: str) -> None:
     if not holds:
-        raise Improper(rule)
+        raise Malformed(rule)
 
 
 def _read_status(line: bytes) -> tuple[int, int]:
--- a/packages/fennelfork-daemon/tests/test_backend_spoilt_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_malformed_responses.py
@@ -1,7 +1,7 @@
 """Responses of backend servers that break RFC 9112, on kept connections.
 
-Guards against a spoilt response that is accepted, against a proper one that is
-refused, and against a connection whose next response is another one.
+Guards against a malformed response that is accepted, against a valid one that is
+refused, and against a kept connection that delivers the wrong next response.
 """
 
 import time
@@ -9,28 +9,28 @@
 
 import attrs
 import pytest
-from daemon_builders_forms import (
-    BROKEN,
+from daemon_builders_prepared import (
+    REQUEST_ID,
+    PreparedServer,
+    heads_with_replaced_byte,
+    prepared_server,
+)
+from daemon_builders_response_forms import (
     CHUNK_FORMS,
     FIELD_FORMS,
     LENGTH_FORMS,
-    SOUND,
+    MALFORMED,
     STATUS_FORMS,
     SURPLUS,
     UNUSUAL,
+    VALID,
     with_content,
 )
-from daemon_builders_spoilt import (
-    REQUEST_ID,
-    SpoiltServer,
-    spoilt_heads,
-    spoilt_server,
-)
 from daemon_builders_strict import (
-    Improper,
+    Malformed,
     StrictResponse,
     Unfinished,
-    is_proper,
+    is_valid_response,
     read_strictly,
 )
 from returns.pipeline import is_successful
@@ -57,7 +57,7 @@
 class Exchanges:
     """Requests to a server whose connections are kept."""
 
-    server: SpoiltServer
+    server: PreparedServer
     pool: BackendPool
 
     def send(self, name: str) -> Result[BackendResponse, Failure]:
@@ -86,24 +86,24 @@
         else:
             assert not is_successful(outcome), (response, outcome)
             assert outcome.failure().verdict is Verdict.MAY_HAVE_RUN
-        if isinstance(expected, Improper):
+        if isinstance(expected, Malformed):
             assert outcome.failure().code is FailureCode.BAD_REPLY, response
             assert not outcome.failure().connection_lost
-        sound = _read(self.server.sound)
-        assert isinstance(sound, StrictResponse)
-        _check_equal(self.send(_NEXT).unwrap(), sound)
+        valid = _read(self.server.valid)
+        assert isinstance(valid, StrictResponse)
+        _check_equal(self.send(_NEXT).unwrap(), valid)
 
 
 @pytest.fixture
 def exchanges() -> Iterator[Exchanges]:
     """Run a server and a pool of connections to it."""
-    with spoilt_server(SOUND['length']) as server:
+    with prepared_server(VALID['length']) as server:
         pool = _pool(server)
         yield Exchanges(server=server, pool=pool)
         pool.close()
 
 
-def _pool(server: SpoiltServer) -> BackendPool:
+def _pool(server: PreparedServer) -> BackendPool:
     return backend_pool(
         server.address,
         ConnectionLedger(limit=4),
@@ -113,12 +113,12 @@
     )
 
 
-def _read(response: bytes) -> StrictResponse | Improper | Unfinished:
+def _read(response: bytes) -> StrictResponse | Malformed | Unfinished:
     """Return what a strict reader makes of a response."""
     sent = response.replace(REQUEST_ID, _ID.encode())
     try:
         return read_strictly(sent, is_closed=True)
-    except (Improper, Unfinished) as error:
+    except (Malformed, Unfinished) as error:
         return error
 
 
@@ -133,49 +133,51 @@
 
 
 @pytest.mark.parametrize('form', sorted(STATUS_FORMS))
-def test_spoilt_status_line(exchanges: Exchanges, form: str) -> None:
-    """A status line that is none ends the attempt at once."""
+def test_malformed_status_line(exchanges: Exchanges, form: str) -> None:
+    """A response with a malformed status line fails at once."""
     exchanges.check(STATUS_FORMS[form])
 
 
 @pytest.mark.parametrize('form', sorted(FIELD_FORMS))
-def test_spoilt_field_line(exchanges: Exchanges, form: str) -> None:
-    """A line that is no header field ends the attempt at once."""
+def test_malformed_field_line(exchanges: Exchanges, form: str) -> None:
+    """A response with a malformed header field fails at once."""
     exchanges.check(FIELD_FORMS[form])
 
 
 @pytest.mark.parametrize('form', sorted(LENGTH_FORMS))
-def test_spoilt_length(exchanges: Exchanges, form: str) -> None:
-    """A body whose length is not known is no body."""
+def test_malformed_length(exchanges: Exchanges, form: str) -> None:
+    """A response with a malformed or ambiguous body length fails at once."""
     exchanges.check(LENGTH_FORMS[form])
 
 
 @pytest.mark.parametrize('form', sorted(CHUNK_FORMS))
-def test_spoilt_chunks(exchanges: Exchanges, form: str) -> None:
-    """A body in chunks that are none is no body."""
+def test_malformed_chunks(exchanges: Exchanges, form: str) -> None:
+    """A response with malformed chunks fails at once."""
     exchanges.check(CHUNK_FORMS[form])
 
 
 @pytest.mark.parametrize('form', sorted(UNUSUAL))
 def test_unusual_response(exchanges: Exchanges, form: str) -> None:
-    """An unusual response of a sound server is accepted unchanged."""
-    assert is_proper(UNUSUAL[form], is_closed=True)
+    """An unusual response of a healthy server is accepted unchanged."""
+    assert is_valid_response(UNUSUAL[form], is_closed=True)
     exchanges.check(UNUSUAL[form])
 
 
-@pytest.mark.parametrize('form', sorted(SOUND))
+@pytest.mark.parametrize('form', sorted(VALID))
 def test_each_byte_of_the_head(exchanges: Exchanges, form: str) -> None:
-    """Whatever byte is spoilt, the response is read as RFC 9112 reads it."""
-    exchanges.server.sound = SOUND[form]
-    for spoilt in spoilt_heads(SOUND[form]):
-        exchanges.check(spoilt)
+    """A response with one replaced byte is read as RFC 9112 defines."""
+    exchanges.server.valid = VALID[form]
+    for changed in heads_with_replaced_byte(VALID[form]):
+        exchanges.check(changed)
 
 
-@pytest.mark.parametrize('form', sorted(BROKEN))
-def test_spoilt_health(form: str) -> None:
-    """A health report in a response that breaks RFC 9112 is no report."""
+@pytest.mark.parametrize('form', sorted(MALFORMED))
+def test_malformed_health(form: str) -> None:
+    """A health report in a malformed response is ignored."""
     report = b'{"state": "ready", "snapshots": []}'
-    with spoilt_server(with_content(BROKEN[form], b'200', report)) as server:
+    with prepared_server(
+        with_content(MALFORMED[form], b'200', report)
+    ) as server:
         client = BackendClient(pool=_pool(server))
         outcome = client.health(_TIMEOUT_MS)
         client.pool.close()
@@ -183,20 +185,20 @@
 
 
 def test_deep_health() -> None:
-    """A health report that is nested too deeply is no report."""
+    """A health report that is nested too deeply is ignored."""
     deep = b'[' * 100_000
     head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(deep)
-    with spoilt_server(head + deep) as server:
+    with prepared_server(head + deep) as server:
         client = BackendClient(pool=_pool(server))
         outcome = client.health(_TIMEOUT_MS)
         client.pool.close()
     assert outcome.failure().code is FailureCode.BAD_REPLY
 
 
-def test_broken_forms_are_improper() -> None:
-    """The forms above do break a rule by the strict reader."""
-    for form, response in BROKEN.items():
-        assert isinstance(_read(response), Improper), form
+def test_strict_reader_refuses_the_forms() -> None:
+    """Each form breaks a rule of RFC 9112."""
+    for form, response in MALFORMED.items():
+        assert isinstance(_read(response), Malformed), form
 
 
 @pytest.mark.parametrize('form', sorted(SURPLUS))
@@ -207,7 +209,7 @@
 
 
 def test_connection_is_kept(exchanges: Exchanges) -> None:
-    """Proper responses leave the connection usable."""
-    for response in (SOUND['length'], SOUND['chunks'], SOUND['length']):
+    """Valid responses leave the connection usable."""
+    for response in (VALID['length'], VALID['chunks'], VALID['length']):
         exchanges.check(response)
     assert exchanges.server.connections == 1
--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -4,7 +4,6 @@
 
 import eventlet
 import pytest
-from daemon_builders_forms import BROKEN, with_content
 from daemon_builders_once import (
     TIMEOUTS,
     FakeServer,
@@ -14,7 +13,8 @@
     fake_server,
     free_port,
 )
-from daemon_builders_spoilt import spoilt_server
+from daemon_builders_prepared import prepared_server
+from daemon_builders_response_forms import MALFORMED, with_content
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
@@ -111,13 +111,13 @@
         assert result == refusal
         assert not server.runs
 
-    @pytest.mark.parametrize('form', sorted(BROKEN))
-    def test_spoilt_probe_sends_nothing(self, form: str) -> None:
-        """Guards against a probe whose response breaks RFC 9112."""
-        healthy = with_content(BROKEN[form], b'200', b'{"state": "ready"}')
-        with spoilt_server(healthy) as spoilt:
+    @pytest.mark.parametrize('form', sorted(MALFORMED))
+    def test_malformed_probe_sends_nothing(self, form: str) -> None:
+        """Guards against a probe that succeeds with a malformed response."""
+        healthy = with_content(MALFORMED[form], b'200', b'{"state": "ready"}')
+        with prepared_server(healthy) as malformed:
             target = ExecuteTarget(
-                name='spoilt', host='127.0.0.1', port=spoilt.address.port
+                name='malformed', host='127.0.0.1', port=malformed.address.port
             )
             failure = attempt_execute(
                 target, _CALL, _unexpected_send, TIMEOUTS
--- a/packages/fennelfork-daemon/tests/test_kv_client.py
+++ b/packages/fennelfork-daemon/tests/test_kv_client.py
@@ -15,8 +15,8 @@
     write_response,
 )
 from daemon_builders_endings import Ending, cutting_server, truncations
-from daemon_builders_forms import BROKEN, CHUNK_FORMS, with_content
-from daemon_builders_spoilt import spoilt_server
+from daemon_builders_prepared import prepared_server
+from daemon_builders_response_forms import CHUNK_FORMS, MALFORMED, with_content
 
 from fennelfork import ManualTime, Verdict, manual_clock
 from fennelfork.config import (
@@ -78,12 +78,14 @@
                 assert failure.verdict is Verdict.MAY_HAVE_RUN, server.response
 
     @pytest.mark.parametrize('status', [b'200', b'400'])
-    @pytest.mark.parametrize('form', sorted(BROKEN))
-    def test_spoilt_response_may_have_run(
+    @pytest.mark.parametrize('form', sorted(MALFORMED))
+    def test_malformed_response_may_have_run(
         self, form: str, status: bytes
     ) -> None:
-        """Guards against an answer that breaks RFC 9112 and is believed."""
-        with spoilt_server(with_content(BROKEN[form], status, b'{}')) as server:
+        """Guards against the status of a malformed response that is believed."""
+        with prepared_server(
+            with_content(MALFORMED[form], status, b'{}')
+        ) as server:
             failure = (
                 key_value_client(str(server.address))
                 .call('/v3/call', {})
@@ -179,9 +181,9 @@
                 list(build_config_key(platform).watch(3))
 
     @pytest.mark.parametrize('form', sorted(CHUNK_FORMS))
-    def test_spoilt_chunks_end_the_watch(self, form: str) -> None:
-        """Guards against lines of a stream whose chunks are none."""
-        with spoilt_server(CHUNK_FORMS[form]) as server:
+    def test_malformed_chunks_end_the_watch(self, form: str) -> None:
+        """Guards against lines of a stream with malformed chunks."""
+        with prepared_server(CHUNK_FORMS[form]) as server:
             with pytest.raises(OSError, match='MalformedMessage'):
                 list(
                     key_value_client(str(server.address)).stream(
--- a/packages/fennelfork-daemon/tests/test_membership_vm_list.py
+++ b/packages/fennelfork-daemon/tests/test_membership_vm_list.py
@@ -6,8 +6,8 @@
 import pytest
 from daemon_builders_endings import cutting_server, truncations
 from daemon_builders_fleet import build_member, build_settings, serve_response
-from daemon_builders_forms import BROKEN, with_content
-from daemon_builders_spoilt import spoilt_server
+from daemon_builders_prepared import prepared_server
+from daemon_builders_response_forms import MALFORMED, with_content
 
 from fennelfork import blackboard
 from fennelfork.membership import (
@@ -95,11 +95,13 @@
                 reader.read()
                 assert _seeds(reader) == {'vm-9'}, server.response
 
-    @pytest.mark.parametrize('form', sorted(BROKEN))
-    def test_spoilt_list_keeps_seeds(self, form: str) -> None:
-        """Guards against a list in a response that breaks RFC 9112."""
+    @pytest.mark.parametrize('form', sorted(MALFORMED))
+    def test_malformed_list_keeps_seeds(self, form: str) -> None:
+        """Guards against a VM list from a malformed response."""
         body = json.dumps({'vms': [_VM]}).encode()
-        with spoilt_server(with_content(BROKEN[form], b'200', body)) as server:
+        with prepared_server(
+            with_content(MALFORMED[form], b'200', body)
+        ) as server:
             reader = _reader(str(server.address))
             reader._controller.set_seeds([build_member('vm-9')])
             reader.read()
--- a/packages/fennelfork/src/fennelfork/responses/_body_length.py
+++ b/packages/fennelfork/src/fennelfork/responses/_body_length.py
@@ -67,7 +67,7 @@
 
 
 def _is_chunked(head: ResponseHead) -> bool:
-    """Whether the body is chunked, the only coding without a request for it."""
+    """Whether the body is chunked; other codings need a `TE` field in the request."""
     if not head.codings:
         return False
     if not head.has_chunks:
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -16,9 +16,9 @@
     truncations,
 )
 from daemon_builders_endless import RESPONSE_FORMS, endless_server
-from daemon_builders_forms import BROKEN, with_content
+from daemon_builders_prepared import prepared_server
+from daemon_builders_response_forms import MALFORMED, with_content
 from daemon_builders_routes import member
-from daemon_builders_spoilt import spoilt_server
 from returns.pipeline import is_successful
 
 from fennelfork import Verdict
@@ -133,21 +133,22 @@
     assert not is_successful(fetched)
 
 
-@pytest.mark.parametrize('form', sorted(BROKEN))
-class TestSpoiltResponses:
-    """Responses of the store and of other daemons that break RFC 9112.
+@pytest.mark.parametrize('form', sorted(MALFORMED))
+class TestMalformedResponses:
+    """Malformed responses of the store and of other daemons.
 
-    Guards against a status or a document of a response that is none.
+    Guards against the status or the document of a malformed response that is
+    believed.
     """
 
     @pytest.mark.parametrize('call', _CALLS)
-    def test_spoilt_response_is_not_believed(
+    def test_malformed_response_is_not_believed(
         self, form: str, call: str
     ) -> None:
         """The call may have run, and nothing is known about its outcome."""
         status, send = _CALLS[call]
-        spoilt = with_content(BROKEN[form], b'%d' % status, _WATCHED)
-        with spoilt_server(spoilt) as server:
+        malformed = with_content(MALFORMED[form], b'%d' % status, _WATCHED)
+        with prepared_server(malformed) as server:
             began_s = time.monotonic()
             failure = send(platform_store(server.address)).failure()
             assert time.monotonic() - began_s < _MAX_REFUSAL_S
@@ -155,12 +156,12 @@
         assert failure.detail.startswith('MalformedMessage: ')
 
     @pytest.mark.parametrize('status', [b'200', b'410'])
-    def test_spoilt_relay_is_not_believed(
+    def test_malformed_relay_is_not_believed(
         self, form: str, status: bytes
     ) -> None:
         """A daemon keeps its revision and asks another source."""
-        with spoilt_server(
-            with_content(BROKEN[form], status, _RELAYED)
+        with prepared_server(
+            with_content(MALFORMED[form], status, _RELAYED)
         ) as server:
             fetched = platform_relays().fetch(str(server.address), 5, _TIMEOUTS)
         assert fetched.failure().detail.startswith('MalformedMessage: ')
--- a/tests/test_platform_spoilt_answers.py
+++ b/tests/test_platform_malformed_answers.py
@@ -1,7 +1,7 @@
-"""Spoilt answers of backend servers to a real daemon.
+"""Malformed answers of backend servers to a real daemon.
 
-Guards against an answer that breaks RFC 9112 and reaches a caller, whole or as a
-part, and against the answer after it that is another one.
+Guards against a malformed response that reaches a caller, alone or merged with
+others, and against a wrong answer to the next request.
 """
 
 import json
@@ -15,21 +15,21 @@
 
 import attrs
 import pytest
-from daemon_builders_forms import (
+from daemon_builders_prepared import (
+    REQUEST_ID,
+    PreparedServer,
+    heads_with_replaced_byte,
+    prepared_server,
+)
+from daemon_builders_response_forms import (
     BODY,
-    BROKEN,
+    MALFORMED,
     SIGNATURE_FORMS,
-    SOUND,
     UNUSUAL,
-)
-from daemon_builders_spoilt import (
-    REQUEST_ID,
-    SpoiltServer,
-    spoilt_heads,
-    spoilt_server,
+    VALID,
 )
 from daemon_builders_strict import (
-    Improper,
+    Malformed,
     StrictResponse,
     Unfinished,
     read_strictly,
@@ -41,15 +41,15 @@
 from fennelfork_platform_bench._fleet import ZONES, PlatformFleet
 from fennelfork_platform_bench._store_client import HOST, SHARDS
 
-# By hand, further seeds draw other spoilt bytes.
-_SEEDS = [7, 12, *map(int, os.environ.get('SPOILT_SEEDS', '').split())]
+# By hand, further seeds draw other replaced bytes.
+_SEEDS = [7, 12, *map(int, os.environ.get('MALFORMED_SEEDS', '').split())]
 _DRAWN = 60
 _DAEMON = 'vm-0'
 _FAULTY = 'shard-c'
-_STAMP = b'stamp-spoilt'
+_STAMP = b'stamp-faulty'
 # One entry of a list that is separated by commas.
 _SIGNATURE = re.compile(rb'[!-+\--~]+')
-_SOUND_STAMPS = {b'stamp-shard-a', b'stamp-shard-b'}
+_VALID_STAMPS = {b'stamp-shard-a', b'stamp-shard-b'}
 _TIMEOUT_S = 9
 # Half of the time that the requests have.
 _MAX_REFUSAL_S = 1.0
@@ -70,7 +70,7 @@
     """Caller that keeps its connection to the daemon."""
 
     fleet: PlatformFleet
-    servers: dict[str, SpoiltServer]
+    servers: dict[str, PreparedServer]
     _connection: socket.socket | None = None
     _sent: int = 0
 
@@ -94,12 +94,12 @@
         return self.servers['archive'].requests.count(f'case-{self._sent}')
 
     def expected(self, response: bytes) -> StrictResponse | None:
-        """Return the last response as a strict reader reads it, if it can."""
+        """Return the last response, or none if RFC 9112 does not permit it."""
         request_id = f'case-{self._sent}'.encode()
         sent = response.replace(REQUEST_ID, request_id)
         try:
             read = read_strictly(sent, is_closed=True)
-        except (Improper, Unfinished):
+        except (Malformed, Unfinished):
             return None
         ids = read.field(b'x-request-id')[:1]
         return read if ids in ([], [request_id]) else None
@@ -139,10 +139,10 @@
         fleet = _start_store(processes)
         servers = {}
         for service in (*SHARDS, 'archive'):
-            sound = SOUND['length']
+            valid = VALID['length']
             if service in SHARDS and service != _FAULTY:
-                sound = _sound_part(service)
-            servers[service] = stack.enter_context(spoilt_server(sound))
+                valid = _valid_part(service)
+            servers[service] = stack.enter_context(prepared_server(valid))
             entry = registration(
                 Service=service,
                 Address=str(servers[service].address),
@@ -167,14 +167,14 @@
     return fleet
 
 
-def _sound_part(service: str) -> bytes:
+def _valid_part(service: str) -> bytes:
     stamp = f'stamp-{service}'.encode()
-    return SOUND['length'].replace(_STAMP, stamp)
+    return VALID['length'].replace(_STAMP, stamp)
 
 
 def _drawn(name: str, seed: int) -> list[bytes]:
-    """Draw responses with one spoilt byte in the head."""
-    heads = list(spoilt_heads(SOUND[name]))
+    """Draw responses with one replaced byte in the head."""
+    heads = list(heads_with_replaced_byte(VALID[name]))
     return random.Random(seed).sample(heads, _DRAWN)
 
 
@@ -191,12 +191,12 @@
     else:
         assert (answer.status, answer.body) == (expected.status, expected.body)
         assert answer.field(b'x-server-stamp') == [_stamp(expected)]
-    sound = caller.ask(prefix, SOUND['length'])
-    assert (sound.status, sound.body) == (200, BODY)
+    valid = caller.ask(prefix, VALID['length'])
+    assert (valid.status, valid.body) == (200, BODY)
 
 
 def _is_valid(response: StrictResponse) -> bool:
-    """Whether a proper response is one that a backend server may send."""
+    """Whether a valid response is one that a backend server may send."""
     return (
         _SIGNATURE.fullmatch(_stamp(response)) is not None
         and response.status not in _PROMISES
@@ -218,10 +218,10 @@
         and _is_valid(expected)
         and 200 <= expected.status < 300
     )
-    stamps = _SOUND_STAMPS
+    stamps = _VALID_STAMPS
     records = [BODY, BODY]
     if is_part:
-        stamps = _SOUND_STAMPS | {_stamp(expected)}
+        stamps = _VALID_STAMPS | {_stamp(expected)}
         records += _whole_records(expected.body)
     named = b', '.join(answer.field(b'x-part-stamps')).split(b', ')
     missing = str(len(SHARDS) - len(stamps)).encode()
@@ -229,8 +229,8 @@
     assert set(named) == stamps
     assert answer.field(b'x-parts-missing') == [missing]
     assert answer.body == b''.join(sorted(records, reverse=True)[:_TOP_K])
-    sound = caller.ask('/all/', SOUND['length'])
-    assert sound.body == BODY * 3
+    valid = caller.ask('/all/', VALID['length'])
+    assert valid.body == BODY * 3
 
 
 def _whole_records(body: bytes) -> list[bytes]:
@@ -243,24 +243,24 @@
 
 @pytest.mark.process
 @_ROUTES
-@pytest.mark.parametrize('form', sorted(BROKEN))
-def test_broken_answer(caller: Caller, prefix: str, form: str) -> None:
+@pytest.mark.parametrize('form', sorted(MALFORMED))
+def test_malformed_answer(caller: Caller, prefix: str, form: str) -> None:
     """The caller gets a refusal at once, and then the right answer."""
-    _check_single(caller, prefix, BROKEN[form])
+    _check_single(caller, prefix, MALFORMED[form])
 
 
 @pytest.mark.process
-@pytest.mark.parametrize('form', sorted(BROKEN))
-def test_broken_part(caller: Caller, form: str) -> None:
+@pytest.mark.parametrize('form', sorted(MALFORMED))
+def test_malformed_part(caller: Caller, form: str) -> None:
     """The part is missing from the merged answer."""
-    _check_merged(caller, BROKEN[form])
+    _check_merged(caller, MALFORMED[form])
 
 
 @pytest.mark.process
-@pytest.mark.parametrize('form', sorted(UNUSUAL | SOUND))
+@pytest.mark.parametrize('form', sorted(UNUSUAL | VALID))
 def test_unusual_answer(caller: Caller, form: str) -> None:
-    """The answer of a sound server reaches the caller unchanged."""
-    response = (UNUSUAL | SOUND)[form]
+    """The answer of a healthy server reaches the caller unchanged."""
+    response = (UNUSUAL | VALID)[form]
     _check_single(caller, '/one/', response)
     _check_single(caller, '/once/', response)
     _check_merged(caller, response)
@@ -284,10 +284,10 @@
     """
     log = caller.fleet.logs[0]
     known = len(log.read_bytes())
-    spoilt = SOUND['length'].replace(b'Content-Length: 16', line % _MARKER)
+    malformed = VALID['length'].replace(b'Content-Length: 16', line % _MARKER)
     wait_until(
         lambda: (
-            caller.ask('/once/', spoilt).status != 502
+            caller.ask('/once/', malformed).status != 502
             or rule.encode() in log.read_bytes()[known:]
         ),
         _MAX_LOG_WAIT_S,
@@ -299,8 +299,8 @@
 
 @pytest.mark.process
 @pytest.mark.parametrize('form', sorted(SIGNATURE_FORMS))
-def test_spoilt_signature(caller: Caller, form: str) -> None:
-    """An answer that no list of signatures can name is not passed on."""
+def test_malformed_signature(caller: Caller, form: str) -> None:
+    """A response whose signature is no entry of a list is refused."""
     response = SIGNATURE_FORMS[form]
     _check_single(caller, '/one/', response)
     _check_single(caller, '/once/', response)
@@ -309,9 +309,9 @@
 
 @pytest.mark.process
 @pytest.mark.parametrize('seed', _SEEDS)
-@pytest.mark.parametrize('form', sorted(SOUND))
-def test_spoilt_bytes(caller: Caller, form: str, seed: int) -> None:
-    """Whatever byte is spoilt, the caller gets the response or a refusal."""
+@pytest.mark.parametrize('form', sorted(VALID))
+def test_replaced_bytes(caller: Caller, form: str, seed: int) -> None:
+    """A response with a replaced byte is forwarded if it is valid, else refused."""
     for response in _drawn(form, seed):
         _check_single(caller, '/one/', response)
         _check_single(caller, '/once/', response)
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_unexpected_entries.py
@@ -1,4 +1,4 @@
-"""Odd entries of another writer among those of the backend servers.
+"""Unexpected entries of another writer among those of the backend servers.
 
 Guards against an entry that ends a daemon, or after which a daemon no longer
 follows the store.
@@ -19,9 +19,9 @@
 _DAEMONS = ('vm-0', 'vm-1')
 _PATIENCE_S = 5
 _ENTRIES_PER_CHECK = 10
-_ODD_CONFIG_S = 0.3
+_UNEXPECTED_CONFIG_S = 0.3
 # Values that JSON permits, beside those of the builders.
-_ODD_VALUES = (
+_UNEXPECTED_VALUES = (
     b'1e308',
     b'1e400',
     b'-1e400',
@@ -38,7 +38,7 @@
     b'NaN',
     b'Infinity',
 )
-_ODD_KEYS = (
+_UNEXPECTED_KEYS = (
     'servers/',
     'servers//',
     'servers/a b',
@@ -51,24 +51,29 @@
 )
 
 
-def _odd_entries(service: str) -> dict[str, bytes]:
-    """Return odd entries of a service by their keys.
+def _unexpected_entries(service: str) -> dict[str, bytes]:
+    """Return unexpected entries of a service by their keys.
 
     Nothing listens at their address.
     """
-    sound = registration(Service=service, Address='127.0.0.1:9')
-    entries = {key: json.dumps(sound).encode() for key in _ODD_KEYS}
-    odd = [json.dumps(sound | changes).encode() for changes in INVALID_FIELDS]
-    odd += INVALID_BYTES
-    for field, text in sound.items():
-        whole = json.dumps(sound).encode()
+    valid = registration(Service=service, Address='127.0.0.1:9')
+    entries = {key: json.dumps(valid).encode() for key in _UNEXPECTED_KEYS}
+    unexpected = [
+        json.dumps(valid | changes).encode() for changes in INVALID_FIELDS
+    ]
+    unexpected += INVALID_BYTES
+    for field, text in valid.items():
+        whole = json.dumps(valid).encode()
         pair = json.dumps({field: text}).encode()[1:-1]
         name = json.dumps(field).encode()
-        odd += [
-            whole.replace(pair, b'%s: %s' % (name, odd_text))
-            for odd_text in _ODD_VALUES
+        unexpected += [
+            whole.replace(pair, b'%s: %s' % (name, raw_value))
+            for raw_value in _UNEXPECTED_VALUES
         ]
-    entries |= {f'servers/i-odd-{place}': raw for place, raw in enumerate(odd)}
+    entries |= {
+        f'servers/i-unexpected-{place}': raw
+        for place, raw in enumerate(unexpected)
+    }
     return entries
 
 
@@ -96,19 +101,21 @@
         serves = functools.partial(fleet.serves, daemon, version)
         wait_until(serves, _PATIENCE_S, f'version {version}')
         for path in ('/one/7', '/all/7', '/once/7'):
-            answer = fleet.send_request(daemon, path, f'odd-{version}')
+            answer = fleet.send_request(daemon, path, f'unexpected-{version}')
             assert answer.status == 200, answer.data
         assert fleet.daemons[daemon].alive
 
 
 @pytest.mark.process
-class TestOddEntries:
+class TestUnexpectedEntries:
     """Entries that no backend server writes."""
 
     def test_each_entry_alone(self, fleet: PlatformFleet) -> None:
         """Entries come and go, and the daemons go on."""
         version = 1
-        for place, (key, raw) in enumerate(_odd_entries('archive').items()):
+        for place, (key, raw) in enumerate(
+            _unexpected_entries('archive').items()
+        ):
             fleet.store_client.write_key(key, raw)
             if place % _ENTRIES_PER_CHECK == 0:
                 version += 1
@@ -117,20 +124,22 @@
         _check_daemons(fleet, version + 1)
 
     @pytest.mark.parametrize('raw', INVALID_BYTES)
-    def test_odd_configuration(self, fleet: PlatformFleet, raw: bytes) -> None:
+    def test_unexpected_configuration(
+        self, fleet: PlatformFleet, raw: bytes
+    ) -> None:
         """The configuration before stays in force, and the next one is."""
         fleet.store_client.write_key('op/config', raw)
-        time.sleep(_ODD_CONFIG_S)
+        time.sleep(_UNEXPECTED_CONFIG_S)
         for daemon in _DAEMONS:
             assert fleet.serves(daemon, 1)
         _check_daemons(fleet, 2)
 
     def test_all_entries_at_the_start(self, fleet: PlatformFleet) -> None:
         """Daemons that list the entries at their start, too."""
-        for key, raw in _odd_entries('odd').items():
+        for key, raw in _unexpected_entries('unexpected').items():
             fleet.store_client.write_key(key, raw)
         _check_daemons(fleet, 2)
         fleet.start_daemon('vm-2', 'east-1')
         await_ready(fleet, 'vm-2')
-        assert fleet.send_request('vm-2', '/all/7', 'odd').status == 200
+        assert fleet.send_request('vm-2', '/all/7', 'unexpected').status == 200
         _check_daemons(fleet, 3)
