--- a/packages/fennelfork-daemon/tests/test_execute_runner.py
+++ b/packages/fennelfork-daemon/tests/test_execute_runner.py
@@ -1,7 +1,9 @@
 """Execution of admitted non-idempotent requests."""
 
+import json
 from collections.abc import Iterator
 
+import attrs
 import eventlet
 import pytest
 from daemon_builders_once import (
@@ -14,7 +16,7 @@
     free_port,
 )
 from daemon_builders_prepared import prepared_server
-from daemon_builders_response_forms import MALFORMED, with_content
+from daemon_builders_response_forms import MALFORMED, VALID, with_content
 from returns.result import Failure as Failed
 from returns.result import Result, Success
 
@@ -125,6 +127,27 @@
         assert failure.verdict is Verdict.NOT_RUN
         assert 'MalformedMessage' in failure.detail
 
+    @pytest.mark.parametrize('form', sorted(MALFORMED))
+    def test_malformed_outcome_may_have_run(self, form: str) -> None:
+        """Guards against an outcome from a malformed response."""
+        outcome = json.dumps(
+            {**attrs.asdict(_CALL), 'outcome': 'certificate 5'}
+        ).encode()
+        healthy = with_content(VALID['length'], b'200', b'{"state": "ready"}')
+        with prepared_server(healthy) as prepared:
+            prepared.responses['execute'] = with_content(
+                MALFORMED[form], b'200', outcome
+            )
+            target = ExecuteTarget(
+                name='prepared', host='127.0.0.1', port=prepared.address.port
+            )
+            failure = attempt_execute(
+                target, _CALL, lambda: Success(_TIMEOUT_MS), TIMEOUTS
+            ).failure()
+        assert prepared.requests == ['health', 'execute']
+        assert failure.verdict is Verdict.MAY_HAVE_RUN
+        assert 'MalformedMessage' in failure.detail
+
     @pytest.mark.parametrize('fault', ['drop_response', 'echo_other_request'])
     def test_lost_or_mismatched_reply_may_have_run(
         self,
--- a/packages/fennelfork-daemon/tests/test_quota.py
+++ b/packages/fennelfork-daemon/tests/test_quota.py
@@ -10,10 +10,19 @@
 
 import attrs
 import pytest
+from daemon_builders_prepared import prepared_server
+from daemon_builders_response_forms import MALFORMED, VALID, with_content
+from daemon_builders_routes import member
 from returns.result import Failure as Bad
 from returns.result import Success
 
-from fennelfork import FailureCode, ManualTime, manual_clock, not_run
+from fennelfork import (
+    FailureCode,
+    ManualTime,
+    manual_clock,
+    not_run,
+    system_clock,
+)
 from fennelfork.workspaces import (
     MustAsk,
     PermitAsk,
@@ -23,6 +32,7 @@
 )
 from fennelfork_daemon.http._router import router
 from fennelfork_daemon.quota._api import permit_route
+from fennelfork_daemon.quota._client import PermitClient
 from fennelfork_daemon.quota._codec import (
     decode_ask,
     decode_grants,
@@ -32,6 +42,7 @@
 from fennelfork_daemon.quota._service import Quotas
 from fennelfork_daemon.routes._lease_proof import LeaseProof
 
+_TIMEOUT_MS = 20_000
 _ASK = PermitAsk(
     holder='vm-1',
     incarnation=7,
@@ -86,6 +97,27 @@
         assert status.startswith('400')
 
 
+class TestAnswersOfOwners:
+    """Answers of other daemons to messages about permits."""
+
+    @pytest.mark.parametrize('form', sorted(MALFORMED))
+    def test_malformed_answer_grants_nothing(self, form: str) -> None:
+        """Guards against permits from a malformed response."""
+        assert _ask_owner(MALFORMED[form]) is None
+
+    def test_valid_answer_grants(self) -> None:
+        """The same grants count in a valid response."""
+        assert _ask_owner(VALID['length']) == _GRANTS
+
+
+def _ask_owner(form: bytes) -> tuple[PermitGrant, ...] | None:
+    """Ask an owner whose response has a form, with grants where possible."""
+    grants = json.dumps(encode_grants(_GRANTS)).encode()
+    with prepared_server(with_content(form, b'200', grants)) as server:
+        owner = attrs.evolve(member('vm-2'), peer=str(server.address))
+        return PermitClient(clock=system_clock()).send(owner, _ASK, _TIMEOUT_MS)
+
+
 @attrs.define(kw_only=True)
 class _Quota:
     """Quota whose decision is given, without workspaces of its own."""
