Docstrings and pages of this change, read as a newcomer

Comments and docstrings that needed their neighbours (chunk_left, the file that is read, the close after a response) are rewritten; the pages use malformed and valid as the code does. No check or bound changed.

--- a/packages/fennelfork-cli/tests/test_http.py
+++ b/packages/fennelfork-cli/tests/test_http.py
@@ -1,6 +1,6 @@
-"""Answers of a daemon to the operators' command that end early or are broken.
+"""Answers of a daemon to the operators' command that end early or are malformed.
 
-Guards against a truncated or broken answer that is reported as the outcome.
+Guards against a truncated or malformed answer that is reported as the outcome.
 """
 
 import pytest
@@ -83,7 +83,7 @@
     def test_malformed_answer_may_have_run(
         self, status: bytes, document: bytes
     ) -> None:
-        """A change with a broken answer may be in force."""
+        """A change with a malformed answer may be in force."""
         believed = []
         for form, answer in MALFORMED.items():
             with prepared_server(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_response_memory.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_response_memory.py
@@ -47,7 +47,9 @@
                 blocks.append(block)
                 reservation.length += len(block)
                 if reservation.length > max_bytes:
-                    return _too_long(f'the response exceeds {max_bytes} bytes')
+                    return _too_long(
+                        f'the response is longer than {max_bytes} bytes'
+                    )
                 if not reservation.cover_length():
                     return _too_long(
                         'the responses that are read at the same time exceed '
--- a/packages/fennelfork-daemon/tests/daemon_builders_prepared.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_prepared.py
@@ -99,9 +99,9 @@
 
 
 def _ends_connection(response: bytes) -> bool:
-    """Whether a client needs the end of the connection.
+    """Whether the server closes the connection after a response.
 
-    A client refuses a malformed response without it.
+    A client must refuse a malformed response while the connection is open.
     """
     try:
         return read_strictly(response, is_closed=False).ends_connection
--- a/packages/fennelfork-daemon/tests/test_backend_malformed_responses.py
+++ b/packages/fennelfork-daemon/tests/test_backend_malformed_responses.py
@@ -73,7 +73,7 @@
         return self.pool.exchange(request, ConnectionTrace())
 
     def check(self, response: bytes) -> None:
-        """Check one response, and the next one that the server sends."""
+        """Check one response and the response to the next request."""
         self.server.responses['case'] = response
         expected = _read(response)
         began_s = time.monotonic()
@@ -125,7 +125,7 @@
 def _check_equal(response: BackendResponse, expected: StrictResponse) -> None:
     assert response.status == expected.status
     assert response.body == expected.body
-    # Fields with one name are put together.
+    # urllib3 groups fields with the same name.
     assert sorted(
         (name.lower().encode(), text.encode('latin-1'))
         for name, text in response.headers
--- a/packages/fennelfork/src/fennelfork/responses/_strict_response.py
+++ b/packages/fennelfork/src/fennelfork/responses/_strict_response.py
@@ -26,7 +26,8 @@
     """Response whose head, chunks and trailers follow RFC 9112.
 
     The lenient parsers of the standard library are not used. A body without a
-    length ends with the connection. The response reads from its file `fp`.
+    length ends with the connection. All bytes are read from the file `fp`, which
+    subclasses may replace.
     """
 
     # Members of the standard library that its stubs do not declare.
@@ -75,7 +76,7 @@
         self.will_close = self._check_close() or not has_length
 
     def _read_status_line(self) -> StatusLine:
-        """Read one status line.
+        """Read the status line of an interim or final response.
 
         Raises:
             RemoteDisconnected: if the connection ended before the line.
@@ -89,7 +90,7 @@
         return status_line
 
     def _read_fields(self) -> HTTPMessage:
-        """Read the fields up to the empty line after them."""
+        """Read header or trailer fields and the empty line after the fields."""
         fields = HTTPMessage()
         while field := parse_field_line(self._read_line()):
             if len(fields) == _MAX_FIELDS:
@@ -106,7 +107,7 @@
         """
         if self.chunk_left:
             return self.chunk_left
-        # Zero after a chunk; none before the first one.
+        # `chunk_left` is zero after a chunk and none before the first one.
         if (
             self.chunk_left is not None
             and self._safe_read(len(_CHUNK_END)) != _CHUNK_END
--- a/tests/test_platform_malformed_answers.py
+++ b/tests/test_platform_malformed_answers.py
@@ -51,14 +51,14 @@
 _SIGNATURE = re.compile(rb'[!-+\--~]+')
 _VALID_STAMPS = {b'stamp-shard-a', b'stamp-shard-b'}
 _TIMEOUT_S = 9
-# Half of the time that the requests have.
+# Half of the deadline of the requests.
 _MAX_REFUSAL_S = 1.0
 _REFUSED = {502, 503}
 _MAX_LOG_WAIT_S = 5
 _RECORD_BYTES = 16
 # Bytes of an answer that must not be logged.
 _MARKER = b'7f3a91c2d4'
-# As in the configuration of the route.
+# `TopK` of the route that merges responses.
 _TOP_K = 5
 # Statuses that a backend server may not send without a further header.
 _PROMISES = {408, 421, 429, 503}
@@ -179,7 +179,7 @@
 
 
 def _check_single(caller: Caller, prefix: str, response: bytes) -> None:
-    """Check the answer to one request, and the answer after it."""
+    """Check the answer to one request and to the next request."""
     answer = caller.ask(prefix, response)
     if prefix == '/once/':
         assert caller.count_attempts() == 1, response
@@ -210,7 +210,7 @@
 
 
 def _check_merged(caller: Caller, response: bytes) -> None:
-    """Check the merged answer to one request, and the answer after it."""
+    """Check the merged answer to one request and to the next request."""
     answer = caller.ask('/all/', response)
     expected = caller.expected(response)
     is_part = (
--- a/tests/test_platform_unexpected_entries.py
+++ b/tests/test_platform_unexpected_entries.py
@@ -20,7 +20,7 @@
 _PATIENCE_S = 5
 _ENTRIES_PER_CHECK = 10
 _UNEXPECTED_CONFIG_S = 0.3
-# Values that JSON permits, beside those of the builders.
+# JSON values of one field, in addition to `INVALID_FIELDS`.
 _UNEXPECTED_VALUES = (
     b'1e308',
     b'1e400',
@@ -111,7 +111,7 @@
     """Entries that no backend server writes."""
 
     def test_each_entry_alone(self, fleet: PlatformFleet) -> None:
-        """Entries come and go, and the daemons go on."""
+        """The daemons serve while entries are written and removed."""
         version = 1
         for place, (key, raw) in enumerate(
             _unexpected_entries('archive').items()
@@ -127,7 +127,7 @@
     def test_unexpected_configuration(
         self, fleet: PlatformFleet, raw: bytes
     ) -> None:
-        """The configuration before stays in force, and the next one is."""
+        """The previous configuration stays in force until the next valid one."""
         fleet.store_client.write_key('op/config', raw)
         time.sleep(_UNEXPECTED_CONFIG_S)
         for daemon in _DAEMONS:
@@ -135,7 +135,7 @@
         _check_daemons(fleet, 2)
 
     def test_all_entries_at_the_start(self, fleet: PlatformFleet) -> None:
-        """Daemons that list the entries at their start, too."""
+        """A daemon that starts while all entries are listed serves, too."""
         for key, raw in _unexpected_entries('unexpected').items():
             fleet.store_client.write_key(key, raw)
         _check_daemons(fleet, 2)
