--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -14,7 +14,10 @@
 from fennelfork_daemon.routes._build_crash_protection import (
     poison_request_protection,
 )
-from fennelfork_daemon.routes._build_store import build_follower
+from fennelfork_daemon.routes._build_store import (
+    build_follower,
+    listen_to_eras,
+)
 from fennelfork_daemon.routes._common_parts import common_parts
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._fleet_page import FleetPage
@@ -59,6 +62,7 @@
     )
     in_progress = InProgress()
     follower = build_follower(base, reporter, availability)
+    listen_to_eras(base, follower, own_registration)
     protection = poison_request_protection(
         base, own_registration, reporter, follower.polling
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
@@ -7,10 +7,12 @@
 from fennelfork_daemon.routes._common_parts import CommonParts
 from fennelfork_daemon.routes._evacuation_control import EvacuationControl
 from fennelfork_daemon.routes._follower import StoreFollower, store_follower
+from fennelfork_daemon.routes._registration import Registration
 from fennelfork_daemon.routes._relay_reader import RelayReader
 from fennelfork_daemon.routes._relay_sources import RelaySources
 from fennelfork_daemon.routes._store_copy import store_copy
 from fennelfork_daemon.routes._store_reporter import StoreReporter
+from fennelfork_daemon.routes._store_restoration import StoreRestoration
 from fennelfork_daemon.routes._update_applier import UpdateApplier
 
 
@@ -49,3 +51,13 @@
     return store_follower(
         base.ports.store, relays, copy, availability, polling, random.Random()
     )
+
+
+def listen_to_eras(
+    base: CommonParts, follower: StoreFollower, registration: Registration
+) -> None:
+    """Let the components react when the store begins another era."""
+    restoration = StoreRestoration(
+        copy=follower.store_copy, registration=registration, log=base.log
+    )
+    base.ports.store.era.add_listener(restoration.begin_era)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_counted_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_counted_store.py
@@ -13,7 +13,12 @@
 from fennelfork import Failure, Verdict
 from fennelfork.membership import Member
 from fennelfork.placement import relay_parents
-from fennelfork.routes import SuspicionRecord, SuspicionUpdates, WatchTimeouts
+from fennelfork.routes import (
+    StoreEra,
+    SuspicionRecord,
+    SuspicionUpdates,
+    WatchTimeouts,
+)
 from fennelfork_daemon.routes._blackboard import RouteBlackboard
 from fennelfork_daemon.routes._ports import (
     HistoryCompacted,
@@ -72,6 +77,11 @@
     _counter: CallCounter
     _blackboard: RouteBlackboard
 
+    @property
+    def era(self) -> StoreEra:
+        """Era that the responses of the store state."""
+        return self._store.era
+
     def list_all(
         self, timeout_ms: float, *, may_be_stale: bool
     ) -> Result[Listing, Failure]:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -8,6 +8,7 @@
 
 from typing import Final
 
+from fennelfork_daemon.routes import _events_fleet as fleet
 from fennelfork_daemon.routes import _events_process as process
 from fennelfork_daemon.routes import _events_requests as requests
 from fennelfork_daemon.routes import _events_servers as servers
@@ -21,6 +22,7 @@
     process.ReloadRefused,
     store.StoreLost,
     store.StoreRegained,
+    store.StoreRestored,
     store.LeaseGranted,
     store.LeaseAdopted,
     store.LeaseLapsed,
@@ -34,11 +36,11 @@
     servers.ServerBack,
     servers.ServerEnded,
     requests.RequestJudged,
-    store.DaemonSeen,
-    store.DaemonGone,
-    store.LoadChanged,
-    store.UpdateSourceChanged,
-    store.RelayFailed,
+    fleet.DaemonSeen,
+    fleet.DaemonGone,
+    fleet.LoadChanged,
+    fleet.UpdateSourceChanged,
+    fleet.RelayFailed,
     requests.RequestRefused,
     requests.RequestAdmittedInStop,
     requests.RequestEnded,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_store.py
@@ -1,4 +1,4 @@
-"""Log events about the store and the fleet; see `_events`."""
+"""Log events about the store; see `_events`."""
 
 from typing import ClassVar
 
@@ -36,6 +36,25 @@
     failed_calls: int
 
 
+@attrs.frozen(kw_only=True)
+class StoreRestored:
+    """The store returned from an older copy, without its latest changes.
+
+    Attributes:
+        era_before: era of the store that ended.
+        era: era of the store that began.
+        revision: revision of the era that ended up to which the daemon had
+            read the store, or None.
+        lease: lease of the daemon of the era that ended, or None.
+    """
+
+    event: ClassVar[str] = 'store_restored'
+    era_before: int
+    era: int
+    revision: int | None
+    lease: int | None
+
+
 @attrs.frozen(kw_only=True)
 class LeaseGranted:
     """This daemon is registered under a new lease.
@@ -104,69 +123,3 @@
     event: ClassVar[str] = 'item_refused'
     key: str
     reason: str
-
-
-@attrs.frozen(kw_only=True)
-class DaemonSeen:
-    """Another daemon registered itself.
-
-    Attributes:
-        peer: name of the daemon.
-        at: address of its caller API.
-    """
-
-    event: ClassVar[str] = 'daemon_seen'
-    peer: str
-    at: str
-
-
-@attrs.frozen(kw_only=True)
-class UpdateSourceChanged:
-    """This daemon reads updates of the store from another source.
-
-    Attributes:
-        source: name of the daemon that passes on the updates, or `the store`.
-    """
-
-    event: ClassVar[str] = 'update_source_changed'
-    source: str
-
-
-@attrs.frozen(kw_only=True)
-class RelayFailed:
-    """A daemon that passes on updates of the store did not respond validly.
-
-    Attributes:
-        peer: name of the daemon.
-        reason: description of the failure.
-    """
-
-    event: ClassVar[str] = 'relay_failed'
-    peer: str
-    reason: str
-
-
-@attrs.frozen(kw_only=True)
-class LoadChanged:
-    """This daemon became overloaded, or is no longer overloaded.
-
-    Attributes:
-        overloaded: whether the daemon asks for fewer callers.
-        busy_percent: average share of the time in which the event loop works.
-    """
-
-    event: ClassVar[str] = 'load_changed'
-    overloaded: bool
-    busy_percent: int
-
-
-@attrs.frozen(kw_only=True)
-class DaemonGone:
-    """The registration of another daemon was removed or expired.
-
-    Attributes:
-        peer: name of the daemon.
-    """
-
-    event: ClassVar[str] = 'daemon_gone'
-    peer: str
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_reporter.py
@@ -6,7 +6,7 @@
 
 from fennelfork import Failure
 from fennelfork_daemon.logs._decision_log import DecisionLog
-from fennelfork_daemon.routes import _events_store as store
+from fennelfork_daemon.routes import _events_fleet as fleet
 
 _PERCENT: Final = 100
 
@@ -27,18 +27,18 @@
         """Log where this daemon reads updates of the store, if it changed."""
         if source != self.source:
             self.source = source
-            self._log.log_decision(store.UpdateSourceChanged(source=source))
+            self._log.log_decision(fleet.UpdateSourceChanged(source=source))
 
     def relay_failed(self, name: str, failure: Failure) -> None:
         """Log that a daemon did not pass on updates."""
         self._log.log_decision(
-            store.RelayFailed(peer=name, reason=failure.detail)
+            fleet.RelayFailed(peer=name, reason=failure.detail)
         )
 
     def load_changed(self, *, overloaded: bool, busy_ratio: float) -> None:
         """Log the start or end of an overload of this daemon."""
         self._log.log_decision(
-            store.LoadChanged(
+            fleet.LoadChanged(
                 overloaded=overloaded,
                 busy_percent=round(busy_ratio * _PERCENT),
             ),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -10,6 +10,7 @@
 from fennelfork.routes import (
     BackendServer,
     EncodedUpdate,
+    StoreEra,
     SuspicionRecord,
     SuspicionUpdates,
     WatchTimeouts,
@@ -81,6 +82,10 @@
 class Store(Protocol):
     """The operations of the platform's store that a daemon uses."""
 
+    @property
+    def era(self) -> StoreEra:
+        """Era that the responses of the store state."""
+
     def list_all(
         self, timeout_ms: float, *, may_be_stale: bool
     ) -> Result[Listing, Failure]:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_reporter.py
@@ -11,6 +11,7 @@
     SuspicionRecord,
 )
 from fennelfork_daemon.logs._decision_log import DecisionLog
+from fennelfork_daemon.routes import _events_fleet as fleet
 from fennelfork_daemon.routes import _events_requests as requests
 from fennelfork_daemon.routes import _events_servers as servers
 from fennelfork_daemon.routes import _events_store as store
@@ -101,12 +102,12 @@
     def daemon_registered(self, member: Member) -> None:
         """Log the registration of another daemon."""
         self._log.log_decision(
-            store.DaemonSeen(peer=member.name, at=member.caller)
+            fleet.DaemonSeen(peer=member.name, at=member.caller)
         )
 
     def daemon_removed(self, name: str) -> None:
         """Log that the registration of a daemon was removed."""
-        self._log.log_decision(store.DaemonGone(peer=name))
+        self._log.log_decision(fleet.DaemonGone(peer=name))
 
     def request_status_changed(
         self,
--- a/packages/fennelfork-daemon/tests/test_routes_events.py
+++ b/packages/fennelfork-daemon/tests/test_routes_events.py
@@ -63,7 +63,7 @@
     """Return the modules that define the events."""
     folder = pathlib.Path(events.__file__).parent
     names = [path.stem for path in folder.glob('_events_*.py')]
-    assert len(names) == 4
+    assert len(names) == 5
     return [
         importlib.import_module(f'fennelfork_daemon.routes.{name}')
         for name in names
