Store: a daemon lists a restored store again instead of skipping revisions

Cause: a daemon holds the revision up to which it has read the store, and asks the store or another daemon for what follows. A store that returns from an older copy gives out revisions again. A daemon that asked only after the store had passed its revision got an answer without the changes under smaller revisions, among them the version. Daemons that read from another one are later than it, so they miss versions that it takes.

Change: a revision counts only in its era. A call whose era ended before its response fails, whatever the call was; its daemon then discards its revision, abandons its pending call and lists the store, not from a stale replica. The listings are spread over the time that other calls of the whole fleet are spread over. Daemons send the era with the revision to each other, and one of another era answers 410. Entries that the copy lacks get the grace period of an outage, however short the absence was. No listing is needed where the store states no era.

The stand-ins of the store and of relays moved to daemon_builders_store.py.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -62,7 +62,7 @@
     )
     in_progress = InProgress()
     follower = build_follower(base, reporter, availability)
-    listen_to_eras(base, follower, own_registration)
+    listen_to_eras(base, follower, own_registration, availability)
     protection = poison_request_protection(
         base, own_registration, reporter, follower.polling
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_store.py
@@ -40,7 +40,7 @@
         blackboard=base.blackboard,
         availability=availability,
     )
-    copy = store_copy(availability, applier, base.clock)
+    copy = store_copy(availability, applier, base.ports.store.era, base.clock)
     relays = RelayReader(
         sources=sources,
         reporter=base.fleet_reporter,
@@ -54,10 +54,16 @@
 
 
 def listen_to_eras(
-    base: CommonParts, follower: StoreFollower, registration: Registration
+    base: CommonParts,
+    follower: StoreFollower,
+    registration: Registration,
+    availability: StoreAvailability,
 ) -> None:
     """Let the components react when the store begins another era."""
     restoration = StoreRestoration(
-        copy=follower.store_copy, registration=registration, log=base.log
+        follower=follower,
+        registration=registration,
+        availability=availability,
+        log=base.log,
     )
     base.ports.store.era.add_listener(restoration.begin_era)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_cancellable_call.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_cancellable_call.py
@@ -29,6 +29,6 @@
         return outcome
 
     def cancel(self) -> None:
-        """Cancel the running call, if any."""
-        if self._thread is not None:
+        """Cancel the running call, if any, unless the call itself asks."""
+        if self._thread not in {None, eventlet.getcurrent()}:
             self._thread.kill()
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_follower.py
@@ -78,14 +78,12 @@
         Returns:
             Delay in ms before the next call.
         """
-        needs_listing = self.store_copy.revision is None
-        relay = None if needs_listing else self._relays.sources.next_relay()
-        if relay is None:
-            self._relays.reporter.update_source('the store')
-            return self._read_store()
-        self._relays.reporter.update_source(relay.name)
-        result = self._cancellable_call.run(lambda: self._relays.fetch(relay))
-        return 0 if result is None else self._relays.apply(relay, result)
+        era = self._store.era.number
+        delay_ms = self._read_updates()
+        if era in {None, self._store.era.number}:
+            return delay_ms
+        # All daemons learn at the same time that the store was restored.
+        return self._rng.uniform(0, self._polling.spread_ms)
 
     def abandon_call(self) -> None:
         """Abandon the pending call after an outage of the store.
@@ -94,6 +92,11 @@
         """
         self._cancellable_call.cancel()
 
+    def discard_history(self) -> None:
+        """Abandon the pending call and list the store next."""
+        self.store_copy.discard_history()
+        self.abandon_call()
+
     def apply_listing(self, listing: Listing) -> float:
         """Apply a listing and return the delay in ms before the next call."""
         is_first = not self.store_copy.has_listed
@@ -118,6 +121,17 @@
             return StoreCall.LISTING
         return StoreCall.CHANGES
 
+    def _read_updates(self) -> float:
+        """Call the store or a relay and return the delay in ms."""
+        needs_listing = self.store_copy.revision is None
+        relay = None if needs_listing else self._relays.sources.next_relay()
+        if relay is None:
+            self._relays.reporter.update_source('the store')
+            return self._read_store()
+        self._relays.reporter.update_source(relay.name)
+        result = self._cancellable_call.run(lambda: self._relays.fetch(relay))
+        return 0 if result is None else self._relays.apply(relay, result)
+
     def _read_store(self) -> float:
         """Make one call of the store and return the delay in ms."""
         result = self._cancellable_call.run(self._call_store)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -11,6 +11,7 @@
     BackendServer,
     EncodedUpdate,
     StoreEra,
+    StorePosition,
     SuspicionRecord,
     SuspicionUpdates,
     WatchTimeouts,
@@ -76,7 +77,7 @@
 
 @attrs.frozen(kw_only=True)
 class HistoryCompacted:
-    """The store has compacted its history, so a new listing is needed."""
+    """The updates after a revision are not known: a listing is needed."""
 
 
 class Store(Protocol):
@@ -142,14 +143,14 @@
     def fetch(
         self,
         peer: str,
-        after: int,
+        after: StorePosition,
         timeouts: WatchTimeouts,
     ) -> Result[RelayedBatch | HistoryCompacted, Failure]:
-        """Wait for updates after a revision; none may arrive in time.
+        """Wait for updates after a position; none may arrive in time.
 
         Args:
             peer: peer address of the other daemon.
-            after: latest known revision of the store.
+            after: latest known position in the history of the store.
             timeouts: timeouts of the call.
         """
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay.py
@@ -7,7 +7,7 @@
 from eventlet.event import Event
 
 from fennelfork import Clock
-from fennelfork.routes import RelayLog
+from fennelfork.routes import RelayLog, StoreEra, StorePosition
 from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._ports import (
     HistoryCompacted,
@@ -34,6 +34,7 @@
 
     is_connected: bool = False
     _availability: StoreAvailability
+    _era: StoreEra
     _clock: Clock
     _log: RelayLog = attrs.field(factory=RelayLog)
     _recording_from_ms: float | None = None
@@ -45,6 +46,12 @@
         self._recording_from_ms = self._clock.now_ms()
         self._notify(HistoryCompacted())
 
+    def discard(self) -> None:
+        """Discard all updates until the next listing of the store."""
+        self.is_connected = False
+        self._log.reset(0)
+        self._notify(HistoryCompacted())
+
     def extend(self, changes: UpdateBatch) -> None:
         """Add updates that this daemon has received."""
         if self._is_recording:
@@ -55,23 +62,26 @@
             self._notify(None)
 
     def updates_after(
-        self, revision: int, wait_ms: float
+        self, position: StorePosition, wait_ms: float
     ) -> RelayedBatch | HistoryCompacted:
-        """Wait for updates after a revision; none may arrive in time.
+        """Wait for updates after a position; none may arrive in time.
 
         Args:
-            revision: latest revision that the other daemon knows.
+            position: latest position that the other daemon knows. Updates of
+                another era are not passed on.
             wait_ms: maximum time to wait. A daemon without current updates
                 answers at once.
         """
+        if position.era != self._era.number:
+            return HistoryCompacted()
         self._recording_from_ms = self._clock.now_ms()
         deadline_ms = self._clock.now_ms() + min(wait_ms, _MAX_WAIT_MS)
-        while self.is_connected and self._log.revision <= revision:
+        while self.is_connected and self._log.revision <= position.revision:
             if self._wait_for_change(deadline_ms) is not None:
                 return HistoryCompacted()
             if self._clock.now_ms() >= deadline_ms:
                 break
-        updates = self._log.since(revision)
+        updates = self._log.since(position.revision)
         if updates is None:
             return HistoryCompacted()
         return RelayedBatch(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_reader.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_relay_reader.py
@@ -36,10 +36,10 @@
     _polling: StorePolling
 
     def fetch(self, relay: Member) -> Result[Any, Failure]:
-        """Ask a relay for the updates after the latest known revision."""
+        """Ask a relay for the updates after the latest known position."""
         return self._client.fetch(
             relay.peer,
-            self._copy.revision or 0,
+            self._copy.position,
             self._polling.relay_timeouts(),
         )
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
@@ -3,6 +3,7 @@
 import attrs
 
 from fennelfork import Clock
+from fennelfork.routes import StoreEra, StorePosition
 from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._ports import Listing, RelayedBatch, UpdateBatch
 from fennelfork_daemon.routes._relay import Relay
@@ -24,6 +25,20 @@
     has_listed: bool = False
     _availability: StoreAvailability
     _applier: UpdateApplier
+    _era: StoreEra
+
+    @property
+    def position(self) -> StorePosition:
+        """Latest known position in the history of the store."""
+        return StorePosition(revision=self.revision or 0, era=self._era.number)
+
+    def discard_history(self) -> None:
+        """Require a listing, because the store began another era.
+
+        The known entries stay in use until then.
+        """
+        self.revision = None
+        self.relay.discard()
 
     def apply_listing(self, listing: Listing) -> None:
         """Replace the known entries by a listing."""
@@ -61,11 +76,15 @@
 
 
 def store_copy(
-    availability: StoreAvailability, applier: UpdateApplier, clock: Clock
+    availability: StoreAvailability,
+    applier: UpdateApplier,
+    era: StoreEra,
+    clock: Clock,
 ) -> StoreCopy:
     """Create the copy of a daemon that has not read the store yet."""
     return StoreCopy(
-        relay=Relay(availability=availability, clock=clock),
+        relay=Relay(availability=availability, era=era, clock=clock),
         availability=availability,
         applier=applier,
+        era=era,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_restoration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_restoration.py
@@ -4,26 +4,31 @@
 
 from fennelfork.routes import EraChange
 from fennelfork_daemon.logs._decision_log import DecisionLog
+from fennelfork_daemon.routes._availability import StoreAvailability
 from fennelfork_daemon.routes._events_store import StoreRestored
+from fennelfork_daemon.routes._follower import StoreFollower
 from fennelfork_daemon.routes._registration import Registration
-from fennelfork_daemon.routes._store_copy import StoreCopy
 
 
 @attrs.frozen(kw_only=True)
 class StoreRestoration:
-    """Reacts when the store begins another era."""
+    """Discards what is true only of the era of the store that ended."""
 
-    _copy: StoreCopy
+    _follower: StoreFollower
     _registration: Registration
+    _availability: StoreAvailability
     _log: DecisionLog
 
     def begin_era(self, change: EraChange) -> None:
-        """Log what this daemon holds of the era that ended."""
+        """Read the store again, as its revisions have another meaning."""
         self._log.log_decision(
             StoreRestored(
                 era_before=change.previous,
                 era=change.current,
-                revision=self._copy.revision,
+                revision=self._follower.store_copy.revision,
                 lease=self._registration.lease,
             )
         )
+        # Owners write entries again that the copy lacks.
+        self._availability.record_outage_end(0)
+        self._follower.discard_history()
--- a/packages/fennelfork-daemon/tests/daemon_builders_relays.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_relays.py
@@ -5,18 +5,17 @@
 import attrs
 import structlog
 from daemon_builders_routes import (
-    STORE_UNAVAILABLE,
-    FakeStore,
     FollowingDaemon,
     member,
     server,
     table,
 )
+from daemon_builders_store import STORE_UNAVAILABLE, FakeStore
 from returns.result import Failure as Bad
 from returns.result import Result, Success
 
 from fennelfork import Failure, ManualTime
-from fennelfork.routes import EncodedUpdate, WatchTimeouts
+from fennelfork.routes import EncodedUpdate, StorePosition, WatchTimeouts
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.routes import (
     ConfigUpdate,
@@ -47,12 +46,16 @@
         events: updates by revision.
         entries: current entries by name.
         compacted: revision up to which the history is gone.
+        copies: entries at each revision.
+        era: number that rises when the store is restored.
         calls: number of calls that daemons made.
     """
 
     events: dict[int, StoreUpdate] = attrs.field(factory=dict)
     entries: dict[str, StoreUpdate] = attrs.field(factory=dict)
     compacted: int = 0
+    copies: list[dict[str, StoreUpdate]] = attrs.field(factory=lambda: [{}])
+    era: int = 1
     calls: int = 0
 
     @property
@@ -63,12 +66,24 @@
     def put(self, name: str, update: StoreUpdate) -> None:
         """Write an entry."""
         self.entries[name] = update
-        self.events[self.revision + 1] = update
+        self._record(update)
 
     def remove(self, name: str, removal: StoreUpdate) -> None:
         """Remove an entry, if it exists."""
         if self.entries.pop(name, None) is not None:
-            self.events[self.revision + 1] = removal
+            self._record(removal)
+
+    def restore(self, revision: int) -> None:
+        """Return to an earlier revision, in another era."""
+        self.copies = self.copies[: revision + 1]
+        self.entries = dict(self.copies[revision])
+        self.events = {
+            known: update
+            for known, update in self.events.items()
+            if known <= revision
+        }
+        self.compacted = min(self.compacted, revision)
+        self.era += 1
 
     def list_all(self) -> Listing:
         """Return all entries."""
@@ -78,7 +93,7 @@
 
     def watch(self, after: int) -> UpdateBatch | HistoryCompacted:
         """Return the updates after a revision."""
-        if after < self.compacted:
+        if after < self.compacted or after > self.revision:
             return HistoryCompacted()
         revisions = range(after + 1, self.revision + 1)
         return self.batch(tuple(revisions))
@@ -94,6 +109,11 @@
             ),
         )
 
+    def _record(self, update: StoreUpdate) -> None:
+        """Append an update to the history."""
+        self.events[self.revision + 1] = update
+        self.copies.append(dict(self.entries))
+
 
 @attrs.define(kw_only=True)
 class ModelDaemon:
@@ -218,6 +238,24 @@
                 daemon.renew()
             self.time.advance(TICK_MS)
 
+    def restore(self, lost: int, version: int) -> None:
+        """Restore the store, and write again what its copy lacks.
+
+        Args:
+            lost: number of the latest changes that the copy lacks.
+            version: version of the configuration that is written first.
+        """
+        before = dict(self.store.entries)
+        before.pop('config')
+        self.store.restore(max(1, self.store.revision - lost))
+        self.configure(version)
+        before['config'] = self.store.entries['config']
+        for name in self.store.entries.keys() - before.keys():
+            self.store.remove(name, _removal(name))
+        for name, update in before.items():
+            if self.store.entries.get(name) != update:
+                self.store.put(name, update)
+
     def at_peer(self, peer: str) -> ModelDaemon | None:
         """Return the daemon at a peer address."""
         return next(
@@ -257,7 +295,9 @@
         if self.daemon.is_cut:
             self.daemon.call_ms = _LOST_STORE_MS
             return Bad(STORE_UNAVAILABLE)
-        return Success(answer())
+        if self.era.accept(self.era.number, self.daemon.fleet.store.era):
+            return Success(answer())
+        return Bad(STORE_UNAVAILABLE)
 
 
 @attrs.define(kw_only=True)
@@ -267,7 +307,7 @@
     daemon: ModelDaemon
 
     def fetch(
-        self, peer: str, after: int, timeouts: WatchTimeouts
+        self, peer: str, after: StorePosition, timeouts: WatchTimeouts
     ) -> Result[RelayedBatch | HistoryCompacted, Failure]:
         """Return the updates that another daemon knows, without waiting."""
         other = self.daemon.fleet.at_peer(peer)
@@ -283,3 +323,10 @@
             store.batch(revisions), revision=reply.changes.revision
         )
         return Success(attrs.evolve(reply, changes=changes))
+
+
+def _removal(name: str) -> StoreUpdate:
+    """Return the removal of the entry of a daemon or of a server."""
+    if name.startswith('vm-'):
+        return MemberRemoved(name=name)
+    return ServerRemoved(instance=name)
--- a/packages/fennelfork-daemon/tests/daemon_builders_routes.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_routes.py
@@ -6,11 +6,9 @@
 from typing import Any
 
 import attrs
-import eventlet
-from returns.result import Failure as Bad
-from returns.result import Result, Success
+from daemon_builders_store import FakeRelays, FakeStore
 
-from fennelfork import Failure, FailureCode, ManualTime, manual_clock, not_run
+from fennelfork import ManualTime, manual_clock
 from fennelfork.membership import Member, MemberStatus
 from fennelfork.routes import (
     BackendServer,
@@ -21,9 +19,6 @@
     RouteTable,
     Service,
     SingleService,
-    SuspicionRecord,
-    SuspicionUpdates,
-    WatchTimeouts,
     route_table,
     store_polling,
 )
@@ -33,13 +28,9 @@
 from fennelfork_daemon.routes import (
     CallerRequest,
     EntryQuery,
-    HistoryCompacted,
-    Listing,
-    RelayedBatch,
     RouteEntries,
     RouteSettings,
     StoreUpdate,
-    UpdateBatch,
 )
 from fennelfork_daemon.routes._availability import (
     StoreAvailability,
@@ -60,14 +51,10 @@
 from fennelfork_daemon.routes._relay_sources import RelaySources
 from fennelfork_daemon.routes._store_copy import store_copy
 from fennelfork_daemon.routes._store_reporter import StoreReporter
+from fennelfork_daemon.routes._store_restoration import StoreRestoration
 from fennelfork_daemon.routes._update_applier import UpdateApplier
 from fennelfork_daemon.settings._log_settings import LogSettings
 
-STORE_UNAVAILABLE = not_run(FailureCode.PLATFORM, 'the store answered 503')
-# Marks a call of the store that gets no response.
-NO_RESPONSE = 'silence'
-# Duration of a call without a response, longer than any test.
-_HANG_S = 60
 _ANY_PORT = Address(host='127.0.0.1', port=0)
 _NEARBY = EntryQuery(region='east', data_centre='here')
 
@@ -163,144 +150,6 @@
     return CallerRequest(**(fields | changes))
 
 
-@attrs.define(kw_only=True)
-class FakeStore:
-    """Stand-in of the store that records calls and returns set results."""
-
-    listings: list[Any] = attrs.field(factory=list)
-    told: list[Any] = attrs.field(factory=list)
-    claims: list[Any] = attrs.field(factory=list)
-    watch_results: list[Any] = attrs.field(factory=list)
-    renewals: list[Any] = attrs.field(factory=list)
-    calls: list[tuple[Any, ...]] = attrs.field(factory=list)
-    stale_listings: list[bool] = attrs.field(factory=list)
-    leases: int = 0
-
-    def list_all(
-        self, timeout_ms: float, *, may_be_stale: bool
-    ) -> Result[Listing, Failure]:
-        """Return the next listing, or a failure if none is left."""
-        self.calls.append(('list_all', timeout_ms))
-        self.stale_listings.append(may_be_stale)
-        if not self.listings:
-            return Bad(STORE_UNAVAILABLE)
-        updates = self.listings.pop(0)
-        if updates is NO_RESPONSE:
-            eventlet.sleep(_HANG_S)
-        return Success(Listing(updates=tuple(updates), revision=5))
-
-    def watch(
-        self,
-        after: int,
-        timeouts: WatchTimeouts,
-    ) -> Result[UpdateBatch | HistoryCompacted, Failure]:
-        """Return the next watch result, or a failure if none is left."""
-        self.calls.append(('watch', after, timeouts))
-        if not self.watch_results:
-            return Bad(STORE_UNAVAILABLE)
-        updates = self.watch_results.pop(0)
-        if updates is NO_RESPONSE:
-            eventlet.sleep(_HANG_S)
-        if isinstance(updates, HistoryCompacted):
-            return Success(updates)
-        return Success(UpdateBatch(updates=tuple(updates), revision=after + 1))
-
-    def open_lease(self, ttl_ms: float) -> Result[int, Failure]:
-        """Record a new lease and return its number."""
-        self.calls.append(('open_lease', ttl_ms))
-        self.leases += 1
-        return Success(self.leases)
-
-    def renew(self, lease: int) -> Result[bool, Failure]:
-        """Return the next result of a renewal."""
-        self.calls.append(('renew', lease))
-        return self.renewals.pop(0)
-
-    def register(self, member: Member, lease: int) -> Result[bool, Failure]:
-        """Record a registration and return success."""
-        self.calls.append(('register', member.name, lease))
-        return Success(True)
-
-    def publish(
-        self, updates: SuspicionUpdates, lease: int
-    ) -> Result[bool, Failure]:
-        """Record updates of suspicions and return the next set result."""
-        self.calls.append(('tell', updates, lease))
-        return self.told.pop(0) if self.told else Success(True)
-
-    def claim_trial(
-        self,
-        record: SuspicionRecord,
-        revision: int,
-    ) -> Result[bool, Failure]:
-        """Return the next result of a claim."""
-        self.calls.append(('claim', record, revision))
-        return self.claims.pop(0)
-
-    def revoke_lease(self, lease: int) -> Result[bool, Failure]:
-        """Record the end of a lease and return success."""
-        self.calls.append(('end_lease', lease))
-        return Success(True)
-
-
-@attrs.define(kw_only=True)
-class LeavingStore(FakeStore):
-    """Stand-in of the store during one call of which a daemon leaves.
-
-    Attributes:
-        call: name of the call.
-        leave: function that lets the daemon leave.
-    """
-
-    call: str
-    leave: Any = None
-
-    def open_lease(self, ttl_ms: float) -> Result[int, Failure]:
-        """Record a new lease and return its number."""
-        opened = super().open_lease(ttl_ms)
-        self._leave_during('open_lease')
-        return opened
-
-    def renew(self, lease: int) -> Result[bool, Failure]:
-        """Return the next result of a renewal."""
-        renewed = super().renew(lease)
-        self._leave_during('renew')
-        return renewed
-
-    def register(self, member: Member, lease: int) -> Result[bool, Failure]:
-        """Record a registration and return success."""
-        registered = super().register(member, lease)
-        self._leave_during('register')
-        return registered
-
-    def _leave_during(self, call: str) -> None:
-        if call == self.call:
-            self.leave()
-            eventlet.sleep(0)
-
-
-@attrs.define(kw_only=True)
-class FakeRelays:
-    """Stand-in of other daemons that pass on updates of the store.
-
-    Attributes:
-        replies: next results by peer address; a peer without one fails.
-        calls: peer address and revision of each request.
-    """
-
-    replies: dict[str, list[Any]] = attrs.field(factory=dict)
-    calls: list[tuple[str, int]] = attrs.field(factory=list)
-
-    def fetch(
-        self, peer: str, after: int, timeouts: WatchTimeouts
-    ) -> Result[RelayedBatch | HistoryCompacted, Failure]:
-        """Return the next reply of a peer."""
-        self.calls.append((peer, after))
-        if not self.replies.get(peer):
-            return Bad(STORE_UNAVAILABLE)
-        return Success(self.replies[peer].pop(0))
-
-
 @attrs.define(kw_only=True)
 class UnboundedOutput:
     """Stand-in of a log output that never drops lines."""
@@ -356,6 +205,7 @@
                 ),
                 pools=pools,
             ),
+            self.store.era,
             clock,
         )
         self.fleet_reporter = FleetReporter(log=self.decisions)
@@ -386,6 +236,13 @@
             clock,
             reporter,
         )
+        restoration = StoreRestoration(
+            follower=self.follower,
+            registration=self.registration,
+            availability=self.availability,
+            log=self.decisions,
+        )
+        self.store.era.add_listener(restoration.begin_era)
 
     @property
     def fleet_page(self) -> FleetPage:
--- a/packages/fennelfork-daemon/tests/test_routes_first.py
+++ b/packages/fennelfork-daemon/tests/test_routes_first.py
@@ -9,11 +9,11 @@
 import pytest
 import structlog
 from daemon_builders_routes import (
-    STORE_UNAVAILABLE,
     FollowingDaemon,
     server,
     table,
 )
+from daemon_builders_store import STORE_UNAVAILABLE
 
 from fennelfork import Clock, system_clock
 from fennelfork_daemon.routes import ConfigUpdate, ServerUpdate
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -5,11 +5,11 @@
 from typing import Any
 
 from daemon_builders_routes import (
-    STORE_UNAVAILABLE,
     FollowingDaemon,
     caller_request,
     server,
 )
+from daemon_builders_store import STORE_UNAVAILABLE
 from returns.pipeline import is_successful
 from returns.result import Failure as Bad
 from returns.result import Success
--- a/packages/fennelfork-daemon/tests/test_routes_registration.py
+++ b/packages/fennelfork-daemon/tests/test_routes_registration.py
@@ -10,11 +10,10 @@
 import pytest
 import structlog
 from daemon_builders_routes import (
-    STORE_UNAVAILABLE,
     FollowingDaemon,
-    LeavingStore,
     table,
 )
+from daemon_builders_store import STORE_UNAVAILABLE, LeavingStore
 from returns.result import Failure as Bad
 from returns.result import Success
 
--- a/packages/fennelfork-daemon/tests/test_routes_relay_machine.py
+++ b/packages/fennelfork-daemon/tests/test_routes_relay_machine.py
@@ -1,7 +1,8 @@
 """Daemons of one data centre that pass on updates of the store to each other.
 
 Guards against a daemon that stays behind, or falls back to an older
-configuration, while others are lost, cut off, silent or restarted.
+configuration, while others are lost, cut off, silent or restarted, or the store
+is restored from an older copy.
 """
 
 import pytest
@@ -91,6 +92,15 @@
         """Discard the history of the store."""
         self.fleet.store.compacted = self.fleet.store.revision
 
+    @rule(lost=st.integers(0, 12))
+    def restore(self, lost: int) -> None:
+        """Restore the store; the first write after it is a newer version."""
+        version = max(self.written_ms) + 1
+        self.fleet.restore(lost, version)
+        self.written_ms[version] = self.fleet.time.at_ms
+        for daemon in self.fleet.daemons:
+            self.calm_from_ms[daemon.index] = self.fleet.time.at_ms
+
     @rule(duration_ms=st.sampled_from([100, 700, 2000, 5000]))
     def advance(self, duration_ms: float) -> None:
         """Let time pass."""
--- a/packages/fennelfork-daemon/tests/test_routes_relayed.py
+++ b/packages/fennelfork-daemon/tests/test_routes_relayed.py
@@ -7,19 +7,20 @@
 from collections.abc import Iterator
 from typing import Any
 
+import attrs
 import eventlet
 import pytest
 import structlog
 from daemon_builders_routes import (
-    STORE_UNAVAILABLE,
     FollowingDaemon,
     member,
     server,
     table,
 )
+from daemon_builders_store import STORE_UNAVAILABLE
 from returns.result import Failure as Bad
 
-from fennelfork.routes import EncodedUpdate
+from fennelfork.routes import EncodedUpdate, StorePosition
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.routes import (
     ConfigUpdate,
@@ -33,6 +34,7 @@
 
 _PEER = '10.0.0.9:7000'
 _LISTED_REVISION = 5
+_LISTED = StorePosition(revision=_LISTED_REVISION)
 
 
 def _batch(*updates: Any, **changes: Any) -> RelayedBatch:
@@ -217,7 +219,7 @@
         """An update that arrives while another daemon waits is returned."""
         waiting = eventlet.spawn(
             reader.follower.store_copy.relay.updates_after,
-            _LISTED_REVISION,
+            _LISTED,
             1000,
         )
         eventlet.sleep(0)
@@ -235,9 +237,7 @@
         """
         reader.time.advance(2000)
         _apply_encoded(reader, _LISTED_REVISION + 1)
-        reply = reader.follower.store_copy.relay.updates_after(
-            _LISTED_REVISION, 0
-        )
+        reply = reader.follower.store_copy.relay.updates_after(_LISTED, 0)
         assert isinstance(reply, RelayedBatch)
         assert [each.revision for each in reply.changes.encoded] == [6]
 
@@ -245,13 +245,11 @@
         """Later, updates are kept only while other daemons ask for them."""
         reader.time.advance(10_000)
         _apply_encoded(reader, _LISTED_REVISION + 1)
-        reply = reader.follower.store_copy.relay.updates_after(
-            _LISTED_REVISION, 0
-        )
+        reply = reader.follower.store_copy.relay.updates_after(_LISTED, 0)
         assert isinstance(reply, HistoryCompacted)
         _apply_encoded(reader, _LISTED_REVISION + 2)
         reply = reader.follower.store_copy.relay.updates_after(
-            _LISTED_REVISION + 1, 0
+            attrs.evolve(_LISTED, revision=_LISTED_REVISION + 1), 0
         )
         assert isinstance(reply, RelayedBatch)
         assert len(reply.changes.encoded) == 1
@@ -262,7 +260,7 @@
         """A daemon that waits during a listing reads the store itself."""
         waiting = eventlet.spawn(
             reader.follower.store_copy.relay.updates_after,
-            _LISTED_REVISION,
+            _LISTED,
             1000,
         )
         eventlet.sleep(0)
@@ -274,9 +272,7 @@
     def test_lost_store(self, reader: FollowingDaemon) -> None:
         """A daemon that cannot read the store says so at once."""
         reader.follower.step()
-        batch = reader.follower.store_copy.relay.updates_after(
-            _LISTED_REVISION, 1000
-        )
+        batch = reader.follower.store_copy.relay.updates_after(_LISTED, 1000)
         assert isinstance(batch, RelayedBatch)
         assert not batch.is_connected
 
--- a/packages/fennelfork-daemon/tests/test_routes_store.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store.py
@@ -4,14 +4,13 @@
 import pytest
 import structlog
 from daemon_builders_routes import (
-    NO_RESPONSE,
-    STORE_UNAVAILABLE,
     FollowingDaemon,
     entry_addresses,
     member,
     server,
     table,
 )
+from daemon_builders_store import NO_RESPONSE, STORE_UNAVAILABLE
 from returns.result import Failure as Bad
 from returns.result import Success
 
--- a/packages/fennelfork-daemon/tests/test_routes_store_calls.py
+++ b/packages/fennelfork-daemon/tests/test_routes_store_calls.py
@@ -11,12 +11,11 @@
 import pytest
 import structlog
 from daemon_builders_routes import (
-    NO_RESPONSE,
-    STORE_UNAVAILABLE,
     FollowingDaemon,
     member,
     table,
 )
+from daemon_builders_store import NO_RESPONSE, STORE_UNAVAILABLE
 from returns.result import Failure as Bad
 from returns.result import Success
 
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -68,6 +68,7 @@
 from ._stop_admission import can_end_before_stop as can_end_before_stop
 from ._store_era import EraChange as EraChange
 from ._store_era import StoreEra as StoreEra
+from ._store_era import StorePosition as StorePosition
 from ._store_polling import (
     INITIAL_LISTING_TIMEOUT_MS as INITIAL_LISTING_TIMEOUT_MS,
 )
--- a/packages/fennelfork/src/fennelfork/routes/_store_era.py
+++ b/packages/fennelfork/src/fennelfork/routes/_store_era.py
@@ -18,6 +18,19 @@
     current: int
 
 
+@attrs.frozen(kw_only=True)
+class StorePosition:
+    """Point in the history of the store up to which updates are known.
+
+    Attributes:
+        revision: latest known revision.
+        era: era of the revision, None if the store states none.
+    """
+
+    revision: int
+    era: int | None = None
+
+
 @attrs.define(kw_only=True)
 class StoreEra:
     """Era of the store, as stated by its responses.
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -22,11 +22,12 @@
 from returns.pipeline import is_successful
 
 from fennelfork import Verdict
-from fennelfork.routes import WatchTimeouts
+from fennelfork.routes import StorePosition, WatchTimeouts
 from fennelfork_daemon.routes import HistoryCompacted
 from fennelfork_platform._relay import platform_relays
 from fennelfork_platform._store import PlatformStore, platform_store
 
+_AFTER = StorePosition(revision=5)
 _TIMEOUTS = WatchTimeouts(wait_ms=0, response_ms=5000)
 _SHORT = WatchTimeouts(wait_ms=0, response_ms=500)
 # Twice the timeouts of the three calls.
@@ -93,7 +94,9 @@
         server.ending = ending
         for truncated in truncations(_response(status, coding)):
             server.response = truncated
-            fetched = platform_relays().fetch(str(server.address), 5, _TIMEOUTS)
+            fetched = platform_relays().fetch(
+                str(server.address), _AFTER, _TIMEOUTS
+            )
             assert not is_successful(fetched), server.response
 
 
@@ -114,7 +117,9 @@
             began_s = time.monotonic()
             renewed = platform_store(sending.address).renew(7)
             watched = platform_store(sending.address).watch(5, _SHORT)
-            fetched = platform_relays().fetch(str(sending.address), 5, _SHORT)
+            fetched = platform_relays().fetch(
+                str(sending.address), _AFTER, _SHORT
+            )
             took_s = time.monotonic() - began_s
         for outcome in (renewed, watched, fetched):
             assert not is_successful(outcome)
@@ -129,7 +134,7 @@
     for call in ('renewed', 'watched'):
         outcome = _CALLS[call][1](platform_store(server.address))
         assert outcome.failure().verdict is Verdict.MAY_HAVE_RUN
-    fetched = platform_relays().fetch(str(server.address), 5, _TIMEOUTS)
+    fetched = platform_relays().fetch(str(server.address), _AFTER, _TIMEOUTS)
     assert not is_successful(fetched)
 
 
@@ -163,7 +168,9 @@
         with prepared_server(
             with_content(MALFORMED[form], status, _RELAYED)
         ) as server:
-            fetched = platform_relays().fetch(str(server.address), 5, _TIMEOUTS)
+            fetched = platform_relays().fetch(
+                str(server.address), _AFTER, _TIMEOUTS
+            )
         assert fetched.failure().detail.startswith('MalformedMessage: ')
 
 
--- a/tests/test_platform_face.py
+++ b/tests/test_platform_face.py
@@ -13,12 +13,11 @@
 import structlog
 from daemon_builders_endings import cutting_server
 from daemon_builders_routes import (
-    FakeRelays,
-    FakeStore,
     UnboundedOutput,
     server,
     settings,
 )
+from daemon_builders_store import FakeRelays, FakeStore
 from eventlet import sleep
 from eventlet.green import socket
 from platform_builders import config, environ, item, route
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -15,7 +15,7 @@
 from platform_builders import raw_item, registration
 from returns.result import Failure, Success
 
-from fennelfork.routes import WatchTimeouts
+from fennelfork.routes import StorePosition, WatchTimeouts
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.http._wsgi_protocol import ConnectionLimits
 from fennelfork_daemon.http._wsgi_server import open_listener, serve_wsgi
@@ -33,6 +33,7 @@
     relay_api,
 )
 
+_AFTER = StorePosition(revision=5)
 _TIMEOUTS = WatchTimeouts(wait_ms=200, response_ms=500)
 _MAX_CONNECTIONS = 10
 _LIMITS = ConnectionLimits(
@@ -45,13 +46,13 @@
     """Relay that returns a fixed reply and records the requests."""
 
     reply: RelayedBatch | HistoryCompacted
-    requests: list[tuple[int, float]] = attrs.field(factory=list)
+    requests: list[tuple[StorePosition, float]] = attrs.field(factory=list)
 
     def updates_after(
-        self, revision: int, wait_ms: float
+        self, position: StorePosition, wait_ms: float
     ) -> RelayedBatch | HistoryCompacted:
         """Return the reply."""
-        self.requests.append((revision, wait_ms))
+        self.requests.append((position, wait_ms))
         return self.reply
 
 
@@ -112,6 +113,14 @@
 class TestTransfer:
     """Requests and replies between two daemons."""
 
+    @pytest.mark.parametrize('era', [None, 0, 7])
+    def test_era(self, client: PlatformRelays, era: int | None) -> None:
+        """The era of the revision arrives, if the store states any."""
+        relay = FixedRelay(reply=_batch())
+        position = StorePosition(revision=5, era=era)
+        client.fetch(_serve(relay_api(relay)), position, _TIMEOUTS)
+        assert relay.requests == [(position, 200)]
+
     @pytest.mark.parametrize('outage_end_age_ms', [None, 40.0])
     def test_round_trip(
         self,
@@ -121,8 +130,10 @@
         """The updates, their age and the state of the sender arrive."""
         sent = _batch(outage_end_age_ms=outage_end_age_ms)
         relay = FixedRelay(reply=sent)
-        received = client.fetch(_serve(relay_api(relay)), 5, _TIMEOUTS).unwrap()
-        assert relay.requests == [(5, 200)]
+        received = client.fetch(
+            _serve(relay_api(relay)), _AFTER, _TIMEOUTS
+        ).unwrap()
+        assert relay.requests == [(_AFTER, 200)]
         assert received.changes.encoded == sent.changes.encoded
         assert received.changes.revision == 9
         assert attrs.evolve(received, changes=sent.changes) == sent
@@ -133,7 +144,7 @@
     def test_compacted(self, client: PlatformRelays) -> None:
         """A daemon that does not know the updates says so."""
         relay = FixedRelay(reply=HistoryCompacted())
-        received = client.fetch(_serve(relay_api(relay)), 5, _TIMEOUTS)
+        received = client.fetch(_serve(relay_api(relay)), _AFTER, _TIMEOUTS)
         assert received == Success(HistoryCompacted())
 
     def test_many_peers(self, client: PlatformRelays) -> None:
@@ -141,7 +152,7 @@
         relay = FixedRelay(reply=_batch())
         peers = [_serve(relay_api(relay)) for _ in range(4)]
         for peer in peers:
-            assert isinstance(client.fetch(peer, 5, _TIMEOUTS), Success)
+            assert isinstance(client.fetch(peer, _AFTER, _TIMEOUTS), Success)
 
 
 class TestWrongBytes:
@@ -171,15 +182,21 @@
     ) -> None:
         """The reply is a failure, and no update is applied."""
         assert isinstance(
-            client.fetch(_serve(FixedResponse(status, body)), 5, _TIMEOUTS),
+            client.fetch(
+                _serve(FixedResponse(status, body)), _AFTER, _TIMEOUTS
+            ),
             Failure,
         )
 
     def test_nobody_listens(self, client: PlatformRelays) -> None:
         """A refused connection is a failure."""
-        assert isinstance(client.fetch('127.0.0.1:1', 5, _TIMEOUTS), Failure)
+        assert isinstance(
+            client.fetch('127.0.0.1:1', _AFTER, _TIMEOUTS), Failure
+        )
 
-    @pytest.mark.parametrize('query', ['', 'after=x&wait_ms=5', 'after=5'])
+    @pytest.mark.parametrize(
+        'query', ['', 'after=x&wait_ms=5', 'after=5', 'after=5&era=x&wait_ms=5']
+    )
     def test_invalid_request(self, query: str) -> None:
         """A request without the numbers is rejected and not waited for."""
         relay = FixedRelay(reply=_batch())
