Registration: a lease is not used after the store was restored

A daemon holds its lease by number alone. A restored store gives out the numbers again that its copy lacks, so a daemon that registered after the copy renews, and at its stop revokes, the lease of another one.

The lease counts as unproven from then on, so limits of workspaces stay on the safe side. A renewal during which the era changed does not lead to a write under its lease.

LeavingStore of the tests became ActingStore, which also serves these tests.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_own_lease.py
@@ -82,7 +82,7 @@
         sent_ms = self._clock.now_ms()
         renewed = self._record_result(self._store.renew(lease))
         if not is_successful(renewed):
-            return True
+            return self.number == lease
         now_ms = self._clock.now_ms()
         if renewed.unwrap():
             self._renewed_ms = now_ms
@@ -93,6 +93,11 @@
         self._reporter.lease_expired(lease, now_ms - self._renewed_ms)
         return False
 
+    def discard(self) -> None:
+        """Stop using the lease, which may belong to another daemon now."""
+        self.number = None
+        self._proof.record_lost()
+
     def write_entry(self, entry: Member, lease: int) -> bool:
         """Write the entry of this daemon and return whether this succeeded."""
         written = self._record_result(self._store.register(entry, lease))
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_registration.py
@@ -43,12 +43,16 @@
 
 @attrs.define(kw_only=True)
 class Registration:
-    """Maintains the entry of this daemon in the store."""
+    """Maintains the entry of this daemon in the store.
 
+    Attributes:
+        own_lease: lease to which the entry is attached.
+    """
+
+    own_lease: OwnLease
     _blackboard: RouteBlackboard
     _availability: StoreAvailability
     _rng: random.Random
-    _own_lease: OwnLease
     _adoption: LeaseAdoption
     _loss: EntryLoss
     _registered: Member | None = None
@@ -57,7 +61,7 @@
     @property
     def lease(self) -> int | None:
         """The lease of the registration, or None if not registered."""
-        return self._own_lease.number
+        return self.own_lease.number
 
     @property
     def is_leave_announced(self) -> bool:
@@ -69,7 +73,7 @@
         """Delay in ms before the next step."""
         if not (self._blackboard.is_ready or self._blackboard.is_leaving):
             return _POLL_INTERVAL_MS
-        failures = self._own_lease.failures
+        failures = self.own_lease.failures
         if not failures:
             return _RENEWAL_INTERVAL_MS
         serves_others = self._availability.data_age_ms < _CURRENT_DATA_MS
@@ -80,14 +84,14 @@
         """Maintain the registration until the daemon leaves."""
         while not self._has_ended:
             self.step()
-            _sleep(self.delay_ms, self._loss, self.lease)
+            _sleep(self.delay_ms, self._loss, self.own_lease)
 
     def step(self) -> None:
         """Renew the registration of this daemon, or create it."""
         if not self._blackboard.is_ready:
             return
         lease = self.lease
-        if lease is None or not self._own_lease.renew(lease):
+        if lease is None or not self.own_lease.renew(lease):
             self._register()
         else:
             self._update_entry(lease)
@@ -109,7 +113,7 @@
         if candidate is None:
             self._create()
             return
-        adopted = self._own_lease.try_adopt(candidate, self._adoption.held_ms)
+        adopted = self.own_lease.try_adopt(candidate, self._adoption.held_ms)
         if not is_successful(adopted):
             return
         self._adoption.record(is_valid=adopted.unwrap())
@@ -127,14 +131,14 @@
         """
         if self._blackboard.is_leaving:
             return
-        lease = self._own_lease.open()
+        lease = self.own_lease.open()
         if lease is None or self._blackboard.is_leaving:
             return
         if self._write_entry(lease):
-            self._own_lease.hold(lease)
+            self.own_lease.hold(lease)
         if self._blackboard.is_leaving:
             self._blackboard.lease_proof.record_lost()
-            self._own_lease.revoke()
+            self.own_lease.revoke()
 
     def _update_entry(self, lease: int) -> None:
         """Write the entry if the entry in the store is outdated or missing."""
@@ -148,7 +152,7 @@
     def _write_entry(self, lease: int) -> bool:
         """Write the entry of this daemon and return whether this succeeded."""
         local = self._blackboard.local
-        if not self._own_lease.write_entry(local, lease):
+        if not self.own_lease.write_entry(local, lease):
             return False
         self._registered = local
         self._loss.record_write()
@@ -156,7 +160,7 @@
         return True
 
     def _revoke_lease(self) -> None:
-        self._own_lease.revoke()
+        self.own_lease.revoke()
         self._has_ended = True
 
 
@@ -197,10 +201,12 @@
     )
 
 
-def _sleep(delay_ms: float, loss: EntryLoss, lease: int | None) -> None:
-    """Sleep for a delay, less if the entry is lost meanwhile."""
+def _sleep(delay_ms: float, loss: EntryLoss, own_lease: OwnLease) -> None:
+    """Sleep for a delay, less if the entry or the lease is lost meanwhile."""
+    lease = own_lease.number
     remaining_ms = delay_ms
     while remaining_ms > 0:
         slice_ms = min(remaining_ms, _LOSS_CHECK_INTERVAL_MS)
         eventlet.sleep(slice_ms / _MS_PER_SECOND)
-        remaining_ms = 0 if loss.has_lost(lease) else remaining_ms - slice_ms
+        is_lost = own_lease.number != lease or loss.has_lost(lease)
+        remaining_ms = 0 if is_lost else remaining_ms - slice_ms
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_restoration.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_restoration.py
@@ -20,7 +20,10 @@
     _log: DecisionLog
 
     def begin_era(self, change: EraChange) -> None:
-        """Read the store again, as its revisions have another meaning."""
+        """Read the store and register again.
+
+        Revisions and leases of the era that ended have another meaning now.
+        """
         self._log.log_decision(
             StoreRestored(
                 era_before=change.previous,
@@ -31,4 +34,5 @@
         )
         # Owners write entries again that the copy lacks.
         self._availability.record_outage_end(0)
+        self._registration.own_lease.discard()
         self._follower.discard_history()
--- a/packages/fennelfork-daemon/tests/daemon_builders_store.py
+++ b/packages/fennelfork-daemon/tests/daemon_builders_store.py
@@ -112,39 +112,41 @@
 
 
 @attrs.define(kw_only=True)
-class LeavingStore(FakeStore):
-    """Stand-in of the store during one call of which a daemon leaves.
+class ActingStore(FakeStore):
+    """Stand-in of the store during one call of which something happens.
+
+    A call during which the era changes fails.
 
     Attributes:
         call: name of the call.
-        leave: function that lets the daemon leave.
+        action: function that is called during the call.
     """
 
     call: str
-    leave: Any = None
+    action: Any = None
 
     def open_lease(self, ttl_ms: float) -> Result[int, Failure]:
         """Record a new lease and return its number."""
         opened = super().open_lease(ttl_ms)
-        self._leave_during('open_lease')
-        return opened
+        return self._act_during('open_lease', opened)
 
     def renew(self, lease: int) -> Result[bool, Failure]:
         """Return the next result of a renewal."""
         renewed = super().renew(lease)
-        self._leave_during('renew')
-        return renewed
+        return self._act_during('renew', renewed)
 
     def register(self, member: Member, lease: int) -> Result[bool, Failure]:
         """Record a registration and return success."""
         registered = super().register(member, lease)
-        self._leave_during('register')
-        return registered
-
-    def _leave_during(self, call: str) -> None:
-        if call == self.call:
-            self.leave()
-            eventlet.sleep(0)
+        return self._act_during('register', registered)
+
+    def _act_during(self, call: str, result: Result[Any, Failure]) -> Any:
+        if call != self.call:
+            return result
+        sent_in = self.era.number
+        self.action()
+        eventlet.sleep(0)
+        return result if self.era.number == sent_in else Bad(STORE_UNAVAILABLE)
 
 
 @attrs.define(kw_only=True)
--- a/packages/fennelfork-daemon/tests/test_routes_registration.py
+++ b/packages/fennelfork-daemon/tests/test_routes_registration.py
@@ -7,13 +7,14 @@
 from collections.abc import Iterator
 
 import attrs
+import eventlet
 import pytest
 import structlog
 from daemon_builders_routes import (
     FollowingDaemon,
     table,
 )
-from daemon_builders_store import STORE_UNAVAILABLE, LeavingStore
+from daemon_builders_store import STORE_UNAVAILABLE, ActingStore
 from returns.result import Failure as Bad
 from returns.result import Success
 
@@ -205,6 +206,52 @@
         assert _kinds(leaving) == ['open_lease', 'register', 'end_lease']
 
 
+class TestRestoredStore:
+    """The store returns from an older copy and gives out leases again.
+
+    Guards against two daemons under one lease, which keep the entry of each
+    other alive.
+    """
+
+    def test_new_lease(self, following: FollowingDaemon) -> None:
+        """The former lease is not renewed; a new one is opened."""
+        _register_in_era(following)
+        following.store.era.accept(1, 2)
+        assert following.registration.lease is None
+        assert following.blackboard.lease_proof.registered.since_ms is None
+        following.registration.step()
+        assert _kinds(following)[2:] == ['open_lease', 'register']
+
+    def test_leave(self, following: FollowingDaemon) -> None:
+        """The former lease is not revoked, as another daemon may have it."""
+        _register_in_era(following)
+        following.store.era.accept(1, 2)
+        following.registration.leave()
+        eventlet.sleep(0)
+        assert following.registration.is_leave_announced
+        assert 'end_lease' not in _kinds(following)
+
+    @pytest.mark.parametrize('call', ['open_lease', 'renew', 'register'])
+    def test_during_call(self, call: str) -> None:
+        """An entry is not written under the lease of the call."""
+        daemon = _daemon_that_acts_during(call)
+        daemon.store.era.accept(None, 1)
+        daemon.store.action = lambda: daemon.store.era.accept(1, 2)
+        daemon.store.renewals = [Success(True), Success(True)]
+        daemon.registration.step()
+        daemon.registration.step()
+        daemon.registration.step()
+        assert daemon.registration.lease == 2
+
+    def test_earlier_process(self) -> None:
+        """The lease of the earlier process is not adopted from another era."""
+        restarted = _restarted_daemon(_earlier_entry(7))
+        restarted.store.era.accept(None, 1)
+        restarted.store.era.accept(1, 2)
+        restarted.registration.step()
+        assert _kinds(restarted) == ['open_lease', 'register']
+
+
 class TestRestart:
     """All daemons lost power, and their leases have not expired yet."""
 
@@ -316,13 +363,24 @@
 
 def _leaving_daemon(call: str) -> FollowingDaemon:
     """Create a daemon that leaves during a call of the store."""
-    store = LeavingStore(call=call)
-    leaving = FollowingDaemon(store=store)
-    store.leave = leaving.registration.leave
-    leaving.apply_listing(ConfigUpdate(table=table(3)))
+    leaving = _daemon_that_acts_during(call)
+    leaving.store.action = leaving.registration.leave
     return leaving
 
 
+def _daemon_that_acts_during(call: str) -> FollowingDaemon:
+    """Create a daemon during one call of which something happens."""
+    daemon = FollowingDaemon(store=ActingStore(call=call))
+    daemon.apply_listing(ConfigUpdate(table=table(3)))
+    return daemon
+
+
+def _register_in_era(daemon: FollowingDaemon) -> None:
+    """Register a daemon in the first era of a store."""
+    daemon.store.era.accept(None, 1)
+    daemon.registration.step()
+
+
 def _has_lost_entry(daemon: FollowingDaemon) -> bool:
     return bool(daemon.registration._loss.has_lost(daemon.registration.lease))
 
--- a/tests/test_platform_restored_store.py
+++ b/tests/test_platform_restored_store.py
@@ -1,7 +1,7 @@
 """Tests of real daemons while the store returns from an older copy.
 
-Guards against daemons that miss a version, because the store gives out its
-revision a second time.
+Guards against daemons that miss a version or share a lease, because the store
+gives out revisions and lease numbers a second time.
 """
 
 import json
@@ -18,6 +18,12 @@
 # Time after the return of the store within which daemons may still be behind.
 _MAX_CHANGE_DELAY_S: Final = 5.0
 _NAMES: Final = ('vm-0', 'vm-1', 'vm-2')
+_LATE_NAMES: Final = ('vm-3', 'vm-4', 'vm-5', 'vm-6')
+_ENTRIES: Final = 'fennelfork/daemons/'
+# Time to register after readiness.
+_REGISTRATION_S: Final = 0.3
+# Longer than a lease.
+_MAX_EXPIRY_S: Final = 5.0
 # Number of entries that are written before the outage and lost.
 _LOST_ENTRIES: Final = 40
 # More than are lost, so that their revisions are given out again.
@@ -70,6 +76,35 @@
         _expect_version(fleet, pause_s)
 
 
+@pytest.mark.process
+class TestRegistration:
+    """Daemons whose leases the copy lacks, as they registered after it."""
+
+    def test_leases(self, fleet: PlatformFleet) -> None:
+        """No two daemons use one lease; the entry of a killed one ends."""
+        time.sleep(_COPY_AGE_MS / 1000)
+        for name in _LATE_NAMES:
+            fleet.start_daemon(name, ZONES[0])
+        for name in _LATE_NAMES:
+            await_ready(fleet, name)
+        time.sleep(_REGISTRATION_S)
+        fleet.set_store_down(True)
+        time.sleep(_AWAY_S)
+        fleet.store_client.set_faults(restore_ms=_COPY_AGE_MS)
+        time.sleep(_SETTLING_S)
+        leases = fleet.store_client.read_leases(_ENTRIES)
+        names = {key.removeprefix(_ENTRIES) for key in leases}
+        assert names == {*_NAMES, *_LATE_NAMES}
+        assert len(set(leases.values())) == len(leases)
+        for name in _LATE_NAMES:
+            fleet.daemons[name].kill()
+        wait_until(
+            lambda: fleet.store_client.count_keys(_ENTRIES) == len(_NAMES),
+            _MAX_EXPIRY_S,
+            'the entries of the killed daemons to expire',
+        )
+
+
 def _expect_version(fleet: PlatformFleet, pause_s: float) -> None:
     """Write a version and then entries, and wait for the version."""
     fleet.configure(2)
