Retries: an attempt that was reset after it was written counts

Cause: for 3 s after the start of a daemon, the reset of a new connection was taken for the connection limit of its server, also if the request had been written. Such an attempt counted neither against max_attempts nor as an arrival, so the next one was not paid from the retry budget. A server that had run the request and then reset the connection looked the same; up to six servers ran one request.

Change: an attempt that may have run counts, always. To tell a server at its limit from one that ran the request, a daemon that has just started writes a request to a new connection only after the server had time to reset it: one more round trip and 10 ms. A reset before that proves that the request has not run, so it stays free, and requests that are not idempotent go on to another server now.

Changed tests: test_reset_after_the_request_was_sent and test_repeated_reset asserted the fault (a free retry, six servers); they assert the retry budget and the limit of the route now.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -25,6 +25,7 @@
 from fennelfork_daemon.backend._wait_queue import WaitQueue
 
 _PROBE_TIMEOUT_MS: Final = 50.0
+_CLOSED: Final = not_run(FailureCode.SHED, 'closed before the request was sent')
 # Request that checks whether an idle connection still works.
 HEALTH_PROBE: Final = JsonRequest(
     path='/v1/health',
@@ -68,12 +69,22 @@
 
 
 _FAIL_IMMEDIATELY: Final = FullPoolPolicy()
+# Time that a server at its connection limit takes to reset a connection that it
+# has accepted, in addition to a round trip.
+_RESET_MS: Final = 10.0
 
 
 @attrs.define(kw_only=True)
 class BackendPool:
-    """Opens, reuses, probes and closes connections as the ledger decides."""
+    """Opens, reuses, probes and closes connections as the ledger decides.
 
+    Attributes:
+        awaits_reset: whether a request is written to a new connection only
+            after the server had time to reset it. A request that is not
+            written has certainly not run.
+    """
+
+    awaits_reset: bool = False
     _address: Address
     _ledger: ConnectionLedger
     _clock: Clock
@@ -164,8 +175,10 @@
         with contextlib.ExitStack() as unopened:
             # Also runs when the green thread of the request is killed.
             unopened.callback(self._release, number, usable=False)
-            opened = connection.open(_connect_timeout_ms(request)).bind(
-                lambda _: _check_open(connection)
+            opened = _open_connection(
+                connection,
+                _connect_timeout_ms(request),
+                self._clock if self.awaits_reset else None,
             )
             if is_successful(opened):
                 unopened.pop_all()
@@ -245,6 +258,27 @@
     )
 
 
+def _open_connection(
+    connection: BackendConnection, timeout_ms: float, clock: Clock | None
+) -> Result[None, Failure]:
+    """Open a connection, and fail if the server closes it at once.
+
+    Args:
+        connection: connection to open.
+        timeout_ms: timeout of the connection.
+        clock: measures the round trip after which a reset has arrived; without
+            it, only a reset counts that has arrived already.
+    """
+    began_ms = 0 if clock is None else clock.now_ms()
+    opened = connection.open(timeout_ms)
+    if clock is None or not is_successful(opened):
+        return opened.bind(lambda _: _check_open(connection))
+    round_trip_ms = clock.now_ms() - began_ms
+    if connection.closes_within(round_trip_ms + _RESET_MS):
+        return Bad(_CLOSED)
+    return opened
+
+
 def _check_open(connection: BackendConnection) -> Result[None, Failure]:
     """Fail if the server closed or reset a new connection without a request.
 
@@ -253,7 +287,7 @@
     """
     if connection.is_open:
         return Success(None)
-    return Bad(not_run(FailureCode.SHED, 'closed before the request was sent'))
+    return Bad(_CLOSED)
 
 
 def _connect_timeout_ms(request: AnyRequest) -> float:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_pools.py
@@ -64,6 +64,8 @@
             self._open[server.incarnation] = known
         limit = self._shares.connection_limit_for(server.service)
         known.ledger.limit = limit
+        # After a loss of power, servers still count the former connections.
+        known.pool.awaits_reset = not self._shares.is_settled
         return known.pool
 
     def close_all_except(self, incarnations: set[str]) -> None:
--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -146,7 +146,7 @@
     state: ServerState,
 ) -> None:
     if outcome.failure.code is FailureCode.QUEUE_FULL:
-        # The request did not reach the server.
+        # The server has no connection for this daemon.
         state.record_abandoned(record.send.attempt)
         state.record_no_connection(record.now_ms)
         return
--- a/packages/fennelfork/src/fennelfork/routes/_failure.py
+++ b/packages/fennelfork/src/fennelfork/routes/_failure.py
@@ -74,9 +74,8 @@
 
     Soon after the start of a daemon, such a reset is attributed to the
     connection limit of the server, which connections from before a power loss
-    may still fill. The reset then neither counts as an attempt nor as a failure
-    or crash of the server. Later, the reset is attributed to the server, uses
-    the retry budget and counts as a failure of the server.
+    may still fill. The reset then does not count as a failure or crash of the
+    server. The attempt counts in any case, as the server may have run it.
 
     Args:
         failure: failure of an attempt, not necessarily a reset.
--- a/packages/fennelfork/src/fennelfork/routes/_patience.py
+++ b/packages/fennelfork/src/fennelfork/routes/_patience.py
@@ -49,7 +49,7 @@
     def _may_hedge(self, sub_request: SubRequest[Any]) -> bool:
         return (
             sub_request.is_waiting
-            and sub_request.counted_attempts < self._max_attempts
+            and sub_request.possible_runs < self._max_attempts
         )
 
     def _attempt_chance(
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -17,8 +17,8 @@
 from fennelfork.routes._server_directory import BackendServer
 from fennelfork.routes._sub_request import SubRequest
 
-# Bounds the attempts that do not count against the limit of the route: those
-# that certainly did not run, and those whose new connection was reset.
+# Bounds the attempts that do not count against the limit of the route because
+# they certainly did not run.
 _MAX_SENDS: Final = 6
 
 
@@ -83,8 +83,8 @@
             The attempt, or nothing if no attempt is allowed.
         """
         if (
-            sub_request.counted_attempts >= self.max_attempts
-            or self._is_send_limit_reached(sub_request)
+            sub_request.possible_runs >= self.max_attempts
+            or len(sub_request.tried) >= _MAX_SENDS
         ):
             sub_request.record_refusal('no attempt is left', now_ms)
             return []
@@ -110,9 +110,6 @@
         sub_request.hedge_at_ms = now_ms + self.latency_baseline.hedge_after_ms
         return [send]
 
-    def _is_send_limit_reached(self, sub_request: SubRequest[Any]) -> bool:
-        return max(len(sub_request.tried), sub_request.resets) >= _MAX_SENDS
-
     def _choose_server(
         self,
         sub_request: SubRequest[Any],
--- a/packages/fennelfork/src/fennelfork/routes/_sub_request.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sub_request.py
@@ -13,14 +13,9 @@
 # The backend server is full, or all connections of this daemon to the server
 # are in use.
 _REJECTED: Final = frozenset((FailureCode.SHED, FailureCode.QUEUE_FULL))
-# Failures, by verdict, after which no backend server has accepted the attempt.
-_NOT_SENT: Final = {
-    Verdict.NOT_RUN: frozenset(
-        (FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL),
-    ),
-    Verdict.MAY_HAVE_RUN: frozenset((FailureCode.QUEUE_FULL,)),
-    Verdict.RAN: frozenset(),
-}
+# Failures after which no backend server has accepted an attempt that has not
+# run.
+_NOT_SENT: Final = frozenset((FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL))
 
 
 @attrs.frozen(kw_only=True)
@@ -52,9 +47,8 @@
         hedge_at_ms: time at which a hedge is due.
         is_abandoned: whether no further attempt is sent.
         failure: failure of the last failed attempt.
-        possible_runs: number of servers that may have run the request.
-        resets: number of servers among these that reset the new connection
-            at once; such attempts do not count.
+        possible_runs: number of servers that may have run the request; counts
+            against the limit of the route.
         possible_arrivals: number of attempts that may have reached a server.
         events: events in the order of their times.
     """
@@ -68,7 +62,6 @@
     is_abandoned: bool = False
     failure: Failure = not_run(FailureCode.NO_SERVER, 'no server is known')
     possible_runs: int = 0
-    resets: int = 0
     possible_arrivals: int = 0
     events: list[SubRequestEvent] = attrs.field(factory=list)
 
@@ -79,11 +72,6 @@
             self.is_abandoned and not self.in_flight
         )
 
-    @property
-    def counted_attempts(self) -> int:
-        """Number of attempts that count against the limit of the route."""
-        return self.possible_runs - self.resets
-
     @property
     def was_rejected(self) -> bool:
         """Whether a server or a local limit rejected the last attempt."""
@@ -134,14 +122,13 @@
         send = self.in_flight.pop(attempt)
         self._add_event(send, now_ms, failure.detail)
         self.failure = failure
+        if failure.verdict is not Verdict.NOT_RUN:
+            return
+        self.possible_runs -= 1
+        if failure.code in _NOT_SENT:
+            self.possible_arrivals -= 1
         if failure.code is FailureCode.QUEUE_FULL:
             self.unconnected.add(send.server.incarnation)
-        if failure.code in _NOT_SENT[failure.verdict]:
-            self.possible_arrivals -= 1
-        if failure.verdict is Verdict.NOT_RUN:
-            self.possible_runs -= 1
-        elif failure.code is FailureCode.QUEUE_FULL:
-            self.resets += 1
 
     def readmit_unconnected(self) -> bool:
         """Allow further attempts to the servers without a free connection.
--- a/packages/fennelfork/tests/test_routes_power_loss.py
+++ b/packages/fennelfork/tests/test_routes_power_loss.py
@@ -94,20 +94,18 @@
             send = request.on_failure(send.attempt, NO_CONNECTION, 1)[0]
         assert not send.repeat
 
-    @pytest.mark.parametrize('resets', [1, 4])
-    def test_reset_after_the_request_was_sent(self, resets: int) -> None:
-        """A reset from a distant server after the request was sent is free too."""
+    def test_reset_after_the_request_was_sent(self) -> None:
+        """The server may have run the request, so a retry needs the budget."""
         daemon = RoutingDaemon(ratio=0)
         request = daemon.dispatch(route(target=fan_out(1)))
         send = request.start(0)[0]
-        for _ in range(resets):
-            send = request.on_failure(send.attempt, CONNECTION_RESET, 1)[0]
-        assert not send.repeat
-        request.on_response(send.attempt, 'part', 2)
-        assert request.is_sufficient
+        assert not request.on_failure(send.attempt, CONNECTION_RESET, 1)
+        paying = RoutingDaemon(ratio=1).dispatch(route(target=fan_out(1)))
+        send = paying.start(0)[0]
+        assert paying.on_failure(send.attempt, CONNECTION_RESET, 1)[0].repeat
 
     def test_repeated_reset(self) -> None:
-        """The number of attempts that may have run is limited."""
+        """Servers that may have run the request count, soon after a start too."""
         request = self.daemon.dispatch(route(target=fan_out(1)))
         sends = request.start(0)
         count = 0
@@ -116,7 +114,7 @@
             sends = request.on_failure(
                 sends[0].attempt, CONNECTION_RESET, count
             )
-        assert count == 6
+        assert count == route().max_attempts
         sub_request = next(iter(request.sub_requests.values()))
         assert sub_request.verdict is Verdict.MAY_HAVE_RUN
 
