Poison requests: a trial is not claimed at a revision of another era

After a restore of the store it named one of the era that ended until the next listing. No caller saw a fault; a claim at such a revision could be granted only if the same entry got the same number again.

The revisions are discarded with the rest of the era, so the attempt is refused until the listing. test_restored_store failed before (the claim was sent) and passes now.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
@@ -35,11 +35,13 @@
     def discard_history(self) -> None:
         """Require a listing, because the store began another era.
 
-        The known entries stay in use until then, but not the lease of the own
-        entry, which may belong to another daemon now.
+        The known entries stay in use until then, but not their revisions, nor
+        the lease of the own entry, which may belong to another daemon now.
         """
         self.revision = None
-        self._applier.blackboard.own_entry = None
+        blackboard = self._applier.blackboard
+        blackboard.own_entry = None
+        blackboard.quarantine.exchange.discard_revisions()
         self.relay.discard()
 
     def apply_listing(self, listing: Listing) -> None:
--- a/packages/fennelfork-daemon/tests/test_routes_guard.py
+++ b/packages/fennelfork-daemon/tests/test_routes_guard.py
@@ -189,6 +189,16 @@
         assert not is_successful(self.guard.admit(_FINGERPRINT))
         assert is_successful(self.guard.admit(_FINGERPRINT))
 
+    def test_restored_store(self) -> None:
+        """A trial is claimed at a revision of the current era only."""
+        self.store.era.accept(None, 1)
+        self.store.era.accept(1, 2)
+        assert not is_successful(self.guard.admit(_FINGERPRINT))
+        assert self.store.calls[-1][0] != 'claim'
+        self.following.apply_listing(suspicion_fact(RequestStatus.QUARANTINED))
+        self.store.claims = [Success(True)]
+        assert is_successful(self.guard.admit(_FINGERPRINT))
+
     def test_response(self) -> None:
         """A response releases the request and the release is published."""
         self.guard.record_response(send('d'), _REQUEST)
