--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
@@ -41,7 +41,7 @@
         self.revision = None
         blackboard = self._applier.blackboard
         blackboard.own_entry = None
-        blackboard.quarantine.exchange.discard_revisions()
+        blackboard.quarantine.exchange.table.discard_revisions()
         self.relay.discard()
 
     def apply_listing(self, listing: Listing) -> None:
--- a/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion_exchange.py
@@ -128,14 +128,6 @@
             self.table.pop(fingerprint),
         )
 
-    def discard_revisions(self) -> None:
-        """Claim no attempt until the next listing of the store.
-
-        The revisions of the entries belong to an era of the store that ended.
-        """
-        for fingerprint in self.table:
-            self.table[fingerprint].stored = None
-
     def reconcile(
         self,
         fingerprints: Iterable[str],
--- a/packages/fennelfork/src/fennelfork/routes/_suspicion_table.py
+++ b/packages/fennelfork/src/fennelfork/routes/_suspicion_table.py
@@ -63,6 +63,15 @@
         """
         return self._known.pop(fingerprint)
 
+    def discard_revisions(self) -> None:
+        """Discard what is known of the entries in the store.
+
+        The store began another era. No attempt is claimed until the next
+        listing.
+        """
+        for known in self._known.values():
+            known.stored = None
+
     def evict_suspicions(self) -> list[tuple[str, Suspicion]]:
         """Remove and return expired and surplus suspicions of requests.
 
