--- a/packages/fennelfork-daemon/tests/test_routes_unsent.py
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -54,6 +54,11 @@
         eventlet.sleep(self.open_s)
         return Success(None)
 
+    def closes_within(self, timeout_ms: float) -> bool:
+        """Stay open for the time in which a full server resets."""
+        eventlet.sleep(timeout_ms / 1000)
+        return False
+
     def exchange(self, request: Any) -> Result[Any, Failure]:
         """Respond after a delay."""
         self.received += 1
--- a/tests/test_platform_suspicions.py
+++ b/tests/test_platform_suspicions.py
@@ -15,6 +15,7 @@
 from fennelfork.routes import (
     RequestStatus,
     ServerCrash,
+    StoreEra,
     SuspicionRecord,
     SuspicionUpdates,
 )
@@ -130,7 +131,9 @@
     def setup_method(self) -> None:
         """Create a store that accepts all transactions."""
         self.client = FakeStoreClient()
-        self.store = PlatformStore(client=self.client, clock=_CLOCK)
+        self.store = PlatformStore(
+            era=StoreEra(), client=self.client, clock=_CLOCK
+        )
 
     def test_durable_record_has_no_lease(self) -> None:
         """Only records that are not durable are attached to the lease."""
