--- a/packages/fennelfork-daemon/tests/test_http_endings.py
+++ b/packages/fennelfork-daemon/tests/test_http_endings.py
@@ -26,10 +26,12 @@
 
 _TIMEOUT_S = 20
 _READ_MS = 100
+# A connection that is idle for longer is closed without an answer.
+_IDLE_MS = 2000
 _MAX_BYTES = 1000
 _MAX_CONNECTIONS = 400
 _LIMITS = ConnectionLimits(
-    header_bytes=_MAX_BYTES, request_read_ms=_READ_MS, idle_ms=_READ_MS
+    header_bytes=_MAX_BYTES, request_read_ms=_READ_MS, idle_ms=_IDLE_MS
 )
 _HEAD = b'POST /issue/7 HTTP/1.1\r\nHost: x\r\nX-Request-Id: 9c41d07b\r\n'
 _WITH_LENGTH = b'%sContent-Length: 9\r\n\r\n{"a": 10}' % _HEAD
