Limits of the fleet: the share of a daemon is logged and exported

The event limit_share_changed and the gauge fennelfork_limit_share state both; the logic is unchanged.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -14,6 +14,7 @@
 from fennelfork_daemon.routes._build_crash_protection import (
     poison_request_protection,
 )
+from fennelfork_daemon.routes._build_monitors import build_monitors
 from fennelfork_daemon.routes._build_store import (
     build_follower,
     listen_to_eras,
@@ -21,8 +22,6 @@
 from fennelfork_daemon.routes._common_parts import common_parts
 from fennelfork_daemon.routes._entries import RouteEntries
 from fennelfork_daemon.routes._fleet_page import FleetPage
-from fennelfork_daemon.routes._lag import lag_monitor
-from fennelfork_daemon.routes._load_monitor import load_monitor
 from fennelfork_daemon.routes._operator_api import operator_api
 from fennelfork_daemon.routes._ports import Ports
 from fennelfork_daemon.routes._registration import registration
@@ -51,6 +50,7 @@
     reporter = StoreReporter(log=base.log, metrics=base.metrics)
     availability = store_availability(base.blackboard, base.clock, reporter)
     base.metrics.export_store_age(lambda: availability.data_age_ms)
+    base.metrics.export_limit_share(lambda: base.retry_budgets.share)
     base.metrics.export_quarantine(base.blackboard.quarantine)
     own_registration = registration(
         base.ports.store,
@@ -106,10 +106,7 @@
             own_registration.run,
             reload.run,
             protection.publisher.run,
-            lag_monitor(
-                base.clock, base.limits, protection.reporter, base.answer_delays
-            ).run,
-            load_monitor(base.blackboard, base.clock, base.fleet_reporter).run,
+            *build_monitors(base, protection),
         ),
         pools=base.pools,
         stop=stop,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events.py
@@ -39,6 +39,7 @@
     fleet.DaemonSeen,
     fleet.DaemonGone,
     fleet.LoadChanged,
+    fleet.LimitShareChanged,
     fleet.UpdateSourceChanged,
     fleet.RelayFailed,
     requests.RequestRefused,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_fleet.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_fleet.py
@@ -59,6 +59,21 @@
     busy_percent: int
 
 
+@attrs.frozen(kw_only=True)
+class LimitShareChanged:
+    """This daemon uses another share of the limits of the whole fleet.
+
+    Attributes:
+        share: share that this daemon uses, from 0 to 1. The shares of all
+            daemons add up to at most 1 in any window.
+        daemons: number of registered daemons that this daemon knows.
+    """
+
+    event: ClassVar[str] = 'limit_share_changed'
+    share: float
+    daemons: int
+
+
 @attrs.frozen(kw_only=True)
 class DaemonGone:
     """The registration of another daemon was removed or expired.
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_reporter.py
@@ -9,6 +9,7 @@
 from fennelfork_daemon.routes import _events_fleet as fleet
 
 _PERCENT: Final = 100
+_SHARE_DIGITS: Final = 4
 
 
 @attrs.define(kw_only=True)
@@ -22,6 +23,7 @@
 
     source: str | None = None
     _log: DecisionLog
+    _limit_share: float = 0
 
     def update_source(self, source: str) -> None:
         """Log where this daemon reads updates of the store, if it changed."""
@@ -43,3 +45,17 @@
                 busy_percent=round(busy_ratio * _PERCENT),
             ),
         )
+
+    def limit_share(self, share: float, daemons: int) -> None:
+        """Log the share of this daemon in the limits of the fleet, if changed.
+
+        Args:
+            share: share of this daemon, from 0 to 1.
+            daemons: number of registered daemons that this daemon knows.
+        """
+        rounded = round(share, _SHARE_DIGITS)
+        if rounded != self._limit_share:
+            self._limit_share = rounded
+            self._log.log_decision(
+                fleet.LimitShareChanged(share=rounded, daemons=daemons)
+            )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -76,12 +76,17 @@
     _overload_refusals: Counter
     _store_calls: Counter
     _listing_age: Gauge
+    _limit_share: Gauge
     _suspicions: Gauge
 
     def export_store_age(self, age_ms: Callable[[], float]) -> None:
         """Export the age of the data that was read from the store."""
         self._listing_age.set_function(lambda: age_ms() / _MS_PER_SECOND)
 
+    def export_limit_share(self, share: Callable[[], float]) -> None:
+        """Export the share of this daemon in the limits of the fleet."""
+        self._limit_share.set_function(share)
+
     def export_quarantine(self, quarantine: Quarantine) -> None:
         """Export the number of suspected and quarantined requests."""
         for status in (
@@ -195,6 +200,11 @@
             'Since the store last told what it holds.',
             registry=registry,
         ),
+        limit_share=Gauge(
+            'fennelfork_limit_share',
+            'Share of this daemon in the limits of the whole fleet.',
+            registry=registry,
+        ),
         suspicions=Gauge(
             'fennelfork_requests_held',
             'Requests under which backend servers ended, by their standing.',
--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -62,6 +62,18 @@
     _started_ms: float
     _windows: dict[str, _SlidingWindow] = attrs.field(factory=dict)
 
+    @property
+    def share(self) -> float:
+        """Share of this daemon in the fixed number, from 0 to 1.
+
+        The share is zero during the first window after the start, because a
+        previous incarnation of this daemon may have used it already.
+        """
+        age_ms = self._clock.now_ms() - self._started_ms
+        if age_ms < self.policy.window_ms or not self._limit_divisor.is_known:
+            return 0
+        return _MARGIN / self._limit_divisor.maximum
+
     def record_request(self, service: str) -> None:
         """Record the first attempt of a request to a service."""
         self._get_window(service).requests.append(self._clock.now_ms())
@@ -79,21 +91,8 @@
         return True
 
     def _compute_limit(self, window: _SlidingWindow) -> float:
-        return (
-            self.policy.ratio * len(window.requests)
-            + self._compute_fixed_share()
-        )
-
-    def _compute_fixed_share(self) -> float:
-        """Return the extra attempts of this daemon out of the fixed number.
-
-        The share is zero during the first window after the start, because a
-        previous incarnation of this daemon may have used it already.
-        """
-        age_ms = self._clock.now_ms() - self._started_ms
-        if age_ms < self.policy.window_ms or not self._limit_divisor.is_known:
-            return 0
-        return _MARGIN * self.policy.fixed / self._limit_divisor.maximum
+        fixed_part = self.share * self.policy.fixed
+        return self.policy.ratio * len(window.requests) + fixed_part
 
     def _get_window(self, service: str) -> _SlidingWindow:
         window = self._windows.setdefault(service, _SlidingWindow())
