Known red: shares of the retry budget add up to more than the budget

A fleet of 117 daemons of unequal capacity, without I/O, whose daemons read the store at different times and send each extra attempt that is allowed.

--- /dev/null
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -0,0 +1,178 @@
+"""Bound on the extra attempts of a whole fleet whose daemons see it differently.
+
+Guards against shares of the retry budget that add up to more than the budget.
+"""
+
+import pytest
+from core_builders_budget import (
+    MAX_AGE_MS,
+    POLICY,
+    BudgetFleet,
+    running_fleet,
+)
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+_COUNT = 117
+_FEW = 9
+_LONG_MS = 40_000.0
+
+
+class TestTurnedAway:
+    """The store turns a part of the fleet away for long."""
+
+    @pytest.mark.parametrize('ratio', [0.25, 0.35, 0.45, 0.9])
+    def test_shares_of_both_parts(self, ratio: float) -> None:
+        """Both parts together stay within the budget, also on the return."""
+        fleet = running_fleet(_COUNT)
+        away = fleet.part(ratio)
+        fleet.turn_away(away)
+        fleet.spend_all(_LONG_MS)
+        fleet.take_back(away)
+        fleet.spend_all(_LONG_MS)
+        assert fleet.worst_excess() <= 0
+
+    def test_in_series(self) -> None:
+        """Other daemons are turned away before the first are back."""
+        fleet = running_fleet(_COUNT)
+        for _ in range(4):
+            away = fleet.part(0.35)
+            fleet.turn_away(away)
+            fleet.spend_all(POLICY.window_ms * 1.5)
+            fleet.turn_away(fleet.part(0.35))
+            fleet.take_back(away)
+            fleet.spend_all(POLICY.window_ms / 2)
+        assert fleet.worst_excess() <= 0
+
+
+class TestStarts:
+    """Daemons start while the store does not show the whole fleet."""
+
+    def test_most_leases_have_lapsed(self) -> None:
+        """Daemons that read few entries at first take no larger share."""
+        fleet = running_fleet(_COUNT)
+        fleet.store_up = False
+        fleet.advance(4000)
+        fleet.store.clear()
+        fleet.restart(fleet.part(0.5))
+        running = fleet.names[:4]
+        for name in fleet.names[4:]:
+            fleet.daemons[name].sees_store = False
+        fleet.store_up = True
+        fleet.advance(POLICY.window_ms)
+        fleet.take_back(fleet.names)
+        fleet.spend_all(_LONG_MS)
+        assert running
+        assert fleet.worst_excess() <= 0
+
+    def test_turned_away_fleet_is_unknown(self) -> None:
+        """Daemons that start do not know those that are turned away."""
+        fleet = running_fleet(_COUNT)
+        fleet.spend_all(POLICY.window_ms)
+        away = fleet.part(0.5)
+        fleet.turn_away(away)
+        fleet.restart([name for name in fleet.names if name not in away])
+        fleet.spend_all(_LONG_MS)
+        assert fleet.worst_excess() <= 0
+
+    def test_joins(self) -> None:
+        """A fleet that doubles in size at once stays within the budget."""
+        fleet = running_fleet(_COUNT)
+        fleet.spend_all(POLICY.window_ms)
+        fleet.turn_away(fleet.part(0.3))
+        for number in range(_COUNT, 2 * _COUNT):
+            fleet.start(f'vm-{number}')
+        fleet.spend_all(_LONG_MS)
+        assert fleet.worst_excess() <= 0
+
+    def test_share_is_used_after_the_start(self) -> None:
+        """A fleet that has settled may spend most of the fixed number."""
+        fleet = running_fleet(_COUNT)
+        fleet.spend_all(POLICY.window_ms)
+        assert len(fleet.arrivals) >= 0.5 * POLICY.fixed
+
+
+class TestLosses:
+    """Daemons end for good, the most capable ones first."""
+
+    def test_capable_daemons_are_lost(self) -> None:
+        """The others take over the shares only when these are unused."""
+        fleet = running_fleet(_COUNT)
+        fleet.spend_all(POLICY.window_ms / 4)
+        fleet.turn_away(fleet.names[:3])
+        fleet.kill(fleet.names[3:6])
+        fleet.spend_all(_LONG_MS)
+        assert fleet.worst_excess() <= 0
+        # Those that are left may spend most of the fixed number again.
+        fleet.arrivals.clear()
+        fleet.spend_all(POLICY.window_ms)
+        assert len(fleet.arrivals) >= 0.4 * POLICY.fixed
+
+
+class SharedBudget(RuleBasedStateMachine):
+    """Faults of the store and of the daemons in any order."""
+
+    def __init__(self) -> None:
+        """Start from a fleet that has settled."""
+        super().__init__()
+        self.fleet = running_fleet(_FEW)
+
+    @rule(ms=st.sampled_from([500, 3000, MAX_AGE_MS, POLICY.window_ms, 17_000]))
+    def wait(self, ms: float) -> None:
+        """Let time pass while nothing is sent."""
+        self.fleet.advance(ms)
+
+    @rule(
+        ms=st.sampled_from([250, 3000, POLICY.window_ms]),
+        requests=st.integers(0, 20),
+        number=st.integers(0, _FEW - 1),
+    )
+    def spend(self, ms: float, requests: int, number: int) -> None:
+        """All daemons send as much as they may, one also has requests."""
+        self.fleet.request(f'vm-{number}', requests)
+        self.fleet.spend_all(ms)
+
+    @rule(numbers=st.sets(st.integers(0, _FEW - 1), min_size=1))
+    def turn_away(self, numbers: set[int]) -> None:
+        """The store turns some daemons away."""
+        self.fleet.turn_away([f'vm-{number}' for number in sorted(numbers)])
+
+    @rule()
+    def take_back(self) -> None:
+        """The store serves all daemons."""
+        self.fleet.take_back(self.fleet.names)
+
+    @rule(numbers=st.sets(st.integers(0, _FEW - 1), min_size=1))
+    def restart(self, numbers: set[int]) -> None:
+        """Some daemons start again as new processes."""
+        self.fleet.restart([f'vm-{number}' for number in sorted(numbers)])
+
+    @rule(lapse=st.booleans())
+    def stop_store(self, lapse: bool) -> None:
+        """The store is down; leases pause or run out."""
+        self.fleet.store_up = False
+        if lapse:
+            self.fleet.store.clear()
+
+    @rule()
+    def start_store(self) -> None:
+        """The store is up again."""
+        self.fleet.store_up = True
+
+    @invariant()
+    def budget_is_respected(self) -> None:
+        """No window has more extra attempts than the bound."""
+        assert self.fleet.worst_excess() <= 0
+
+
+SharedBudget.TestCase.settings = settings(
+    stateful_step_count=20, max_examples=30, deadline=None
+)
+TestSharedBudget = SharedBudget.TestCase
+
+
+def test_fleet_is_a_fleet() -> None:
+    """The builder registers every daemon."""
+    fleet: BudgetFleet = running_fleet(_FEW)
+    assert len(fleet.store) == _FEW
