Retry budget: the shares of all daemons add up to at most 1

Cause: a share of a limit was computed from one daemon's view alone. Daemons that the store turns away kept their share, while the others divided by fewer a window after they left; a daemon that started while most leases had lapsed divided by the few that were back; the weight of a daemon depended on the view.

Without I/O, the five tests of test_routes_budget_of_fleet.py exceeded 298 by 19 to 148.

Change: FleetShare. A daemon uses a share only while its view and its lease are fresh (A, 5 s), and after it has been registered and has followed the store for a window and A; it counts each daemon that it saw within that time, with a weight that depends on the entry of that daemon alone. Of two daemons that use a share within a window of each other, each then has counted the other, so the sum is at most 1 (docs/design/0027). The margin falls to a tenth, as it no longer covers unknown daemons.

The five tests pass, as do both state machines with 2,000 examples each. The machine of test_routes_retry_budget.py now runs on daemons that follow a store; its bound is the same, and the one test of FleetMaximum is in a file of its own.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -5,7 +5,12 @@
 import attrs
 
 from fennelfork import Clock, wall_clock
-from fennelfork.membership import Member, MemberStatus
+from fennelfork.membership import (
+    FleetShare,
+    Member,
+    MemberStatus,
+    SharePolicy,
+)
 from fennelfork.routes import (
     ColdLimits,
     ConnectionShares,
@@ -28,6 +33,8 @@
 # Grace period of daemons after a store outage. Daemons renew their leases more
 # often, and callers lose time on a daemon that has crashed.
 _MEMBER_GRACE_MS: Final = 1200.0
+# Daemons renew their leases and look at the store more often than this.
+_MIN_SHARE_AGE_MS: Final = 3000.0
 # Limits that apply until the first configuration is known.
 INITIAL_HEADER_BYTES: Final = 16_384
 INITIAL_READ_MS: Final = 3000
@@ -44,6 +51,8 @@
         fleet_size: largest recent number of daemons.
         limit_divisor: largest recent number by which this daemon divides the
             limits of the whole fleet; see `fennelfork.membership`.
+        fleet_share: share of this daemon in the limits of the whole fleet that
+            must hold whatever the daemons know of each other.
         directory: registered backend servers.
         states: observed state of each backend server.
         shares: limits on the connections to each backend server.
@@ -61,6 +70,7 @@
     members: Registry[Member]
     fleet_size: FleetMaximum
     limit_divisor: FleetMaximum
+    fleet_share: FleetShare
     directory: ServerDirectory
     states: ServerStates
     shares: ConnectionShares
@@ -107,11 +117,18 @@
     local = _local_member(settings)
     members: Registry[Member] = Registry(clock=clock, grace_ms=_MEMBER_GRACE_MS)
     directory = ServerDirectory(registry=Registry(clock=clock))
+    lease_proof = LeaseProof(clock=clock)
     return RouteBlackboard(
         local=local,
         members=members,
         fleet_size=fleet_size,
         limit_divisor=limit_divisor,
+        fleet_share=FleetShare(
+            policy=share_policy(settings),
+            clock=clock,
+            local=local,
+            lease=lease_proof,
+        ),
         directory=directory,
         states=ServerStates(),
         shares=ConnectionShares(limit_divisor=limit_divisor),
@@ -129,7 +146,15 @@
             idle_ms=INITIAL_IDLE_MS,
         ),
         quarantine=quarantine(clock, wall_clock()),
-        lease_proof=LeaseProof(clock=clock),
+        lease_proof=lease_proof,
+    )
+
+
+def share_policy(settings: RouteSettings) -> SharePolicy:
+    """Return the times that bound what the daemons know of each other."""
+    return SharePolicy(
+        window_ms=settings.repeats.window_ms,
+        max_age_ms=max(settings.in_force_ms, _MIN_SHARE_AGE_MS),
     )
 
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_monitors.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_monitors.py
@@ -27,6 +27,6 @@
     share = share_monitor(
         base.blackboard,
         base.fleet_reporter,
-        lambda: base.retry_budgets.share,
+        lambda: base.blackboard.fleet_share.share,
     )
     return (lag.run, load.run, share.run)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_proof.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_lease_proof.py
@@ -20,6 +20,16 @@
     _since_ms: float | None = None
     _confirmed_ms: float = 0
 
+    @property
+    def since_ms(self) -> float | None:
+        """Time from which the lease exists, or None without a lease."""
+        return self._since_ms
+
+    @property
+    def confirmed_ms(self) -> float:
+        """Latest time at which the lease was certainly valid."""
+        return self._confirmed_ms
+
     @property
     def registered(self) -> Registered:
         """Whether the lease has certainly not expired, and its start."""
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
@@ -1,5 +1,7 @@
 """Copy of the store that a daemon keeps up to date and passes on."""
 
+import math
+
 import attrs
 
 from fennelfork import Clock
@@ -49,6 +51,8 @@
         data_age_ms = self._availability.data_age_ms
         self._availability.record_update()
         self._applier.apply_listing(listing.updates, data_age_ms)
+        # The first listing may be stale.
+        self._record_view(0 if self.has_listed else math.inf)
         self.revision = listing.revision
         self.has_listed = True
         self.relay.reset(listing.revision)
@@ -57,6 +61,7 @@
         """Apply the response of a watch of the store."""
         self._availability.record_update()
         self._extend(changes)
+        self._record_view(0)
 
     def apply_relayed(self, batch: RelayedBatch, max_age_ms: float) -> bool:
         """Apply updates that another daemon has passed on.
@@ -70,8 +75,14 @@
             self._availability.record_outage_end(batch.outage_end_age_ms)
         self._availability.record_update(batch.age_ms)
         self._extend(batch.changes)
+        self._record_view(batch.age_ms)
         return batch.is_connected and batch.age_ms <= max_age_ms
 
+    def _record_view(self, age_ms: float) -> None:
+        blackboard = self._applier.blackboard
+        members = blackboard.members.entries.values()
+        blackboard.fleet_share.record_view(members, age_ms)
+
     def _extend(self, changes: UpdateBatch) -> None:
         """Apply consecutive updates and pass them on."""
         self._applier.apply(changes.updates)
--- a/packages/fennelfork-daemon/tests/test_routes_unsent.py
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -19,7 +19,6 @@
 from fennelfork.routes import (
     DispatchParts,
     Distances,
-    FleetMaximum,
     RequestTimes,
     Selector,
     SingleService,
@@ -86,7 +85,7 @@
     parts = DispatchParts(
         selector=selector,
         retry_budgets=retry_budgets(
-            settings().repeats, clock, FleetMaximum(clock=clock, window_ms=1)
+            settings().repeats, clock, blackboard.fleet_share
         ),
         home_regions_of=blackboard.home_regions_of,
     )
--- a/packages/fennelfork/src/fennelfork/membership/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/membership/__init__.pyi
@@ -8,6 +8,9 @@
 from ._capacity import capable_members as capable_members
 from ._capacity import limit_divisor as limit_divisor
 from ._capacity import preferred_members as preferred_members
+from ._fleet_share import FleetShare as FleetShare
+from ._fleet_share import LeaseTimes as LeaseTimes
+from ._fleet_share import SharePolicy as SharePolicy
 from ._member import Member as Member
 from ._member import MemberStatus as MemberStatus
 from ._member import initial_incarnation as initial_incarnation
--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -2,8 +2,8 @@
 
 Within any time window, all daemons together may send a service extra attempts
 for a ratio of its requests, plus a fixed number. Each daemon applies the ratio
-to its own requests and uses a share of the fixed number, so the limit holds for
-the fleet without coordination.
+to its own requests and uses its share of the fixed number, so the limit holds
+for the fleet.
 """
 
 from collections import deque
@@ -12,11 +12,11 @@
 import attrs
 
 from fennelfork._clock import Clock
-from fennelfork.routes._fleet_maximum import FleetMaximum
+from fennelfork.membership import FleetShare
 
-# Fraction of the fixed number that is used; the rest covers daemons that have
-# joined but are not yet known here.
-_MARGIN: Final = 0.8
+# Fraction of the fixed number that is used; the rest covers attempts that
+# arrive later than they were counted.
+_MARGIN: Final = 0.9
 
 
 @attrs.frozen(kw_only=True)
@@ -58,22 +58,9 @@
 
     policy: RetryPolicy
     _clock: Clock
-    _limit_divisor: FleetMaximum
-    _started_ms: float
+    _fleet_share: FleetShare
     _windows: dict[str, _SlidingWindow] = attrs.field(factory=dict)
 
-    @property
-    def share(self) -> float:
-        """Share of this daemon in the fixed number, from 0 to 1.
-
-        The share is zero during the first window after the start, because a
-        previous incarnation of this daemon may have used it already.
-        """
-        age_ms = self._clock.now_ms() - self._started_ms
-        if age_ms < self.policy.window_ms or not self._limit_divisor.is_known:
-            return 0
-        return _MARGIN / self._limit_divisor.maximum
-
     def record_request(self, service: str) -> None:
         """Record the first attempt of a request to a service."""
         self._get_window(service).requests.append(self._clock.now_ms())
@@ -91,7 +78,7 @@
         return True
 
     def _compute_limit(self, window: _SlidingWindow) -> float:
-        fixed_part = self.share * self.policy.fixed
+        fixed_part = _MARGIN * self._fleet_share.share * self.policy.fixed
         return self.policy.ratio * len(window.requests) + fixed_part
 
     def _get_window(self, service: str) -> _SlidingWindow:
@@ -103,12 +90,13 @@
 def retry_budgets(
     policy: RetryPolicy,
     clock: Clock,
-    limit_divisor: FleetMaximum,
+    fleet_share: FleetShare,
 ) -> RetryBudgets:
-    """Create the retry budgets of a daemon that starts now."""
-    return RetryBudgets(
-        policy=policy,
-        clock=clock,
-        limit_divisor=limit_divisor,
-        started_ms=clock.now_ms(),
-    )
+    """Create the retry budgets of a daemon that starts now.
+
+    Args:
+        policy: limit on the extra attempts of all daemons together.
+        clock: clock of this daemon.
+        fleet_share: share of this daemon in the fixed number.
+    """
+    return RetryBudgets(policy=policy, clock=clock, fleet_share=fleet_share)
--- a/packages/fennelfork/tests/core_builders_budget.py
+++ b/packages/fennelfork/tests/core_builders_budget.py
@@ -13,13 +13,8 @@
 from core_builders_routes import daemon_member
 
 from fennelfork import ManualTime, manual_clock
-from fennelfork.membership import Member, limit_divisor
-from fennelfork.routes import (
-    FleetMaximum,
-    RetryBudgets,
-    RetryPolicy,
-    retry_budgets,
-)
+from fennelfork.membership import FleetShare, Member, SharePolicy
+from fennelfork.routes import RetryBudgets, RetryPolicy, retry_budgets
 
 SERVICE: Final = 'archive'
 POLICY: Final = RetryPolicy(ratio=0.2, fixed=298, window_ms=10_000)
@@ -33,6 +28,14 @@
 _OTHER_CORES: Final = 0.36
 
 
+@attrs.define(kw_only=True)
+class FakeLease:
+    """Times of the lease of a registration."""
+
+    since_ms: float | None = None
+    confirmed_ms: float = 0
+
+
 @attrs.define(kw_only=True, eq=False)
 class BudgetDaemon:
     """One process of a daemon and the copy of the store that it sees.
@@ -47,27 +50,39 @@
     sees_store: bool = True
     viewed_ms: float | None = None
     renewed_ms: float | None = None
-    divisor: FleetMaximum = attrs.field(init=False)
+    lease: FakeLease = attrs.field(factory=FakeLease)
+    share: FleetShare = attrs.field(init=False)
     budgets: RetryBudgets = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         clock = manual_clock(self.time)
-        self.divisor = FleetMaximum(clock=clock, window_ms=POLICY.window_ms)
-        self.budgets = retry_budgets(POLICY, clock, self.divisor)
+        self.share = FleetShare(
+            policy=SharePolicy(
+                window_ms=POLICY.window_ms, max_age_ms=MAX_AGE_MS
+            ),
+            clock=clock,
+            local=self.local,
+            lease=self.lease,
+        )
+        self.budgets = retry_budgets(POLICY, clock, self.share)
 
     def look(self, members: dict[str, Member]) -> None:
         """Read all entries of the store."""
         self.members = members
         self.viewed_ms = self.time.at_ms
-        self.divisor.record(limit_divisor(self.local, members.values()))
+        self.share.record_view(members.values())
 
     def record_renewal(self, *, is_new: bool) -> None:
         """Record a renewal of the registration, or a new registration."""
         self.renewed_ms = self.time.at_ms
+        self.lease.confirmed_ms = self.time.at_ms
+        if is_new:
+            self.lease.since_ms = self.time.at_ms
 
     def lose_lease(self) -> None:
         """Record that the registration has ended."""
         self.renewed_ms = None
+        self.lease.since_ms = None
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -14,7 +14,12 @@
     may_have_run,
     not_run,
 )
-from fennelfork.membership import Member, MemberStatus
+from fennelfork.membership import (
+    FleetShare,
+    Member,
+    MemberStatus,
+    SharePolicy,
+)
 from fennelfork.routes import (
     BackendServer,
     CallerLimits,
@@ -115,6 +120,24 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class NoLease:
+    """Times of the lease of a daemon that is not registered."""
+
+    since_ms: float | None = None
+    confirmed_ms: float = 0
+
+
+def unregistered_share(clock: Clock, local: Member) -> FleetShare:
+    """Return the share of a daemon that is not registered."""
+    return FleetShare(
+        policy=SharePolicy(window_ms=WINDOW_MS, max_age_ms=5000),
+        clock=clock,
+        local=local,
+        lease=NoLease(),
+    )
+
+
 @attrs.define(kw_only=True)
 class RoutingDaemon:
     """Routing of one daemon, with three servers per service.
@@ -143,7 +166,7 @@
         self.budgets = retry_budgets(
             RetryPolicy(ratio=self.ratio, fixed=0, window_ms=WINDOW_MS),
             clock,
-            self.limit_divisor,
+            unregistered_share(clock, self.local),
         )
         self.cold_limits = ColdLimits(
             policy=ColdPolicy(rate_factor=1.5, slack=5),
