Retry budget: extra attempts are paid by the requests of the same span

Cause: a daemon paid for each extra attempt with the requests of its own last window. Where requests move between daemons, two of them paid with nearly all of theirs in one window of the fleet.

Change: in every span of up to a window, the extra attempts of a daemon are at most the ratio times its requests of that span plus its share. Sums of such bounds are such bounds, so the limit holds for the fleet however requests move. A daemon without a share lets the requests of the last 2 s pay too, or it could send none; that is covered by its unused share. Attempts count for one second more than the window, as they may arrive late.

--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -1,12 +1,16 @@
 """Retry budgets: limits on the extra attempts of this daemon per service.
 
 Within any time window, all daemons together may send a service extra attempts
-for a ratio of its requests, plus a fixed number. Each daemon applies the ratio
-to its own requests and uses its share of the fixed number, so the limit holds
-for the fleet.
+for a ratio of its requests, plus a fixed number. Each daemon applies this to its
+own requests and its share of the fixed number: in every time span up to a window,
+its extra attempts are at most the ratio times its requests of the same span, plus
+its share. The sum over all daemons then keeps to the limit, also while requests
+move from some daemons to others.
 """
 
+import itertools
 from collections import deque
+from collections.abc import Iterator
 from typing import Final
 
 import attrs
@@ -15,8 +19,13 @@
 from fennelfork.membership import FleetShare
 
 # Fraction of the fixed number that is used; the rest covers attempts that
-# arrive later than they were counted.
+# arrive later than expected, or at another service than the one meant.
 _MARGIN: Final = 0.9
+# Time within which an attempt arrives after it was counted.
+_ARRIVAL_DELAY_MS: Final = 1000.0
+# Span before an extra attempt whose requests pay for it too, at a daemon without
+# a share of the fixed number.
+_CREDIT_MS: Final = 2000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -34,18 +43,61 @@
     window_ms: float
 
 
-@attrs.define(kw_only=True)
-class _SlidingWindow:
-    """Times of the recent requests and extra attempts of one service."""
+@attrs.frozen(kw_only=True)
+class _ExtraAttempt:
+    """Extra attempt with the requests at its time.
+
+    Attributes:
+        sent_ms: time of the attempt.
+        requests: number of requests before the attempt.
+        recent_requests: those of them that are more recent than the credit.
+    """
 
-    requests: deque[float] = attrs.field(factory=deque)
-    extra_attempts: deque[float] = attrs.field(factory=deque)
+    sent_ms: float
+    requests: int
+    recent_requests: int
 
-    def discard_before(self, before_ms: float) -> None:
-        """Remove all entries that are older than a point in time."""
-        for sent in (self.requests, self.extra_attempts):
-            while sent and sent[0] < before_ms:
-                sent.popleft()
+
+@attrs.define(kw_only=True)
+class _ServiceCounts:
+    """Recent extra attempts to one service, and its requests."""
+
+    requests: int = 0
+    recent_ms: deque[float] = attrs.field(factory=deque)
+    extra_attempts: deque[_ExtraAttempt] = attrs.field(factory=deque)
+
+    def record_request(self, now_ms: float) -> None:
+        """Record a request."""
+        self.requests += 1
+        self.recent_ms.append(now_ms)
+        self._discard_requests(now_ms)
+
+    def next_attempt(self, now_ms: float) -> _ExtraAttempt:
+        """Return an extra attempt that is sent now, without recording it."""
+        self._discard_requests(now_ms)
+        return _ExtraAttempt(
+            sent_ms=now_ms,
+            requests=self.requests,
+            recent_requests=len(self.recent_ms),
+        )
+
+    def discard_attempts_before(self, before_ms: float) -> None:
+        """Remove the extra attempts that are older than a point in time."""
+        while (
+            self.extra_attempts and self.extra_attempts[0].sent_ms < before_ms
+        ):
+            self.extra_attempts.popleft()
+
+    def spans(self, upcoming: _ExtraAttempt) -> Iterator[_ExtraAttempt]:
+        """Return the first attempts of all spans that end now.
+
+        The spans contain one extra attempt, two and so on.
+        """
+        return itertools.chain((upcoming,), reversed(self.extra_attempts))
+
+    def _discard_requests(self, now_ms: float) -> None:
+        while self.recent_ms and self.recent_ms[0] < now_ms - _CREDIT_MS:
+            self.recent_ms.popleft()
 
 
 @attrs.define(kw_only=True)
@@ -59,11 +111,11 @@
     policy: RetryPolicy
     _clock: Clock
     _fleet_share: FleetShare
-    _windows: dict[str, _SlidingWindow] = attrs.field(factory=dict)
+    _counts: dict[str, _ServiceCounts] = attrs.field(factory=dict)
 
     def record_request(self, service: str) -> None:
         """Record the first attempt of a request to a service."""
-        self._get_window(service).requests.append(self._clock.now_ms())
+        self._counts_of(service).record_request(self._clock.now_ms())
 
     def try_spend(self, service: str) -> bool:
         """Record an extra attempt if the budget of the service allows it.
@@ -71,20 +123,32 @@
         Returns:
             Whether the extra attempt may be sent.
         """
-        window = self._get_window(service)
-        if len(window.extra_attempts) + 1 > self._compute_limit(window):
+        now_ms = self._clock.now_ms()
+        counts = self._counts_of(service)
+        span_ms = self.policy.window_ms + _ARRIVAL_DELAY_MS
+        counts.discard_attempts_before(now_ms - span_ms)
+        upcoming = counts.next_attempt(now_ms)
+        if not self._allows(counts, upcoming):
             return False
-        window.extra_attempts.append(self._clock.now_ms())
+        counts.extra_attempts.append(upcoming)
         return True
 
-    def _compute_limit(self, window: _SlidingWindow) -> float:
+    def _allows(self, counts: _ServiceCounts, upcoming: _ExtraAttempt) -> bool:
+        """Whether each span that ends with an attempt is within the limit."""
         fixed_part = _MARGIN * self._fleet_share.share * self.policy.fixed
-        return self.policy.ratio * len(window.requests) + fixed_part
+        has_credit = fixed_part < 1
+        for count, first in enumerate(counts.spans(upcoming), start=1):
+            paying = counts.requests - first.requests
+            if has_credit:
+                limit = self.policy.ratio * (paying + first.recent_requests)
+            else:
+                limit = self.policy.ratio * paying + fixed_part
+            if count > limit:
+                return False
+        return True
 
-    def _get_window(self, service: str) -> _SlidingWindow:
-        window = self._windows.setdefault(service, _SlidingWindow())
-        window.discard_before(self._clock.now_ms() - self.policy.window_ms)
-        return window
+    def _counts_of(self, service: str) -> _ServiceCounts:
+        return self._counts.setdefault(service, _ServiceCounts())
 
 
 def retry_budgets(
--- a/packages/fennelfork/tests/core_builders_budget.py
+++ b/packages/fennelfork/tests/core_builders_budget.py
@@ -87,7 +87,10 @@
 
 @attrs.define(kw_only=True, eq=False)
 class BudgetFleet:
-    """Daemons, their store, and what they sent to one service."""
+    """Daemons, their store, and what they sent to one service.
+
+    An attempt arrives up to `delay_ms` after it was counted.
+    """
 
     count: int
     seed: int = 1
@@ -98,6 +101,7 @@
     requests: list[float] = attrs.field(factory=list)
     arrivals: list[float] = attrs.field(factory=list)
     spenders: Counter[str] = attrs.field(factory=Counter)
+    delay_ms: float = 0
     _rng: random.Random = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -164,6 +168,28 @@
             for name in self.names:
                 self.spend(name)
 
+    def play(
+        self, ms: float, per_s: float, names: list[str], spends_ms: float
+    ) -> None:
+        """Send requests through some daemons, which spend all at the end.
+
+        Args:
+            ms: length in milliseconds.
+            per_s: requests in a second, of all daemons together.
+            names: daemons that get the requests in turn.
+            spends_ms: time before the end from which on they spend all.
+        """
+        steps = round(ms / STEP_MS)
+        for step in range(steps):
+            self.step()
+            first = step * per_s * STEP_MS / 1000
+            last = (step + 1) * per_s * STEP_MS / 1000
+            for number in range(round(first), round(last)):
+                self.request(names[number % len(names)], 1)
+            if (steps - step) * STEP_MS <= spends_ms:
+                for name in names:
+                    self.spend(name)
+
     def request(self, name: str, count: int) -> None:
         """Send requests to the service through a daemon."""
         for _ in range(count):
@@ -174,7 +200,8 @@
         """Let a daemon send all extra attempts that are allowed now."""
         budgets = self.daemons[name].budgets
         while budgets.try_spend(SERVICE):
-            self.arrivals.append(self.time.at_ms)
+            late_ms = self._rng.uniform(0, self.delay_ms)
+            bisect.insort(self.arrivals, self.time.at_ms + late_ms)
             self.spenders[name] += 1
 
     def step(self) -> None:
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -110,6 +110,54 @@
         assert len(fleet.arrivals) >= 0.4 * POLICY.fixed
 
 
+class TestLoad:
+    """Requests move between daemons, and their number changes."""
+
+    @pytest.mark.parametrize('late_ms', [0, 900])
+    def test_requests_move(self, late_ms: float) -> None:
+        """Two halves of the fleet do not both pay with their own windows."""
+        fleet = running_fleet(_COUNT)
+        fleet.delay_ms = late_ms
+        names = fleet.part(1)
+        for half in (names[: _COUNT // 2], names[_COUNT // 2 :]) * 2:
+            fleet.play(POLICY.window_ms, 200, half, spends_ms=1000)
+        assert fleet.worst_excess() <= 0
+
+    def test_requests_move_after_a_start(self) -> None:
+        """Nor do daemons that have no share yet."""
+        fleet = running_fleet(_COUNT)
+        names = fleet.part(1)
+        fleet.spend_all(500)
+        fleet.restart(names[: _COUNT // 2])
+        for half in (names[: _COUNT // 2], names[_COUNT // 2 :]) * 2:
+            fleet.play(POLICY.window_ms / 2, 200, half, spends_ms=1000)
+        assert fleet.worst_excess() <= 0
+
+    def test_burst_ends(self) -> None:
+        """Requests of a burst do not pay for what is sent after it."""
+        fleet = running_fleet(_COUNT)
+        names = fleet.names
+        fleet.play(POLICY.window_ms / 2, 50, names, spends_ms=0)
+        fleet.play(POLICY.window_ms / 2, 800, names[::2], spends_ms=0)
+        fleet.play(POLICY.window_ms, 10, names[1::2], spends_ms=9000)
+        fleet.spend_all(POLICY.window_ms)
+        assert fleet.worst_excess() <= 0
+
+    def test_ratio_is_used(self) -> None:
+        """Under a steady load the ratio can be spent nearly whole."""
+        fleet = running_fleet(_FEW)
+        fleet.play(
+            2 * POLICY.window_ms, 100, fleet.names, spends_ms=POLICY.window_ms
+        )
+        assert len(fleet.arrivals) >= POLICY.ratio * 1000 + 0.7 * POLICY.fixed
+
+    def test_ratio_is_used_after_a_start(self) -> None:
+        """A daemon without a share may still retry some of its requests."""
+        fleet = BudgetFleet(count=_FEW)
+        fleet.play(POLICY.window_ms, 100, fleet.names, spends_ms=8000)
+        assert len(fleet.arrivals) >= 0.8 * POLICY.ratio * 800
+
+
 class SharedBudget(RuleBasedStateMachine):
     """Faults of the store and of the daemons in any order."""
 
