--- a/packages/fennelfork/src/fennelfork/_verdict.py
+++ b/packages/fennelfork/src/fennelfork/_verdict.py
@@ -70,6 +70,8 @@
             is useless.
         connection_lost: whether the connection was closed or reset while the
             response was pending.
+        was_received: whether a backend server certainly received the request,
+            also if the verdict is `NOT_RUN`.
     """
 
     code: FailureCode
@@ -77,6 +79,7 @@
     detail: str
     retry_after_ms: int | None = None
     connection_lost: bool = False
+    was_received: bool = False
 
     def with_verdict(self, verdict: Verdict) -> Self:
         """Return a copy of this failure with another verdict."""
--- a/packages/fennelfork/src/fennelfork/routes/_sub_request.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sub_request.py
@@ -13,8 +13,8 @@
 # The backend server is full, or all connections of this daemon to the server
 # are in use.
 _REJECTED: Final = frozenset((FailureCode.SHED, FailureCode.QUEUE_FULL))
-# Failures after which no backend server has accepted an attempt that has not
-# run.
+# Failures of an attempt that has not run and that no backend server received,
+# unless the failure says that one did.
 _NOT_SENT: Final = frozenset((FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL))
 
 
@@ -125,7 +125,7 @@
         if failure.verdict is not Verdict.NOT_RUN:
             return
         self.possible_runs -= 1
-        if failure.code in _NOT_SENT:
+        if failure.code in _NOT_SENT and not failure.was_received:
             self.possible_arrivals -= 1
         if failure.code is FailureCode.QUEUE_FULL:
             self.unconnected.add(send.server.incarnation)
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -65,6 +65,9 @@
     FailureCode.QUEUE_FULL, 'reset by the other end'
 )
 UNREACHABLE = not_run(FailureCode.UNREACHABLE, 'refused')
+MISDIRECTED = attrs.evolve(
+    not_run(FailureCode.UNREACHABLE, 'another server'), was_received=True
+)
 BROKEN_CONNECTION = may_have_run(FailureCode.UNREACHABLE, 'reset')
 SERVER_CRASH = attrs.evolve(BROKEN_CONNECTION, connection_lost=True)
 
--- a/packages/fennelfork/tests/test_routes_dispatch.py
+++ b/packages/fennelfork/tests/test_routes_dispatch.py
@@ -5,6 +5,7 @@
 from core_builders_routes import (
     BROKEN_CONNECTION,
     LATENCY_TARGET_MS,
+    MISDIRECTED,
     NO_CONNECTION,
     SHED,
     TIMEOUT_MS,
@@ -148,6 +149,15 @@
         sends = request.on_failure(first[0].attempt, UNREACHABLE, 1)
         assert [send.repeat for send in sends] == [False]
 
+    def test_misdirected_attempt_spends_budget(self) -> None:
+        """An attempt that another server rejected counts as an arrival."""
+        for ratio, repeats in ((0, []), (1, [True])):
+            self.daemon = RoutingDaemon(ratio=ratio)
+            request = self.daemon.dispatch(route())
+            first = request.start(0)
+            sends = request.on_failure(first[0].attempt, MISDIRECTED, 1)
+            assert [send.repeat for send in sends] == repeats
+
     def test_no_connection_spends_no_budget(self) -> None:
         """An attempt without a connection has not reached a server."""
         self.daemon = RoutingDaemon(ratio=0)
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -167,6 +167,14 @@
         """Only an explicit header or status means that nothing ran."""
         assert _BACKENDS.read_response(found).failure().verdict is verdict
 
+    @pytest.mark.parametrize('headers', [{}, {'X_Not_Executed': '1'}])
+    def test_misdirected(self, headers: dict[str, str]) -> None:
+        """A 421 is an arrival, and no sign that the server is overloaded."""
+        failure = _BACKENDS.read_response(response(421, **headers)).failure()
+        assert failure.verdict is Verdict.NOT_RUN
+        assert failure.was_received
+        assert failure.code is FailureCode.UNREACHABLE
+
     def test_mismatched_request_id(self) -> None:
         """A response to another request is rejected."""
         ask = _CALLERS.read_request(environ(), None).unwrap()
