Known red: free allowances of a workspace are used twice in a long cut

The same class as the retry budget: a daemon that is cut off from the store and its peers keeps its free runs, and a window later the others rank themselves for the same runs.

--- a/packages/fennelfork/tests/test_workspaces_quota_faults.py
+++ b/packages/fennelfork/tests/test_workspaces_quota_faults.py
@@ -23,6 +23,7 @@
 )
 
 _HOT = 60.0
+_VERY_HOT = 150.0
 _CALM = 10.0
 _PLAY_MS = 10_000
 _DAEMONS = 77
@@ -70,6 +71,44 @@
         assert fleet.worst_excess() <= 0
 
 
+class TestLongCuts:
+    """Daemons without the store and their peers for several windows.
+
+    Guards against free allowances that the others take over while the daemons
+    that are cut off still use them.
+    """
+
+    @pytest.mark.parametrize('rate', [0.5, 2, 13])
+    @pytest.mark.parametrize('ratio', [0.25, 0.5, 0.7])
+    def test_cut(self, ratio: float, rate: float) -> None:
+        """The most capable daemons are cut off while the workspace is hot."""
+        fleet = running_fleet(_DAEMONS, workspace(rate=rate, burst=rate))
+        _play(fleet)
+        away = fleet.names[: round(_DAEMONS * ratio)]
+        for name in away:
+            fleet.daemons[name].sees_peers = False
+            fleet.daemons[name].sees_store = False
+        fleet.play(4 * _PLAY_MS, _VERY_HOT, fleet.names)
+        for name in away:
+            fleet.daemons[name].sees_peers = True
+            fleet.daemons[name].sees_store = True
+        fleet.play(2 * _PLAY_MS, _VERY_HOT, fleet.names)
+        assert fleet.worst_excess() <= 0
+
+    def test_unknown_to_new_processes(self) -> None:
+        """Daemons that start do not know those that are cut off."""
+        fleet = running_fleet(_DAEMONS, workspace(rate=2, burst=2))
+        away = fleet.names[::2]
+        for name in away:
+            fleet.daemons[name].sees_peers = False
+            fleet.daemons[name].sees_store = False
+        fleet.play(4000, _VERY_HOT, fleet.names)
+        for name in fleet.names[1::2]:
+            fleet.start(name)
+        fleet.play(4 * _PLAY_MS, _VERY_HOT, fleet.names)
+        assert fleet.worst_excess() <= 0
+
+
 class TestOwner:
     """Changes of the daemon that grants the permits."""
 
