Quotas: free allowances are dealt by shares that add up

Cause: the class of the retry budget. A daemon ranked itself by its own view, or divided by the largest recent divisor; one that is cut off kept its runs, while the others took them over a window after it left. Parts by rank and by division were also added up in fleets of unequal daemons.

Change: two parts of the allowance. Daemons registered for long use the one, keep it for 15 s while they are cut off, and count those that left for 20 s. The others use the second, as the retry budget. Runs are dealt by rank among all that a daemon counts, which no difference of views can deal twice.

Worse for callers: a process that starts has free runs after 8 to 10 s instead of 5 s (permits are granted meanwhile), and one that is cut off for longer than 15 s has none.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -5,12 +5,7 @@
 import attrs
 
 from fennelfork import Clock, wall_clock
-from fennelfork.membership import (
-    FleetShare,
-    Member,
-    MemberStatus,
-    SharePolicy,
-)
+from fennelfork.membership import Member, MemberStatus
 from fennelfork.routes import (
     ColdLimits,
     ConnectionShares,
@@ -26,6 +21,7 @@
 )
 from fennelfork.workspaces import Workspace
 from fennelfork_daemon.http._wsgi_protocol import ConnectionLimits
+from fennelfork_daemon.routes._fleet_shares import FleetShares, fleet_shares
 from fennelfork_daemon.routes._lease_proof import LeaseProof
 from fennelfork_daemon.routes._settings import RouteSettings
 from fennelfork_daemon.routes._updates import MemberUpdate
@@ -33,8 +29,6 @@
 # Grace period of daemons after a store outage. Daemons renew their leases more
 # often, and callers lose time on a daemon that has crashed.
 _MEMBER_GRACE_MS: Final = 1200.0
-# Daemons renew their leases and look at the store more often than this.
-_MIN_SHARE_AGE_MS: Final = 3000.0
 # Limits that apply until the first configuration is known.
 INITIAL_HEADER_BYTES: Final = 16_384
 INITIAL_READ_MS: Final = 3000
@@ -51,7 +45,7 @@
         fleet_size: largest recent number of daemons.
         limit_divisor: largest recent number by which this daemon divides the
             limits of the whole fleet; see `fennelfork.membership`.
-        fleet_share: share of this daemon in the limits of the whole fleet that
+        fleet_shares: shares of this daemon in the limits of the whole fleet that
             must hold whatever the daemons know of each other.
         directory: registered backend servers.
         states: observed state of each backend server.
@@ -70,7 +64,7 @@
     members: Registry[Member]
     fleet_size: FleetMaximum
     limit_divisor: FleetMaximum
-    fleet_share: FleetShare
+    fleet_shares: FleetShares
     directory: ServerDirectory
     states: ServerStates
     shares: ConnectionShares
@@ -123,12 +117,7 @@
         members=members,
         fleet_size=fleet_size,
         limit_divisor=limit_divisor,
-        fleet_share=FleetShare(
-            policy=share_policy(settings),
-            clock=clock,
-            local=local,
-            lease=lease_proof,
-        ),
+        fleet_shares=fleet_shares(settings, clock, local, lease_proof),
         directory=directory,
         states=ServerStates(),
         shares=ConnectionShares(limit_divisor=limit_divisor),
@@ -150,14 +139,6 @@
     )
 
 
-def share_policy(settings: RouteSettings) -> SharePolicy:
-    """Return the times that bound what the daemons know of each other."""
-    return SharePolicy(
-        window_ms=settings.repeats.window_ms,
-        max_age_ms=max(settings.in_force_ms, _MIN_SHARE_AGE_MS),
-    )
-
-
 def _local_member(settings: RouteSettings) -> Member:
     return Member(
         name=settings.name,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build.py
@@ -50,7 +50,9 @@
     reporter = StoreReporter(log=base.log, metrics=base.metrics)
     availability = store_availability(base.blackboard, base.clock, reporter)
     base.metrics.export_store_age(lambda: availability.data_age_ms)
-    base.metrics.export_limit_share(lambda: base.blackboard.fleet_share.share)
+    base.metrics.export_limit_share(
+        lambda: base.blackboard.fleet_shares.retries.share
+    )
     base.metrics.export_quarantine(base.blackboard.quarantine)
     own_registration = registration(
         base.ports.store,
@@ -69,7 +71,7 @@
     reload = SettingsReload(
         settings=settings,
         retry_budgets=base.retry_budgets,
-        fleet_share=base.blackboard.fleet_share,
+        fleet_shares=base.blackboard.fleet_shares,
         read_settings=read_settings,
         log=base.log,
     )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_monitors.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_monitors.py
@@ -27,6 +27,6 @@
     share = share_monitor(
         base.blackboard,
         base.fleet_reporter,
-        lambda: base.blackboard.fleet_share.share,
+        lambda: base.blackboard.fleet_shares.retries.share,
     )
     return (lag.run, load.run, share.run)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_quota.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_build_quota.py
@@ -46,10 +46,7 @@
         free=FreeAllowance(
             policy=policy,
             clock=base.clock,
-            limit_divisor=blackboard.limit_divisor,
-            local=blackboard.local,
-            members=lambda: blackboard.members.entries.values(),
-            started_ms=base.clock.now_ms(),
+            shares=blackboard.fleet_shares.allowance,
         ),
     )
     return Quotas(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_common_parts.py
@@ -67,7 +67,7 @@
         blackboard=blackboard,
         pools=ServerPools(clock=clock, shares=blackboard.shares),
         retry_budgets=retry_budgets(
-            settings.repeats, clock, blackboard.fleet_share
+            settings.repeats, clock, blackboard.fleet_shares.retries
         ),
         limits=ConcurrencyLimits(clock=clock),
         answer_delays=AnswerDelays(),
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_reload.py
@@ -8,11 +8,10 @@
 import eventlet
 from returns.result import Result, Success
 
-from fennelfork.membership import FleetShare
 from fennelfork.routes import RetryBudgets
 from fennelfork_daemon.logs._decision_log import DecisionLog
-from fennelfork_daemon.routes._blackboard import share_policy
 from fennelfork_daemon.routes._events_process import Reloaded, ReloadRefused
+from fennelfork_daemon.routes._fleet_shares import FleetShares
 from fennelfork_daemon.routes._settings import RouteSettings
 
 # Maximum delay between the signal and the reload.
@@ -32,7 +31,7 @@
 
     _settings: RouteSettings
     _retry_budgets: RetryBudgets
-    _fleet_share: FleetShare
+    _fleet_shares: FleetShares
     _read_settings: ReadSettings
     _log: DecisionLog
     _is_requested: bool = False
@@ -63,7 +62,7 @@
             != getattr(self._settings, field.name)
         ]
         self._retry_budgets.policy = new_settings.repeats
-        self._fleet_share.policy = share_policy(new_settings)
+        self._fleet_shares.apply_settings(new_settings)
         self._settings = new_settings
         self._log.log_decision(Reloaded(changed=changed))
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_store_copy.py
@@ -81,7 +81,7 @@
     def _record_view(self, age_ms: float) -> None:
         blackboard = self._applier.blackboard
         members = blackboard.members.entries.values()
-        blackboard.fleet_share.record_view(members, age_ms)
+        blackboard.fleet_shares.record_view(members, age_ms)
 
     def _extend(self, changes: UpdateBatch) -> None:
         """Apply consecutive updates and pass them on."""
--- a/packages/fennelfork-daemon/tests/test_routes_unsent.py
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -85,7 +85,7 @@
     parts = DispatchParts(
         selector=selector,
         retry_budgets=retry_budgets(
-            settings().repeats, clock, blackboard.fleet_share
+            settings().repeats, clock, blackboard.fleet_shares.retries
         ),
         home_regions_of=blackboard.home_regions_of,
     )
--- a/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
+++ b/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
@@ -10,6 +10,7 @@
 from typing import Final, Protocol
 
 import attrs
+import xxhash
 
 from fennelfork._clock import Clock
 from fennelfork.membership._member import Member
@@ -77,6 +78,8 @@
     _departed: list[_DepartedWeight] = attrs.field(factory=list)
     _viewed_ms: float = -math.inf
     _followed_since_ms: float = math.inf
+    _weights: dict[str, float] = attrs.field(factory=dict)
+    _ranks: dict[str, int] = attrs.field(factory=dict)
     _share_of_weights: float = 0
 
     @property
@@ -86,7 +89,38 @@
         The share is 0 while the daemon cannot know that all others count it,
         or that it counts all others.
         """
-        return self._share_of_weights if self._is_usable else 0
+        return self._share_of_weights if self.is_usable else 0
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether all others count this daemon, and this daemon all others."""
+        since_ms = self._lease.since_ms
+        if since_ms is None:
+            return False
+        now_ms = self._clock.now_ms()
+        oldest_ms = min(self._viewed_ms, self._lease.confirmed_ms)
+        settled_ms = max(self._followed_since_ms, since_ms)
+        return (
+            now_ms - oldest_ms <= self.policy.max_age_ms
+            and now_ms - settled_ms >= self.policy.settle_ms
+        )
+
+    def units_of(self, total: float, key: str) -> int:
+        """Return how many of a number of whole units this daemon may use.
+
+        The daemons take the units in turn, in an order that differs from key to
+        key, the most capable ones first. The units that daemons use within any
+        window add up to at most the total: a daemon that counts more daemons
+        than another one takes no unit of the other.
+
+        Args:
+            total: number of units of the whole fleet.
+            key: name of what the units belong to.
+        """
+        if not self.is_usable:
+            return 0
+        left = int(total) - self._rank_for(key)
+        return max(0, math.ceil(left / self._counted))
 
     def record_view(self, members: Iterable[Member], age_ms: float = 0) -> None:
         """Record the registered daemons.
@@ -102,21 +136,28 @@
             # Daemons may have joined, used a share and left unseen.
             self._followed_since_ms = now_ms
         self._viewed_ms = viewed_ms
-        self._replace_view({one.name: _weight(one) for one in members}, now_ms)
-        self._share_of_weights = self._divide_weights()
+        view = {one.name: _weight(one) for one in members}
+        if self._departed or view != self._view or not self._weights:
+            self._replace_view(view, now_ms)
+            self._count_weights()
 
     @property
-    def _is_usable(self) -> bool:
-        since_ms = self._lease.since_ms
-        if since_ms is None:
-            return False
-        now_ms = self._clock.now_ms()
-        oldest_ms = min(self._viewed_ms, self._lease.confirmed_ms)
-        settled_ms = max(self._followed_since_ms, since_ms)
-        return (
-            now_ms - oldest_ms <= self.policy.max_age_ms
-            and now_ms - settled_ms >= self.policy.settle_ms
-        )
+    def _counted(self) -> int:
+        """Number of daemons that count, at least this one."""
+        return max(1, len(self._weights))
+
+    def _rank_for(self, key: str) -> int:
+        """Return how many daemons take a unit of a key before this one."""
+        rank = self._ranks.get(key)
+        if rank is None:
+            own_place = _place(key, self._local.name, _weight(self._local))
+            rank = sum(
+                _place(key, name, weight) < own_place
+                for name, weight in self._weights.items()
+                if name != self._local.name
+            )
+            self._ranks[key] = rank
+        return rank
 
     def _replace_view(self, view: Mapping[str, float], now_ms: float) -> None:
         """Replace the view, and keep for a while what it lacks."""
@@ -130,17 +171,18 @@
         self._departed = kept
         self._view = dict(view)
 
-    def _divide_weights(self) -> float:
+    def _count_weights(self) -> None:
+        """Combine the view with the daemons that have left a while ago."""
         own_weight = _weight(self._local)
-        weights = self._view | {
-            self._local.name: max(
-                own_weight, self._view.get(self._local.name, 0)
-            )
-        }
+        own_entry = self._view.get(self._local.name, 0)
+        weights = self._view | {self._local.name: max(own_weight, own_entry)}
         for departed in self._departed:
             known = weights.get(departed.name, 0)
             weights[departed.name] = max(known, departed.weight)
-        return own_weight / sum(weights.values())
+        if weights != self._weights:
+            self._weights = weights
+            self._ranks.clear()
+            self._share_of_weights = own_weight / sum(weights.values())
 
 
 def _weight(member: Member) -> float:
@@ -149,3 +191,9 @@
     A weight that depended on the other entries would differ from view to view.
     """
     return max(_MIN_WEIGHT, member.processor_cores)
+
+
+def _place(key: str, name: str, weight: float) -> tuple[float, int, str]:
+    """Return the place of a daemon in the order for a key; low ones first."""
+    digest = xxhash.xxh64_intdigest(f'units\0{key}\0{name}'.encode())
+    return (-weight, digest, name)
--- a/packages/fennelfork/src/fennelfork/workspaces/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/workspaces/__init__.pyi
@@ -1,6 +1,7 @@
 """Workspaces: whose requests run, how many, and in which order."""
 
 from ._access_policy import AccessPolicy as AccessPolicy
+from ._free_allowance import AllowanceShares as AllowanceShares
 from ._free_allowance import FreeAllowance as FreeAllowance
 from ._key_digest import digest_key as digest_key
 from ._key_digest import key_fingerprint as key_fingerprint
--- a/packages/fennelfork/tests/core_builders_quota.py
+++ b/packages/fennelfork/tests/core_builders_quota.py
@@ -8,13 +8,14 @@
 from typing import Final
 
 import attrs
+from core_builders_budget import FakeLease
 from core_builders_routes import daemon_member
 from returns.result import Success
 
 from fennelfork import ManualTime, manual_clock
-from fennelfork.membership import Member, limit_divisor
-from fennelfork.routes import FleetMaximum
+from fennelfork.membership import FleetShare, Member, SharePolicy
 from fennelfork.workspaces import (
+    AllowanceShares,
     FreeAllowance,
     MustAsk,
     Owners,
@@ -34,7 +35,7 @@
 _MAX_AGE_MS: Final = 5000.0
 _LEASE_MS: Final = 3000.0
 _RENEWAL_MS: Final = 1400.0
-_DIVISOR_MS: Final = 10_000.0
+_LASTING_AGE_MS: Final = 15_000.0
 _LEFT_MS: Final = 500.0
 _NONE: Final = 0
 
@@ -62,11 +63,15 @@
     sees_peers: bool = True
     is_frozen: bool = False
     quota: Quota = attrs.field(init=False)
-    divisor: FleetMaximum = attrs.field(init=False)
+    lease: FakeLease = attrs.field(factory=FakeLease)
+    shares: AllowanceShares = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         clock = manual_clock(self.time)
-        self.divisor = FleetMaximum(clock=clock, window_ms=_DIVISOR_MS)
+        self.shares = AllowanceShares(
+            lasting=self._share(_LASTING_AGE_MS),
+            current=self._share(_MAX_AGE_MS),
+        )
         owners = Owners(
             local=self.local,
             members=lambda: self.members.values(),
@@ -84,13 +89,25 @@
             free=FreeAllowance(
                 policy=POLICY,
                 clock=clock,
-                limit_divisor=self.divisor,
-                local=self.local,
-                members=lambda: self.members.values(),
-                started_ms=self.started_ms,
+                shares=self.shares,
             ),
         )
 
+    def record_view(self) -> None:
+        """Record the members that this daemon sees now."""
+        for share in (self.shares.lasting, self.shares.current):
+            share.record_view(self.members.values())
+
+    def _share(self, max_age_ms: float) -> FleetShare:
+        return FleetShare(
+            policy=SharePolicy(
+                window_ms=POLICY.window_ms, max_age_ms=max_age_ms
+            ),
+            clock=manual_clock(self.time),
+            local=self.local,
+            lease=self.lease,
+        )
+
     @property
     def _registered(self) -> Registered:
         age_ms = self.time.at_ms - self.renewed_ms
@@ -310,15 +327,15 @@
         daemon.members = {
             name: member for name, (member, _until_ms) in self.store.items()
         }
-        daemon.divisor.record(
-            limit_divisor(daemon.local, daemon.members.values())
-        )
+        daemon.record_view()
         if daemon.workspaces != self.workspaces:
             daemon.workspaces = dict(self.workspaces)
             daemon.quota.apply(daemon.workspaces)
 
     def _renew(self, daemon: QuotaDaemon, now_ms: float) -> None:
         daemon.renewed_ms = now_ms
+        daemon.lease.confirmed_ms = now_ms
+        daemon.lease.since_ms = daemon.lease_since_ms
         self.store[daemon.local.name] = (daemon.local, now_ms + _LEASE_MS)
 
     def _send_reports(self, daemon: QuotaDaemon) -> None:
