Cold servers: requests are dealt by shares that add up

A daemon divided the limit of a cold server by the largest recent divisor, or ranked itself in its own view; half of the limit, kept back for that, covers one division of the fleet and not several.

Change: the units of a FleetShare with a window of 1 s. Its allowed gap is at least the age of a view, as daemons look at the store less often than each second. The tests of cold servers let the daemons renew their leases and read the store while they settle; all bounds are as they were, and daemons that are turned away are new among them.

Worse for callers: a process sends nothing to cold servers for 6 to 10 s after its start instead of 3 s.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -112,22 +112,21 @@
     members: Registry[Member] = Registry(clock=clock, grace_ms=_MEMBER_GRACE_MS)
     directory = ServerDirectory(registry=Registry(clock=clock))
     lease_proof = LeaseProof(clock=clock)
+    shares = fleet_shares(settings, clock, local, lease_proof)
     return RouteBlackboard(
         local=local,
         members=members,
         fleet_size=fleet_size,
         limit_divisor=limit_divisor,
-        fleet_shares=fleet_shares(settings, clock, local, lease_proof),
+        fleet_shares=shares,
         directory=directory,
         states=ServerStates(),
         shares=ConnectionShares(limit_divisor=limit_divisor),
         cold_limits=ColdLimits(
             policy=settings.cold,
             clock=clock,
-            limit_divisor=limit_divisor,
+            fleet_share=shares.cold_servers,
             evacuations=directory.evacuations,
-            local=local,
-            members=lambda: members.entries.values(),
         ),
         limits=ConnectionLimits(
             header_bytes=INITIAL_HEADER_BYTES,
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_shares.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_shares.py
@@ -1,5 +1,6 @@
 """Shares of this daemon in the limits of the whole fleet."""
 
+import functools
 from collections.abc import Iterable
 from typing import Final
 
@@ -7,6 +8,7 @@
 
 from fennelfork import Clock
 from fennelfork.membership import FleetShare, LeaseTimes, Member, SharePolicy
+from fennelfork.routes import COLD_WINDOW_MS
 from fennelfork.workspaces import AllowanceShares
 from fennelfork_daemon.routes._settings import RouteSettings
 
@@ -14,7 +16,7 @@
 _MIN_AGE_MS: Final = 3000.0
 # Time for which a daemon that is cut off keeps its free runs. Longer outages of
 # the store are rare.
-_LASTING_AGE_MS: Final = 15_000.0
+_LASTING_AGE_MS: Final = 10_000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -23,10 +25,12 @@
 
     Attributes:
         retries: share in the retry budgets.
+        cold_servers: share in the requests to cold servers.
         allowance: shares in the free allowances of workspaces.
     """
 
     retries: FleetShare
+    cold_servers: FleetShare
     allowance: AllowanceShares
 
     def record_view(self, members: Iterable[Member], age_ms: float) -> None:
@@ -39,43 +43,37 @@
         """
         known = tuple(members)
         self.retries.record_view(known, age_ms)
+        self.cold_servers.record_view(known, age_ms)
         self.allowance.current.record_view(known, age_ms)
         self.allowance.lasting.record_view(known, age_ms)
 
     def apply_settings(self, settings: RouteSettings) -> None:
         """Apply the window of the retry budget of new settings."""
-        self.retries.policy = _retry_policy(settings)
+        self.retries.policy = _policy(settings, settings.repeats.window_ms)
 
 
 def fleet_shares(
     settings: RouteSettings, clock: Clock, local: Member, lease: LeaseTimes
 ) -> FleetShares:
     """Create the shares of a daemon that has not read the store yet."""
-    window_ms = settings.quota.window_ms
-    current = SharePolicy(
-        window_ms=window_ms, max_age_ms=max(settings.in_force_ms, _MIN_AGE_MS)
+
+    share_of = functools.partial(
+        FleetShare, clock=clock, local=local, lease=lease
     )
-    lasting = SharePolicy(window_ms=window_ms, max_age_ms=_LASTING_AGE_MS)
+    quota_ms = settings.quota.window_ms
+    lasting = SharePolicy(window_ms=quota_ms, max_age_ms=_LASTING_AGE_MS)
     return FleetShares(
-        retries=FleetShare(
-            policy=_retry_policy(settings),
-            clock=clock,
-            local=local,
-            lease=lease,
-        ),
+        retries=share_of(policy=_policy(settings, settings.repeats.window_ms)),
+        cold_servers=share_of(policy=_policy(settings, COLD_WINDOW_MS)),
         allowance=AllowanceShares(
-            lasting=FleetShare(
-                policy=lasting, clock=clock, local=local, lease=lease
-            ),
-            current=FleetShare(
-                policy=current, clock=clock, local=local, lease=lease
-            ),
+            lasting=share_of(policy=lasting),
+            current=share_of(policy=_policy(settings, quota_ms)),
         ),
     )
 
 
-def _retry_policy(settings: RouteSettings) -> SharePolicy:
+def _policy(settings: RouteSettings, window_ms: float) -> SharePolicy:
     return SharePolicy(
-        window_ms=settings.repeats.window_ms,
+        window_ms=window_ms,
         max_age_ms=max(settings.in_force_ms, _MIN_AGE_MS),
     )
--- a/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
+++ b/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
@@ -44,13 +44,18 @@
     window_ms: float
     max_age_ms: float
 
+    @property
+    def max_gap_ms(self) -> float:
+        """Maximum time between two states of the store that a daemon follows."""
+        return max(self.window_ms, self.max_age_ms)
+
     @property
     def settle_ms(self) -> float:
         """Time for which a daemon is registered before it uses its share.
 
         As long, a daemon that has left still counts.
         """
-        return self.window_ms + self.max_age_ms
+        return self.max_gap_ms + self.max_age_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -132,7 +137,7 @@
         """
         now_ms = self._clock.now_ms()
         viewed_ms = max(self._viewed_ms, now_ms - age_ms)
-        if self._viewed_ms < viewed_ms - self.policy.window_ms:
+        if self._viewed_ms < viewed_ms - self.policy.max_gap_ms:
             # Daemons may have joined, used a share and left unseen.
             self._followed_since_ms = now_ms
         self._viewed_ms = viewed_ms
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -11,6 +11,7 @@
 from ._attempt_outcome import classify_unsent as classify_unsent
 from ._attempt_outcome import record_outcome as record_outcome
 from ._caller_limits import CallerLimits as CallerLimits
+from ._cold_limits import COLD_WINDOW_MS as COLD_WINDOW_MS
 from ._cold_limits import ColdLimits as ColdLimits
 from ._cold_limits import ColdPolicy as ColdPolicy
 from ._concurrency import ConcurrencyLimit as ConcurrencyLimit
--- a/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
+++ b/packages/fennelfork/src/fennelfork/routes/_cold_limits.py
@@ -5,27 +5,23 @@
 """
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Mapping
 from typing import Final
 
 import attrs
-import xxhash
 
 from fennelfork._clock import Clock
-from fennelfork.membership import Member, capable_in_data_centres
+from fennelfork.membership import FleetShare
 from fennelfork.routes._evacuations import Evacuations
-from fennelfork.routes._fleet_maximum import FleetMaximum
 from fennelfork.routes._route_table import Service
 from fennelfork.routes._server_directory import BackendServer
 from fennelfork.routes._server_state import ServerState
 
-_WINDOW_MS: Final = 1000.0
-# Part of the limit that is used. The rest covers daemons that have joined but
-# are not known everywhere yet: a fleet may double in size at once.
+# Window of the limits, in milliseconds.
+COLD_WINDOW_MS: Final = 1000.0
+# Part of the limit that is used. Requests arrive later than they are counted, by
+# a time that is no small part of the window.
 _MARGIN: Final = 0.5
-# Part of the fleet that has to be known for a rank in it. The daemons that are
-# missing may run and rank themselves, which the margin covers.
-_MIN_KNOWN: Final = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -59,10 +55,8 @@
     policy: ColdPolicy
     services: Mapping[str, Service] = attrs.field(factory=dict)
     _clock: Clock
-    _limit_divisor: FleetMaximum
+    _fleet_share: FleetShare
     _evacuations: Evacuations
-    _local: Member
-    _members: Callable[[], Iterable[Member]]
 
     def is_cold(self, server: BackendServer) -> bool:
         """Whether a server may be cold.
@@ -84,12 +78,14 @@
         bound = self._bound_for(server)
         if bound == math.inf:
             return True
-        oldest_ms = self._clock.now_ms() - _WINDOW_MS
+        oldest_ms = self._clock.now_ms() - COLD_WINDOW_MS
         state.cold_sends_ms = [
             sent_ms for sent_ms in state.cold_sends_ms if sent_ms >= oldest_ms
         ]
-        used = len(state.cold_sends_ms)
-        return used < self._own_part(bound * _MARGIN, server)
+        own_part = self._fleet_share.units_of(
+            bound * _MARGIN, server.incarnation
+        )
+        return len(state.cold_sends_ms) < own_part
 
     def record_sent(self, server: BackendServer, state: ServerState) -> None:
         """Record a request to a server, which counts if it has a limit."""
@@ -102,41 +98,3 @@
         if service is None or not self.is_cold(server):
             return math.inf
         return self.policy.max_per_second(service)
-
-    def _own_part(self, total: float, server: BackendServer) -> int:
-        """Return how many requests in a second this daemon may send.
-
-        If there is less than one request for each daemon, a few daemons may
-        send one each. These differ from server to server.
-
-        Args:
-            total: number of requests that all daemons may send.
-            server: cold server.
-        """
-        if not self._limit_divisor.is_settled:
-            return 0
-        part = total / self._limit_divisor.maximum
-        if part >= 1:
-            return int(part)
-        return int(self._rank_for(server) < int(total))
-
-    def _rank_for(self, server: BackendServer) -> float:
-        """Return the rank of this daemon among those that may send first.
-
-        The rank is infinite while daemons that were known seem to be missing,
-        and for daemons that few callers use.
-        """
-        known = {member.name: member for member in self._members()}
-        known[self._local.name] = self._local
-        names = [
-            member.name for member in capable_in_data_centres(known.values())
-        ]
-        is_known = len(known) >= self._limit_divisor.maximum * _MIN_KNOWN
-        if self._local.name not in names or not is_known:
-            return math.inf
-        names.sort(key=lambda name: _weight(name, server.incarnation))
-        return names.index(self._local.name)
-
-
-def _weight(*parts: str) -> int:
-    return xxhash.xxh64_intdigest('\0'.join(parts).encode())
--- a/packages/fennelfork/tests/core_builders_budget.py
+++ b/packages/fennelfork/tests/core_builders_budget.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 import attrs
-from core_builders_routes import daemon_member
+from core_builders_routes import FakeLease, daemon_member
 
 from fennelfork import ManualTime, manual_clock
 from fennelfork.membership import FleetShare, Member, SharePolicy
@@ -20,6 +20,8 @@
 POLICY: Final = RetryPolicy(ratio=0.2, fixed=298, window_ms=10_000)
 STEP_MS: Final = 250.0
 MAX_AGE_MS: Final = 5000.0
+_MAX_VIEW_MS: Final = 3000.0
+_MAX_LAG_MS: Final = 1500.0
 _LEASE_MS: Final = 3000.0
 _RENEWAL_MS: Final = 1800.0
 _CAPABLE_PER_DATA_CENTRE: Final = 2
@@ -28,26 +30,25 @@
 _OTHER_CORES: Final = 0.36
 
 
-@attrs.define(kw_only=True)
-class FakeLease:
-    """Times of the lease of a registration."""
-
-    since_ms: float | None = None
-    confirmed_ms: float = 0
-
-
 @attrs.define(kw_only=True, eq=False)
 class BudgetDaemon:
     """One process of a daemon and the copy of the store that it sees.
 
-    `view_ms` is the time between two looks at the store.
+    `view_ms` is the time between two looks at the store, `lag_ms` the age of
+    what the daemon sees then. A daemon that the store turns away may get the
+    entries from another daemon (`is_relayed`); one that is blind renews its
+    lease without them.
     """
 
     local: Member
     time: ManualTime
     view_ms: float
+    lag_ms: float
+    share_policy: SharePolicy
     members: dict[str, Member] = attrs.field(factory=dict)
     sees_store: bool = True
+    is_relayed: bool = False
+    is_blind: bool = False
     viewed_ms: float | None = None
     renewed_ms: float | None = None
     lease: FakeLease = attrs.field(factory=FakeLease)
@@ -57,9 +58,7 @@
     def __attrs_post_init__(self) -> None:
         clock = manual_clock(self.time)
         self.share = FleetShare(
-            policy=SharePolicy(
-                window_ms=POLICY.window_ms, max_age_ms=MAX_AGE_MS
-            ),
+            policy=self.share_policy,
             clock=clock,
             local=self.local,
             lease=self.lease,
@@ -70,7 +69,7 @@
         """Read all entries of the store."""
         self.members = members
         self.viewed_ms = self.time.at_ms
-        self.share.record_view(members.values())
+        self.share.record_view(members.values(), self.lag_ms)
 
     def record_renewal(self, *, is_new: bool) -> None:
         """Record a renewal of the registration, or a new registration."""
@@ -85,11 +84,30 @@
         self.lease.since_ms = None
 
 
+@attrs.frozen
+class _State:
+    """Entries of the store at a time."""
+
+    at_ms: float
+    entries: dict[str, Member]
+
+
+@attrs.frozen
+class Use:
+    """Share and whole units that a daemon may use at a time."""
+
+    at_ms: float
+    name: str
+    share: float
+    units: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class BudgetFleet:
     """Daemons, their store, and what they sent to one service.
 
-    An attempt arrives up to `delay_ms` after it was counted.
+    An attempt arrives up to `delay_ms` after it was counted. `used` holds the
+    share and the whole units of each daemon at each step, for `units` of them.
     """
 
     count: int
@@ -102,6 +120,12 @@
     arrivals: list[float] = attrs.field(factory=list)
     spenders: Counter[str] = attrs.field(factory=Counter)
     delay_ms: float = 0
+    share_policy: SharePolicy = SharePolicy(
+        window_ms=POLICY.window_ms, max_age_ms=MAX_AGE_MS
+    )
+    units: int = 7
+    used: list[Use] = attrs.field(factory=list)
+    _states: list[_State] = attrs.field(factory=list)
     _rng: random.Random = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -132,7 +156,9 @@
                 processor_cores=_CAPABLE_CORES if is_capable else _OTHER_CORES,
             ),
             time=self.time,
-            view_ms=self._rng.uniform(STEP_MS, MAX_AGE_MS - 2 * STEP_MS),
+            view_ms=self._rng.uniform(STEP_MS, _MAX_VIEW_MS),
+            lag_ms=self._rng.uniform(0, _MAX_LAG_MS),
+            share_policy=self.share_policy,
         )
 
     def restart(self, names: list[str]) -> None:
@@ -145,16 +171,23 @@
         for name in names:
             self.daemons.pop(name)
 
-    def turn_away(self, names: list[str]) -> None:
+    def turn_away(self, names: list[str], *, is_relayed: bool = False) -> None:
         """The store turns daemons away and revokes their leases."""
         for name in names:
             self.daemons[name].sees_store = False
+            self.daemons[name].is_relayed = is_relayed
             self.store.pop(name, None)
 
+    def blind(self, names: list[str]) -> None:
+        """Daemons renew their leases and hear nothing of the others."""
+        for name in names:
+            self.daemons[name].is_blind = True
+
     def take_back(self, names: list[str]) -> None:
         """The store serves daemons again."""
         for name in self.daemons.keys() & set(names):
             self.daemons[name].sees_store = True
+            self.daemons[name].is_blind = False
 
     def advance(self, ms: float) -> None:
         """Let time pass without requests and extra attempts."""
@@ -209,8 +242,30 @@
         self.time.advance(STEP_MS)
         if self.store_up:
             self.expire_leases()
+        self._remember_state()
         for daemon in self.daemons.values():
             self._follow_store(daemon)
+            self._record_use(daemon)
+
+    def worst_sums(self) -> tuple[float, int]:
+        """Return the largest sums of shares and of units of any window.
+
+        A daemon counts with the most that it may use in the window.
+        """
+        worst_share, worst_units = 0.0, 0
+        recent: list[Use] = []
+        for use in self.used:
+            recent.append(use)
+            oldest_ms = use.at_ms - self.share_policy.window_ms
+            recent = [other for other in recent if other.at_ms >= oldest_ms]
+            shares: dict[str, float] = {}
+            units: dict[str, int] = {}
+            for other in recent:
+                shares[other.name] = max(other.share, shares.get(other.name, 0))
+                units[other.name] = max(other.units, units.get(other.name, 0))
+            worst_share = max(worst_share, sum(shares.values()))
+            worst_units = max(worst_units, sum(units.values()))
+        return worst_share, worst_units
 
     def expire_leases(self) -> None:
         """Remove the entries whose leases have run out."""
@@ -240,10 +295,44 @@
         end_ms = begin_ms + POLICY.window_ms
         return bisect.bisect_right(self.requests, end_ms) - first
 
+    def _remember_state(self) -> None:
+        """Keep the recent states of the store, which daemons see late."""
+        now_ms = self.time.at_ms
+        entries = {name: member for name, (member, _) in self.store.items()}
+        self._states.append(_State(now_ms, entries))
+        oldest_ms = now_ms - _MAX_LAG_MS
+        while self._states[1:] and self._states[1].at_ms <= oldest_ms:
+            self._states.pop(0)
+
+    def _state_before(self, at_ms: float) -> dict[str, Member]:
+        seen = [state for state in self._states if state.at_ms <= at_ms]
+        return (seen or self._states[:1])[-1].entries
+
+    def _record_use(self, daemon: BudgetDaemon) -> None:
+        if daemon.share.is_usable:
+            self.used.append(
+                Use(
+                    self.time.at_ms,
+                    daemon.local.name,
+                    daemon.share.share,
+                    daemon.share.units_of(self.units, SERVICE),
+                )
+            )
+
     def _follow_store(self, daemon: BudgetDaemon) -> None:
-        if not (daemon.sees_store and self.store_up):
+        if not self.store_up:
+            return
+        if daemon.sees_store:
+            self._renew_lease(daemon)
+        if daemon.is_blind or not (daemon.sees_store or daemon.is_relayed):
             return
         now_ms = self.time.at_ms
+        viewed_ms = daemon.viewed_ms
+        if viewed_ms is None or now_ms - viewed_ms >= daemon.view_ms:
+            daemon.look(self._state_before(now_ms - daemon.lag_ms))
+
+    def _renew_lease(self, daemon: BudgetDaemon) -> None:
+        now_ms = self.time.at_ms
         name = daemon.local.name
         if daemon.renewed_ms is not None and name not in self.store:
             daemon.lose_lease()
@@ -251,12 +340,6 @@
         if is_new or now_ms - daemon.renewed_ms >= _RENEWAL_MS:
             self.store[name] = (daemon.local, now_ms + _LEASE_MS)
             daemon.record_renewal(is_new=is_new)
-        if daemon.viewed_ms is None or (
-            now_ms - daemon.viewed_ms >= daemon.view_ms
-        ):
-            daemon.look(
-                {known: member for known, (member, _) in self.store.items()}
-            )
 
 
 def running_fleet(count: int, seed: int = 1) -> BudgetFleet:
--- a/packages/fennelfork/tests/core_builders_quota.py
+++ b/packages/fennelfork/tests/core_builders_quota.py
@@ -8,8 +8,7 @@
 from typing import Final
 
 import attrs
-from core_builders_budget import FakeLease
-from core_builders_routes import daemon_member
+from core_builders_routes import FakeLease, daemon_member
 from returns.result import Success
 
 from fennelfork import ManualTime, manual_clock
@@ -35,7 +34,7 @@
 _MAX_AGE_MS: Final = 5000.0
 _LEASE_MS: Final = 3000.0
 _RENEWAL_MS: Final = 1400.0
-_LASTING_AGE_MS: Final = 15_000.0
+_LASTING_AGE_MS: Final = 10_000.0
 _LEFT_MS: Final = 500.0
 _NONE: Final = 0
 
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -21,6 +21,7 @@
     SharePolicy,
 )
 from fennelfork.routes import (
+    COLD_WINDOW_MS,
     BackendServer,
     CallerLimits,
     ColdLimits,
@@ -53,6 +54,7 @@
 LATENCY_TARGET_MS = 300.0
 TIMEOUT_MS = 4000.0
 WINDOW_MS = 10_000.0
+MAX_AGE_MS = 3000.0
 LIMITS = CallerLimits(
     header_bytes=16_384,
     body_bytes=65_536,
@@ -123,24 +125,14 @@
     )
 
 
-@attrs.frozen(kw_only=True)
-class NoLease:
-    """Times of the lease of a daemon that is not registered."""
+@attrs.define(kw_only=True)
+class FakeLease:
+    """Times of the lease of a registration."""
 
     since_ms: float | None = None
     confirmed_ms: float = 0
 
 
-def unregistered_share(clock: Clock, local: Member) -> FleetShare:
-    """Return the share of a daemon that is not registered."""
-    return FleetShare(
-        policy=SharePolicy(window_ms=WINDOW_MS, max_age_ms=5000),
-        clock=clock,
-        local=local,
-        lease=NoLease(),
-    )
-
-
 @attrs.define(kw_only=True)
 class RoutingDaemon:
     """Routing of one daemon, with three servers per service.
@@ -157,7 +149,8 @@
     budgets: RetryBudgets = attrs.field(init=False)
     cold_limits: ColdLimits = attrs.field(init=False)
     parts: DispatchParts = attrs.field(init=False)
-    members: dict[str, Member] = attrs.field(factory=dict)
+    cold_share: FleetShare = attrs.field(init=False)
+    lease: FakeLease = attrs.field(factory=FakeLease)
     local: Member = attrs.field(factory=lambda: daemon_member('vm-0'))
     active_home_regions: HomeRegions = None
 
@@ -169,15 +162,14 @@
         self.budgets = retry_budgets(
             RetryPolicy(ratio=self.ratio, fixed=0, window_ms=WINDOW_MS),
             clock,
-            unregistered_share(clock, self.local),
+            self._share(WINDOW_MS),
         )
+        self.cold_share = self._share(COLD_WINDOW_MS)
         self.cold_limits = ColdLimits(
             policy=ColdPolicy(rate_factor=1.5, slack=5),
             clock=clock,
-            limit_divisor=self.limit_divisor,
+            fleet_share=self.cold_share,
             evacuations=self.directory.evacuations,
-            local=self.local,
-            members=self.members.values,
         )
         self.parts = DispatchParts(
             selector=self.selector(),
@@ -246,3 +238,11 @@
         for send in sends:
             state = self.states.for_incarnation(send.server.incarnation)
             state.record_sent(send.attempt, send.sent_ms)
+
+    def _share(self, window_ms: float) -> FleetShare:
+        return FleetShare(
+            policy=SharePolicy(window_ms=window_ms, max_age_ms=MAX_AGE_MS),
+            clock=self.clock,
+            local=self.local,
+            lease=self.lease,
+        )
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -33,6 +33,16 @@
         fleet.spend_all(_LONG_MS)
         assert fleet.worst_excess() <= 0
 
+    def test_relayed_views(self) -> None:
+        """Daemons that are turned away hear of the others all the while."""
+        fleet = running_fleet(_COUNT)
+        fleet.turn_away(fleet.part(0.45), is_relayed=True)
+        fleet.spend_all(_LONG_MS)
+        fleet.blind(fleet.part(0.3))
+        fleet.take_back(fleet.names)
+        fleet.spend_all(_LONG_MS)
+        assert fleet.worst_excess() <= 0
+
     def test_in_series(self) -> None:
         """Other daemons are turned away before the first are back."""
         fleet = running_fleet(_COUNT)
@@ -214,9 +224,7 @@
         assert self.fleet.worst_excess() <= 0
 
 
-SharedBudget.TestCase.settings = settings(
-    stateful_step_count=20, max_examples=30, deadline=None
-)
+SharedBudget.TestCase.settings = settings(stateful_step_count=25, deadline=None)
 TestSharedBudget = SharedBudget.TestCase
 
 
--- a/packages/fennelfork/tests/test_routes_cold_servers.py
+++ b/packages/fennelfork/tests/test_routes_cold_servers.py
@@ -11,6 +11,7 @@
 
 import pytest
 from core_builders_routes import (
+    MAX_AGE_MS,
     RoutingDaemon,
     daemon_member,
     fan_out,
@@ -24,8 +25,8 @@
 from fennelfork.routes import BackendServer, ColdPolicy, Service
 
 _RATE_PER_S: Final = 10
-_SETTLED_MS: Final = 3000
 _WINDOW_MS: Final = 1000
+_SETTLED_MS: Final = 2 * MAX_AGE_MS
 _WARM_UP_MS: Final = 60_000
 _POLICY: Final = ColdPolicy(rate_factor=1.5, slack=5)
 
@@ -49,15 +50,25 @@
     """Return a daemon that knows some daemons since its start."""
     daemon = RoutingDaemon(time=time, local=daemon_member(f'vm-{number}'))
     daemon.cold_limits.services = {'archive': _service(rate)}
+    daemon.lease.since_ms = time.at_ms
     _learn(daemon, names)
     return daemon
 
 
 def _learn(daemon: RoutingDaemon, names: Iterable[str]) -> None:
-    daemon.members.clear()
-    for name in (*names, daemon.local.name):
-        daemon.members[name] = daemon_member(name)
-    daemon.limit_divisor.record(len(daemon.members))
+    """Let a daemon read the registrations and renew its own."""
+    daemon.lease.confirmed_ms = daemon.time.at_ms
+    known = {*names, daemon.local.name}
+    daemon.cold_share.record_view(map(daemon_member, known))
+
+
+def _settle(time: ManualTime, *daemons: RoutingDaemon) -> None:
+    """Let the time pass after which daemons use their parts."""
+    names = [daemon.local.name for daemon in daemons]
+    for _ in range(2):
+        time.advance(_SETTLED_MS / 2)
+        for daemon in daemons:
+            _learn(daemon, names)
 
 
 def _try_to_send(daemon: RoutingDaemon, cold: BackendServer) -> bool:
@@ -78,7 +89,7 @@
         time = ManualTime()
         names = [f'vm-{number}' for number in range(size)]
         daemons = [_daemon(each, time, names, rate) for each in range(size)]
-        time.advance(_SETTLED_MS)
+        _settle(time, *daemons)
         sent = 0
         for daemon in daemons:
             while _try_to_send(daemon, _cold_server()):
@@ -86,6 +97,29 @@
         bound = _POLICY.max_per_second(_service(rate))
         assert 0 < sent <= bound
 
+    @pytest.mark.parametrize('size', [9, 60, 117])
+    @pytest.mark.parametrize('ratio', [0.25, 0.35, 0.45])
+    @pytest.mark.parametrize('rate', [5, 10, 40, 200])
+    def test_turned_away_in_series(
+        self, size: int, ratio: float, rate: float
+    ) -> None:
+        """Daemons that the store turns away do not use their parts again."""
+        time = ManualTime()
+        names = [f'vm-{number}' for number in range(size)]
+        daemons = [_daemon(each, time, names, rate) for each in range(size)]
+        left = daemons
+        for _ in range(4):
+            _settle(time, *left)
+            _settle(time, *left)
+            left = left[round(len(left) * ratio) :]
+        _settle(time, *left)
+        cold = _cold_server()
+        sent = 0
+        for daemon in daemons:
+            while _try_to_send(daemon, cold):
+                sent += 1
+        assert 0 < sent <= _POLICY.max_per_second(_service(rate))
+
     def test_new_daemon(self) -> None:
         """A daemon that has just started sends nothing to a cold server."""
         daemon = _daemon(0, ManualTime(), ['vm-0'], _RATE_PER_S)
@@ -95,7 +129,7 @@
         """The part is available again after a second."""
         time = ManualTime()
         daemon = _daemon(0, time, ['vm-0'], _RATE_PER_S)
-        time.advance(_SETTLED_MS)
+        _settle(time, daemon)
         cold = _cold_server()
         sent = sum(_try_to_send(daemon, cold) for _ in range(100))
         time.advance(_WINDOW_MS + 1)
@@ -114,7 +148,7 @@
         """Servers are taken for cold after the evacuation has ended."""
         time = ManualTime()
         daemon = _daemon(0, time, ['vm-0'], _RATE_PER_S)
-        time.advance(_SETTLED_MS)
+        _settle(time, daemon)
         daemon.directory.evacuations.start('here')
         daemon.directory.evacuations.end('here')
         returned = server('archive', 'warm')
@@ -132,7 +166,7 @@
         """Requests beyond the limit go to the replicas that are warm."""
         time = ManualTime()
         daemon = _daemon(0, time, ['vm-0'], _RATE_PER_S)
-        time.advance(_SETTLED_MS)
+        _settle(time, daemon)
         requests = [daemon.dispatch(route()) for _ in range(30)]
         daemon.directory.put(_cold_server('here'))
         daemon.directory.remove('archive/near')
@@ -170,15 +204,16 @@
         super().__init__()
         self.time = ManualTime()
         self.server = _cold_server()
+        self._away: list[RoutingDaemon] = []
         self.started = 4
         names = [f'vm-{number}' for number in range(self.started)]
         self.daemons = {
             name: _daemon(number, self.time, names, _RATE_PER_S)
             for number, name in enumerate(names)
         }
-        self.learned_ms = dict.fromkeys(names, 0.0)
         self.sent_ms: list[float] = []
-        self.time.advance(_SETTLED_MS)
+        _settle(self.time, *self.daemons.values())
+        self.learned_ms = dict.fromkeys(names, self.time.at_ms)
 
     @rule()
     def join(self) -> None:
@@ -200,6 +235,14 @@
             self.daemons.pop(name)
             self.learned_ms.pop(name)
 
+    @rule(index=st.integers(min_value=0))
+    def turn_away(self, index: int) -> None:
+        """Let the store turn a daemon away, which still has requests."""
+        if len(self.daemons) > 1:
+            name = sorted(self.daemons)[index % len(self.daemons)]
+            self._away.append(self.daemons.pop(name))
+            self.learned_ms.pop(name)
+
     @rule(index=st.integers(min_value=0))
     def learn(self, index: int) -> None:
         """Let a daemon read the registrations."""
@@ -210,7 +253,7 @@
     @rule()
     def burst(self) -> None:
         """Let every daemon send all that it may."""
-        for daemon in self.daemons.values():
+        for daemon in (*self.daemons.values(), *self._away):
             while _try_to_send(daemon, self.server):
                 self.sent_ms.append(self.time.at_ms)
 
@@ -224,7 +267,7 @@
             if sent_ms > self.time.at_ms - _WINDOW_MS
         ]
         for name, daemon in self.daemons.items():
-            if self.time.at_ms - self.learned_ms[name] >= _SETTLED_MS:
+            if self.time.at_ms - self.learned_ms[name] >= MAX_AGE_MS:
                 _learn(daemon, self.daemons)
                 self.learned_ms[name] = self.time.at_ms
 
