--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_blackboard.py
@@ -44,7 +44,7 @@
         members: registered daemons by name.
         fleet_size: largest recent number of daemons.
         limit_divisor: largest recent number by which this daemon divides the
-            limits of the whole fleet; see `fennelfork.membership`.
+            connections to each backend server; see `fennelfork.membership`.
         fleet_shares: shares of this daemon in the limits of the whole fleet that
             must hold whatever the daemons know of each other.
         directory: registered backend servers.
--- a/packages/fennelfork/src/fennelfork/membership/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/membership/__init__.pyi
@@ -4,7 +4,6 @@
 from ._announce import announce_leave as announce_leave
 from ._announce import announce_local_member as announce_local_member
 from ._announce import leave_is_announced as leave_is_announced
-from ._capacity import capable_in_data_centres as capable_in_data_centres
 from ._capacity import capable_members as capable_members
 from ._capacity import limit_divisor as limit_divisor
 from ._capacity import preferred_members as preferred_members
--- a/packages/fennelfork/src/fennelfork/membership/_capacity.py
+++ b/packages/fennelfork/src/fennelfork/membership/_capacity.py
@@ -1,6 +1,5 @@
 """Preference for the daemons with the most processor capacity."""
 
-import itertools
 from collections.abc import Iterable
 from typing import Final
 
@@ -33,15 +32,6 @@
     return tuple(member for member in known if member.processor_cores >= least)
 
 
-def capable_in_data_centres(members: Iterable[Member]) -> list[Member]:
-    """Return the most capable members of each data centre."""
-    by_data_centre: dict[str, list[Member]] = {}
-    for member in members:
-        by_data_centre.setdefault(member.data_centre, []).append(member)
-    groups = map(capable_members, by_data_centre.values())
-    return list(itertools.chain.from_iterable(groups))
-
-
 def preferred_members(members: Iterable[Member]) -> tuple[Member, ...]:
     """Return the members that callers should use at the current load.
 
@@ -61,7 +51,8 @@
     """Return the number by which the local daemon divides a limit.
 
     A limit of the whole fleet is divided by need: the daemons that callers
-    prefer get most of it. The parts of all daemons add up to the limit.
+    prefer get most of it. The parts of all daemons add up to the limit if all
+    have the same view; see `FleetShare` for limits that must hold in any case.
     """
     known = {member.name: member for member in (*members, local)}
     by_data_centre: dict[str, list[Member]] = {}
--- a/packages/fennelfork/src/fennelfork/routes/_fleet_maximum.py
+++ b/packages/fennelfork/src/fennelfork/routes/_fleet_maximum.py
@@ -27,11 +27,6 @@
     _seen: list[tuple[float, float]] = attrs.field(factory=list)
     _first_ms: float = math.inf
 
-    @property
-    def is_known(self) -> bool:
-        """Whether any value has been recorded."""
-        return bool(self._seen)
-
     @property
     def is_settled(self) -> bool:
         """Whether daemons that started at the same time could register."""
