Retry budget: a daemon whose share is not usable retries as its requests pay

Callers of a daemon that has just started or is turned away by the store got later answers than before: it could use the requests of 2 s only.

--- a/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
+++ b/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
@@ -51,11 +51,17 @@
 
     @property
     def settle_ms(self) -> float:
-        """Time for which a daemon is registered before it uses its share.
+        """Time for which a daemon is registered before it uses its share."""
+        return self.max_gap_ms + self.max_age_ms
+
+    @property
+    def hold_ms(self) -> float:
+        """Time for which a daemon that has left still counts.
 
-        As long, a daemon that has left still counts.
+        At least the settling time; a daemon that comes back soon finds its
+        share unused while it settles.
         """
-        return self.max_gap_ms + self.max_age_ms
+        return 2 * self.settle_ms
 
 
 @attrs.frozen(kw_only=True)
@@ -94,7 +100,12 @@
         The share is 0 while the daemon cannot know that all others count it,
         or that it counts all others.
         """
-        return self._share_of_weights if self.is_usable else 0
+        return self.nominal_share if self.is_usable else 0
+
+    @property
+    def nominal_share(self) -> float:
+        """Share by the latest view, whether or not it is usable now."""
+        return self._share_of_weights
 
     @property
     def is_usable(self) -> bool:
@@ -166,7 +177,7 @@
 
     def _replace_view(self, view: Mapping[str, float], now_ms: float) -> None:
         """Replace the view, and keep for a while what it lacks."""
-        oldest_ms = now_ms - self.policy.settle_ms
+        oldest_ms = now_ms - self.policy.hold_ms
         kept = [one for one in self._departed if one.until_ms >= oldest_ms]
         kept.extend(
             _DepartedWeight(name=name, weight=weight, until_ms=now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -5,12 +5,14 @@
 own requests and its share of the fixed number: in every time span up to a window,
 its extra attempts are at most the ratio times its requests of the same span, plus
 its share. The sum over all daemons then keeps to the limit, also while requests
-move from some daemons to others.
+move from some daemons to others. While the share is not usable, the requests of
+the last window must pay for all extra attempts of that window in addition; a share
+of less than one attempt is replaced by that condition.
 """
 
 import itertools
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import attrs
@@ -23,9 +25,6 @@
 _MARGIN: Final = 0.9
 # Time within which an attempt arrives after it was counted.
 _ARRIVAL_DELAY_MS: Final = 1000.0
-# Span before an extra attempt whose requests pay for it too, at a daemon without
-# a share of the fixed number.
-_CREDIT_MS: Final = 2000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -45,60 +44,51 @@
 
 @attrs.frozen(kw_only=True)
 class _ExtraAttempt:
-    """Extra attempt with the requests at its time.
+    """Extra attempt to a service.
 
     Attributes:
         sent_ms: time of the attempt.
-        requests: number of requests before the attempt.
-        recent_requests: those of them that are more recent than the credit.
+        requests_before: number of requests to the service before the attempt.
     """
 
     sent_ms: float
-    requests: int
-    recent_requests: int
+    requests_before: int
 
 
 @attrs.define(kw_only=True)
 class _ServiceCounts:
-    """Recent extra attempts to one service, and its requests."""
+    """Recent extra attempts to one service, and its requests.
+
+    Attributes:
+        requests: number of requests since the start.
+        requests_ms: times of the recent requests.
+        extra_attempts: recent extra attempts, oldest first.
+    """
 
     requests: int = 0
-    recent_ms: deque[float] = attrs.field(factory=deque)
+    requests_ms: deque[float] = attrs.field(factory=deque)
     extra_attempts: deque[_ExtraAttempt] = attrs.field(factory=deque)
 
     def record_request(self, now_ms: float) -> None:
         """Record a request."""
         self.requests += 1
-        self.recent_ms.append(now_ms)
-        self._discard_requests(now_ms)
-
-    def next_attempt(self, now_ms: float) -> _ExtraAttempt:
-        """Return an extra attempt that is sent now, without recording it."""
-        self._discard_requests(now_ms)
-        return _ExtraAttempt(
-            sent_ms=now_ms,
-            requests=self.requests,
-            recent_requests=len(self.recent_ms),
-        )
+        self.requests_ms.append(now_ms)
 
-    def discard_attempts_before(self, before_ms: float) -> None:
-        """Remove the extra attempts that are older than a point in time."""
-        while (
-            self.extra_attempts and self.extra_attempts[0].sent_ms < before_ms
-        ):
-            self.extra_attempts.popleft()
+    def discard_before(self, before_ms: float) -> None:
+        """Remove all entries that are older than a point in time."""
+        while self.requests_ms and self.requests_ms[0] < before_ms:
+            self.requests_ms.popleft()
+        attempts = self.extra_attempts
+        while attempts and attempts[0].sent_ms < before_ms:
+            attempts.popleft()
 
     def spans(self, upcoming: _ExtraAttempt) -> Iterator[_ExtraAttempt]:
-        """Return the first attempts of all spans that end now.
+        """Return the first attempts of all spans that end with an attempt.
 
         The spans contain one extra attempt, two and so on.
         """
         return itertools.chain((upcoming,), reversed(self.extra_attempts))
 
-    def _discard_requests(self, now_ms: float) -> None:
-        while self.recent_ms and self.recent_ms[0] < now_ms - _CREDIT_MS:
-            self.recent_ms.popleft()
-
 
 @attrs.define(kw_only=True)
 class RetryBudgets:
@@ -115,7 +105,7 @@
 
     def record_request(self, service: str) -> None:
         """Record the first attempt of a request to a service."""
-        self._counts_of(service).record_request(self._clock.now_ms())
+        self._recent_counts(service).record_request(self._clock.now_ms())
 
     def try_spend(self, service: str) -> bool:
         """Record an extra attempt if the budget of the service allows it.
@@ -123,32 +113,60 @@
         Returns:
             Whether the extra attempt may be sent.
         """
-        now_ms = self._clock.now_ms()
-        counts = self._counts_of(service)
-        span_ms = self.policy.window_ms + _ARRIVAL_DELAY_MS
-        counts.discard_attempts_before(now_ms - span_ms)
-        upcoming = counts.next_attempt(now_ms)
-        if not self._allows(counts, upcoming):
+        counts = self._recent_counts(service)
+        fixed_part = self._compute_fixed_part()
+        is_proven = fixed_part >= 1 and self._fleet_share.is_usable
+        if not (is_proven or self._is_paid(counts)):
+            return False
+        upcoming = _ExtraAttempt(
+            sent_ms=self._clock.now_ms(), requests_before=counts.requests
+        )
+        if fixed_part >= 1 and not self._is_within(
+            fixed_part, counts.spans(upcoming), counts.requests
+        ):
             return False
         counts.extra_attempts.append(upcoming)
         return True
 
-    def _allows(self, counts: _ServiceCounts, upcoming: _ExtraAttempt) -> bool:
-        """Whether each span that ends with an attempt is within the limit."""
-        fixed_part = _MARGIN * self._fleet_share.share * self.policy.fixed
-        has_credit = fixed_part < 1
-        for count, first in enumerate(counts.spans(upcoming), start=1):
-            paying = counts.requests - first.requests
-            if has_credit:
-                limit = self.policy.ratio * (paying + first.recent_requests)
-            else:
-                limit = self.policy.ratio * paying + fixed_part
-            if count > limit:
-                return False
-        return True
+    def _compute_fixed_part(self) -> float:
+        """Return the part of this daemon in the fixed number, usable or not."""
+        share = self._fleet_share.nominal_share
+        return _MARGIN * share * self.policy.fixed
+
+    def _is_paid(self, counts: _ServiceCounts) -> bool:
+        """Whether the recent requests pay for one more extra attempt."""
+        attempts = len(counts.extra_attempts) + 1
+        return attempts <= self.policy.ratio * len(counts.requests_ms)
+
+    def _is_within(
+        self,
+        fixed_part: float,
+        spans: Iterable[_ExtraAttempt],
+        requests: int,
+    ) -> bool:
+        """Whether the limit holds in each of the time spans that end now.
+
+        Args:
+            fixed_part: part of this daemon in the fixed number.
+            spans: first extra attempt of each span, the shortest one first.
+            requests: number of requests until now.
+        """
+        return all(
+            attempts
+            <= self.policy.ratio * (requests - first.requests_before)
+            + fixed_part
+            for attempts, first in enumerate(spans, start=1)
+        )
+
+    def _recent_counts(self, service: str) -> _ServiceCounts:
+        """Return the counts of a service within the window.
 
-    def _counts_of(self, service: str) -> _ServiceCounts:
-        return self._counts.setdefault(service, _ServiceCounts())
+        An attempt may arrive late, so the counts reach back a little further.
+        """
+        counts = self._counts.setdefault(service, _ServiceCounts())
+        span_ms = self.policy.window_ms + _ARRIVAL_DELAY_MS
+        counts.discard_before(self._clock.now_ms() - span_ms)
+        return counts
 
 
 def retry_budgets(
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -143,6 +143,19 @@
             fleet.play(POLICY.window_ms / 2, 200, half, spends_ms=1000)
         assert fleet.worst_excess() <= 0
 
+    @pytest.mark.parametrize('ratio', [0.25, 0.45, 0.7])
+    def test_requests_at_both_parts(self, ratio: float) -> None:
+        """Daemons that are turned away retry, and all stay in the budget."""
+        fleet = running_fleet(_COUNT)
+        away = fleet.part(ratio)
+        fleet.turn_away(away)
+        names = fleet.part(1)
+        fleet.play(_LONG_MS, 100, names, spends_ms=_LONG_MS)
+        assert fleet.worst_excess() <= 0
+        fleet.arrivals.clear()
+        fleet.play(POLICY.window_ms, 100, away, spends_ms=POLICY.window_ms)
+        assert len(fleet.arrivals) >= 0.5 * POLICY.ratio * 1000
+
     def test_burst_ends(self) -> None:
         """Requests of a burst do not pay for what is sent after it."""
         fleet = running_fleet(_COUNT)
