Quotas: four fifths of the free allowance are lasting, for 8 s

The ranks of a FleetShare take bounded memory. A test of a daemon on a stand-in store shows when its share is usable.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_shares.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_shares.py
@@ -16,7 +16,7 @@
 _MIN_AGE_MS: Final = 3000.0
 # Time for which a daemon that is cut off keeps its free runs. Longer outages of
 # the store are rare.
-_LASTING_AGE_MS: Final = 10_000.0
+_LASTING_AGE_MS: Final = 8000.0
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork-daemon/tests/test_routes_share_monitor.py
+++ b/packages/fennelfork-daemon/tests/test_routes_share_monitor.py
@@ -7,9 +7,10 @@
 
 import pytest
 import structlog
-from daemon_builders_routes import FollowingDaemon, member
+from daemon_builders_routes import FollowingDaemon, member, table
+from returns.result import Success
 
-from fennelfork_daemon.routes import MemberUpdate
+from fennelfork_daemon.routes import ConfigUpdate, MemberUpdate
 from fennelfork_daemon.routes._share_monitor import share_monitor
 
 
@@ -38,3 +39,40 @@
         lines = following.lines('limit_share_changed')
         logged = [(line['share'], line['daemons']) for line in lines]
         assert logged == [(0.25, 1), (0, 1)]
+
+
+class TestShare:
+    """A daemon that is registered and follows the store has a share."""
+
+    def follow(self, following: FollowingDaemon, seconds: int) -> None:
+        """Renew the lease and read the store each second."""
+        for _ in range(seconds):
+            following.time.advance(1000)
+            following.store.renewals.append(Success(True))
+            following.registration.step()
+            following.apply_updates()
+
+    def test_after_settling(self, following: FollowingDaemon) -> None:
+        """Not before all others know it, nor while the store is silent."""
+        share = following.blackboard.fleet_shares.retries
+        following.apply_updates(ConfigUpdate(table=table(1)))
+        following.registration.step()
+        self.follow(following, 12)
+        assert share.share == 0
+        self.follow(following, 2)
+        assert share.share == pytest.approx(0.5)
+        following.time.advance(3001)
+        assert share.share == 0
+
+    def test_lost_lease(self, following: FollowingDaemon) -> None:
+        """A daemon whose lease has ended settles again."""
+        share = following.blackboard.fleet_shares.retries
+        following.apply_updates(ConfigUpdate(table=table(1)))
+        following.registration.step()
+        self.follow(following, 14)
+        following.store.renewals.append(Success(False))
+        following.registration.step()
+        self.follow(following, 12)
+        assert share.share == 0
+        self.follow(following, 2)
+        assert share.share > 0
--- a/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
+++ b/packages/fennelfork/src/fennelfork/membership/_fleet_share.py
@@ -17,6 +17,8 @@
 
 # Weight of a daemon whose processor capacity is unknown, in cores.
 _MIN_WEIGHT: Final = 0.1
+# Bounds the memory of a daemon in a fleet that does not change for long.
+_MAX_RANKS: Final = 4096
 
 
 class LeaseTimes(Protocol):
@@ -172,6 +174,8 @@
                 for name, weight in self._weights.items()
                 if name != self._local.name
             )
+            if len(self._ranks) >= _MAX_RANKS:
+                self._ranks.clear()
             self._ranks[key] = rank
         return rank
 
--- a/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
+++ b/packages/fennelfork/src/fennelfork/workspaces/_free_allowance.py
@@ -11,7 +11,7 @@
 
 # Part of the allowance for daemons that have been registered for long. They use
 # it also while they are cut off, and its parts are redistributed late.
-_LASTING_PART: Final = 0.65
+_LASTING_PART: Final = 0.8
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/fennelfork/tests/core_builders_quota.py
+++ b/packages/fennelfork/tests/core_builders_quota.py
@@ -34,7 +34,7 @@
 _MAX_AGE_MS: Final = 5000.0
 _LEASE_MS: Final = 3000.0
 _RENEWAL_MS: Final = 1400.0
-_LASTING_AGE_MS: Final = 10_000.0
+_LASTING_AGE_MS: Final = 8000.0
 _LEFT_MS: Final = 500.0
 _NONE: Final = 0
 
