--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_shares.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_fleet_shares.py
@@ -55,8 +55,14 @@
 def fleet_shares(
     settings: RouteSettings, clock: Clock, local: Member, lease: LeaseTimes
 ) -> FleetShares:
-    """Create the shares of a daemon that has not read the store yet."""
+    """Create the shares of a daemon that has not read the store yet.
 
+    Args:
+        settings: windows of the limits, and the age of a view.
+        clock: clock of this daemon.
+        local: entry of this daemon.
+        lease: times of the lease of this daemon.
+    """
     share_of = functools.partial(
         FleetShare, clock=clock, local=local, lease=lease
     )
