--- a/packages/fennelfork/tests/core_builders_budget.py
+++ b/packages/fennelfork/tests/core_builders_budget.py
@@ -46,6 +46,7 @@
     view_ms: float
     lag_ms: float
     share_policy: SharePolicy
+    retry_policy: RetryPolicy
     members: dict[str, Member] = attrs.field(factory=dict)
     sees_store: bool = True
     is_relayed: bool = False
@@ -64,7 +65,7 @@
             local=self.local,
             lease=self.lease,
         )
-        self.budgets = retry_budgets(POLICY, clock, self.share)
+        self.budgets = retry_budgets(self.retry_policy, clock, self.share)
 
     def look(self, members: dict[str, Member]) -> None:
         """Read all entries of the store."""
@@ -124,6 +125,7 @@
     share_policy: SharePolicy = SharePolicy(
         window_ms=POLICY.window_ms, max_age_ms=MAX_AGE_MS
     )
+    retry_policy: RetryPolicy = POLICY
     units: int = 7
     used: list[Use] = attrs.field(factory=list)
     _states: list[_State] = attrs.field(factory=list)
@@ -160,6 +162,7 @@
             view_ms=self._rng.uniform(STEP_MS, _MAX_VIEW_MS),
             lag_ms=self._rng.uniform(0, _MAX_LAG_MS),
             share_policy=self.share_policy,
+            retry_policy=self.retry_policy,
         )
 
     def restart(self, names: list[str]) -> None:
@@ -192,8 +195,10 @@
 
     def advance(self, ms: float) -> None:
         """Let time pass without requests and extra attempts."""
-        for _ in range(round(ms / STEP_MS)):
+        for _ in range(int(ms / STEP_MS)):
             self.step()
+        if ms % STEP_MS:
+            self.step(ms % STEP_MS)
 
     def spend_all(self, ms: float) -> None:
         """Let all daemons send each extra attempt that is allowed."""
@@ -246,9 +251,9 @@
             bisect.insort(self.arrivals, self.time.at_ms + late_ms)
             self.spenders[name] += 1
 
-    def step(self) -> None:
+    def step(self, ms: float = STEP_MS) -> None:
         """Let a short time pass at the store and at the daemons."""
-        self.time.advance(STEP_MS)
+        self.time.advance(ms)
         if self.store_up:
             self.expire_leases()
         self._remember_state()
@@ -289,19 +294,20 @@
         The requests count in the window, in the one before it or in the one
         half a window before it, whichever has most.
         """
-        window_ms = POLICY.window_ms
-        worst = -POLICY.fixed
+        policy = self.retry_policy
+        window_ms = policy.window_ms
+        worst = -policy.fixed
         for index, first_ms in enumerate(self.arrivals):
             last = bisect.bisect_right(self.arrivals, first_ms + window_ms)
             begins = (first_ms, first_ms - window_ms / 2, first_ms - window_ms)
             counted = max(self._requests_from(begin) for begin in begins)
-            bound = POLICY.ratio * counted + POLICY.fixed
+            bound = policy.ratio * counted + policy.fixed
             worst = max(worst, last - index - bound)
         return worst
 
     def _requests_from(self, begin_ms: float) -> int:
         first = bisect.bisect_left(self.requests, begin_ms)
-        end_ms = begin_ms + POLICY.window_ms
+        end_ms = begin_ms + self.retry_policy.window_ms
         return bisect.bisect_right(self.requests, end_ms) - first
 
     def _remember_state(self) -> None:
@@ -351,8 +357,10 @@
             daemon.record_renewal(is_new=is_new)
 
 
-def running_fleet(count: int, seed: int = 1) -> BudgetFleet:
+def running_fleet(
+    count: int, seed: int = 1, retry_policy: RetryPolicy = POLICY
+) -> BudgetFleet:
     """Return a fleet that has been up for a while and sent nothing."""
-    fleet = BudgetFleet(count=count, seed=seed)
+    fleet = BudgetFleet(count=count, seed=seed, retry_policy=retry_policy)
     fleet.advance(40_000)
     return fleet
--- a/packages/fennelfork/tests/test_routes_retry_budget.py
+++ b/packages/fennelfork/tests/test_routes_retry_budget.py
@@ -3,7 +3,6 @@
 from core_builders_budget import (
     POLICY,
     SERVICE,
-    STEP_MS,
     BudgetDaemon,
     BudgetFleet,
     running_fleet,
@@ -11,7 +10,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from fennelfork.routes import RetryPolicy
+
 _DAEMONS = 4
+# Few attempts beyond the ratio, so that the ratio matters.
+_SMALL_POLICY = RetryPolicy(ratio=0.2, fixed=58, window_ms=10_000)
 
 
 class TestRetryBudgets:
@@ -46,7 +49,7 @@
     def __init__(self) -> None:
         """Start all daemons with the same view of the fleet."""
         super().__init__()
-        self.fleet = running_fleet(_DAEMONS)
+        self.fleet = running_fleet(_DAEMONS, retry_policy=_SMALL_POLICY)
 
     @rule(which=st.integers(0, _DAEMONS - 1), count=st.integers(1, 30))
     def request(self, which: int, count: int) -> None:
@@ -58,10 +61,10 @@
         """Spend some of the budget of one daemon."""
         self.fleet.spend(f'vm-{which}', count)
 
-    @rule(steps=st.integers(1, round(POLICY.window_ms / STEP_MS)))
-    def wait(self, steps: int) -> None:
+    @rule(by_ms=st.floats(1, POLICY.window_ms))
+    def wait(self, by_ms: float) -> None:
         """Advance the clock."""
-        self.fleet.advance(steps * STEP_MS)
+        self.fleet.advance(by_ms)
 
     @rule(which=st.integers(0, _DAEMONS - 1))
     def crash(self, which: int) -> None:
