--- a/packages/fennelfork/tests/core_builders_budget.py
+++ b/packages/fennelfork/tests/core_builders_budget.py
@@ -24,6 +24,7 @@
 _MAX_VIEW_MS: Final = 3000.0
 _MAX_LAG_MS: Final = 1500.0
 _LEASE_MS: Final = 3000.0
+_MS_PER_S: Final = 1000
 _RENEWAL_MS: Final = 1800.0
 _CAPABLE_PER_DATA_CENTRE: Final = 2
 _DATA_CENTRES: Final = ('here', 'near', 'far')
@@ -235,6 +236,38 @@
             self.daemons[name].budgets.record_request(SERVICE)
             self.requests.append(self.time.at_ms)
 
+    def test(self, name: str) -> None:
+        """The platform tests the configuration of a daemon by a request.
+
+        No caller sent it, so the bound of the fleet does not count it.
+        """
+        self.daemons[name].budgets.record_request(SERVICE)
+
+    def play_with_tests(
+        self, ms: float, per_s: float, tests_per_s: float
+    ) -> None:
+        """Send requests through the capable daemons, and test all of them.
+
+        All daemons send each extra attempt that is allowed.
+
+        Args:
+            ms: length in milliseconds.
+            per_s: requests of callers in a second, of all daemons together.
+            tests_per_s: tests of each daemon in a second.
+        """
+        names = self.names
+        capable = names[: _CAPABLE_PER_DATA_CENTRE * len(_DATA_CENTRES)]
+        wait_s = STEP_MS / _MS_PER_S
+        for _ in range(round(ms / STEP_MS)):
+            self.step()
+            for name in capable:
+                if self._rng.random() < per_s * wait_s / len(capable):
+                    self.request(name, 1)
+            for name in names:
+                if self._rng.random() < tests_per_s * wait_s:
+                    self.test(name)
+                self.spend(name)
+
     def spend(self, name: str, most: int | None = None) -> None:
         """Let a daemon send the extra attempts that are allowed now.
 
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -3,6 +3,7 @@
 Guards against shares of the retry budget that add up to more than the budget.
 """
 
+import attrs
 import pytest
 from core_builders_budget import (
     MAX_AGE_MS,
@@ -19,6 +20,27 @@
 _LONG_MS = 40_000.0
 
 
+class TestPlatformTests:
+    """The platform tests the configuration of each daemon by requests.
+
+    Guards against extra attempts that are paid by requests of no caller: the
+    limit counts only requests of callers, and the tests grow with the fleet.
+    """
+
+    @pytest.mark.parametrize(
+        ('count', 'fixed', 'per_s'),
+        [(195, 430, 25), (195, 430, 12), (117, 298, 12), (9, 58, 30)],
+    )
+    def test_tests_pay_for_nothing(
+        self, count: int, fixed: float, per_s: float
+    ) -> None:
+        """A fleet that sends all it may keeps to the requests of callers."""
+        policy = attrs.evolve(POLICY, fixed=fixed)
+        fleet = running_fleet(count, retry_policy=policy)
+        fleet.play_with_tests(_LONG_MS, per_s, tests_per_s=0.8)
+        assert fleet.worst_excess() <= 0
+
+
 class TestTurnedAway:
     """The store turns a part of the fleet away for long."""
 
