Retry budget: requests that may be tests of the configuration pay for nothing

Callers: extra attempts of all daemons together may exceed what their requests allow, and overload a service that is in trouble.

Cause: the platform tests the configuration of each daemon by requests, about one a second (0.75 with a route), all to one or two services. The limit counts "those that clients sent on a route to it"; RetryBudgets counted the tests too, and each paid for 0.2 extra attempts. They grow with the number of daemons: 195 of them pay for 292 attempts in 10 s beside the fixed number of 430, of which 43 are kept back.

Evidence: the fleet without I/O of TestPlatformTests sends 177 attempts beyond the limit with 195 daemons, 103 with 117, a few with 9, before this change; all four cases failed.

Change: RetryPolicy.tests_per_s.

--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -5,7 +5,9 @@
 own requests and its share of the fixed number: in every time span up to a window,
 its extra attempts are at most the ratio times its requests of the same span, plus
 its share. The sum over all daemons then keeps to the limit, also while requests
-move from some daemons to others. While the share is not usable, the requests of
+move from some daemons to others. Requests that may be tests of the platform pay
+for nothing: the limit counts the requests of callers, and the tests grow with
+the number of daemons. While the share is not usable, the requests of
 the last window must pay for all extra attempts of that window in addition; a share
 of less than one attempt is replaced by that condition.
 """
@@ -19,6 +21,7 @@
 
 from fennelfork._clock import Clock
 from fennelfork.membership import FleetShare
+from fennelfork.routes._config_tests import ConfigTests
 
 # Fraction of the fixed number that is used; the rest covers attempts that
 # arrive later than expected, or at another service than the one meant.
@@ -35,11 +38,14 @@
         ratio: extra attempts per request.
         fixed: extra attempts per window in addition to the ratio.
         window_ms: length of the window in milliseconds.
+        tests_per_s: requests that each daemon gets in a second from the
+            platform, which tests the configuration by them.
     """
 
     ratio: float
     fixed: float
     window_ms: float
+    tests_per_s: float = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -48,7 +54,8 @@
 
     Attributes:
         sent_ms: time of the attempt.
-        requests_before: number of requests to the service before the attempt.
+        requests_before: number of requests of callers to the service before
+            the attempt.
     """
 
     sent_ms: float
@@ -57,20 +64,22 @@
 
 @attrs.define(kw_only=True)
 class _ServiceCounts:
-    """Recent extra attempts to one service, and its requests.
+    """Recent extra attempts to one service, and its requests of callers.
 
     Attributes:
-        requests: number of requests since the start.
-        requests_ms: times of the recent requests.
+        tests: requests that may be tests.
+        requests: number of other requests since the start.
+        requests_ms: times of the recent other requests.
         extra_attempts: recent extra attempts, oldest first.
     """
 
+    tests: ConfigTests = attrs.field(factory=ConfigTests)
     requests: int = 0
     requests_ms: deque[float] = attrs.field(factory=deque)
     extra_attempts: deque[_ExtraAttempt] = attrs.field(factory=deque)
 
     def record_request(self, now_ms: float) -> None:
-        """Record a request."""
+        """Record a request of a caller."""
         self.requests += 1
         self.requests_ms.append(now_ms)
 
@@ -105,7 +114,10 @@
 
     def record_request(self, service: str) -> None:
         """Record the first attempt of a request to a service."""
-        self._recent_counts(service).record_request(self._clock.now_ms())
+        counts = self._recent_counts(service)
+        now_ms = self._clock.now_ms()
+        if not counts.tests.may_include(now_ms, self.policy.tests_per_s):
+            counts.record_request(now_ms)
 
     def try_spend(self, service: str) -> bool:
         """Record an extra attempt if the budget of the service allows it.
@@ -149,7 +161,7 @@
         Args:
             fixed_part: part of this daemon in the fixed number.
             spans: first extra attempt of each span, the shortest one first.
-            requests: number of requests until now.
+            requests: number of requests of callers until now.
         """
         return all(
             attempts
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -35,7 +35,7 @@
         self, count: int, fixed: float, per_s: float
     ) -> None:
         """A fleet that sends all it may keeps to the requests of callers."""
-        policy = attrs.evolve(POLICY, fixed=fixed)
+        policy = attrs.evolve(POLICY, fixed=fixed, tests_per_s=1)
         fleet = running_fleet(count, retry_policy=policy)
         fleet.play_with_tests(_LONG_MS, per_s, tests_per_s=0.8)
         assert fleet.worst_excess() <= 0
