Backend servers: the deadline is that of the write, not of the wait

Backend servers could be handed more time than the caller has left: the header was computed before the wait for a connection (100 ms), its opening (300 ms) and, soon after a start, the wait for a reset.

The two tests of the codec get the time as a function; the deadline is the last header now.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_request.py
@@ -54,6 +54,10 @@
         return None
 
 
+def _no_headers() -> HeaderPairs:
+    return ()
+
+
 def _accept_any(response: BackendResponse) -> Result[BackendResponse, Failure]:
     return Success(response)
 
@@ -65,12 +69,15 @@
     Attributes:
         method: HTTP method.
         target: path and query string.
-        headers: all headers except Content-Length.
+        headers: all headers that do not depend on the time, except
+            Content-Length.
         body: bytes of the body, if any.
         timeout_ms: timeout for the complete response, in milliseconds.
         connect_ms: timeout for a new connection, in milliseconds; at most
             `timeout_ms` applies.
         fresh: whether the request needs a new connection.
+        timed_headers: function that returns the headers that depend on the time
+            at which the request is written.
         check: function that fails for a response to another request; the
             connection of such a response is closed.
     """
@@ -82,6 +89,7 @@
     timeout_ms: float
     connect_ms: float
     fresh: bool = False
+    timed_headers: Callable[[], HeaderPairs] = _no_headers
     check: Callable[[BackendResponse], Result[BackendResponse, Failure]] = (
         _accept_any
     )
@@ -114,7 +122,7 @@
 
 @send_request.register
 def _send_forward(request: ForwardRequest, http: HTTPConnection) -> None:
-    headers = HTTPHeaderDict(request.headers)
+    headers = HTTPHeaderDict(request.headers + request.timed_headers())
     for name in _OMITTED_HEADERS:
         headers.setdefault(name, SKIP_HEADER)
     http.request(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
@@ -156,11 +156,8 @@
     def _send_request(
         self, send: Send, trace: ConnectionTrace
     ) -> AttemptResult:
-        left_ms = self._deadline_ms - self._parts.clock.now_ms()
         call = self._parts.codec.write_request(
-            self._caller_request,
-            send.server,
-            max(_MIN_TIMEOUT_MS, left_ms),
+            self._caller_request, send.server, self._remaining_ms
         )
         if self._requires_new_connection:
             call = attrs.evolve(call, fresh=True)
@@ -170,6 +167,10 @@
             self._classify_reset
         )
 
+    def _remaining_ms(self) -> float:
+        left_ms = self._deadline_ms - self._parts.clock.now_ms()
+        return max(_MIN_TIMEOUT_MS, left_ms)
+
     def _classify_reset(self, failure: Failure) -> Failure:
         is_warmed_up = self._parts.selector.shares.is_settled
         return classify_reset(failure, is_warmed_up=is_warmed_up)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_ports.py
@@ -1,5 +1,6 @@
 """Interfaces that an adapter to a platform implements."""
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import attrs
@@ -186,9 +187,16 @@
         self,
         caller_request: CallerRequest,
         server: BackendServer,
-        remaining_ms: float,
+        remaining_ms: Callable[[], float],
     ) -> ForwardRequest:
-        """Encode the attempt that forwards a request to a server."""
+        """Encode the attempt that forwards a request to a server.
+
+        Args:
+            caller_request: request of the caller.
+            server: server that gets the attempt.
+            remaining_ms: function that returns the time until the deadline.
+                It is called again when the request is written.
+        """
 
     def read_response(
         self,
--- a/tests/test_platform_access.py
+++ b/tests/test_platform_access.py
@@ -91,10 +91,10 @@
     ) -> list[tuple[str, str]]:
         """Return the headers that a backend server gets."""
         asked = self.ask(table, *headers).unwrap().caller_request
-        call = PlatformBackends().write_request(asked, _SERVER, 100)
+        call = PlatformBackends().write_request(asked, _SERVER, lambda: 100)
         return [
             (name, text)
-            for name, text in call.headers
+            for name, text in call.headers + call.timed_headers()
             if name not in {'Accept', 'X-Deadline-Ms', 'X-Expect-Instance'}
         ]
 
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -46,15 +46,15 @@
         ask = _CALLERS.read_request(environ(), None).unwrap()
         assert (ask.target, ask.path) == ('/rafts/7?full=1', '/rafts/7')
         assert ask.host == 'rafts.example'
-        call = _BACKENDS.write_request(ask, _SERVER, 1500.9)
+        call = _BACKENDS.write_request(ask, _SERVER, lambda: 1500.9)
         assert call.target == ask.target
-        assert call.headers == (
+        assert call.headers + call.timed_headers() == (
             ('Host', 'Rafts.example:80'),
             ('X-Request-Id', '9c41d07be2a35f68'),
             ('Accept', 'a'),
             ('Accept', 'b'),
-            ('X-Deadline-Ms', '1500'),
             ('X-Expect-Instance', 'i-7'),
+            ('X-Deadline-Ms', '1500'),
         )
 
     def test_fingerprint(self) -> None:
@@ -178,7 +178,7 @@
     def test_mismatched_request_id(self) -> None:
         """A response to another request is rejected."""
         ask = _CALLERS.read_request(environ(), None).unwrap()
-        call = _BACKENDS.write_request(ask, _SERVER, 100)
+        call = _BACKENDS.write_request(ask, _SERVER, lambda: 100)
         matching = response(X_Request_Id=ask.request_id)
         assert call.check(matching).unwrap() is matching
         mismatched = call.check(response(X_Request_Id='another'))
