Backend servers: an entry at the same address excludes no other server

What it saved is small since: one request of each daemon to an address between the registration of the later server and the end of the former entry. Found by reading, no run showed it.

--- a/packages/fennelfork/src/fennelfork/routes/_server_directory.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_directory.py
@@ -64,8 +64,7 @@
     def usable_servers(self, service: str) -> list[BackendServer]:
         """Return the servers of a service that may get new requests.
 
-        Draining servers and those in evacuated data centres may not, nor those
-        whose address a server has that started later, maybe of another service.
+        Draining servers and those in evacuated data centres may not.
         """
         self._update_index()
         return self._by_service.get(service, [])
@@ -137,25 +136,7 @@
             return
         self._indexed = state
         self._by_service = {}
-        latest_ms = _latest_starts(entries.values())
         for server in entries.values():
-            is_gone = server.started_ms < latest_ms[server.address]
-            is_excluded = server.draining or server.data_centre in evacuated
-            if not (is_gone or is_excluded):
+            if not (server.draining or server.data_centre in evacuated):
                 known = self._by_service.setdefault(server.service, [])
                 known.append(server)
-
-
-def _latest_starts(servers: Iterable[BackendServer]) -> dict[str, int]:
-    """Return the time of the latest start at each address.
-
-    A server whose start is unknown may be the one that runs at its address.
-    """
-    latest_ms: dict[str, int] = {}
-    unknown = set()
-    for server in servers:
-        known_ms = latest_ms.get(server.address, 0)
-        latest_ms[server.address] = max(known_ms, server.started_ms)
-        if not server.started_ms:
-            unknown.add(server.address)
-    return latest_ms | dict.fromkeys(unknown, 0)
