--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -156,8 +156,8 @@
     state.ejection.record_failure()
     unreached = outcome.failure.verdict is Verdict.NOT_RUN
     if outcome.failure.was_received:
-        # The next request would be an extra one for the other server, which
-        # this daemon counts for this server.
+        # Further requests would be extra attempts at the service of the other
+        # server, whose retry budget does not count them.
         state.ejection.record_replaced(record.now_ms)
     if unreached or state.ejection.should_eject:
         # No process listens on the address, or the server fails repeatedly.
