Attempts: the time between decision and write is logged and exported

The connection pool now tells right before it writes a request; `request_ended` has the field write_delay_ms and the histogram fennelfork_write_delay_seconds is new. Nothing is decided differently. The states of servers are recorded in a module of their own, as the runner of attempts had too many jobs.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -1,6 +1,7 @@
 """Connection pool of one backend server."""
 
 import contextlib
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -37,6 +38,10 @@
 _KEEP_ALIVE_SHARE: Final = 0.8
 
 
+def _ignore_write() -> None:
+    """Do nothing before a request is written."""
+
+
 @attrs.define(kw_only=True)
 class ConnectionTrace:
     """Record of the connection that carries a request.
@@ -45,10 +50,13 @@
         connection: number of the connection, zero before the assignment.
         may_be_sent: whether bytes of the request may have been written to the
             connection; false while the request waits for a connection.
+        before_write: function that is called right before the request is
+            written; no other green thread runs between the call and the write.
     """
 
     connection: int = 0
     may_be_sent: bool = False
+    before_write: Callable[[], None] = _ignore_write
 
 
 @attrs.frozen(kw_only=True)
@@ -209,6 +217,7 @@
         with contextlib.ExitStack() as unusable:
             # Also runs when the green thread of the request is killed.
             unusable.callback(self._release, number, usable=False)
+            trace.before_write()
             trace.may_be_sent = True
             response = self._open[number].exchange(request)
             if is_successful(response):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
@@ -1,5 +1,6 @@
 """Execution of the attempts of one request."""
 
+import functools
 from collections.abc import Callable
 from typing import Final
 
@@ -13,9 +14,7 @@
 from fennelfork import Clock, Failure
 from fennelfork.routes import (
     AttemptOutcome,
-    AttemptRecord,
     Inconclusive,
-    LatencyBaseline,
     Selector,
     Send,
     Succeeded,
@@ -23,7 +22,6 @@
     classify_failure,
     classify_reset,
     classify_unsent,
-    record_outcome,
 )
 from fennelfork_daemon._address import address
 from fennelfork_daemon.backend._liveness import has_server_crashed
@@ -33,6 +31,7 @@
     SignedResponse,
 )
 from fennelfork_daemon.routes._guard import RequestGuard
+from fennelfork_daemon.routes._outcome_recorder import OutcomeRecorder
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._ports import BackendCodec
 from fennelfork_daemon.routes._request_reporter import RequestReporter
@@ -75,9 +74,10 @@
 
     _parts: AttemptParts
     _caller_request: CallerRequest
-    _latency_baseline: LatencyBaseline
+    _recorder: OutcomeRecorder
     _deadline_ms: float
     _requires_new_connection: bool
+    _record_write: Callable[[int, float], None]
     _on_result: Callable[[int, AttemptResult], None]
     _running: dict[int, _RunningAttempt] = attrs.field(factory=dict)
     _cancelled_outcome: AttemptOutcome = Inconclusive()
@@ -85,11 +85,12 @@
     def start_attempts(self, sends: list[Send]) -> None:
         """Start one green thread for each attempt."""
         for send in sends:
-            state = self._parts.selector.states.for_incarnation(
-                send.server.incarnation
+            self._recorder.state_of(send).record_sent(
+                send.attempt, send.sent_ms
+            )
+            trace = ConnectionTrace(
+                before_write=functools.partial(self._handle_write, send.attempt)
             )
-            state.record_sent(send.attempt, send.sent_ms)
-            trace = ConnectionTrace()
             self._running[send.attempt] = _RunningAttempt(
                 send=send,
                 thread=eventlet.spawn(self._run_attempt, send, trace),
@@ -129,7 +130,10 @@
     def _kill(self, running: _RunningAttempt, outcome: AttemptOutcome) -> None:
         if self._running.pop(running.send.attempt, None) is not None:
             running.thread.kill()
-            self._record_outcome(running.send, outcome)
+            self._recorder.record(running.send, outcome)
+
+    def _handle_write(self, attempt: int) -> None:
+        self._record_write(attempt, self._parts.clock.now_ms())
 
     def _run_attempt(self, send: Send, trace: ConnectionTrace) -> None:
         try:
@@ -137,7 +141,7 @@
         except GreenletExit:
             return
         self._running.pop(send.attempt, None)
-        self._record_outcome(send, self._classify_result(send, attempt_result))
+        self._recorder.record(send, self._classify_result(send, attempt_result))
         self._on_result(send.attempt, attempt_result)
         if is_successful(attempt_result):
             self._parts.guard.record_response(send, self._caller_request)
@@ -182,28 +186,3 @@
             return Succeeded()
         left_ms = self._deadline_ms - send.sent_ms
         return classify_failure(attempt_result.failure(), left_ms)
-
-    def _record_outcome(self, send: Send, outcome: AttemptOutcome) -> None:
-        record = AttemptRecord(
-            send=send,
-            now_ms=self._parts.clock.now_ms(),
-            latency_baseline=self._latency_baseline,
-            nearby=self._parts.selector.distances.is_local(
-                send.server.data_centre,
-            ),
-        )
-        state = self._parts.selector.states.for_incarnation(
-            send.server.incarnation
-        )
-        was_ejected = state.ejection.is_ejected(record.now_ms)
-        was_in_slow_start = state.ejection.in_slow_start
-        record_outcome(outcome, record, state)
-        if was_in_slow_start and not state.ejection.in_slow_start:
-            self._parts.reporter.log_recovery(send)
-        if not was_ejected and state.ejection.is_ejected(record.now_ms):
-            self._parts.reporter.log_ejection(
-                send,
-                outcome,
-                state.ejection.ejected_until_ms - record.now_ms,
-                state.outstanding,
-            )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_events_requests.py
@@ -76,6 +76,8 @@
             routed.
         sampled: whether the request finished as expected and is logged as a
             sample.
+        write_delay_ms: longest time between the decision on an attempt and the
+            write of its request.
         steps: events of the attempts, by service.
         workspace: name of the workspace, empty for none.
     """
@@ -97,6 +99,7 @@
     answer: str
     version: int
     sampled: bool
+    write_delay_ms: int
     steps: Mapping[str, Sequence[str]]
     workspace: str
 
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_metrics.py
@@ -32,6 +32,8 @@
 _MAX_NAMES: Final = 64
 # Covers the latency targets and timeouts of typical routes.
 _LATENCY_BUCKETS: Final = (0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1, 2, 4, 15)
+# Covers an event loop on time, one late by a hedge delay, and a suspended one.
+_DELAY_BUCKETS: Final = (0.005, 0.025, 0.1, 0.3, 1, 3)
 
 
 @attrs.frozen(kw_only=True)
@@ -46,6 +48,8 @@
         hedges: number of hedges.
         retries: number of retries.
         missing: names of the services without a response.
+        write_delay_ms: longest time between the decision on an attempt and the
+            write of its request.
     """
 
     route: str
@@ -54,6 +58,7 @@
     hedges: int
     retries: int
     missing: tuple[str, ...]
+    write_delay_ms: float
 
 
 @attrs.frozen(kw_only=True)
@@ -71,6 +76,7 @@
     _latency: Histogram
     _answers: Counter
     _extra_attempts: Counter
+    _write_delay: Histogram
     _missing: Counter
     _decisions: Counter
     _overload_refusals: Counter
@@ -110,6 +116,7 @@
         self._answers.labels(route, answered.outcome).inc()
         self._extra_attempts.labels(route, 'hedge').inc(answered.hedges)
         self._extra_attempts.labels(route, 'retry').inc(answered.retries)
+        self._write_delay.observe(answered.write_delay_ms / _MS_PER_SECOND)
         for service in answered.missing:
             self._missing.labels(self._services.label(service)).inc()
 
@@ -171,6 +178,12 @@
             'Calls of backend servers beyond the first of each service.',
             ('route', 'reason'),
         ),
+        write_delay=Histogram(
+            'fennelfork_write_delay_seconds',
+            'Longest time from a decision to send to the write, per request.',
+            buckets=_DELAY_BUCKETS,
+            registry=registry,
+        ),
         missing=_build_counter(
             registry,
             'fennelfork_missing_parts',
--- /dev/null
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_outcome_recorder.py
@@ -0,0 +1,51 @@
+"""Effect of the outcomes of attempts on the states of backend servers."""
+
+import attrs
+
+from fennelfork import Clock
+from fennelfork.routes import (
+    AttemptOutcome,
+    AttemptRecord,
+    LatencyBaseline,
+    Selector,
+    Send,
+    ServerState,
+    record_outcome,
+)
+from fennelfork_daemon.routes._request_reporter import RequestReporter
+
+
+@attrs.frozen(kw_only=True)
+class OutcomeRecorder:
+    """Records the outcomes of the attempts of one request."""
+
+    _clock: Clock
+    _selector: Selector
+    _reporter: RequestReporter
+    _latency_baseline: LatencyBaseline
+
+    def state_of(self, send: Send) -> ServerState:
+        """Return the state of the server of an attempt."""
+        return self._selector.states.for_incarnation(send.server.incarnation)
+
+    def record(self, send: Send, outcome: AttemptOutcome) -> None:
+        """Record the outcome of an attempt that ends now."""
+        record = AttemptRecord(
+            send=send,
+            now_ms=self._clock.now_ms(),
+            latency_baseline=self._latency_baseline,
+            nearby=self._selector.distances.is_local(send.server.data_centre),
+        )
+        state = self.state_of(send)
+        was_ejected = state.ejection.is_ejected(record.now_ms)
+        was_in_slow_start = state.ejection.in_slow_start
+        record_outcome(outcome, record, state)
+        if was_in_slow_start and not state.ejection.in_slow_start:
+            self._reporter.log_recovery(send)
+        if not was_ejected and state.ejection.is_ejected(record.now_ms):
+            self._reporter.log_ejection(
+                send,
+                outcome,
+                state.ejection.ejected_until_ms - record.now_ms,
+                state.outstanding,
+            )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
@@ -22,6 +22,7 @@
 from fennelfork_daemon.routes._authorization import AuthorizedRequest
 from fennelfork_daemon.routes._caller_request import SignedResponse
 from fennelfork_daemon.routes._caller_way import request_times
+from fennelfork_daemon.routes._outcome_recorder import OutcomeRecorder
 from fennelfork_daemon.routes._request import RunningRequest
 
 
@@ -58,9 +59,15 @@
         attempts = AttemptRunner(
             parts=self._attempt_parts,
             caller_request=request.caller_request,
-            latency_baseline=dispatched.latency_baseline,
+            recorder=OutcomeRecorder(
+                clock=self._clock,
+                selector=self._attempt_parts.selector,
+                reporter=self._attempt_parts.reporter,
+                latency_baseline=dispatched.latency_baseline,
+            ),
             deadline_ms=dispatched.deadline_ms,
             requires_new_connection=not request.route.idempotent,
+            record_write=dispatched.write_gate.record_write,
             on_result=lambda attempt, outcome: queue.put((attempt, outcome)),
         )
         return RunningRequest(
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_reporter.py
@@ -159,6 +159,7 @@
                 hedges=dispatch.hedges,
                 retries=dispatch.retries,
                 missing=tuple(_missing_services(dispatch)),
+                write_delay_ms=dispatch.write_gate.write_delay_ms,
             ),
         )
         workspace = _workspace_name(caller_request)
@@ -190,6 +191,7 @@
                 answer=_describe_outcome(answer),
                 version=running_request.version,
                 sampled=as_expected,
+                write_delay_ms=round(dispatch.write_gate.write_delay_ms),
                 steps=_describe_steps(
                     dispatch, received_ms, all_services=as_expected
                 ),
--- a/packages/fennelfork-daemon/tests/test_routes_unsent.py
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -30,6 +30,7 @@
 from fennelfork_daemon.routes import Refused
 from fennelfork_daemon.routes._attempt_runner import AttemptParts, AttemptRunner
 from fennelfork_daemon.routes._blackboard import route_blackboard
+from fennelfork_daemon.routes._outcome_recorder import OutcomeRecorder
 from fennelfork_daemon.routes._pools import ServerPools
 from fennelfork_daemon.routes._request import RunningRequest
 
@@ -113,9 +114,15 @@
             guard=mock.Mock(),
         ),
         caller_request=caller_request(),
-        latency_baseline=dispatched.latency_baseline,
+        recorder=OutcomeRecorder(
+            clock=clock,
+            selector=selector,
+            reporter=mock.Mock(),
+            latency_baseline=dispatched.latency_baseline,
+        ),
         deadline_ms=dispatched.deadline_ms,
         requires_new_connection=not idempotent,
+        record_write=dispatched.write_gate.record_write,
         on_result=lambda attempt, outcome: queue.put((attempt, outcome)),
     )
     running = RunningRequest(
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -19,6 +19,7 @@
 from fennelfork.routes._sender import DispatchParts, Sender
 from fennelfork.routes._sub_request import SubRequest
 from fennelfork.routes._sub_requests import SubRequests
+from fennelfork.routes._write_gate import WriteGate
 
 _Part = TypeVar('_Part')
 
@@ -49,6 +50,7 @@
         route: route of the request at the time of its arrival.
         latency_baseline: latency baseline of the route.
         patience: decides when a partial answer is sent.
+        write_gate: follows the attempts to the writes of their requests.
         hedges: number of hedges that were sent.
         retries: number of retries that were sent.
     """
@@ -56,6 +58,7 @@
     route: Route
     latency_baseline: LatencyBaseline
     patience: Patience
+    write_gate: WriteGate
     hedges: int = 0
     retries: int = 0
     _sub_requests: SubRequests[_Part]
@@ -225,14 +228,14 @@
     ordered = sorted(
         services, key=lambda service: service not in suspect_services
     )
+    sub_requests: SubRequests[_Part] = SubRequests(
+        by_service={service: SubRequest(service=service) for service in ordered}
+    )
     return Dispatch(
         route=route,
         latency_baseline=latency_baseline,
-        sub_requests=SubRequests(
-            by_service={
-                service: SubRequest(service=service) for service in ordered
-            }
-        ),
+        write_gate=WriteGate(sub_requests=sub_requests),
+        sub_requests=sub_requests,
         min_parts=min_parts(route.target),
         request_attempts=RequestAttempts(
             idempotent=route.idempotent,
--- a/packages/fennelfork/src/fennelfork/routes/_sub_requests.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sub_requests.py
@@ -48,6 +48,10 @@
             self._by_attempt[send.attempt] = sub_request
             self.hedge_due_ms = min(self.hedge_due_ms, sub_request.hedge_at_ms)
 
+    def find(self, attempt: int) -> SubRequest[_Part] | None:
+        """Return the sub-request of an attempt in flight, if it is known."""
+        return self._by_attempt.get(attempt)
+
     def take(self, attempt: int) -> SubRequest[_Part] | None:
         """Return the sub-request of an attempt that ends, if it is known."""
         return self._by_attempt.pop(attempt, None)
