Tests of a fleet whose event loops are late: the budget does not hold

BudgetFleet decides at one time and writes at another (make_late); the budget is asked at the decision, as Sender.send does, or at the write (counted_at), and attempts that waited too long may lapse (max_wait_ms). The bound and the other tests are as they were.

--- a/packages/fennelfork/tests/core_builders_budget.py
+++ b/packages/fennelfork/tests/core_builders_budget.py
@@ -1,11 +1,13 @@
 """A fleet of daemons that share a retry budget, without I/O.
 
-The daemons read the store at different times, lose it, join, restart and have
-unequal capacities.
+The daemons read the store at different times, lose it, join, restart, have
+unequal capacities, and may write an attempt later than they decide on it.
 """
 
 import bisect
+import enum
 import itertools
+import math
 import random
 from collections import Counter
 from typing import Final
@@ -32,6 +34,30 @@
 _OTHER_CORES: Final = 0.36
 
 
+@enum.unique
+class CountedAt(enum.Enum):
+    """Time at which a daemon asks its retry budget for an extra attempt.
+
+    `DECISION`: when the attempt is decided, as `Sender.send` does. `WRITE`:
+    when the event loop writes it; an attempt that is refused then lapses.
+    """
+
+    DECISION = 'decision'
+    WRITE = 'write'
+
+
+@attrs.frozen(kw_only=True)
+class _Write:
+    """Extra attempts that the event loop of a daemon writes later.
+
+    `most` is the number that is wanted, or None for as many as allowed.
+    """
+
+    decided_ms: float
+    due_ms: float
+    most: int | None
+
+
 @attrs.define(kw_only=True, eq=False)
 class BudgetDaemon:
     """One process of a daemon and the copy of the store that it sees.
@@ -40,6 +66,9 @@
     what the daemon sees then. A daemon that the store turns away may get the
     entries from another daemon (`is_relayed`); one that is blind renews its
     lease without them.
+
+    The event loop writes an extra attempt `late_ms` after it is decided, and
+    `writes` holds those in between; they are lost with the process.
     """
 
     local: Member
@@ -52,6 +81,8 @@
     sees_store: bool = True
     is_relayed: bool = False
     is_blind: bool = False
+    late_ms: float = 0
+    writes: list[_Write] = attrs.field(factory=list)
     viewed_ms: float | None = None
     renewed_ms: float | None = None
     lease: FakeLease = attrs.field(factory=FakeLease)
@@ -68,6 +99,26 @@
         )
         self.budgets = retry_budgets(self.retry_policy, clock, self.share)
 
+    def take_due_writes(self) -> list[_Write]:
+        """Remove and return the writes whose time has come, oldest first."""
+        now_ms = self.time.at_ms
+        due = [write for write in self.writes if write.due_ms <= now_ms]
+        self.writes = [write for write in self.writes if write.due_ms > now_ms]
+        return due
+
+    def try_spend(self, most: int | None) -> int:
+        """Ask the budget for extra attempts, one by one until it refuses.
+
+        Args:
+            most: maximum number of attempts, or None for all.
+
+        Returns:
+            The number of attempts that are allowed.
+        """
+        wanted = itertools.count() if most is None else range(most)
+        asked = (self.budgets.try_spend(SERVICE) for _ in wanted)
+        return sum(itertools.takewhile(bool, asked))
+
     def look(self, members: dict[str, Member]) -> None:
         """Read all entries of the store."""
         self.members = members
@@ -109,8 +160,10 @@
 class BudgetFleet:
     """Daemons, their store, and what they sent to one service.
 
-    An attempt arrives up to `delay_ms` after it was counted. `used` holds the
-    share and the whole units of each daemon at each step, for `units` of them.
+    An attempt arrives up to `delay_ms` after it was written. `counted_at` says
+    when the budget is asked; an attempt that has waited for the event loop for
+    more than `max_wait_ms` lapses. `used` holds the share and the whole units
+    of each daemon at each step, for `units` of them.
     """
 
     count: int
@@ -123,6 +176,8 @@
     arrivals: list[float] = attrs.field(factory=list)
     spenders: Counter[str] = attrs.field(factory=Counter)
     delay_ms: float = 0
+    counted_at: CountedAt = CountedAt.DECISION
+    max_wait_ms: float = math.inf
     share_policy: SharePolicy = SharePolicy(
         window_ms=POLICY.window_ms, max_age_ms=MAX_AGE_MS
     )
@@ -194,6 +249,14 @@
             self.daemons[name].sees_store = True
             self.daemons[name].is_blind = False
 
+    def make_late(self, names: list[str], late_ms: float) -> None:
+        """The event loops of daemons run late by some time from now on.
+
+        What the daemons have decided before is written as it was due.
+        """
+        for name in names:
+            self.daemons[name].late_ms = late_ms
+
     def advance(self, ms: float) -> None:
         """Let time pass without requests and extra attempts."""
         for _ in range(int(ms / STEP_MS)):
@@ -275,14 +338,18 @@
             name: name of the daemon.
             most: maximum number of attempts, or None for all.
         """
-        budgets = self.daemons[name].budgets
-        sent = itertools.count() if most is None else range(most)
-        for _ in sent:
-            if not budgets.try_spend(SERVICE):
-                break
-            late_ms = self._rng.uniform(0, self.delay_ms)
-            bisect.insort(self.arrivals, self.time.at_ms + late_ms)
-            self.spenders[name] += 1
+        daemon = self.daemons[name]
+        counts_now = self.counted_at is CountedAt.DECISION
+        wanted = daemon.try_spend(most) if counts_now else most
+        write = _Write(
+            decided_ms=self.time.at_ms,
+            due_ms=self.time.at_ms + daemon.late_ms,
+            most=wanted,
+        )
+        if daemon.late_ms:
+            daemon.writes.append(write)
+        else:
+            self._write(daemon, write)
 
     def step(self, ms: float = STEP_MS) -> None:
         """Let a short time pass at the store and at the daemons."""
@@ -293,6 +360,8 @@
         for daemon in self.daemons.values():
             self._follow_store(daemon)
             self._record_use(daemon)
+            for write in daemon.take_due_writes():
+                self._write(daemon, write)
 
     def worst_sums(self) -> tuple[float, int]:
         """Return the largest sums of shares and of units of any window.
@@ -338,6 +407,18 @@
             worst = max(worst, last - index - bound)
         return worst
 
+    def _write(self, daemon: BudgetDaemon, write: _Write) -> None:
+        """Write what was decided, unless it has waited too long."""
+        if self.time.at_ms - write.decided_ms > self.max_wait_ms:
+            return
+        count = write.most
+        if count is None or self.counted_at is CountedAt.WRITE:
+            count = daemon.try_spend(write.most)
+        for _ in range(count):
+            delay_ms = self._rng.uniform(0, self.delay_ms)
+            bisect.insort(self.arrivals, self.time.at_ms + delay_ms)
+        self.spenders[daemon.local.name] += count
+
     def _requests_from(self, begin_ms: float) -> int:
         first = bisect.bisect_left(self.requests, begin_ms)
         end_ms = begin_ms + self.retry_policy.window_ms
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -9,6 +9,7 @@
     MAX_AGE_MS,
     POLICY,
     BudgetFleet,
+    CountedAt,
     running_fleet,
 )
 from hypothesis import settings
@@ -18,6 +19,7 @@
 _COUNT = 117
 _FEW = 9
 _LONG_MS = 40_000.0
+_LATE_MS = 2500.0
 
 
 class TestPlatformTests:
@@ -201,6 +203,75 @@
         assert len(fleet.arrivals) >= 0.8 * POLICY.ratio * 800
 
 
+def _spend_late_then_on_time(fleet: BudgetFleet, late_ms: float) -> None:
+    """Spend all on late event loops, and all again after each window.
+
+    The loops are late while the first attempts are decided, and on time from
+    then on.
+    """
+    fleet.make_late(fleet.names, late_ms)
+    fleet.spend_all(500)
+    fleet.make_late(fleet.names, 0)
+    fleet.advance(late_ms)
+    fleet.spend_all(_LONG_MS)
+
+
+class TestLateDaemons:
+    """Late event loops write what the budget has counted and forgotten."""
+
+    @pytest.mark.parametrize('late_ms', [1500, _LATE_MS])
+    def test_on_time_a_window_later(self, late_ms: float) -> None:
+        """Two spendings of all daemons do not arrive within one window."""
+        fleet = running_fleet(_COUNT)
+        _spend_late_then_on_time(fleet, late_ms)
+        assert fleet.worst_excess() <= 0
+
+    @pytest.mark.parametrize('ratio', [0.5, 0.9])
+    def test_part_is_late(self, ratio: float) -> None:
+        """Nor do they while a part of the daemons is late for long."""
+        fleet = running_fleet(_COUNT)
+        names = fleet.part(ratio)
+        for late_ms in (_LATE_MS, 0, _LATE_MS, 0):
+            fleet.make_late(names, late_ms)
+            fleet.spend_all(POLICY.window_ms)
+        assert fleet.worst_excess() <= 0
+
+    def test_requests_pay_once(self) -> None:
+        """Requests of one window do not pay for arrivals of two."""
+        fleet = running_fleet(_COUNT)
+        names = fleet.names
+        for late_ms in (_LATE_MS, 0):
+            fleet.make_late(names, late_ms)
+            fleet.play(POLICY.window_ms, 100, names, spends_ms=2000)
+        fleet.spend_all(_LONG_MS)
+        assert fleet.worst_excess() <= 0
+
+    def test_lateness_varies(self) -> None:
+        """Each daemon is late by another time, which changes."""
+        fleet = running_fleet(_COUNT)
+        for late_ms in (_LATE_MS, 0, 2000, 0, 1500, 0):
+            for ratio in (0.3, 0.6, 1):
+                fleet.make_late(fleet.part(ratio), ratio * late_ms)
+            fleet.play(POLICY.window_ms, 50, fleet.names, spends_ms=3000)
+        assert fleet.worst_excess() <= 0
+
+    def test_late_attempts_are_still_sent(self) -> None:
+        """Late daemons may use the budget too, as far as callers wait."""
+        fleet = running_fleet(_COUNT)
+        fleet.make_late(fleet.names, 750)
+        fleet.spend_all(POLICY.window_ms)
+        assert len(fleet.arrivals) >= 0.5 * POLICY.fixed
+
+    @pytest.mark.parametrize('late_ms', [1500, _LATE_MS])
+    def test_counted_at_the_write(self, late_ms: float) -> None:
+        """A budget that is asked at the write holds on the same days."""
+        fleet = running_fleet(_COUNT)
+        fleet.counted_at = CountedAt.WRITE
+        _spend_late_then_on_time(fleet, late_ms)
+        assert fleet.worst_excess() <= 0
+        assert len(fleet.arrivals) >= POLICY.fixed
+
+
 class SharedBudget(RuleBasedStateMachine):
     """Faults of the store and of the daemons in any order."""
 
@@ -261,6 +332,28 @@
 TestSharedBudget = SharedBudget.TestCase
 
 
+class SharedBudgetAtWrites(SharedBudget):
+    """The same faults, and late event loops whose writes are counted."""
+
+    def __init__(self) -> None:
+        """Start from a fleet that asks the budget at each write."""
+        super().__init__()
+        self.fleet.counted_at = CountedAt.WRITE
+
+    @rule(
+        numbers=st.sets(st.integers(0, _FEW - 1), min_size=1),
+        late_ms=st.sampled_from([0, 750, 1500, _LATE_MS]),
+    )
+    def make_late(self, numbers: set[int], late_ms: float) -> None:
+        """The event loops of some daemons are late from now on."""
+        names = [f'vm-{number}' for number in sorted(numbers)]
+        self.fleet.make_late(names, late_ms)
+
+
+SharedBudgetAtWrites.TestCase.settings = SharedBudget.TestCase.settings
+TestSharedBudgetAtWrites = SharedBudgetAtWrites.TestCase
+
+
 def test_registrations() -> None:
     """The builder registers every daemon."""
     fleet: BudgetFleet = running_fleet(_FEW)
