Backend connections: a cancelled request takes its undelivered bytes along

An attempt ended for the daemon at its deadline or when its caller left, and its connection was closed in order. What a cut had held back was delivered all the same once the cut healed: a request that nobody waited for reached a server, up to seconds after the daemon counted it as ended. A connection with a pending response is now reset on close; the kernel then discards what the other end has not received.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
@@ -1,14 +1,20 @@
 """Socket options and reset detection for connections of a daemon."""
 
+import contextlib
 import functools
 import socket
+import struct
 from collections.abc import Callable
 from http.client import HTTPException
-from typing import Any
+from typing import Any, Final
 
 from eventlet.greenio import GreenSocket
 
 
+# `struct linger` with a time of zero seconds.
+_NO_LINGER: Final = struct.pack('ii', 1, 0)
+
+
 class ConnectionBroken(HTTPException):
     """Connection that the remote end reset; received data may be truncated."""
 
@@ -59,6 +65,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def discard_on_close(sock: socket.socket) -> None:
+    """Let the close of a socket reset its connection.
+
+    The kernel then discards the bytes that the remote end has not received;
+    otherwise it goes on sending them after the close.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
+
 def _read_or_raise(read: Callable[..., Any], *args: Any) -> Any:
     try:
         return read(*args)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -20,7 +20,11 @@
     cause_of,
 )
 from fennelfork_daemon._message_reader import ENDLESS_ERRORS
-from fennelfork_daemon._sockets import ConnectionBroken, reset_aware
+from fennelfork_daemon._sockets import (
+    ConnectionBroken,
+    discard_on_close,
+    reset_aware,
+)
 from fennelfork_daemon.backend._request import (
     AnyRequest,
     BackendResponse,
@@ -98,6 +102,7 @@
     _max_response_bytes: int
     _memory: ResponseMemory
     _has_responded: bool = False
+    _awaits_response: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -160,7 +165,15 @@
         return True
 
     def close(self) -> None:
-        """Close the connection and discard unread data."""
+        """Close the connection and discard unread data.
+
+        While a response is pending, the connection is reset: bytes of the
+        request that were not delivered yet are discarded too, so the server
+        does not receive the request later.
+        """
+        sock = self._http.sock
+        if self._awaits_response and sock is not None:
+            discard_on_close(sock)
         self._http.close()
 
     def _to_failure(self, error: Exception) -> Failure:
@@ -185,6 +198,7 @@
     def _send_and_read(
         self, request: AnyRequest
     ) -> Result[BackendResponse, Failure]:
+        self._awaits_response = True
         send_request(request, self._http)
         response = self._http.getresponse()
         self._has_responded = True
@@ -192,6 +206,7 @@
         if not is_successful(body):
             return Bad(body.failure())
         response.release_conn()
+        self._awaits_response = False
         self.keep_alive_ms = _read_keep_alive_ms(
             response.headers.get('Keep-Alive', '')
         )
