--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_sockets.py
@@ -10,7 +10,6 @@
 
 from eventlet.greenio import GreenSocket
 
-
 # `struct linger` with a time of zero seconds.
 _NO_LINGER: Final = struct.pack('ii', 1, 0)
 
