Attempts: nothing is written that cannot help the caller any more

A daemon whose event loop is late wrote attempts after the deadline, each with 1 ms. A hedge written then is "sent once more" with an end later than the first and the caller's own (rule BUDGET, time handed on). Attempts were also written after the answer to the caller, and after another server of the service had responded.

A gate now checks each attempt right before its write, with no turn of the event loop between: the deadline, the answer, the response of the service, and whether its extra attempt is still paid for. What is refused has certainly not run, says nothing about its server, and gives the extra attempt back.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -38,8 +38,8 @@
 _KEEP_ALIVE_SHARE: Final = 0.8
 
 
-def _ignore_write() -> None:
-    """Do nothing before a request is written."""
+def _admit_write() -> None:
+    """Admit every write."""
 
 
 @attrs.define(kw_only=True)
@@ -50,13 +50,14 @@
         connection: number of the connection, zero before the assignment.
         may_be_sent: whether bytes of the request may have been written to the
             connection; false while the request waits for a connection.
-        before_write: function that is called right before the request is
-            written; no other green thread runs between the call and the write.
+        refuse_write: function that is called right before the request is
+            written and returns a failure if it must not be written; no other
+            green thread runs between the call and the write.
     """
 
     connection: int = 0
     may_be_sent: bool = False
-    before_write: Callable[[], None] = _ignore_write
+    refuse_write: Callable[[], Failure | None] = _admit_write
 
 
 @attrs.frozen(kw_only=True)
@@ -214,10 +215,13 @@
         trace: ConnectionTrace,
     ) -> Result[BackendResponse, Failure]:
         trace.connection = number
+        refusal = trace.refuse_write()
+        if refusal is not None:
+            self._release(number, usable=True)
+            return Bad(refusal)
         with contextlib.ExitStack() as unusable:
             # Also runs when the green thread of the request is killed.
             unusable.callback(self._release, number, usable=False)
-            trace.before_write()
             trace.may_be_sent = True
             response = self._open[number].exchange(request)
             if is_successful(response):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
@@ -19,6 +19,7 @@
     Send,
     Succeeded,
     Unresponsive,
+    WriteGate,
     classify_failure,
     classify_reset,
     classify_unsent,
@@ -77,7 +78,7 @@
     _recorder: OutcomeRecorder
     _deadline_ms: float
     _requires_new_connection: bool
-    _record_write: Callable[[int, float], None]
+    _write_gate: WriteGate
     _on_result: Callable[[int, AttemptResult], None]
     _running: dict[int, _RunningAttempt] = attrs.field(factory=dict)
     _cancelled_outcome: AttemptOutcome = Inconclusive()
@@ -89,7 +90,7 @@
                 send.attempt, send.sent_ms
             )
             trace = ConnectionTrace(
-                before_write=functools.partial(self._handle_write, send.attempt)
+                refuse_write=functools.partial(self._refuse_write, send.attempt)
             )
             self._running[send.attempt] = _RunningAttempt(
                 send=send,
@@ -133,16 +134,26 @@
             self._recorder.record(running.send, outcome)
             self._recorder.record_end(running.send, running.trace)
 
-    def _handle_write(self, attempt: int) -> None:
-        self._record_write(attempt, self._parts.clock.now_ms())
+    def _refuse_write(self, attempt: int) -> Failure | None:
+        """Return why the request of an attempt must not be written now."""
+        now_ms = self._parts.clock.now_ms()
+        admitted = self._write_gate.admit(attempt, now_ms)
+        if not is_successful(admitted):
+            return admitted.failure()
+        send = admitted.unwrap()
+        self._running[attempt] = attrs.evolve(self._running[attempt], send=send)
+        return None
 
     def _run_attempt(self, send: Send, trace: ConnectionTrace) -> None:
         try:
             attempt_result = self._send_request(send, trace)
         except GreenletExit:
             return
-        self._running.pop(send.attempt, None)
-        self._recorder.record(send, self._classify_result(send, attempt_result))
+        running = self._running.pop(send.attempt, None)
+        if running is None:
+            return
+        outcome = self._classify_result(send, attempt_result)
+        self._recorder.record(running.send, outcome)
         self._recorder.record_end(send, trace)
         self._on_result(send.attempt, attempt_result)
         if is_successful(attempt_result):
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -82,6 +82,7 @@
             self._attempts.start_attempts(self.dispatch.send_hedges(now_ms))
             self.finish_reason = self.dispatch.finish_reason(now_ms)
         self.finished_ms = self._clock.now_ms()
+        self.dispatch.end()
         if not self.dispatch.is_sufficient:
             self._cancel_unsent()
         self._attempts.schedule_cancel()
@@ -92,7 +93,6 @@
 
         A request that has not run then never runs after its answer.
         """
-        self.dispatch.end()
         for attempt in self._attempts.cancel_unsent():
             self._handle_failure(attempt, _UNSENT)
         while not self._queue.empty():
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
@@ -68,7 +68,7 @@
             ),
             deadline_ms=dispatched.deadline_ms,
             requires_new_connection=not request.route.idempotent,
-            record_write=dispatched.write_gate.record_write,
+            write_gate=dispatched.write_gate,
             on_result=lambda attempt, outcome: queue.put((attempt, outcome)),
         )
         return RunningRequest(
--- a/packages/fennelfork-daemon/tests/test_routes_unsent.py
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -123,7 +123,7 @@
         ),
         deadline_ms=dispatched.deadline_ms,
         requires_new_connection=not idempotent,
-        record_write=dispatched.write_gate.record_write,
+        write_gate=dispatched.write_gate,
         on_result=lambda attempt, outcome: queue.put((attempt, outcome)),
     )
     running = RunningRequest(
--- a/packages/fennelfork/src/fennelfork/routes/__init__.pyi
+++ b/packages/fennelfork/src/fennelfork/routes/__init__.pyi
@@ -89,3 +89,4 @@
 from ._workspace_shares import Asker as Asker
 from ._workspace_shares import RefusalReason as RefusalReason
 from ._workspace_shares import urgency_of as urgency_of
+from ._write_gate import WriteGate as WriteGate
--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -51,9 +51,11 @@
 
     Args:
         failure: failure of the attempt.
-        remaining_ms: time between the start of the attempt and the deadline of the
-            request.
+        remaining_ms: time between the decision on the attempt and the deadline of
+            the request.
     """
+    if failure.code is FailureCode.CANCELLED:
+        return Inconclusive()
     unreached = (
         failure.verdict is Verdict.NOT_RUN
         and failure.code is FailureCode.UNREACHABLE
--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -50,7 +50,7 @@
         route: route of the request at the time of its arrival.
         latency_baseline: latency baseline of the route.
         patience: decides when a partial answer is sent.
-        write_gate: follows the attempts to the writes of their requests.
+        write_gate: last check of each attempt before its request is written.
         hedges: number of hedges that were sent.
         retries: number of retries that were sent.
     """
@@ -144,8 +144,9 @@
         return sends
 
     def end(self) -> None:
-        """Send no further attempt, whatever the outcomes of the others are."""
+        """Send and write no further attempt, whatever the outcomes are."""
         self._has_ended = True
+        self.write_gate.close()
 
     def send_hedges(self, now_ms: float) -> list[Send]:
         """Send the hedges of sub-requests that are due."""
@@ -225,6 +226,7 @@
             same request; these services get the first attempts.
     """
     timeout_ms = min(times.timeout_ms, route.timeout_ms)
+    deadline_ms = times.received_ms + max(timeout_ms - _TIMEOUT_MARGIN_MS, 0)
     ordered = sorted(
         services, key=lambda service: service not in suspect_services
     )
@@ -234,7 +236,11 @@
     return Dispatch(
         route=route,
         latency_baseline=latency_baseline,
-        write_gate=WriteGate(sub_requests=sub_requests),
+        write_gate=WriteGate(
+            sub_requests=sub_requests,
+            retry_budgets=parts.retry_budgets,
+            deadline_ms=deadline_ms,
+        ),
         sub_requests=sub_requests,
         min_parts=min_parts(route.target),
         request_attempts=RequestAttempts(
@@ -255,5 +261,5 @@
             parts,
             latency_baseline,
         ),
-        deadline_ms=times.received_ms + max(timeout_ms - _TIMEOUT_MARGIN_MS, 0),
+        deadline_ms=deadline_ms,
     )
--- a/packages/fennelfork/src/fennelfork/routes/_send.py
+++ b/packages/fennelfork/src/fennelfork/routes/_send.py
@@ -13,7 +13,7 @@
         attempt: number of the attempt, unique within one daemon.
         server: backend server that receives the attempt.
         repeat: whether an earlier attempt may have reached the service.
-        sent_ms: time of the instruction.
+        sent_ms: time of the write, or of the decision until the write.
         alone: whether all other attempts of the request wait for the outcome
             of this attempt.
     """
--- a/packages/fennelfork/src/fennelfork/routes/_sub_request.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sub_request.py
@@ -15,7 +15,9 @@
 _REJECTED: Final = frozenset((FailureCode.SHED, FailureCode.QUEUE_FULL))
 # Failures of an attempt that has not run and that no backend server received,
 # unless the failure says that one did.
-_NOT_SENT: Final = frozenset((FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL))
+_NOT_SENT: Final = frozenset(
+    (FailureCode.UNREACHABLE, FailureCode.QUEUE_FULL, FailureCode.CANCELLED)
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -101,6 +103,17 @@
             send, send.sent_ms, 'sent again' if send.repeat else 'sent'
         )
 
+    def record_write(self, attempt: int, now_ms: float) -> Send:
+        """Record that the request of an attempt is being written.
+
+        Returns:
+            The attempt with the time of the write.
+        """
+        decided = self.in_flight[attempt]
+        written = attrs.evolve(decided, sent_ms=now_ms)
+        self.in_flight[attempt] = written
+        return written
+
     def record_response(
         self,
         attempt: int,
--- /dev/null
+++ b/packages/fennelfork/tests/test_routes_write_gate.py
@@ -0,0 +1,79 @@
+"""Last check of an attempt before its request is written.
+
+Guards against requests that reach backend servers after the deadline or after
+the answer.
+"""
+
+import attrs
+from core_builders_routes import (
+    LATENCY_TARGET_MS,
+    TIMEOUT_MS,
+    UNREACHABLE,
+    RoutingDaemon,
+    route,
+)
+from returns.pipeline import is_successful
+
+from fennelfork import Failure, FailureCode, Verdict
+from fennelfork.routes import Dispatch, RetryPolicy, Send
+
+
+def _refusal(request: Dispatch[str], send: Send, now_ms: float) -> Failure:
+    """Return why the write of an attempt is refused."""
+    admitted = request.write_gate.admit(send.attempt, now_ms)
+    assert not is_successful(admitted)
+    return admitted.failure()
+
+
+class TestRefusals:
+    """Attempts whose requests must not be written any more."""
+
+    def setup_method(self) -> None:
+        """Send the first attempt of a request."""
+        self.daemon = RoutingDaemon()
+        self.request = self.daemon.dispatch(route())
+        self.first = self.request.start(0)[0]
+
+    def test_in_time(self) -> None:
+        """The write is the time of an admitted attempt."""
+        written = self.request.write_gate.admit(self.first.attempt, 20).unwrap()
+        assert written == attrs.evolve(self.first, sent_ms=20)
+        assert self.request.write_gate.write_delay_ms == 20
+
+    def test_deadline_has_passed(self) -> None:
+        """A request that was never written has certainly not run."""
+        failure = _refusal(self.request, self.first, TIMEOUT_MS)
+        assert failure.code is FailureCode.CANCELLED
+        assert failure.verdict is Verdict.NOT_RUN
+        self.request.on_failure(self.first.attempt, failure, TIMEOUT_MS)
+        sub_request = self.request.sub_requests['archive']
+        assert sub_request.verdict is Verdict.NOT_RUN
+        assert not sub_request.possible_arrivals
+
+    def test_caller_was_answered(self) -> None:
+        """Nothing is written after the answer to the caller."""
+        self.request.end()
+        failure = _refusal(self.request, self.first, 20)
+        assert 'the caller was answered' in failure.detail
+
+    def test_service_has_responded(self) -> None:
+        """A hedge that still waits when the response arrives is not written."""
+        hedge = self.request.send_hedges(LATENCY_TARGET_MS / 2)[0]
+        self.request.on_response(self.first.attempt, 'records', 170)
+        failure = _refusal(self.request, hedge, 180)
+        assert 'the service responded' in failure.detail
+
+    def test_attempt_has_ended(self) -> None:
+        """An attempt whose failure is known is not written."""
+        self.request.on_failure(self.first.attempt, UNREACHABLE, 10)
+        failure = _refusal(self.request, self.first, 20)
+        assert 'has ended' in failure.detail
+
+    def test_budget_lapsed(self) -> None:
+        """A hedge that nothing pays for at its write is not written."""
+        hedge = self.request.send_hedges(LATENCY_TARGET_MS / 2)[0]
+        self.daemon.budgets.policy = RetryPolicy(
+            ratio=0, fixed=0, window_ms=1000
+        )
+        failure = _refusal(self.request, hedge, 180)
+        assert 'retry budget' in failure.detail
