Hedges: the time before the write is not charged to the server

The timer of a hedge, the latency of a server and the time for which it is silent began with the decision on an attempt. Each costs processor time of the same loop.

All three count from the write now, and an attempt that ends without a connection counts against its server only from the time at which the connection was opened.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -48,6 +48,7 @@
 
     Attributes:
         connection: number of the connection, zero before the assignment.
+        opening_since_ms: time from which a new connection is being opened.
         may_be_sent: whether bytes of the request may have been written to the
             connection; false while the request waits for a connection.
         refuse_write: function that is called right before the request is
@@ -56,6 +57,7 @@
     """
 
     connection: int = 0
+    opening_since_ms: float | None = None
     may_be_sent: bool = False
     refuse_write: Callable[[], Failure | None] = _admit_write
 
@@ -181,6 +183,7 @@
             self._address, self._max_response_bytes, self._memory
         )
         self._open[number] = connection
+        trace.opening_since_ms = self._clock.now_ms()
         with contextlib.ExitStack() as unopened:
             # Also runs when the green thread of the request is killed.
             unopened.callback(self._release, number, usable=False)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
@@ -22,7 +22,6 @@
     WriteGate,
     classify_failure,
     classify_reset,
-    classify_unsent,
 )
 from fennelfork_daemon._address import address
 from fennelfork_daemon.backend._liveness import has_server_crashed
@@ -118,8 +117,8 @@
             # An earlier pass of this loop lets other green threads run.
             is_unsent = not running.trace.may_be_sent
             if is_unsent and attempt in self._running:
-                took_ms = self._parts.clock.now_ms() - running.send.sent_ms
-                self._kill(running, classify_unsent(took_ms))
+                outcome = self._recorder.classify_unsent(running.trace)
+                self._kill(running, outcome)
                 cancelled.append(attempt)
         return cancelled
 
@@ -142,6 +141,7 @@
             return admitted.failure()
         send = admitted.unwrap()
         self._running[attempt] = attrs.evolve(self._running[attempt], send=send)
+        self._recorder.state_of(send).record_write(attempt, now_ms)
         return None
 
     def _run_attempt(self, send: Send, trace: ConnectionTrace) -> None:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_outcome_recorder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_outcome_recorder.py
@@ -11,6 +11,7 @@
     Selector,
     Send,
     ServerState,
+    classify_unsent,
     record_outcome,
 )
 from fennelfork_daemon.backend._pool import ConnectionTrace
@@ -31,6 +32,15 @@
         """Return the state of the server of an attempt."""
         return self._selector.states.for_incarnation(send.server.incarnation)
 
+    def classify_unsent(self, trace: ConnectionTrace) -> AttemptOutcome:
+        """Classify an attempt that ends now without a connection.
+
+        The time before its connection was opened says nothing of its server.
+        """
+        now_ms = self._clock.now_ms()
+        since_ms = trace.opening_since_ms
+        return classify_unsent(0 if since_ms is None else now_ms - since_ms)
+
     def record(self, send: Send, outcome: AttemptOutcome) -> None:
         """Record the outcome of an attempt that ends now."""
         record = AttemptRecord(
--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -70,7 +70,7 @@
     """Return the outcome of an attempt that had no connection when it ended.
 
     Args:
-        took_ms: time since the start of the attempt.
+        took_ms: time since the start of the connection.
     """
     if took_ms < _MIN_CONNECT_MS:
         return Inconclusive()
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -61,6 +61,15 @@
             self._busy_since_ms = now_ms
         self._sent_ms[attempt] = now_ms
 
+    def record_write(self, attempt: int, now_ms: float) -> None:
+        """Record that the request of an attempt is being written.
+
+        The server is busy with the attempt only from now on.
+        """
+        if self._busy_since_ms == self._sent_ms[attempt]:
+            self._busy_since_ms = now_ms
+        self._sent_ms[attempt] = now_ms
+
     def record_response(self, attempt: int, now_ms: float) -> None:
         """Record that the server responded, with or without an error."""
         self._sent_ms.pop(attempt, None)
--- a/packages/fennelfork/src/fennelfork/routes/_sub_request.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sub_request.py
@@ -106,12 +106,16 @@
     def record_write(self, attempt: int, now_ms: float) -> Send:
         """Record that the request of an attempt is being written.
 
+        A hedge that is due because of this attempt waits from now on.
+
         Returns:
             The attempt with the time of the write.
         """
         decided = self.in_flight[attempt]
         written = attrs.evolve(decided, sent_ms=now_ms)
         self.in_flight[attempt] = written
+        if attempt == max(self.in_flight):
+            self.hedge_at_ms += now_ms - decided.sent_ms
         return written
 
     def record_response(
--- a/packages/fennelfork/tests/test_routes_write_gate.py
+++ b/packages/fennelfork/tests/test_routes_write_gate.py
@@ -1,7 +1,7 @@
 """Last check of an attempt before its request is written.
 
 Guards against requests that reach backend servers after the deadline or after
-the answer.
+the answer, and against hedges of attempts that no server has received.
 """
 
 import attrs
@@ -17,6 +17,8 @@
 from fennelfork import Failure, FailureCode, Verdict
 from fennelfork.routes import Dispatch, RetryPolicy, Send
 
+_LATE_MS = LATENCY_TARGET_MS
+
 
 def _refusal(request: Dispatch[str], send: Send, now_ms: float) -> Failure:
     """Return why the write of an attempt is refused."""
@@ -77,3 +79,35 @@
         )
         failure = _refusal(self.request, hedge, 180)
         assert 'retry budget' in failure.detail
+
+
+class TestHedgeDelay:
+    """The hedge of an attempt whose request is written late."""
+
+    def setup_method(self) -> None:
+        """Send the first attempt of a request and write it late."""
+        self.daemon = RoutingDaemon()
+        self.request = self.daemon.dispatch(route())
+        first = self.request.start(0)[0]
+        self.due_ms = self.request.latency_baseline.hedge_after_ms
+        self.request.write_gate.admit(first.attempt, _LATE_MS)
+
+    def test_counts_from_the_write(self) -> None:
+        """The time before the write is not charged to the server."""
+        assert not self.request.send_hedges(_LATE_MS + self.due_ms - 1)
+        assert self.request.send_hedges(_LATE_MS + self.due_ms)
+
+    def test_next_timer(self) -> None:
+        """The request is not woken again and again before the hedge is due."""
+        self.request.send_hedges(_LATE_MS + 1)
+        assert self.request.next_timer_ms(_LATE_MS + 1) >= (
+            _LATE_MS + self.due_ms
+        )
+
+    def test_hedge_that_was_sent(self) -> None:
+        """A late write of an earlier attempt does not delay a later hedge."""
+        request = self.daemon.dispatch(route(max_attempts=3))
+        first = request.start(0)[0]
+        request.send_hedges(self.due_ms)
+        request.write_gate.admit(first.attempt, _LATE_MS)
+        assert request.send_hedges(2 * self.due_ms)
