Event loop: data that has arrived comes before overdue timers

The loop of eventlet fires all due timers after it has handled a batch of sockets, and looks at the sockets again only after that. When the batch takes long, timeouts of connections, responses and hedges end waits whose data has been there all the while.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -1,6 +1,8 @@
 """Processing of one request of a caller."""
 
+import contextlib
 import enum
+from collections.abc import Iterator
 from typing import Any, Final
 
 import attrs
@@ -72,11 +74,10 @@
         self._attempts.start_attempts(self.dispatch.start(self._clock.now_ms()))
         self.finish_reason = self.dispatch.finish_reason(self._clock.now_ms())
         while self.finish_reason is None:
-            event = self._next_event()
-            if event is CallerDisconnect.DISCONNECTED:
-                self._attempts.cancel()
-                return self._refuse(_CALLER_DISCONNECTED)
-            if event is not None:
+            for event in self._next_events():
+                if event is CallerDisconnect.DISCONNECTED:
+                    self._attempts.cancel()
+                    return self._refuse(_CALLER_DISCONNECTED)
                 self._handle_result(*event)
             now_ms = self._clock.now_ms()
             self._attempts.start_attempts(self.dispatch.send_hedges(now_ms))
@@ -100,15 +101,19 @@
             if event is not CallerDisconnect.DISCONNECTED:
                 self._handle_result(*event)
 
-    def _next_event(self) -> Any:
+    def _next_events(self) -> Iterator[Any]:
+        """Wait for an event or the next timer, and return all known events.
+
+        The results that have arrived come before the decisions on late ones.
+        """
         now_ms = self._clock.now_ms()
         wait_ms = max(
             _MIN_WAIT_MS, self.dispatch.next_timer_ms(now_ms) - now_ms
         )
-        try:
-            return self._queue.get(timeout=wait_ms / _MS_PER_SECOND)
-        except Empty:
-            return None
+        with contextlib.suppress(Empty):
+            yield self._queue.get(timeout=wait_ms / _MS_PER_SECOND)
+        while not self._queue.empty():
+            yield self._queue.get()
 
     def _handle_result(
         self, attempt: int, attempt_result: AttemptResult
