--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_event_loop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_event_loop.py
@@ -17,10 +17,7 @@
     for long, and the lateness of this process would count as a silent peer.
     """
 
-    @staticmethod
-    def is_available() -> bool:
-        """Whether this system has the calls that the hub needs."""
-        return bool(epolls.is_available())
+    is_available = staticmethod(epolls.is_available)
 
     def fire_timers(self, when: float) -> None:
         """Fire the timers that are due, after the data if they are overdue."""
