--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_event_loop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_event_loop.py
@@ -1,4 +1,7 @@
-"""Event loop that handles arrived data before the timers that are overdue."""
+"""Event loop that handles arrived data before the timers that are overdue.
+
+A module for `eventlet.hubs.use_hub`, which asks it for these two names.
+"""
 
 from typing import Final
 
@@ -9,7 +12,12 @@
 _LATE_S: Final = 0.005
 
 
-class DataFirstHub(epolls.Hub):  # type: ignore[misc]  # eventlet has no types
+def is_available() -> bool:
+    """Whether this system has the calls that the hub needs."""
+    return bool(epolls.is_available())
+
+
+class Hub(epolls.Hub):  # type: ignore[misc]  # eventlet has no types
     """Hub whose overdue timers fire after the data that has arrived.
 
     The hub of eventlet fires all due timers before it looks at the sockets. In
@@ -17,8 +25,6 @@
     for long, and the lateness of this process would count as a silent peer.
     """
 
-    is_available = staticmethod(epolls.is_available)
-
     def fire_timers(self, when: float) -> None:
         """Fire the timers that are due, after the data if they are overdue."""
         if self.timers and when - self.timers[0][0] > _LATE_S:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_green.py
@@ -21,12 +21,10 @@
 with block_asyncio():
     import eventlet
 
-from fennelfork_daemon._event_loop import (  # noqa: E402  # imports eventlet
-    DataFirstHub,
-)
+from fennelfork_daemon import _event_loop  # noqa: E402  # imports eventlet
 
 # `thread` is not patched: the daemon has no threads, and replacing all locks
 # takes 50 ms of each start. `os` is not patched: a cooperative `os.write` would
 # block until the reader of the log reads.
 eventlet.monkey_patch(socket=True, select=True, time=True)
-eventlet.hubs.use_hub(DataFirstHub)
+eventlet.hubs.use_hub(_event_loop)
