--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_api.py
@@ -96,7 +96,7 @@
             return Refused(failure=_INTERNAL_ERROR, request_id=None)
 
     def _answer(self, environ: dict[str, Any]) -> Answer:
-        received_ms = self._clock.now_ms()
+        received_ms = self._builder.received_ms(environ)
         table = self._initial_routes.wait()
         parsed = self._read_request(
             environ, INITIAL_LIMITS if table is None else table.limits
@@ -127,7 +127,10 @@
         admitted = self._attempt_parts.guard.admit(caller_request.fingerprint)
         if not is_successful(admitted):
             return self._refuse(admitted.failure(), caller_request)
-        refusal = self._stop_gate.refuse(request) or self._admit(request)
+        left_ms = request.left_ms - (self._clock.now_ms() - received_ms)
+        refusal = self._stop_gate.refuse(request) or self._admit(
+            request, left_ms
+        )
         if refusal is not None:
             return self._refuse(refusal, caller_request)
         with contextlib.ExitStack() as stack:
@@ -164,12 +167,18 @@
             )
         return answer
 
-    def _admit(self, request: AuthorizedRequest) -> Failure | None:
-        """Admit a request, or return the failure if there is no room."""
+    def _admit(
+        self, request: AuthorizedRequest, left_ms: float
+    ) -> Failure | None:
+        """Admit a request, or return the failure if there is no room.
+
+        Args:
+            request: request that may run.
+            left_ms: time until the deadline of the caller.
+        """
         route = request.route
         caller_request = request.caller_request
         asker = _asker(route, caller_request)
-        left_ms = request.left_ms
         refusal: RefusalReason | None = RefusalReason.DEADLINE
         if can_meet_deadline(self._baselines.for_route(route), left_ms):
             refusal = self.limits.admit(route, asker)
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_way.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_caller_way.py
@@ -1,4 +1,4 @@
-"""Network time between a caller and this daemon."""
+"""Time between a caller and this daemon, as the kernel measures it."""
 
 import struct
 from typing import Any, Final
@@ -13,9 +13,11 @@
 from fennelfork_daemon.routes._authorization import AuthorizedRequest
 
 _US_PER_MS: Final = 1000
-# Position and size of the smoothed round-trip time in `struct tcp_info`.
+# Positions in `struct tcp_info` of the time since the last data was received, in
+# milliseconds, and of the smoothed round-trip time, in microseconds.
+_LAST_DATA_OFFSET: Final = 52
 _ROUND_TRIP_OFFSET: Final = 68
-_ROUND_TRIP: Final = struct.Struct('I')
+_FIELD: Final = struct.Struct('I')
 
 
 def caller_way_ms(connection: Any, *, is_new: bool) -> float:
@@ -31,18 +33,22 @@
     Returns:
         Time in milliseconds, zero if the kernel does not tell the round trip.
     """
-    try:
-        fields = connection.getsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_INFO,
-            _ROUND_TRIP_OFFSET + _ROUND_TRIP.size,
-        )
-    except OSError:
-        return 0
-    if len(fields) < _ROUND_TRIP_OFFSET + _ROUND_TRIP.size:
-        return 0
-    round_trip_us = _ROUND_TRIP.unpack_from(fields, _ROUND_TRIP_OFFSET)[0]
-    return (1 + is_new) * float(round_trip_us) / _US_PER_MS
+    round_trip_us = _read_field(connection, _ROUND_TRIP_OFFSET)
+    return (1 + is_new) * round_trip_us / _US_PER_MS
+
+
+def unread_ms(connection: Any) -> float:
+    """Return for how long the last bytes of a caller have been there.
+
+    A late event loop reads a request some time after its arrival.
+
+    Args:
+        connection: socket of the caller, from which a request was just read.
+
+    Returns:
+        Time in milliseconds, zero if the kernel does not tell.
+    """
+    return _read_field(connection, _LAST_DATA_OFFSET)
 
 
 def request_times(
@@ -65,3 +71,15 @@
             is_new=environ.get(FIRST_REQUEST_KEY, False),
         ),
     )
+
+
+def _read_field(connection: Any, offset: int) -> float:
+    """Return a field of `struct tcp_info`, zero if there is none."""
+    end = offset + _FIELD.size
+    try:
+        fields = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, end)
+    except OSError:
+        return 0
+    if len(fields) < end:
+        return 0
+    return float(_FIELD.unpack_from(fields, offset)[0])
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request_builder.py
@@ -18,10 +18,11 @@
     dispatch,
 )
 from fennelfork.workspaces import Workspace
+from fennelfork_daemon.http._wsgi_protocol import CONNECTION_KEY
 from fennelfork_daemon.routes._attempt_runner import AttemptParts, AttemptRunner
 from fennelfork_daemon.routes._authorization import AuthorizedRequest
 from fennelfork_daemon.routes._caller_request import SignedResponse
-from fennelfork_daemon.routes._caller_way import request_times
+from fennelfork_daemon.routes._caller_way import request_times, unread_ms
 from fennelfork_daemon.routes._outcome_recorder import OutcomeRecorder
 from fennelfork_daemon.routes._request import RunningRequest
 
@@ -37,6 +38,10 @@
     _baselines: LatencyBaselines
     _rng: random.Random
 
+    def received_ms(self, environ: dict[str, Any]) -> float:
+        """Return the time at which a request arrived that is read now."""
+        return self._clock.now_ms() - unread_ms(environ[CONNECTION_KEY])
+
     def build(
         self,
         environ: dict[str, Any],
