--- a/packages/fennelfork/src/fennelfork/routes/_sub_request.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sub_request.py
@@ -27,8 +27,9 @@
     Attributes:
         at_ms: time of the event.
         instance: name of the backend server, `-` if none was chosen.
-        description: `sent`, `sent again`, `answered`, the failure of the
-            attempt, or the reason why no further attempt was sent.
+        description: `sent` or `sent again` at the write of a request,
+            `answered`, the failure of the attempt, or the reason why no further
+            attempt was sent.
     """
 
     at_ms: float
@@ -94,14 +95,11 @@
         return Verdict.NOT_RUN
 
     def record_attempt(self, send: Send) -> None:
-        """Record an attempt that is being sent."""
+        """Record the decision on an attempt."""
         self.in_flight[send.attempt] = send
         self.tried.add(send.server.incarnation)
         self.possible_runs += 1
         self.possible_arrivals += 1
-        self._add_event(
-            send, send.sent_ms, 'sent again' if send.repeat else 'sent'
-        )
 
     def record_write(self, attempt: int, now_ms: float) -> Send:
         """Record that the request of an attempt is being written.
@@ -114,6 +112,9 @@
         decided = self.in_flight[attempt]
         written = attrs.evolve(decided, sent_ms=now_ms)
         self.in_flight[attempt] = written
+        self._add_event(
+            written, now_ms, 'sent again' if written.repeat else 'sent'
+        )
         if attempt == max(self.in_flight):
             self.hedge_at_ms += now_ms - decided.sent_ms
         return written
