Known red: daemons behind a reader without store miss the bound on changes

Each delay keeps to the bound, their sum does not: the watch of the reader, the wait of the daemon behind it, a lost request to the second relay.

--- a/packages/fennelfork/tests/test_routes_store_polling.py
+++ b/packages/fennelfork/tests/test_routes_store_polling.py
@@ -62,6 +62,23 @@
         lost_ms = 2 * (timeouts.wait_ms + timeouts.response_ms)
         assert lost_ms + 2 * _SLOW_RESPONSE_MS < max_age_ms
 
+    @pytest.mark.parametrize('max_age_ms', [3000, 5000, 7000])
+    @pytest.mark.parametrize('lost_relays', [0, 1])
+    def test_reader_without_store(
+        self, max_age_ms: float, lost_relays: int
+    ) -> None:
+        """Daemons behind a reader that lost its watch are up to date in time.
+
+        They hear of it at the end of their request to the reader, may lose a
+        request to a second relay, and call the store then.
+        """
+        polling = _polling(9, max_age_ms)
+        watch = polling.watch_timeouts(0, 0)
+        relay = polling.relay_timeouts()
+        told_ms = watch.wait_ms + watch.response_ms + relay.wait_ms
+        lost_ms = lost_relays * (relay.wait_ms + relay.response_ms)
+        assert told_ms + lost_ms + _SLOW_RESPONSE_MS < max_age_ms
+
     @pytest.mark.parametrize(
         ('max_age_ms', 'delay_ms'),
         [(100, 300), (3000, 375), (5000, 625), (60_000, 1000)],
