Retry budget: requests that were read late pay for nothing

The limit counts a request when its caller sends it. Requests whose first attempt comes over 1 s after their arrival in the kernel are left out. TestUnreadRequests fails without the change in one of two cases and passes with it.

--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -254,6 +254,7 @@
                 ),
             ),
             attempt_gate=attempt_gate(suspected=bool(suspect_services)),
+            received_ms=times.received_ms,
         ),
         patience=patience(
             route,
--- a/packages/fennelfork/src/fennelfork/routes/_request_attempts.py
+++ b/packages/fennelfork/src/fennelfork/routes/_request_attempts.py
@@ -1,7 +1,7 @@
 """Attempts of one request, sent at once or one at a time."""
 
 from collections.abc import Iterable
-from typing import Any
+from typing import Any, Final
 
 import attrs
 
@@ -11,6 +11,10 @@
 from fennelfork.routes._sender import Sender
 from fennelfork.routes._sub_request import SubRequest
 
+# A request that waited longer before its first attempt pays for no extra attempts:
+# the limit counts requests when callers send them.
+_MAX_UNREAD_MS: Final = 1000.0
+
 
 @attrs.frozen(kw_only=True)
 class RequestAttempts:
@@ -19,6 +23,7 @@
     _idempotent: bool
     _sender: Sender
     _attempt_gate: AttemptGate
+    _received_ms: float
 
     def send_first(
         self, sub_requests: Iterable[SubRequest[Any]], now_ms: float
@@ -33,8 +38,9 @@
             now_ms: current time.
         """
         known = list(sub_requests)
-        for sub_request in known:
-            self._sender.record_request(sub_request)
+        if now_ms - self._received_ms <= _MAX_UNREAD_MS:
+            for sub_request in known:
+                self._sender.record_request(sub_request)
         if self._attempt_gate.is_serial:
             return self._send_isolated(known, now_ms)
         return self._send_all(known, now_ms)
--- a/packages/fennelfork/tests/test_routes_write_gate.py
+++ b/packages/fennelfork/tests/test_routes_write_gate.py
@@ -5,6 +5,7 @@
 """
 
 import attrs
+import pytest
 from core_builders_routes import (
     LATENCY_TARGET_MS,
     TIMEOUT_MS,
@@ -111,3 +112,16 @@
         request.send_hedges(self.due_ms)
         request.write_gate.admit(first.attempt, _LATE_MS)
         assert request.send_hedges(2 * self.due_ms)
+
+
+class TestUnreadRequests:
+    """Requests that a late event loop reads long after their arrival."""
+
+    @pytest.mark.parametrize(('unread_ms', 'pays'), [(900, 1), (1100, 0)])
+    def test_pay_for_nothing(self, unread_ms: float, pays: int) -> None:
+        """They belong to an earlier window of the limit on extra attempts."""
+        daemon = RoutingDaemon(ratio=1)
+        request = daemon.dispatch(route())
+        daemon.time.advance(unread_ms)
+        request.start(unread_ms)
+        assert len(request.send_hedges(2 * unread_ms)) == pays
