Backend servers: one that refuses connections has ended; misdirected arrivals count

Addresses of servers that were replaced belong to other shards 2 s later. A daemon that had seen a connection refused came back after 0.5, 1 and 2 s, so its next request reached the new owner, where no daemon counted it; at least 12,241 of 88,574 arrivals.

A refused connection proves that the process has ended, and each start has a new identity, so the server gets nothing for 10 s; its registration expires in 4.4 s unless the store is down. A request that reaches another server all the same (421) is recorded in the retry budget of the service that has the address, and leaves less for repeats there.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -121,9 +121,7 @@
         try:
             self._http.connect()
         except (HTTPError, OSError) as error:
-            return Bad(
-                not_run(_connect_failure_code(error), _describe_error(error))
-            )
+            return Bad(_connect_failure(error))
         return Success(None)
 
     def exchange(self, request: AnyRequest) -> Result[BackendResponse, Failure]:
@@ -260,11 +258,18 @@
     return False
 
 
-def _connect_failure_code(error: Exception) -> FailureCode:
-    """Return `SHED` for a reset connection, `UNREACHABLE` otherwise."""
-    if isinstance(cause_of(error), ConnectionResetError):
-        return FailureCode.SHED
-    return FailureCode.UNREACHABLE
+def _connect_failure(error: Exception) -> Failure:
+    """Return a failure with the code `SHED` for a reset connection.
+
+    A refused connection proves that no process listens on the address.
+    """
+    cause = cause_of(error)
+    is_reset = isinstance(cause, ConnectionResetError)
+    code = FailureCode.SHED if is_reset else FailureCode.UNREACHABLE
+    return attrs.evolve(
+        not_run(code, _describe_error(error)),
+        server_ended=isinstance(cause, ConnectionRefusedError),
+    )
 
 
 def _describe_error(error: Exception) -> str:
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_outcome_recorder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_outcome_recorder.py
@@ -6,6 +6,7 @@
 from fennelfork.routes import (
     AttemptOutcome,
     AttemptRecord,
+    Failed,
     LatencyBaseline,
     RetryBudgets,
     Selector,
@@ -49,6 +50,7 @@
             latency_baseline=self._latency_baseline,
             nearby=self._selector.distances.is_local(send.server.data_centre),
         )
+        self._record_misdirected(send, outcome)
         state = self.state_of(send)
         was_ejected = state.ejection.is_ejected(record.now_ms)
         was_in_slow_start = state.ejection.in_slow_start
@@ -72,3 +74,11 @@
             self._retry_budgets.record_end(service)
         else:
             self._retry_budgets.give_back(service)
+
+    def _record_misdirected(self, send: Send, outcome: AttemptOutcome) -> None:
+        """Count a request at the service that has received it by its address."""
+        if not (isinstance(outcome, Failed) and outcome.failure.was_received):
+            return
+        service = self._selector.directory.find_other_service(send.server)
+        if service is not None:
+            self._retry_budgets.record_misdirected(service)
--- a/packages/fennelfork/src/fennelfork/_verdict.py
+++ b/packages/fennelfork/src/fennelfork/_verdict.py
@@ -72,6 +72,8 @@
             response was pending.
         was_received: whether a backend server certainly received the request,
             also if the verdict is `NOT_RUN`.
+        server_ended: whether the process of the backend server has certainly
+            ended.
     """
 
     code: FailureCode
@@ -80,6 +82,7 @@
     retry_after_ms: int | None = None
     connection_lost: bool = False
     was_received: bool = False
+    server_ended: bool = False
 
     def with_verdict(self, verdict: Verdict) -> Self:
         """Return a copy of this failure with another verdict."""
--- a/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
+++ b/packages/fennelfork/src/fennelfork/routes/_attempt_outcome.py
@@ -60,6 +60,7 @@
         failure.verdict is Verdict.NOT_RUN
         and failure.code is FailureCode.UNREACHABLE
         and not failure.was_received
+        and not failure.server_ended
     )
     if unreached and remaining_ms < _MIN_CONNECT_MS:
         return Inconclusive()
@@ -161,6 +162,9 @@
         # Further requests would be extra attempts at the service of the other
         # server, whose retry budget does not count them.
         state.ejection.record_replaced(record.now_ms)
+    if outcome.failure.server_ended:
+        # Soon another server may listen on the address.
+        state.ejection.record_ended(record.now_ms)
     if unreached or state.ejection.should_eject:
         # No process listens on the address, or the server fails repeatedly.
         state.ejection.eject(record.now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -160,8 +160,16 @@
 
     def record_end(self, service: str) -> None:
         """Record that an extra attempt has ended and cannot arrive any more."""
+        self._recent_counts(service).in_flight -= 1
+        self.record_misdirected(service)
+
+    def record_misdirected(self, service: str) -> None:
+        """Record an arrival at a service that nothing was spent for.
+
+        The request was meant for a server whose address a server of the service
+        has now. It leaves less for the attempts of this daemon.
+        """
         counts = self._recent_counts(service)
-        counts.in_flight -= 1
         counts.ended.append(
             _EndedAttempt(
                 ended_ms=self._clock.now_ms(),
--- a/packages/fennelfork/src/fennelfork/routes/_server_directory.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_directory.py
@@ -74,6 +74,17 @@
         """Incarnations of all servers that are registered."""
         return {server.incarnation for server in self.registry.entries.values()}
 
+    def find_other_service(self, server: BackendServer) -> str | None:
+        """Return the service of the last other server at an address, if any."""
+        others = [
+            other
+            for other in self.registry.entries.values()
+            if other.address == server.address
+            and other.service != server.service
+        ]
+        latest = max(others, key=lambda one: one.started_ms, default=None)
+        return None if latest is None else latest.service
+
     def is_outdated(self, server: BackendServer) -> bool:
         """Whether a registration belongs to an earlier incarnation.
 
--- a/packages/fennelfork/src/fennelfork/servers/_ejection.py
+++ b/packages/fennelfork/src/fennelfork/servers/_ejection.py
@@ -14,6 +14,9 @@
 # Time for which a server gets nothing after another one responded at its address.
 # Outages of the store, during which its registration stays, are shorter.
 _REPLACED_MS: Final = 30_000.0
+# Time for which a server gets nothing after its process has ended. Its
+# registration expires before, unless the store is down for long.
+_ENDED_MS: Final = 10_000.0
 
 
 @attrs.define(kw_only=True)
@@ -22,8 +25,8 @@
 
     Attributes:
         ejected_until_ms: end of the ejection.
-        replaced_until_ms: end of the time for which another server counts as
-            the one at the address.
+        replaced_until_ms: end of the time for which the server counts as gone,
+            and another one may have its address.
         ramp: maximum number of slots in use during slow start.
     """
 
@@ -53,7 +56,7 @@
         return now_ms < self.ejected_until_ms
 
     def is_replaced(self, now_ms: float) -> bool:
-        """Return whether requests to the server reach another one."""
+        """Return whether requests may reach another server in its place."""
         return now_ms < self.replaced_until_ms
 
     def usable_slots(self, slots: int, now_ms: float) -> int:
@@ -88,6 +91,11 @@
         """Record that another server responded at the address of this one."""
         self.replaced_until_ms = now_ms + _REPLACED_MS
 
+    def record_ended(self, now_ms: float) -> None:
+        """Record that the process of the server has ended."""
+        until_ms = now_ms + _ENDED_MS
+        self.replaced_until_ms = max(self.replaced_until_ms, until_ms)
+
     def begin_slow_start(self) -> None:
         """Limit the server to one slot and start the ramp."""
         self.ramp = min(self.ramp, 1)
--- a/packages/fennelfork/tests/core_builders_routes.py
+++ b/packages/fennelfork/tests/core_builders_routes.py
@@ -67,6 +67,7 @@
     FailureCode.QUEUE_FULL, 'reset by the other end'
 )
 UNREACHABLE = not_run(FailureCode.UNREACHABLE, 'refused')
+REFUSED = attrs.evolve(UNREACHABLE, server_ended=True)
 MISDIRECTED = attrs.evolve(
     not_run(FailureCode.UNREACHABLE, 'another server'), was_received=True
 )
--- a/packages/fennelfork/tests/test_routes_reused_addresses.py
+++ b/packages/fennelfork/tests/test_routes_reused_addresses.py
@@ -8,13 +8,21 @@
 
 import attrs
 import pytest
-from core_builders_routes import MISDIRECTED, RoutingDaemon, fan_out, route
+from core_builders_routes import (
+    MISDIRECTED,
+    REFUSED,
+    RoutingDaemon,
+    fan_out,
+    route,
+    server,
+)
 
 from fennelfork.routes import (
     AttemptRecord,
     Send,
     Succeeded,
     classify_failure,
+    latency_baseline,
     record_outcome,
 )
 
@@ -109,3 +117,48 @@
     fleet.play(_OUTAGE_MS)
     reached = [fleet.arrivals[0, instance] for instance in fleet.replaced]
     assert reached == [1, 1, 1]
+
+
+def test_refused_connection() -> None:
+    """A server whose process has ended gets no further connection."""
+    daemon = RoutingDaemon()
+    daemon.add_servers(['archive'])
+    sends = daemon.dispatch(route()).start(0)
+    daemon.mark_sent(sends)
+    record_outcome(
+        classify_failure(REFUSED, 100),
+        AttemptRecord(
+            send=sends[0],
+            now_ms=0,
+            latency_baseline=latency_baseline(300),
+            nearby=True,
+        ),
+        daemon.states.for_incarnation(sends[0].server.incarnation),
+    )
+    chosen = set()
+    for _ in range(20):
+        daemon.time.advance(_WAIT_MS)
+        again = daemon.dispatch(route()).start(daemon.time.at_ms)
+        chosen.add(again[0].server.instance)
+    assert sends[0].server.instance not in chosen
+
+
+def test_misdirected_arrival_is_counted() -> None:
+    """It leaves less for the extra attempts to the service that got it."""
+    daemon = RoutingDaemon(ratio=1)
+    for service in ('first', 'second'):
+        daemon.budgets.record_request(service)
+    daemon.budgets.record_misdirected('second')
+    assert daemon.budgets.try_spend('first')
+    assert not daemon.budgets.try_spend('second')
+
+
+def test_service_at_an_address() -> None:
+    """The service of the server that started last is the one at the address."""
+    daemon = RoutingDaemon()
+    gone = server('first', 'here')
+    daemon.directory.put(gone)
+    assert daemon.directory.find_other_service(gone) is None
+    for started_ms, service in enumerate(('second', 'third'), start=1):
+        daemon.directory.put(server(service, 'here', started_ms=started_ms))
+    assert daemon.directory.find_other_service(gone) == 'third'
