--- a/packages/fennelfork-daemon/tests/test_routes_unsent.py
+++ b/packages/fennelfork-daemon/tests/test_routes_unsent.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -20,6 +21,8 @@
     DispatchParts,
     Distances,
     RequestTimes,
+    RetryBudgets,
+    RetryPolicy,
     Selector,
     SingleService,
     dispatch,
@@ -27,7 +30,7 @@
     retry_budgets,
 )
 from fennelfork_daemon.backend import _pool
-from fennelfork_daemon.routes import Refused
+from fennelfork_daemon.routes import Forwarded, Refused
 from fennelfork_daemon.routes._attempt_runner import AttemptParts, AttemptRunner
 from fennelfork_daemon.routes._blackboard import route_blackboard
 from fennelfork_daemon.routes._outcome_recorder import OutcomeRecorder
@@ -36,6 +39,7 @@
 
 _LEFT_MS = 60
 _LONG_S = 0.2
+_SHORT_WINDOW_MS = 250
 
 
 @attrs.define(kw_only=True)
@@ -48,6 +52,7 @@
     closed: int = 0
     is_open: bool = True
     keep_alive_ms: float | None = None
+    before_write: Callable[[], None] = lambda: None
 
     def open(self, timeout_ms: float) -> Result[None, Failure]:
         """Open after a delay."""
@@ -57,6 +62,7 @@
     def closes_within(self, timeout_ms: float) -> bool:
         """Stay open for the time in which a full server resets."""
         eventlet.sleep(timeout_ms / 1000)
+        self.before_write()
         return False
 
     def exchange(self, request: Any) -> Result[Any, Failure]:
@@ -70,10 +76,19 @@
         self.closed += 1
 
 
-def _running_request(*, idempotent: bool) -> tuple[RunningRequest, Selector]:
+def _running_request(
+    *,
+    idempotent: bool,
+    left_ms: float = _LEFT_MS,
+    ports: tuple[int, ...] = (1,),
+    budgets: RetryBudgets | None = None,
+) -> tuple[RunningRequest, Selector]:
     clock = system_clock()
     blackboard = route_blackboard(settings(), clock)
-    blackboard.directory.put(server('i-1'))
+    for port in ports:
+        blackboard.directory.put(
+            server(f'i-{port}', address=f'127.0.0.1:{port}')
+        )
     selector = Selector(
         directory=blackboard.directory,
         states=blackboard.states,
@@ -85,7 +100,8 @@
     )
     parts = DispatchParts(
         selector=selector,
-        retry_budgets=retry_budgets(
+        retry_budgets=budgets
+        or retry_budgets(
             settings().repeats, clock, blackboard.fleet_shares.retries
         ),
         home_regions_of=blackboard.home_regions_of,
@@ -96,7 +112,7 @@
         ('archive',),
         parts,
         latency_baseline(300),
-        RequestTimes(received_ms=clock.now_ms(), timeout_ms=_LEFT_MS),
+        RequestTimes(received_ms=clock.now_ms(), timeout_ms=left_ms),
     )
     codec = mock.Mock()
     codec.read_response = Success
@@ -165,3 +181,68 @@
     assert slow.closed == 1 - received
     state = selector.states.for_incarnation(server('i-1').incarnation)
     assert not state.outstanding
+
+
+class TestCallerLeaves:
+    """A caller that leaves while its request waits for a connection."""
+
+    def test_nothing_is_written(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """A late event loop learns of both in one turn, of the caller first."""
+        backend = _Server(open_s=_LONG_S / 4)
+        monkeypatch.setattr(_pool, 'backend_connection', lambda *_: backend)
+        running, _ = _running_request(idempotent=True, left_ms=1000)
+        backend.before_write = running.record_disconnect
+        running.run()
+        eventlet.sleep(_LONG_S)
+        assert not backend.received
+
+
+class TestServerLeaves:
+    """A server whose entry is removed while a request waits for its connection.
+
+    Guards against attempts that end without an outcome: nothing is sent again,
+    and the caller waits until its deadline.
+    """
+
+    def test_caller_is_answered(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """The server still serves, as those do that are being stopped."""
+        leaving = _Server(open_s=_LONG_S / 2)
+        monkeypatch.setattr(_pool, 'backend_connection', lambda *_: leaving)
+        running, selector = _running_request(idempotent=False, left_ms=1000)
+        eventlet.spawn_after(_LONG_S / 4, selector.states.retain, set())
+        assert isinstance(running.run(), Forwarded)
+
+
+class TestLateFirstAttempt:
+    """A first attempt that is held back until after its hedge is answered.
+
+    The rule counts arrivals beyond the first of each request, so the first
+    attempt is the extra arrival then.
+    """
+
+    def test_counts_while_it_may_arrive(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The request has paid for one extra arrival, which is yet to come."""
+        pending = [_Server(respond_s=2), _Server()]
+        monkeypatch.setattr(
+            _pool, 'backend_connection', lambda *_: pending.pop(0)
+        )
+        share = mock.Mock(nominal_share=0, is_usable=False)
+        budgets = retry_budgets(
+            RetryPolicy(ratio=1, fixed=0, window_ms=_SHORT_WINDOW_MS),
+            system_clock(),
+            share,
+        )
+        running, selector = _running_request(
+            idempotent=True, left_ms=1000, ports=(1, 2), budgets=budgets
+        )
+        assert isinstance(running.run(), Forwarded)
+        eventlet.sleep(1.2 * _SHORT_WINDOW_MS / 1000)
+        states = [
+            selector.states.for_incarnation(server(instance).incarnation)
+            for instance in ('i-1', 'i-2')
+        ]
+        assert sum(state.outstanding for state in states) == 1
+        budgets.record_request('archive')
+        assert not budgets.try_spend('archive')
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -3,11 +3,15 @@
 Guards against shares of the retry budget that add up to more than the budget.
 """
 
+import itertools
+
 import attrs
 import pytest
 from core_builders_budget import (
     MAX_AGE_MS,
     POLICY,
+    SERVICE,
+    STEP_MS,
     BudgetFleet,
     running_fleet,
 )
@@ -17,6 +21,8 @@
 
 _COUNT = 117
 _FEW = 9
+_FEW_CAPABLE = 6
+_PER_S = 400
 _LONG_MS = 40_000.0
 _LATE_MS = 2500.0
 
@@ -272,6 +278,52 @@
         assert len(fleet.arrivals) >= 0.5 * POLICY.fixed
 
 
+class TestBeyondTheWindow:
+    """What lies further apart than a window comes together at the servers."""
+
+    def test_fleet_grows(self) -> None:
+        """Shares that are used over a window apart are spent in one window.
+
+        Daemons that are few have large shares. They write late, when the
+        others that have joined meanwhile use shares of their own.
+        """
+        fleet = running_fleet(_COUNT)
+        few, others = fleet.names[:_FEW_CAPABLE], fleet.names[_FEW_CAPABLE:]
+        fleet.kill(others)
+        fleet.advance(_LONG_MS + MAX_AGE_MS)
+        for name in others:
+            fleet.start(name)
+        fleet.advance(1750)
+        fleet.make_late(few, 4000)
+        for name in few:
+            fleet.spend(name)
+        fleet.make_late(few, 0)
+        fleet.advance(4000)
+        fleet.spend_all(_LONG_MS)
+        assert fleet.worst_excess() <= 0
+
+    def test_requests_are_read_late(self) -> None:
+        """Requests pay in the window in which their callers sent them.
+
+        A request that waits to be read is one of an earlier window.
+        """
+        fleet = running_fleet(_FEW)
+        fleet.play(2 * POLICY.window_ms, _PER_S, fleet.names, spends_ms=0)
+        waiting = round(_PER_S * _LATE_MS / 1000)
+        for _ in range(round(_LATE_MS / STEP_MS)):
+            fleet.step()
+            sent = round(_PER_S * STEP_MS / 1000)
+            fleet.requests.extend(itertools.repeat(fleet.time.at_ms, sent))
+        for name in fleet.names:
+            fleet.spend(name, most=round(POLICY.ratio * waiting / _FEW))
+        for number in range(waiting):
+            reader = fleet.daemons[fleet.names[number % _FEW]]
+            reader.budgets.record_request(SERVICE)
+        rest_ms = POLICY.window_ms - STEP_MS
+        fleet.play(rest_ms, _PER_S, fleet.names, spends_ms=rest_ms)
+        assert fleet.worst_excess() <= 0
+
+
 class SharedBudget(RuleBasedStateMachine):
     """Faults of the store and of the daemons in any order."""
 
--- a/packages/fennelfork/tests/test_routes_write_gate.py
+++ b/packages/fennelfork/tests/test_routes_write_gate.py
@@ -72,6 +72,18 @@
         failure = _refusal(self.request, self.first, 20)
         assert 'has ended' in failure.detail
 
+    @pytest.mark.parametrize('is_gone', [False, True])
+    def test_server_leaves(self, is_gone: bool) -> None:
+        """Nothing is written to a server that is known to leave or gone."""
+        if is_gone:
+            self.daemon.directory.discard(self.first.server.instance)
+        else:
+            self.daemon.directory.put(
+                attrs.evolve(self.first.server, draining=True)
+            )
+        failure = _refusal(self.request, self.first, 20)
+        assert failure.verdict is Verdict.NOT_RUN
+
     def test_budget_lapsed(self) -> None:
         """A hedge that nothing pays for at its write is not written."""
         hedge = self.request.send_hedges(LATENCY_TARGET_MS / 2)[0]
--- a/tests/test_platform_late_arrivals.py
+++ b/tests/test_platform_late_arrivals.py
@@ -44,6 +44,7 @@
 # Requests whose share of the retry budget pays for a hedge.
 _PAYING = 20
 _MANY_CONNECTIONS = 400
+_LEAVERS = 10
 
 
 @attrs.frozen(kw_only=True)
@@ -199,6 +200,28 @@
         assert arrivals
         assert max(late_s) <= _SLACK_S
 
+    def test_caller_left_before_its_request_is_read(
+        self, fleet: PlatformFleet, servers: ArrivalRecorder
+    ) -> None:
+        """Nobody waits any more for requests whose callers have left."""
+        connections = [_connect(fleet) for _ in range(_LEAVERS)]
+        served = [
+            _send(connection, '/one/6', f'p-{number}', 2000)
+            for number, connection in enumerate(connections)
+        ]
+        for caller in served:
+            caller.read()
+        with _standing_still(fleet):
+            for number, connection in enumerate(connections):
+                _send(connection, '/one/7', f'r-{number}', 4000).leave()
+        time.sleep(_SLACK_S)
+        late = [
+            number
+            for number in range(_LEAVERS)
+            if servers.of(f'r-{number}', 'archive')
+        ]
+        assert not late
+
 
 @attrs.define(kw_only=True)
 class _LateReader(LoopbackListener):
