Attempts: a write after the registration of its server has gone

If the registration goes between the decision and the write, the state is a new one without the attempt: a KeyError ended the thread of the attempt without an outcome, its connection stayed taken, and the caller waited until its deadline. The write goes on now, and the connection is released whatever the check before the write does.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_pool.py
@@ -218,16 +218,16 @@
         trace: ConnectionTrace,
     ) -> Result[BackendResponse, Failure]:
         trace.connection = number
-        refusal = trace.refuse_write()
-        if refusal is not None:
-            self._release(number, usable=True)
-            return Bad(refusal)
         with contextlib.ExitStack() as unusable:
             # Also runs when the green thread of the request is killed.
             unusable.callback(self._release, number, usable=False)
-            trace.may_be_sent = True
-            response = self._open[number].exchange(request)
-            if is_successful(response):
+            refusal = trace.refuse_write()
+            if refusal is None:
+                trace.may_be_sent = True
+                response = self._open[number].exchange(request)
+            else:
+                response = Bad(refusal)
+            if refusal is not None or is_successful(response):
                 unusable.pop_all()
                 self._release(number, usable=True)
         return response
--- a/packages/fennelfork/src/fennelfork/routes/_server_state.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_state.py
@@ -66,7 +66,11 @@
 
         The server is busy with the attempt only from now on.
         """
-        if self._busy_since_ms == self._sent_ms[attempt]:
+        decided_ms = self._sent_ms.get(attempt)
+        if decided_ms is None:
+            # The state was removed with the registration of the server.
+            return
+        if self._busy_since_ms == decided_ms:
             self._busy_since_ms = now_ms
         self._sent_ms[attempt] = now_ms
 
