Callers that left: nothing is written from the moment at which that is known

The gate closes with the event now, and a caller that is gone before its request starts is seen at once.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_disconnect_watch.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_disconnect_watch.py
@@ -21,7 +21,12 @@
     def call_on_disconnect(
         self, on_disconnect: Callable[[], None]
     ) -> Iterator[None]:
-        """Call `on_disconnect` if the caller disconnects within the block."""
+        """Call `on_disconnect` if the caller disconnects within the block.
+
+        A caller that has disconnected before is reported at once.
+        """
+        if self._is_closed():
+            on_disconnect()
         watcher = spawn(self._wait_for_close, on_disconnect)
         try:
             yield
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_request.py
@@ -66,7 +66,11 @@
     _error_response: SignedResponse | None = None
 
     def record_disconnect(self) -> None:
-        """Record that the caller closed its connection."""
+        """Record that the caller closed its connection.
+
+        From now on nothing is written, also before the event is handled.
+        """
+        self.dispatch.write_gate.close()
         self._queue.put(CallerDisconnect.DISCONNECTED)
 
     def run(self) -> Answer:
