Retry budget: extra attempts end with the last attempt of their request

The rule counts arrivals beyond the first of a request. If the first attempt is held back and its hedge is answered, the first attempt is the extra arrival, yet the extra attempt ended with the hedge and was forgotten a window later. All extra attempts of a request to a service now count until its last attempt has ended.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_attempt_runner.py
@@ -85,9 +85,7 @@
     def start_attempts(self, sends: list[Send]) -> None:
         """Start one green thread for each attempt."""
         for send in sends:
-            self._recorder.state_of(send).record_sent(
-                send.attempt, send.sent_ms
-            )
+            self._recorder.record_start(send)
             trace = ConnectionTrace(
                 refuse_write=functools.partial(self._refuse_write, send.attempt)
             )
--- a/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_outcome_recorder.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/routes/_outcome_recorder.py
@@ -1,5 +1,7 @@
 """Effect of the outcomes of attempts on backend servers and retry budgets."""
 
+from collections import Counter
+
 import attrs
 
 from fennelfork import Clock
@@ -28,6 +30,8 @@
     _reporter: RequestReporter
     _latency_baseline: LatencyBaseline
     _retry_budgets: RetryBudgets
+    _running: Counter[str] = attrs.field(factory=Counter)
+    _unsettled: Counter[str] = attrs.field(factory=Counter)
 
     def state_of(self, send: Send) -> ServerState:
         """Return the state of the server of an attempt."""
@@ -65,15 +69,26 @@
                 state.outstanding,
             )
 
+    def record_start(self, send: Send) -> None:
+        """Record that an attempt starts."""
+        self.state_of(send).record_sent(send.attempt, send.sent_ms)
+        self._running[send.server.service] += 1
+
     def record_end(self, send: Send, trace: ConnectionTrace) -> None:
-        """Record that an attempt has ended and sends nothing from now on."""
-        if not send.repeat:
-            return
+        """Record that an attempt has ended and sends nothing from now on.
+
+        The extra attempts to a service end with the last attempt of all: an
+        earlier attempt that is held back is the extra arrival then.
+        """
         service = send.server.service
-        if trace.may_be_sent:
-            self._retry_budgets.record_end(service)
-        else:
+        self._running[service] -= 1
+        if send.repeat and trace.may_be_sent:
+            self._unsettled[service] += 1
+        elif send.repeat:
             self._retry_budgets.give_back(service)
+        if not self._running[service]:
+            for _ in range(self._unsettled.pop(service, 0)):
+                self._retry_budgets.record_end(service)
 
     def _record_misdirected(self, send: Send, outcome: AttemptOutcome) -> None:
         """Count a request at the service that has received it by its address."""
