--- a/packages/fennelfork/src/fennelfork/routes/_dispatch.py
+++ b/packages/fennelfork/src/fennelfork/routes/_dispatch.py
@@ -239,6 +239,7 @@
         write_gate=WriteGate(
             sub_requests=sub_requests,
             retry_budgets=parts.retry_budgets,
+            directory=parts.selector.directory,
             deadline_ms=deadline_ms,
         ),
         sub_requests=sub_requests,
--- a/packages/fennelfork/src/fennelfork/routes/_server_directory.py
+++ b/packages/fennelfork/src/fennelfork/routes/_server_directory.py
@@ -93,6 +93,15 @@
         known = self.registry.entries.get(server.instance)
         return known is not None and server.started_ms < known.started_ms
 
+    def may_get_requests(self, server: BackendServer) -> bool:
+        """Whether an incarnation of a server is registered and not draining."""
+        known = self.registry.entries.get(server.instance)
+        return (
+            known is not None
+            and known.incarnation == server.incarnation
+            and not known.draining
+        )
+
     def is_draining(self, server: BackendServer) -> bool:
         """Whether an incarnation of a server is registered as draining."""
         known = self.registry.entries.get(server.instance)
--- a/packages/fennelfork/src/fennelfork/routes/_write_gate.py
+++ b/packages/fennelfork/src/fennelfork/routes/_write_gate.py
@@ -13,6 +13,7 @@
 from fennelfork._verdict import Failure, FailureCode, not_run
 from fennelfork.routes._retry_budget import RetryBudgets
 from fennelfork.routes._send import Send
+from fennelfork.routes._server_directory import ServerDirectory
 from fennelfork.routes._sub_request import SubRequest
 from fennelfork.routes._sub_requests import SubRequests
 
@@ -33,6 +34,7 @@
     write_delay_ms: float = 0
     _sub_requests: SubRequests[Any]
     _retry_budgets: RetryBudgets
+    _directory: ServerDirectory
     _deadline_ms: float
     _is_closed: bool = False
 
@@ -67,9 +69,11 @@
         if now_ms + _MIN_LEFT_MS >= self._deadline_ms:
             return 'the deadline passed before the request was written'
         if self._is_closed:
-            return 'the caller was answered before the request was written'
+            return 'the caller was answered, or left, before the request was written'
         if sub_request.part is not None:
             return 'the service responded before the request was written'
+        if not self._directory.may_get_requests(send.server):
+            return 'the server left before the request was written'
         if send.repeat and not self._retry_budgets.may_write(
             sub_request.service
         ):
