--- a/packages/fennelfork-daemon/tests/test_backend_connection.py
+++ b/packages/fennelfork-daemon/tests/test_backend_connection.py
@@ -129,6 +129,7 @@
         connection = backend_connection(Address(host=host, port=port), 1000)
         failure = connection.open(_REQUEST.timeout_ms).failure()
         assert failure.verdict is Verdict.NOT_RUN
+        assert failure.server_ended
 
     @pytest.mark.parametrize(
         ('error', 'code'),
@@ -154,6 +155,7 @@
         failure = connection.open(500).failure()
         assert failure.code is code
         assert failure.verdict is Verdict.NOT_RUN
+        assert failure.server_ended is (error is ConnectionRefusedError)
 
     @pytest.mark.parametrize(
         ('answered', 'code'),
--- a/packages/fennelfork/src/fennelfork/routes/_request_attempts.py
+++ b/packages/fennelfork/src/fennelfork/routes/_request_attempts.py
@@ -1,7 +1,7 @@
 """Attempts of one request, sent at once or one at a time."""
 
 from collections.abc import Iterable
-from typing import Any, Final
+from typing import Any
 
 import attrs
 
@@ -11,10 +11,6 @@
 from fennelfork.routes._sender import Sender
 from fennelfork.routes._sub_request import SubRequest
 
-# A request that waited longer before its first attempt pays for no extra attempts:
-# the limit counts requests when callers send them.
-_MAX_UNREAD_MS: Final = 1000.0
-
 
 @attrs.frozen(kw_only=True)
 class RequestAttempts:
@@ -38,9 +34,9 @@
             now_ms: current time.
         """
         known = list(sub_requests)
-        if now_ms - self._received_ms <= _MAX_UNREAD_MS:
-            for sub_request in known:
-                self._sender.record_request(sub_request)
+        unread_ms = now_ms - self._received_ms
+        for sub_request in known:
+            self._sender.record_request(sub_request, unread_ms)
         if self._attempt_gate.is_serial:
             return self._send_isolated(known, now_ms)
         return self._send_all(known, now_ms)
--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -28,6 +28,8 @@
 # Fraction of the fixed number that is used; the rest covers attempts that
 # arrive at another service than the one meant.
 _MARGIN: Final = 0.9
+# Time for which a request may wait to be read and still pay for extra attempts.
+_MAX_UNREAD_MS: Final = 1000.0
 
 
 @attrs.frozen(kw_only=True)
@@ -123,8 +125,17 @@
     _fleet_share: FleetShare
     _counts: dict[str, _ServiceCounts] = attrs.field(factory=dict)
 
-    def record_request(self, service: str) -> None:
-        """Record the first attempt of a request to a service."""
+    def record_request(self, service: str, unread_ms: float = 0) -> None:
+        """Record the first attempt of a request to a service.
+
+        A request that was read late belongs to an earlier window.
+
+        Args:
+            service: name of the service.
+            unread_ms: time between the arrival of the request and now.
+        """
+        if unread_ms > _MAX_UNREAD_MS:
+            return
         counts = self._recent_counts(service)
         now_ms = self._clock.now_ms()
         if not counts.tests.may_include(now_ms, self.policy.tests_per_s):
--- a/packages/fennelfork/src/fennelfork/routes/_sender.py
+++ b/packages/fennelfork/src/fennelfork/routes/_sender.py
@@ -57,9 +57,11 @@
     _parts: DispatchParts
     _home_regions: Callable[[], HomeRegions]
 
-    def record_request(self, sub_request: SubRequest[Any]) -> None:
+    def record_request(
+        self, sub_request: SubRequest[Any], unread_ms: float
+    ) -> None:
         """Record a request to a service in its retry budget."""
-        self._parts.retry_budgets.record_request(sub_request.service)
+        self._parts.retry_budgets.record_request(sub_request.service, unread_ms)
 
     def send(
         self,
--- a/packages/fennelfork/tests/test_routes_budget_of_fleet.py
+++ b/packages/fennelfork/tests/test_routes_budget_of_fleet.py
@@ -318,7 +318,8 @@
             fleet.spend(name, most=round(POLICY.ratio * waiting / _FEW))
         for number in range(waiting):
             reader = fleet.daemons[fleet.names[number % _FEW]]
-            reader.budgets.record_request(SERVICE)
+            unread_ms = _LATE_MS * (1 - number / waiting)
+            reader.budgets.record_request(SERVICE, unread_ms)
         rest_ms = POLICY.window_ms - STEP_MS
         fleet.play(rest_ms, _PER_S, fleet.names, spends_ms=rest_ms)
         assert fleet.worst_excess() <= 0
