Backend connections: a response to another request does not settle the own one

The connection counts as waiting until its own response has been read. test_close_after_a_response fails without the change in one of two cases and passes with it.

--- a/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/backend/_connection.py
@@ -136,12 +136,16 @@
         self._http.timeout = request.timeout_ms / _MS
         if self._http.sock is not None:
             self._http.sock.settimeout(request.timeout_ms / _MS)
+        self._awaits_response = True
         try:
-            return self._send_and_read(request).bind(
+            outcome = self._send_and_read(request).bind(
                 functools.partial(_check_response, request)
             )
         except _TRANSPORT_ERRORS as error:
             return Bad(self._to_failure(error))
+        # A response to another request does not end the wait.
+        self._awaits_response = not is_successful(outcome)
+        return outcome
 
     def closes_within(self, timeout_ms: float) -> bool:
         """Wait for the peer to close the idle connection.
@@ -196,7 +200,6 @@
     def _send_and_read(
         self, request: AnyRequest
     ) -> Result[BackendResponse, Failure]:
-        self._awaits_response = True
         send_request(request, self._http)
         response = self._http.getresponse()
         self._has_responded = True
@@ -204,7 +207,6 @@
         if not is_successful(body):
             return Bad(body.failure())
         response.release_conn()
-        self._awaits_response = False
         self.keep_alive_ms = _read_keep_alive_ms(
             response.headers.get('Keep-Alive', '')
         )
--- a/packages/fennelfork-daemon/tests/test_backend_connection.py
+++ b/packages/fennelfork-daemon/tests/test_backend_connection.py
@@ -4,12 +4,16 @@
 import struct
 import threading
 from collections.abc import Iterator
-from contextlib import closing
+from contextlib import closing, nullcontext
+from typing import Any
 from unittest import mock
 
 import pytest
+from returns.pipeline import is_successful
+from returns.result import Failure as Failed
+from returns.result import Success
 
-from fennelfork import FailureCode, Verdict
+from fennelfork import FailureCode, Verdict, not_run
 from fennelfork_daemon._address import Address
 from fennelfork_daemon.backend._connection import backend_connection
 from fennelfork_daemon.backend._request import ForwardRequest, JsonRequest
@@ -56,6 +60,19 @@
     test_server.listener.close()
 
 
+@pytest.fixture
+def connected_pair() -> Iterator[tuple[Any, Any]]:
+    """Connect a connection to a socket of the test."""
+    with closing(socket.create_server(('127.0.0.1', 0))) as listener:
+        host, port = listener.getsockname()
+        connection = backend_connection(Address(host=host, port=port), 1000)
+        assert is_successful(connection.open(1000))
+        peer_socket, _ = listener.accept()
+        with closing(peer_socket):
+            peer_socket.settimeout(_TIMEOUT_S)
+            yield connection, peer_socket
+
+
 class TestBackendConnection:
     """Bytes on the wire and the classification of responses and errors."""
 
@@ -69,6 +86,31 @@
         assert (response.status, response.body) == (200, b'{}')
         assert server.first_read.endswith(b'{"keys": [1]}')
 
+    @pytest.mark.parametrize('is_other', [False, True])
+    def test_close_after_a_response(
+        self, connected_pair: tuple[Any, Any], is_other: bool
+    ) -> None:
+        """A response to another request does not settle the own one."""
+        connection, peer_socket = connected_pair
+        peer_socket.sendall(_VALID_RESPONSE)
+        failure = not_run(FailureCode.BAD_REPLY, 'another request')
+        request = ForwardRequest(
+            method='GET',
+            target='/',
+            headers=(),
+            body=None,
+            timeout_ms=_TIMEOUT_S * 1000,
+            connect_ms=1000,
+            check=lambda response: (
+                Failed(failure) if is_other else Success(response)
+            ),
+        )
+        connection.exchange(request)
+        connection.close()
+        peer_socket.recv(65_536)
+        with pytest.raises(ConnectionResetError) if is_other else nullcontext():
+            assert not peer_socket.recv(1)
+
     def test_target_is_unchanged(self, server: _SingleResponseServer) -> None:
         """Guards against a path whose leading slashes are joined."""
         request = ForwardRequest(
