--- a/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
+++ b/packages/fennelfork/src/fennelfork/routes/_retry_budget.py
@@ -92,6 +92,12 @@
         self.requests += 1
         self.requests_ms.append(now_ms)
 
+    def record_end(self, now_ms: float) -> None:
+        """Record the end of an extra attempt, or an arrival that counts as one."""
+        self.ended.append(
+            _EndedAttempt(ended_ms=now_ms, requests_before=self.requests)
+        )
+
     def discard_before(self, before_ms: float) -> None:
         """Remove all entries that are older than a point in time."""
         while self.requests_ms and self.requests_ms[0] < before_ms:
@@ -171,8 +177,9 @@
 
     def record_end(self, service: str) -> None:
         """Record that an extra attempt has ended and cannot arrive any more."""
-        self._recent_counts(service).in_flight -= 1
-        self.record_misdirected(service)
+        counts = self._recent_counts(service)
+        counts.in_flight -= 1
+        counts.record_end(self._clock.now_ms())
 
     def record_misdirected(self, service: str) -> None:
         """Record an arrival at a service that nothing was spent for.
@@ -180,13 +187,7 @@
         The request was meant for a server whose address a server of the service
         has now. It leaves less for the attempts of this daemon.
         """
-        counts = self._recent_counts(service)
-        counts.ended.append(
-            _EndedAttempt(
-                ended_ms=self._clock.now_ms(),
-                requests_before=counts.requests,
-            )
-        )
+        self._recent_counts(service).record_end(self._clock.now_ms())
 
     def give_back(self, service: str) -> None:
         """Record that an extra attempt has ended without being written."""
