--- a/packages/fennelfork-daemon/src/fennelfork_daemon/_event_loop.py
+++ b/packages/fennelfork-daemon/src/fennelfork_daemon/_event_loop.py
@@ -1,6 +1,6 @@
 """Event loop that handles arrived data before the timers that are overdue.
 
-A module for `eventlet.hubs.use_hub`, which asks it for these two names.
+`eventlet.hubs.use_hub` takes a module with the names `Hub` and `is_available`.
 """
 
 from typing import Final
